--- /dev/null
+++ b/crates/directory/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
