Define the shared types and the messages between processes

Cause: the parts need one definition of commands, replies and frames before they can be written side by side. Conclusion: the interfaces are fixed enough to build from.

--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,1 +1,64 @@
-//! Placeholder.
+//! Identifiers and small value types that every other crate shares.
+
+use std::future::Future;
+use std::pin::Pin;
+
+pub mod prelude;
+
+/// Name of a team, as chosen by the operator.
+pub type TeamId = String;
+/// Name of a prepaid budget. A team may own several.
+pub type BudgetId = String;
+/// Name of a router host, from its settings.
+pub type RouterId = String;
+/// Name of an endpoint, as announced by the endpoint itself.
+pub type EndpointId = String;
+/// Name of a data centre, from the settings of the process.
+pub type DataCentre = String;
+/// Name of a model, as used in requests.
+pub type ModelName = String;
+/// Name of a plain service.
+pub type ServiceName = String;
+/// Name of a rank of work, such as `urgent`.
+pub type RankName = String;
+/// One run of a router or endpoint process. A later run has a larger number.
+pub type Incarnation = u64;
+/// Revision of the configuration. Starts at 0 and only goes up.
+pub type Revision = u64;
+/// Amount of tokens, the unit of every budget.
+pub type Tokens = u64;
+/// Number of a request, unique within one router incarnation.
+pub type RequestNo = u64;
+/// Random id of one attempt to run a request at an endpoint.
+pub type AttemptId = u128;
+/// Random identity of a control member, made together with its data folder.
+pub type MemberId = u64;
+/// Number of a replicated group. Today every command goes to group 0.
+pub type GroupId = u32;
+/// Hash of team and request body that recognises a repeated request.
+pub type Fingerprint = [u8; 16];
+
+/// Future returned by object-safe asynchronous traits.
+pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// Whether a request was run, as told to its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RunState {
+    /// No part of the request was run.
+    No,
+    /// The request was run.
+    Yes,
+    /// The request may have been run.
+    Unknown,
+}
+
+impl RunState {
+    /// Returns the word used in error answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::No => "no",
+            Self::Yes => "yes",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/command.rs
@@ -0,0 +1,467 @@
+//! Commands of the replicated ledger and their replies.
+//!
+//! Applying the same commands in the same order gives the same state on every
+//! control member. Times are stamped by the leader.
+
+use crate::config::ConfigOp;
+
+/// A command of the replicated ledger.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Command {
+    /// Time of the proposal by the leader's clock, in milliseconds since the
+    /// Unix epoch. The ledger never lets its own time go back.
+    #[prost(uint64, tag = "1")]
+    pub at_ms: u64,
+    /// The command itself.
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    pub body: Option<Body>,
+}
+
+/// The kinds of commands.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// Changes the configuration.
+    #[prost(message, tag = "2")]
+    ConfigChange(ConfigChange),
+    /// Tops up or corrects a budget.
+    #[prost(message, tag = "3")]
+    TopUp(TopUp),
+    /// Registers a router incarnation or changes its state.
+    #[prost(message, tag = "4")]
+    OpenIncarnation(OpenIncarnation),
+    /// Ends a router incarnation.
+    #[prost(message, tag = "5")]
+    CloseIncarnation(CloseIncarnation),
+    /// Allots tokens of a budget to a router incarnation.
+    #[prost(message, tag = "6")]
+    Grant(Grant),
+    /// Settles and returns allotted tokens.
+    #[prost(message, tag = "7")]
+    Report(Report),
+    /// Records a non-idempotent call before it is sent.
+    #[prost(message, tag = "8")]
+    OrderBegin(OrderBegin),
+    /// Records the outcome of a non-idempotent call.
+    #[prost(message, tag = "9")]
+    OrderFinish(OrderFinish),
+    /// Records that an endpoint died while it ran a request.
+    #[prost(message, tag = "10")]
+    Strike(Strike),
+    /// Asks to run a suspect request.
+    #[prost(message, tag = "11")]
+    SuspectBegin(SuspectBegin),
+    /// Ends the run of a suspect request.
+    #[prost(message, tag = "12")]
+    SuspectEnd(SuspectEnd),
+    /// Drops records whose retention has passed at `at_ms`.
+    #[prost(message, tag = "13")]
+    Expire(Expire),
+}
+
+/// Changes the configuration, whole or not at all.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigChange {
+    /// Id chosen by the operator's client; a resent change has the same id.
+    #[prost(string, tag = "1")]
+    pub change_id: String,
+    /// Revision that the change was made against.
+    #[prost(uint64, tag = "2")]
+    pub base_revision: u64,
+    /// Name of the operator's key.
+    #[prost(string, tag = "3")]
+    pub author: String,
+    /// Why the change was made.
+    #[prost(string, tag = "4")]
+    pub reason: String,
+    /// Operations, applied in order.
+    #[prost(message, repeated, tag = "5")]
+    pub ops: Vec<ConfigOp>,
+    /// Checks the change without applying it.
+    #[prost(bool, tag = "6")]
+    pub dry_run: bool,
+}
+
+/// Tops up a budget, or corrects it when the amount is negative.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct TopUp {
+    /// Id chosen by the operator's client; applies once.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Budget to change.
+    #[prost(string, tag = "2")]
+    pub budget: String,
+    /// Tokens to add.
+    #[prost(sint64, tag = "3")]
+    pub amount: i64,
+    /// Name of the operator's key.
+    #[prost(string, tag = "4")]
+    pub author: String,
+    /// Why the amount changed.
+    #[prost(string, tag = "5")]
+    pub reason: String,
+}
+
+/// State of a router, as listed in entry answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum RouterState {
+    /// Takes new callers.
+    Alive = 0,
+    /// Finishes its work and takes no new callers.
+    Draining = 1,
+    /// Not heard from; its allotments are frozen.
+    Lost = 2,
+}
+
+/// Registers a router incarnation; sent again, changes its state.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct OpenIncarnation {
+    /// Name of the router.
+    #[prost(string, tag = "1")]
+    pub router: String,
+    /// Incarnation, larger than any before of this router.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Address for callers, `ip:port`.
+    #[prost(string, tag = "3")]
+    pub caller_address: String,
+    /// Address for peers, `ip:port`.
+    #[prost(string, tag = "4")]
+    pub peer_address: String,
+    /// Data centre of the router.
+    #[prost(string, tag = "5")]
+    pub data_centre: String,
+    /// Alive, draining, or lost when the leader proposes it.
+    #[prost(enumeration = "RouterState", tag = "6")]
+    pub state: i32,
+}
+
+/// Ends a router incarnation and returns what it holds.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct CloseIncarnation {
+    /// Name of the router.
+    #[prost(string, tag = "1")]
+    pub router: String,
+    /// Incarnation to end.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+}
+
+/// Allots tokens of a budget to a router incarnation.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Grant {
+    /// Name of the router.
+    #[prost(string, tag = "1")]
+    pub router: String,
+    /// Incarnation that asks.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the grant, from 1 up for each incarnation; a resent grant has
+    /// the same number and gets the first answer.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    /// Budget to draw on.
+    #[prost(string, tag = "4")]
+    pub budget: String,
+    /// Least amount that helps, in tokens.
+    #[prost(uint64, tag = "5")]
+    pub need: u64,
+    /// Amount that the router would like, in tokens.
+    #[prost(uint64, tag = "6")]
+    pub want: u64,
+}
+
+/// Settles and returns allotted tokens, in order of `seq`, each once.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Report {
+    /// Name of the router.
+    #[prost(string, tag = "1")]
+    pub router: String,
+    /// Incarnation that held the allotments.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the report, from 1 up without gaps.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    /// Entries of the report.
+    #[prost(message, repeated, tag = "4")]
+    pub entries: Vec<ReportEntry>,
+}
+
+/// One settlement or return.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct ReportEntry {
+    /// Budget that the allotment is from.
+    #[prost(string, tag = "1")]
+    pub budget: String,
+    /// Tokens used.
+    #[prost(uint64, tag = "2")]
+    pub settled: u64,
+    /// Tokens returned unused.
+    #[prost(uint64, tag = "3")]
+    pub returned: u64,
+    /// Hash of team and the caller's idempotency key, 16 bytes, or empty when
+    /// the caller named none. A key already billed settles nothing.
+    #[prost(bytes = "vec", tag = "4")]
+    pub request_key: Vec<u8>,
+}
+
+/// Records a non-idempotent call before its first byte is sent.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct OrderBegin {
+    /// Team of the caller.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// The caller's idempotency key.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// SHA-256 of service, method, path and body, 32 bytes.
+    #[prost(bytes = "vec", tag = "3")]
+    pub body_hash: Vec<u8>,
+    /// Router that runs the call.
+    #[prost(string, tag = "4")]
+    pub router: String,
+    /// Incarnation that runs the call.
+    #[prost(uint64, tag = "5")]
+    pub incarnation: u64,
+    /// Attempt id, 16 bytes; a resent command has the same id.
+    #[prost(bytes = "vec", tag = "6")]
+    pub attempt: Vec<u8>,
+}
+
+/// How a non-idempotent call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum OrderOutcome {
+    /// The endpoint answered.
+    Done = 0,
+    /// No byte was sent, or the endpoint refused explicitly.
+    NotRun = 1,
+    /// The call may have been run.
+    Unknown = 2,
+}
+
+/// Records the outcome of a non-idempotent call.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct OrderFinish {
+    /// Team of the caller.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// The caller's idempotency key.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Attempt id of the `OrderBegin` that got `Run`.
+    #[prost(bytes = "vec", tag = "3")]
+    pub attempt: Vec<u8>,
+    /// Outcome.
+    #[prost(enumeration = "OrderOutcome", tag = "4")]
+    pub outcome: i32,
+    /// HTTP status of the answer.
+    #[prost(uint32, tag = "5")]
+    pub status: u32,
+    /// Content type of the answer.
+    #[prost(string, tag = "6")]
+    pub content_type: String,
+    /// Body of the answer, at most 64 KiB.
+    #[prost(bytes = "vec", tag = "7")]
+    pub body: Vec<u8>,
+    /// Whether the body was too long to keep.
+    #[prost(bool, tag = "8")]
+    pub body_dropped: bool,
+}
+
+/// Records that an endpoint died while it ran a request.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Strike {
+    /// Fingerprint of the request, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Endpoint that died.
+    #[prost(string, tag = "2")]
+    pub endpoint: String,
+    /// Incarnation of the endpoint that died.
+    #[prost(uint64, tag = "3")]
+    pub endpoint_incarnation: u64,
+}
+
+/// Asks to run a request whose fingerprint has a strike.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct SuspectBegin {
+    /// Fingerprint of the request, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Router that asks.
+    #[prost(string, tag = "2")]
+    pub router: String,
+    /// Incarnation that asks.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Endpoint that would run the request.
+    #[prost(string, tag = "4")]
+    pub endpoint: String,
+}
+
+/// Ends the run of a suspect request.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct SuspectEnd {
+    /// Fingerprint of the request, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Router that ran the request.
+    #[prost(string, tag = "2")]
+    pub router: String,
+    /// Incarnation that ran the request.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Whether the endpoint died again.
+    #[prost(bool, tag = "4")]
+    pub died: bool,
+    /// Endpoint that ran the request.
+    #[prost(string, tag = "5")]
+    pub endpoint: String,
+    /// Incarnation of that endpoint.
+    #[prost(uint64, tag = "6")]
+    pub endpoint_incarnation: u64,
+}
+
+/// Drops records whose retention has passed.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Expire {}
+
+/// Reply to a command.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CommandReply {
+    /// The reply itself.
+    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    pub reply: Option<Reply>,
+}
+
+/// The kinds of replies.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Reply {
+    /// The command was applied, or had been before.
+    #[prost(message, tag = "1")]
+    Ok(Ok),
+    /// A configuration change was accepted at this revision.
+    #[prost(message, tag = "2")]
+    Accepted(Accepted),
+    /// A configuration change was made against another revision.
+    #[prost(message, tag = "3")]
+    Conflict(Conflict),
+    /// The command breaks a rule.
+    #[prost(message, tag = "4")]
+    Refused(Refused),
+    /// Tokens were allotted.
+    #[prost(message, tag = "5")]
+    Granted(Granted),
+    /// The budget can't cover the need.
+    #[prost(message, tag = "6")]
+    Insufficient(Insufficient),
+    /// Reply to `OrderBegin`.
+    #[prost(message, tag = "7")]
+    Order(OrderReply),
+    /// Reply to `SuspectBegin`.
+    #[prost(message, tag = "8")]
+    Suspect(SuspectReply),
+}
+
+/// The command was applied, or had been before.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Ok {}
+
+/// A configuration change was accepted.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Accepted {
+    /// Revision after the change.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+}
+
+/// A configuration change was made against another revision.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Conflict {
+    /// Revision in force.
+    #[prost(uint64, tag = "1")]
+    pub current: u64,
+}
+
+/// The command breaks a rule.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Refused {
+    /// Stable machine-readable code, such as `unknown_budget`.
+    #[prost(string, tag = "1")]
+    pub code: String,
+    /// Reason for people.
+    #[prost(string, tag = "2")]
+    pub message: String,
+}
+
+/// Tokens were allotted.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Granted {
+    /// Amount, at least the need.
+    #[prost(uint64, tag = "1")]
+    pub amount: u64,
+}
+
+/// The budget can't cover the need.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Insufficient {
+    /// Tokens that are not allotted.
+    #[prost(uint64, tag = "1")]
+    pub unspent: u64,
+    /// Tokens allotted to routers, part of which a recall may bring back.
+    #[prost(uint64, tag = "2")]
+    pub allotted: u64,
+}
+
+/// State of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum OrderState {
+    /// The asker shall run it.
+    Run = 0,
+    /// It is finished; the answer is attached.
+    Finished = 1,
+    /// Another attempt is running.
+    Running = 2,
+    /// It may have been run; it will not be run again.
+    Unknown = 3,
+    /// The key was used with another body.
+    Mismatch = 4,
+}
+
+/// Reply to `OrderBegin`.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct OrderReply {
+    /// State of the order.
+    #[prost(enumeration = "OrderState", tag = "1")]
+    pub state: i32,
+    /// HTTP status of the recorded answer.
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    /// Content type of the recorded answer.
+    #[prost(string, tag = "3")]
+    pub content_type: String,
+    /// Body of the recorded answer.
+    #[prost(bytes = "vec", tag = "4")]
+    pub body: Vec<u8>,
+    /// Whether the body was too long to keep.
+    #[prost(bool, tag = "5")]
+    pub body_dropped: bool,
+}
+
+/// Reply to `SuspectBegin`.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct SuspectReply {
+    /// Whether the request may run now.
+    #[prost(bool, tag = "1")]
+    pub run: bool,
+    /// Time to wait before asking again, in milliseconds; 0 when condemned.
+    #[prost(uint64, tag = "2")]
+    pub retry_after_ms: u64,
+    /// End of the condemnation, in milliseconds since the Unix epoch; 0 when
+    /// the fingerprint is not condemned.
+    #[prost(uint64, tag = "3")]
+    pub condemned_until_ms: u64,
+}
--- /dev/null
+++ b/crates/wire/src/control.rs
@@ -0,0 +1,197 @@
+//! The trait through which routers and administrators reach the replicated
+//! ledger, and the requests that it carries.
+
+use std::time::Duration;
+
+use anvilloft_types::BoxFuture;
+use quick_error::quick_error;
+
+use crate::command::Command;
+use crate::command::CommandReply;
+use crate::command::OpenIncarnation;
+use crate::config::ConfigUpdate;
+
+/// A request to the control members.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ControlRequest {
+    /// The request itself.
+    #[prost(oneof = "Request", tags = "1, 2, 3")]
+    pub request: Option<Request>,
+}
+
+/// The kinds of requests.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Request {
+    /// Appends a command to the replicated log.
+    #[prost(message, tag = "1")]
+    Propose(Command),
+    /// Renews a configuration lease.
+    #[prost(message, tag = "2")]
+    Renew(RenewLease),
+    /// Reads state.
+    #[prost(message, tag = "3")]
+    Query(Query),
+}
+
+/// Renews the configuration lease of a router incarnation.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct RenewLease {
+    /// Name of the router.
+    #[prost(string, tag = "1")]
+    pub router: String,
+    /// Incarnation of the router.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Configuration revision that the router has.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Version of the router directory that the router has.
+    #[prost(uint64, tag = "4")]
+    pub directory_version: u64,
+}
+
+/// A configuration lease.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LeaseGrant {
+    /// Validity in milliseconds, counted by the receiver from the time that it
+    /// sent the request. 0 when the incarnation is closed: the router must
+    /// open a new one.
+    #[prost(uint64, tag = "1")]
+    pub valid_ms: u64,
+    /// Configuration changes since the router's revision.
+    #[prost(message, optional, tag = "2")]
+    pub config: Option<ConfigUpdate>,
+    /// Version of the router directory.
+    #[prost(uint64, tag = "3")]
+    pub directory_version: u64,
+    /// The whole router directory when its version differs.
+    #[prost(message, repeated, tag = "4")]
+    pub routers: Vec<OpenIncarnation>,
+    /// Suspect fingerprints, 16 bytes each, in the whole fleet.
+    #[prost(bytes = "vec", repeated, tag = "5")]
+    pub suspects: Vec<Vec<u8>>,
+    /// Budgets whose idle allotments should come back.
+    #[prost(string, repeated, tag = "6")]
+    pub recalls: Vec<String>,
+}
+
+/// Reads state. The result is JSON, as it is meant for people and scripts.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Query {
+    /// What to read: `budget`, `budgets`, `config`, `history`, `routers`,
+    /// `orders`, `status`.
+    #[prost(string, tag = "1")]
+    pub kind: String,
+    /// Name, where the kind needs one.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// Restricts the result to one team unless empty.
+    #[prost(string, tag = "3")]
+    pub team: String,
+    /// Largest count of rows; 0 for the default.
+    #[prost(uint32, tag = "4")]
+    pub limit: u32,
+}
+
+/// A reply of the control members.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ControlReply {
+    /// The reply itself.
+    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6")]
+    pub answer: Option<Answer>,
+}
+
+/// The kinds of replies.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Answer {
+    /// The command was committed and applied.
+    #[prost(message, tag = "1")]
+    Applied(CommandReply),
+    /// A lease was granted.
+    #[prost(message, tag = "2")]
+    Lease(LeaseGrant),
+    /// JSON text.
+    #[prost(string, tag = "3")]
+    QueryResult(String),
+    /// The member doesn't lead; the hint is the leader's peer address or empty.
+    #[prost(string, tag = "4")]
+    NotLeader(String),
+    /// The request was not run, for example without a majority.
+    #[prost(string, tag = "5")]
+    Unavailable(String),
+    /// The command may have been committed; resend it with the same ids.
+    #[prost(string, tag = "6")]
+    Unknown(String),
+}
+
+quick_error! {
+    /// Why a call to the control members has no reply.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum CallError {
+        /// The request was not run.
+        Unavailable(reason: String) {
+            display("control is not available: {}", reason)
+        }
+        /// The request may have been run. Resend it with the same ids.
+        Unknown(reason: String) {
+            display("the outcome at control is unknown: {}", reason)
+        }
+    }
+}
+
+/// Access to the replicated ledger.
+pub trait Control: Send + Sync {
+    /// Sends a request and waits for its reply, at most for `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// `CallError::Unavailable` when the request was certainly not run,
+    /// `CallError::Unknown` when it may have been.
+    fn call(
+        &self,
+        req: ControlRequest,
+        timeout: Duration,
+    ) -> BoxFuture<'_, Result<ControlReply, CallError>>;
+}
+
+impl From<Command> for ControlRequest {
+    fn from(cmd: Command) -> Self {
+        Self {
+            request: Some(Request::Propose(cmd)),
+        }
+    }
+}
+
+impl From<crate::command::Body> for ControlRequest {
+    fn from(body: crate::command::Body) -> Self {
+        Command {
+            at_ms: 0,
+            body: Some(body),
+        }
+        .into()
+    }
+}
+
+impl From<RenewLease> for ControlRequest {
+    fn from(req: RenewLease) -> Self {
+        Self {
+            request: Some(Request::Renew(req)),
+        }
+    }
+}
+
+impl From<Query> for ControlRequest {
+    fn from(req: Query) -> Self {
+        Self {
+            request: Some(Request::Query(req)),
+        }
+    }
+}
+
+impl From<Answer> for ControlReply {
+    fn from(answer: Answer) -> Self {
+        Self {
+            answer: Some(answer),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,201 @@
+//! Frames of a peer session.
+
+use crate::control::ControlReply;
+use crate::control::ControlRequest;
+
+/// Largest frame on a peer session, in bytes.
+pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+
+/// Lowest protocol version that this build speaks.
+pub const PROTOCOL_MIN: u32 = 1;
+/// Highest protocol version that this build speaks.
+pub const PROTOCOL_MAX: u32 = 1;
+
+/// First frame of each side of a session.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Hello {
+    /// Lowest protocol version that the sender speaks.
+    #[prost(uint32, tag = "1")]
+    pub version_min: u32,
+    /// Highest protocol version that the sender speaks.
+    #[prost(uint32, tag = "2")]
+    pub version_max: u32,
+    /// Name of the sending process.
+    #[prost(string, tag = "3")]
+    pub node: String,
+    /// `router` or `control`.
+    #[prost(string, tag = "4")]
+    pub role: String,
+    /// Data centre of the sender.
+    #[prost(string, tag = "5")]
+    pub data_centre: String,
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
+    /// Random nonce, 32 bytes.
+    #[prost(bytes = "vec", tag = "7")]
+    pub nonce: Vec<u8>,
+    /// Random identity of a control member; 0 for routers.
+    #[prost(uint64, tag = "8")]
+    pub member: u64,
+}
+
+/// A frame after both hellos.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// The frame itself.
+    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    pub payload: Option<Payload>,
+}
+
+/// The kinds of frames.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Payload {
+    /// Heartbeat with a sequence number.
+    #[prost(uint64, tag = "1")]
+    Ping(u64),
+    /// Echo of a heartbeat.
+    #[prost(uint64, tag = "2")]
+    Pong(u64),
+    /// A request.
+    #[prost(message, tag = "3")]
+    Call(Call),
+    /// The reply to a request.
+    #[prost(message, tag = "4")]
+    Answer(CallAnswer),
+    /// A consensus message between control members.
+    #[prost(message, tag = "5")]
+    Consensus(ConsensusFrame),
+    /// An endpoint's announcement, relayed between routers.
+    #[prost(message, tag = "6")]
+    EndpointUpdate(EndpointUpdate),
+    /// Asks a router to return idle allotments of a budget.
+    #[prost(string, tag = "7")]
+    Recall(String),
+    /// A copy of unacknowledged settlements for a peer router.
+    #[prost(message, tag = "8")]
+    SettlementCopy(crate::command::Report),
+    /// Tells a router that a newer configuration revision exists.
+    #[prost(uint64, tag = "9")]
+    ConfigPush(u64),
+}
+
+/// A request on a session.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Call {
+    /// Id, unique on the session.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Time that the caller waits, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub timeout_ms: u64,
+    /// The request.
+    #[prost(message, optional, tag = "3")]
+    pub request: Option<ControlRequest>,
+    /// Relays so far; a call is relayed once at most on each side.
+    #[prost(uint32, tag = "4")]
+    pub hops: u32,
+}
+
+/// The reply to a request on a session.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CallAnswer {
+    /// Id of the request.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The reply.
+    #[prost(message, optional, tag = "2")]
+    pub reply: Option<ControlReply>,
+}
+
+/// A consensus message between control members.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct ConsensusFrame {
+    /// Replicated group.
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    /// Member that sent the message.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+    /// Encoded message of the consensus crate.
+    #[prost(bytes = "vec", tag = "3")]
+    pub message: Vec<u8>,
+}
+
+/// A model that an endpoint has loaded.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct LoadedModel {
+    /// Name of the model.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Version of the model.
+    #[prost(string, tag = "2")]
+    pub version: String,
+    /// Names of loaded adapters.
+    #[prost(string, repeated, tag = "3")]
+    pub adapters: Vec<String>,
+}
+
+/// Load of an endpoint, as reported with a lag.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EndpointLoad {
+    /// Requests that run.
+    #[prost(uint32, tag = "1")]
+    pub running: u32,
+    /// Requests that wait inside the engine.
+    #[prost(uint32, tag = "2")]
+    pub waiting: u32,
+    /// Used share of the KV cache, 0 to 1.
+    #[prost(double, tag = "3")]
+    pub kv_used: f64,
+    /// Generated tokens a second.
+    #[prost(double, tag = "4")]
+    pub tokens_per_s: f64,
+}
+
+/// An endpoint's announcement.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EndpointUpdate {
+    /// Name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Incarnation of the endpoint.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the announcement within the incarnation.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    /// Address, `ip:port`.
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// Data centre of the endpoint.
+    #[prost(string, tag = "5")]
+    pub data_centre: String,
+    /// Pool, or name of the service that a plain service belongs to.
+    #[prost(string, tag = "6")]
+    pub pool: String,
+    /// Whether this is a plain service, not a model engine.
+    #[prost(bool, tag = "7")]
+    pub service: bool,
+    /// Loaded models.
+    #[prost(message, repeated, tag = "8")]
+    pub models: Vec<LoadedModel>,
+    /// Requests that run at once.
+    #[prost(uint32, tag = "9")]
+    pub slots: u32,
+    /// Whether the endpoint refuses old fencing numbers.
+    #[prost(bool, tag = "10")]
+    pub checks_fencing: bool,
+    /// Whether the endpoint takes no new work.
+    #[prost(bool, tag = "11")]
+    pub leaving: bool,
+    /// Reported load.
+    #[prost(message, optional, tag = "12")]
+    pub load: Option<EndpointLoad>,
+    /// Hashes of cached prompt prefixes.
+    #[prost(uint64, repeated, tag = "13")]
+    pub prefixes: Vec<u64>,
+    /// Age of the announcement when it was sent on, in milliseconds.
+    #[prost(uint64, tag = "14")]
+    pub age_ms: u64,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Messages between the system's own processes, their framing and sessions.
+//!
+//! `config`, `command` and `frame` hold prost messages. `control` holds the
+//! trait through which every process reaches the replicated ledger.
+
+pub mod command;
+pub mod config;
+pub mod control;
+pub mod frame;
+
+pub use command::Command;
+pub use command::CommandReply;
+pub use control::CallError;
+pub use control::Control;
+pub use control::ControlReply;
+pub use control::ControlRequest;
--- /dev/null
+++ b/crates/wire/tests/decode.rs
@@ -0,0 +1,18 @@
+//! Guards against decoders that panic on bytes from the network.
+
+use anvilloft_wire::Command;
+use anvilloft_wire::ControlRequest;
+use anvilloft_wire::frame::Frame;
+use anvilloft_wire::frame::Hello;
+use proptest::prelude::*;
+use prost::Message;
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(buf in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = Command::decode(buf.as_slice());
+        let _ = ControlRequest::decode(buf.as_slice());
+        let _ = Frame::decode(buf.as_slice());
+        let _ = Hello::decode(buf.as_slice());
+    }
+}
