--- /dev/null
+++ b/crates/ledger/src/changes.rs
@@ -0,0 +1,276 @@
+//! Configuration changes, their history and the answers kept for resends.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use anvilloft_types::Revision;
+use anvilloft_wire::command::Accepted;
+use anvilloft_wire::command::ConfigChange;
+use anvilloft_wire::command::Conflict;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::config::ConfigOp;
+use anvilloft_wire::config::ConfigUpdate;
+use anvilloft_wire::config::Item;
+use anvilloft_wire::config::Kind;
+use anvilloft_wire::config::Op;
+use prost::Message;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::code;
+use crate::code::refused;
+use crate::ledger::Ledger;
+use crate::ledger::drain_past;
+use crate::validate::Fault;
+use crate::validate::MAX_OPS;
+use crate::validate::MAX_REASON_BYTES;
+use crate::validate::check_name;
+use crate::validate::check_op;
+use crate::validate::check_result;
+
+/// Largest count of changes in the history.
+const MAX_HISTORY: usize = 4_096;
+/// Largest count of operations in the history. Routers that are further behind
+/// get the whole configuration.
+const MAX_HISTORY_OPS: usize = 65_536;
+/// Largest count of change ids kept for resends.
+const MAX_CHANGE_IDS: usize = 262_144;
+/// Ranks that admission relies on.
+const FIXED_RANKS: [&str; 3] = ["low", "normal", "urgent"];
+
+/// One accepted change.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct ChangeRecord {
+    #[prost(uint64, tag = "1")]
+    pub(crate) revision: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) at_ms: u64,
+    #[prost(string, tag = "3")]
+    pub(crate) author: String,
+    #[prost(string, tag = "4")]
+    pub(crate) reason: String,
+    #[prost(string, tag = "5")]
+    pub(crate) change_id: String,
+    #[prost(message, repeated, tag = "6")]
+    pub(crate) ops: Vec<ConfigOp>,
+}
+
+/// The answer kept for a resent change.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct ChangeAnswer {
+    #[prost(string, tag = "1")]
+    pub(crate) change_id: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) at_ms: u64,
+    // SHA-256 of the change, to tell a resent change from another one.
+    #[prost(bytes = "vec", tag = "3")]
+    pub(crate) digest: Vec<u8>,
+    #[prost(message, optional, tag = "4")]
+    pub(crate) reply: Option<anvilloft_wire::CommandReply>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Changes {
+    /// Oldest first; revisions without gaps, ending at the one in force.
+    pub(crate) history: VecDeque<ChangeRecord>,
+    history_ops: usize,
+    pub(crate) answers: HashMap<String, ChangeAnswer>,
+    /// Times and ids in order of first answer.
+    pub(crate) answer_order: VecDeque<(u64, String)>,
+}
+
+impl Changes {
+    pub(crate) fn since(&self, revision: Revision) -> Option<ConfigUpdate> {
+        let first = self.history.front()?.revision;
+        let skip = (revision.checked_add(1)?).checked_sub(first)?;
+        let records = self.history.iter().skip(usize::try_from(skip).ok()?);
+        Some(ConfigUpdate {
+            from: revision,
+            to: self.history.back()?.revision,
+            full: false,
+            ops: records.flat_map(|r| r.ops.iter().cloned()).collect(),
+        })
+    }
+
+    pub(crate) fn push(&mut self, record: ChangeRecord) {
+        self.history_ops += record.ops.len();
+        self.history.push_back(record);
+        while self.history.len() > MAX_HISTORY || self.history_ops > MAX_HISTORY_OPS {
+            let Some(dropped) = self.history.pop_front() else {
+                break;
+            };
+            self.history_ops -= dropped.ops.len();
+        }
+    }
+
+    pub(crate) fn keep_answer(&mut self, answer: ChangeAnswer) {
+        self.answer_order
+            .push_back((answer.at_ms, answer.change_id.clone()));
+        self.answers.insert(answer.change_id.clone(), answer);
+    }
+
+    pub(crate) fn expire(&mut self, now_ms: u64, keep_ms: u64) {
+        let answers = &mut self.answers;
+        drain_past(
+            &mut self.answer_order,
+            |(at, _)| *at,
+            now_ms,
+            keep_ms,
+            |(at, id)| {
+                // A later answer for the same id has its own place in the order.
+                if answers.get(&id).is_some_and(|a| a.at_ms == at) {
+                    answers.remove(&id);
+                }
+            },
+        );
+    }
+}
+
+impl Ledger {
+    pub(crate) fn config_change(&mut self, change: &ConfigChange) -> Reply {
+        if change.dry_run {
+            return self.try_change(change);
+        }
+        if let Err((code, message)) = check_change(change) {
+            return refused(code, message);
+        }
+        let digest = Sha256::digest(change.encode_to_vec()).to_vec();
+        if let Some(first) = self.changes.answers.get(&change.change_id)
+            && let Some(reply) = first.reply.as_ref().and_then(|r| r.reply.clone())
+        {
+            if first.digest == digest {
+                return reply;
+            }
+            if matches!(reply, Reply::Accepted(_)) {
+                return refused(
+                    code::CHANGE_ID_REUSED,
+                    format!(
+                        "change {} was accepted with another content",
+                        change.change_id
+                    ),
+                );
+            }
+            // A refused change may be corrected and sent under the same id.
+        }
+        if self.changes.answer_order.len() >= MAX_CHANGE_IDS {
+            return refused(
+                code::TABLE_FULL,
+                format!("at most {MAX_CHANGE_IDS} change ids are kept"),
+            );
+        }
+        let reply = self.try_change(change);
+        self.changes.keep_answer(ChangeAnswer {
+            change_id: change.change_id.clone(),
+            at_ms: self.now_ms,
+            digest,
+            reply: Some(anvilloft_wire::CommandReply {
+                reply: Some(reply.clone()),
+            }),
+        });
+        reply
+    }
+
+    fn try_change(&mut self, change: &ConfigChange) -> Reply {
+        let current = self.config.revision();
+        if change.base_revision != current {
+            return Reply::Conflict(Conflict { current });
+        }
+        let Some(revision) = current.checked_add(1) else {
+            return refused(code::OVERFLOW, "the revision can't rise further");
+        };
+        let mut undo = Vec::with_capacity(change.ops.len());
+        let result = self.apply_ops(change, &mut undo);
+        if result.is_err() || change.dry_run {
+            for op in undo.iter().rev() {
+                self.config.apply_op(op);
+            }
+        }
+        if let Err((code, message)) = result {
+            return refused(code, message);
+        }
+        if !change.dry_run {
+            self.config.set_revision(revision);
+            for op in &change.ops {
+                self.follow_budget(op);
+            }
+            self.changes.push(ChangeRecord {
+                revision,
+                at_ms: self.now_ms,
+                author: change.author.clone(),
+                reason: change.reason.clone(),
+                change_id: change.change_id.clone(),
+                ops: change.ops.clone(),
+            });
+        }
+        Reply::Accepted(Accepted { revision })
+    }
+
+    fn apply_ops(&mut self, change: &ConfigChange, undo: &mut Vec<ConfigOp>) -> Result<(), Fault> {
+        for op in &change.ops {
+            check_op(&self.config, op)?;
+            self.check_delete(op)?;
+            undo.extend(self.config.apply_op(op));
+        }
+        check_result(&self.config, &change.ops)
+    }
+
+    fn check_delete(&self, op: &ConfigOp) -> Result<(), Fault> {
+        let Some(Op::Delete(target)) = &op.op else {
+            return Ok(());
+        };
+        if target.kind == i32::from(Kind::Budget)
+            && let Some(account) = self.accounts.get(&target.name)
+            && (account.unspent > 0 || account.allotted > 0)
+        {
+            return Err((
+                code::BUDGET_IN_USE,
+                format!(
+                    "budget {} has {} unspent and {} allotted tokens",
+                    target.name, account.unspent, account.allotted
+                ),
+            ));
+        }
+        if target.kind == i32::from(Kind::Rank) && FIXED_RANKS.contains(&target.name.as_str()) {
+            return Err((
+                code::OUT_OF_RANGE,
+                format!("rank {} is built in and can't be deleted", target.name),
+            ));
+        }
+        Ok(())
+    }
+
+    // Keeps one account for each configured budget.
+    fn follow_budget(&mut self, op: &ConfigOp) {
+        let name = match &op.op {
+            Some(Op::Set(item)) => match &item.item {
+                Some(Item::Budget(b)) => &b.name,
+                _ => return,
+            },
+            Some(Op::Delete(t)) if t.kind == i32::from(Kind::Budget) => &t.name,
+            _ => return,
+        };
+        if self.config.budget(name).is_some() {
+            self.accounts.open(name);
+        } else {
+            self.accounts.remove(name);
+            self.forget_grants(name);
+        }
+    }
+}
+
+fn check_change(change: &ConfigChange) -> Result<(), Fault> {
+    check_name(&change.change_id)?;
+    if change.ops.len() > MAX_OPS {
+        return Err((
+            code::OUT_OF_RANGE,
+            format!("a change has at most {MAX_OPS} operations"),
+        ));
+    }
+    if change.reason.len() > MAX_REASON_BYTES || change.author.len() > MAX_REASON_BYTES {
+        return Err((
+            code::OUT_OF_RANGE,
+            format!("a reason and an author have at most {MAX_REASON_BYTES} bytes"),
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,194 @@
+//! The state machine and its dispatch.
+
+use std::collections::VecDeque;
+
+use anvilloft_types::Fingerprint;
+use anvilloft_types::Revision;
+use anvilloft_wire::Command;
+use anvilloft_wire::CommandReply;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Ok as OkReply;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::config::ConfigUpdate;
+use quick_error::quick_error;
+
+use crate::accounts::Accounts;
+use crate::changes::Changes;
+use crate::code;
+use crate::code::refused;
+use crate::config::Config;
+use crate::orders::Orders;
+use crate::routers::Routers;
+use crate::suspects::Suspects;
+
+quick_error! {
+    /// Why a snapshot or a query was not answered.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum LedgerError {
+        /// The snapshot has a format that this build doesn't read.
+        Format(version: u32) {
+            display("snapshot format {} is not supported", version)
+        }
+        /// The snapshot is damaged.
+        Corrupt(reason: String) {
+            display("the snapshot is damaged: {}", reason)
+        }
+        /// The kind of query is unknown.
+        UnknownQuery(kind: String) {
+            display("there is no query of kind {}", kind)
+        }
+        /// The item doesn't exist, or the asking team may not see it.
+        NotFound(name: String) {
+            display("{} was not found", name)
+        }
+    }
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ledger {
+    /// Largest `at_ms` seen. Retention is measured by it alone.
+    pub(crate) now_ms: u64,
+    pub(crate) config: Config,
+    pub(crate) changes: Changes,
+    pub(crate) accounts: Accounts,
+    pub(crate) routers: Routers,
+    pub(crate) orders: Orders,
+    pub(crate) suspects: Suspects,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Ledger {
+    /// Returns the state before any command: the built-in ranks and defaults
+    /// at revision 0.
+    pub fn new() -> Self {
+        Self {
+            now_ms: 0,
+            config: Config::new(),
+            changes: Changes::default(),
+            accounts: Accounts::default(),
+            routers: Routers::default(),
+            orders: Orders::default(),
+            suspects: Suspects::default(),
+        }
+    }
+
+    /// Applies a committed command.
+    ///
+    /// # Panics
+    ///
+    /// When a budget that the command touched breaks
+    /// `topped_up = unspent + allotted + settled`. The state is then not fit
+    /// to serve from.
+    pub fn apply(&mut self, cmd: &Command) -> CommandReply {
+        // A new leader's clock may be behind; retention never runs backwards.
+        self.now_ms = self.now_ms.max(cmd.at_ms);
+        let reply = match &cmd.body {
+            Some(Body::ConfigChange(c)) => self.config_change(c),
+            Some(Body::TopUp(c)) => self.top_up(c),
+            Some(Body::OpenIncarnation(c)) => self.open_incarnation(c),
+            Some(Body::CloseIncarnation(c)) => self.close_incarnation(c),
+            Some(Body::Grant(c)) => self.grant(c),
+            Some(Body::Report(c)) => self.report(c),
+            Some(Body::OrderBegin(c)) => self.order_begin(c),
+            Some(Body::OrderFinish(c)) => self.order_finish(c),
+            Some(Body::Strike(c)) => self.strike(c),
+            Some(Body::SuspectBegin(c)) => self.suspect_begin(c),
+            Some(Body::SuspectEnd(c)) => self.suspect_end(c),
+            Some(Body::Expire(_)) => self.expire(),
+            None => refused(code::MALFORMED, "the command has no body"),
+        };
+        CommandReply { reply: Some(reply) }
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Returns what changed since that revision, or `None` when it is current.
+    /// The update is full when the changes since then are no longer kept.
+    pub fn config_since(&self, revision: Revision) -> Option<ConfigUpdate> {
+        if revision >= self.config.revision() {
+            return None;
+        }
+        Some(
+            self.changes
+                .since(revision)
+                .unwrap_or_else(|| self.config.to_update()),
+        )
+    }
+
+    /// Returns the ledger's own time, in milliseconds since the Unix epoch.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Returns the fingerprints that have a strike or are quarantined.
+    pub fn suspects(&self) -> Vec<Fingerprint> {
+        self.suspects.fingerprints()
+    }
+
+    /// Asserts every invariant of the whole state.
+    ///
+    /// # Panics
+    ///
+    /// When an invariant is broken.
+    pub fn check(&self) {
+        self.check_accounts();
+        self.check_routers();
+        self.check_suspects();
+        assert!(
+            self.config.budgets().len() == self.accounts.len()
+                && self
+                    .config
+                    .budgets()
+                    .all(|b| self.accounts.get(&b.name).is_some()),
+            "every configured budget has an account and no other exists"
+        );
+    }
+
+    fn expire(&mut self) -> Reply {
+        self.changes
+            .expire(self.now_ms, self.config.value("change_id_keep_ms", ""));
+        self.accounts.expire(
+            self.now_ms,
+            self.config.value("top_up_id_keep_ms", ""),
+            self.config.value("request_key_keep_ms", ""),
+        );
+        self.expire_routers();
+        self.orders
+            .expire(self.now_ms, self.config.value("order_keep_ms", ""));
+        self.suspects
+            .expire(self.now_ms, self.config.value("condemn_ms", ""));
+        Reply::Ok(OkReply {})
+    }
+}
+
+/// Whether a record of that age is past its retention.
+pub(crate) fn is_past(now_ms: u64, at_ms: u64, keep_ms: u64) -> bool {
+    now_ms.saturating_sub(at_ms) >= keep_ms
+}
+
+/// Removes elements from the front while their time is past retention.
+pub(crate) fn drain_past<T>(
+    queue: &mut VecDeque<T>,
+    at: impl Fn(&T) -> u64,
+    now_ms: u64,
+    keep_ms: u64,
+    mut dropped: impl FnMut(T),
+) {
+    while queue
+        .front()
+        .is_some_and(|e| is_past(now_ms, at(e), keep_ms))
+    {
+        if let Some(e) = queue.pop_front() {
+            dropped(e);
+        }
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! The replicated state machine: configuration, budgets, billing, orders,
+//! suspects and router incarnations.
+//!
+//! [`Ledger::apply`] is a function of the commands alone. It reads no clock
+//! and draws no random numbers, so every control member that applies the same
+//! commands holds the same state.
+
+mod accounts;
+mod changes;
+pub mod code;
+mod config;
+mod defaults;
+mod ledger;
+mod orders;
+mod query;
+mod routers;
+mod snapshot;
+mod suspects;
+mod validate;
+
+pub use accounts::Amounts;
+pub use config::Config;
+pub use config::ConfigError;
+pub use config::delete_op;
+pub use config::exception_name;
+pub use config::item_ref;
+pub use config::set_op;
+pub use defaults::DEFAULTS;
+pub use defaults::DefaultSpec;
+pub use defaults::default_spec;
+pub use ledger::Ledger;
+pub use ledger::LedgerError;
+pub use routers::LostIncarnation;
--- /dev/null
+++ b/crates/ledger/src/query.rs
@@ -0,0 +1,261 @@
+//! Reads for the administration API, as JSON text.
+
+use anvilloft_wire::control::Query;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::accounts::Amounts;
+use crate::ledger::Ledger;
+use crate::ledger::LedgerError;
+use crate::orders::Progress;
+use crate::routers::Phase;
+
+/// Rows of a result when the query names no count.
+const DEFAULT_ROWS: u32 = 100;
+/// Largest count of rows of a result.
+const MAX_ROWS: u32 = 10_000;
+
+impl Ledger {
+    /// Answers a query. A query for a team sees that team's data alone.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownQuery`, or `NotFound` when the named item doesn't exist or
+    /// belongs to another team.
+    pub fn query(&self, q: &Query) -> Result<String, LedgerError> {
+        let limit = match q.limit {
+            0 => DEFAULT_ROWS,
+            n => n.min(MAX_ROWS),
+        } as usize;
+        let value = match q.kind.as_str() {
+            "budget" => self.query_budget(q)?,
+            "budgets" => self.query_budgets(q, limit),
+            "config" => self.query_config(q),
+            "history" => self.query_history(q, limit),
+            "routers" => self.query_routers(q),
+            "orders" => self.query_orders(q, limit),
+            "status" => self.query_status(q),
+            kind => return Err(LedgerError::UnknownQuery(kind.into())),
+        };
+        Ok(value.to_string())
+    }
+
+    fn query_budget(&self, q: &Query) -> Result<Value, LedgerError> {
+        match (self.config.budget(&q.name), self.accounts.get(&q.name)) {
+            (Some(b), Some(a)) if sees(q, &b.team) => Ok(budget_row(&b.name, &b.team, a)),
+            _ => Err(LedgerError::NotFound(format!("budget {}", q.name))),
+        }
+    }
+
+    fn query_budgets(&self, q: &Query, limit: usize) -> Value {
+        self.config
+            .budgets()
+            .filter(|b| sees(q, &b.team))
+            .filter_map(|b| Some(budget_row(&b.name, &b.team, self.accounts.get(&b.name)?)))
+            .take(limit)
+            .collect()
+    }
+
+    fn query_config(&self, q: &Query) -> Value {
+        let cfg = &self.config;
+        json!({
+            "revision": cfg.revision(),
+            "teams": cfg.teams().filter(|t| sees(q, &t.name)).map(|t| json!({
+                "name": t.name,
+                "default_rank": t.default_rank,
+                "weight": t.weight,
+                "disabled": t.disabled,
+            })).collect::<Value>(),
+            "keys": cfg.keys().filter(|k| sees(q, &k.team)).map(|k| json!({
+                "name": k.name,
+                "team": k.team,
+                "budget": k.budget,
+                "role": k.role,
+            })).collect::<Value>(),
+            "budgets": cfg.budgets().filter(|b| sees(q, &b.team)).map(|b| json!({
+                "name": b.name,
+                "team": b.team,
+            })).collect::<Value>(),
+            "ranks": cfg.ranks().map(|r| json!({
+                "name": r.name,
+                "level": r.level,
+                "weight": r.weight,
+                "floor_percent": r.floor_percent,
+                "queue_ms": r.queue_ms,
+            })).collect::<Value>(),
+            "models": cfg.models().map(|m| json!({
+                "name": m.name,
+                "version": m.version,
+                "default_max_tokens": m.default_max_tokens,
+                "max_tokens": m.max_tokens,
+            })).collect::<Value>(),
+            "services": cfg.services().map(|s| json!({
+                "name": s.name,
+                "idempotent": s.idempotent,
+                "price": s.price,
+            })).collect::<Value>(),
+            "defaults": crate::defaults::DEFAULTS.iter().map(|d| json!({
+                "name": d.name,
+                "value": cfg.value(d.name, &q.team),
+                "built_in": d.value,
+            })).collect::<Value>(),
+            "exceptions": cfg.exceptions().filter(|e| sees(q, &e.team)).map(|e| json!({
+                "team": e.team,
+                "name": e.name,
+                "value": e.value,
+                "reason": e.reason,
+            })).collect::<Value>(),
+        })
+    }
+
+    // Newest first. Changes may concern several teams, so a team sees only its
+    // own top-ups.
+    fn query_history(&self, q: &Query, limit: usize) -> Value {
+        let changes: Value = self
+            .changes
+            .history
+            .iter()
+            .rev()
+            .filter(|_| q.team.is_empty())
+            .take(limit)
+            .map(|c| {
+                json!({
+                    "revision": c.revision,
+                    "at_ms": c.at_ms,
+                    "author": c.author,
+                    "reason": c.reason,
+                    "change_id": c.change_id,
+                    "operations": c.ops.len(),
+                })
+            })
+            .collect();
+        let top_ups: Value = self
+            .accounts
+            .top_up_order
+            .iter()
+            .rev()
+            .filter_map(|(_, id)| self.accounts.top_ups.get(id))
+            .filter(|r| {
+                q.team.is_empty()
+                    || self
+                        .config
+                        .budget(&r.top_up.budget)
+                        .is_some_and(|b| b.team == q.team)
+            })
+            .take(limit)
+            .map(|r| {
+                json!({
+                    "id": r.top_up.id,
+                    "at_ms": r.at_ms,
+                    "author": r.top_up.author,
+                    "reason": r.top_up.reason,
+                    "budget": r.top_up.budget,
+                    "amount": r.top_up.amount,
+                })
+            })
+            .collect();
+        json!({ "changes": changes, "top_ups": top_ups })
+    }
+
+    // Allotments show the traffic of other teams, so a team sees none.
+    fn query_routers(&self, q: &Query) -> Value {
+        self.routers
+            .all()
+            .filter(|i| i.phase != Phase::Closed)
+            .map(|i| {
+                let mut row = json!({
+                    "router": i.open.router,
+                    "incarnation": i.open.incarnation,
+                    "caller_address": i.open.caller_address,
+                    "peer_address": i.open.peer_address,
+                    "data_centre": i.open.data_centre,
+                    "state": match i.open.state {
+                        0 => "alive",
+                        1 => "draining",
+                        _ => "lost",
+                    },
+                    "since_ms": i.since_ms,
+                });
+                if q.team.is_empty() {
+                    row["allotted"] = json!(i.total());
+                }
+                row
+            })
+            .collect()
+    }
+
+    fn query_orders(&self, q: &Query, limit: usize) -> Value {
+        let mut orders: Vec<_> = self
+            .orders
+            .by_key
+            .iter()
+            .filter(|((team, key), _)| sees(q, team) && (q.name.is_empty() || q.name == *key))
+            .collect();
+        orders.sort_by(|a, b| b.1.at_ms.cmp(&a.1.at_ms).then_with(|| a.0.cmp(b.0)));
+        orders
+            .into_iter()
+            .take(limit)
+            .map(|((team, key), o)| {
+                json!({
+                    "team": team,
+                    "key": key,
+                    "state": match Progress::try_from(o.progress) {
+                        Ok(Progress::Running) => "running",
+                        Ok(Progress::Done) => "finished",
+                        Ok(Progress::NotRun) => "not_run",
+                        Ok(Progress::Unknown) | Err(_) => "unknown",
+                    },
+                    "status": o.status,
+                    "at_ms": o.at_ms,
+                })
+            })
+            .collect()
+    }
+
+    fn query_status(&self, q: &Query) -> Value {
+        if !q.team.is_empty() {
+            return json!({ "revision": self.config.revision() });
+        }
+        let sum = |f: fn(&Amounts) -> u64| -> u64 {
+            self.accounts
+                .by_name
+                .values()
+                .fold(0, |s, a| s.saturating_add(f(&a.amounts)))
+        };
+        json!({
+            "now_ms": self.now_ms,
+            "revision": self.config.revision(),
+            "directory_version": self.directory_version(),
+            "teams": self.config.teams().len(),
+            "budgets": self.accounts.len(),
+            "routers": self.routers().len(),
+            "lost_routers": self.lost().len(),
+            "orders": self.orders.by_key.len(),
+            "suspects": self.suspects.by_fingerprint.len(),
+            "request_keys": self.accounts.request_keys.len(),
+            "request_keys_evicted": self.accounts.request_keys_evicted,
+            "topped_up": sum(|a| a.topped_up),
+            "unspent": sum(|a| a.unspent),
+            "allotted": sum(|a| a.allotted),
+            "settled": sum(|a| a.settled),
+            "written_off": sum(|a| a.written_off).saturating_add(self.accounts.written_off_unknown),
+            "reported_excess": self.accounts.reported_excess,
+        })
+    }
+}
+
+fn sees(q: &Query, team: &str) -> bool {
+    q.team.is_empty() || q.team == team
+}
+
+fn budget_row(name: &str, team: &str, a: &Amounts) -> Value {
+    json!({
+        "name": name,
+        "team": team,
+        "topped_up": a.topped_up,
+        "unspent": a.unspent,
+        "allotted": a.allotted,
+        "settled": a.settled,
+        "written_off": a.written_off,
+    })
+}
