Add the consensus node and its durable store

Cause: the control members need one agreed log that survives crashes. The storage crate depends on the consensus crate's types.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,1 +1,38 @@
-//! Placeholder.
+//! Agreement on one ordered log among the control members: Raft with pre-vote,
+//! check-quorum, read-index, learners, single-member changes and snapshots.
+//!
+//! [`Node`] is one member of one group. It does no input or output, reads no
+//! clock and makes no random numbers of its own: the caller passes in the time
+//! and a seed, and carries out the returned [`Effects`].
+//!
+//! Source: D. Ongaro, "Consensus: Bridging Theory and Practice", Stanford,
+//! 2014. Chapter 3 (log replication), 4 (membership), 5 (compaction), 6.4
+//! (read-index), 9.6 (pre-vote).
+
+mod change;
+mod election;
+mod error;
+mod log;
+mod membership;
+pub mod message;
+mod node;
+mod replication;
+mod types;
+
+pub use error::ProposeError;
+pub use message::Entry;
+pub use message::EntryKind;
+pub use message::HardState;
+pub use message::Member;
+pub use message::Membership;
+pub use message::Message;
+pub use message::Snapshot;
+pub use node::Node;
+pub use types::Effects;
+pub use types::LogIndex;
+pub use types::MemberChange;
+pub use types::NodeConfig;
+pub use types::PersistToken;
+pub use types::Restored;
+pub use types::Role;
+pub use types::Term;
--- /dev/null
+++ b/crates/consensus/src/message.rs
@@ -0,0 +1,254 @@
+//! Messages between members, and what members keep on disk.
+
+use anvilloft_types::prelude::*;
+
+/// Kind of a log entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum EntryKind {
+    /// A command of the state machine.
+    Command = 0,
+    /// First entry of a term.
+    Noop = 1,
+    /// The whole membership, in force from this entry on.
+    Members = 2,
+}
+
+/// An entry of the replicated log.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Entry {
+    /// Position in the log.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Term of the leader that made the entry.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Kind of the entry.
+    #[prost(enumeration = "EntryKind", tag = "3")]
+    pub kind: i32,
+    /// Command, or encoded [`Membership`].
+    #[prost(bytes = "vec", tag = "4")]
+    pub data: Vec<u8>,
+}
+
+/// A control member.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Member {
+    /// Identity, made together with the data folder.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Peer address, `ip:port`.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Whether the member counts towards a majority.
+    #[prost(bool, tag = "3")]
+    pub voter: bool,
+}
+
+/// The members of a group, sorted by id.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Membership {
+    /// Members.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<Member>,
+}
+
+/// Term and vote of a member.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct HardState {
+    /// Replicated group.
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    /// Latest term that the member has seen.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Member voted for in this term; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub vote: u64,
+}
+
+/// State of the state machine at one index.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Snapshot {
+    /// Replicated group.
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    /// Last entry that the state includes.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// Term of that entry.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+    /// Membership at that entry.
+    #[prost(message, optional, tag = "4")]
+    pub membership: Option<Membership>,
+    /// Encoded state; empty for the initial state.
+    #[prost(bytes = "vec", tag = "5")]
+    pub state: Vec<u8>,
+}
+
+/// A message from one member to another.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Message {
+    /// Replicated group.
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    /// Receiver. A host that lost its disk drops messages to its old id.
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    /// Term of the sender; of a pre-vote and its grant, the term asked about.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+    /// Content.
+    #[prost(oneof = "Body", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
+    pub body: Option<Body>,
+}
+
+/// The kinds of messages.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// Asks whether an election could be won.
+    #[prost(message, tag = "4")]
+    PreVote(VoteRequest),
+    /// Reply to `PreVote`.
+    #[prost(message, tag = "5")]
+    PreVoteReply(VoteReply),
+    /// Asks for a vote.
+    #[prost(message, tag = "6")]
+    Vote(VoteRequest),
+    /// Reply to `Vote`.
+    #[prost(message, tag = "7")]
+    VoteReply(VoteReply),
+    /// Entries, or a heartbeat when there are none.
+    #[prost(message, tag = "8")]
+    Append(Append),
+    /// Reply to `Append`.
+    #[prost(message, tag = "9")]
+    AppendReply(AppendReply),
+    /// Part of a snapshot.
+    #[prost(message, tag = "10")]
+    Install(Install),
+    /// Reply to `Install`.
+    #[prost(message, tag = "11")]
+    InstallReply(InstallReply),
+}
+
+/// Asks for a vote.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct VoteRequest {
+    /// Index of the candidate's last entry.
+    #[prost(uint64, tag = "1")]
+    pub last_index: u64,
+    /// Term of the candidate's last entry.
+    #[prost(uint64, tag = "2")]
+    pub last_term: u64,
+}
+
+/// Reply to a vote request.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct VoteReply {
+    /// Whether the vote was given.
+    #[prost(bool, tag = "1")]
+    pub granted: bool,
+}
+
+/// Entries from the leader.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Append {
+    /// Index of the entry before `entries`.
+    #[prost(uint64, tag = "1")]
+    pub prev_index: u64,
+    /// Term of the entry before `entries`.
+    #[prost(uint64, tag = "2")]
+    pub prev_term: u64,
+    /// Entries, contiguous from `prev_index + 1`.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<Entry>,
+    /// Commit index of the leader.
+    #[prost(uint64, tag = "4")]
+    pub commit: u64,
+    /// Read round, echoed by the reply.
+    #[prost(uint64, tag = "5")]
+    pub round: u64,
+}
+
+/// Reply to [`Append`].
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct AppendReply {
+    /// Whether the entries were stored.
+    #[prost(bool, tag = "1")]
+    pub stored: bool,
+    /// When stored, the last index that is known to match; otherwise the
+    /// `prev_index` that didn't match.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// When not stored, the highest index that may match.
+    #[prost(uint64, tag = "3")]
+    pub hint: u64,
+    /// Read round of the request.
+    #[prost(uint64, tag = "4")]
+    pub round: u64,
+}
+
+/// Part of a snapshot from the leader.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Install {
+    /// Last entry that the snapshot includes.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Term of that entry.
+    #[prost(uint64, tag = "2")]
+    pub last_term: u64,
+    /// Membership at that entry.
+    #[prost(message, optional, tag = "3")]
+    pub membership: Option<Membership>,
+    /// Length of the whole state, in bytes.
+    #[prost(uint64, tag = "4")]
+    pub total: u64,
+    /// Position of `data` in the state, in bytes.
+    #[prost(uint64, tag = "5")]
+    pub offset: u64,
+    /// Part of the state.
+    #[prost(bytes = "vec", tag = "6")]
+    pub data: Vec<u8>,
+    /// Read round, echoed by the reply.
+    #[prost(uint64, tag = "7")]
+    pub round: u64,
+}
+
+/// Reply to [`Install`].
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct InstallReply {
+    /// Index of the snapshot.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Position that the receiver wants next, in bytes.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// Whether the receiver has everything up to `index`.
+    #[prost(bool, tag = "3")]
+    pub done: bool,
+    /// Read round of the request.
+    #[prost(uint64, tag = "4")]
+    pub round: u64,
+}
+
+impl Membership {
+    /// Builds a membership of voters from ids and peer addresses.
+    pub fn of_voters<I, S>(members: I) -> Self
+    where
+        I: IntoIterator<Item = (MemberId, S)>,
+        S: Into<String>,
+    {
+        let mut members: Vec<Member> = members
+            .into_iter()
+            .map(|(id, address)| Member {
+                id,
+                address: address.into(),
+                voter: true,
+            })
+            .collect();
+        members.sort_by_key(|m| m.id);
+        Self { members }
+    }
+}
--- /dev/null
+++ b/crates/storage/src/store.rs
@@ -0,0 +1,333 @@
+//! The durable state of one group on one member.
+//!
+//! Files of group 0 are `0-hard`, `0-snapshot` and `0-log-NNNNNNNNNN`. A new
+//! segment starts only after the one before it is synced, so only the last
+//! segment can have a torn tail. The snapshot file names the first segment
+//! that counts; older ones are left-overs of a crash and are removed.
+
+use std::io;
+use std::sync::Arc;
+
+use anvilloft_consensus::Effects;
+use anvilloft_consensus::Entry;
+use anvilloft_consensus::HardState;
+use anvilloft_consensus::LogIndex;
+use anvilloft_consensus::Restored;
+use anvilloft_consensus::Snapshot;
+use anvilloft_types::prelude::*;
+use prost::Message;
+use quick_error::quick_error;
+
+use crate::disk::Disk;
+use crate::record;
+
+/// Length at which a segment is full, in bytes.
+const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Name of the file that holds the member id.
+const MEMBER_FILE: &str = "member";
+
+quick_error! {
+    /// Why the durable state can't be read or written.
+    #[derive(Debug)]
+    pub enum StorageError {
+        /// The file system refused an operation.
+        Io(err: io::Error) {
+            display("disk error: {}", err)
+            source(err)
+            from()
+        }
+        /// Synced data was damaged. Nothing was changed on disk.
+        Corrupt(file: String, offset: u64) {
+            display("file {} is damaged at byte {}, before data that was synced", file, offset)
+        }
+        /// An earlier write or sync failed, so the content is unknown.
+        Failed {
+            display("an earlier write failed; restart the member")
+        }
+    }
+}
+
+/// Snapshot file: the snapshot and the first segment that counts.
+#[derive(Clone, PartialEq, Message)]
+struct SnapshotFile {
+    #[prost(uint64, tag = "1")]
+    first_segment: u64,
+    #[prost(message, optional, tag = "2")]
+    snapshot: Option<Snapshot>,
+}
+
+/// A segment file and the highest index in it.
+#[derive(Debug)]
+struct Segment {
+    number: u64,
+    last: LogIndex,
+}
+
+/// The durable state of one group on one member.
+pub struct Store {
+    disk: Box<dyn Disk>,
+    group: GroupId,
+    segment_bytes: u64,
+    /// Segments in order. The last one is appended to.
+    segments: Vec<Segment>,
+    /// Length of the last segment, all of it synced.
+    len: u64,
+    next_segment: u64,
+    failed: bool,
+}
+
+/// Reads the identity of the member from its folder. A folder without one gets
+/// `fresh`, which must be a random number.
+///
+/// # Errors
+///
+/// Fails when the disk does, or when the file is damaged.
+pub fn member_id(disk: &mut dyn Disk, fresh: MemberId) -> Result<MemberId, StorageError> {
+    match disk.read(MEMBER_FILE) {
+        Ok(buf) => record::get_plain(&buf)
+            .and_then(|p| p.try_into().ok())
+            .map(u64::from_le_bytes)
+            .ok_or_else(|| StorageError::Corrupt(MEMBER_FILE.to_owned(), 0)),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => {
+            replace(disk, MEMBER_FILE, &fresh.to_le_bytes())?;
+            Ok(fresh)
+        }
+        Err(e) => Err(e.into()),
+    }
+}
+
+/// Writes a file as a whole: a reader sees the old or the new content.
+fn replace(disk: &mut dyn Disk, name: &str, payload: &[u8]) -> io::Result<()> {
+    let tmp = format!("{name}.tmp");
+    match disk.remove(&tmp) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+        _ => {}
+    }
+    let mut buf = Vec::with_capacity(payload.len() + 8);
+    record::put_plain(&mut buf, payload);
+    disk.append(&tmp, &buf)?;
+    disk.sync(&tmp)?;
+    disk.rename(&tmp, name)?;
+    disk.sync_folder()
+}
+
+fn read_message<M: Message + Default>(
+    disk: &dyn Disk,
+    name: &str,
+) -> Result<Option<M>, StorageError> {
+    let buf = match disk.read(name) {
+        Ok(buf) => buf,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e.into()),
+    };
+    record::get_plain(&buf)
+        .and_then(|p| M::decode(p).ok())
+        .map(Some)
+        .ok_or_else(|| StorageError::Corrupt(name.to_owned(), 0))
+}
+
+impl Store {
+    /// Opens the state of a group. Everything returned is synced.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk does, and with `Corrupt` when synced data is
+    /// damaged.
+    pub fn open(disk: Box<dyn Disk>, group: GroupId) -> Result<(Self, Restored), StorageError> {
+        Self::open_with(disk, group, SEGMENT_BYTES)
+    }
+
+    /// Opens the state of a group with segments of another length, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Like [`open`](Self::open).
+    pub fn open_with(
+        mut disk: Box<dyn Disk>,
+        group: GroupId,
+        segment_bytes: u64,
+    ) -> Result<(Self, Restored), StorageError> {
+        let hard: Option<HardState> = read_message(&*disk, &format!("{group}-hard"))?;
+        let file: SnapshotFile =
+            read_message(&*disk, &format!("{group}-snapshot"))?.unwrap_or_default();
+        let prefix = format!("{group}-log-");
+        let mut numbers: Vec<u64> = disk
+            .list()?
+            .iter()
+            .filter_map(|name| name.strip_prefix(&prefix)?.parse().ok())
+            .collect();
+        numbers.sort_unstable();
+        let (old, kept): (Vec<u64>, Vec<u64>) =
+            numbers.into_iter().partition(|n| *n < file.first_segment);
+        let mut store = Self {
+            disk: {
+                for number in old {
+                    disk.remove(&segment_name(group, number))?;
+                }
+                disk
+            },
+            group,
+            segment_bytes,
+            segments: Vec::new(),
+            len: 0,
+            next_segment: file.first_segment,
+            failed: false,
+        };
+        let base = file.snapshot.as_ref().map_or(0, |s| s.index);
+        let entries = store.read_segments(&kept, base)?;
+        store.disk.sync_folder()?;
+        Ok((
+            store,
+            Restored {
+                hard_state: hard.unwrap_or_default(),
+                snapshot: file.snapshot.map(Arc::new),
+                entries,
+            },
+        ))
+    }
+
+    fn read_segments(
+        &mut self,
+        numbers: &[u64],
+        base: LogIndex,
+    ) -> Result<Vec<Entry>, StorageError> {
+        let mut log: Vec<Entry> = Vec::new();
+        for (at, number) in numbers.iter().enumerate() {
+            let name = segment_name(self.group, *number);
+            let corrupt = |offset: usize| StorageError::Corrupt(name.clone(), offset as u64);
+            let buf = self.disk.read(&name)?;
+            let scan = record::scan(&buf);
+            let is_last = at + 1 == numbers.len();
+            if scan.valid < buf.len() {
+                if scan.damaged || !is_last {
+                    return Err(corrupt(scan.valid));
+                }
+                self.disk.truncate(&name, scan.valid as u64)?;
+            }
+            let mut last = 0;
+            for payload in &scan.entries {
+                let e = Entry::decode(*payload).map_err(|_| corrupt(scan.valid))?;
+                last = last.max(e.index);
+                push(&mut log, base, e).map_err(|()| corrupt(scan.valid))?;
+            }
+            // Records may have reached the page cache only.
+            self.disk.sync(&name)?;
+            self.segments.push(Segment {
+                number: *number,
+                last,
+            });
+            self.len = scan.valid as u64;
+            self.next_segment = number + 1;
+        }
+        Ok(log)
+    }
+
+    /// Writes and syncs what an [`Effects`] asks for. All of it is durable
+    /// when this returns.
+    ///
+    /// # Errors
+    ///
+    /// After an error, the member must stop: its messages must not be sent.
+    pub fn save(&mut self, fx: &Effects) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::Failed);
+        }
+        let result = self.try_save(fx);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn try_save(&mut self, fx: &Effects) -> Result<(), StorageError> {
+        if let Some(hard) = &fx.hard_state {
+            let name = format!("{}-hard", self.group);
+            replace(&mut *self.disk, &name, &hard.encode_to_vec())?;
+        }
+        if let Some(snapshot) = &fx.snapshot {
+            self.save_snapshot(snapshot, fx.reset)?;
+        }
+        if !fx.entries.is_empty() {
+            self.save_entries(&fx.entries)?;
+        }
+        Ok(())
+    }
+
+    fn save_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), StorageError> {
+        // A reset makes every segment old at once: their entries may differ
+        // from the leader's and must not come back after a crash.
+        let keep_from = if reset {
+            self.segments.len()
+        } else {
+            let full = self.segments.len().saturating_sub(1);
+            self.segments
+                .iter()
+                .take(full)
+                .take_while(|s| s.last <= snapshot.index)
+                .count()
+        };
+        let first_segment = self
+            .segments
+            .get(keep_from)
+            .map_or(self.next_segment, |s| s.number);
+        let file = SnapshotFile {
+            first_segment,
+            snapshot: Some(snapshot.clone()),
+        };
+        let name = format!("{}-snapshot", self.group);
+        replace(&mut *self.disk, &name, &file.encode_to_vec())?;
+        let old: Vec<Segment> = self.segments.drain(..keep_from).collect();
+        for s in &old {
+            self.disk.remove(&segment_name(self.group, s.number))?;
+        }
+        Ok(())
+    }
+
+    fn save_entries(&mut self, entries: &[Entry]) -> Result<(), StorageError> {
+        let full = self.len >= self.segment_bytes;
+        let created = full || self.segments.is_empty();
+        if created {
+            self.segments.push(Segment {
+                number: self.next_segment,
+                last: 0,
+            });
+            self.next_segment += 1;
+            self.len = 0;
+        }
+        let Some(segment) = self.segments.last_mut() else {
+            return Err(StorageError::Failed);
+        };
+        let name = segment_name(self.group, segment.number);
+        let mut buf = Vec::new();
+        for e in entries {
+            segment.last = segment.last.max(e.index);
+            record::put_entry(&mut buf, self.len, self.len, &e.encode_to_vec());
+        }
+        self.disk.append(&name, &buf)?;
+        self.disk.sync(&name)?;
+        if created {
+            self.disk.sync_folder()?;
+        }
+        self.len += buf.len() as u64;
+        Ok(())
+    }
+}
+
+fn segment_name(group: GroupId, number: u64) -> String {
+    format!("{group}-log-{number:010}")
+}
+
+/// Adds an entry that was read back. It replaces those at its index and above;
+/// those that the snapshot includes are dropped.
+fn push(log: &mut Vec<Entry>, base: LogIndex, e: Entry) -> Result<(), ()> {
+    if e.index <= base {
+        log.clear();
+        return Ok(());
+    }
+    let at = usize::try_from(e.index - base - 1).map_err(|_| ())?;
+    if at > log.len() {
+        return Err(());
+    }
+    log.truncate(at);
+    log.push(e);
+    Ok(())
+}
