--- /dev/null
+++ b/crates/consensus/tests/cluster/mod.rs
@@ -0,0 +1,540 @@
+//! Control members on a network and disks in memory, under virtual time.
+//!
+//! The members are the shipping `Node` and `Store`. After every step the
+//! cluster checks that each term has one leader, that committed entries agree
+//! and never change, and that a read sees all that was acknowledged before it.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use anvilloft_consensus::Effects;
+use anvilloft_consensus::EntryKind;
+use anvilloft_consensus::LogIndex;
+use anvilloft_consensus::MemberChange;
+use anvilloft_consensus::Membership;
+use anvilloft_consensus::Message;
+use anvilloft_consensus::Node;
+use anvilloft_consensus::NodeConfig;
+use anvilloft_consensus::Role;
+use anvilloft_consensus::Snapshot;
+use anvilloft_storage::MemDisk;
+use anvilloft_storage::StorageError;
+use anvilloft_storage::Store;
+use prost::Message as _;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+pub(crate) const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// State machine: the number of applied entries and a hash over all of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Machine {
+    pub(crate) index: LogIndex,
+    hash: u64,
+}
+
+impl Machine {
+    fn apply(&mut self, index: LogIndex, term: u64, data: &[u8]) {
+        assert_eq!(index, self.index + 1, "entries are applied without gaps");
+        self.index = index;
+        for byte in term.to_le_bytes().iter().chain(data) {
+            self.hash = (self.hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+
+    /// The padding makes snapshots arrive in several parts.
+    fn encode(self) -> Vec<u8> {
+        let mut buf = self.index.to_le_bytes().to_vec();
+        buf.extend_from_slice(&self.hash.to_le_bytes());
+        buf.resize(16 + (self.index % 300) as usize, 7);
+        buf
+    }
+
+    fn decode(buf: &[u8]) -> Self {
+        if buf.is_empty() {
+            return Self::default();
+        }
+        let word = |at: usize| u64::from_le_bytes(buf[at..at + 8].try_into().unwrap());
+        Self {
+            index: word(0),
+            hash: word(8),
+        }
+    }
+}
+
+struct Running {
+    node: Node,
+    store: Store,
+    machine: Machine,
+    inbox: VecDeque<(u64, Message)>,
+    /// Effects whose sync ends at the given time.
+    syncing: Option<(Duration, Effects)>,
+    /// Proposals that wait: index, term, value.
+    proposals: Vec<(LogIndex, u64, u64)>,
+    /// Reads that wait, and the index acknowledged when each began.
+    reads: BTreeMap<u64, LogIndex>,
+}
+
+pub(crate) struct Host {
+    pub(crate) disk: MemDisk,
+    running: Option<Running>,
+    /// Until then the process is stalled.
+    pub(crate) stalled_until: Duration,
+}
+
+/// How the network treats messages.
+#[derive(Clone, Debug)]
+pub(crate) struct Network {
+    pub(crate) loss: f64,
+    pub(crate) duplicate: f64,
+    pub(crate) delay_ms: (u64, u64),
+    /// One-way cuts: from, to.
+    pub(crate) cuts: BTreeSet<(u64, u64)>,
+}
+
+impl Network {
+    pub(crate) fn healthy() -> Self {
+        Self {
+            loss: 0.0,
+            duplicate: 0.0,
+            delay_ms: (1, 3),
+            cuts: BTreeSet::new(),
+        }
+    }
+}
+
+type InFlight = (Duration, u64, u64, u64, Vec<u8>);
+
+pub(crate) struct Cluster {
+    pub(crate) now: Duration,
+    pub(crate) rng: StdRng,
+    pub(crate) hosts: BTreeMap<u64, Host>,
+    pub(crate) net: Network,
+    pub(crate) sync_ms: (u64, u64),
+    pub(crate) compact_every: u64,
+    in_flight: BinaryHeap<Reverse<InFlight>>,
+    sent: u64,
+    next_value: u64,
+    next_ctx: u64,
+    leaders: BTreeMap<u64, u64>,
+    /// Term and data of every committed entry.
+    committed: BTreeMap<LogIndex, (u64, Vec<u8>)>,
+    /// Hash after each index.
+    hashes: BTreeMap<LogIndex, Machine>,
+    /// Highest acknowledged index.
+    pub(crate) acked: LogIndex,
+    pub(crate) acked_count: u64,
+    pub(crate) reads_done: u64,
+    pub(crate) founders: Vec<u64>,
+}
+
+impl Cluster {
+    pub(crate) fn new(seed: u64, size: u64) -> Self {
+        let mut cluster = Self {
+            now: ms(1_000),
+            rng: StdRng::seed_from_u64(seed),
+            hosts: BTreeMap::new(),
+            net: Network::healthy(),
+            sync_ms: (0, 2),
+            compact_every: 24,
+            in_flight: BinaryHeap::new(),
+            sent: 0,
+            next_value: 1,
+            next_ctx: 1,
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            hashes: BTreeMap::from([(0, Machine::default())]),
+            acked: 0,
+            acked_count: 0,
+            reads_done: 0,
+            founders: (1..=size).collect(),
+        };
+        for id in 1..=size {
+            cluster.add_host(id);
+            cluster.start(id);
+        }
+        cluster
+    }
+
+    /// Adds a host with an empty disk.
+    pub(crate) fn add_host(&mut self, id: u64) {
+        self.hosts.insert(
+            id,
+            Host {
+                disk: MemDisk::new(),
+                running: None,
+                stalled_until: Duration::ZERO,
+            },
+        );
+    }
+
+    pub(crate) fn start(&mut self, id: u64) {
+        let seed = self.rng.random();
+        let founding = self.founders.contains(&id);
+        let founders = Membership::of_voters(self.founders.iter().map(|f| (*f, "")));
+        let host = self.hosts.get_mut(&id).unwrap();
+        if host.running.is_some() {
+            return;
+        }
+        let opened = Store::open_with(Box::new(host.disk.clone()), 0, 400);
+        let (store, mut restored) = match opened {
+            Ok(opened) => opened,
+            Err(StorageError::Io(_)) => {
+                // The disk fails again while the member starts.
+                host.disk.crash(&mut self.rng);
+                return;
+            }
+            Err(e) => panic!("member {id} can't read its disk: {e}"),
+        };
+        if founding && restored.snapshot.is_none() {
+            restored.snapshot = Some(std::sync::Arc::new(Snapshot {
+                membership: Some(founders),
+                ..Snapshot::default()
+            }));
+        }
+        let state = restored.snapshot.as_ref().map(|s| s.state.clone());
+        let machine = Machine::decode(&state.unwrap_or_default());
+        let mut cfg = NodeConfig::new(id, 0);
+        cfg.max_message_bytes = 120;
+        cfg.trailing = 6;
+        host.running = Some(Running {
+            node: Node::new(cfg, restored, self.now, seed),
+            store,
+            machine,
+            inbox: VecDeque::new(),
+            syncing: None,
+            proposals: Vec::new(),
+            reads: BTreeMap::new(),
+        });
+        host.stalled_until = Duration::ZERO;
+        self.check_machine(machine);
+    }
+
+    /// Kills a host at once; unsynced writes are lost.
+    pub(crate) fn crash(&mut self, id: u64) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.running = None;
+            host.disk.crash(&mut self.rng);
+        }
+    }
+
+    /// Removes a host together with its disk.
+    pub(crate) fn lose_disk(&mut self, id: u64) {
+        self.hosts.remove(&id);
+    }
+
+    pub(crate) fn node(&self, id: u64) -> Option<&Node> {
+        Some(&self.hosts.get(&id)?.running.as_ref()?.node)
+    }
+
+    pub(crate) fn machine(&self, id: u64) -> Option<Machine> {
+        Some(self.hosts.get(&id)?.running.as_ref()?.machine)
+    }
+
+    /// Returns the leader of the highest term.
+    pub(crate) fn leader(&self) -> Option<u64> {
+        self.hosts
+            .iter()
+            .filter_map(|(id, h)| Some((h.running.as_ref()?, *id)))
+            .filter(|(r, _)| r.node.role() == Role::Leader)
+            .max_by_key(|(r, _)| r.node.term())
+            .map(|(_, id)| id)
+    }
+
+    /// Cuts a host off in both directions, or connects it again.
+    pub(crate) fn isolate(&mut self, id: u64, cut: bool) {
+        let others: Vec<u64> = self.hosts.keys().copied().filter(|o| *o != id).collect();
+        for other in others {
+            for pair in [(id, other), (other, id)] {
+                if cut {
+                    self.net.cuts.insert(pair);
+                } else {
+                    self.net.cuts.remove(&pair);
+                }
+            }
+        }
+    }
+
+    /// Runs the call on a member unless it is down or stalled.
+    fn with_node<T>(&mut self, id: u64, f: impl FnOnce(&mut Node, Duration) -> T) -> Option<T> {
+        let now = self.now;
+        let host = self.hosts.get_mut(&id)?;
+        if host.stalled_until > now {
+            return None;
+        }
+        let running = host.running.as_mut()?;
+        if running.syncing.is_some() {
+            return None;
+        }
+        Some(f(&mut running.node, now))
+    }
+
+    /// Proposes a new value at a member. Returns whether it was taken.
+    pub(crate) fn propose(&mut self, id: u64) -> bool {
+        let value = self.next_value;
+        self.next_value += 1;
+        let taken = self.with_node(id, |node, now| {
+            let index = node.propose(now, value.to_le_bytes().to_vec()).ok()?;
+            Some((index, node.term(), value))
+        });
+        let Some(Some(proposal)) = taken else {
+            return false;
+        };
+        let host = self.hosts.get_mut(&id).unwrap();
+        host.running.as_mut().unwrap().proposals.push(proposal);
+        self.act(id);
+        true
+    }
+
+    pub(crate) fn read(&mut self, id: u64) -> bool {
+        let ctx = self.next_ctx;
+        self.next_ctx += 1;
+        let acked = self.acked;
+        if self.with_node(id, |node, now| node.read(now, ctx).is_ok()) != Some(true) {
+            return false;
+        }
+        let host = self.hosts.get_mut(&id).unwrap();
+        host.running.as_mut().unwrap().reads.insert(ctx, acked);
+        self.act(id);
+        true
+    }
+
+    pub(crate) fn change(&mut self, id: u64, change: MemberChange) -> bool {
+        let taken = self.with_node(id, |node, now| node.propose_change(now, change).is_ok());
+        self.act(id);
+        taken == Some(true)
+    }
+
+    /// Lets time pass until `end`.
+    pub(crate) fn run_until(&mut self, end: Duration) {
+        while self.now < end {
+            let mut next = end;
+            if let Some(Reverse((at, ..))) = self.in_flight.peek() {
+                next = next.min(*at);
+            }
+            for host in self.hosts.values() {
+                let Some(running) = &host.running else {
+                    continue;
+                };
+                let due = match &running.syncing {
+                    Some((at, _)) => *at,
+                    None if !running.inbox.is_empty() => self.now,
+                    None => running.node.deadline(),
+                };
+                next = next.min(due.max(host.stalled_until));
+            }
+            // Deadlines in the past are those of hosts that were just woken.
+            self.now = next.max(self.now);
+            self.deliver();
+            let ids: Vec<u64> = self.hosts.keys().copied().collect();
+            for id in ids {
+                self.wake(id);
+            }
+        }
+    }
+
+    pub(crate) fn run_for(&mut self, time: Duration) {
+        self.run_until(self.now + time);
+    }
+
+    /// Runs until the condition holds. Returns whether it came to hold.
+    pub(crate) fn run_while_not(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + limit;
+        while self.now < end {
+            if done(self) {
+                return true;
+            }
+            self.run_for(ms(20));
+        }
+        done(self)
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse((at, ..))) = self.in_flight.peek() {
+            if *at > self.now {
+                break;
+            }
+            let Some(Reverse((_, _, from, to, buf))) = self.in_flight.pop() else {
+                break;
+            };
+            if self.net.cuts.contains(&(from, to)) {
+                continue;
+            }
+            let msg = Message::decode(buf.as_slice()).expect("messages decode");
+            if let Some(running) = self.hosts.get_mut(&to).and_then(|h| h.running.as_mut()) {
+                running.inbox.push_back((from, msg));
+            }
+        }
+    }
+
+    fn send(&mut self, from: u64, to: u64, msg: &Message) {
+        let copies = if self.rng.random_bool(self.net.duplicate) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let cut = self.net.cuts.contains(&(from, to));
+            if self.rng.random_bool(self.net.loss) || cut {
+                continue;
+            }
+            let (min, max) = self.net.delay_ms;
+            let at = self.now + ms(self.rng.random_range(min..=max));
+            self.sent += 1;
+            let item = (at, self.sent, from, to, msg.encode_to_vec());
+            self.in_flight.push(Reverse(item));
+        }
+    }
+
+    fn wake(&mut self, id: u64) {
+        let now = self.now;
+        let host = self.hosts.get_mut(&id).unwrap();
+        if host.stalled_until > now {
+            return;
+        }
+        let Some(running) = host.running.as_mut() else {
+            return;
+        };
+        if let Some((at, _)) = &running.syncing {
+            if *at > now {
+                return;
+            }
+            let Some((_, fx)) = running.syncing.take() else {
+                return;
+            };
+            self.finish_sync(id, fx);
+        }
+        let Some(running) = self.hosts.get_mut(&id).and_then(|h| h.running.as_mut()) else {
+            return;
+        };
+        let mut active = false;
+        while let Some((from, msg)) = running.inbox.pop_front() {
+            running.node.step(now, from, msg);
+            active = true;
+        }
+        if running.node.deadline() <= now {
+            running.node.tick(now);
+            active = true;
+        }
+        if active {
+            self.act(id);
+        }
+    }
+
+    /// Takes the effects of a member and starts their sync.
+    fn act(&mut self, id: u64) {
+        let now = self.now;
+        let Some(running) = self.hosts.get_mut(&id).and_then(|h| h.running.as_mut()) else {
+            return;
+        };
+        if running.syncing.is_some() {
+            return;
+        }
+        if running.node.role() == Role::Leader {
+            let first = self.leaders.entry(running.node.term()).or_insert(id);
+            assert_eq!(*first, id, "two leaders in term {}", running.node.term());
+        }
+        let mut fx = running.node.take_effects(now);
+        let must_sync = fx.must_sync();
+        let saved = running.store.save(&fx);
+        for (to, msg) in std::mem::take(&mut fx.early) {
+            self.send(id, to, &msg);
+        }
+        if saved.is_err() {
+            // The process stops without sending; the power may be gone too.
+            self.crash(id);
+            return;
+        }
+        let (min, max) = self.sync_ms;
+        let time = if must_sync {
+            ms(self.rng.random_range(min..=max))
+        } else {
+            Duration::ZERO
+        };
+        if let Some(running) = self.hosts.get_mut(&id).and_then(|h| h.running.as_mut()) {
+            running.syncing = Some((now + time, fx));
+        }
+        if time.is_zero() {
+            let running = self.hosts.get_mut(&id).and_then(|h| h.running.as_mut());
+            if let Some((_, fx)) = running.and_then(|r| r.syncing.take()) {
+                self.finish_sync(id, fx);
+            }
+        }
+    }
+
+    fn finish_sync(&mut self, id: u64, fx: Effects) {
+        for (to, msg) in &fx.messages {
+            self.send(id, *to, msg);
+        }
+        let now = self.now;
+        let Some(running) = self.hosts.get_mut(&id).and_then(|h| h.running.as_mut()) else {
+            return;
+        };
+        running.node.persisted(now, fx.token);
+        if fx.reset
+            && let Some(s) = &fx.snapshot
+        {
+            running.machine = Machine::decode(&s.state);
+            assert_eq!(running.machine.index, s.index, "a snapshot holds its index");
+        }
+        for e in &fx.committed {
+            running.machine.apply(e.index, e.term, &e.data);
+            let known = self
+                .committed
+                .entry(e.index)
+                .or_insert_with(|| (e.term, e.data.clone()));
+            assert_eq!(
+                known,
+                &(e.term, e.data.clone()),
+                "a committed entry changed"
+            );
+            self.hashes.entry(e.index).or_insert(running.machine);
+            let waiting = running.proposals.iter().position(|p| p.0 == e.index);
+            if let Some(at) = waiting {
+                let (_, term, value) = running.proposals.swap_remove(at);
+                if term == e.term {
+                    assert_eq!(e.kind(), EntryKind::Command);
+                    assert_eq!(e.data, value.to_le_bytes(), "another value was committed");
+                    self.acked = self.acked.max(e.index);
+                    self.acked_count += 1;
+                }
+            }
+        }
+        for ctx in &fx.reads {
+            let acked = running.reads.remove(ctx).expect("reads are answered once");
+            assert!(
+                running.machine.index >= acked,
+                "member {id} answered a read at {} after {acked} was acknowledged",
+                running.machine.index,
+            );
+            self.reads_done += 1;
+        }
+        for ctx in &fx.failed_reads {
+            running.reads.remove(ctx);
+        }
+        let machine = running.machine;
+        let base = running.node.snapshot().map_or(0, |s| s.index);
+        if machine.index >= base + self.compact_every {
+            running.node.compact(machine.index, machine.encode());
+        }
+        self.check_machine(machine);
+        // What the sync brought, for example a commit, has effects too.
+        let running = self.hosts.get_mut(&id).and_then(|h| h.running.as_mut());
+        let again = running.is_some_and(|r| r.node.commit_index() > r.machine.index);
+        if again {
+            self.act(id);
+        }
+    }
+
+    fn check_machine(&self, machine: Machine) {
+        let known = self.hashes.get(&machine.index);
+        assert_eq!(known, Some(&machine), "a member's state differs");
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/rules.rs
@@ -0,0 +1,281 @@
+//! One test for each rule that the random schedules could pass by.
+
+#![expect(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "helpers of tests fail like tests"
+)]
+
+mod cluster;
+
+use anvilloft_consensus::Effects;
+use anvilloft_consensus::MemberChange;
+use anvilloft_consensus::Membership;
+use anvilloft_consensus::Message;
+use anvilloft_consensus::Node;
+use anvilloft_consensus::NodeConfig;
+use anvilloft_consensus::ProposeError;
+use anvilloft_consensus::Restored;
+use anvilloft_consensus::Role;
+use anvilloft_consensus::Snapshot;
+use anvilloft_consensus::message::Body;
+use anvilloft_consensus::message::VoteReply;
+use anvilloft_consensus::message::VoteRequest;
+use cluster::Cluster;
+use cluster::ms;
+use rstest::rstest;
+use std::sync::Arc;
+
+fn elected(cluster: &mut Cluster) -> u64 {
+    let settled = |c: &Cluster| {
+        c.leader()
+            .and_then(|id| c.node(id))
+            .is_some_and(Node::is_settled)
+    };
+    assert!(cluster.run_while_not(ms(5_000), settled), "no leader");
+    cluster.leader().unwrap()
+}
+
+fn add_learner(cluster: &mut Cluster, id: u64) {
+    let leader = elected(cluster);
+    cluster.add_host(id);
+    cluster.start(id);
+    let change = MemberChange::AddLearner {
+        id,
+        address: String::new(),
+    };
+    assert!(cluster.change(leader, change));
+    cluster.run_for(ms(1_000));
+}
+
+fn founder(id: u64, members: &[u64]) -> Node {
+    let membership = Membership::of_voters(members.iter().map(|m| (*m, "")));
+    let restored = Restored {
+        snapshot: Some(Arc::new(Snapshot {
+            membership: Some(membership),
+            ..Snapshot::default()
+        })),
+        ..Restored::default()
+    };
+    Node::new(NodeConfig::new(id, 0), restored, ms(0), 1)
+}
+
+fn message(to: u64, term: u64, body: Body) -> Message {
+    Message {
+        group: 0,
+        to,
+        term,
+        body: Some(body),
+    }
+}
+
+/// Guards against a learner that counts towards a majority: with one of two
+/// voters gone, the other and a learner must neither elect nor commit.
+#[test]
+fn a_learner_does_not_count() {
+    let mut cluster = Cluster::new(1, 2);
+    add_learner(&mut cluster, 3);
+    let leader = elected(&mut cluster);
+    cluster.crash(3 - leader);
+    let before = cluster.node(leader).unwrap().commit_index();
+    cluster.propose(leader);
+    cluster.run_for(ms(200));
+    assert_eq!(cluster.node(leader).unwrap().commit_index(), before);
+    cluster.run_for(ms(10_000));
+    assert_eq!(cluster.leader(), None);
+}
+
+/// Guards against a stuck group after a repair: a learner whose promotion is
+/// committed, but hasn't reached it, must still vote when a second member
+/// fails for good.
+#[test]
+fn a_promoted_learner_votes_before_it_knows() {
+    let mut cluster = Cluster::new(2, 2);
+    add_learner(&mut cluster, 3);
+    let leader = elected(&mut cluster);
+    cluster.net.cuts.insert((leader, 3));
+    assert!(cluster.change(leader, MemberChange::Promote(3)));
+    cluster.run_for(ms(100));
+    let node = cluster.node(leader).unwrap();
+    assert!(node.commit_index() == node.last_index(), "promoted");
+    assert!(!cluster.node(3).unwrap().membership().is_voter(3));
+    cluster.lose_disk(leader);
+    let other = elected(&mut cluster);
+    assert!(cluster.propose(other));
+    cluster.run_for(ms(500));
+    assert!(cluster.node(3).unwrap().membership().is_voter(3));
+    assert!(cluster.acked > 0);
+}
+
+/// Guards against a candidate that wins with votes that were given for an
+/// earlier term.
+#[test]
+fn votes_of_an_old_term_do_not_count() {
+    let mut node = founder(1, &[1, 2, 3]);
+    let grant = VoteReply { granted: true };
+    for term in 1..=2 {
+        node.tick(node.deadline());
+        let now = node.deadline() - ms(1);
+        node.step(now, 2, message(1, term, Body::PreVoteReply(grant)));
+        assert_eq!((node.role(), node.term()), (Role::Candidate, term));
+    }
+    let now = node.deadline() - ms(1);
+    node.step(now, 2, message(1, 1, Body::VoteReply(grant)));
+    assert_eq!(node.role(), Role::Candidate);
+    node.step(now, 2, message(1, 2, Body::VoteReply(grant)));
+    assert_eq!(node.role(), Role::Leader);
+}
+
+/// Guards against a second vote in a term, also after a restart.
+#[test]
+fn a_member_votes_once_a_term() {
+    let mut node = founder(1, &[1, 2, 3]);
+    let req = VoteRequest {
+        last_index: 5,
+        last_term: 1,
+    };
+    let granted = |fx: &Effects| match &fx.messages[0].1.body {
+        Some(Body::VoteReply(r)) => r.granted,
+        _ => panic!("no reply to a vote request"),
+    };
+    node.step(ms(1), 2, message(1, 4, Body::Vote(req)));
+    let fx = node.take_effects(ms(1));
+    assert!(granted(&fx));
+    let hard_state = fx.hard_state.expect("a vote is persisted");
+    let restored = Restored {
+        hard_state,
+        ..Restored::default()
+    };
+    let mut again = Node::new(NodeConfig::new(1, 0), restored, ms(2), 2);
+    for node in [&mut node, &mut again] {
+        node.step(ms(2), 3, message(1, 4, Body::Vote(req)));
+        assert!(!granted(&node.take_effects(ms(2))));
+    }
+}
+
+/// Guards against a member that disturbs the group when it comes back from an
+/// hour of isolation, and against a leader that doesn't notice its own.
+#[rstest]
+#[case::follower(false)]
+#[case::leader(true)]
+fn an_hour_of_isolation_is_harmless(#[case] isolate_leader: bool) {
+    let mut cluster = Cluster::new(3, 3);
+    let first = elected(&mut cluster);
+    let isolated = if isolate_leader { first } else { first % 3 + 1 };
+    cluster.isolate(isolated, true);
+    cluster.run_for(ms(5_000));
+    let leader = elected(&mut cluster);
+    assert_ne!(leader, isolated);
+    let term = cluster.node(leader).unwrap().term();
+    cluster.run_for(ms(3_600_000));
+    assert_ne!(cluster.node(isolated).unwrap().role(), Role::Leader);
+    for _ in 0..100 {
+        cluster.propose(leader);
+        cluster.run_for(ms(5));
+    }
+    cluster.isolate(isolated, false);
+    cluster.run_for(ms(2_000));
+    let returned = cluster.node(isolated).unwrap();
+    assert_eq!((returned.leader(), returned.term()), (Some(leader), term));
+    assert_eq!(cluster.machine(isolated), cluster.machine(leader));
+}
+
+/// Guards against stale reads: a leader that slept through its own deposition
+/// must not answer a read when it wakes.
+#[test]
+fn a_deposed_leader_answers_no_read() {
+    let mut cluster = Cluster::new(4, 3);
+    let old = elected(&mut cluster);
+    assert!(cluster.read(old));
+    cluster.run_for(ms(100));
+    assert_eq!(cluster.reads_done, 1, "a leader answers reads");
+    let wakes = cluster.now + ms(3_000);
+    cluster.hosts.get_mut(&old).unwrap().stalled_until = wakes;
+    cluster.run_for(ms(2_500));
+    let new = elected(&mut cluster);
+    assert_ne!(new, old);
+    assert!(cluster.propose(new));
+    cluster.run_until(wakes);
+    // `read` itself fails when an answer is older than what was acknowledged.
+    cluster.read(old);
+    cluster.run_for(ms(1_000));
+    assert_eq!(cluster.reads_done, 1);
+}
+
+/// Guards against membership changes that overlap, and against promotion of a
+/// learner that lacks committed entries.
+#[test]
+fn changes_go_one_at_a_time_and_learners_must_catch_up() {
+    let mut cluster = Cluster::new(5, 3);
+    let leader = elected(&mut cluster);
+    let learner = |id| MemberChange::AddLearner {
+        id,
+        address: String::new(),
+    };
+    let mut refused = Vec::new();
+    let membership = cluster.node(leader).unwrap().membership().clone();
+    let mut node = founder(1, &[1]);
+    node.tick(node.deadline());
+    let now = node.deadline();
+    for change in [learner(8), learner(9)] {
+        refused.push(node.propose_change(now, change).err());
+        let token = node.take_effects(now).token;
+        if refused.len() == 1 {
+            node.persisted(now, token);
+            assert_eq!(node.propose_change(now, learner(8)), Ok(2));
+            assert_eq!(
+                node.propose_change(now, MemberChange::Promote(8)),
+                Err(ProposeError::ChangePending)
+            );
+            let token = node.take_effects(now).token;
+            node.persisted(now, token);
+        }
+    }
+    // Before the first entry of the term is committed, no change is taken.
+    assert_eq!(refused, [Some(ProposeError::ChangePending), None]);
+    let token = node.take_effects(now).token;
+    node.persisted(now, token);
+    assert_eq!(
+        node.propose_change(now, MemberChange::Promote(8)),
+        Err(ProposeError::NotCaughtUp)
+    );
+    assert_eq!(
+        node.propose_change(now, MemberChange::Remove(1)),
+        Err(ProposeError::InvalidChange("the last voter must stay"))
+    );
+    assert_eq!(membership.voters().count(), 3);
+}
+
+/// Guards against acknowledged entries that a power failure takes back: a
+/// leader counts itself only after its own sync.
+#[test]
+fn a_leader_counts_itself_after_its_sync() {
+    let mut node = founder(1, &[1]);
+    let now = node.deadline();
+    node.tick(now);
+    node.propose(now, b"x".to_vec()).unwrap();
+    let fx = node.take_effects(now);
+    assert_eq!((fx.entries.len(), fx.committed.len()), (2, 0));
+    assert!(node.take_effects(now).committed.is_empty());
+    node.persisted(now, fx.token);
+    assert_eq!(node.take_effects(now).committed.len(), 2);
+}
+
+/// Guards against a host that answers for its old id after it lost its disk,
+/// and against messages of another group.
+#[rstest]
+#[case::old_id(7, 0)]
+#[case::other_group(1, 3)]
+fn messages_for_others_are_dropped(#[case] to: u64, #[case] group: u32) {
+    let mut node = founder(1, &[1, 2, 3]);
+    let req = VoteRequest {
+        last_index: 9,
+        last_term: 9,
+    };
+    let mut msg = message(to, 9, Body::Vote(req));
+    msg.group = group;
+    node.step(ms(1), 2, msg);
+    let fx = node.take_effects(ms(1));
+    assert!(fx.messages.is_empty() && !fx.must_sync());
+    assert_eq!(node.term(), 0);
+}
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -27,9 +27,24 @@
     /// Changes of names since the last sync of the folder, in order.
     unsynced: Vec<NameChange>,
     fail_syncs: u32,
+    /// Writing operations until the power fails.
+    power_left: Option<u32>,
     syncs: u64,
 }
 
+impl State {
+    fn spend_power(&mut self) -> io::Result<()> {
+        match &mut self.power_left {
+            Some(0) => Err(io::Error::other("injected power failure")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Content {
     data: Vec<u8>,
@@ -76,6 +91,7 @@
     /// unsynced name changes any number of the first ones.
     pub fn crash(&self, rng: &mut impl Rng) {
         let mut state = self.state();
+        state.power_left = None;
         let kept = rng.random_range(0..=state.unsynced.len());
         let mut names = state.synced_names.clone();
         for change in state.unsynced.iter().take(kept) {
@@ -110,6 +126,12 @@
         self.state().fail_syncs = count;
     }
 
+    /// Makes every writing operation after the next `count` fail, until
+    /// [`crash`](Self::crash) is called.
+    pub fn fail_power_after(&self, count: u32) {
+        self.state().power_left = Some(count);
+    }
+
     /// Returns how many syncs of files succeeded.
     pub fn syncs(&self) -> u64 {
         self.state().syncs
@@ -155,6 +177,7 @@
 
     fn append(&mut self, name: &str, data: &[u8]) -> io::Result<()> {
         let mut state = self.state();
+        state.spend_power()?;
         let id = match state.names.get(name) {
             Some(id) => *id,
             None => {
@@ -172,6 +195,7 @@
 
     fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
         let mut state = self.state();
+        state.spend_power()?;
         let id = *state.names.get(name).ok_or_else(|| not_found(name))?;
         if let Some(file) = state.files.get_mut(&id) {
             file.data
@@ -182,6 +206,7 @@
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
         let mut state = self.state();
+        state.spend_power()?;
         if state.fail_syncs > 0 {
             state.fail_syncs -= 1;
             return Err(io::Error::other("injected sync failure"));
@@ -196,6 +221,7 @@
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         let mut state = self.state();
+        state.spend_power()?;
         let id = state.names.remove(from).ok_or_else(|| not_found(from))?;
         state.names.insert(to.to_owned(), id);
         let change = NameChange::Rename(from.to_owned(), to.to_owned());
@@ -205,6 +231,7 @@
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
         let mut state = self.state();
+        state.spend_power()?;
         state.names.remove(name).ok_or_else(|| not_found(name))?;
         state.unsynced.push(NameChange::Remove(name.to_owned()));
         Ok(())
@@ -212,6 +239,7 @@
 
     fn sync_folder(&mut self) -> io::Result<()> {
         let mut state = self.state();
+        state.spend_power()?;
         state.synced_names = state.names.clone();
         state.unsynced.clear();
         Ok(())
