Add first versions of admission and routing

Change: Admission with floors, levels and fair queueing by team; Selector with predicted service, slot parts, retry budget and the view of suspects.

--- /dev/null
+++ b/crates/admission/src/fair.rs
@@ -0,0 +1,458 @@
+//! Admission by rank floors, levels and fair shares of teams.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use anvilloft_types::prelude::*;
+
+use crate::Admission;
+use crate::Offer;
+use crate::Reason;
+use crate::Refusal;
+use crate::Verdict;
+use crate::flow::FairQueue;
+use crate::flow::FlowNo;
+use crate::flow::Queued;
+use crate::policy::Capacity;
+use crate::policy::Policy;
+use crate::policy::Rank;
+use crate::rate::DrainRate;
+use crate::window::Decayed;
+
+/// Decay time of the sums that tell the recent shares of teams and ranks.
+const RECENT: Duration = Duration::from_secs(5);
+/// Shortest retry time, so that a refused caller doesn't poll.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+/// Longest retry time; estimates further ahead are guesses.
+const RETRY_MAX: Duration = Duration::from_secs(60);
+/// Count of known teams in a rank above which idle ones are forgotten.
+const SWEEP_TEAMS: usize = 64;
+/// Smallest share of the drain rate that an estimate assumes for a rank.
+const MIN_SHARE: f64 = 0.01;
+
+/// One rank with its queue.
+#[derive(Debug)]
+struct RankState {
+    rank: Rank,
+    queue: FairQueue,
+    /// Tokens that the floor owes to the rank. It grows by the floor's share
+    /// of all started tokens while the rank has demand.
+    owed: f64,
+    /// Recently started tokens.
+    recent: Decayed,
+    /// Start tag among the ranks of one level.
+    tag: f64,
+}
+
+impl RankState {
+    fn floor(&self) -> f64 {
+        f64::from(self.rank.floor_percent.min(100)) / 100.0
+    }
+
+    fn backlogged(&self) -> bool {
+        self.queue.len > 0
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    rank: usize,
+    flow: FlowNo,
+    deadline: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    rank: usize,
+    flow: FlowNo,
+    tokens: Tokens,
+    since: Duration,
+    by_floor: bool,
+}
+
+/// The shipped [`Admission`].
+///
+/// Ranks below their floor start first, then ranks by level; within a rank the
+/// teams share by weighted max-min fairness over tokens.
+#[derive(Debug)]
+pub struct FairAdmission {
+    policy: Policy,
+    /// By level, then by name.
+    ranks: Vec<RankState>,
+    cap: Capacity,
+    waiting: HashMap<RequestNo, Waiting>,
+    running: HashMap<RequestNo, Running>,
+    running_tokens: Tokens,
+    timeouts: BTreeSet<(Duration, RequestNo)>,
+    /// Verdicts that a call other than `poll` caused.
+    due: Vec<Verdict>,
+    drain: DrainRate,
+}
+
+impl FairAdmission {
+    /// Makes an admission without capacity.
+    pub fn new(policy: Policy) -> Self {
+        let mut ranks = policy.ranks.clone();
+        if ranks.is_empty() {
+            ranks = Policy::default().ranks;
+        }
+        ranks.sort_by(|a, b| (a.level, &a.name).cmp(&(b.level, &b.name)));
+        let ranks = ranks
+            .into_iter()
+            .map(|rank| RankState {
+                rank,
+                queue: FairQueue::default(),
+                owed: 0.0,
+                recent: Decayed::default(),
+                tag: 0.0,
+            })
+            .collect();
+        Self {
+            policy,
+            ranks,
+            cap: Capacity::slots(0),
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            running_tokens: 0,
+            timeouts: BTreeSet::new(),
+            due: Vec::new(),
+            drain: DrainRate::default(),
+        }
+    }
+
+    /// Returns the queued requests of a rank.
+    pub fn queued_in(&self, rank: &str) -> usize {
+        self.ranks
+            .iter()
+            .filter(|r| r.rank.name == rank)
+            .map(|r| r.queue.len)
+            .sum()
+    }
+
+    /// Returns the estimated wait of a request that would be offered now, or
+    /// `None` before any request has finished.
+    pub fn expected_wait(&self, now: Duration, req: &Offer) -> Option<Duration> {
+        self.wait_in(now, self.rank_of(now, req), req)
+    }
+
+    /// Returns the index of the rank that a request runs in.
+    fn rank_of(&self, now: Duration, req: &Offer) -> usize {
+        let named = self.ranks.iter().position(|r| r.rank.name == req.rank);
+        let at = named.unwrap_or(self.ranks.len() - 1);
+        let first = self.ranks[0].rank.level;
+        if self.ranks[at].rank.level != first || !self.above_urgent_share(now, at, req) {
+            return at;
+        }
+        self.ranks
+            .iter()
+            .position(|r| r.rank.level > first)
+            .unwrap_or(at)
+    }
+
+    /// Returns whether a team takes more than its share of the first rank
+    /// while another team waits there.
+    fn above_urgent_share(&self, now: Duration, at: usize, req: &Offer) -> bool {
+        let rank = &self.ranks[at];
+        let Some(flow) = rank.queue.find(&req.team) else {
+            return false;
+        };
+        if rank.queue.len == flow.queue.len() {
+            return false;
+        }
+        let percent = req.urgent_percent.unwrap_or(self.policy.urgent_percent);
+        let own = flow.recent.value(now, RECENT) + flow.tokens as f64 + req.tokens as f64;
+        let all = rank.recent.value(now, RECENT) + rank.queue.tokens as f64 + req.tokens as f64;
+        own * 100.0 > all * f64::from(percent.min(100))
+    }
+
+    fn wait_in(&self, now: Duration, at: usize, req: &Offer) -> Option<Duration> {
+        let rate = self.drain.tokens_per_s(self.cap.slots)?;
+        let rank = &self.ranks[at];
+        let level = rank.rank.level;
+        let mut above_tokens = 0.0;
+        let mut taken = 0.0;
+        for (i, other) in self.ranks.iter().enumerate() {
+            if other.rank.level < level {
+                above_tokens += other.queue.tokens as f64;
+                taken += other.recent.value(now, RECENT) / RECENT.as_secs_f64();
+            } else if i != at && other.backlogged() {
+                taken += other.floor() * rate;
+            }
+        }
+        if above_tokens == 0.0 && !rank.backlogged() && self.fits(at, req.tokens, false) {
+            return Some(Duration::ZERO);
+        }
+        let weight = f64::from(req.weight.max(1));
+        let (queued, weights) = match rank.queue.find(&req.team) {
+            Some(flow) if !flow.queue.is_empty() => (flow.tokens, rank.queue.weights as f64),
+            _ => (0, rank.queue.weights as f64 + weight),
+        };
+        // With fair shares only as much of the other teams' work goes first as
+        // this team has waiting itself, scaled by the weights.
+        let fair = (queued as f64 + req.tokens as f64) * weights / weight;
+        let ahead = fair.min(rank.queue.tokens as f64 + req.tokens as f64);
+        let free = (rate - taken)
+            .max(rate * rank.floor())
+            .max(rate * MIN_SHARE);
+        let mut wait = ahead / free;
+        if above_tokens > 0.0 {
+            let by_level = wait + above_tokens / rate;
+            let by_floor = ahead / (rate * rank.floor()).max(1e-9);
+            wait = by_level.min(by_floor);
+        }
+        Some(Duration::from_secs_f64(wait.min(3600.0)))
+    }
+
+    /// Returns whether one more request may run.
+    fn fits(&self, at: usize, tokens: Tokens, by_floor: bool) -> bool {
+        let running = self.running.len() as u64;
+        let slots = u64::from(self.cap.slots);
+        let first = self.ranks[at].rank.level == self.ranks[0].rank.level;
+        let reserve = if first || by_floor {
+            0
+        } else {
+            (slots * u64::from(self.policy.reserve_permille) + 500) / 1000
+        };
+        if running + reserve >= slots {
+            return false;
+        }
+        // A request larger than the limit runs alone instead of never.
+        running == 0 || self.running_tokens.saturating_add(tokens) <= self.cap.tokens
+    }
+
+    /// Returns the rank whose turn it is, and whether by its floor.
+    fn next_rank(&self) -> Option<(usize, bool)> {
+        let owed = self
+            .ranks
+            .iter()
+            .enumerate()
+            .filter(|(_, r)| r.backlogged() && r.owed > 0.0)
+            // The rank that has waited for the largest part of its floor.
+            .max_by(|(_, a), (_, b)| (a.owed * b.floor()).total_cmp(&(b.owed * a.floor())));
+        if let Some((at, _)) = owed {
+            return Some((at, true));
+        }
+        let level = self.ranks.iter().find(|r| r.backlogged())?.rank.level;
+        self.ranks
+            .iter()
+            .enumerate()
+            .filter(|(_, r)| r.backlogged() && r.rank.level == level)
+            .min_by(|(_, a), (_, b)| a.tag.total_cmp(&b.tag))
+            .map(|(at, _)| (at, false))
+    }
+
+    fn start(&mut self, now: Duration, at: usize, by_floor: bool) -> Option<Verdict> {
+        let (flow, req) = self.ranks[at].queue.pop()?;
+        let tokens = req.tokens as f64;
+        self.waiting
+            .remove(&req.id)
+            .map(|w| self.timeouts.remove(&(w.deadline, req.id)));
+        for rank in &mut self.ranks {
+            if rank.backlogged() {
+                rank.owed += rank.floor() * tokens;
+            }
+        }
+        let rank = &mut self.ranks[at];
+        if by_floor {
+            rank.owed -= tokens;
+        } else {
+            // Work beyond the floor is no debt against a later floor.
+            rank.owed = (rank.owed - tokens).max(rank.owed.min(0.0));
+        }
+        if !rank.backlogged() {
+            rank.owed = rank.owed.min(0.0);
+        }
+        rank.recent.add(now, RECENT, tokens);
+        rank.tag += tokens / f64::from(rank.rank.weight.max(1));
+        rank.queue.get_mut(flow).recent.add(now, RECENT, tokens);
+        let level = rank.rank.level;
+        if rank.queue.teams() > SWEEP_TEAMS {
+            rank.queue.sweep();
+        }
+        self.running_tokens = self.running_tokens.saturating_add(req.tokens);
+        self.running.insert(
+            req.id,
+            Running {
+                rank: at,
+                flow,
+                tokens: req.tokens,
+                since: now,
+                by_floor,
+            },
+        );
+        Some(Verdict::Start {
+            id: req.id,
+            level,
+            waited: now.saturating_sub(req.since),
+        })
+    }
+
+    /// Removes a queued request.
+    fn dequeue(&mut self, id: RequestNo) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&id)?;
+        self.timeouts.remove(&(waiting.deadline, id));
+        let rank = &mut self.ranks[waiting.rank];
+        rank.queue.remove(waiting.flow, id);
+        if !rank.backlogged() {
+            rank.owed = rank.owed.min(0.0);
+        }
+        Some(waiting)
+    }
+
+    /// Returns the request that gives way to one of `at` when all queues are
+    /// full: the last one of the longest queue in the lowest rank.
+    fn victim(&self, at: usize, own_len: usize) -> Option<RequestNo> {
+        let level = self.ranks[at].rank.level;
+        for (i, rank) in self.ranks.iter().enumerate().rev() {
+            let Some((len, flow)) = rank.queue.longest() else {
+                continue;
+            };
+            if rank.rank.level > level || (i == at && len > own_len + 1) {
+                return rank.queue.last_of(flow);
+            }
+        }
+        None
+    }
+
+    fn refusal(&self, reason: Reason, wait: Option<Duration>, limit: Duration) -> Refusal {
+        let retry = match reason {
+            Reason::NoCapacity => Duration::from_secs(1),
+            _ => wait.map_or(limit, |w| w.saturating_sub(limit)),
+        };
+        Refusal {
+            reason,
+            retry_after: retry.clamp(RETRY_MIN, RETRY_MAX),
+        }
+    }
+}
+
+impl Admission for FairAdmission {
+    fn offer(&mut self, now: Duration, req: Offer) -> Result<(), Refusal> {
+        let at = self.rank_of(now, &req);
+        let queue = self.ranks[at].rank.queue;
+        let limit = req.max_wait.map_or(queue, |w| w.min(queue));
+        if self.waiting.contains_key(&req.id) || self.running.contains_key(&req.id) {
+            return Err(self.refusal(Reason::DuplicateId, None, limit));
+        }
+        if self.cap.slots == 0 {
+            return Err(self.refusal(Reason::NoCapacity, None, limit));
+        }
+        let wait = self.wait_in(now, at, &req);
+        if wait.is_some_and(|w| w > limit) {
+            return Err(self.refusal(Reason::WaitTooLong, wait, limit));
+        }
+        let own = self.ranks[at]
+            .queue
+            .find(&req.team)
+            .map_or(0, |f| f.queue.len());
+        if own >= self.policy.team_queue {
+            // One place is free after the next start of this team.
+            let place = wait.map(|w| limit + w / (own as u32).max(1));
+            return Err(self.refusal(Reason::TeamQueueFull, place, limit));
+        }
+        if self.waiting.len() >= self.policy.total_queue {
+            let Some(victim) = self.victim(at, own) else {
+                let place = wait.map(|w| limit + w / (own as u32).max(1));
+                return Err(self.refusal(Reason::QueueFull, place, limit));
+            };
+            if let Some(w) = self.dequeue(victim) {
+                let limit = self.ranks[w.rank].rank.queue;
+                let refusal = self.refusal(Reason::QueueFull, None, limit);
+                self.due.push(Verdict::Refuse {
+                    id: victim,
+                    refusal,
+                });
+            }
+        }
+        let rank = &mut self.ranks[at];
+        let flow = rank.queue.flow(&req.team, req.weight);
+        rank.queue.push(
+            flow,
+            Queued {
+                id: req.id,
+                tokens: req.tokens.max(1),
+                since: now,
+            },
+        );
+        let deadline = now + limit;
+        self.timeouts.insert((deadline, req.id));
+        self.waiting.insert(
+            req.id,
+            Waiting {
+                rank: at,
+                flow,
+                deadline,
+            },
+        );
+        Ok(())
+    }
+
+    fn cancel(&mut self, _now: Duration, id: RequestNo) {
+        self.dequeue(id);
+    }
+
+    fn finish(&mut self, now: Duration, id: RequestNo, used: Tokens) {
+        let Some(run) = self.running.remove(&id) else {
+            return;
+        };
+        self.running_tokens = self.running_tokens.saturating_sub(run.tokens);
+        self.drain.add(now.saturating_sub(run.since), run.tokens);
+        let change = used as f64 - run.tokens as f64;
+        for rank in &mut self.ranks {
+            if rank.backlogged() {
+                rank.owed += rank.floor() * change;
+            }
+        }
+        let rank = &mut self.ranks[run.rank];
+        if run.by_floor {
+            rank.owed -= change;
+        }
+        rank.recent.add(now, RECENT, change);
+        rank.queue.get_mut(run.flow).recent.add(now, RECENT, change);
+        rank.queue.settle(run.flow, run.tokens, used);
+    }
+
+    fn set_capacity(&mut self, _now: Duration, cap: Capacity) {
+        self.cap = cap;
+    }
+
+    fn poll(&mut self, now: Duration) -> Vec<Verdict> {
+        let mut out = std::mem::take(&mut self.due);
+        while let Some(&(deadline, id)) = self.timeouts.first() {
+            if deadline > now {
+                break;
+            }
+            let Some(w) = self.dequeue(id) else {
+                self.timeouts.remove(&(deadline, id));
+                continue;
+            };
+            let limit = self.ranks[w.rank].rank.queue;
+            out.push(Verdict::Refuse {
+                id,
+                refusal: self.refusal(Reason::DeadlinePassed, None, limit),
+            });
+        }
+        while let Some((at, by_floor)) = self.next_rank() {
+            let fits = self.ranks[at]
+                .queue
+                .peek()
+                .is_some_and(|q| self.fits(at, q.tokens, by_floor));
+            if !fits {
+                break;
+            }
+            match self.start(now, at, by_floor) {
+                Some(verdict) => out.push(verdict),
+                None => break,
+            }
+        }
+        out
+    }
+
+    fn next_timeout(&self) -> Option<Duration> {
+        self.timeouts.first().map(|&(at, _)| at)
+    }
+
+    fn counts(&self) -> (usize, usize) {
+        (self.waiting.len(), self.running.len())
+    }
+}
--- /dev/null
+++ b/crates/admission/src/flow.rs
@@ -0,0 +1,237 @@
+//! The queue of one team in one rank, and the fair order among teams.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use anvilloft_types::prelude::*;
+
+use crate::window::Decayed;
+
+/// Index of a flow within its rank.
+pub(crate) type FlowNo = usize;
+
+/// Virtual time in tokens by weight. An integer, so that flows can be ordered.
+type Virtual = u64;
+
+/// A queued request.
+#[derive(Clone, Debug)]
+pub(crate) struct Queued {
+    pub(crate) id: RequestNo,
+    pub(crate) tokens: Tokens,
+    pub(crate) since: Duration,
+}
+
+/// The queue of one team.
+#[derive(Debug, Default)]
+pub(crate) struct Flow {
+    pub(crate) team: TeamId,
+    pub(crate) weight: u32,
+    pub(crate) queue: VecDeque<Queued>,
+    /// Tokens of the queue.
+    pub(crate) tokens: Tokens,
+    /// Started requests that have not finished.
+    pub(crate) running: usize,
+    /// Recently started tokens.
+    pub(crate) recent: Decayed,
+    /// Start tag of the next request.
+    tag: Virtual,
+}
+
+/// Start-time fair queueing over the teams of one rank.
+///
+/// The virtual time is the start tag of the request that started last (Goyal,
+/// Vin and Cheng, 1996), here in estimated tokens over the team's weight. The
+/// difference to the tokens that were used moves the team's tag at settlement.
+#[derive(Debug, Default)]
+pub(crate) struct FairQueue {
+    flows: Vec<Flow>,
+    free: Vec<FlowNo>,
+    by_team: HashMap<TeamId, FlowNo>,
+    /// Flows with a queue, by start tag.
+    order: BTreeSet<(Virtual, FlowNo)>,
+    /// Flows with a queue, by length.
+    by_len: BTreeSet<(usize, FlowNo)>,
+    now: Virtual,
+    /// Requests of all flows.
+    pub(crate) len: usize,
+    /// Tokens of all flows.
+    pub(crate) tokens: Tokens,
+    /// Sum of the weights of flows with a queue.
+    pub(crate) weights: u64,
+}
+
+impl FairQueue {
+    /// Returns the flow of a team and makes it where needed.
+    pub(crate) fn flow(&mut self, team: &str, weight: u32) -> FlowNo {
+        let weight = weight.max(1);
+        if let Some(&no) = self.by_team.get(team) {
+            if self.flows[no].queue.is_empty() {
+                self.flows[no].weight = weight;
+            }
+            return no;
+        }
+        let flow = Flow {
+            team: team.to_owned(),
+            weight,
+            tag: self.now,
+            ..Flow::default()
+        };
+        let no = match self.free.pop() {
+            Some(no) => {
+                self.flows[no] = flow;
+                no
+            }
+            None => {
+                self.flows.push(flow);
+                self.flows.len() - 1
+            }
+        };
+        self.by_team.insert(team.to_owned(), no);
+        no
+    }
+
+    /// Returns the flow of a team if there is one.
+    pub(crate) fn find(&self, team: &str) -> Option<&Flow> {
+        self.by_team.get(team).map(|&no| &self.flows[no])
+    }
+
+    /// Returns a flow for changes that move neither its queue nor its tag.
+    pub(crate) fn get_mut(&mut self, no: FlowNo) -> &mut Flow {
+        &mut self.flows[no]
+    }
+
+    fn unlink(&mut self, no: FlowNo) {
+        let flow = &self.flows[no];
+        if !flow.queue.is_empty() {
+            self.order.remove(&(flow.tag, no));
+            self.by_len.remove(&(flow.queue.len(), no));
+            self.weights -= u64::from(flow.weight);
+        }
+    }
+
+    fn link(&mut self, no: FlowNo) {
+        let flow = &self.flows[no];
+        if !flow.queue.is_empty() {
+            self.order.insert((flow.tag, no));
+            self.by_len.insert((flow.queue.len(), no));
+            self.weights += u64::from(flow.weight);
+        }
+    }
+
+    /// Appends a request.
+    pub(crate) fn push(&mut self, no: FlowNo, req: Queued) {
+        self.unlink(no);
+        let flow = &mut self.flows[no];
+        if flow.queue.is_empty() {
+            // An idle team saves up no claim.
+            flow.tag = flow.tag.max(self.now);
+        }
+        flow.tokens += req.tokens;
+        self.tokens += req.tokens;
+        self.len += 1;
+        flow.queue.push_back(req);
+        self.link(no);
+    }
+
+    /// Returns the next request in fair order.
+    pub(crate) fn peek(&self) -> Option<&Queued> {
+        let &(_, no) = self.order.first()?;
+        self.flows[no].queue.front()
+    }
+
+    /// Takes the next request in fair order.
+    pub(crate) fn pop(&mut self) -> Option<(FlowNo, Queued)> {
+        let &(tag, no) = self.order.first()?;
+        self.unlink(no);
+        self.now = self.now.max(tag);
+        let flow = &mut self.flows[no];
+        let req = flow.queue.pop_front();
+        if let Some(req) = &req {
+            flow.tokens -= req.tokens;
+            flow.running += 1;
+            flow.tag = tag.saturating_add(cost(req.tokens, flow.weight));
+            self.tokens -= req.tokens;
+            self.len -= 1;
+        }
+        self.link(no);
+        req.map(|req| (no, req))
+    }
+
+    /// Removes a queued request.
+    pub(crate) fn remove(&mut self, no: FlowNo, id: RequestNo) -> Option<Queued> {
+        let at = self.flows[no].queue.iter().position(|q| q.id == id)?;
+        self.unlink(no);
+        let req = self.flows[no].queue.remove(at);
+        if let Some(req) = &req {
+            self.flows[no].tokens -= req.tokens;
+            self.tokens -= req.tokens;
+            self.len -= 1;
+        }
+        self.link(no);
+        self.collect(no);
+        req
+    }
+
+    /// Corrects the team's tag after a request finished.
+    pub(crate) fn settle(&mut self, no: FlowNo, estimated: Tokens, used: Tokens) {
+        self.unlink(no);
+        let flow = &mut self.flows[no];
+        flow.running -= 1;
+        flow.tag = if used >= estimated {
+            flow.tag.saturating_add(cost(used - estimated, flow.weight))
+        } else {
+            // Below the virtual time a team would overtake the others by more
+            // than what it has waiting.
+            flow.tag
+                .saturating_sub(cost(estimated - used, flow.weight))
+                .max(self.now.min(flow.tag))
+        };
+        self.link(no);
+        self.collect(no);
+    }
+
+    /// Returns the flow with the longest queue.
+    pub(crate) fn longest(&self) -> Option<(usize, FlowNo)> {
+        self.by_len.last().copied()
+    }
+
+    /// Returns the last request of a flow.
+    pub(crate) fn last_of(&self, no: FlowNo) -> Option<RequestNo> {
+        self.flows[no].queue.back().map(|q| q.id)
+    }
+
+    /// Forgets a team that has nothing queued, nothing running and no debt.
+    pub(crate) fn collect(&mut self, no: FlowNo) {
+        let flow = &mut self.flows[no];
+        let idle = flow.queue.is_empty() && flow.running == 0 && flow.tag <= self.now;
+        if idle && self.by_team.get(&flow.team) == Some(&no) {
+            self.by_team.remove(&flow.team);
+            self.free.push(no);
+        }
+    }
+
+    /// Returns the count of known teams.
+    pub(crate) fn teams(&self) -> usize {
+        self.by_team.len()
+    }
+
+    /// Forgets the debts of idle teams when nothing waits: there is nobody
+    /// left whom they would be owed to.
+    pub(crate) fn sweep(&mut self) {
+        if self.len > 0 || self.flows.len() == self.free.len() {
+            return;
+        }
+        let top = self.flows.iter().map(|f| f.tag).max().unwrap_or(0);
+        self.now = self.now.max(top);
+        for no in 0..self.flows.len() {
+            self.collect(no);
+        }
+    }
+}
+
+/// Returns the virtual time of an amount of tokens.
+fn cost(tokens: Tokens, weight: u32) -> Virtual {
+    // Scaled so that weights up to 1,024 lose no whole token.
+    tokens.max(1).saturating_mul(1024) / u64::from(weight.max(1))
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,182 @@
-//! Placeholder.
+//! Chooses the endpoint of each attempt, limits retries and tracks suspects.
+//!
+//! The crate is pure: time and a seed are passed in, and decisions are
+//! returned.
+//!
+//! - [`endpoint`]: what a router knows about one endpoint.
+//! - [`select`]: the shipped selector, [`PredictiveSelector`].
+//! - [`share`]: a router's part of an endpoint's slots, and subsets.
+//! - [`retry`]: the retry budget.
+//! - [`suspect`]: requests that may have crashed an endpoint.
+
+pub mod endpoint;
+pub mod retry;
+pub mod select;
+pub mod share;
+pub mod suspect;
+
+mod score;
+
+use anvilloft_types::prelude::*;
+use quick_error::quick_error;
+
+pub use endpoint::EndpointState;
+pub use endpoint::Load;
+pub use endpoint::Served;
+pub use retry::RetryBudget;
+pub use select::Method;
+pub use select::PredictiveSelector;
+pub use select::SelectorConfig;
+pub use suspect::Suspects;
+
+/// What an attempt needs from an endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RouteRequest<'a> {
+    /// Model of the request; empty for a plain service.
+    pub model: &'a str,
+    /// Version of the model; empty for any.
+    pub version: &'a str,
+    /// Adapter of the model; empty for none.
+    pub adapter: &'a str,
+    /// Name of the plain service; empty for a model.
+    pub service: &'a str,
+    /// Level of the rank that the request runs at; 0 is urgent.
+    pub level: u32,
+    /// Tokens of the prompt.
+    pub prompt_tokens: Tokens,
+    /// Hash of the prompt's prefix, the same at all routers and engines.
+    pub prefix: Option<u64>,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Time since the request could have started, over all calls of `choose`.
+    pub waited: Duration,
+    /// Endpoints that earlier attempts used.
+    pub exclude: &'a [EndpointId],
+}
+
+/// Why an endpoint was chosen, for the decision log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Why {
+    /// It is the only candidate.
+    Only,
+    /// It has the best score.
+    Score,
+    /// It holds the prefix of the prompt, or is the one that should.
+    Prefix,
+}
+
+/// The endpoint of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Name of the endpoint.
+    pub endpoint: EndpointId,
+    /// Incarnation of the endpoint.
+    pub incarnation: Incarnation,
+    /// Count of endpoints that could have been chosen.
+    pub candidates: usize,
+    /// Predicted time to the first token.
+    pub first_token: Duration,
+    /// Predicted time between tokens.
+    pub gap: Duration,
+    /// Why it was chosen.
+    pub why: Why,
+}
+
+quick_error! {
+    /// Why no endpoint was chosen.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum NoRoute {
+        /// No endpoint with a live lease serves the request.
+        NoEndpoint {
+            display("no endpoint serves the request")
+        }
+        /// Every endpoint that serves the request was tried.
+        Excluded {
+            display("every endpoint that serves the request was tried")
+        }
+        /// This router uses its share of the slots of every candidate. Ask
+        /// again when an attempt finishes or after the given time.
+        Full(retry: Duration) {
+            display("all slots are taken, try again in {} ms", retry.as_millis())
+        }
+    }
+}
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Failure {
+    /// No connection could be made.
+    Connect,
+    /// The connection broke.
+    Reset,
+    /// The first byte came too late.
+    FirstByte,
+    /// The next byte came too late.
+    Gap,
+    /// The endpoint refused the request.
+    Refused,
+    /// The answer belongs to another attempt or is malformed.
+    BadAnswer,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer arrived.
+    Done {
+        /// Time to the first token or byte.
+        first_token: Duration,
+        /// Mean time between tokens; zero when it is not known.
+        gap: Duration,
+    },
+    /// The attempt failed.
+    Failed(Failure),
+    /// The caller went away; nothing is known about the endpoint.
+    Cancelled,
+}
+
+/// Requests that may run at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    /// This router's part of the slots of all candidates.
+    pub slots: u32,
+    /// Attempts of this router that run there.
+    pub running: u32,
+    /// Count of candidates.
+    pub endpoints: u32,
+}
+
+/// Choice of an endpoint for each attempt.
+pub trait Selector: Send {
+    /// Sets this router and all routers that use the endpoints, which
+    /// determines the shares of the slots.
+    fn set_routers(&mut self, own: &str, routers: &[RouterId]);
+
+    /// Adds an endpoint or replaces what is known about it. Older states of
+    /// the same incarnation and older incarnations are dropped.
+    fn update(&mut self, now: Duration, ep: &EndpointState);
+
+    /// Forgets an endpoint.
+    fn remove(&mut self, ep: &str);
+
+    /// Chooses the endpoint of an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoRoute`] when no endpoint can take the attempt now.
+    fn choose(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<Choice, NoRoute>;
+
+    /// Reports that an attempt was sent to the chosen endpoint.
+    fn started(&mut self, now: Duration, ep: &str, attempt: AttemptId, tokens: Tokens);
+
+    /// Reports the first byte of an answer. An attempt whose first byte is
+    /// overdue makes its endpoint unattractive long before its time limit.
+    fn first_byte(&mut self, now: Duration, ep: &str, attempt: AttemptId);
+
+    /// Reports the end of an attempt.
+    fn finished(&mut self, now: Duration, ep: &str, attempt: AttemptId, outcome: Outcome);
+
+    /// Returns the room that the candidates of a request have, from which the
+    /// capacity of admission follows.
+    fn room(&self, now: Duration, req: &RouteRequest<'_>) -> Room;
+}
--- /dev/null
+++ b/crates/routing/src/select.rs
@@ -0,0 +1,407 @@
+//! The shipped selector.
+
+use anvilloft_types::prelude::*;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::Choice;
+use crate::NoRoute;
+use crate::Outcome;
+use crate::Room;
+use crate::RouteRequest;
+use crate::Selector;
+use crate::Why;
+use crate::endpoint::Endpoint;
+use crate::endpoint::EndpointState;
+use crate::score;
+use crate::score::Prediction;
+use crate::share;
+
+/// How the candidates to score are picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Method {
+    /// All of them; the best score wins.
+    LeastScore,
+    /// Two at random; the better score wins.
+    PowerOfTwo,
+    /// All of them; the fewest own attempts by slots win.
+    LeastInFlight,
+    /// Two by rendezvous over the fingerprint; the better score wins.
+    FingerprintPair,
+}
+
+/// Weights and expectations of a [`PredictiveSelector`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct SelectorConfig {
+    /// How the candidates to score are picked.
+    pub method: Method,
+    /// Target of the time to the first token.
+    pub target_first: Duration,
+    /// Target of the time between tokens.
+    pub target_gap: Duration,
+    /// Expected time to the first token of an empty prompt.
+    pub first_base: Duration,
+    /// Expected time for each prompt token that is not cached.
+    pub prefill: Duration,
+    /// Expected time of a request in a slot.
+    pub residence: Duration,
+    /// Expected time between tokens of a single request.
+    pub gap_base: Duration,
+    /// Expected growth of the time between tokens with each more request.
+    pub gap_slope: Duration,
+    /// Weight of the time to the first token.
+    pub first_weight: f64,
+    /// Weight of the time between tokens.
+    pub gap_weight: f64,
+    /// Weight of the load by slots.
+    pub load_weight: f64,
+    /// Weight of the failure score.
+    pub failure_weight: f64,
+    /// Whether prefix affinity is used.
+    pub affinity: bool,
+    /// Load over the mean up to which affinity counts.
+    pub affinity_bound: f64,
+    /// Most routers that use one endpoint.
+    pub subset: usize,
+    /// Shortest time after which a first byte is overdue.
+    pub overdue: Duration,
+}
+
+impl Default for SelectorConfig {
+    fn default() -> Self {
+        Self {
+            method: Method::LeastScore,
+            target_first: Duration::from_millis(790),
+            target_gap: Duration::from_millis(31),
+            first_base: Duration::from_millis(50),
+            prefill: Duration::from_micros(200),
+            residence: Duration::from_secs(2),
+            gap_base: Duration::from_millis(12),
+            gap_slope: Duration::from_micros(500),
+            first_weight: 1.0,
+            gap_weight: 1.0,
+            load_weight: 1.0,
+            failure_weight: 1.0,
+            affinity: true,
+            affinity_bound: 1.25,
+            subset: share::SUBSET_ROUTERS,
+            overdue: Duration::from_secs(3),
+        }
+    }
+}
+
+/// A candidate with the tier that it is used in; a lower tier goes first.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    at: usize,
+    tier: u8,
+}
+
+/// Chooses by predicted service within this router's share of the slots.
+pub struct PredictiveSelector {
+    cfg: SelectorConfig,
+    rng: SmallRng,
+    own: RouterId,
+    routers: Vec<RouterId>,
+    /// Sorted by name.
+    endpoints: Vec<Endpoint>,
+    /// Reused between calls.
+    candidates: Vec<Candidate>,
+}
+
+impl PredictiveSelector {
+    /// Makes a selector that knows no endpoint.
+    pub fn new(cfg: SelectorConfig, rng: SmallRng) -> Self {
+        Self {
+            cfg,
+            rng,
+            own: RouterId::new(),
+            routers: Vec::new(),
+            endpoints: Vec::new(),
+            candidates: Vec::new(),
+        }
+    }
+
+    /// Returns the count of known endpoints.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Returns whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    fn find(&self, ep: &str) -> Result<usize, usize> {
+        self.endpoints
+            .binary_search_by(|e| e.state.id.as_str().cmp(ep))
+    }
+
+    fn find_mut(&mut self, ep: &str) -> Option<&mut Endpoint> {
+        let at = self.find(ep).ok()?;
+        self.endpoints.get_mut(at)
+    }
+
+    fn set_share(&mut self, at: usize) {
+        let ep = &mut self.endpoints[at];
+        if self.routers.is_empty() {
+            ep.set_share(1, 0);
+            return;
+        }
+        let subset = share::subset(&ep.state.id, &self.routers, self.cfg.subset);
+        let position = subset
+            .iter()
+            .position(|r| *r == self.own)
+            .unwrap_or(subset.len());
+        ep.set_share(subset.len() as u32, position as u32);
+    }
+
+    /// Fills the list of candidates with those of the best tier.
+    fn collect(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<(), NoRoute> {
+        let overdue = self.cfg.overdue.as_secs_f64();
+        let mut serving = 0;
+        let mut tried = 0;
+        let mut healthy = 0;
+        self.candidates.clear();
+        for (at, ep) in self.endpoints.iter().enumerate() {
+            if !ep.serves(now, req) {
+                continue;
+            }
+            serving += 1;
+            if req.exclude.contains(&ep.state.id) {
+                tried += 1;
+                continue;
+            }
+            let well = ep.healthy(now, overdue);
+            healthy += usize::from(well);
+            if ep.own() >= ep.limit() {
+                continue;
+            }
+            let tier = match (well, ep.own() < ep.part()) {
+                (true, true) => 0,
+                (true, false) => 1,
+                (false, _) => 2,
+            };
+            self.candidates.push(Candidate { at, tier });
+        }
+        if serving == 0 {
+            return Err(NoRoute::NoEndpoint);
+        }
+        if serving == tried {
+            return Err(NoRoute::Excluded);
+        }
+        let best = self.candidates.iter().map(|c| c.tier).min();
+        // An endpoint that fails is no substitute for a healthy one that is
+        // full for a moment.
+        let full = match best {
+            None => true,
+            Some(tier) => tier == 2 && healthy > 0,
+        };
+        if full {
+            return Err(NoRoute::Full(Duration::from_millis(20)));
+        }
+        self.candidates.retain(|c| Some(c.tier) == best);
+        Ok(())
+    }
+
+    /// Narrows the candidates by the method.
+    fn narrow(&mut self, req: &RouteRequest<'_>) {
+        let n = self.candidates.len();
+        if n <= 2 {
+            return;
+        }
+        match self.cfg.method {
+            Method::LeastScore | Method::LeastInFlight => {}
+            Method::PowerOfTwo => {
+                let a = self.rng.random_range(0..n);
+                let b = (a + self.rng.random_range(1..n)) % n;
+                self.candidates = vec![self.candidates[a], self.candidates[b]];
+            }
+            Method::FingerprintPair => {
+                let key = u64::from_le_bytes([
+                    req.fingerprint[0],
+                    req.fingerprint[1],
+                    req.fingerprint[2],
+                    req.fingerprint[3],
+                    req.fingerprint[4],
+                    req.fingerprint[5],
+                    req.fingerprint[6],
+                    req.fingerprint[7],
+                ]);
+                let endpoints = &self.endpoints;
+                self.candidates.sort_by_key(|c| {
+                    std::cmp::Reverse(share::weight_of(key, endpoints[c.at].hash))
+                });
+                self.candidates.truncate(2);
+            }
+        }
+    }
+
+    /// Returns the chance that the prefix is cached at an endpoint, or zero
+    /// above the load bound.
+    fn hit(
+        &self,
+        now: Duration,
+        ep: &Endpoint,
+        prefix: u64,
+        top: Option<usize>,
+        at: usize,
+        mean: f64,
+    ) -> f64 {
+        if (ep.load() + 1.0) / f64::from(ep.usable().max(1)) > mean {
+            return 0.0;
+        }
+        let known = ep.cached(now, prefix);
+        if known > 0.0 {
+            known
+        } else if top == Some(at) {
+            // Nobody is known to have it: all routers agree on where it goes.
+            0.5
+        } else {
+            0.0
+        }
+    }
+}
+
+impl Selector for PredictiveSelector {
+    fn set_routers(&mut self, own: &str, routers: &[RouterId]) {
+        self.own = own.to_owned();
+        self.routers = routers.to_vec();
+        for at in 0..self.endpoints.len() {
+            self.set_share(at);
+        }
+    }
+
+    fn update(&mut self, _now: Duration, ep: &EndpointState) {
+        let target = self.cfg.target_gap.as_secs_f64();
+        match self.find(&ep.id) {
+            Ok(at) => {
+                let known = &mut self.endpoints[at];
+                let newer = (ep.incarnation, ep.seq) > (known.state.incarnation, known.state.seq);
+                if newer {
+                    known.set_state(ep.clone());
+                    known.limit_gap(target);
+                }
+            }
+            Err(at) => {
+                let mut state = ep.clone();
+                state.load = None;
+                let base = self.cfg.gap_base.as_secs_f64();
+                let slope = self.cfg.gap_slope.as_secs_f64();
+                let mut known = Endpoint::new(state, base, slope);
+                let mut first = ep.clone();
+                first.measured = first.measured.max(Duration::from_nanos(1));
+                known.state.measured = Duration::ZERO;
+                known.set_state(first);
+                self.endpoints.insert(at, known);
+                self.set_share(at);
+            }
+        }
+    }
+
+    fn remove(&mut self, ep: &str) {
+        let Ok(at) = self.find(ep) else {
+            return;
+        };
+        if self.endpoints[at].own() == 0 {
+            self.endpoints.remove(at);
+        } else {
+            // Attempts that still run count against the share if the endpoint
+            // comes back.
+            self.endpoints[at].state.expires = Duration::ZERO;
+        }
+    }
+
+    fn choose(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<Choice, NoRoute> {
+        self.collect(now, req)?;
+        let count = self.candidates.len();
+        let prefix = req.prefix.filter(|_| self.cfg.affinity);
+        let mut mean = 0.0;
+        let mut top = None;
+        if let Some(prefix) = prefix {
+            let (mut load, mut slots) = (0.0, 0.0);
+            for c in &self.candidates {
+                let ep = &self.endpoints[c.at];
+                load += ep.load() + 1.0;
+                slots += f64::from(ep.usable().max(1));
+            }
+            mean = self.cfg.affinity_bound * load / slots;
+            top = self
+                .candidates
+                .iter()
+                .max_by_key(|c| share::weight_of(prefix, self.endpoints[c.at].hash))
+                .map(|c| c.at);
+        }
+        self.narrow(req);
+        let mut best: Option<(usize, Prediction, f64)> = None;
+        for c in &self.candidates {
+            let ep = &self.endpoints[c.at];
+            let hit = prefix.map_or(0.0, |p| self.hit(now, ep, p, top, c.at, mean));
+            let mut p = score::predict(&self.cfg, now, ep, req, hit);
+            if self.cfg.method == Method::LeastInFlight {
+                p.score = f64::from(ep.own()) / f64::from(ep.usable().max(1));
+            }
+            // Equal scores must not send every router to the same endpoint.
+            p.score += 1e-3 * self.rng.random::<f64>();
+            if best.as_ref().is_none_or(|(_, b, _)| p.score < b.score) {
+                best = Some((c.at, p, hit));
+            }
+        }
+        let Some((at, p, hit)) = best else {
+            return Err(NoRoute::NoEndpoint);
+        };
+        let ep = &mut self.endpoints[at];
+        ep.predicted = p.raw;
+        if let Some(prefix) = prefix {
+            ep.note_prefix(now, prefix);
+        }
+        Ok(Choice {
+            endpoint: ep.state.id.clone(),
+            incarnation: ep.state.incarnation,
+            candidates: count,
+            first_token: Duration::from_secs_f64(p.first),
+            gap: Duration::from_secs_f64(p.gap),
+            why: match (count, hit > 0.0) {
+                (1, _) => Why::Only,
+                (_, true) => Why::Prefix,
+                (_, false) => Why::Score,
+            },
+        })
+    }
+
+    fn started(&mut self, now: Duration, ep: &str, attempt: AttemptId, _tokens: Tokens) {
+        if let Some(ep) = self.find_mut(ep) {
+            ep.started(now, attempt);
+        }
+    }
+
+    fn first_byte(&mut self, _now: Duration, ep: &str, attempt: AttemptId) {
+        if let Some(ep) = self.find_mut(ep) {
+            ep.first_byte(attempt);
+        }
+    }
+
+    fn finished(&mut self, now: Duration, ep: &str, attempt: AttemptId, outcome: Outcome) {
+        let Ok(at) = self.find(ep) else {
+            return;
+        };
+        let ep = &mut self.endpoints[at];
+        ep.finished(now, attempt, outcome);
+        if ep.own() == 0 && ep.state.expires == Duration::ZERO {
+            self.endpoints.remove(at);
+        }
+    }
+
+    fn room(&self, now: Duration, req: &RouteRequest<'_>) -> Room {
+        let overdue = self.cfg.overdue.as_secs_f64();
+        let mut room = Room::default();
+        for ep in &self.endpoints {
+            if ep.serves(now, req) && ep.healthy(now, overdue) {
+                room.slots += ep.part();
+                room.running += ep.own();
+                room.endpoints += 1;
+            }
+        }
+        room
+    }
+}
