Read and check daemon settings, and set up logs and metrics

Cause: the daemons have no settings, logs or metrics. Change: add INI settings declared by one table each, checked as a whole with file, section and key for every fault; key files without access for others; slog with a bounded queue that counts dropped lines; a prometheus registry with one prefix. Conclusion: the router and control daemons can load their settings.

--- /dev/null
+++ b/crates/settings/src/error.rs
@@ -0,0 +1,56 @@
+//! Faults of settings files.
+
+use std::fmt;
+
+use quick_error::quick_error;
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// File, or `(builder)` when the settings were made in code.
+    pub file: String,
+    /// Section of the key.
+    pub section: String,
+    /// Key; empty when the fault concerns the whole section or file.
+    pub key: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.file)?;
+        if !self.section.is_empty() {
+            write!(f, "[{}] ", self.section)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+quick_error! {
+    /// Why settings can't be used.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum SettingsError {
+        /// Every fault that was found, in the order of the settings table.
+        Faults(faults: Vec<Fault>) {
+            display("{}", lines(faults))
+        }
+    }
+}
+
+impl SettingsError {
+    /// Returns every fault.
+    pub fn faults(&self) -> &[Fault] {
+        match self {
+            Self::Faults(faults) => faults,
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,120 @@
+//! Set-up of slog.
+
+use std::io;
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
+
+use anvilloft_settings::LogFormat;
+use anvilloft_settings::LogLevel;
+use prometheus::IntCounter;
+use slog::Drain;
+use slog::Level;
+use slog::Logger;
+use slog::Never;
+use slog::OwnedKVList;
+use slog::Record;
+use slog_async::AsyncCore;
+use slog_async::AsyncGuard;
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug)]
+pub struct LogOptions {
+    /// Lowest level that is written.
+    pub level: LogLevel,
+    /// Format of a line.
+    pub format: LogFormat,
+    /// Lines that wait to be written; further ones are dropped.
+    pub queue_lines: usize,
+}
+
+/// Writes the waiting lines when it is dropped.
+pub struct LogGuard {
+    _guard: AsyncGuard,
+}
+
+/// Hands lines to the writing thread; counts those that find the queue full,
+/// because logging must never hold up traffic.
+struct CountingDrain {
+    core: AsyncCore,
+    level: Level,
+    dropped: IntCounter,
+}
+
+impl Drain for CountingDrain {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        if record.level().is_at_least(self.level) && self.core.log(record, values).is_err() {
+            self.dropped.inc();
+        }
+        Ok(())
+    }
+
+    fn is_enabled(&self, level: Level) -> bool {
+        level.is_at_least(self.level)
+    }
+}
+
+/// Starts logging to standard error.
+pub fn start(options: LogOptions, dropped: IntCounter) -> (Logger, LogGuard) {
+    start_to(options, dropped, io::stderr())
+}
+
+/// Starts logging to `out`. `dropped` counts lines that found the queue full.
+pub fn start_to<W>(options: LogOptions, dropped: IntCounter, out: W) -> (Logger, LogGuard)
+where
+    W: io::Write + Send + 'static,
+{
+    match options.format {
+        LogFormat::Json => {
+            let drain = slog_json::Json::new(out).add_default_keys().build();
+            run(options, dropped, std::sync::Mutex::new(drain))
+        }
+        LogFormat::Terminal => {
+            let decorator = slog_term::PlainSyncDecorator::new(out);
+            let drain = slog_term::FullFormat::new(decorator)
+                .use_utc_timestamp()
+                .build();
+            run(options, dropped, drain)
+        }
+    }
+}
+
+fn run<D>(options: LogOptions, dropped: IntCounter, drain: D) -> (Logger, LogGuard)
+where
+    D: Drain + Send + 'static,
+{
+    // A line that can't be written, for example to a full disk, is dropped; a
+    // panic of a `Display` implementation must not end the writing thread.
+    let drain = SafeDrain(drain);
+    let (core, guard) = AsyncCore::custom(drain)
+        .chan_size(options.queue_lines)
+        .blocking(false)
+        .thread_name("log".to_owned())
+        .build_with_guard();
+    let level = match options.level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
+    let drain = CountingDrain {
+        core,
+        level,
+        dropped,
+    };
+    (Logger::root(drain, slog::o!()), LogGuard { _guard: guard })
+}
+
+struct SafeDrain<D>(D);
+
+impl<D: Drain> Drain for SafeDrain<D> {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        let _ = catch_unwind(AssertUnwindSafe(|| self.0.log(record, values).is_ok()));
+        Ok(())
+    }
+}
