Open authenticated sessions between processes

Cause: processes have messages but nothing that carries them. Change: add a handshake that proves the fleet key, a MAC with a sequence number on each frame, heartbeats, bounded queues, links that dial again, and a control client that resends with the same ids and tells unavailable from unknown. Conclusion: forged, replayed, swapped, changed, cut and oversized frames end the session in the tests; a silent connection is replaced within 4 s.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,12 +1,14 @@
 //! Messages between the system's own processes, their framing and sessions.
 //!
 //! `config`, `command` and `frame` hold prost messages. `control` holds the
-//! trait through which every process reaches the replicated ledger.
+//! trait through which every process reaches the replicated ledger. `session`
+//! holds the authenticated sessions that carry the frames.
 
 pub mod command;
 pub mod config;
 pub mod control;
 pub mod frame;
+pub mod session;
 
 pub use command::Command;
 pub use command::CommandReply;
@@ -14,3 +16,4 @@
 pub use control::Control;
 pub use control::ControlReply;
 pub use control::ControlRequest;
+pub use session::ControlClient;
--- /dev/null
+++ b/crates/wire/src/session.rs
@@ -0,0 +1,122 @@
+//! Authenticated sessions between the system's own processes.
+//!
+//! `handshake` proves to each side that the other holds the fleet key and
+//! derives one key a direction. `seal` adds a MAC to each frame. `peer` runs an
+//! open session, `server` accepts sessions, `link` keeps one open to an
+//! address, and `client` implements [`crate::Control`] over links.
+
+mod client;
+mod handshake;
+mod link;
+mod peer;
+mod seal;
+mod server;
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use quick_error::quick_error;
+
+pub use client::ControlClient;
+pub use handshake::Identity;
+pub use link::Link;
+pub use peer::Handler;
+pub use peer::RoundTrip;
+pub use peer::Session;
+pub use server::serve;
+
+/// Time between heartbeats.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+/// A session on which nothing was received for this time is dropped. Four
+/// heartbeats, so that one lost TCP segment with its resend ends no session.
+pub const SILENCE: Duration = Duration::from_secs(2);
+/// Time for the whole handshake, from the accepted connection on.
+pub const HANDSHAKE: Duration = Duration::from_secs(2);
+/// Frames that wait to be written on one session.
+pub const QUEUE_FRAMES: usize = 1024;
+/// Bytes that wait to be written on one session; 1,024 frames of the largest
+/// size would take 4 GiB.
+pub const QUEUE_BYTES: usize = 32 * 1024 * 1024;
+/// Calls of the peer that run at once on one session.
+pub const INBOUND_CALLS: usize = 1024;
+/// Calls to the peer that wait for an answer on one session.
+pub const OUTBOUND_CALLS: usize = 8192;
+/// A call with this many relays was forwarded by a control member and is not
+/// forwarded again. Router peers relay calls with 0 relays only.
+pub const HOPS_BY_CONTROL: u32 = 2;
+/// Relays of a call that a router peer passed on.
+pub const HOPS_BY_ROUTER: u32 = 1;
+
+quick_error! {
+    /// Why a session ended or could not be opened.
+    #[derive(Debug)]
+    pub enum SessionError {
+        /// The connection failed.
+        Io(err: std::io::Error) {
+            from()
+            display("connection: {}", err)
+            source(err)
+        }
+        /// The peer closed the connection.
+        Closed {
+            display("the peer closed the connection")
+        }
+        /// The handshake took too long.
+        HandshakeTimeout {
+            display("no complete handshake within {} ms", HANDSHAKE.as_millis())
+        }
+        /// A hello can't be read or breaks a rule.
+        BadHello(reason: &'static str) {
+            display("bad hello: {}", reason)
+        }
+        /// No protocol version is spoken by both sides.
+        Version(ours: (u32, u32), theirs: (u32, u32)) {
+            display("no common protocol version: ours {} to {}, theirs {} to {}", ours.0, ours.1, theirs.0, theirs.1)
+        }
+        /// The peer doesn't hold the fleet key, or the hellos were changed.
+        BadProof {
+            display("the peer's proof of the fleet key is wrong")
+        }
+        /// A frame was changed, replayed, reordered or lost.
+        BadMac {
+            display("a frame's MAC is wrong")
+        }
+        /// A frame can't be decoded.
+        BadFrame {
+            display("a frame can't be decoded")
+        }
+        /// A frame is larger than the limit.
+        TooLarge {
+            display("a frame exceeds {} bytes", crate::frame::MAX_FRAME_BYTES)
+        }
+        /// Nothing was received for [`SILENCE`].
+        Silent {
+            display("nothing received for {} ms", SILENCE.as_millis())
+        }
+        /// The peer takes frames too slowly.
+        Overflow {
+            display("the send queue is full")
+        }
+        /// This side ended the session.
+        Stopped {
+            display("closed by this side")
+        }
+    }
+}
+
+/// Counters of the sessions of one process.
+#[derive(Debug, Default)]
+pub struct SessionStats {
+    /// Sessions opened.
+    pub opened: AtomicU64,
+    /// Handshakes that failed.
+    pub handshakes_failed: AtomicU64,
+    /// Sessions dropped because the peer was silent.
+    pub dropped_silent: AtomicU64,
+    /// Sessions dropped because a send queue was full.
+    pub dropped_overflow: AtomicU64,
+    /// Sessions dropped because of a wrong MAC or frame.
+    pub dropped_invalid: AtomicU64,
+    /// Connections refused because of the session limit.
+    pub refused: AtomicU64,
+}
--- /dev/null
+++ b/crates/wire/src/session/peer.rs
@@ -0,0 +1,478 @@
+//! An open session.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use anvilloft_types::BoxFuture;
+use bytes::Bytes;
+use futures::SinkExt;
+use futures::StreamExt;
+use prost::Message;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+use tokio_util::codec::FramedWrite;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::HANDSHAKE;
+use super::HEARTBEAT;
+use super::INBOUND_CALLS;
+use super::Identity;
+use super::OUTBOUND_CALLS;
+use super::QUEUE_BYTES;
+use super::QUEUE_FRAMES;
+use super::SILENCE;
+use super::SessionError;
+use super::handshake::Opened;
+use super::handshake::Side;
+use super::handshake::handshake;
+use super::seal::Seal;
+use crate::control::Answer;
+use crate::control::CallError;
+use crate::control::ControlReply;
+use crate::control::ControlRequest;
+use crate::control::Request;
+use crate::frame::Call;
+use crate::frame::CallAnswer;
+use crate::frame::Frame;
+use crate::frame::Hello;
+use crate::frame::MAX_FRAME_BYTES;
+use crate::frame::Payload;
+
+/// Serves the frames of sessions.
+pub trait Handler: Send + Sync {
+    /// A session was opened.
+    fn opened(&self, _session: &Arc<Session>) {}
+
+    /// A session ended.
+    fn closed(&self, _session: &Arc<Session>, _reason: &SessionError) {}
+
+    /// Takes a frame that is neither a heartbeat nor part of a call. Must not
+    /// block.
+    fn frame(&self, session: &Arc<Session>, payload: Payload);
+
+    /// Answers a call of the peer.
+    fn call(&self, session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply>;
+}
+
+/// A heartbeat's round trip.
+#[derive(Clone, Copy, Debug)]
+pub struct RoundTrip {
+    /// Time from ping to pong.
+    pub time: Duration,
+    /// When the pong arrived.
+    pub at: Instant,
+}
+
+const QUEUED: u8 = 0;
+const WRITTEN: u8 = 1;
+const CANCELLED: u8 = 2;
+
+/// A frame in the send queue. `state` tells whether any byte of a call may have
+/// left this process.
+struct Outgoing {
+    bytes: Vec<u8>,
+    state: Option<Arc<AtomicU8>>,
+}
+
+/// An open session with a peer.
+pub struct Session {
+    peer: Hello,
+    remote: Option<SocketAddr>,
+    version: u32,
+    tx: mpsc::Sender<Outgoing>,
+    queued_bytes: AtomicUsize,
+    calls: Mutex<HashMap<u64, oneshot::Sender<ControlReply>>>,
+    next_call: AtomicU64,
+    start: Instant,
+    round_trip: Mutex<Option<RoundTrip>>,
+    stop: watch::Sender<Stop>,
+    ended: watch::Sender<bool>,
+}
+
+/// Why this side ends the session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    No,
+    Asked,
+    Overflow,
+}
+
+impl std::fmt::Debug for Session {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Session")
+            .field("peer", &self.peer.node)
+            .field("role", &self.peer.role)
+            .field("remote", &self.remote)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Session {
+    /// Returns what the peer said of itself.
+    pub fn peer(&self) -> &Hello {
+        &self.peer
+    }
+
+    /// Returns the address of the peer's end of the connection.
+    pub fn remote(&self) -> Option<SocketAddr> {
+        self.remote
+    }
+
+    /// Returns the protocol version in use.
+    pub fn version(&self) -> u32 {
+        self.version
+    }
+
+    /// Returns whether the session is open.
+    pub fn is_open(&self) -> bool {
+        *self.stop.borrow() == Stop::No && !*self.ended.borrow()
+    }
+
+    /// Returns the last heartbeat's round trip.
+    pub fn round_trip(&self) -> Option<RoundTrip> {
+        *lock(&self.round_trip)
+    }
+
+    /// Ends the session.
+    pub fn close(&self) {
+        self.stop_for(Stop::Asked);
+    }
+
+    fn stop_for(&self, reason: Stop) {
+        self.stop.send_if_modified(|stop| {
+            let first = *stop == Stop::No;
+            if first {
+                *stop = reason;
+            }
+            first
+        });
+    }
+
+    /// Waits until the session has ended.
+    pub async fn ended(&self) {
+        let mut ended = self.ended.subscribe();
+        // The sender lives in `self`, so waiting can't fail.
+        let _ = ended.wait_for(|ended| *ended).await;
+    }
+
+    /// Queues a frame.
+    ///
+    /// # Errors
+    ///
+    /// `TooLarge` for a frame over the limit; `Overflow` when the queue is
+    /// full, which also drops the session; `Stopped` when it has ended.
+    pub fn send(&self, payload: Payload) -> Result<(), SessionError> {
+        self.queue(payload, None)
+    }
+
+    fn queue(&self, payload: Payload, state: Option<Arc<AtomicU8>>) -> Result<(), SessionError> {
+        if !self.is_open() {
+            return Err(SessionError::Stopped);
+        }
+        let frame = Frame {
+            payload: Some(payload),
+        };
+        let len = frame.encoded_len();
+        if len > MAX_FRAME_BYTES {
+            return Err(SessionError::TooLarge);
+        }
+        let before = self.queued_bytes.fetch_add(len, Ordering::Relaxed);
+        let out = Outgoing {
+            bytes: frame.encode_to_vec(),
+            state,
+        };
+        if before.saturating_add(len) > QUEUE_BYTES || self.tx.try_send(out).is_err() {
+            self.stop_for(Stop::Overflow);
+            return Err(SessionError::Overflow);
+        }
+        Ok(())
+    }
+
+    fn release(&self, out: &Outgoing) {
+        self.queued_bytes
+            .fetch_sub(out.bytes.len(), Ordering::Relaxed);
+    }
+
+    /// Sends a request and waits for the reply.
+    ///
+    /// # Errors
+    ///
+    /// `Unknown` once any byte of a proposal may have been written and no
+    /// reply came; `Unavailable` otherwise.
+    pub async fn call(
+        &self,
+        req: ControlRequest,
+        limit: Duration,
+        hops: u32,
+    ) -> Result<ControlReply, CallError> {
+        // A renewal or query changes nothing, so its loss leaves no doubt.
+        let proposal = matches!(req.request, Some(Request::Propose(_)));
+        let id = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        {
+            let mut calls = lock(&self.calls);
+            if calls.len() >= OUTBOUND_CALLS {
+                return Err(CallError::Unavailable("too many calls wait".to_owned()));
+            }
+            calls.insert(id, tx);
+        }
+        let entry = CallEntry { session: self, id };
+        let state = Arc::new(AtomicU8::new(QUEUED));
+        let call = Call {
+            id,
+            timeout_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+            request: Some(req),
+            hops,
+        };
+        self.queue(Payload::Call(call), Some(state.clone()))
+            .map_err(|err| CallError::Unavailable(err.to_string()))?;
+        let reply = tokio::select! {
+            reply = timeout(limit, rx) => match reply {
+                Ok(Ok(reply)) => Ok(reply),
+                Ok(Err(_)) => Err("the session ended"),
+                Err(_) => Err("no reply in time"),
+            },
+            () = self.ended() => Err("the session ended"),
+        };
+        drop(entry);
+        reply.map_err(|reason| {
+            let unwritten = state
+                .compare_exchange(QUEUED, CANCELLED, Ordering::SeqCst, Ordering::SeqCst)
+                .is_ok();
+            if proposal && !unwritten {
+                CallError::Unknown(reason.to_owned())
+            } else {
+                CallError::Unavailable(reason.to_owned())
+            }
+        })
+    }
+}
+
+/// Removes the entry of a call, also when its future is dropped.
+struct CallEntry<'a> {
+    session: &'a Session,
+    id: u64,
+}
+
+impl Drop for CallEntry<'_> {
+    fn drop(&mut self) {
+        lock(&self.session.calls).remove(&self.id);
+    }
+}
+
+/// Locks a mutex whose data stays consistent even if a holder panicked: each
+/// holder makes one change only.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs the handshake and starts the session's tasks. They end by themselves
+/// when the session ends.
+pub(super) async fn open<R, W>(
+    reader: R,
+    writer: W,
+    remote: Option<SocketAddr>,
+    side: Side,
+    identity: &Identity,
+    handler: Arc<dyn Handler>,
+) -> Result<Arc<Session>, SessionError>
+where
+    R: AsyncRead + Unpin + Send + 'static,
+    W: AsyncWrite + Unpin + Send + 'static,
+{
+    let opened = timeout(HANDSHAKE, handshake(reader, writer, side, identity))
+        .await
+        .unwrap_or(Err(SessionError::HandshakeTimeout));
+    let opened = match opened {
+        Ok(opened) => opened,
+        Err(err) => {
+            let failed = &identity.stats.handshakes_failed;
+            failed.fetch_add(1, Ordering::Relaxed);
+            return Err(err);
+        }
+    };
+    identity.stats.opened.fetch_add(1, Ordering::Relaxed);
+    let Opened {
+        reader,
+        writer,
+        seal_out,
+        seal_in,
+        peer,
+        version,
+    } = opened;
+    let (tx, rx) = mpsc::channel(QUEUE_FRAMES);
+    let session = Arc::new(Session {
+        peer,
+        remote,
+        version,
+        tx,
+        queued_bytes: AtomicUsize::new(0),
+        calls: Mutex::default(),
+        next_call: AtomicU64::new(1),
+        start: Instant::now(),
+        round_trip: Mutex::default(),
+        stop: watch::Sender::new(Stop::No),
+        ended: watch::Sender::new(false),
+    });
+    handler.opened(&session);
+    let stats = identity.stats.clone();
+    let run = session.clone();
+    tokio::spawn(async move {
+        let mut stop = run.stop.subscribe();
+        let reason = tokio::select! {
+            err = write_frames(&run, writer, seal_out, rx) => err,
+            err = read_frames(&run, reader, seal_in, handler.clone()) => err,
+            stop = stop.wait_for(|stop| *stop != Stop::No) => match stop.as_deref() {
+                Ok(Stop::Overflow) => SessionError::Overflow,
+                _ => SessionError::Stopped,
+            },
+        };
+        let counter = match reason {
+            SessionError::Silent => Some(&stats.dropped_silent),
+            SessionError::Overflow => Some(&stats.dropped_overflow),
+            SessionError::BadMac | SessionError::BadFrame => Some(&stats.dropped_invalid),
+            _ => None,
+        };
+        if let Some(counter) = counter {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+        // Both halves were dropped by the end of `select`, so the state of a
+        // queued call is final from here on.
+        run.stop_for(Stop::Asked);
+        run.ended.send_replace(true);
+        lock(&run.calls).clear();
+        handler.closed(&run, &reason);
+    });
+    Ok(session)
+}
+
+async fn write_frames<W: AsyncWrite + Unpin>(
+    session: &Session,
+    mut writer: FramedWrite<W, LengthDelimitedCodec>,
+    mut seal: Seal,
+    mut rx: mpsc::Receiver<Outgoing>,
+) -> SessionError {
+    let mut heartbeat = tokio::time::interval(HEARTBEAT);
+    heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let mut next = tokio::select! {
+            out = rx.recv() => out.inspect(|out| session.release(out)),
+            _ = heartbeat.tick() => {
+                // The time of the ping comes back in the pong.
+                let at = u64::try_from(session.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+                let frame = Frame { payload: Some(Payload::Ping(at)) };
+                let bytes = frame.encode_to_vec();
+                Some(Outgoing { bytes, state: None })
+            }
+        };
+        let batch = async {
+            while let Some(out) = next {
+                let skip = out.state.is_some_and(|state| {
+                    state
+                        .compare_exchange(QUEUED, WRITTEN, Ordering::SeqCst, Ordering::SeqCst)
+                        .is_err()
+                });
+                if !skip {
+                    writer.feed(seal.seal(&out.bytes)).await?;
+                }
+                next = rx.try_recv().ok().inspect(|out| session.release(out));
+            }
+            SinkExt::<Bytes>::flush(&mut writer).await
+        };
+        match timeout(SILENCE, batch).await {
+            Ok(Ok(())) => (),
+            Ok(Err(err)) => return SessionError::Io(err),
+            Err(_) => return SessionError::Silent,
+        }
+    }
+}
+
+async fn read_frames<R: AsyncRead + Unpin>(
+    session: &Arc<Session>,
+    mut reader: FramedRead<R, LengthDelimitedCodec>,
+    mut seal: Seal,
+    handler: Arc<dyn Handler>,
+) -> SessionError {
+    let permits = Arc::new(Semaphore::new(INBOUND_CALLS));
+    loop {
+        let buf = match timeout(SILENCE, reader.next()).await {
+            Err(_) => return SessionError::Silent,
+            Ok(None) => return SessionError::Closed,
+            Ok(Some(Err(err))) => return SessionError::Io(err),
+            Ok(Some(Ok(buf))) => buf,
+        };
+        let frame = match seal.open(buf) {
+            Ok(frame) => Frame::decode(frame),
+            Err(err) => return err,
+        };
+        let Ok(frame) = frame else {
+            return SessionError::BadFrame;
+        };
+        match frame.payload {
+            // A kind of frame that only a newer version knows.
+            None => (),
+            Some(Payload::Ping(at)) => {
+                // A full queue ends the session.
+                let _ = session.send(Payload::Pong(at));
+            }
+            Some(Payload::Pong(at)) => {
+                let now = session.start.elapsed();
+                let time = now.saturating_sub(Duration::from_micros(at));
+                let at = Instant::now();
+                *lock(&session.round_trip) = Some(RoundTrip { time, at });
+            }
+            Some(Payload::Answer(answer)) => {
+                let waiting = lock(&session.calls).remove(&answer.id);
+                if let (Some(tx), Some(reply)) = (waiting, answer.reply) {
+                    let _ = tx.send(reply);
+                }
+            }
+            Some(Payload::Call(call)) => {
+                let id = call.id;
+                match permits.clone().try_acquire_owned() {
+                    Err(_) => answer(session, id, unavailable("too many calls run")),
+                    Ok(permit) => {
+                        let reply = handler.call(session, call);
+                        let session = session.clone();
+                        tokio::spawn(async move {
+                            answer(&session, id, reply.await);
+                            drop(permit);
+                        });
+                    }
+                }
+            }
+            Some(payload) => handler.frame(session, payload),
+        }
+    }
+}
+
+fn unavailable(reason: &str) -> ControlReply {
+    Answer::Unavailable(reason.to_owned()).into()
+}
+
+/// Sends the reply to a call; a lost session loses it.
+fn answer(session: &Session, id: u64, reply: ControlReply) {
+    let send = |reply| {
+        let reply = Some(reply);
+        session.send(Payload::Answer(CallAnswer { id, reply }))
+    };
+    if let Err(SessionError::TooLarge) = send(reply) {
+        // Only the result of a query can be that large.
+        let _ = send(unavailable("the reply exceeds the frame limit"));
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/support/mod.rs
@@ -0,0 +1,194 @@
+//! A server, and a proxy that forwards, changes or stops frames.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_settings::Secret;
+use anvilloft_types::BoxFuture;
+use anvilloft_wire::ControlReply;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::frame::Call;
+use anvilloft_wire::frame::Payload;
+use anvilloft_wire::session::Handler;
+use anvilloft_wire::session::Identity;
+use anvilloft_wire::session::Session;
+use anvilloft_wire::session::serve;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+pub(crate) const KEY: &str = "0123456789abcdef0123456789abcdef";
+
+pub(crate) fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+pub(crate) fn identity(node: &str, key: &str) -> Identity {
+    Identity::new(node, "control", "dc1", Secret::new(key))
+}
+
+/// Answers calls with `answer`, or never, and records recalls.
+#[derive(Default)]
+pub(crate) struct Recorder {
+    pub(crate) answer: Option<Answer>,
+    pub(crate) recalls: Mutex<Vec<String>>,
+    pub(crate) hops: Mutex<Vec<u32>>,
+}
+
+impl Handler for Recorder {
+    fn frame(&self, _session: &Arc<Session>, payload: Payload) {
+        if let Payload::Recall(budget) = payload {
+            self.recalls.lock().unwrap().push(budget);
+        }
+    }
+
+    fn call(&self, _session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
+        self.hops.lock().unwrap().push(call.hops);
+        let answer = self.answer.clone();
+        Box::pin(async move {
+            match answer {
+                Some(answer) => answer.into(),
+                None => std::future::pending().await,
+            }
+        })
+    }
+}
+
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    pub(crate) identity: Arc<Identity>,
+    pub(crate) handler: Arc<Recorder>,
+    _stop: watch::Sender<bool>,
+}
+
+pub(crate) async fn server(identity: Identity, handler: Recorder) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let identity = Arc::new(identity);
+    let handler = Arc::new(handler);
+    tokio::spawn(serve(
+        listener,
+        identity.clone(),
+        handler.clone(),
+        64,
+        stopped,
+        log(),
+    ));
+    Server {
+        address,
+        identity,
+        handler,
+        _stop: stop,
+    }
+}
+
+/// What the proxy does with frames from the client to the server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    None,
+    Replay,
+    Swap,
+    FlipByte,
+    Truncate,
+    Oversize,
+}
+
+pub(crate) struct Proxy {
+    pub(crate) address: SocketAddr,
+    /// Stops forwarding on every connection open at this moment.
+    pub(crate) freeze: watch::Sender<u64>,
+    /// Applies the fault to the next frames.
+    pub(crate) armed: Arc<AtomicBool>,
+}
+
+/// Forwards connections to `target`. New connections always work.
+pub(crate) async fn proxy(target: SocketAddr, fault: Fault) -> Proxy {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (freeze, frozen) = watch::channel(0);
+    let armed = Arc::new(AtomicBool::new(false));
+    let arm = armed.clone();
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let server = TcpStream::connect(target).await.unwrap();
+            let (cr, cw) = client.into_split();
+            let (sr, sw) = server.into_split();
+            for (r, w, fault) in [(cr, sw, fault), (sr, cw, Fault::None)] {
+                let mut frozen = frozen.clone();
+                frozen.mark_unchanged();
+                let arm = arm.clone();
+                tokio::spawn(async move {
+                    let mut r = r;
+                    let mut w = w;
+                    tokio::select! {
+                        _ = forward(&mut r, &mut w, fault, arm) => (),
+                        _ = frozen.changed() => {
+                            // Keeps both connections open without a byte.
+                            std::future::pending::<()>().await;
+                        }
+                    }
+                });
+            }
+        }
+    });
+    Proxy {
+        address,
+        freeze,
+        armed,
+    }
+}
+
+async fn forward(
+    r: &mut (impl AsyncReadExt + Unpin),
+    w: &mut (impl AsyncWriteExt + Unpin),
+    fault: Fault,
+    armed: Arc<AtomicBool>,
+) -> std::io::Result<()> {
+    let mut held: Option<Vec<u8>> = None;
+    loop {
+        let mut frame = vec![0; r.read_u32().await? as usize];
+        r.read_exact(&mut frame).await?;
+        let mut out = vec![frame];
+        if armed.load(Ordering::SeqCst) {
+            match fault {
+                Fault::None => (),
+                Fault::Replay => out.push(out[0].clone()),
+                Fault::Swap => match held.take() {
+                    None => held = out.pop(),
+                    Some(first) => out.push(first),
+                },
+                Fault::FlipByte => out[0][0] ^= 1,
+                Fault::Truncate => out[0].truncate(7),
+                Fault::Oversize => {
+                    w.write_u32(5 * 1024 * 1024).await?;
+                }
+            }
+        }
+        for frame in out {
+            w.write_u32(frame.len() as u32).await?;
+            w.write_all(&frame).await?;
+        }
+    }
+}
+
+/// Waits until `done` holds, at most for `limit`.
+pub(crate) async fn wait_for(limit: Duration, mut done: impl FnMut() -> bool) -> bool {
+    let end = tokio::time::Instant::now() + limit;
+    while tokio::time::Instant::now() < end {
+        if done() {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    done()
+}
