Test that a later refusal hides no earlier attempt

Cause: the test passed when the client forgot an earlier unknown outcome. Change: the stand-in member stays silent once and then refuses. Conclusion: the test fails when the client forgets the earlier outcome.

--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -211,13 +211,14 @@
     // A later refusal must not hide that an earlier attempt may have run.
     let refusing = Recorder {
         answer: Some(Answer::Unavailable("no majority".into())),
+        mute_once: true,
         ..Recorder::default()
     };
     let refuses = server(identity("refuses", KEY), refusing).await;
-    let both = client(&[mute.address, refuses.address]);
-    assert!(wait_for(SOON, || both.sessions().len() == 2).await);
-    let err = both.call(proposal(), Duration::from_millis(1500)).await;
+    let client = client(&[refuses.address]);
+    let err = client.call(proposal(), Duration::from_millis(1500)).await;
     assert!(matches!(err, Err(CallError::Unknown(_))), "{err:?}");
+    assert!(refuses.handler.hops.lock().unwrap().len() > 1);
 }
 
 #[tokio::test]
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -40,6 +40,8 @@
 #[derive(Default)]
 pub(crate) struct Recorder {
     pub(crate) answer: Option<Answer>,
+    /// Gives no answer to the first call.
+    pub(crate) mute_once: bool,
     pub(crate) recalls: Mutex<Vec<String>>,
     pub(crate) hops: Mutex<Vec<u32>>,
 }
@@ -52,8 +54,10 @@
     }
 
     fn call(&self, _session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
-        self.hops.lock().unwrap().push(call.hops);
-        let answer = self.answer.clone();
+        let mut hops = self.hops.lock().unwrap();
+        hops.push(call.hops);
+        let mute = self.mute_once && hops.len() == 1;
+        let answer = self.answer.clone().filter(|_| !mute);
         Box::pin(async move {
             match answer {
                 Some(answer) => answer.into(),
