Keep endpoints as leases and choose routers for entry answers

Cause: routers need to know endpoints, and callers need addresses. Change: add the directory crate: leases ordered by incarnation and number, tombstones, relay ages, entry answers, subsets and copy holders. Conclusion: five tests pass.

--- /dev/null
+++ b/crates/directory/src/routers.rs
@@ -0,0 +1,99 @@
+//! Routers of the fleet, from the ledger's directory.
+
+use anvilloft_wire::command::OpenIncarnation;
+use anvilloft_wire::command::RouterState;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Largest count of routers that use one endpoint.
+pub const SUBSET: usize = 12;
+
+/// The router directory at one version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Routers {
+    version: u64,
+    // Sorted by router name.
+    list: Vec<OpenIncarnation>,
+}
+
+/// Returns the rendezvous score of a router for a subject. The highest wins.
+fn score(subject: &str, router: &str) -> u64 {
+    xxh3_64_with_seed(router.as_bytes(), xxh3_64_with_seed(subject.as_bytes(), 0))
+}
+
+impl Routers {
+    /// Makes the directory from a lease answer.
+    pub fn new(version: u64, mut list: Vec<OpenIncarnation>) -> Self {
+        list.sort_by(|a, b| a.router.cmp(&b.router));
+        Self { version, list }
+    }
+
+    /// Returns the version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns all routers by name.
+    pub fn iter(&self) -> impl Iterator<Item = &OpenIncarnation> {
+        self.list.iter()
+    }
+
+    /// Returns the routers that take new callers.
+    pub fn alive(&self) -> impl Iterator<Item = &OpenIncarnation> {
+        self.list
+            .iter()
+            .filter(|r| r.state == RouterState::Alive as i32)
+    }
+
+    /// Returns the router of this name.
+    pub fn get(&self, router: &str) -> Option<&OpenIncarnation> {
+        self.list
+            .binary_search_by(|r| r.router.as_str().cmp(router))
+            .ok()
+            .map(|at| &self.list[at])
+    }
+
+    /// Returns the routers that a team should use, best first, at most `count`.
+    ///
+    /// Routers are ordered by rendezvous hash of the team. The best router of
+    /// each data centre comes before the second of any, so that two routers
+    /// are never lost with one data centre while another has any.
+    pub fn entry(&self, team: &str, count: usize) -> Vec<&OpenIncarnation> {
+        let mut scored: Vec<_> = self.alive().collect();
+        scored.sort_by_key(|r| std::cmp::Reverse(score(team, &r.router)));
+        let mut nth: Vec<(usize, usize, &OpenIncarnation)> = Vec::with_capacity(scored.len());
+        for (place, router) in scored.into_iter().enumerate() {
+            let in_centre = nth
+                .iter()
+                .filter(|(_, _, r)| r.data_centre == router.data_centre)
+                .count();
+            nth.push((in_centre, place, router));
+        }
+        nth.sort_by_key(|(in_centre, place, _)| (*in_centre, *place));
+        nth.into_iter().take(count).map(|(_, _, r)| r).collect()
+    }
+
+    /// Returns the routers that use an endpoint, by rendezvous hash. Draining
+    /// routers stay in the subset, as they still serve callers.
+    pub fn subset(&self, endpoint: &str) -> Vec<&OpenIncarnation> {
+        let mut scored: Vec<_> = self
+            .list
+            .iter()
+            .filter(|r| r.state != RouterState::Lost as i32)
+            .collect();
+        scored.sort_by_key(|r| std::cmp::Reverse(score(endpoint, &r.router)));
+        scored.truncate(SUBSET);
+        scored
+    }
+
+    /// Returns the router that keeps copies of another router's settlements:
+    /// one in another data centre where there is any.
+    pub fn copy_holder(&self, router: &str) -> Option<&OpenIncarnation> {
+        let centre = self.get(router).map(|r| r.data_centre.as_str());
+        self.alive().filter(|r| r.router != router).max_by_key(|r| {
+            (
+                Some(r.data_centre.as_str()) != centre,
+                score(router, &r.router),
+            )
+        })
+    }
+}
--- /dev/null
+++ b/crates/directory/tests/directory.rs
@@ -0,0 +1,238 @@
+//! Leases of endpoints and choice of routers.
+
+use std::time::Duration;
+
+use anvilloft_directory::Change;
+use anvilloft_directory::DirectoryError;
+use anvilloft_directory::Endpoints;
+use anvilloft_directory::Routers;
+use anvilloft_wire::command::OpenIncarnation;
+use anvilloft_wire::command::RouterState;
+use anvilloft_wire::frame::EndpointUpdate;
+
+fn update(incarnation: u64, seq: u64) -> EndpointUpdate {
+    EndpointUpdate {
+        id: "m1".into(),
+        incarnation,
+        seq,
+        address: "127.0.0.1:9".into(),
+        data_centre: "a".into(),
+        pool: "p".into(),
+        slots: 4,
+        ..EndpointUpdate::default()
+    }
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Guards against endpoints that keep getting work after their lease, and
+/// against old, reordered or relayed announcements that extend it.
+#[test]
+fn announcements_are_ordered_and_expire() {
+    struct Step {
+        now: u64,
+        incarnation: u64,
+        seq: u64,
+        age: u64,
+        change: Change,
+        usable_until: u64,
+    }
+    let steps = [
+        Step {
+            now: 0,
+            incarnation: 1,
+            seq: 1,
+            age: 0,
+            change: Change::Added,
+            usable_until: 2500,
+        },
+        Step {
+            now: 1000,
+            incarnation: 1,
+            seq: 3,
+            age: 200,
+            change: Change::Renewed,
+            usable_until: 3300,
+        },
+        // Reordered.
+        Step {
+            now: 1100,
+            incarnation: 1,
+            seq: 2,
+            age: 0,
+            change: Change::Stale,
+            usable_until: 3300,
+        },
+        // Repeated by a relay.
+        Step {
+            now: 1500,
+            incarnation: 1,
+            seq: 3,
+            age: 0,
+            change: Change::Stale,
+            usable_until: 3300,
+        },
+        // Older than a lease.
+        Step {
+            now: 1600,
+            incarnation: 1,
+            seq: 9,
+            age: 2500,
+            change: Change::Stale,
+            usable_until: 3300,
+        },
+        Step {
+            now: 2000,
+            incarnation: 2,
+            seq: 1,
+            age: 0,
+            change: Change::Restarted { old: 1 },
+            usable_until: 4500,
+        },
+        // From the ended incarnation.
+        Step {
+            now: 2100,
+            incarnation: 1,
+            seq: 50,
+            age: 0,
+            change: Change::Stale,
+            usable_until: 4500,
+        },
+    ];
+    let mut endpoints = Endpoints::new();
+    for s in steps {
+        let change = endpoints.announce(ms(s.now), update(s.incarnation, s.seq), ms(s.age));
+        assert_eq!(change, Ok(s.change), "at {} ms", s.now);
+        let entry = endpoints.get("m1").unwrap();
+        assert!(entry.usable(ms(s.usable_until - 1)), "at {} ms", s.now);
+        assert!(!entry.usable(ms(s.usable_until)), "at {} ms", s.now);
+    }
+    assert!(endpoints.expire(ms(4499)).is_empty());
+    assert_eq!(endpoints.expire(ms(4500)).len(), 1);
+    // A late announcement of the ended run doesn't bring the endpoint back.
+    assert_eq!(
+        endpoints.announce(ms(4600), update(2, 1), ms(0)),
+        Ok(Change::Stale)
+    );
+    assert_eq!(
+        endpoints.announce(ms(4600), update(2, 2), ms(0)),
+        Ok(Change::Added)
+    );
+}
+
+/// Guards against work for an endpoint that said that it leaves (I6).
+#[test]
+fn leaving_takes_effect_at_once() {
+    let mut endpoints = Endpoints::new();
+    endpoints.announce(ms(0), update(1, 1), ms(0)).unwrap();
+    let mut leaving = update(1, 2);
+    leaving.leaving = true;
+    endpoints.announce(ms(10), leaving, ms(0)).unwrap();
+    assert!(!endpoints.get("m1").unwrap().usable(ms(11)));
+    // The announcement before it, delayed by a relay, changes nothing.
+    endpoints.announce(ms(20), update(1, 1), ms(0)).unwrap();
+    assert!(!endpoints.get("m1").unwrap().usable(ms(21)));
+}
+
+/// Guards against announcements that grow memory without bound or name
+/// addresses that can't be used.
+#[test]
+fn invalid_announcements_are_refused() {
+    let mut endpoints = Endpoints::new();
+    type Spoil = fn(&mut EndpointUpdate);
+    let cases: [(&str, Spoil); 6] = [
+        ("id", |u| u.id.clear()),
+        ("id", |u| u.id = "x".repeat(300)),
+        ("address", |u| u.address = "nowhere".into()),
+        ("slots", |u| u.slots = 0),
+        ("prefixes", |u| u.prefixes = vec![0; 5000]),
+        ("load", |u| {
+            u.load = Some(anvilloft_wire::frame::EndpointLoad {
+                kv_used: f64::NAN,
+                ..Default::default()
+            });
+        }),
+    ];
+    for (field, spoil) in cases {
+        let mut u = update(1, 1);
+        spoil(&mut u);
+        assert_eq!(
+            endpoints.announce(ms(0), u, ms(0)),
+            Err(DirectoryError::Invalid(field))
+        );
+    }
+    for n in 0..anvilloft_directory::endpoints::MAX_ENDPOINTS {
+        let mut u = update(1, 1);
+        u.id = format!("e{n}");
+        endpoints.announce(ms(0), u, ms(0)).unwrap();
+    }
+    assert_eq!(
+        endpoints.announce(ms(0), update(1, 1), ms(0)),
+        Err(DirectoryError::Full)
+    );
+}
+
+fn fleet() -> Vec<OpenIncarnation> {
+    (0..9)
+        .map(|n| OpenIncarnation {
+            router: format!("r{n}"),
+            incarnation: 1,
+            caller_address: format!("127.0.0.1:{}", 8000 + n),
+            peer_address: String::new(),
+            data_centre: ["a", "b", "c"][n % 3].into(),
+            state: RouterState::Alive as i32,
+        })
+        .collect()
+}
+
+/// Guards against entry answers that name draining or lost routers, that put
+/// both routers of a small team into one data centre, or that move teams when
+/// an unrelated router leaves.
+#[test]
+fn entry_answers_spread_and_are_stable() {
+    let all = Routers::new(1, fleet());
+    for t in 0..100 {
+        let team = format!("team{t}");
+        let two = all.entry(&team, 2);
+        assert_eq!(two.len(), 2);
+        assert_ne!(two[0].data_centre, two[1].data_centre);
+        let six = all.entry(&team, 6);
+        for centre in ["a", "b", "c"] {
+            assert_eq!(six.iter().filter(|r| r.data_centre == centre).count(), 2);
+        }
+        let mut fewer = fleet();
+        let unrelated = (0..9)
+            .find(|n| !two.iter().any(|r| r.router == format!("r{n}")))
+            .unwrap();
+        fewer[unrelated].state = RouterState::Draining as i32;
+        let other = (unrelated + 1) % 9;
+        fewer[other].state = RouterState::Lost as i32;
+        let fewer = Routers::new(2, fewer);
+        let left = fewer.entry(&team, 9);
+        assert_eq!(left.len(), 7);
+        if !two.iter().any(|r| r.router == format!("r{other}")) {
+            assert_eq!(fewer.entry(&team, 2), two);
+        }
+    }
+}
+
+/// Guards against settlement copies in the data centre of their owner, and
+/// against endpoints that no router or every router uses.
+#[test]
+fn copies_leave_the_data_centre_and_subsets_are_bounded() {
+    let all = Routers::new(1, fleet());
+    for r in all.iter() {
+        let holder = all.copy_holder(&r.router).unwrap();
+        assert_ne!(holder.data_centre, r.data_centre);
+    }
+    assert_eq!(all.subset("m1").len(), 9);
+    let many: Vec<_> = (0..40)
+        .map(|n| OpenIncarnation {
+            router: format!("r{n}"),
+            ..fleet()[n % 9].clone()
+        })
+        .collect();
+    assert_eq!(Routers::new(1, many).subset("m1").len(), 12);
+}
