Run one control member on its own thread

Cause: consensus, store and ledger need one owner that serves calls. A leader counts as settled only once it has handed out an entry of its own term; a test showed the clocks running on an older state. The crate control depends on prost.

--- a/crates/consensus/src/change.rs
+++ b/crates/consensus/src/change.rs
@@ -51,6 +51,16 @@
             .is_some_and(|p| p.matched >= self.commit && now < p.heard + self.cfg.election_min)
     }
 
+    /// Returns when this leader last heard from a member.
+    pub fn last_heard(&self, id: MemberId) -> Option<Duration> {
+        self.progress_of(id).map(|p| p.heard)
+    }
+
+    /// Returns whether the membership in force is not committed yet.
+    pub fn is_changing(&self) -> bool {
+        self.log.membership_index() > self.commit
+    }
+
     /// Replaces the log and the state machine by a snapshot from the leader.
     pub(crate) fn install(&mut self, snapshot: Arc<Snapshot>) {
         let index = snapshot.index;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -311,10 +311,11 @@
         self.log.snapshot()
     }
 
-    /// Returns whether this leader has committed an entry of its own term, so
-    /// that its state includes everything that was committed before.
+    /// Returns whether this leader has handed out an entry of its own term in
+    /// `Effects::committed`. A state machine that applied it includes
+    /// everything that was committed before the term.
     pub fn is_settled(&self) -> bool {
-        self.role == Role::Leader && self.commit >= self.term_start
+        self.role == Role::Leader && self.applied >= self.term_start
     }
 
     pub(crate) fn append_own(&mut self, kind: EntryKind, data: Vec<u8>) -> LogIndex {
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -143,6 +143,16 @@
 }
 
 impl Effects {
+    /// Returns whether there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        !self.must_sync()
+            && self.early.is_empty()
+            && self.messages.is_empty()
+            && self.committed.is_empty()
+            && self.reads.is_empty()
+            && self.failed_reads.is_empty()
+    }
+
     /// Returns whether a sync is needed.
     pub fn must_sync(&self) -> bool {
         self.hard_state.is_some() || self.snapshot.is_some() || !self.entries.is_empty()
--- /dev/null
+++ b/crates/control/src/driver.rs
@@ -0,0 +1,251 @@
+//! The control thread: one member's consensus, store and ledger.
+//!
+//! [`Driver::start`] opens the member's disk and runs everything on one thread
+//! with a current-thread runtime. [`Handle`] reaches it from any other thread:
+//! it implements [`Control`], takes consensus messages of other members, and
+//! changes the membership. `core` is the loop, `clocks` the time limits of
+//! router incarnations, `recalls` the grants that wait for returns.
+//!
+//! All input that waits when a sync ends goes into the next one, so a sync
+//! serves many commands.
+
+mod clocks;
+mod core;
+mod handle;
+mod recalls;
+mod status;
+
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Instant;
+
+use anvilloft_consensus::Effects;
+use anvilloft_consensus::Member;
+use anvilloft_consensus::Membership;
+use anvilloft_consensus::Node;
+use anvilloft_consensus::NodeConfig;
+use anvilloft_consensus::Snapshot;
+use anvilloft_ledger::Ledger;
+use anvilloft_ledger::LedgerError;
+use anvilloft_storage::Disk;
+use anvilloft_storage::StorageError;
+use anvilloft_storage::Store;
+use anvilloft_types::prelude::*;
+use anvilloft_wire::frame::ConsensusFrame;
+use quick_error::quick_error;
+use slog::Logger;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use self::core::Core;
+
+pub use self::handle::Handle;
+pub use self::status::DriverStats;
+pub use self::status::Status;
+
+/// Calls that wait for the control thread.
+const QUEUE_CALLS: usize = 8_192;
+/// Consensus messages that wait for the control thread. They have their own
+/// queue, so that calls can't delay heartbeats; a message beyond the bound is
+/// dropped, which consensus repairs.
+const QUEUE_MESSAGES: usize = 4_096;
+/// Longest command, in bytes. With the message size of the consensus crate,
+/// every frame stays below the 4 MiB of a peer session.
+const MAX_COMMAND_BYTES: usize = 2 * 1024 * 1024;
+
+/// Sends to other processes. Implemented by the session layer. No method may
+/// block; what can't be sent is dropped.
+pub trait Transport: Send + Sync {
+    /// Sends a consensus message to another control member.
+    fn send(&self, member: MemberId, frame: ConsensusFrame);
+
+    /// Asks a router to return idle allotments of a budget at once, ahead of
+    /// its next lease answer.
+    fn recall(&self, _router: &str, _incarnation: Incarnation, _budget: &str) {}
+
+    /// Tells the routers that a newer configuration revision exists. Called on
+    /// the leader only.
+    fn config_push(&self, _revision: Revision) {}
+}
+
+quick_error! {
+    /// Why the driver can't start or had to stop.
+    #[derive(Debug)]
+    pub enum DriverError {
+        /// The durable state can't be read or written.
+        Storage(err: StorageError) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The snapshot can't be read by this build.
+        Snapshot(err: LedgerError) {
+            display("snapshot: {}", err)
+            source(err)
+            from()
+        }
+        /// The thread or its runtime can't be started.
+        Thread(err: std::io::Error) {
+            display("control thread: {}", err)
+            source(err)
+            from()
+        }
+        /// The control thread panicked.
+        Panicked {
+            display("the control thread panicked")
+        }
+    }
+}
+
+/// What a driver needs.
+pub struct DriverConfig {
+    /// Settings of the consensus node. Its id comes from
+    /// [`anvilloft_storage::member_id`].
+    pub node: NodeConfig,
+    /// Disk of this member. Only the driver writes to it.
+    pub disk: Box<dyn Disk>,
+    /// Founds a new group with this member alone, reachable by peers at this
+    /// address, when the disk is empty. `None` waits to be added to a group.
+    pub found: Option<String>,
+    /// Sends to other processes.
+    pub transport: Arc<dyn Transport>,
+    /// Log.
+    pub log: Logger,
+    /// Seed of the election timeouts; a random number.
+    pub seed: u64,
+    /// Entries after which a snapshot is taken.
+    pub snapshot_every: u64,
+}
+
+impl DriverConfig {
+    /// Returns the usual settings.
+    pub fn new(
+        id: MemberId,
+        disk: Box<dyn Disk>,
+        transport: Arc<dyn Transport>,
+        log: Logger,
+        seed: u64,
+    ) -> Self {
+        Self {
+            node: NodeConfig {
+                max_entry_bytes: MAX_COMMAND_BYTES,
+                ..NodeConfig::new(id, 0)
+            },
+            disk,
+            found: None,
+            transport,
+            log,
+            seed,
+            snapshot_every: 4_096,
+        }
+    }
+}
+
+/// A running control thread.
+pub struct Driver {
+    handle: Handle,
+    thread: JoinHandle<Result<(), DriverError>>,
+}
+
+impl Driver {
+    /// Opens the disk and starts the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk can't be read, when synced data is damaged, and
+    /// when no thread can be started.
+    pub fn start(cfg: DriverConfig) -> Result<Self, DriverError> {
+        let start = Instant::now();
+        let group = cfg.node.group;
+        let (mut store, mut restored) = Store::open(cfg.disk, group)?;
+        let is_new = restored.snapshot.is_none()
+            && restored.entries.is_empty()
+            && restored.hard_state.term == 0;
+        if let (true, Some(address)) = (is_new, cfg.found) {
+            let id = cfg.node.id;
+            let member = Member {
+                id,
+                address,
+                voter: true,
+            };
+            // Kept on disk, because no log entry holds the first membership.
+            let founding = Arc::new(Snapshot {
+                group,
+                membership: Some(Membership {
+                    members: vec![member],
+                }),
+                ..Snapshot::default()
+            });
+            store.save(&Effects {
+                snapshot: Some(Arc::clone(&founding)),
+                reset: true,
+                ..Effects::default()
+            })?;
+            restored.snapshot = Some(founding);
+        }
+        let ledger = match &restored.snapshot {
+            Some(s) if !s.state.is_empty() => Ledger::decode(&s.state)?,
+            _ => Ledger::new(),
+        };
+        slog::info!(cfg.log, "control state restored";
+            "member" => cfg.node.id, "term" => restored.hard_state.term,
+            "snapshot" => restored.snapshot.as_ref().map_or(0, |s| s.index),
+            "entries" => restored.entries.len(),
+            "ms" => u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX));
+        let (calls_tx, calls) = mpsc::channel(QUEUE_CALLS);
+        let (messages_tx, messages) = mpsc::channel(QUEUE_MESSAGES);
+        let (status_tx, status) = watch::channel(Status::default());
+        let (config_tx, config) = watch::channel(Arc::new(ledger.config().clone()));
+        let (stop_tx, stop) = watch::channel(false);
+        let stats = Arc::new(DriverStats::default());
+        let handle = Handle {
+            calls: calls_tx,
+            messages: messages_tx,
+            status,
+            config,
+            stop: Arc::new(stop_tx),
+            stats: Arc::clone(&stats),
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .build()?;
+        let thread = thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || {
+                let node = Node::new(cfg.node, restored, start.elapsed(), cfg.seed);
+                let mut core = Core::new(start, node, store, ledger, cfg.transport, cfg.log);
+                core.stats = stats;
+                core.status = status_tx;
+                core.config = config_tx;
+                core.snapshot_every = cfg.snapshot_every;
+                runtime.block_on(core.run(calls, messages, stop))
+            })?;
+        Ok(Self { handle, thread })
+    }
+
+    /// Returns a handle to the control thread.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Stops the control thread and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the thread had stopped before, if it had.
+    pub fn stop(self) -> Result<(), DriverError> {
+        self.handle.stop.send_replace(true);
+        self.join()
+    }
+
+    /// Waits until the control thread ends, which without [`stop`](Self::stop)
+    /// it does only when its disk fails.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the thread stopped.
+    pub fn join(self) -> Result<(), DriverError> {
+        self.thread.join().unwrap_or(Err(DriverError::Panicked))
+    }
+}
--- /dev/null
+++ b/crates/control/src/driver/core.rs
@@ -0,0 +1,608 @@
+//! The loop of the control thread.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use anvilloft_consensus::Effects;
+use anvilloft_consensus::Entry;
+use anvilloft_consensus::EntryKind;
+use anvilloft_consensus::MemberChange;
+use anvilloft_consensus::Message;
+use anvilloft_consensus::Node;
+use anvilloft_consensus::ProposeError;
+use anvilloft_consensus::Role;
+use anvilloft_ledger::Config;
+use anvilloft_ledger::Ledger;
+use anvilloft_storage::Store;
+use anvilloft_types::prelude::*;
+use anvilloft_wire::Command;
+use anvilloft_wire::ControlReply;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Expire;
+use anvilloft_wire::command::Grant;
+use anvilloft_wire::command::Refused;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::command::RouterState;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::LeaseGrant;
+use anvilloft_wire::control::Query;
+use anvilloft_wire::control::RenewLease;
+use anvilloft_wire::control::Request;
+use anvilloft_wire::frame::ConsensusFrame;
+use prost::Message as _;
+use slog::Logger;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time;
+
+use super::DriverError;
+use super::Transport;
+use super::clocks::Clocks;
+use super::handle::Call;
+use super::recalls::Recalls;
+use super::status::DriverStats;
+use super::status::Status;
+
+/// Calls and messages taken in before their effects are carried out. Bounds
+/// the size of one sync.
+const BATCH: usize = 1_024;
+/// Commands that wait to be committed, in bytes.
+const MAX_WAITING_BYTES: usize = 64 * 1024 * 1024;
+/// Interval between checks of incarnation clocks and of the membership.
+const CHECK_EVERY: Duration = Duration::from_millis(200);
+/// Interval between `Expire` commands.
+const EXPIRE_EVERY: Duration = Duration::from_secs(10);
+/// Silence after which a member whose address was taken over by a new identity
+/// is removed.
+const REPLACED_SILENCE: Duration = Duration::from_secs(3);
+
+type ReplyTo = oneshot::Sender<ControlReply>;
+
+/// A command that waits to be committed.
+struct Waiter {
+    term: u64,
+    bytes: usize,
+    /// Budget and most tokens of a grant.
+    grant: Option<(BudgetId, Tokens)>,
+    reply: Option<ReplyTo>,
+}
+
+/// A read that waits for its confirmation.
+enum Read {
+    Renew(RenewLease),
+    Query(Query),
+}
+
+/// The state of the control thread.
+pub(super) struct Core {
+    start: Instant,
+    node: Node,
+    store: Store,
+    ledger: Ledger,
+    transport: Arc<dyn Transport>,
+    log: Logger,
+    pub(super) stats: Arc<DriverStats>,
+    pub(super) status: watch::Sender<Status>,
+    pub(super) config: watch::Sender<Arc<Config>>,
+    pub(super) snapshot_every: u64,
+    applied: u64,
+    /// Term in which this member is known to lead, or 0.
+    led_term: u64,
+    waiters: BTreeMap<u64, Waiter>,
+    waiting_bytes: usize,
+    reads: HashMap<u64, (Read, ReplyTo)>,
+    next_read: u64,
+    clocks: Clocks,
+    recalls: Recalls<ReplyTo>,
+    next_check: Duration,
+    next_expire: Duration,
+    last_ms: u64,
+}
+
+fn answer(reply: ReplyTo, answer: Answer) {
+    // The asker may have stopped waiting.
+    let _ = reply.send(answer.into());
+}
+
+impl Core {
+    pub(super) fn new(
+        start: Instant,
+        node: Node,
+        store: Store,
+        ledger: Ledger,
+        transport: Arc<dyn Transport>,
+        log: Logger,
+    ) -> Self {
+        let applied = node.commit_index();
+        Self {
+            start,
+            node,
+            store,
+            ledger,
+            transport,
+            log,
+            stats: Arc::default(),
+            status: watch::Sender::default(),
+            config: watch::Sender::default(),
+            snapshot_every: 4_096,
+            applied,
+            led_term: 0,
+            waiters: BTreeMap::new(),
+            waiting_bytes: 0,
+            reads: HashMap::new(),
+            next_read: 0,
+            clocks: Clocks::default(),
+            recalls: Recalls::default(),
+            next_check: Duration::ZERO,
+            next_expire: Duration::ZERO,
+            last_ms: 0,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Runs until told to stop or until the disk fails.
+    pub(super) async fn run(
+        mut self,
+        mut calls: mpsc::Receiver<Call>,
+        mut messages: mpsc::Receiver<ConsensusFrame>,
+        mut stop: watch::Receiver<bool>,
+    ) -> Result<(), DriverError> {
+        let result = loop {
+            if let Err(e) = self.flush() {
+                break Err(e);
+            }
+            self.publish("");
+            let due = time::Instant::from_std(self.start + self.deadline());
+            tokio::select! {
+                biased;
+                _ = stop.wait_for(|stop| *stop) => break Ok(()),
+                Some(frame) = messages.recv() => self.on_frame(frame),
+                Some(call) = calls.recv() => self.on_call(call),
+                () = time::sleep_until(due) => {}
+            }
+            // Takes in what arrived during the last sync before time passes,
+            // so that a slow disk looks no longer than it is.
+            for _ in 0..BATCH {
+                match messages.try_recv() {
+                    Ok(frame) => self.on_frame(frame),
+                    Err(_) => break,
+                }
+            }
+            for _ in 0..BATCH {
+                match calls.try_recv() {
+                    Ok(call) => self.on_call(call),
+                    Err(_) => break,
+                }
+            }
+            let now = self.now();
+            if now >= self.node.deadline() {
+                self.node.tick(now);
+            }
+            self.lead(now);
+        };
+        if let Err(e) = &result {
+            slog::crit!(self.log, "control thread stops"; "error" => %e);
+            self.publish(&e.to_string());
+        }
+        result
+    }
+
+    fn deadline(&self) -> Duration {
+        let mut due = self.node.deadline();
+        if self.led_term != 0 {
+            due = due.min(self.next_check);
+            due = due.min(self.recalls.deadline().unwrap_or(due));
+        }
+        due
+    }
+
+    fn on_frame(&mut self, frame: ConsensusFrame) {
+        if let Ok(msg) = Message::decode(frame.message.as_slice())
+            && frame.group == msg.group
+        {
+            self.node.step(self.now(), frame.from, msg);
+        }
+    }
+
+    fn on_call(&mut self, call: Call) {
+        let now = self.now();
+        self.note_leadership(now);
+        match call {
+            Call::Control(req, reply) => {
+                // Nothing was done yet, so a caller that left loses nothing.
+                if reply.is_closed() {
+                    return;
+                }
+                if self.node.role() != Role::Leader {
+                    answer(reply, Answer::NotLeader(self.leader_address()));
+                    return;
+                }
+                match req.request {
+                    Some(Request::Propose(cmd)) => self.on_command(now, cmd, reply),
+                    Some(Request::Renew(req)) => self.read(now, Read::Renew(req), reply),
+                    Some(Request::Query(q)) => self.read(now, Read::Query(q), reply),
+                    None => answer(reply, Answer::Unavailable("empty request".into())),
+                }
+            }
+            Call::Change(change, reply) => {
+                let result = self.node.propose_change(now, change.clone());
+                slog::info!(self.log, "membership change";
+                    "change" => ?change, "result" => ?result);
+                let _ = reply.send(result.map(|_| ()));
+            }
+        }
+    }
+
+    fn on_command(&mut self, now: Duration, cmd: Command, reply: ReplyTo) {
+        let Some(body) = cmd.body else {
+            answer(reply, Answer::Unavailable("empty command".into()));
+            return;
+        };
+        match body {
+            Body::OpenIncarnation(o) if o.state == i32::from(RouterState::Lost) => {
+                // Only the leader's clocks tell that a router is lost.
+                let refused = Reply::Refused(Refused {
+                    code: "malformed".into(),
+                    message: "a router can't be reported as lost".into(),
+                });
+                answer(reply, Answer::Applied(refused_reply(refused)));
+            }
+            Body::Grant(grant) if self.node.is_settled() => {
+                let ready = self.recalls.offer(now, &self.ledger, grant, reply);
+                if let Some((grant, reply)) = ready {
+                    self.propose_grant(now, grant, reply);
+                }
+            }
+            body => self.propose(now, body, Some(reply), None),
+        }
+    }
+
+    fn propose_grant(&mut self, now: Duration, grant: Grant, reply: ReplyTo) {
+        let most = self.recalls.proposed(&self.ledger, &grant);
+        let of = (grant.budget.clone(), most);
+        self.propose(now, Body::Grant(grant), Some(reply), Some(of));
+    }
+
+    fn propose(
+        &mut self,
+        now: Duration,
+        body: Body,
+        reply: Option<ReplyTo>,
+        grant: Option<(BudgetId, Tokens)>,
+    ) {
+        let cmd = Command {
+            at_ms: self.wall_ms(),
+            body: Some(body),
+        };
+        let data = cmd.encode_to_vec();
+        let bytes = data.len();
+        let result = if self.waiting_bytes + bytes > MAX_WAITING_BYTES {
+            Err(ProposeError::Busy)
+        } else {
+            self.node.propose(now, data)
+        };
+        match result {
+            Ok(index) => {
+                self.waiting_bytes += bytes;
+                let term = self.node.term();
+                let waiter = Waiter {
+                    term,
+                    bytes,
+                    grant,
+                    reply,
+                };
+                self.waiters.insert(index, waiter);
+            }
+            Err(e) => {
+                if let Some((budget, most)) = grant {
+                    self.recalls.applied(&budget, most);
+                }
+                self.stats.calls_refused.fetch_add(1, Ordering::Relaxed);
+                if let Some(reply) = reply {
+                    answer(reply, Answer::Unavailable(e.to_string()));
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, now: Duration, read: Read, reply: ReplyTo) {
+        let ctx = self.next_read;
+        self.next_read += 1;
+        match self.node.read(now, ctx) {
+            Ok(()) => {
+                self.reads.insert(ctx, (read, reply));
+            }
+            Err(e) => answer(reply, Answer::Unavailable(e.to_string())),
+        }
+    }
+
+    /// Returns the wall clock in milliseconds since the Unix epoch. It never
+    /// goes back.
+    fn wall_ms(&mut self) -> u64 {
+        let wall = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+        self.last_ms = self.last_ms.max(wall);
+        self.last_ms
+    }
+
+    /// Does what only a leader does, as far as it is due.
+    fn lead(&mut self, now: Duration) {
+        self.note_leadership(now);
+        if !self.node.is_settled() {
+            return;
+        }
+        while let Some((grant, reply)) = self.recalls.next_ready(now, &self.ledger) {
+            self.propose_grant(now, grant, reply);
+        }
+        for (router, incarnation, budget) in self.recalls.take_fresh() {
+            self.transport.recall(&router, incarnation, &budget);
+        }
+        if now >= self.next_check {
+            self.next_check = now + CHECK_EVERY;
+            for body in self.clocks.due(now, &self.ledger) {
+                slog::info!(self.log, "incarnation clock ran out"; "proposal" => ?body);
+                self.propose(now, body, None, None);
+            }
+            self.tend_membership(now);
+        }
+        if now >= self.next_expire {
+            self.next_expire = now + EXPIRE_EVERY;
+            self.propose(now, Body::Expire(Expire {}), None, None);
+        }
+    }
+
+    /// Starts over when leadership began or ended since the last call. Must
+    /// run before a call of the new term is taken in.
+    fn note_leadership(&mut self, now: Duration) {
+        let led = match self.node.role() {
+            Role::Leader => self.node.term(),
+            _ => 0,
+        };
+        if led == self.led_term {
+            return;
+        }
+        slog::info!(self.log, "leadership changed";
+            "leads" => led != 0, "term" => self.node.term(),
+            "leader" => ?self.node.leader());
+        if led != 0 {
+            self.stats.elections_won.fetch_add(1, Ordering::Relaxed);
+        }
+        self.led_term = led;
+        self.clocks.restart();
+        self.next_check = now;
+        self.next_expire = now + EXPIRE_EVERY;
+        let address = self.leader_address();
+        for reply in self.recalls.clear() {
+            answer(reply, Answer::NotLeader(address.clone()));
+        }
+        // The new leader may still commit these.
+        self.waiting_bytes = 0;
+        for (_, waiter) in std::mem::take(&mut self.waiters) {
+            if let Some(reply) = waiter.reply {
+                answer(reply, Answer::Unknown("leadership was lost".into()));
+            }
+        }
+    }
+
+    /// Removes a silent member whose address a new identity took over, and
+    /// promotes a learner that has caught up.
+    fn tend_membership(&mut self, now: Duration) {
+        let members = self.node.membership().members.clone();
+        let ready = members
+            .iter()
+            .filter(|m| m.voter || self.node.is_caught_up(now, m.id));
+        for m in ready {
+            let old = members
+                .iter()
+                .find(|o| o.id != m.id && o.address == m.address && !m.address.is_empty());
+            let silent = |id| {
+                self.node
+                    .last_heard(id)
+                    .is_some_and(|at| now >= at + REPLACED_SILENCE)
+            };
+            let change = match old {
+                // Removed before the promotion: while the dead member counts,
+                // a further voter would raise the majority.
+                Some(old) if silent(old.id) => MemberChange::Remove(old.id),
+                Some(_) => continue,
+                None if m.voter => continue,
+                None => MemberChange::Promote(m.id),
+            };
+            let result = self.node.propose_change(now, change.clone());
+            slog::info!(self.log, "membership change";
+                "change" => ?change, "result" => ?result);
+            return;
+        }
+    }
+
+    /// Carries out effects until there are none.
+    fn flush(&mut self) -> Result<(), DriverError> {
+        loop {
+            let now = self.now();
+            let fx = self.node.take_effects(now);
+            if fx.is_empty() {
+                return Ok(());
+            }
+            self.send(&fx.early);
+            if fx.must_sync() {
+                let began = Instant::now();
+                self.store.save(&fx)?;
+                let us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
+                self.stats.syncs.fetch_add(1, Ordering::Relaxed);
+                self.stats.sync_us.fetch_add(us, Ordering::Relaxed);
+            }
+            self.send(&fx.messages);
+            self.node.persisted(self.now(), fx.token);
+            self.apply(fx)?;
+            let now = self.now();
+            self.lead(now);
+        }
+    }
+
+    fn send(&self, messages: &[(MemberId, Message)]) {
+        for (to, msg) in messages {
+            let frame = ConsensusFrame {
+                group: msg.group,
+                from: self.node.id(),
+                message: msg.encode_to_vec(),
+            };
+            self.transport.send(*to, frame);
+        }
+    }
+
+    fn apply(&mut self, fx: Effects) -> Result<(), DriverError> {
+        let revision = self.ledger.config().revision();
+        if let (true, Some(s)) = (fx.reset, &fx.snapshot) {
+            self.ledger = match s.state.as_slice() {
+                [] => Ledger::new(),
+                state => Ledger::decode(state)?,
+            };
+            self.applied = s.index;
+            self.stats.snapshots.fetch_add(1, Ordering::Relaxed);
+        }
+        let count = fx.committed.len() as u64;
+        for e in fx.committed {
+            self.apply_entry(e);
+        }
+        self.stats.applied.fetch_add(count, Ordering::Relaxed);
+        if self.ledger.config().revision() != revision {
+            let config = Arc::new(self.ledger.config().clone());
+            self.config.send_replace(config);
+            if self.led_term != 0 {
+                let revision = self.ledger.config().revision();
+                self.transport.config_push(revision);
+            }
+        }
+        for ctx in fx.failed_reads {
+            if let Some((_, reply)) = self.reads.remove(&ctx) {
+                answer(reply, Answer::NotLeader(self.leader_address()));
+            }
+        }
+        for ctx in fx.reads {
+            if let Some((read, reply)) = self.reads.remove(&ctx) {
+                let result = match read {
+                    Read::Renew(req) => Answer::Lease(self.grant_lease(&req)),
+                    Read::Query(q) => Answer::QueryResult(self.query(&q)),
+                };
+                answer(reply, result);
+            }
+        }
+        let base = self.node.snapshot().map_or(0, |s| s.index);
+        if self.applied >= base + self.snapshot_every {
+            let state = self.ledger.encode();
+            slog::info!(self.log, "snapshot"; "index" => self.applied, "bytes" => state.len());
+            self.node.compact(self.applied, state);
+            self.stats.snapshots.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn apply_entry(&mut self, e: Entry) {
+        self.applied = e.index;
+        let waiter = self.waiters.remove(&e.index);
+        let reply = match e.kind() {
+            EntryKind::Command => match Command::decode(e.data.as_slice()) {
+                Ok(cmd) => Some(self.ledger.apply(&cmd)),
+                Err(err) => {
+                    slog::error!(self.log, "a committed command can't be decoded";
+                        "index" => e.index, "error" => %err);
+                    None
+                }
+            },
+            EntryKind::Noop | EntryKind::Members => None,
+        };
+        let Some(waiter) = waiter else {
+            return;
+        };
+        self.waiting_bytes = self.waiting_bytes.saturating_sub(waiter.bytes);
+        if let Some((budget, most)) = &waiter.grant {
+            self.recalls.applied(budget, *most);
+        }
+        if let Some(to) = waiter.reply {
+            let result = match reply {
+                Some(reply) if waiter.term == e.term => Answer::Applied(reply),
+                // Another leader's entry took the index.
+                _ => Answer::Unavailable("the command was not committed".into()),
+            };
+            answer(to, result);
+        }
+    }
+
+    fn grant_lease(&mut self, req: &RenewLease) -> LeaseGrant {
+        let now = self.now();
+        let ledger = &self.ledger;
+        let directory_version = ledger.directory_version();
+        if !ledger.incarnation_open(&req.router, req.incarnation) {
+            return LeaseGrant {
+                directory_version,
+                ..LeaseGrant::default()
+            };
+        }
+        self.clocks.heard(now, &req.router, req.incarnation);
+        let routers = if req.directory_version == directory_version {
+            Vec::new()
+        } else {
+            ledger.routers()
+        };
+        LeaseGrant {
+            valid_ms: ledger.config().value("config_lease_ms", ""),
+            config: ledger.config_since(req.revision),
+            directory_version,
+            routers,
+            suspects: ledger.suspects().iter().map(|f| f.to_vec()).collect(),
+            recalls: self.recalls.of_router(now, &req.router, req.incarnation),
+        }
+    }
+
+    fn query(&self, q: &Query) -> String {
+        self.ledger
+            .query(q)
+            .unwrap_or_else(|e| serde_json::json!({ "error": e.to_string() }).to_string())
+    }
+
+    fn leader_address(&self) -> String {
+        self.node
+            .leader()
+            .and_then(|id| self.node.membership().get(id))
+            .map(|m| m.address.clone())
+            .unwrap_or_default()
+    }
+
+    fn publish(&self, failed: &str) {
+        let set = |gauge: &AtomicU64, len: usize| gauge.store(len as u64, Ordering::Relaxed);
+        set(&self.stats.waiting, self.waiters.len());
+        set(&self.stats.held_grants, self.recalls.len());
+        let status = Status {
+            id: self.node.id(),
+            leads: self.node.is_settled(),
+            term: self.node.term(),
+            leader: self.node.leader(),
+            leader_address: self.leader_address(),
+            membership: self.node.membership().clone(),
+            changing: self.node.is_changing(),
+            commit: self.node.commit_index(),
+            applied: self.applied,
+            revision: self.ledger.config().revision(),
+            failed: failed.to_owned(),
+        };
+        self.status.send_if_modified(|old| {
+            let changed = *old != status;
+            *old = status;
+            changed
+        });
+    }
+}
+
+fn refused_reply(reply: Reply) -> anvilloft_wire::CommandReply {
+    anvilloft_wire::CommandReply { reply: Some(reply) }
+}
--- /dev/null
+++ b/crates/control/src/driver/status.rs
@@ -0,0 +1,56 @@
+//! What the control thread publishes about itself.
+
+use std::sync::atomic::AtomicU64;
+
+use anvilloft_consensus::Membership;
+use anvilloft_types::prelude::*;
+
+/// State of a control member.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Status {
+    /// Identity of this member.
+    pub id: MemberId,
+    /// Whether this member leads and its state includes everything committed.
+    pub leads: bool,
+    /// Current term.
+    pub term: u64,
+    /// Leader, where known.
+    pub leader: Option<MemberId>,
+    /// Peer address of the leader, or empty.
+    pub leader_address: String,
+    /// Members of the group.
+    pub membership: Membership,
+    /// Whether a membership change is not committed yet.
+    pub changing: bool,
+    /// Last committed entry.
+    pub commit: u64,
+    /// Last entry applied to the ledger.
+    pub applied: u64,
+    /// Configuration revision of this member's ledger.
+    pub revision: Revision,
+    /// Why the control thread stopped, or empty.
+    pub failed: String,
+}
+
+/// Counters of a control thread.
+#[derive(Debug, Default)]
+pub struct DriverStats {
+    /// Syncs.
+    pub syncs: AtomicU64,
+    /// Time spent in syncs, in microseconds.
+    pub sync_us: AtomicU64,
+    /// Entries applied.
+    pub applied: AtomicU64,
+    /// Snapshots taken or received.
+    pub snapshots: AtomicU64,
+    /// Times that this member became leader.
+    pub elections_won: AtomicU64,
+    /// Calls refused because a queue was full.
+    pub calls_refused: AtomicU64,
+    /// Consensus messages dropped because the queue was full.
+    pub messages_dropped: AtomicU64,
+    /// Commands that wait to be committed, now.
+    pub waiting: AtomicU64,
+    /// Grants that wait for returned allotments, now.
+    pub held_grants: AtomicU64,
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The control daemon.
+
+pub mod driver;
