Check budgets and orders with randomised schedules

Cause: two faults could leave tokens allotted to a router that did not know of them: a resent grant was refused after its incarnation was marked lost, and a delayed copy of a grant that was refused while lost was applied after the incarnation opened again. Change: a resent grant gets its first answer while the incarnation is lost; a grant refused while lost makes its number stale. Randomised runs of Allotments against Ledger through a faulty network, for one and for many faults.

--- /dev/null
+++ b/crates/budget/tests/schedules/fleet.rs
@@ -0,0 +1,865 @@
+//! The fleet under test: routers, control, network, faults and the model that
+//! the ledger is compared with.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use anvilloft_ledger::Config;
+use anvilloft_ledger::Ledger;
+use anvilloft_ledger::code;
+use anvilloft_ledger::set_op;
+use anvilloft_wire::Command;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::CloseIncarnation;
+use anvilloft_wire::command::ConfigChange;
+use anvilloft_wire::command::Expire;
+use anvilloft_wire::command::Grant;
+use anvilloft_wire::command::OpenIncarnation;
+use anvilloft_wire::command::OrderBegin;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::command::Report;
+use anvilloft_wire::command::RouterState;
+use anvilloft_wire::command::TopUp;
+use anvilloft_wire::config::Budget;
+use anvilloft_wire::config::ConfigUpdate;
+use anvilloft_wire::config::DefaultValue;
+use anvilloft_wire::config::Item;
+use anvilloft_wire::config::Team;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::process::Attempt;
+use crate::process::Process;
+use crate::process::Request;
+
+const BUDGETS: [(&str, u64); 3] = [("tiny", 300), ("small", 3_000), ("large", 1_000_000)];
+const ROUTERS: usize = 4;
+const HOLD_MS: u64 = 60_000;
+const FLUSH_MS: u64 = 30_000;
+// Stands for `config_lease + stream_limit`.
+const LOST_AFTER: Duration = Duration::from_secs(15);
+const RECALL_WAIT: Duration = Duration::from_millis(300);
+const START_MS: u64 = 1_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Faults {
+    Single,
+    Many,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) served: u64,
+    pub(crate) written_off: u64,
+    pub(crate) lost: u64,
+    pub(crate) orders_run: u64,
+    pub(crate) crashes: u64,
+    pub(crate) closes: u64,
+    pub(crate) refused: u64,
+}
+
+impl Outcome {
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.served += other.served;
+        self.written_off += other.written_off;
+        self.lost += other.lost;
+        self.orders_run += other.orders_run;
+        self.crashes += other.crashes;
+        self.closes += other.closes;
+        self.refused += other.refused;
+    }
+}
+
+type Id = (String, u64);
+
+#[derive(Clone, Debug)]
+enum Message {
+    ToControl(Option<Id>, Body),
+    // The copy holder delivers another router's report.
+    Delivery(usize, Report),
+    Reply(Id, Body, Reply),
+    DeliveryAck(usize, Report),
+    Copy(usize, Report),
+    Recall(Id, String),
+    Config(Id, ConfigUpdate),
+}
+
+/// What the ledger must agree with.
+#[derive(Default)]
+struct Model {
+    topped_up: BTreeMap<String, i128>,
+    top_ups: BTreeSet<String>,
+    billed: BTreeMap<String, u64>,
+    keys: BTreeSet<Vec<u8>>,
+    reports: BTreeMap<Id, u64>,
+    applied: BTreeMap<(Id, String), u64>,
+    executed: BTreeMap<String, u32>,
+    revision: u64,
+    directory: u64,
+    lost_at: BTreeMap<Id, (Duration, u64)>,
+    // Settled by processes that died or ended, and what their copies covered.
+    dead: BTreeMap<Id, (BTreeMap<String, u64>, BTreeMap<String, u64>)>,
+}
+
+pub(crate) struct Fleet {
+    faults: Faults,
+    rng: SmallRng,
+    now: Duration,
+    ledger: Ledger,
+    processes: Vec<Option<Process>>,
+    incarnations: Vec<u64>,
+    addresses: Vec<u64>,
+    down_until: Vec<Duration>,
+    cut_until: Vec<Duration>,
+    network: Vec<(Duration, Message)>,
+    waiting_grants: Vec<(Duration, Id, Grant)>,
+    heard: BTreeMap<Id, Duration>,
+    model: Model,
+    outcome: Outcome,
+    next: u64,
+    single_fault_used: bool,
+    quiet: bool,
+}
+
+impl Fleet {
+    pub(crate) fn new(seed: u64, faults: Faults) -> Self {
+        let mut fleet = Self {
+            faults,
+            rng: SmallRng::seed_from_u64(seed),
+            now: Duration::from_secs(1),
+            ledger: Ledger::new(),
+            processes: Vec::new(),
+            incarnations: vec![1; ROUTERS],
+            addresses: (1..=ROUTERS as u64).collect(),
+            down_until: vec![Duration::ZERO; ROUTERS],
+            cut_until: vec![Duration::ZERO; ROUTERS],
+            network: Vec::new(),
+            waiting_grants: Vec::new(),
+            heard: BTreeMap::new(),
+            model: Model::default(),
+            outcome: Outcome::default(),
+            next: 1,
+            single_fault_used: false,
+            quiet: false,
+        };
+        for i in 0..ROUTERS {
+            fleet
+                .processes
+                .push(Some(Process::new(&name(i), 1, i as u64 + 1)));
+        }
+        let default = |name: &str, value| {
+            set_op(Item::Default(DefaultValue {
+                name: name.into(),
+                value,
+            }))
+        };
+        let mut ops = vec![
+            default("settle_hold_ms", HOLD_MS),
+            default("peer_flush_ms", FLUSH_MS),
+            default("small_budget_tokens", 2_000),
+            set_op(Item::Team(Team {
+                name: "team".into(),
+                ..Team::default()
+            })),
+        ];
+        for (name, _) in BUDGETS {
+            ops.push(set_op(Item::Budget(Budget {
+                name: name.into(),
+                team: "team".into(),
+            })));
+        }
+        fleet.apply(None, Body::ConfigChange(change("first", 0, ops)));
+        for (budget, amount) in BUDGETS {
+            fleet.apply(None, top_up(budget, budget, amount as i64));
+        }
+        fleet
+    }
+
+    pub(crate) fn run(mut self) -> Outcome {
+        for _ in 0..self.rng.random_range(100..400) {
+            self.step();
+        }
+        self.settle_down();
+        self.finish()
+    }
+
+    fn step(&mut self) {
+        // A few long steps let holds and leases run out.
+        let ms = match self.rng.random_range(0..40) {
+            0 => self.rng.random_range(1_000..8_000),
+            1..5 => self.rng.random_range(100..1_000),
+            _ => self.rng.random_range(1..30),
+        };
+        self.now += Duration::from_millis(ms);
+        self.deliver();
+        if !self.quiet {
+            self.work();
+            self.fault();
+        }
+        self.restart();
+        for i in 0..ROUTERS {
+            self.pump(i);
+        }
+        self.lead();
+        self.check();
+    }
+
+    fn work(&mut self) {
+        for i in 0..ROUTERS {
+            let now = self.now;
+            let Some(p) = &mut self.processes[i] else {
+                continue;
+            };
+            let may_serve = p.may_serve(now) && !p.drained;
+            for _ in 0..self.rng.random_range(0..4) {
+                if may_serve {
+                    let (budget, _) = BUDGETS[self.rng.random_range(0..BUDGETS.len())];
+                    // Few keys, so that callers often repeat one elsewhere.
+                    let key = self.rng.random_ratio(1, 3).then(|| {
+                        let mut key = [0; 16];
+                        key[0] = self.rng.random_range(0..20);
+                        key[1] = budget.len() as u8;
+                        key
+                    });
+                    let amount = self.rng.random_range(1..120);
+                    p.request(
+                        now,
+                        Request {
+                            budget: budget.into(),
+                            amount,
+                            key,
+                        },
+                    );
+                }
+                if let Some((_, used)) = p.finish_one(now, &mut self.rng) {
+                    self.outcome.served += used;
+                }
+            }
+            if self.rng.random_ratio(1, 20)
+                && let Some((need, req)) = p.needs.pop_first()
+            {
+                p.allotments.cancel(&req.budget, need);
+            }
+            if may_serve && self.rng.random_ratio(1, 8) {
+                let order = format!("order-{}", self.rng.random_range(0..12));
+                let attempt = u128::from(self.next).to_be_bytes().to_vec();
+                self.next += 1;
+                let begin = OrderBegin {
+                    team: "team".into(),
+                    key: order.clone(),
+                    body_hash: vec![1; 32],
+                    router: p.open.router.clone(),
+                    incarnation: p.open.incarnation,
+                    attempt: attempt.clone(),
+                };
+                p.attempts.insert(
+                    attempt,
+                    Attempt {
+                        order,
+                        begin,
+                        sent: Duration::ZERO,
+                        finish: None,
+                    },
+                );
+            }
+        }
+        if self.rng.random_ratio(1, 10) {
+            // Some ids repeat, as operators resend after a lost answer.
+            let id = format!("top-up-{}", self.rng.random_range(0..30));
+            let n = self.rng.random_range(0..BUDGETS.len());
+            let amount = self.rng.random_range(-200..400);
+            let body = top_up(&id, BUDGETS[n].0, amount);
+            self.send(Message::ToControl(None, body));
+        }
+        if self.rng.random_ratio(1, 12) {
+            let id = format!("change-{}", self.rng.random_range(0..40));
+            let value = self.rng.random_range(500..4_000);
+            let op = set_op(Item::Default(DefaultValue {
+                name: "small_budget_tokens".into(),
+                value,
+            }));
+            let base = self.ledger.config().revision() - u64::from(self.rng.random_ratio(1, 4));
+            let body = Body::ConfigChange(change(&id, base, vec![op]));
+            self.send(Message::ToControl(None, body));
+        }
+    }
+
+    fn fault(&mut self) {
+        let single = self.faults == Faults::Single;
+        if !self.rng.random_ratio(1, 40) || (single && self.single_fault_used) {
+            return;
+        }
+        self.single_fault_used = true;
+        let i = self.rng.random_range(0..ROUTERS);
+        match self.rng.random_range(0..6) {
+            0 | 1 => {
+                self.crash(i);
+                let down = self.rng.random_range(0..20_000);
+                self.down_until[i] = self.now + Duration::from_millis(down);
+                // A replacement host has other addresses.
+                if self.rng.random_ratio(1, 4) {
+                    self.addresses[i] += 10;
+                }
+            }
+            2 | 3 => {
+                let longest = if single { HOLD_MS - 5_000 } else { 3 * HOLD_MS };
+                let cut = self.rng.random_range(1_000..longest);
+                self.cut_until[i] = self.now + Duration::from_millis(cut);
+            }
+            4 => {
+                // A new control leader starts every clock anew.
+                for at in self.heard.values_mut() {
+                    *at = self.now;
+                }
+            }
+            _ => {
+                if let Some(p) = &mut self.processes[i] {
+                    p.drained = true;
+                    p.allotments.drain(self.now);
+                }
+            }
+        }
+    }
+
+    fn crash(&mut self, i: usize) {
+        let Some(p) = self.processes[i].take() else {
+            return;
+        };
+        self.outcome.crashes += 1;
+        self.incarnations[i] += 1;
+        let covered = p.copied.clone();
+        self.model.dead.insert(p.id(), (p.settled, covered));
+    }
+
+    fn restart(&mut self) {
+        for i in 0..ROUTERS {
+            let ended = self.processes[i].as_ref().is_some_and(|p| {
+                p.closed
+                    && p.in_flight.is_empty()
+                    && p.allotments.unacknowledged() == 0
+                    && self.unapplied(p) == 0
+            });
+            if ended {
+                self.crash(i);
+            }
+            if self.processes[i].is_none() && self.now >= self.down_until[i] {
+                self.processes[i] = Some(Process::new(
+                    &name(i),
+                    self.incarnations[i],
+                    self.addresses[i],
+                ));
+                // Sessions to the new process start with all copies.
+                let from = (i + ROUTERS - 1) % ROUTERS;
+                if let Some(p) = &mut self.processes[from] {
+                    p.allotments.copy_again();
+                }
+            }
+        }
+    }
+
+    fn unapplied(&self, p: &Process) -> u64 {
+        p.settled
+            .iter()
+            .map(|(b, t)| t - self.model.applied.get(&(p.id(), b.clone())).unwrap_or(&0))
+            .sum()
+    }
+
+    fn pump(&mut self, i: usize) {
+        let (now, peer) = (self.now, (i + 1) % ROUTERS);
+        let Some(p) = &mut self.processes[i] else {
+            return;
+        };
+        let id = p.id();
+        let mut out = Vec::new();
+        while let Some(copy) = p.next_copy(now) {
+            let mut copied = BTreeMap::new();
+            for e in &copy.entries {
+                *copied.entry(e.budget.clone()).or_insert(0) += e.settled;
+            }
+            // Copies sent again are counted once.
+            if p.copied.get(&format!("#{}", copy.seq)).is_none() {
+                p.copied.insert(format!("#{}", copy.seq), 0);
+                for (b, t) in copied {
+                    *p.copied.entry(b).or_default() += t;
+                }
+            }
+            out.push(Message::Copy(peer, copy));
+        }
+        if p.allotments.unacknowledged() == 0 {
+            out.push(Message::Copy(peer, p.allotments.copy_release()));
+        }
+        for body in p.pump(now) {
+            out.push(Message::ToControl(Some(id.clone()), body));
+        }
+        // The holder delivers what an incarnation that is gone left behind.
+        for (router, incarnation) in p.copies.incarnations() {
+            if !self.ledger.incarnation_open(&router, incarnation)
+                && let Some(report) = p.copies.next(&router, incarnation)
+            {
+                out.push(Message::Delivery(i, report.clone()));
+            }
+        }
+        if p.opened && !p.closed && now >= self.cut_until[i] && self.rng.random_ratio(2, 3) {
+            p.lease_sent = now;
+            self.heard.insert(id.clone(), now);
+            let update = if self.rng.random_ratio(1, 5) {
+                Some(self.ledger.config().to_update())
+            } else {
+                self.ledger.config_since(p.config.revision())
+            };
+            out.extend(update.map(|u| Message::Config(id.clone(), u)));
+        }
+        for m in out {
+            self.send(m);
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        let reliable = matches!(message, Message::Copy(..));
+        if !reliable && self.rng.random_ratio(1, 12) {
+            return;
+        }
+        let copies = if self.rng.random_ratio(1, 12) { 2 } else { 1 };
+        for _ in 0..copies {
+            let ms = if reliable {
+                1
+            } else {
+                match self.rng.random_range(0..20) {
+                    0 => self.rng.random_range(500..10_000),
+                    _ => self.rng.random_range(1..60),
+                }
+            };
+            self.network
+                .push((self.now + Duration::from_millis(ms), message.clone()));
+        }
+    }
+
+    // The router whose link to control the message crosses.
+    fn link(&self, message: &Message) -> Option<usize> {
+        match message {
+            Message::ToControl(Some(id), _)
+            | Message::Reply(id, ..)
+            | Message::Recall(id, _)
+            | Message::Config(id, _) => index(&id.0),
+            Message::Delivery(i, _) | Message::DeliveryAck(i, _) => Some(*i),
+            Message::ToControl(None, _) | Message::Copy(..) => None,
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let mut due: Vec<_> = self.network.extract_if(.., |(at, _)| *at <= now).collect();
+        due.sort_by_key(|(at, _)| *at);
+        for (_, message) in due {
+            if self.link(&message).is_some_and(|i| now < self.cut_until[i]) {
+                continue;
+            }
+            self.receive(message);
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        match message {
+            Message::ToControl(from, Body::Grant(g)) => {
+                // The leader recalls idle tokens before it proposes a grant
+                // that the unspent doesn't cover.
+                let short = self
+                    .ledger
+                    .amounts(&g.budget)
+                    .is_some_and(|a| a.unspent < g.need);
+                let id = from.unwrap_or_default();
+                if !short {
+                    self.apply(Some(id), Body::Grant(g));
+                    return;
+                }
+                for (router, incarnation, _) in self.ledger.holders(&g.budget) {
+                    self.send(Message::Recall((router, incarnation), g.budget.clone()));
+                }
+                self.waiting_grants.push((self.now + RECALL_WAIT, id, g));
+            }
+            Message::ToControl(from, body) => self.apply(from, body),
+            Message::Delivery(i, report) => {
+                let id = (report.router.clone(), report.incarnation);
+                let reply = self.apply_report(&id, &report);
+                let gone =
+                    matches!(&reply, Reply::Refused(r) if r.code == code::UNKNOWN_INCARNATION);
+                if gone || matches!(reply, Reply::Ok(_)) {
+                    self.send(Message::DeliveryAck(i, report));
+                }
+            }
+            Message::DeliveryAck(i, report) => {
+                if let Some(p) = &mut self.processes[i] {
+                    p.copies
+                        .on_ack(&report.router, report.incarnation, report.seq);
+                }
+            }
+            Message::Copy(i, report) => {
+                if let Some(p) = &mut self.processes[i] {
+                    p.copies.insert(report);
+                }
+            }
+            Message::Recall(id, budget) => {
+                let now = self.now;
+                if let Some(p) = self.process(&id) {
+                    p.allotments.recall(now, &budget);
+                }
+            }
+            Message::Config(id, update) => {
+                let current = self.ledger.config().clone();
+                if let Some(p) = self.process(&id) {
+                    let before = p.config.revision();
+                    let _ = p.config.apply(&update);
+                    assert!(p.config.revision() >= before, "a revision went down");
+                    if p.config.revision() == current.revision() {
+                        assert!(p.config == current, "a router has another configuration");
+                    }
+                }
+            }
+            Message::Reply(id, body, reply) => self.on_reply(&id, &body, &reply),
+        }
+    }
+
+    fn process(&mut self, id: &Id) -> Option<&mut Process> {
+        let i = index(&id.0)?;
+        self.processes[i]
+            .as_mut()
+            .filter(|p| p.open.incarnation == id.1)
+    }
+
+    fn on_reply(&mut self, id: &Id, body: &Body, reply: &Reply) {
+        let now = self.now;
+        let Some(i) = index(&id.0) else { return };
+        let rng = &mut self.rng;
+        let Some(p) = self.processes[i]
+            .as_mut()
+            .filter(|p| p.open.incarnation == id.1)
+        else {
+            return;
+        };
+        let refusal = match reply {
+            Reply::Refused(r) => r.code.as_str(),
+            _ => "",
+        };
+        match refusal {
+            code::INCARNATION_CLOSED | code::OLD_INCARNATION => p.closed = true,
+            // A lost router that is heard again opens the same incarnation.
+            code::INCARNATION_LOST => p.opened = false,
+            _ => {}
+        }
+        match body {
+            Body::OpenIncarnation(_) => {
+                if matches!(reply, Reply::Ok(_)) {
+                    p.opened = true;
+                } else if refusal == code::INCARNATION_LOST {
+                    p.closed = true;
+                }
+            }
+            Body::Grant(g) => {
+                let reply = anvilloft_wire::CommandReply {
+                    reply: Some(reply.clone()),
+                };
+                let results = p.allotments.on_grant(now, g.seq, &reply);
+                self.outcome.refused +=
+                    results.iter().filter(|r| r.outcome.is_err()).count() as u64;
+                p.on_results(now, results, rng);
+            }
+            Body::Report(r) => {
+                if matches!(reply, Reply::Ok(_)) {
+                    p.allotments.on_report_ack(now, r.seq);
+                }
+            }
+            Body::OrderBegin(b) => {
+                if p.on_order(b, reply, rng) {
+                    let order = p.attempts[&b.attempt].order.clone();
+                    let count = self.model.executed.entry(order.clone()).or_default();
+                    *count += 1;
+                    self.outcome.orders_run += 1;
+                    assert_eq!(*count, 1, "{order} ran twice");
+                }
+            }
+            Body::OrderFinish(f) => {
+                p.attempts.remove(&f.attempt);
+            }
+            _ => {}
+        }
+    }
+
+    fn apply(&mut self, from: Option<Id>, body: Body) {
+        if let Some(id) = &from {
+            self.heard.insert(id.clone(), self.now);
+        }
+        let reply = match &body {
+            Body::Report(r) => {
+                let id = (r.router.clone(), r.incarnation);
+                self.apply_report(&id, r)
+            }
+            _ => self.command(body.clone()),
+        };
+        match (&body, &reply) {
+            (Body::TopUp(t), Reply::Ok(_)) if self.model.top_ups.insert(t.id.clone()) => {
+                *self.model.topped_up.entry(t.budget.clone()).or_default() += i128::from(t.amount);
+            }
+            (Body::Grant(g), Reply::Granted(granted)) => {
+                assert!(granted.amount >= g.need, "a grant is smaller than the need");
+            }
+            (Body::ConfigChange(_), Reply::Accepted(a)) => {
+                assert!(a.revision <= self.ledger.config().revision());
+            }
+            _ => {}
+        }
+        if let Some(id) = from {
+            self.send(Message::Reply(id, body, reply));
+        }
+    }
+
+    fn command(&mut self, body: Body) -> Reply {
+        let cmd = Command {
+            at_ms: START_MS + self.now.as_millis() as u64,
+            body: Some(body),
+        };
+        self.ledger
+            .apply(&cmd)
+            .reply
+            .expect("every command has a reply")
+    }
+
+    fn apply_report(&mut self, id: &Id, report: &Report) -> Reply {
+        let reply = self.command(Body::Report(report.clone()));
+        let last = self.model.reports.entry(id.clone()).or_default();
+        if matches!(reply, Reply::Ok(_)) && report.seq == *last + 1 {
+            *last = report.seq;
+            for e in &report.entries {
+                let applied = (id.clone(), e.budget.clone());
+                *self.model.applied.entry(applied).or_default() += e.settled;
+                if e.request_key.is_empty() || self.model.keys.insert(e.request_key.clone()) {
+                    *self.model.billed.entry(e.budget.clone()).or_default() += e.settled;
+                }
+            }
+        }
+        reply
+    }
+
+    // What the control leader does on its own.
+    fn lead(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self
+            .waiting_grants
+            .extract_if(.., |(at, _, g)| {
+                let covered = self
+                    .ledger
+                    .amounts(&g.budget)
+                    .is_some_and(|a| a.unspent >= g.need);
+                covered || *at <= now
+            })
+            .collect();
+        for (_, id, g) in due {
+            self.apply(Some(id), Body::Grant(g));
+        }
+        for open in self.ledger.routers() {
+            let id = (open.router.clone(), open.incarnation);
+            let heard = *self.heard.entry(id.clone()).or_insert(now);
+            if now.saturating_sub(heard) >= LOST_AFTER {
+                self.command(Body::OpenIncarnation(OpenIncarnation {
+                    state: RouterState::Lost.into(),
+                    ..open
+                }));
+            }
+        }
+        for lost in self.ledger.lost() {
+            let id = (lost.router.clone(), lost.incarnation);
+            let entry = self
+                .model
+                .lost_at
+                .entry(id.clone())
+                .or_insert((now, lost.since_ms));
+            if entry.1 != lost.since_ms {
+                *entry = (now, lost.since_ms);
+            }
+            let hold = if lost.known_dead { FLUSH_MS } else { HOLD_MS };
+            let age = START_MS + now.as_millis() as u64 - lost.since_ms;
+            // A leader whose own clock is wrong proposes it too early.
+            if age < hold && !self.rng.random_ratio(1, 200) {
+                continue;
+            }
+            let held: u64 = BUDGETS
+                .iter()
+                .flat_map(|(b, _)| self.ledger.holders(b))
+                .filter(|(r, n, _)| (r, n) == (&id.0, &id.1))
+                .map(|(_, _, t)| t)
+                .sum();
+            let reply = self.command(Body::CloseIncarnation(CloseIncarnation {
+                router: id.0,
+                incarnation: id.1,
+            }));
+            if matches!(reply, Reply::Ok(_)) {
+                assert!(held == 0 || age >= hold, "an allotment was returned early");
+                self.outcome.closes += 1;
+            }
+        }
+        match self.rng.random_range(0..60) {
+            0 => {
+                self.command(Body::Expire(Expire {}));
+            }
+            1 => {
+                // A control member restarts from its snapshot.
+                let buf = self.ledger.encode();
+                let restored = Ledger::decode(&buf).expect("the snapshot is sound");
+                assert!(restored == self.ledger, "a snapshot lost state");
+                self.ledger = restored;
+            }
+            _ => {}
+        }
+    }
+
+    fn check(&mut self) {
+        self.ledger.check();
+        for (budget, _) in BUDGETS {
+            let a = self.ledger.amounts(budget).expect("the budget exists");
+            let topped_up = self.model.topped_up.get(budget).copied().unwrap_or(0);
+            assert_eq!(i128::from(a.topped_up), topped_up, "{budget}: top-ups");
+            assert_eq!(
+                a.topped_up,
+                a.unspent + a.allotted + a.settled,
+                "{budget}: the parts make up the whole"
+            );
+            let billed = self.model.billed.get(budget).copied().unwrap_or(0);
+            assert_eq!(a.settled + a.written_off, billed, "{budget}: billed once");
+        }
+        for p in self.processes.iter().flatten().filter(|p| !p.closed) {
+            let id = p.id();
+            for (budget, _) in BUDGETS {
+                let known = self.ledger.holders(budget);
+                let Some((_, _, allotted)) =
+                    known.iter().find(|(r, n, _)| *r == id.0 && *n == id.1)
+                else {
+                    if self.ledger.incarnation_open(&id.0, id.1) {
+                        let h = p.allotments.holding(budget);
+                        assert_eq!(h.idle + h.reserved, 0, "{budget}: held without allotment");
+                    }
+                    continue;
+                };
+                let h = p.allotments.holding(budget);
+                let applied = self.model.applied.get(&(id.clone(), budget.into()));
+                let unapplied = p.settled.get(budget).unwrap_or(&0) - applied.unwrap_or(&0);
+                assert!(
+                    *allotted >= h.idle + h.reserved + unapplied,
+                    "{budget}: {id:?} holds more than its allotment"
+                );
+            }
+        }
+        let (revision, directory) = (
+            self.ledger.config().revision(),
+            self.ledger.directory_version(),
+        );
+        assert!(revision >= self.model.revision, "the revision went down");
+        assert!(directory >= self.model.directory, "the directory went back");
+        (self.model.revision, self.model.directory) = (revision, directory);
+        let _: &Config = self.ledger.config();
+    }
+
+    // Heals everything, ends all work and lets every hold run out.
+    fn settle_down(&mut self) {
+        self.quiet = true;
+        for i in 0..ROUTERS {
+            if self.faults == Faults::Many {
+                self.cut_until[i] = Duration::ZERO;
+            }
+            self.down_until[i] = Duration::ZERO;
+        }
+        for round in 0..400 {
+            self.step();
+            self.now += Duration::from_millis(if round % 20 == 0 { 6_000 } else { 100 });
+            for i in 0..ROUTERS {
+                let now = self.now;
+                if let Some(p) = &mut self.processes[i] {
+                    while !p.in_flight.is_empty() {
+                        if let Some((_, used)) = p.finish_one(now, &mut self.rng) {
+                            self.outcome.served += used;
+                        }
+                    }
+                    if round > 200 {
+                        p.allotments.drain(now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn finish(mut self) -> Outcome {
+        for p in self.processes.iter().flatten() {
+            assert_eq!(
+                self.unapplied(p),
+                0,
+                "{:?} did not report everything",
+                p.id()
+            );
+            if p.opened {
+                assert!(p.allotments.is_settled(), "{:?} holds tokens", p.id());
+                assert!(
+                    p.needs.is_empty(),
+                    "{:?} left needs without an answer",
+                    p.id()
+                );
+            }
+        }
+        for (budget, _) in BUDGETS {
+            let a = self.ledger.amounts(budget).expect("the budget exists");
+            assert_eq!(
+                a.allotted,
+                0,
+                "{budget}: an allotment is left at {:?}; lost: {:?}",
+                self.ledger.holders(budget),
+                self.ledger.lost()
+            );
+            self.outcome.written_off += a.written_off;
+        }
+        for (id, (settled, copied)) in &self.model.dead {
+            for (budget, settled) in settled {
+                let applied = self.model.applied.get(&(id.clone(), budget.clone()));
+                let lost = settled - applied.unwrap_or(&0);
+                self.outcome.lost += lost;
+                if self.faults == Faults::Single {
+                    // Only what the peer could not have is lost: the last
+                    // 20 ms before the crash.
+                    let uncopied = settled - copied.get(budget).unwrap_or(&0);
+                    assert!(
+                        lost <= uncopied,
+                        "{id:?} {budget}: a copied settlement was lost"
+                    );
+                }
+            }
+        }
+        self.outcome
+    }
+}
+
+fn name(i: usize) -> String {
+    format!("router-{i}")
+}
+
+fn index(router: &str) -> Option<usize> {
+    router.strip_prefix("router-")?.parse().ok()
+}
+
+fn change(id: &str, base: u64, ops: Vec<anvilloft_wire::config::ConfigOp>) -> ConfigChange {
+    ConfigChange {
+        change_id: id.into(),
+        base_revision: base,
+        author: "operator".into(),
+        reason: "test".into(),
+        ops,
+        dry_run: false,
+    }
+}
+
+fn top_up(id: &str, budget: &str, amount: i64) -> Body {
+    Body::TopUp(TopUp {
+        id: id.into(),
+        budget: budget.into(),
+        amount,
+        author: "operator".into(),
+        reason: "test".into(),
+    })
+}
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -314,20 +314,27 @@
         let Some(inc) = self.routers.get_mut(&c.router, c.incarnation) else {
             return unknown_incarnation(&c.router, c.incarnation);
         };
+        // A resent grant gets the first answer even when the incarnation was
+        // lost meanwhile: the tokens are allotted and the router has to know.
+        let last = inc.held.get(c.budget.as_str());
+        if let Some(held) = last
+            && held.seq == c.seq
+        {
+            return held.answer();
+        }
+        let newest = last.map_or(0, |h| h.seq).max(inc.grant_floor);
         match inc.phase {
             Phase::Open => {}
             Phase::Lost => {
+                // The incarnation may open again, and a delayed copy of this
+                // grant must not allot tokens that the router gave up on.
+                inc.grant_floor = inc.grant_floor.max(c.seq);
                 return refused(code::INCARNATION_LOST, "the incarnation is lost");
             }
             Phase::Closed => {
                 return refused(code::INCARNATION_CLOSED, "the incarnation is closed");
             }
         }
-        let newest = match inc.held.get(c.budget.as_str()) {
-            Some(held) if held.seq == c.seq => return held.answer(),
-            Some(held) => held.seq.max(inc.grant_floor),
-            None => inc.grant_floor,
-        };
         // A router has one grant outstanding for each budget, so a lower
         // number is a delayed copy that was answered before.
         if c.seq <= newest {
@@ -342,7 +349,7 @@
         ) else {
             // Without this, a delayed copy could allot tokens that the router
             // doesn't know of once the budget exists.
-            inc.grant_floor = c.seq;
+            inc.grant_floor = inc.grant_floor.max(c.seq);
             return unknown_budget(&c.budget);
         };
         let need = c.need.max(1);
