Add the traffic bench

Cause: admission and routing need figures before choices are made. Change: a seeded event-driven model of endpoints drives the shipping code of several routers, beside simple policies.

--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -396,7 +396,10 @@
             return;
         };
         self.running_tokens = self.running_tokens.saturating_sub(run.tokens);
-        self.drain.add(now.saturating_sub(run.since), run.tokens);
+        // A request that was not run says nothing about the time in a slot.
+        if used > 0 {
+            self.drain.add(now.saturating_sub(run.since), run.tokens);
+        }
         let change = used as f64 - run.tokens as f64;
         for rank in &mut self.ranks {
             if rank.backlogged() {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -118,7 +118,8 @@
     /// be reported with [`finish`](Self::finish).
     fn cancel(&mut self, now: Duration, id: RequestNo);
 
-    /// Reports the end of a started request and the tokens that it used.
+    /// Reports the end of a started request and the tokens that it used; 0 when
+    /// it was not run after all.
     fn finish(&mut self, now: Duration, id: RequestNo, used: Tokens);
 
     /// Sets the capacity. A smaller one stops no running request.
--- /dev/null
+++ b/crates/bench/examples/traffic.rs
@@ -0,0 +1,13 @@
+//! Prints the report of the traffic bench: `traffic [seed] [seconds]`.
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let mut cfg = anvilloft_bench::traffic::TrafficConfig::default();
+    if let Some(seed) = args.next().and_then(|a| a.parse().ok()) {
+        cfg.seed = seed;
+    }
+    if let Some(seconds) = args.next().and_then(|a| a.parse().ok()) {
+        cfg.seconds = seconds;
+    }
+    println!("{}", anvilloft_bench::traffic::run(&cfg));
+}
--- /dev/null
+++ b/crates/bench/src/traffic/baseline.rs
@@ -0,0 +1,208 @@
+//! Simple policies to compare with.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+
+use anvilloft_admission::Admission;
+use anvilloft_admission::Capacity;
+use anvilloft_admission::Offer;
+use anvilloft_admission::Reason;
+use anvilloft_admission::Refusal;
+use anvilloft_admission::Verdict;
+use anvilloft_routing::Choice;
+use anvilloft_routing::EndpointState;
+use anvilloft_routing::NoRoute;
+use anvilloft_routing::Outcome;
+use anvilloft_routing::Room;
+use anvilloft_routing::RouteRequest;
+use anvilloft_routing::Selector;
+use anvilloft_types::prelude::*;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// First come, first served, without ranks or teams.
+pub(crate) struct Fifo {
+    queue: VecDeque<(RequestNo, Duration)>,
+    running: HashSet<RequestNo>,
+    cap: Capacity,
+}
+
+impl Fifo {
+    /// Longest queue, the same as that of the shipped admission.
+    const MOST: usize = 8192;
+    /// Longest wait, that of the lowest rank.
+    const WAIT: Duration = Duration::from_secs(30);
+
+    pub(crate) fn new() -> Self {
+        Self {
+            queue: VecDeque::new(),
+            running: HashSet::new(),
+            cap: Capacity::slots(0),
+        }
+    }
+}
+
+impl Admission for Fifo {
+    fn offer(&mut self, now: Duration, req: Offer) -> Result<(), Refusal> {
+        if self.queue.len() >= Self::MOST {
+            return Err(Refusal {
+                reason: Reason::QueueFull,
+                retry_after: Duration::from_secs(1),
+            });
+        }
+        self.queue.push_back((req.id, now));
+        Ok(())
+    }
+
+    fn cancel(&mut self, _now: Duration, id: RequestNo) {
+        self.queue.retain(|(q, _)| *q != id);
+    }
+
+    fn finish(&mut self, _now: Duration, id: RequestNo, _used: Tokens) {
+        self.running.remove(&id);
+    }
+
+    fn set_capacity(&mut self, _now: Duration, cap: Capacity) {
+        self.cap = cap;
+    }
+
+    fn poll(&mut self, now: Duration) -> Vec<Verdict> {
+        let mut out = Vec::new();
+        while let Some(&(id, since)) = self.queue.front() {
+            let waited = now.saturating_sub(since);
+            if waited > Self::WAIT {
+                self.queue.pop_front();
+                let refusal = Refusal {
+                    reason: Reason::DeadlinePassed,
+                    retry_after: Duration::from_secs(1),
+                };
+                out.push(Verdict::Refuse { id, refusal });
+                continue;
+            }
+            if self.running.len() >= self.cap.slots as usize {
+                break;
+            }
+            self.queue.pop_front();
+            self.running.insert(id);
+            out.push(Verdict::Start {
+                id,
+                level: 0,
+                waited,
+            });
+        }
+        out
+    }
+
+    fn next_timeout(&self) -> Option<Duration> {
+        self.queue.front().map(|(_, at)| *at + Self::WAIT)
+    }
+
+    fn counts(&self) -> (usize, usize) {
+        (self.queue.len(), self.running.len())
+    }
+}
+
+/// How a [`Plain`] selector chooses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Rule {
+    Random,
+    RoundRobin,
+    /// Least running and waiting requests by slots in the last report.
+    LateReports,
+}
+
+/// A selector without predictions, shares or failure scores.
+pub(crate) struct Plain {
+    rule: Rule,
+    rng: SmallRng,
+    routers: u32,
+    endpoints: Vec<EndpointState>,
+    running: HashMap<AttemptId, ()>,
+    next: usize,
+}
+
+impl Plain {
+    pub(crate) fn new(rule: Rule, rng: SmallRng) -> Self {
+        Self {
+            rule,
+            rng,
+            routers: 1,
+            endpoints: Vec::new(),
+            running: HashMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl Selector for Plain {
+    fn set_routers(&mut self, _own: &str, routers: &[RouterId]) {
+        self.routers = routers.len().max(1) as u32;
+    }
+
+    fn update(&mut self, _now: Duration, ep: &EndpointState) {
+        match self.endpoints.binary_search_by(|e| e.id.cmp(&ep.id)) {
+            Ok(at) => self.endpoints[at] = ep.clone(),
+            Err(at) => self.endpoints.insert(at, ep.clone()),
+        }
+    }
+
+    fn remove(&mut self, ep: &str) {
+        self.endpoints.retain(|e| e.id != ep);
+    }
+
+    fn choose(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<Choice, NoRoute> {
+        let live: Vec<&EndpointState> = self
+            .endpoints
+            .iter()
+            .filter(|e| e.expires > now && !req.exclude.contains(&e.id))
+            .collect();
+        if live.is_empty() {
+            return Err(NoRoute::NoEndpoint);
+        }
+        let at = match self.rule {
+            Rule::Random => self.rng.random_range(0..live.len()),
+            Rule::RoundRobin => {
+                self.next += 1;
+                self.next % live.len()
+            }
+            Rule::LateReports => {
+                let load = |e: &EndpointState| {
+                    let l = e.load.unwrap_or_default();
+                    f64::from(l.running + l.waiting) / f64::from(e.slots.max(1))
+                };
+                (0..live.len())
+                    .min_by(|a, b| load(live[*a]).total_cmp(&load(live[*b])))
+                    .unwrap_or(0)
+            }
+        };
+        Ok(Choice {
+            endpoint: live[at].id.clone(),
+            incarnation: live[at].incarnation,
+            candidates: live.len(),
+            first_token: Duration::ZERO,
+            gap: Duration::ZERO,
+            why: anvilloft_routing::Why::Score,
+        })
+    }
+
+    fn started(&mut self, _now: Duration, _ep: &str, attempt: AttemptId, _tokens: Tokens) {
+        self.running.insert(attempt, ());
+    }
+
+    fn first_byte(&mut self, _now: Duration, _ep: &str, _attempt: AttemptId) {}
+
+    fn finished(&mut self, _now: Duration, _ep: &str, attempt: AttemptId, _outcome: Outcome) {
+        self.running.remove(&attempt);
+    }
+
+    fn room(&self, now: Duration, _req: &RouteRequest<'_>) -> Room {
+        let live = self.endpoints.iter().filter(|e| e.expires > now);
+        let slots: u32 = live.map(|e| e.slots).sum();
+        Room {
+            slots: slots.div_ceil(self.routers),
+            running: self.running.len() as u32,
+            endpoints: self.endpoints.len() as u32,
+        }
+    }
+}
