Add requests about the control group's membership

Cause: membership changes must reach the leader from any member. Change: add GroupRequest to ControlRequest, and name the key query.

--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ControlRequest {
     /// The request itself.
-    #[prost(oneof = "Request", tags = "1, 2, 3")]
+    #[prost(oneof = "Request", tags = "1, 2, 3, 4")]
     pub request: Option<Request>,
 }
 
@@ -31,6 +31,39 @@
     /// Reads state.
     #[prost(message, tag = "3")]
     Query(Query),
+    /// Reads or changes the membership of the control group. Answered with a
+    /// `QueryResult` or with `Applied` that holds `Ok` or `Refused`.
+    #[prost(message, tag = "4")]
+    Group(GroupRequest),
+}
+
+/// Reads or changes the membership of the control group.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct GroupRequest {
+    /// What to do.
+    #[prost(enumeration = "GroupAction", tag = "1")]
+    pub action: i32,
+    /// Member that the change is for.
+    #[prost(uint64, tag = "2")]
+    pub member: u64,
+    /// Peer address of an added member, `ip:port`.
+    #[prost(string, tag = "3")]
+    pub address: String,
+}
+
+/// The actions on the membership. Sent again after a lost answer, each leads
+/// to the same membership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum GroupAction {
+    /// Returns members, leader and progress as JSON.
+    Status = 0,
+    /// Adds a learner.
+    AddLearner = 1,
+    /// Gives a learner that has caught up a vote.
+    Promote = 2,
+    /// Removes a voter or learner.
+    Remove = 3,
 }
 
 /// Renews the configuration lease of a router incarnation.
@@ -78,8 +111,9 @@
 /// Reads state. The result is JSON, as it is meant for people and scripts.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Query {
-    /// What to read: `budget`, `budgets`, `config`, `history`, `routers`,
-    /// `orders`, `status`.
+    /// What to read: `budget`, `budgets`, `config`, `history`, `key` (named by
+    /// the SHA-256 of its secret in hexadecimal digits), `routers`, `orders`,
+    /// `status`.
     #[prost(string, tag = "1")]
     pub kind: String,
     /// Name, where the kind needs one.
@@ -188,6 +222,14 @@
     }
 }
 
+impl From<GroupRequest> for ControlRequest {
+    fn from(req: GroupRequest) -> Self {
+        Self {
+            request: Some(Request::Group(req)),
+        }
+    }
+}
+
 impl From<Answer> for ControlReply {
     fn from(answer: Answer) -> Self {
         Self {
--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -221,7 +221,7 @@
         hops: u32,
     ) -> Result<ControlReply, CallError> {
         // A renewal or query changes nothing, so its loss leaves no doubt.
-        let proposal = matches!(req.request, Some(Request::Propose(_)));
+        let proposal = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
         let id = self.next_call.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
         {
