--- /dev/null
+++ b/crates/control/src/admin/http.rs
@@ -0,0 +1,182 @@
+//! HTTP server of the administration API and the operational paths.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_telemetry::Metrics;
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use slog::Logger;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use volo::net::conn::Conn;
+use volo::net::incoming::Incoming;
+use volo::net::incoming::MakeIncoming;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::Server;
+use volo_http::server::route::Router;
+
+use super::error::ApiError;
+use super::run::Admin;
+
+/// Time to read a request's body.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Pause after a failed `accept`, for example without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections until told to stop. The library's own listener is
+/// asked again at once after an error, which takes a whole core while file
+/// descriptors are short.
+struct Listener {
+    listener: Option<TcpListener>,
+    stop: watch::Receiver<bool>,
+    log: Logger,
+}
+
+impl std::fmt::Debug for Listener {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.listener.fmt(f)
+    }
+}
+
+impl Incoming for Listener {
+    async fn accept(&mut self) -> std::io::Result<Option<Conn>> {
+        while let Some(listener) = &self.listener {
+            let stop = async {
+                let _ = self.stop.wait_for(|stop| *stop).await;
+            };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => Some(accepted),
+                () = stop => None,
+            };
+            match accepted {
+                Some(Ok((stream, _))) => return Ok(Some(Conn::from(stream))),
+                Some(Err(err)) => {
+                    warn!(self.log, "can't accept an administration connection"; "error" => %err);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+                // Frees the port. The library's task goes on to ask.
+                None => self.listener = None,
+            }
+        }
+        std::future::pending().await
+    }
+}
+
+impl MakeIncoming for Listener {
+    type Incoming = Self;
+
+    async fn make_incoming(self) -> std::io::Result<Self> {
+        Ok(self)
+    }
+}
+
+/// Serves until `stop` becomes true. `ready` decides the answer of /readyz.
+pub async fn serve(
+    admin: Arc<Admin>,
+    metrics: Metrics,
+    ready: Arc<AtomicBool>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let handler = move |req: Request| {
+        let admin = admin.clone();
+        let metrics = metrics.clone();
+        let ready = ready.clone();
+        async move { answer(&admin, &metrics, &ready, req).await }
+    };
+    let app: Router = Router::new().fallback(handler);
+    let mut server = Server::new(app).http1_only();
+    // Administration is rare: a connection carries one request, so idle ones
+    // hold no file descriptors.
+    server.http1_config().set_keep_alive(false);
+    let incoming = Listener {
+        listener: Some(listener),
+        stop: stop.clone(),
+        log: log.clone(),
+    };
+    tokio::select! {
+        result = server.run(incoming) => {
+            if let Err(err) = result {
+                warn!(log, "the administration server ended"; "error" => %err);
+            }
+        }
+        _ = stop.wait_for(|stop| *stop) => (),
+    }
+}
+
+async fn answer(admin: &Admin, metrics: &Metrics, ready: &AtomicBool, req: Request) -> Response {
+    let (parts, body) = req.into_parts();
+    let path = parts.uri.path();
+    if parts.method == Method::GET {
+        match path {
+            "/healthz" => return text(StatusCode::OK, "ok\n"),
+            "/readyz" if ready.load(Ordering::Relaxed) => return text(StatusCode::OK, "ready\n"),
+            "/readyz" => return text(StatusCode::SERVICE_UNAVAILABLE, "no leader is known\n"),
+            "/metrics" => {
+                return match metrics.render() {
+                    Ok(page) => reply(StatusCode::OK, "text/plain; version=0.0.4", page),
+                    Err(err) => text(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
+                };
+            }
+            _ => (),
+        }
+    }
+    let authorization = parts
+        .headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let (status, json) = match collect(body, admin.options.body_bytes).await {
+        Err(err) => (err.status(), err.to_json()),
+        Ok(body) => {
+            let query = parts.uri.query().unwrap_or_default();
+            let method = parts.method.as_str();
+            let reply = admin.handle(method, path, query, authorization, &body);
+            let reply = reply.await;
+            (reply.status, reply.body)
+        }
+    };
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    reply(status, "application/json", format!("{json}\n").into_bytes())
+}
+
+async fn collect(body: Body, limit: u64) -> Result<Bytes, ApiError> {
+    let size = usize::try_from(limit).unwrap_or(usize::MAX);
+    match tokio::time::timeout(BODY_LIMIT, Limited::new(body, size).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(ApiError::TooLarge(limit)),
+        Ok(Err(_)) => Err(ApiError::BadRequest("the body can't be read".to_owned())),
+        Err(_) => Err(ApiError::BadRequest("the body took too long".to_owned())),
+    }
+}
+
+fn text(status: StatusCode, text: &str) -> Response {
+    reply(status, "text/plain", text.as_bytes().to_vec())
+}
+
+fn reply(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Response {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static(content_type),
+    );
+    // Answers hold secrets and amounts.
+    headers.insert(
+        header::CACHE_CONTROL,
+        header::HeaderValue::from_static("no-store"),
+    );
+    response
+}
