--- /dev/null
+++ b/crates/control/tests/admin.rs
@@ -0,0 +1,542 @@
+//! Guards against data shown to the wrong team or role, lost or doubled
+//! changes, and secrets that are stored or shown again.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilloft_control::admin::Access;
+use anvilloft_control::admin::Admin;
+use anvilloft_control::admin::AdminOptions;
+use anvilloft_control::admin::CALLS;
+use anvilloft_control::admin::hash_secret;
+use anvilloft_wire::CallError;
+use anvilloft_wire::Control;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::OpenIncarnation;
+use anvilloft_wire::command::OrderBegin;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::command::RouterState;
+use anvilloft_wire::control::Answer;
+use serde_json::Value;
+use serde_json::json;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use support::OneLedger;
+
+const ROOT: &str = "root-secret";
+
+struct Fixture {
+    admin: Admin,
+    control: Arc<OneLedger>,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let control = Arc::new(OneLedger::default());
+        let options = AdminOptions {
+            timeout: Duration::from_secs(1),
+            body_bytes: 1 << 20,
+            operator_hash: Some(hash_secret(ROOT)),
+        };
+        let log = Logger::root(Discard, o!());
+        let admin = Admin::new(control.clone(), options, log);
+        Self { admin, control }
+    }
+
+    async fn call(&self, secret: &str, method: &str, path: &str, body: Value) -> (u16, Value) {
+        let auth = format!("Bearer {secret}");
+        let body = if body.is_null() {
+            Vec::new()
+        } else {
+            body.to_string().into_bytes()
+        };
+        let reply = self
+            .admin
+            .handle(method, path, "", Some(&auth), &body)
+            .await;
+        (reply.status, reply.body)
+    }
+
+    async fn ok(&self, method: &str, path: &str, body: Value) -> Value {
+        let (status, reply) = self.call(ROOT, method, path, body).await;
+        assert!(status < 300, "{method} {path}: {status} {reply}");
+        reply
+    }
+
+    async fn revision(&self) -> u64 {
+        self.ok("GET", "/admin/v1/config", Value::Null).await["revision"]
+            .as_u64()
+            .unwrap()
+    }
+
+    /// Adds the head of a change against the revision in force.
+    async fn head(&self, id: &str, mut body: Value) -> Value {
+        body["change_id"] = json!(id);
+        body["base_revision"] = json!(self.revision().await);
+        body["reason"] = json!("test");
+        body
+    }
+
+    async fn put(&self, path: &str, item: Value) -> Value {
+        let body = self
+            .head(&path.replace('/', "-"), json!({ "item": item }))
+            .await;
+        self.ok("PUT", &format!("/admin/v1/{path}"), body).await
+    }
+
+    /// Makes a team with a budget, tokens, a key, an exception and a secret.
+    async fn team(&self, team: &str, amount: u64) -> String {
+        self.put(&format!("teams/{team}"), json!({ "weight": 3 }))
+            .await;
+        self.put(&format!("budgets/{team}-budget"), json!({ "team": team }))
+            .await;
+        let top_up = json!({ "id": format!("{team}-topup"), "amount": amount, "reason": format!("{team}-paid") });
+        self.ok(
+            "POST",
+            &format!("/admin/v1/budgets/{team}-budget/topups"),
+            top_up,
+        )
+        .await;
+        let exception = json!({ "value": 60, "reason": format!("{team}-why") });
+        self.put(
+            &format!("exceptions/{team}/urgent_share_percent"),
+            exception,
+        )
+        .await;
+        let key = json!({ "name": format!("{team}-key"), "team": team, "budget": format!("{team}-budget"), "role": "team" });
+        let body = self.head(&format!("{team}-make"), key).await;
+        let made = self.ok("POST", "/admin/v1/keys", body).await;
+        let begin = OrderBegin {
+            team: team.into(),
+            key: format!("{team}-order"),
+            body_hash: vec![1; 32],
+            router: "r1".into(),
+            incarnation: 1,
+            attempt: vec![1; 16],
+        };
+        for body in [Body::OpenIncarnation(router()), Body::OrderBegin(begin)] {
+            let reply = self.control.call(body.into(), Duration::from_secs(1)).await;
+            let Some(Answer::Applied(reply)) = reply.unwrap().answer else {
+                panic!("not applied");
+            };
+            let refused = matches!(reply.reply, None | Some(Reply::Refused(_)));
+            assert!(!refused, "{reply:?}");
+        }
+        made["secret"].as_str().unwrap().to_owned()
+    }
+}
+
+fn router() -> OpenIncarnation {
+    OpenIncarnation {
+        router: "r1".into(),
+        incarnation: 1,
+        caller_address: "127.0.0.1:8000".into(),
+        peer_address: "127.0.0.1:8001".into(),
+        data_centre: "dc1".into(),
+        state: RouterState::Draining as i32,
+    }
+}
+
+#[tokio::test]
+async fn another_teams_key_finds_no_data_of_the_first_team_in_any_answer() {
+    let f = Fixture::new();
+    f.team("alder", 7_777_777).await;
+    let birch = f.team("birch", 5_555_555).await;
+    let before = f.ok("GET", "/admin/v1/config", Value::Null).await;
+    let mut tried = 0;
+    for spec in CALLS {
+        for kind in ["teams", "keys", "budgets", "exceptions"] {
+            let name = match kind {
+                "teams" => "alder",
+                "keys" => "alder-key",
+                "budgets" => "alder-budget",
+                _ => "urgent_share_percent",
+            };
+            let path = spec
+                .path
+                .replace("{kind}", kind)
+                .replace("{team}", "alder")
+                .replace("{name}", name)
+                .replace("{id}", "0000000000000001");
+            let item = json!({ "item": { "team": "birch" }, "amount": 1, "id": "x" });
+            let bodies = [Value::Null, f.head("steal", item).await];
+            for body in bodies {
+                let (status, reply) = f.call(&birch, spec.method, &path, body).await;
+                tried += 1;
+                let text = reply.to_string();
+                // The asker's own words in an error are no data.
+                let shown = text.replace(&format!("{name} "), "");
+                let shown = match status {
+                    404 => shown.replace("alder", ""),
+                    _ => shown,
+                };
+                for secret in ["alder", "7777777", "sha256"] {
+                    assert!(
+                        !shown.contains(secret),
+                        "{} {path}: {status} {text}",
+                        spec.method
+                    );
+                }
+                if spec.access != Access::Team {
+                    assert_eq!(status, 403, "{} {path}: {text}", spec.method);
+                }
+            }
+        }
+    }
+    assert_eq!(tried, CALLS.len() * 8);
+    // An item of another team and one that doesn't exist get the same answer.
+    let other = f
+        .call(&birch, "GET", "/admin/v1/budgets/alder-budget", Value::Null)
+        .await;
+    let none = f
+        .call(&birch, "GET", "/admin/v1/budgets/cedar-budget", Value::Null)
+        .await;
+    assert_eq!(other.0, 404);
+    assert_eq!(
+        other.1.to_string().replace("alder", ""),
+        none.1.to_string().replace("cedar", "")
+    );
+    // The key does see its own team, and changed nothing.
+    let own = f
+        .call(&birch, "GET", "/admin/v1/budgets/birch-budget", Value::Null)
+        .await;
+    assert_eq!(own.1["budget"]["topped_up"], 5_555_555);
+    assert_eq!(f.ok("GET", "/admin/v1/config", Value::Null).await, before);
+}
+
+#[tokio::test]
+async fn roles_are_checked_on_every_call() {
+    let f = Fixture::new();
+    let key = json!({ "name": "viewer", "role": "read-only" });
+    let body = f.head("viewer", key).await;
+    let viewer = f.ok("POST", "/admin/v1/keys", body).await["secret"].clone();
+    f.team("alder", 10).await;
+    let key = json!({ "name": "caller", "team": "alder" });
+    let body = f.head("caller", key).await;
+    let caller = f.ok("POST", "/admin/v1/keys", body).await["secret"].clone();
+    for spec in CALLS {
+        let path = spec.path.replace(['{', '}'], "");
+        let body = Value::Null;
+        for unknown in ["", "wrong", "avl_00"] {
+            let (status, _) = f.call(unknown, spec.method, &path, body.clone()).await;
+            assert_eq!(status, 401, "{} {path}", spec.method);
+        }
+        // A key without a role is for callers of the routers only.
+        let (status, _) = f
+            .call(caller.as_str().unwrap(), spec.method, &path, body.clone())
+            .await;
+        assert_eq!(status, 403, "{} {path}", spec.method);
+        let (status, reply) = f
+            .call(viewer.as_str().unwrap(), spec.method, &path, body)
+            .await;
+        assert_eq!(
+            status == 403,
+            spec.access == Access::Operator,
+            "{} {path}",
+            spec.method
+        );
+        assert!(
+            !reply.to_string().contains("sha256"),
+            "{} {path}",
+            spec.method
+        );
+    }
+}
+
+#[tokio::test]
+async fn of_changes_with_one_base_revision_the_first_wins_and_resends_get_its_answer() {
+    let f = Fixture::new();
+    let change = |id: &str, weight: u32| {
+        json!({
+            "change_id": id, "base_revision": 0, "reason": "race", "item": { "weight": weight },
+        })
+    };
+    let path = "/admin/v1/teams/alder";
+    let first = f.call(ROOT, "PUT", path, change("a", 2)).await;
+    assert_eq!(first, (200, json!({ "revision": 1 })));
+    let (status, reply) = f.call(ROOT, "PUT", path, change("b", 3)).await;
+    assert_eq!((status, &reply["error"]["current"]), (409, &json!(1)));
+    let again = f.call(ROOT, "PUT", path, change("a", 2)).await;
+    assert_eq!(again, first);
+    let (status, reply) = f.call(ROOT, "PUT", path, change("a", 9)).await;
+    assert_eq!(
+        (status, &reply["error"]["code"]),
+        (422, &json!("change_id_reused"))
+    );
+    assert_eq!(f.ok("GET", path, Value::Null).await["team"]["weight"], 2);
+    let history = f.ok("GET", "/admin/v1/history", Value::Null).await;
+    assert_eq!(history["changes"].as_array().unwrap().len(), 1);
+    assert_eq!(history["changes"][0]["author"], "bootstrap");
+    assert_eq!(history["changes"][0]["reason"], "race");
+}
+
+#[tokio::test]
+async fn wrong_requests_are_refused_and_change_nothing() {
+    struct Case {
+        method: &'static str,
+        path: &'static str,
+        body: Value,
+        status: u16,
+        code: &'static str,
+    }
+    let f = Fixture::new();
+    f.team("alder", 10).await;
+    let base = f.revision().await;
+    let head = |extra: Value| {
+        let mut body = json!({ "change_id": "c", "base_revision": base, "reason": "r" });
+        for (field, value) in extra.as_object().unwrap() {
+            body[field] = value.clone();
+        }
+        body
+    };
+    let item = |item: Value| head(json!({ "item": item }));
+    let cases = [
+        Case {
+            method: "PUT",
+            path: "teams/x",
+            body: json!({ "item": {} }),
+            status: 400,
+            code: "bad_request",
+        },
+        Case {
+            method: "PUT",
+            path: "teams/x",
+            body: head(json!({ "item": {}, "wieght": 1 })),
+            status: 400,
+            code: "bad_request",
+        },
+        Case {
+            method: "PUT",
+            path: "teams/x",
+            body: item(json!({ "wieght": 1 })),
+            status: 400,
+            code: "bad_request",
+        },
+        Case {
+            method: "PUT",
+            path: "teams/x",
+            body: item(json!({ "name": "y" })),
+            status: 400,
+            code: "bad_request",
+        },
+        Case {
+            method: "PUT",
+            path: "teams/x",
+            body: head(json!({ "item": {}, "reason": " " })),
+            status: 400,
+            code: "bad_request",
+        },
+        Case {
+            method: "PUT",
+            path: "trams/x",
+            body: item(json!({})),
+            status: 404,
+            code: "not_found",
+        },
+        Case {
+            method: "PUT",
+            path: "teams/a%2Fb",
+            body: item(json!({})),
+            status: 404,
+            code: "not_found",
+        },
+        Case {
+            method: "PUT",
+            path: "budgets/b",
+            body: item(json!({ "team": "none" })),
+            status: 422,
+            code: "dangling_reference",
+        },
+        Case {
+            method: "PUT",
+            path: "exceptions/alder/keep_ms",
+            body: item(json!({ "value": 1, "reason": "r" })),
+            status: 422,
+            code: "out_of_range",
+        },
+        Case {
+            method: "PUT",
+            path: "exceptions/alder/urgent_share_percent",
+            body: item(json!({ "value": 50, "reason": "" })),
+            status: 422,
+            code: "empty_reason",
+        },
+        Case {
+            method: "DELETE",
+            path: "teams/alder",
+            body: head(json!({})),
+            status: 422,
+            code: "dangling_reference",
+        },
+        Case {
+            method: "POST",
+            path: "budgets/alder-budget/topups",
+            body: json!({ "id": "c", "amount": -11, "reason": "r" }),
+            status: 422,
+            code: "insufficient_unspent",
+        },
+        Case {
+            method: "POST",
+            path: "budgets/alder-budget/topups",
+            body: json!({ "id": "c", "amount": 1.5, "reason": "r" }),
+            status: 400,
+            code: "bad_request",
+        },
+        Case {
+            method: "POST",
+            path: "members",
+            body: json!({ "id": "1", "address": "127.0.0.1:1" }),
+            status: 400,
+            code: "bad_request",
+        },
+        Case {
+            method: "POST",
+            path: "apply",
+            body: head(json!({ "file": { "teems": [] } })),
+            status: 400,
+            code: "bad_request",
+        },
+    ];
+    for case in cases {
+        let path = format!("/admin/v1/{}", case.path);
+        let (status, reply) = f.call(ROOT, case.method, &path, case.body.clone()).await;
+        let shown = format!("{} {path} {}: {reply}", case.method, case.body);
+        assert_eq!(status, case.status, "{shown}");
+        assert_eq!(reply["error"]["code"], case.code, "{shown}");
+    }
+    assert_eq!(f.revision().await, base);
+    let budget = f
+        .ok("GET", "/admin/v1/budgets/alder-budget", Value::Null)
+        .await;
+    assert_eq!(budget["budget"]["unspent"], 10);
+}
+
+#[tokio::test]
+async fn a_dry_run_shows_the_diff_and_changes_nothing() {
+    let f = Fixture::new();
+    f.put("teams/alder", json!({ "weight": 1 })).await;
+    let mut body = f.head("dry", json!({ "item": { "weight": 4 } })).await;
+    body["dry_run"] = json!(true);
+    let reply = f.ok("PUT", "/admin/v1/teams/alder", body).await;
+    assert_eq!(reply["diff"][0]["op"], "change");
+    assert_eq!(reply["diff"][0]["before"]["weight"], 1);
+    assert_eq!(reply["diff"][0]["after"]["weight"], 4);
+    assert_eq!(
+        f.ok("GET", "/admin/v1/teams/alder", Value::Null).await["team"]["weight"],
+        1
+    );
+}
+
+#[tokio::test]
+async fn a_whole_file_is_applied_once_however_often_it_is_sent() {
+    let f = Fixture::new();
+    f.team("alder", 10).await;
+    let file = json!({
+        "teams": [{ "name": "alder", "weight": 3 }, { "name": "birch" }],
+        "budgets": [{ "name": "alder-budget", "team": "alder" }, { "name": "b2", "team": "birch" }],
+        "defaults": [{ "name": "keep_ms", "value": 12_000 }],
+    });
+    let send = |id: &str, file: &Value, prune: bool| {
+        json!({
+            "change_id": id, "reason": "file", "file": file, "prune": prune,
+        })
+    };
+    let first = f
+        .ok("POST", "/admin/v1/apply", send("f1", &file, false))
+        .await;
+    assert_eq!(first["operations"], 3);
+    let revision = f.revision().await;
+    for id in ["f1", "f2"] {
+        let again = f.ok("POST", "/admin/v1/apply", send(id, &file, true)).await;
+        assert_eq!(
+            again,
+            json!({ "revision": revision, "operations": 0, "diff": [] })
+        );
+    }
+    // What GET returns can be sent back, keys included.
+    let whole = f.ok("GET", "/admin/v1/config", Value::Null).await;
+    let again = f
+        .ok("POST", "/admin/v1/apply", send("f3", &whole, true))
+        .await;
+    assert_eq!(again["operations"], 0);
+    let smaller = json!({ "teams": [{ "name": "alder", "weight": 3 }], "budgets": [file["budgets"][0]], "defaults": [] });
+    let pruned = f
+        .ok("POST", "/admin/v1/apply", send("f4", &smaller, true))
+        .await;
+    assert_eq!(pruned["operations"], 3);
+    let config = f.ok("GET", "/admin/v1/config", Value::Null).await;
+    assert_eq!(config["teams"].as_array().unwrap().len(), 1);
+    assert_eq!(config["keys"].as_array().unwrap().len(), 1);
+}
+
+#[tokio::test]
+async fn a_secret_is_shown_once_and_ends_with_rotation_or_revocation() {
+    let f = Fixture::new();
+    let first = f.team("alder", 10).await;
+    let status = async |secret: &str| {
+        f.call(secret, "GET", "/admin/v1/status", Value::Null)
+            .await
+            .0
+    };
+    assert_eq!(status(&first).await, 200);
+    let config = f.ok("GET", "/admin/v1/config", Value::Null).await;
+    assert!(!config.to_string().contains(&first));
+    assert_eq!(
+        config["keys"][0]["sha256"],
+        hex::encode(hash_secret(&first))
+    );
+    let body = f.head("rotate", json!({})).await;
+    let rotated = f.ok("POST", "/admin/v1/keys/alder-key/rotate", body).await;
+    let second = rotated["secret"].as_str().unwrap();
+    assert_eq!((status(&first).await, status(second).await), (401, 200));
+    // The client may send a hash of its own, so a resend has the same content.
+    let own = json!({ "sha256": hex::encode(hash_secret("own")) });
+    let body = f.head("rotate-2", own).await;
+    let rotated = f
+        .ok("POST", "/admin/v1/keys/alder-key/rotate", body.clone())
+        .await;
+    assert!(rotated.get("secret").is_none());
+    assert_eq!(
+        f.ok("POST", "/admin/v1/keys/alder-key/rotate", body).await,
+        rotated
+    );
+    assert_eq!((status(second).await, status("own").await), (401, 200));
+    let body = f.head("revoke", json!({})).await;
+    f.ok("DELETE", "/admin/v1/keys/alder-key", body).await;
+    assert_eq!(status("own").await, 401);
+}
+
+#[tokio::test]
+async fn errors_of_the_group_say_whether_the_request_ran() {
+    let f = Fixture::new();
+    let errors = [
+        (
+            CallError::Unavailable("no majority".into()),
+            503,
+            "unavailable",
+        ),
+        (CallError::Unknown("lost".into()), 504, "unknown"),
+    ];
+    for (err, status, code) in errors {
+        *f.control.fail.lock().unwrap() = Some(err);
+        let (got, reply) = f.call(ROOT, "GET", "/admin/v1/config", Value::Null).await;
+        assert_eq!((got, &reply["error"]["code"]), (status, &json!(code)));
+    }
+}
+
+#[tokio::test]
+async fn status_names_what_is_wrong_first() {
+    let f = Fixture::new();
+    f.team("alder", 10).await;
+    let status = f.ok("GET", "/admin/v1/status", Value::Null).await;
+    assert_eq!(status["ok"], false);
+    let problems = status["problems"].as_array().unwrap();
+    assert_eq!(problems[0]["severity"], "error", "{status}");
+    assert!(problems[0]["what"].as_str().unwrap().contains("no router"));
+    assert!(status["problems"].to_string().contains("alder-budget"));
+}
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,53 @@
+//! A control group of one ledger without consensus, for tests of the API alone.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use anvilloft_ledger::Ledger;
+use anvilloft_types::BoxFuture;
+use anvilloft_wire::CallError;
+use anvilloft_wire::Control;
+use anvilloft_wire::ControlReply;
+use anvilloft_wire::ControlRequest;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::Request;
+
+pub(crate) const GROUP: &str = r#"{"leader":"0000000000000001","members":[{"id":"0000000000000001","address":"127.0.0.1:1","voter":true}]}"#;
+
+/// Applies commands at once.
+#[derive(Default)]
+pub(crate) struct OneLedger {
+    pub(crate) ledger: Mutex<Ledger>,
+    /// Error to return instead.
+    pub(crate) fail: Mutex<Option<CallError>>,
+}
+
+impl Control for OneLedger {
+    fn call(
+        &self,
+        req: ControlRequest,
+        _timeout: Duration,
+    ) -> BoxFuture<'_, Result<ControlReply, CallError>> {
+        let answer = || {
+            if let Some(err) = self.fail.lock().unwrap().clone() {
+                return Err(err);
+            }
+            let mut ledger = self.ledger.lock().unwrap();
+            Ok(match req.request {
+                Some(Request::Propose(cmd)) => {
+                    let reply = ledger.apply(&cmd);
+                    ledger.check();
+                    Answer::Applied(reply)
+                }
+                Some(Request::Query(q)) => match ledger.query(&q) {
+                    Ok(json) => Answer::QueryResult(json),
+                    Err(err) => Answer::Unavailable(err.to_string()),
+                },
+                Some(Request::Group(_)) => Answer::QueryResult(GROUP.to_owned()),
+                Some(Request::Renew(_)) | None => Answer::Unavailable("not here".to_owned()),
+            })
+        };
+        let result = answer().map(ControlReply::from);
+        Box::pin(async move { result })
+    }
+}
--- a/crates/ledger/src/query.rs
+++ b/crates/ledger/src/query.rs
@@ -32,6 +32,7 @@
             "budgets" => self.query_budgets(q, limit),
             "config" => self.query_config(q),
             "history" => self.query_history(q, limit),
+            "key" => self.query_key(q),
             "routers" => self.query_routers(q),
             "orders" => self.query_orders(q, limit),
             "status" => self.query_status(q),
@@ -71,6 +72,7 @@
                 "team": k.team,
                 "budget": k.budget,
                 "role": k.role,
+                "sha256": hex(&k.hash),
             })).collect::<Value>(),
             "budgets": cfg.budgets().filter(|b| sees(q, &b.team)).map(|b| json!({
                 "name": b.name,
@@ -108,6 +110,15 @@
         })
     }
 
+    // An unknown key is `null`, not an error: the asker refuses its bearer.
+    fn query_key(&self, q: &Query) -> Value {
+        let key = unhex(&q.name).and_then(|hash| self.config.key_by_hash(&hash));
+        key.map_or(
+            Value::Null,
+            |k| json!({ "name": k.name, "team": k.team, "role": k.role }),
+        )
+    }
+
     // Newest first. Changes may concern several teams, so a team sees only its
     // own top-ups.
     fn query_history(&self, q: &Query, limit: usize) -> Value {
@@ -248,6 +259,21 @@
     q.team.is_empty() || q.team == team
 }
 
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Option<[u8; 32]> {
+    let mut hash = [0; 32];
+    if text.len() != 64 || !text.is_ascii() {
+        return None;
+    }
+    for (i, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(text.get(2 * i..2 * i + 2)?, 16).ok()?;
+    }
+    Some(hash)
+}
+
 fn budget_row(name: &str, team: &str, a: &Amounts) -> Value {
     json!({
         "name": name,
