Serve membership requests from the control thread

Cause: the administration API changes members through the control trait. Change: the driver answers Group requests once the change is committed; reads and membership are files of their own. The lease test waits for the new leader before it ends the partition, because the old one may be elected again. Conclusion: the trait is served whole.

--- a/crates/consensus/src/change.rs
+++ b/crates/consensus/src/change.rs
@@ -56,6 +56,14 @@
         self.progress_of(id).map(|p| p.heard)
     }
 
+    /// Returns the last entry that this leader knows to be synced on a member.
+    pub fn synced_on(&self, id: MemberId) -> LogIndex {
+        if id == self.cfg.id {
+            return self.synced;
+        }
+        self.progress_of(id).map_or(0, |p| p.matched)
+    }
+
     /// Returns whether the membership in force is not committed yet.
     pub fn is_changing(&self) -> bool {
         self.log.membership_index() > self.commit
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -2,16 +2,19 @@
 //!
 //! [`Driver::start`] opens the member's disk and runs everything on one thread
 //! with a current-thread runtime. [`Handle`] reaches it from any other thread:
-//! it implements [`Control`], takes consensus messages of other members, and
-//! changes the membership. `core` is the loop, `clocks` the time limits of
-//! router incarnations, `recalls` the grants that wait for returns.
+//! it implements [`Control`](anvilloft_wire::Control) and takes consensus
+//! messages of other members. `core` is the loop, `reads` the leases and
+//! queries, `group` the membership, `clocks` the time limits of router
+//! incarnations, `recalls` the grants that wait for returns.
 //!
 //! All input that waits when a sync ends goes into the next one, so a sync
 //! serves many commands.
 
 mod clocks;
 mod core;
+mod group;
 mod handle;
+mod reads;
 mod recalls;
 mod status;
 
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -11,7 +11,6 @@
 use anvilloft_consensus::Effects;
 use anvilloft_consensus::Entry;
 use anvilloft_consensus::EntryKind;
-use anvilloft_consensus::MemberChange;
 use anvilloft_consensus::Message;
 use anvilloft_consensus::Node;
 use anvilloft_consensus::ProposeError;
@@ -21,7 +20,9 @@
 use anvilloft_storage::Store;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::Command;
+use anvilloft_wire::CommandReply;
 use anvilloft_wire::ControlReply;
+use anvilloft_wire::command;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Expire;
 use anvilloft_wire::command::Grant;
@@ -29,9 +30,6 @@
 use anvilloft_wire::command::Reply;
 use anvilloft_wire::command::RouterState;
 use anvilloft_wire::control::Answer;
-use anvilloft_wire::control::LeaseGrant;
-use anvilloft_wire::control::Query;
-use anvilloft_wire::control::RenewLease;
 use anvilloft_wire::control::Request;
 use anvilloft_wire::frame::ConsensusFrame;
 use prost::Message as _;
@@ -45,6 +43,7 @@
 use super::Transport;
 use super::clocks::Clocks;
 use super::handle::Call;
+use super::reads::Read;
 use super::recalls::Recalls;
 use super::status::DriverStats;
 use super::status::Status;
@@ -58,11 +57,7 @@
 const CHECK_EVERY: Duration = Duration::from_millis(200);
 /// Interval between `Expire` commands.
 const EXPIRE_EVERY: Duration = Duration::from_secs(10);
-/// Silence after which a member whose address was taken over by a new identity
-/// is removed.
-const REPLACED_SILENCE: Duration = Duration::from_secs(3);
-
-type ReplyTo = oneshot::Sender<ControlReply>;
+pub(super) type ReplyTo = oneshot::Sender<ControlReply>;
 
 /// A command that waits to be committed.
 struct Waiter {
@@ -73,20 +68,14 @@
     reply: Option<ReplyTo>,
 }
 
-/// A read that waits for its confirmation.
-enum Read {
-    Renew(RenewLease),
-    Query(Query),
-}
-
 /// The state of the control thread.
 pub(super) struct Core {
     start: Instant,
-    node: Node,
+    pub(super) node: Node,
     store: Store,
-    ledger: Ledger,
+    pub(super) ledger: Ledger,
     transport: Arc<dyn Transport>,
-    log: Logger,
+    pub(super) log: Logger,
     pub(super) stats: Arc<DriverStats>,
     pub(super) status: watch::Sender<Status>,
     pub(super) config: watch::Sender<Arc<Config>>,
@@ -96,16 +85,16 @@
     led_term: u64,
     waiters: BTreeMap<u64, Waiter>,
     waiting_bytes: usize,
-    reads: HashMap<u64, (Read, ReplyTo)>,
-    next_read: u64,
-    clocks: Clocks,
-    recalls: Recalls<ReplyTo>,
+    pub(super) reads: HashMap<u64, (Read, ReplyTo)>,
+    pub(super) next_read: u64,
+    pub(super) clocks: Clocks,
+    pub(super) recalls: Recalls<ReplyTo>,
     next_check: Duration,
     next_expire: Duration,
     last_ms: u64,
 }
 
-fn answer(reply: ReplyTo, answer: Answer) {
+pub(super) fn answer(reply: ReplyTo, answer: Answer) {
     // The asker may have stopped waiting.
     let _ = reply.send(answer.into());
 }
@@ -145,7 +134,7 @@
         }
     }
 
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.start.elapsed()
     }
 
@@ -216,29 +205,21 @@
     fn on_call(&mut self, call: Call) {
         let now = self.now();
         self.note_leadership(now);
-        match call {
-            Call::Control(req, reply) => {
-                // Nothing was done yet, so a caller that left loses nothing.
-                if reply.is_closed() {
-                    return;
-                }
-                if self.node.role() != Role::Leader {
-                    answer(reply, Answer::NotLeader(self.leader_address()));
-                    return;
-                }
-                match req.request {
-                    Some(Request::Propose(cmd)) => self.on_command(now, cmd, reply),
-                    Some(Request::Renew(req)) => self.read(now, Read::Renew(req), reply),
-                    Some(Request::Query(q)) => self.read(now, Read::Query(q), reply),
-                    None => answer(reply, Answer::Unavailable("empty request".into())),
-                }
-            }
-            Call::Change(change, reply) => {
-                let result = self.node.propose_change(now, change.clone());
-                slog::info!(self.log, "membership change";
-                    "change" => ?change, "result" => ?result);
-                let _ = reply.send(result.map(|_| ()));
-            }
+        let Call { req, reply } = call;
+        // Nothing was done yet, so a caller that left loses nothing.
+        if reply.is_closed() {
+            return;
+        }
+        if self.node.role() != Role::Leader {
+            answer(reply, Answer::NotLeader(self.leader_address()));
+            return;
+        }
+        match req.request {
+            Some(Request::Propose(cmd)) => self.on_command(now, cmd, reply),
+            Some(Request::Renew(req)) => self.read(now, Read::Renew(req), reply),
+            Some(Request::Query(q)) => self.read(now, Read::Query(q), reply),
+            Some(Request::Group(req)) => self.on_group(now, req, reply),
+            None => answer(reply, Answer::Unavailable("empty request".into())),
         }
     }
 
@@ -250,11 +231,8 @@
         match body {
             Body::OpenIncarnation(o) if o.state == i32::from(RouterState::Lost) => {
                 // Only the leader's clocks tell that a router is lost.
-                let refused = Reply::Refused(Refused {
-                    code: "malformed".into(),
-                    message: "a router can't be reported as lost".into(),
-                });
-                answer(reply, Answer::Applied(refused_reply(refused)));
+                let message = "a router can't be reported as lost".to_owned();
+                answer(reply, refused("malformed", message));
             }
             Body::Grant(grant) if self.node.is_settled() => {
                 let ready = self.recalls.offer(now, &self.ledger, grant, reply);
@@ -292,15 +270,7 @@
         };
         match result {
             Ok(index) => {
-                self.waiting_bytes += bytes;
-                let term = self.node.term();
-                let waiter = Waiter {
-                    term,
-                    bytes,
-                    grant,
-                    reply,
-                };
-                self.waiters.insert(index, waiter);
+                self.await_commit(index, bytes, grant, reply);
             }
             Err(e) => {
                 if let Some((budget, most)) = grant {
@@ -314,15 +284,22 @@
         }
     }
 
-    fn read(&mut self, now: Duration, read: Read, reply: ReplyTo) {
-        let ctx = self.next_read;
-        self.next_read += 1;
-        match self.node.read(now, ctx) {
-            Ok(()) => {
-                self.reads.insert(ctx, (read, reply));
-            }
-            Err(e) => answer(reply, Answer::Unavailable(e.to_string())),
-        }
+    /// Keeps what is to happen once an entry of this term is committed.
+    pub(super) fn await_commit(
+        &mut self,
+        index: u64,
+        bytes: usize,
+        grant: Option<(BudgetId, Tokens)>,
+        reply: Option<ReplyTo>,
+    ) {
+        self.waiting_bytes += bytes;
+        let waiter = Waiter {
+            term: self.node.term(),
+            bytes,
+            grant,
+            reply,
+        };
+        self.waiters.insert(index, waiter);
     }
 
     /// Returns the wall clock in milliseconds since the Unix epoch. It never
@@ -394,37 +371,6 @@
         }
     }
 
-    /// Removes a silent member whose address a new identity took over, and
-    /// promotes a learner that has caught up.
-    fn tend_membership(&mut self, now: Duration) {
-        let members = self.node.membership().members.clone();
-        let ready = members
-            .iter()
-            .filter(|m| m.voter || self.node.is_caught_up(now, m.id));
-        for m in ready {
-            let old = members
-                .iter()
-                .find(|o| o.id != m.id && o.address == m.address && !m.address.is_empty());
-            let silent = |id| {
-                self.node
-                    .last_heard(id)
-                    .is_some_and(|at| now >= at + REPLACED_SILENCE)
-            };
-            let change = match old {
-                // Removed before the promotion: while the dead member counts,
-                // a further voter would raise the majority.
-                Some(old) if silent(old.id) => MemberChange::Remove(old.id),
-                Some(_) => continue,
-                None if m.voter => continue,
-                None => MemberChange::Promote(m.id),
-            };
-            let result = self.node.propose_change(now, change.clone());
-            slog::info!(self.log, "membership change";
-                "change" => ?change, "result" => ?result);
-            return;
-        }
-    }
-
     /// Carries out effects until there are none.
     fn flush(&mut self) -> Result<(), DriverError> {
         loop {
@@ -490,10 +436,7 @@
         }
         for ctx in fx.reads {
             if let Some((read, reply)) = self.reads.remove(&ctx) {
-                let result = match read {
-                    Read::Renew(req) => Answer::Lease(self.grant_lease(&req)),
-                    Read::Query(q) => Answer::QueryResult(self.query(&q)),
-                };
+                let result = self.finish_read(&read);
                 answer(reply, result);
             }
         }
@@ -519,7 +462,8 @@
                     None
                 }
             },
-            EntryKind::Noop | EntryKind::Members => None,
+            EntryKind::Members => Some(done()),
+            EntryKind::Noop => None,
         };
         let Some(waiter) = waiter else {
             return;
@@ -538,39 +482,7 @@
         }
     }
 
-    fn grant_lease(&mut self, req: &RenewLease) -> LeaseGrant {
-        let now = self.now();
-        let ledger = &self.ledger;
-        let directory_version = ledger.directory_version();
-        if !ledger.incarnation_open(&req.router, req.incarnation) {
-            return LeaseGrant {
-                directory_version,
-                ..LeaseGrant::default()
-            };
-        }
-        self.clocks.heard(now, &req.router, req.incarnation);
-        let routers = if req.directory_version == directory_version {
-            Vec::new()
-        } else {
-            ledger.routers()
-        };
-        LeaseGrant {
-            valid_ms: ledger.config().value("config_lease_ms", ""),
-            config: ledger.config_since(req.revision),
-            directory_version,
-            routers,
-            suspects: ledger.suspects().iter().map(|f| f.to_vec()).collect(),
-            recalls: self.recalls.of_router(now, &req.router, req.incarnation),
-        }
-    }
-
-    fn query(&self, q: &Query) -> String {
-        self.ledger
-            .query(q)
-            .unwrap_or_else(|e| serde_json::json!({ "error": e.to_string() }).to_string())
-    }
-
-    fn leader_address(&self) -> String {
+    pub(super) fn leader_address(&self) -> String {
         self.node
             .leader()
             .and_then(|id| self.node.membership().get(id))
@@ -603,6 +515,19 @@
     }
 }
 
-fn refused_reply(reply: Reply) -> anvilloft_wire::CommandReply {
-    anvilloft_wire::CommandReply { reply: Some(reply) }
+/// Returns the reply of a command or change that needs no other.
+pub(super) fn done() -> CommandReply {
+    CommandReply {
+        reply: Some(Reply::Ok(command::Ok {})),
+    }
+}
+
+/// Returns the answer to a command or change that breaks a rule.
+pub(super) fn refused(code: &str, message: String) -> Answer {
+    Answer::Applied(CommandReply {
+        reply: Some(Reply::Refused(Refused {
+            code: code.to_owned(),
+            message,
+        })),
+    })
 }
--- /dev/null
+++ b/crates/control/src/driver/group.rs
@@ -0,0 +1,119 @@
+//! The membership of the control group, on its leader.
+
+use anvilloft_consensus::MemberChange;
+use anvilloft_consensus::ProposeError;
+use anvilloft_types::prelude::*;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::GroupAction;
+use anvilloft_wire::control::GroupRequest;
+use serde_json::Value;
+use serde_json::json;
+
+use super::core::Core;
+use super::core::ReplyTo;
+use super::core::answer;
+use super::core::done;
+use super::core::refused;
+use super::reads::Read;
+
+/// Time without a sign of life after which a member counts as silent. A silent
+/// member whose address a new identity has taken over is removed.
+const SILENCE: Duration = Duration::from_secs(3);
+
+impl Core {
+    /// Takes a request about the membership. A change is answered once it is
+    /// committed; one that is in force already is answered at once.
+    pub(super) fn on_group(&mut self, now: Duration, req: GroupRequest, reply: ReplyTo) {
+        let id = req.member;
+        let known = self.node.membership().get(id).cloned();
+        let (change, in_force) = match req.action() {
+            GroupAction::Status => return self.read(now, Read::Group, reply),
+            GroupAction::AddLearner => {
+                let in_force = known.is_some_and(|m| m.address == req.address);
+                let address = req.address;
+                (MemberChange::AddLearner { id, address }, in_force)
+            }
+            GroupAction::Promote => (MemberChange::Promote(id), known.is_some_and(|m| m.voter)),
+            GroupAction::Remove => (MemberChange::Remove(id), known.is_none()),
+        };
+        if in_force && !self.node.is_changing() {
+            answer(reply, Answer::Applied(done()));
+            return;
+        }
+        match self.change(now, change) {
+            Ok(index) => self.await_commit(index, 0, None, Some(reply)),
+            Err(e @ ProposeError::InvalidChange(_)) => {
+                answer(reply, refused("invalid_change", e.to_string()));
+            }
+            Err(e @ ProposeError::NotCaughtUp) => {
+                answer(reply, refused("not_caught_up", e.to_string()));
+            }
+            Err(e) => answer(reply, Answer::Unavailable(e.to_string())),
+        }
+    }
+
+    fn change(&mut self, now: Duration, change: MemberChange) -> Result<u64, ProposeError> {
+        let result = self.node.propose_change(now, change.clone());
+        slog::info!(self.log, "membership change"; "change" => ?change, "result" => ?result);
+        result
+    }
+
+    fn is_silent(&self, now: Duration, id: MemberId) -> bool {
+        self.node
+            .last_heard(id)
+            .is_some_and(|at| now >= at + SILENCE)
+    }
+
+    /// Removes a silent member whose address a new identity took over, and
+    /// promotes a learner that has caught up.
+    pub(super) fn tend_membership(&mut self, now: Duration) {
+        let members = self.node.membership().members.clone();
+        let ready = members
+            .iter()
+            .filter(|m| m.voter || self.node.is_caught_up(now, m.id));
+        for m in ready {
+            let old = members
+                .iter()
+                .find(|o| o.id != m.id && o.address == m.address && !m.address.is_empty());
+            let change = match old {
+                // Removed before the promotion: while the dead member counts,
+                // a further voter would raise the majority.
+                Some(old) if self.is_silent(now, old.id) => MemberChange::Remove(old.id),
+                Some(_) => continue,
+                None if m.voter => continue,
+                None => MemberChange::Promote(m.id),
+            };
+            // A refusal is tried again at the next check.
+            let _ = self.change(now, change);
+            return;
+        }
+    }
+
+    /// Returns members, leader and progress.
+    pub(super) fn group_status(&self) -> Value {
+        let now = self.now();
+        let hex = |id: MemberId| format!("{id:016x}");
+        let members: Value = self
+            .node
+            .membership()
+            .members
+            .iter()
+            .map(|m| {
+                json!({
+                    "id": hex(m.id),
+                    "address": m.address,
+                    "voter": m.voter,
+                    "silent": self.is_silent(now, m.id),
+                    "synced": self.node.synced_on(m.id),
+                })
+            })
+            .collect();
+        json!({
+            "leader": self.node.leader().map(hex),
+            "term": self.node.term(),
+            "commit": self.node.commit_index(),
+            "changing": self.node.is_changing(),
+            "members": members,
+        })
+    }
+}
--- a/crates/control/src/driver/handle.rs
+++ b/crates/control/src/driver/handle.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use anvilloft_consensus::MemberChange;
-use anvilloft_consensus::ProposeError;
 use anvilloft_ledger::Config;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CallError;
@@ -21,12 +19,10 @@
 use super::status::DriverStats;
 use super::status::Status;
 
-/// Input of the control thread.
-pub(crate) enum Call {
-    /// A request and where its reply goes.
-    Control(ControlRequest, oneshot::Sender<ControlReply>),
-    /// A membership change.
-    Change(MemberChange, oneshot::Sender<Result<(), ProposeError>>),
+/// A request, and where its reply goes.
+pub(crate) struct Call {
+    pub(crate) req: ControlRequest,
+    pub(crate) reply: oneshot::Sender<ControlReply>,
 }
 
 /// Access to the control thread. Clones reach the same thread.
@@ -48,21 +44,6 @@
         }
     }
 
-    /// Starts a change of one member. It is in force once
-    /// [`Status::changing`] is false again with the change in the membership.
-    /// A learner that has caught up is promoted by the leader itself; a member
-    /// that is silent and has the address of a caught-up learner is removed.
-    ///
-    /// # Errors
-    ///
-    /// Fails on a member that doesn't lead, and when the change is refused.
-    pub async fn change(&self, change: MemberChange) -> Result<(), ProposeError> {
-        let (tx, rx) = oneshot::channel();
-        let call = Call::Change(change, tx);
-        self.calls.try_send(call).map_err(|_| ProposeError::Busy)?;
-        rx.await.unwrap_or(Err(ProposeError::NotLeader))
-    }
-
     /// Returns a view of the member's state that follows it.
     pub fn status(&self) -> watch::Receiver<Status> {
         self.status.clone()
@@ -92,8 +73,8 @@
     ) -> BoxFuture<'_, Result<ControlReply, CallError>> {
         Box::pin(async move {
             let changes_state = matches!(req.request, Some(Request::Propose(_)));
-            let (tx, rx) = oneshot::channel();
-            if self.calls.try_send(Call::Control(req, tx)).is_err() {
+            let (reply, rx) = oneshot::channel();
+            if self.calls.try_send(Call { req, reply }).is_err() {
                 self.stats.calls_refused.fetch_add(1, Ordering::Relaxed);
                 return Err(CallError::Unavailable("the control thread is busy".into()));
             }
--- /dev/null
+++ b/crates/control/src/driver/reads.rs
@@ -0,0 +1,74 @@
+//! Leases and queries, answered after the leader is confirmed.
+
+use std::sync::atomic::Ordering;
+
+use anvilloft_types::prelude::*;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::LeaseGrant;
+use anvilloft_wire::control::Query;
+use anvilloft_wire::control::RenewLease;
+
+use super::core::Core;
+use super::core::ReplyTo;
+use super::core::answer;
+
+/// A read that waits for its confirmation.
+pub(super) enum Read {
+    Renew(RenewLease),
+    Query(Query),
+    Group,
+}
+
+impl Core {
+    pub(super) fn read(&mut self, now: Duration, read: Read, reply: ReplyTo) {
+        let ctx = self.next_read;
+        self.next_read += 1;
+        match self.node.read(now, ctx) {
+            Ok(()) => {
+                self.reads.insert(ctx, (read, reply));
+            }
+            Err(e) => {
+                self.stats.calls_refused.fetch_add(1, Ordering::Relaxed);
+                answer(reply, Answer::Unavailable(e.to_string()));
+            }
+        }
+    }
+
+    /// Returns the answer to a confirmed read.
+    pub(super) fn finish_read(&mut self, read: &Read) -> Answer {
+        match read {
+            Read::Renew(req) => Answer::Lease(self.grant_lease(req)),
+            Read::Query(q) => match self.ledger.query(q) {
+                Ok(json) => Answer::QueryResult(json),
+                Err(e) => Answer::Unavailable(e.to_string()),
+            },
+            Read::Group => Answer::QueryResult(self.group_status().to_string()),
+        }
+    }
+
+    fn grant_lease(&mut self, req: &RenewLease) -> LeaseGrant {
+        let now = self.now();
+        let ledger = &self.ledger;
+        let directory_version = ledger.directory_version();
+        if !ledger.incarnation_open(&req.router, req.incarnation) {
+            return LeaseGrant {
+                directory_version,
+                ..LeaseGrant::default()
+            };
+        }
+        self.clocks.heard(now, &req.router, req.incarnation);
+        let routers = if req.directory_version == directory_version {
+            Vec::new()
+        } else {
+            ledger.routers()
+        };
+        LeaseGrant {
+            valid_ms: ledger.config().value("config_lease_ms", ""),
+            config: ledger.config_since(req.revision),
+            directory_version,
+            routers,
+            suspects: ledger.suspects().iter().map(|f| f.to_vec()).collect(),
+            recalls: self.recalls.of_router(now, &req.router, req.incarnation),
+        }
+    }
+}
--- a/crates/control/tests/driver/fleet.rs
+++ b/crates/control/tests/driver/fleet.rs
@@ -6,7 +6,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use anvilloft_consensus::MemberChange;
 use anvilloft_control::driver::Driver;
 use anvilloft_control::driver::DriverConfig;
 use anvilloft_control::driver::Handle;
@@ -28,6 +27,8 @@
 use anvilloft_wire::config::Op;
 use anvilloft_wire::config::Team;
 use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::GroupAction;
+use anvilloft_wire::control::GroupRequest;
 use anvilloft_wire::control::LeaseGrant;
 use anvilloft_wire::control::RenewLease;
 use anvilloft_wire::frame::ConsensusFrame;
@@ -118,13 +119,7 @@
         }
         fleet.leader().await;
         for id in 2..=size {
-            let add = MemberChange::AddLearner {
-                id,
-                address: format!("address-{id}"),
-            };
-            while fleet.handle(1).change(add.clone()).await.is_err() {
-                tokio::time::sleep(ms(10)).await;
-            }
+            fleet.add_learner(id, &format!("address-{id}")).await;
         }
         fleet
             .wait(|s| s.membership.voters().count() as u64 == size && !s.changing)
@@ -227,6 +222,27 @@
         panic!("{body:?} was not applied");
     }
 
+    /// Adds a member, again until the change is committed.
+    pub(crate) async fn add_learner(&self, id: u64, address: &str) {
+        let req = GroupRequest {
+            action: GroupAction::AddLearner.into(),
+            member: id,
+            address: address.into(),
+        };
+        for _ in 0..500 {
+            let handle = self.handle(self.leader().await);
+            let call = handle.call(req.clone().into(), ms(2_000)).await;
+            if let Ok(reply) = call
+                && let Some(Answer::Applied(reply)) = reply.answer
+            {
+                assert_eq!(Reply::from(reply.reply.unwrap()), Reply::Ok);
+                return;
+            }
+            tokio::time::sleep(ms(10)).await;
+        }
+        panic!("member {id} was not added");
+    }
+
     /// Asks one member for a lease.
     pub(crate) async fn lease(&self, id: u64, renew: &RenewLease) -> Option<LeaseGrant> {
         let call = self.handle(id).call(renew.clone().into(), ms(2_000)).await;
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -7,7 +7,6 @@
 
 use std::time::Duration;
 
-use anvilloft_consensus::MemberChange;
 use anvilloft_storage::MemDisk;
 use anvilloft_storage::RealDisk;
 use anvilloft_wire::CallError;
@@ -101,8 +100,9 @@
     fleet.cut(old, true);
     // Asked at once, when it still thinks that it leads.
     assert_eq!(fleet.lease(old, &renew).await, None);
-    fleet.cut(old, false);
     let leader = fleet.leader().await;
+    fleet.cut(old, false);
+    fleet.wait(|s| s.leader == Some(leader)).await;
     assert!(fleet.lease(leader, &renew).await.is_some());
     let follower = if leader == 1 { 2 } else { 1 };
     let call = fleet.handle(follower).call(renew.into(), LIMIT).await;
@@ -119,11 +119,7 @@
     let lost = leader % 3 + 1;
     fleet.kill(lost);
     fleet.launch(4, Box::new(MemDisk::new()), false);
-    let add = MemberChange::AddLearner {
-        id: 4,
-        address: format!("address-{lost}"),
-    };
-    fleet.handle(leader).change(add).await.unwrap();
+    fleet.add_learner(4, &format!("address-{lost}")).await;
     fleet
         .wait(|s| {
             let m = &s.membership;
