--- a/crates/ledger/src/routers.rs
+++ b/crates/ledger/src/routers.rs
@@ -253,13 +253,20 @@
 
     fn set_state(&mut self, c: &OpenIncarnation, state: RouterState) -> Reply {
         let now_ms = self.now_ms;
+        let replaced = self
+            .routers
+            .by_name
+            .get(c.router.as_str())
+            .is_some_and(|known| known.keys().next_back() > Some(&c.incarnation));
         let Some(inc) = self.routers.get_mut(&c.router, c.incarnation) else {
             return refused(code::UNKNOWN_INCARNATION, "the incarnation is unknown");
         };
         if inc.phase == Phase::Closed {
             return refused(code::INCARNATION_CLOSED, "the incarnation is closed");
         }
-        if inc.superseded {
+        if replaced {
+            // A replacement on another host may have opened while this one was
+            // lost; two processes must not both count as the router.
             return match state {
                 RouterState::Lost => Reply::Ok(OkReply {}),
                 _ => refused(code::INCARNATION_LOST, "a newer incarnation was opened"),
--- /dev/null
+++ b/crates/ledger/tests/config.rs
@@ -0,0 +1,290 @@
+//! Configuration changes: what is refused, that a change applies as a whole
+//! and once, and that revisions only rise.
+
+#![expect(clippy::expect_used, reason = "a failed expectation fails the test")]
+
+mod support;
+
+use anvilloft_ledger::Config;
+use anvilloft_ledger::ConfigError;
+use anvilloft_ledger::DEFAULTS;
+use anvilloft_ledger::Ledger;
+use anvilloft_ledger::code;
+use anvilloft_ledger::delete_op;
+use anvilloft_ledger::set_op;
+use anvilloft_wire::command::Accepted;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Conflict;
+use anvilloft_wire::command::Expire;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::config::ConfigOp;
+use anvilloft_wire::config::ConfigUpdate;
+use anvilloft_wire::config::Item;
+use anvilloft_wire::config::Kind;
+use anvilloft_wire::config::Model;
+use anvilloft_wire::config::Rank;
+use support::*;
+
+fn accepted(revision: u64) -> Reply {
+    Reply::Accepted(Accepted { revision })
+}
+
+/// Guards against a change that breaks a reference or a rule, and against the
+/// part of a refused change that comes before the broken rule.
+#[test]
+fn a_change_that_breaks_a_rule_is_refused_as_a_whole() {
+    struct Case {
+        code: &'static str,
+        ops: Vec<ConfigOp>,
+    }
+    let rank = |name: &str, floor_percent| {
+        set_op(Item::Rank(Rank {
+            name: name.into(),
+            floor_percent,
+            ..Rank::default()
+        }))
+    };
+    let case = |code, ops| Case { code, ops };
+    let cases = [
+        case(code::DANGLING_REFERENCE, vec![budget("b", "nobody")]),
+        case(
+            code::DANGLING_REFERENCE,
+            vec![key("k2", "tikvica", "nothing", 2)],
+        ),
+        case(
+            code::DANGLING_REFERENCE,
+            vec![team("rival"), key("k2", "rival", "main", 2)],
+        ),
+        case(
+            code::DANGLING_REFERENCE,
+            vec![exception("nobody", "urgent_share_percent", 60, "r")],
+        ),
+        case(
+            code::DANGLING_REFERENCE,
+            vec![delete_op(Kind::Team, "tikvica")],
+        ),
+        case(code::UNKNOWN_ITEM, vec![delete_op(Kind::Model, "none")]),
+        case(code::UNKNOWN_DEFAULT, vec![default("no_such_ms", 1)]),
+        case(code::OUT_OF_RANGE, vec![default("config_lease_ms", 60_000)]),
+        case(code::OUT_OF_RANGE, vec![delete_op(Kind::Rank, "normal")]),
+        case(
+            code::EMPTY_REASON,
+            vec![exception("tikvica", "urgent_share_percent", 60, " ")],
+        ),
+        case(
+            code::NO_EXCEPTION,
+            vec![exception("tikvica", "config_lease_ms", 1_000, "r")],
+        ),
+        case(
+            code::DUPLICATE_KEY_HASH,
+            vec![key("k2", "tikvica", "main", 1)],
+        ),
+        case(
+            code::BUDGET_IN_USE,
+            vec![
+                delete_op(Kind::Key, "k1"),
+                delete_op(Kind::Budget, "main"),
+                delete_op(Kind::Team, "tikvica"),
+            ],
+        ),
+        case(
+            code::BUDGET_MOVED,
+            vec![team("rival"), budget("main", "rival")],
+        ),
+        case(code::FLOORS_EXCEEDED, vec![rank("a", 60), rank("b", 30)]),
+        case(code::BAD_NAME, vec![team("a/b")]),
+        case(code::MALFORMED, vec![ConfigOp::default()]),
+    ];
+    for (n, case) in cases.into_iter().enumerate() {
+        let mut ledger = ledger();
+        let setup = change("k1", 1, vec![key("k1", "tikvica", "main", 1)]);
+        assert_eq!(apply(&mut ledger, setup), accepted(2));
+        let before = ledger.config().clone();
+        let mut ops = vec![team("first")];
+        ops.extend(case.ops);
+        let reply = apply(&mut ledger, change("c", 2, ops));
+        assert_eq!(code_of(&reply), case.code, "case {n}: {reply:?}");
+        assert!(*ledger.config() == before, "case {n} left a part behind");
+    }
+}
+
+/// Guards against a lost update: of two changes made against one revision the
+/// second must not overwrite the first.
+#[test]
+fn of_changes_to_one_revision_the_first_wins() {
+    let mut ledger = ledger();
+    assert_eq!(
+        apply(&mut ledger, change("a", 1, vec![team("a")])),
+        accepted(2)
+    );
+    let reply = apply(&mut ledger, change("b", 1, vec![team("b")]));
+    assert_eq!(reply, Reply::Conflict(Conflict { current: 2 }));
+    assert!(ledger.config().team("b").is_none());
+}
+
+/// Guards against a resent change that is applied again or gets another
+/// answer, and against a second operator's change that is taken for a resend.
+#[test]
+fn a_resent_change_gets_the_first_answer() {
+    let mut ledger = ledger();
+    let first = change("a", 1, vec![team("a")]);
+    assert_eq!(apply(&mut ledger, first.clone()), accepted(2));
+    apply(
+        &mut ledger,
+        change("b", 2, vec![delete_op(Kind::Team, "a")]),
+    );
+    assert_eq!(apply(&mut ledger, first.clone()), accepted(2));
+    assert_eq!(ledger.config().revision(), 3);
+    assert!(ledger.config().team("a").is_none(), "the change ran again");
+
+    let other = apply(&mut ledger, change("a", 3, vec![team("other")]));
+    assert_eq!(code_of(&other), code::CHANGE_ID_REUSED);
+    // A refused change may be corrected under its id.
+    let wrong = apply(&mut ledger, change("c", 1, vec![team("c")]));
+    assert_eq!(wrong, Reply::Conflict(Conflict { current: 3 }));
+    assert_eq!(
+        apply(&mut ledger, change("c", 3, vec![team("c")])),
+        accepted(4)
+    );
+
+    // The answer is kept by the ledger's own time and then dropped.
+    let keep = ledger.config().value("change_id_keep_ms", "");
+    at(&mut ledger, keep - 1, Body::Expire(Expire {}));
+    assert_eq!(apply(&mut ledger, first.clone()), accepted(2));
+    at(&mut ledger, keep, Body::Expire(Expire {}));
+    assert_eq!(
+        apply(&mut ledger, first),
+        Reply::Conflict(Conflict { current: 4 })
+    );
+}
+
+/// Guards against a check that changes what it checks.
+#[test]
+fn a_dry_run_changes_nothing() {
+    let mut ledger = ledger();
+    let before = ledger.encode();
+    let Body::ConfigChange(mut c) = change("a", 1, vec![team("a"), budget("b", "a")]) else {
+        return;
+    };
+    c.dry_run = true;
+    assert_eq!(
+        apply(&mut ledger, Body::ConfigChange(c.clone())),
+        accepted(2)
+    );
+    assert_eq!(ledger.encode(), before);
+    c.dry_run = false;
+    assert_eq!(apply(&mut ledger, Body::ConfigChange(c)), accepted(2));
+}
+
+/// Guards against a router that misses changes, applies old ones over new
+/// ones, or lets its revision fall.
+#[test]
+fn a_router_follows_updates_and_never_goes_back() {
+    let mut ledger = ledger();
+    let mut early = Config::new();
+    let full = ledger.config_since(0).expect("revision 1 exists");
+    assert_eq!(early.apply(&full), Ok(true));
+    let mut old = Vec::new();
+    for n in 1..40_u64 {
+        let ops = match n % 3 {
+            0 => vec![delete_op(Kind::Team, &format!("t{}", n - 1))],
+            _ => vec![
+                team(&format!("t{n}")),
+                key(&format!("k{n}"), "tikvica", "main", n as u8),
+            ],
+        };
+        assert_eq!(
+            apply(&mut ledger, change(&format!("c{n}"), n, ops)),
+            accepted(n + 1)
+        );
+        old.push(ledger.config_since(n - 1).expect("a change"));
+        old.push(ledger.config().to_update());
+    }
+    let update = ledger.config_since(1).expect("changes");
+    assert!(!update.full, "recent changes are sent alone");
+    assert_eq!(early.apply(&update), Ok(true));
+    assert!(early == *ledger.config());
+    assert!(ledger.config_since(40).is_none(), "nothing is newer");
+    for update in &old {
+        assert_eq!(early.apply(update), Ok(false), "revision {}", update.to);
+        assert_eq!(early.revision(), 40);
+    }
+    assert!(early == *ledger.config());
+    let gap = ConfigUpdate {
+        from: 50,
+        to: 51,
+        full: false,
+        ops: Vec::new(),
+    };
+    assert_eq!(early.apply(&gap), Err(ConfigError::Gap(40, 50)));
+    let found = early.key_by_hash(&[2; 32]).map(|k| k.name.as_str());
+    assert_eq!(found, Some("k2"));
+}
+
+/// Guards against a router that is far behind and gets only a part: after more
+/// changes than the history keeps, the update holds everything.
+#[test]
+fn a_router_behind_the_history_gets_everything() {
+    let mut ledger = Ledger::new();
+    for n in 0..4_200 {
+        let ops = vec![default("small_budget_tokens", n)];
+        let body = change(&format!("c{n}"), n, ops);
+        ledger.apply(&anvilloft_wire::Command {
+            at_ms: 0,
+            body: Some(body),
+        });
+    }
+    let update = ledger.config_since(3).expect("changes");
+    assert!(update.full);
+    let mut cfg = Config::new();
+    assert_eq!(cfg.apply(&update), Ok(true));
+    assert!(cfg == *ledger.config());
+    assert!(!ledger.config_since(4_199).expect("one change").full);
+}
+
+/// Guards against a default without a unit, an unsorted table (lookups search
+/// it) and a built-in value that a change could not set.
+#[test]
+fn the_table_of_defaults_is_sound() {
+    assert!(DEFAULTS.is_sorted_by(|a, b| a.name < b.name));
+    for d in DEFAULTS {
+        assert!((d.min..=d.max).contains(&d.value), "{}", d.name);
+        let unit = d.name.rsplit('_').next();
+        assert!(
+            matches!(unit, Some("ms" | "tokens" | "percent")),
+            "{}",
+            d.name
+        );
+        assert!(!d.help.is_empty());
+        assert_eq!(Config::new().value(d.name, ""), d.value);
+    }
+    assert_eq!(Config::new().value("no_such_ms", "team"), 0);
+    let names: Vec<_> = Config::new().ranks().map(|r| r.name.clone()).collect();
+    assert_eq!(names, ["low", "normal", "urgent"]);
+}
+
+/// Guards against an exception that reaches other teams or hides behind the
+/// default.
+#[test]
+fn an_exception_overrides_the_default_for_its_team() {
+    let mut ledger = ledger();
+    let ops = vec![
+        default("urgent_share_percent", 40),
+        exception("tikvica", "urgent_share_percent", 90, "lathe contract"),
+        set_op(Item::Model(Model {
+            name: "m".into(),
+            version: String::new(),
+            default_max_tokens: 10,
+            max_tokens: 20,
+        })),
+    ];
+    assert_eq!(apply(&mut ledger, change("c", 1, ops)), accepted(2));
+    let cfg = ledger.config();
+    assert_eq!(cfg.value("urgent_share_percent", "tikvica"), 90);
+    assert_eq!(cfg.value("urgent_share_percent", "rival"), 40);
+    assert_eq!(cfg.value("urgent_share_percent", ""), 40);
+    assert_eq!(cfg.model("m").map(|m| m.max_tokens), Some(20));
+    let ops = vec![delete_op(Kind::Exception, "tikvica/urgent_share_percent")];
+    assert_eq!(apply(&mut ledger, change("d", 2, ops)), accepted(3));
+    assert_eq!(ledger.config().value("urgent_share_percent", "tikvica"), 40);
+}
