Favour light teams and let urgent work exceed a router's part

Cause: small teams and urgent requests waited for the next request to end. Change: idle teams save up a bounded claim, light teams and floors may use the reserve, urgent work may use the place that other routers keep free; the wait estimate leaves out the request's own size.

--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -27,6 +27,13 @@
 const RETRY_MAX: Duration = Duration::from_secs(60);
 /// Count of known teams in a rank above which idle ones are forgotten.
 const SWEEP_TEAMS: usize = 64;
+/// Claim that an idle team saves up, in mean requests. Without it the second
+/// request of a burst waits a whole round of the other teams, although the team
+/// asks for less than its share.
+const BURST: f64 = 16.0;
+/// Factor of the floors. Answers that end after the measured time or break off
+/// must not push a rank just below its floor.
+const FLOOR_MARGIN: f64 = 1.05;
 /// Smallest share of the drain rate that an estimate assumes for a rank.
 const MIN_SHARE: f64 = 0.01;
 
@@ -46,7 +53,7 @@
 
 impl RankState {
     fn floor(&self) -> f64 {
-        f64::from(self.rank.floor_percent.min(100)) / 100.0
+        f64::from(self.rank.floor_percent.min(100)) / 100.0 * FLOOR_MARGIN
     }
 
     fn backlogged(&self) -> bool {
@@ -54,6 +61,17 @@
     }
 }
 
+/// Which part of the capacity a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Class {
+    /// The first rank.
+    First,
+    /// Starts by a floor, or of a team that uses little.
+    Favoured,
+    /// Everything else.
+    Other,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     rank: usize,
@@ -83,6 +101,8 @@
     waiting: HashMap<RequestNo, Waiting>,
     running: HashMap<RequestNo, Running>,
     running_tokens: Tokens,
+    /// Running requests of the first level.
+    first_running: u64,
     timeouts: BTreeSet<(Duration, RequestNo)>,
     /// Verdicts that a call other than `poll` caused.
     due: Vec<Verdict>,
@@ -114,6 +134,7 @@
             waiting: HashMap::new(),
             running: HashMap::new(),
             running_tokens: 0,
+            first_running: 0,
             timeouts: BTreeSet::new(),
             due: Vec::new(),
             drain: DrainRate::default(),
@@ -179,7 +200,12 @@
                 taken += other.floor() * rate;
             }
         }
-        if above_tokens == 0.0 && !rank.backlogged() && self.fits(at, req.tokens, false) {
+        let class = if level == self.ranks[0].rank.level {
+            Class::First
+        } else {
+            Class::Other
+        };
+        if above_tokens == 0.0 && !rank.backlogged() && self.fits(class, req.tokens) {
             return Some(Duration::ZERO);
         }
         let weight = f64::from(req.weight.max(1));
@@ -188,9 +214,10 @@
             _ => (0, rank.queue.weights as f64 + weight),
         };
         // With fair shares only as much of the other teams' work goes first as
-        // this team has waiting itself, scaled by the weights.
-        let fair = (queued as f64 + req.tokens as f64) * weights / weight;
-        let ahead = fair.min(rank.queue.tokens as f64 + req.tokens as f64);
+        // this team has waiting itself, scaled by the weights. The request's
+        // own size doesn't delay its start.
+        let own = queued as f64 + self.drain.mean_tokens() / 2.0;
+        let ahead = (own * weights / weight).min(rank.queue.tokens as f64);
         let free = (rate - taken)
             .max(rate * rank.floor())
             .max(rate * MIN_SHARE);
@@ -204,22 +231,43 @@
     }
 
     /// Returns whether one more request may run.
-    fn fits(&self, at: usize, tokens: Tokens, by_floor: bool) -> bool {
-        let running = self.running.len() as u64;
+    fn fits(&self, class: Class, tokens: Tokens) -> bool {
         let slots = u64::from(self.cap.slots);
-        let first = self.ranks[at].rank.level == self.ranks[0].rank.level;
-        let reserve = if first || by_floor {
-            0
-        } else {
-            (slots * u64::from(self.policy.reserve_permille) + 500) / 1000
+        let limit = match class {
+            // In a flood of the first rank the place beyond the slots would
+            // only fill the queues inside the engines.
+            Class::First if 2 * self.first_running < slots => {
+                slots.max(u64::from(self.cap.urgent_slots))
+            }
+            Class::First | Class::Favoured => slots,
+            Class::Other => slots - (slots * u64::from(self.policy.reserve_permille) + 500) / 1000,
         };
-        if running + reserve >= slots {
+        let running = self.running.len() as u64;
+        if running >= limit {
             return false;
         }
         // A request larger than the limit runs alone instead of never.
         running == 0 || self.running_tokens.saturating_add(tokens) <= self.cap.tokens
     }
 
+    /// Returns the team of a rank whose request starts now, if any.
+    fn next_flow(&self, at: usize, by_floor: bool) -> Option<FlowNo> {
+        let queue = &self.ranks[at].queue;
+        let (flow, req) = queue.peek()?;
+        let class = if by_floor {
+            Class::Favoured
+        } else if self.ranks[at].rank.level == self.ranks[0].rank.level {
+            Class::First
+        } else {
+            Class::Other
+        };
+        if self.fits(class, req.tokens) {
+            return Some(flow);
+        }
+        let (light, req) = queue.peek_light()?;
+        self.fits(Class::Favoured, req.tokens).then_some(light)
+    }
+
     /// Returns the rank whose turn it is, and whether by its floor.
     fn next_rank(&self) -> Option<(usize, bool)> {
         let owed = self
@@ -241,8 +289,8 @@
             .map(|(at, _)| (at, false))
     }
 
-    fn start(&mut self, now: Duration, at: usize, by_floor: bool) -> Option<Verdict> {
-        let (flow, req) = self.ranks[at].queue.pop()?;
+    fn start(&mut self, now: Duration, at: usize, flow: FlowNo, by_floor: bool) -> Option<Verdict> {
+        let req = self.ranks[at].queue.pop(flow)?;
         let tokens = req.tokens as f64;
         self.waiting
             .remove(&req.id)
@@ -270,6 +318,7 @@
             rank.queue.sweep();
         }
         self.running_tokens = self.running_tokens.saturating_add(req.tokens);
+        self.first_running += u64::from(level == self.ranks[0].rank.level);
         self.running.insert(
             req.id,
             Running {
@@ -364,6 +413,7 @@
                 });
             }
         }
+        let burst = (self.drain.mean_tokens() * BURST) as Tokens;
         let rank = &mut self.ranks[at];
         let flow = rank.queue.flow(&req.team, req.weight);
         rank.queue.push(
@@ -373,6 +423,7 @@
                 tokens: req.tokens.max(1),
                 since: now,
             },
+            burst,
         );
         let deadline = now + limit;
         self.timeouts.insert((deadline, req.id));
@@ -406,6 +457,9 @@
                 rank.owed += rank.floor() * change;
             }
         }
+        if self.ranks[run.rank].rank.level == self.ranks[0].rank.level {
+            self.first_running -= 1;
+        }
         let rank = &mut self.ranks[run.rank];
         if run.by_floor {
             rank.owed -= change;
@@ -436,14 +490,10 @@
             });
         }
         while let Some((at, by_floor)) = self.next_rank() {
-            let fits = self.ranks[at]
-                .queue
-                .peek()
-                .is_some_and(|q| self.fits(at, q.tokens, by_floor));
-            if !fits {
+            let Some(flow) = self.next_flow(at, by_floor) else {
                 break;
-            }
-            match self.start(now, at, by_floor) {
+            };
+            match self.start(now, at, flow, by_floor) {
                 Some(verdict) => out.push(verdict),
                 None => break,
             }
--- a/crates/admission/src/flow.rs
+++ b/crates/admission/src/flow.rs
@@ -8,6 +8,11 @@
 
 use crate::window::Decayed;
 
+/// Use of a light team, in percent of that of the largest user in the rank.
+const LIGHT_PERCENT: u64 = 80;
+/// Teams that are searched for a light one, in fair order.
+const LIGHT_SEARCH: usize = 16;
+
 /// Index of a flow within its rank.
 pub(crate) type FlowNo = usize;
 
@@ -38,6 +43,13 @@
     tag: Virtual,
 }
 
+impl Flow {
+    /// Returns the running requests over the weight.
+    fn in_use(&self) -> u64 {
+        cost(self.running as Tokens, self.weight)
+    }
+}
+
 /// Start-time fair queueing over the teams of one rank.
 ///
 /// The virtual time is the start tag of the request that started last (Goyal,
@@ -52,7 +64,11 @@
     order: BTreeSet<(Virtual, FlowNo)>,
     /// Flows with a queue, by length.
     by_len: BTreeSet<(usize, FlowNo)>,
+    /// Flows with running requests, by their count over the weight.
+    by_use: BTreeSet<(u64, FlowNo)>,
     now: Virtual,
+    /// Tokens that an idle team saves up.
+    burst: Tokens,
     /// Requests of all flows.
     pub(crate) len: usize,
     /// Tokens of all flows.
@@ -74,7 +90,6 @@
         let flow = Flow {
             team: team.to_owned(),
             weight,
-            tag: self.now,
             ..Flow::default()
         };
         let no = match self.free.pop() {
@@ -103,6 +118,9 @@
 
     fn unlink(&mut self, no: FlowNo) {
         let flow = &self.flows[no];
+        if flow.running > 0 {
+            self.by_use.remove(&(flow.in_use(), no));
+        }
         if !flow.queue.is_empty() {
             self.order.remove(&(flow.tag, no));
             self.by_len.remove(&(flow.queue.len(), no));
@@ -112,6 +130,9 @@
 
     fn link(&mut self, no: FlowNo) {
         let flow = &self.flows[no];
+        if flow.running > 0 {
+            self.by_use.insert((flow.in_use(), no));
+        }
         if !flow.queue.is_empty() {
             self.order.insert((flow.tag, no));
             self.by_len.insert((flow.queue.len(), no));
@@ -119,13 +140,15 @@
         }
     }
 
-    /// Appends a request.
-    pub(crate) fn push(&mut self, no: FlowNo, req: Queued) {
+    /// Appends a request. An idle team has saved up a claim of at most `burst`
+    /// tokens.
+    pub(crate) fn push(&mut self, no: FlowNo, req: Queued, burst: Tokens) {
         self.unlink(no);
+        self.burst = burst;
         let flow = &mut self.flows[no];
         if flow.queue.is_empty() {
-            // An idle team saves up no claim.
-            flow.tag = flow.tag.max(self.now);
+            let saved = cost(burst, flow.weight);
+            flow.tag = flow.tag.max(self.now.saturating_sub(saved));
         }
         flow.tokens += req.tokens;
         self.tokens += req.tokens;
@@ -134,15 +157,31 @@
         self.link(no);
     }
 
-    /// Returns the next request in fair order.
-    pub(crate) fn peek(&self) -> Option<&Queued> {
+    /// Returns the team that is next in fair order, with its request.
+    pub(crate) fn peek(&self) -> Option<(FlowNo, &Queued)> {
         let &(_, no) = self.order.first()?;
-        self.flows[no].queue.front()
+        Some((no, self.flows[no].queue.front()?))
     }
 
-    /// Takes the next request in fair order.
-    pub(crate) fn pop(&mut self) -> Option<(FlowNo, Queued)> {
-        let &(tag, no) = self.order.first()?;
+    /// Returns the first team in fair order that is light, with its request.
+    pub(crate) fn peek_light(&self) -> Option<(FlowNo, &Queued)> {
+        let mut near = self.order.iter().take(LIGHT_SEARCH);
+        let &(_, no) = near.find(|&&(_, no)| self.is_light(no))?;
+        Some((no, self.flows[no].queue.front()?))
+    }
+
+    /// Returns whether a team runs well below the largest user of the rank.
+    fn is_light(&self, no: FlowNo) -> bool {
+        let Some(&(most, heaviest)) = self.by_use.last() else {
+            return false;
+        };
+        let next = cost(self.flows[no].running as Tokens + 1, self.flows[no].weight);
+        no != heaviest && next * 100 <= most * LIGHT_PERCENT
+    }
+
+    /// Takes the next request of a team.
+    pub(crate) fn pop(&mut self, no: FlowNo) -> Option<Queued> {
+        let tag = self.flows[no].tag;
         self.unlink(no);
         self.now = self.now.max(tag);
         let flow = &mut self.flows[no];
@@ -155,7 +194,7 @@
             self.len -= 1;
         }
         self.link(no);
-        req.map(|req| (no, req))
+        req
     }
 
     /// Removes a queued request.
@@ -201,10 +240,12 @@
         self.flows[no].queue.back().map(|q| q.id)
     }
 
-    /// Forgets a team that has nothing queued, nothing running and no debt.
+    /// Forgets a team that has nothing queued, nothing running and the claim of
+    /// a new team.
     pub(crate) fn collect(&mut self, no: FlowNo) {
         let flow = &mut self.flows[no];
-        let idle = flow.queue.is_empty() && flow.running == 0 && flow.tag <= self.now;
+        let saved = flow.tag.saturating_add(cost(self.burst, flow.weight)) <= self.now;
+        let idle = flow.queue.is_empty() && flow.running == 0 && saved;
         if idle && self.by_team.get(&flow.team) == Some(&no) {
             self.by_team.remove(&flow.team);
             self.free.push(no);
@@ -216,14 +257,14 @@
         self.by_team.len()
     }
 
-    /// Forgets the debts of idle teams when nothing waits: there is nobody
-    /// left whom they would be owed to.
+    /// Forgets idle teams when nothing waits: there is nobody left to whom
+    /// their debts would be owed.
     pub(crate) fn sweep(&mut self) {
         if self.len > 0 || self.flows.len() == self.free.len() {
             return;
         }
         let top = self.flows.iter().map(|f| f.tag).max().unwrap_or(0);
-        self.now = self.now.max(top);
+        self.now = self.now.max(top.saturating_add(cost(self.burst, 1)));
         for no in 0..self.flows.len() {
             self.collect(no);
         }
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -42,11 +42,12 @@
     /// Share of the first rank's tokens that one team may take while other
     /// teams wait in that rank, in percent.
     pub urgent_percent: u32,
-    /// Share of the slots that only the first rank may take, in permille.
+    /// Share of the slots that is kept for the first rank, for floors and for
+    /// teams well below the largest user, in permille.
     ///
-    /// Without it, an urgent request that meets a fleet full of lower work
-    /// waits for the next request to end. 45 keeps 95 % of the slots busy with
-    /// lower work alone.
+    /// Without it, an urgent request or a small team that meets a fleet full of
+    /// other work waits for the next request to end. 45 keeps 95 % of the slots
+    /// busy with that other work alone.
     pub reserve_permille: u32,
 }
 
@@ -71,6 +72,10 @@
 pub struct Capacity {
     /// Requests. The sum over all routers is the slots of the endpoints.
     pub slots: u32,
+    /// Requests when those beyond `slots` belong to the first rank. An urgent
+    /// request above `slots` finds the place that other routers keep free, or
+    /// goes first inside the engine.
+    pub urgent_slots: u32,
     /// Estimated tokens; `Tokens::MAX` for no limit.
     pub tokens: Tokens,
 }
@@ -80,6 +85,7 @@
     pub fn slots(slots: u32) -> Self {
         Self {
             slots,
+            urgent_slots: slots,
             tokens: Tokens::MAX,
         }
     }
--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -27,6 +27,12 @@
         self.tokens += gain * (tokens as f64 - self.tokens);
     }
 
+    /// Returns the mean of the estimated tokens; 1 before the first request
+    /// finished.
+    pub(crate) fn mean_tokens(&self) -> f64 {
+        self.tokens.max(1.0)
+    }
+
     /// Returns tokens a second for a count of slots, or `None` before the
     /// first request finished.
     pub(crate) fn tokens_per_s(&self, slots: u32) -> Option<f64> {
--- a/crates/bench/src/traffic/baseline.rs
+++ b/crates/bench/src/traffic/baseline.rs
@@ -201,6 +201,7 @@
         let slots: u32 = live.map(|e| e.slots).sum();
         Room {
             slots: slots.div_ceil(self.routers),
+            limit: slots.div_ceil(self.routers),
             running: self.running.len() as u32,
             endpoints: self.endpoints.len() as u32,
         }
--- a/crates/bench/src/traffic/flow.rs
+++ b/crates/bench/src/traffic/flow.rs
@@ -49,9 +49,13 @@
         };
         let router = &mut self.routers[r];
         let room = router.selector.room(self.now, &req);
-        router
-            .admission
-            .set_capacity(self.now, Capacity::slots(room.slots));
+        router.admission.set_capacity(
+            self.now,
+            Capacity {
+                urgent_slots: room.limit,
+                ..Capacity::slots(room.slots)
+            },
+        );
     }
 
     pub(super) fn arrive(&mut self, no: usize) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -140,6 +140,8 @@
 pub struct Room {
     /// This router's part of the slots of all candidates.
     pub slots: u32,
+    /// Most requests that this router may have at all candidates.
+    pub limit: u32,
     /// Attempts of this router that run there.
     pub running: u32,
     /// Count of candidates.
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -398,6 +398,7 @@
         for ep in &self.endpoints {
             if ep.serves(now, req) && ep.healthy(now, overdue) {
                 room.slots += ep.part();
+                room.limit += ep.limit();
                 room.running += ep.own();
                 room.endpoints += 1;
             }
