--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,3 +2,4 @@
 //! administration API over it.
 
 pub mod admin;
+pub mod driver;
