Keep half of the reserve for the first rank while it has demand

Cause: light teams of lower ranks used up the reserve of urgent work. Change: a light team wants less than the largest user has; the first rank keeps half of the reserve to itself while it has demand.

--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -66,8 +66,10 @@
 enum Class {
     /// The first rank.
     First,
-    /// Starts by a floor, or of a team that uses little.
-    Favoured,
+    /// Started by a floor.
+    Floor,
+    /// Of a team that uses little.
+    Light,
     /// Everything else.
     Other,
 }
@@ -103,6 +105,9 @@
     running_tokens: Tokens,
     /// Running requests of the first level.
     first_running: u64,
+    /// Whether the first rank started work recently. It then keeps half of the
+    /// reserve to itself.
+    urgent_demand: bool,
     timeouts: BTreeSet<(Duration, RequestNo)>,
     /// Verdicts that a call other than `poll` caused.
     due: Vec<Verdict>,
@@ -135,6 +140,7 @@
             running: HashMap::new(),
             running_tokens: 0,
             first_running: 0,
+            urgent_demand: false,
             timeouts: BTreeSet::new(),
             due: Vec::new(),
             drain: DrainRate::default(),
@@ -233,14 +239,17 @@
     /// Returns whether one more request may run.
     fn fits(&self, class: Class, tokens: Tokens) -> bool {
         let slots = u64::from(self.cap.slots);
+        let reserve = (slots * u64::from(self.policy.reserve_permille) + 500) / 1000;
         let limit = match class {
             // In a flood of the first rank the place beyond the slots would
             // only fill the queues inside the engines.
             Class::First if 2 * self.first_running < slots => {
                 slots.max(u64::from(self.cap.urgent_slots))
             }
-            Class::First | Class::Favoured => slots,
-            Class::Other => slots - (slots * u64::from(self.policy.reserve_permille) + 500) / 1000,
+            Class::First | Class::Floor => slots,
+            Class::Light if self.urgent_demand => slots - reserve.div_ceil(2),
+            Class::Light => slots,
+            Class::Other => slots - reserve,
         };
         let running = self.running.len() as u64;
         if running >= limit {
@@ -255,7 +264,7 @@
         let queue = &self.ranks[at].queue;
         let (flow, req) = queue.peek()?;
         let class = if by_floor {
-            Class::Favoured
+            Class::Floor
         } else if self.ranks[at].rank.level == self.ranks[0].rank.level {
             Class::First
         } else {
@@ -265,7 +274,7 @@
             return Some(flow);
         }
         let (light, req) = queue.peek_light()?;
-        self.fits(Class::Favoured, req.tokens).then_some(light)
+        self.fits(Class::Light, req.tokens).then_some(light)
     }
 
     /// Returns the rank whose turn it is, and whether by its floor.
@@ -489,6 +498,7 @@
                 refusal: self.refusal(Reason::DeadlinePassed, None, limit),
             });
         }
+        self.urgent_demand = self.ranks[0].recent.value(now, RECENT) > 1.0;
         while let Some((at, by_floor)) = self.next_rank() {
             let Some(flow) = self.next_flow(at, by_floor) else {
                 break;
--- a/crates/admission/src/flow.rs
+++ b/crates/admission/src/flow.rs
@@ -8,8 +8,6 @@
 
 use crate::window::Decayed;
 
-/// Use of a light team, in percent of that of the largest user in the rank.
-const LIGHT_PERCENT: u64 = 80;
 /// Teams that are searched for a light one, in fair order.
 const LIGHT_SEARCH: usize = 16;
 
@@ -170,13 +168,15 @@
         Some((no, self.flows[no].queue.front()?))
     }
 
-    /// Returns whether a team runs well below the largest user of the rank.
+    /// Returns whether all that a team wants is below what the largest user of
+    /// the rank has.
     fn is_light(&self, no: FlowNo) -> bool {
         let Some(&(most, heaviest)) = self.by_use.last() else {
             return false;
         };
-        let next = cost(self.flows[no].running as Tokens + 1, self.flows[no].weight);
-        no != heaviest && next * 100 <= most * LIGHT_PERCENT
+        let flow = &self.flows[no];
+        let wanted = cost((flow.running + flow.queue.len()) as Tokens, flow.weight);
+        no != heaviest && wanted < most
     }
 
     /// Takes the next request of a team.
--- a/crates/bench/src/traffic/cases.rs
+++ b/crates/bench/src/traffic/cases.rs
@@ -204,6 +204,8 @@
             Bound::Below(1.2),
         );
         self.note(case, name, "urgent p95 wait, s", urgent.wait_p95(), None);
+        let inside = percentile(&low.engine_waits[0], 0.95);
+        self.note(case, name, "urgent p95 wait inside engine, s", inside, None);
         self.note(case, name, "busy slots, part", low.busy_part(), None);
         let first = percentile(&calm.first, 0.95);
         self.note("calm", name, "p95 first token, s", first, None);
@@ -295,6 +297,8 @@
             Bound::AtMost(1.5),
         );
         self.note(case, name, "small team p95 wait, s", own.wait_p95(), None);
+        let inside = percentile(&beside.engine_waits[1], 0.95);
+        self.note(case, name, "p95 wait inside engine, s", inside, None);
         self.note(case, name, "busy slots, part", beside.busy_part(), None);
     }
 
--- a/crates/bench/src/traffic/flow.rs
+++ b/crates/bench/src/traffic/flow.rs
@@ -262,6 +262,8 @@
         if !self.reqs[no].resent && a.at >= self.warm {
             // Two trips: caller to router and router to endpoint.
             let wait = engine_start.saturating_sub(a.at + 2 * TRIP).as_secs_f32();
+            let inside = engine_start.saturating_sub(sent + TRIP).as_secs_f32();
+            self.tally.engine_waits[a.rank].push(inside);
             self.tally.cell(a.team, a.rank).waits.push(wait);
             self.tally.first.push(wait + first.as_secs_f32());
             self.tally.gaps.push(gap.as_secs_f32());
--- a/crates/bench/src/traffic/tally.rs
+++ b/crates/bench/src/traffic/tally.rs
@@ -67,6 +67,8 @@
     /// Most requests of one router at one endpoint beyond its equal part,
     /// rounded down.
     pub(crate) over_router: i64,
+    /// Waits inside the engines, by rank, in seconds.
+    pub(crate) engine_waits: [Vec<f32>; 3],
     pub(crate) first: Vec<f32>,
     pub(crate) gaps: Vec<f32>,
     /// Endpoints lost to each crashing request.
