--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,16 @@
-//! Entry point.
+//! The operator command of anvilloft.
 
-fn main() {}
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cmd::root().get_matches();
+    match cmd::run(&matches) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("anvilloft: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/control.rs
@@ -0,0 +1,374 @@
+//! The replicated ledger within one process, with links that can be cut.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use anvilloft_ledger::Ledger;
+use anvilloft_ledger::set_op;
+use anvilloft_types::BoxFuture;
+use anvilloft_wire::CallError;
+use anvilloft_wire::Command;
+use anvilloft_wire::Control;
+use anvilloft_wire::ControlReply;
+use anvilloft_wire::ControlRequest;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::ConfigChange;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::command::TopUp;
+use anvilloft_wire::config::Budget;
+use anvilloft_wire::config::ConfigOp;
+use anvilloft_wire::config::Item;
+use anvilloft_wire::config::Key;
+use anvilloft_wire::config::Model;
+use anvilloft_wire::config::Service;
+use anvilloft_wire::config::Team;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::LeaseGrant;
+use anvilloft_wire::control::RenewLease;
+use anvilloft_wire::control::Request;
+use anvilloft_wire::frame::Payload;
+use anvilloft_wire::peers::FromPeer;
+use anvilloft_wire::peers::Peers;
+use sha2::Digest;
+use sha2::Sha256;
+use tokio::sync::mpsc;
+
+/// Frames that wait at one router, at most.
+const INBOX: usize = 1024;
+/// Pause between two tries of a grant that waits for a recall.
+const RECALL_POLL: Duration = Duration::from_millis(10);
+
+struct Joined {
+    inbox: mpsc::Sender<FromPeer>,
+    cut: Arc<AtomicBool>,
+}
+
+/// The ledger and the routers that joined.
+pub struct LocalControl {
+    ledger: Mutex<Ledger>,
+    routers: Mutex<HashMap<String, Joined>>,
+    lose: AtomicU32,
+    changes: AtomicU32,
+}
+
+/// What a router uses to reach control and its peers.
+pub struct LocalLink {
+    /// Access to the ledger.
+    pub control: Arc<dyn Control>,
+    /// Access to peers.
+    pub peers: Arc<dyn Peers>,
+    /// Frames of peers and of control.
+    pub inbox: mpsc::Receiver<FromPeer>,
+    /// Set to cut the router off from control and peers.
+    pub cut: Arc<AtomicBool>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+impl LocalControl {
+    /// Makes an empty ledger.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            ledger: Mutex::new(Ledger::new()),
+            routers: Mutex::new(HashMap::new()),
+            lose: AtomicU32::new(0),
+            changes: AtomicU32::new(0),
+        })
+    }
+
+    /// Connects a router; a later run of the same name replaces the former.
+    pub fn join(self: &Arc<Self>, router: &str) -> LocalLink {
+        let (tx, inbox) = mpsc::channel(INBOX);
+        let cut = Arc::new(AtomicBool::new(false));
+        let joined = Joined {
+            inbox: tx,
+            cut: Arc::clone(&cut),
+        };
+        lock(&self.routers).insert(router.to_owned(), joined);
+        let end = Arc::new(LocalEnd {
+            control: Arc::clone(self),
+            router: router.to_owned(),
+            cut: Arc::clone(&cut),
+        });
+        LocalLink {
+            control: Arc::clone(&end) as Arc<dyn Control>,
+            peers: end,
+            inbox,
+            cut,
+        }
+    }
+
+    /// Loses the replies of the next proposals after they were applied.
+    pub fn lose_replies(&self, count: u32) {
+        self.lose.store(count, Ordering::Relaxed);
+    }
+
+    /// Runs a closure over the ledger.
+    pub fn with_ledger<T>(&self, f: impl FnOnce(&mut Ledger) -> T) -> T {
+        f(&mut lock(&self.ledger))
+    }
+
+    /// Applies a command at the present time.
+    pub fn apply(&self, body: Body) -> Reply {
+        let reply = lock(&self.ledger).apply(&Command {
+            at_ms: now_ms(),
+            body: Some(body),
+        });
+        reply
+            .reply
+            .unwrap_or(Reply::Ok(anvilloft_wire::command::Ok {}))
+    }
+
+    /// Changes the configuration and tells every router.
+    pub fn change(&self, ops: Vec<ConfigOp>) -> Reply {
+        let n = self.changes.fetch_add(1, Ordering::Relaxed);
+        let base_revision = self.with_ledger(|l| l.config().revision());
+        let reply = self.apply(Body::ConfigChange(ConfigChange {
+            change_id: format!("local-{n}"),
+            base_revision,
+            author: "local".into(),
+            reason: "set up".into(),
+            ops,
+            dry_run: false,
+        }));
+        let revision = self.with_ledger(|l| l.config().revision());
+        for router in lock(&self.routers).values() {
+            push(router, Payload::ConfigPush(revision));
+        }
+        reply
+    }
+
+    /// Sets items of the configuration.
+    pub fn set(&self, items: Vec<Item>) -> Reply {
+        self.change(items.into_iter().map(set_op).collect())
+    }
+
+    /// Adds a team with one budget, one key of the given secret, and tokens.
+    pub fn add_team(&self, team: &str, secret: &str, rank: &str, tokens: i64) -> Reply {
+        let budget = format!("{team}-budget");
+        let reply = self.set(vec![
+            Item::Team(Team {
+                name: team.into(),
+                default_rank: rank.into(),
+                weight: 1,
+                disabled: false,
+            }),
+            Item::Budget(Budget {
+                name: budget.clone(),
+                team: team.into(),
+            }),
+            Item::Key(Key {
+                name: format!("{team}-key"),
+                team: team.into(),
+                budget: budget.clone(),
+                hash: Sha256::digest(secret).to_vec(),
+                role: String::new(),
+            }),
+        ]);
+        if tokens > 0 {
+            self.top_up(&budget, tokens);
+        }
+        reply
+    }
+
+    /// Adds tokens to a budget.
+    pub fn top_up(&self, budget: &str, amount: i64) -> Reply {
+        let n = self.changes.fetch_add(1, Ordering::Relaxed);
+        self.apply(Body::TopUp(TopUp {
+            id: format!("top-up-{n}"),
+            budget: budget.into(),
+            amount,
+            author: "local".into(),
+            reason: "set up".into(),
+        }))
+    }
+
+    /// Adds a model.
+    pub fn add_model(&self, name: &str, default_max: u32, max: u32) -> Reply {
+        self.set(vec![Item::Model(Model {
+            name: name.into(),
+            version: String::new(),
+            default_max_tokens: default_max,
+            max_tokens: max,
+        })])
+    }
+
+    /// Adds a plain service.
+    pub fn add_service(&self, name: &str, idempotent: bool, price: u64) -> Reply {
+        self.set(vec![Item::Service(Service {
+            name: name.into(),
+            idempotent,
+            price,
+        })])
+    }
+
+    /// Returns the state of a budget: unspent, allotted and settled tokens.
+    pub fn budget(&self, name: &str) -> serde_json::Value {
+        let query = anvilloft_wire::control::Query {
+            kind: "budget".into(),
+            name: name.into(),
+            ..Default::default()
+        };
+        self.with_ledger(|l| l.query(&query))
+            .ok()
+            .and_then(|text| serde_json::from_str(&text).ok())
+            .unwrap_or_default()
+    }
+
+    fn lease(&self, req: &RenewLease) -> LeaseGrant {
+        let ledger = lock(&self.ledger);
+        if !ledger.incarnation_open(&req.router, req.incarnation) {
+            return LeaseGrant::default();
+        }
+        let version = ledger.directory_version();
+        LeaseGrant {
+            valid_ms: ledger.config().value("config_lease_ms", ""),
+            config: ledger.config_since(req.revision),
+            directory_version: version,
+            routers: if version == req.directory_version {
+                Vec::new()
+            } else {
+                ledger.routers()
+            },
+            suspects: ledger.suspects().iter().map(|f| f.to_vec()).collect(),
+            recalls: Vec::new(),
+        }
+    }
+
+    /// Asks the holders of a budget to return idle tokens.
+    fn recall(&self, budget: &str) {
+        let holders = self.with_ledger(|l| l.holders(budget));
+        let routers = lock(&self.routers);
+        for (router, _, _) in holders {
+            if let Some(router) = routers.get(&router) {
+                push(router, Payload::Recall(budget.into()));
+            }
+        }
+    }
+
+    async fn propose(&self, cmd: Command) -> Result<ControlReply, CallError> {
+        let body = cmd
+            .body
+            .ok_or_else(|| CallError::Unavailable("empty command".into()))?;
+        if let Body::Grant(grant) = &body {
+            self.wait_for_recall(grant).await;
+        }
+        let reply = self.apply(body);
+        if self
+            .lose
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1))
+            .is_ok()
+        {
+            return Err(CallError::Unknown("the reply was lost".into()));
+        }
+        Ok(Answer::Applied(anvilloft_wire::CommandReply { reply: Some(reply) }).into())
+    }
+
+    /// Lets a grant that isn't covered wait for recalled tokens.
+    async fn wait_for_recall(&self, grant: &anvilloft_wire::command::Grant) {
+        let limit = self.with_ledger(|l| l.config().value("recall_wait_ms", ""));
+        let until = tokio::time::Instant::now() + Duration::from_millis(limit);
+        let mut recalled = false;
+        loop {
+            let amounts = self.budget(&grant.budget);
+            let unspent = amounts["unspent"].as_u64().unwrap_or(0);
+            let allotted = amounts["allotted"].as_u64().unwrap_or(0);
+            if unspent >= grant.need
+                || unspent + allotted < grant.need
+                || tokio::time::Instant::now() >= until
+            {
+                return;
+            }
+            if !recalled {
+                recalled = true;
+                self.recall(&grant.budget);
+            }
+            tokio::time::sleep(RECALL_POLL).await;
+        }
+    }
+}
+
+fn push(router: &Joined, payload: Payload) {
+    if !router.cut.load(Ordering::Relaxed) {
+        let frame = FromPeer {
+            node: "control".into(),
+            payload,
+            transit: Some(Duration::ZERO),
+        };
+        router.inbox.try_send(frame).ok();
+    }
+}
+
+struct LocalEnd {
+    control: Arc<LocalControl>,
+    router: String,
+    cut: Arc<AtomicBool>,
+}
+
+impl Control for LocalEnd {
+    fn call(
+        &self,
+        req: ControlRequest,
+        timeout: Duration,
+    ) -> BoxFuture<'_, Result<ControlReply, CallError>> {
+        Box::pin(async move {
+            if self.cut.load(Ordering::Relaxed) {
+                // A cut link is silent rather than refusing.
+                tokio::time::sleep(timeout).await;
+                return Err(CallError::Unavailable("no connection".into()));
+            }
+            let reply = match req.request {
+                Some(Request::Propose(cmd)) => self.control.propose(cmd).await?,
+                Some(Request::Renew(renew)) => Answer::Lease(self.control.lease(&renew)).into(),
+                Some(Request::Query(query)) => {
+                    match self.control.with_ledger(|l| l.query(&query)) {
+                        Ok(text) => Answer::QueryResult(text).into(),
+                        Err(e) => return Err(CallError::Unavailable(e.to_string())),
+                    }
+                }
+                None => return Err(CallError::Unavailable("empty request".into())),
+            };
+            if self.cut.load(Ordering::Relaxed) {
+                return Err(CallError::Unknown("the link was cut".into()));
+            }
+            Ok(reply)
+        })
+    }
+}
+
+impl Peers for LocalEnd {
+    fn send(&self, node: &str, payload: Payload) -> bool {
+        if self.cut.load(Ordering::Relaxed) {
+            return false;
+        }
+        let routers = lock(&self.control.routers);
+        let Some(peer) = routers.get(node) else {
+            return false;
+        };
+        if peer.cut.load(Ordering::Relaxed) {
+            return false;
+        }
+        let frame = FromPeer {
+            node: self.router.clone(),
+            payload,
+            transit: Some(Duration::ZERO),
+        };
+        peer.inbox.try_send(frame).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/http.rs
@@ -0,0 +1,276 @@
+//! A caller over a plain socket that shows exactly what came.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Largest answer, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// An answer as it came over the connection.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    /// HTTP status; 0 when no status line came.
+    pub status: u16,
+    /// Headers with names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Decoded body.
+    pub body: Vec<u8>,
+    /// Whether the end of the body was seen.
+    pub complete: bool,
+}
+
+impl Reply {
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, v)| v.as_str())
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns the body as JSON, or null.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the data of the events of a stream.
+    pub fn events(&self) -> Vec<String> {
+        self.text()
+            .split("\n\n")
+            .filter_map(|e| e.strip_prefix("data: "))
+            .map(str::to_owned)
+            .collect()
+    }
+
+    /// Returns the joined text of a streamed or whole chat answer.
+    pub fn content(&self) -> String {
+        if self.header("content-type") == Some("text/event-stream") {
+            self.events()
+                .iter()
+                .filter_map(|e| serde_json::from_str::<serde_json::Value>(e).ok())
+                .filter_map(|v| {
+                    v["choices"][0]["delta"]["content"]
+                        .as_str()
+                        .map(str::to_owned)
+                })
+                .collect()
+        } else {
+            self.json()["choices"][0]["message"]["content"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned()
+        }
+    }
+}
+
+/// A request to send.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    method: String,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Call {
+    /// Makes a GET request.
+    pub fn get(path: &str) -> Self {
+        Self {
+            method: "GET".into(),
+            path: path.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Makes a POST request with a JSON body.
+    pub fn post(path: &str, body: impl Into<Vec<u8>>) -> Self {
+        Self {
+            method: "POST".into(),
+            path: path.into(),
+            headers: vec![("content-type".into(), "application/json".into())],
+            body: body.into(),
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// Adds a bearer key.
+    #[must_use]
+    pub fn key(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+
+    fn encode(&self, addr: SocketAddr) -> Vec<u8> {
+        let mut head = format!(
+            "{} {} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\ncontent-length: {}\r\n",
+            self.method,
+            self.path,
+            self.body.len()
+        );
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
+    /// Sends the request on a new connection and reads the answer for at most
+    /// `limit`. What came until then is returned with `complete` false.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be opened.
+    pub async fn send(&self, addr: SocketAddr, limit: Duration) -> io::Result<Reply> {
+        let mut open = self.open(addr).await?;
+        open.read_to_end(limit).await;
+        Ok(open.reply())
+    }
+
+    /// Sends the request and returns the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be opened.
+    pub async fn open(&self, addr: SocketAddr) -> io::Result<Open> {
+        let mut stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        stream.write_all(&self.encode(addr)).await?;
+        Ok(Open {
+            stream,
+            raw: Vec::new(),
+        })
+    }
+}
+
+/// Sends bytes as they are and reads until the connection ends.
+///
+/// # Errors
+///
+/// Fails when no connection can be opened.
+pub async fn send_raw(addr: SocketAddr, bytes: &[u8], limit: Duration) -> io::Result<Reply> {
+    let mut stream = TcpStream::connect(addr).await?;
+    // The other side may refuse and close before it read everything.
+    stream.write_all(bytes).await.ok();
+    let mut open = Open {
+        stream,
+        raw: Vec::new(),
+    };
+    open.read_to_end(limit).await;
+    Ok(open.reply())
+}
+
+/// A request whose answer is being read.
+pub struct Open {
+    stream: TcpStream,
+    raw: Vec<u8>,
+}
+
+impl Open {
+    /// Reads until the answer holds `text`, the connection ends or `limit`
+    /// passes. Returns whether the text came.
+    pub async fn read_until(&mut self, text: &str, limit: Duration) -> bool {
+        let wanted = text.as_bytes();
+        let until = tokio::time::Instant::now() + limit;
+        while !self.raw.windows(wanted.len()).any(|w| w == wanted) {
+            let mut buf = [0; 16384];
+            match tokio::time::timeout_at(until, self.stream.read(&mut buf)).await {
+                Ok(Ok(n)) if n > 0 && self.raw.len() < MAX_ANSWER => {
+                    self.raw.extend_from_slice(&buf[..n]);
+                }
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    /// Reads until the connection ends or `limit` passes.
+    pub async fn read_to_end(&mut self, limit: Duration) {
+        let until = tokio::time::Instant::now() + limit;
+        let mut buf = vec![0; 65536];
+        loop {
+            match tokio::time::timeout_at(until, self.stream.read(&mut buf)).await {
+                Ok(Ok(n)) if n > 0 && self.raw.len() < MAX_ANSWER => {
+                    self.raw.extend_from_slice(&buf[..n]);
+                }
+                _ => return,
+            }
+        }
+    }
+
+    /// Returns what came so far.
+    pub fn reply(&self) -> Reply {
+        parse(&self.raw)
+    }
+}
+
+fn parse(raw: &[u8]) -> Reply {
+    let Some(end) = raw.windows(4).position(|w| w == b"\r\n\r\n") else {
+        return Reply::default();
+    };
+    let head = String::from_utf8_lossy(&raw[..end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let status = lines
+        .next()
+        .and_then(|line| line.split(' ').nth(1))
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_owned()))
+        .collect();
+    let mut reply = Reply {
+        status,
+        headers,
+        ..Reply::default()
+    };
+    let rest = &raw[end + 4..];
+    if reply.header("transfer-encoding") == Some("chunked") {
+        (reply.body, reply.complete) = dechunk(rest);
+    } else {
+        let length = reply.header("content-length").and_then(|v| v.parse().ok());
+        reply.complete = length.is_none_or(|n: usize| rest.len() == n);
+        reply.body = rest.to_vec();
+    }
+    reply
+}
+
+/// Decodes chunks; says whether the terminal one came.
+fn dechunk(mut rest: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    while let Some(end) = rest.windows(2).position(|w| w == b"\r\n") {
+        let size = std::str::from_utf8(&rest[..end])
+            .ok()
+            .and_then(|s| usize::from_str_radix(s.trim(), 16).ok());
+        let Some(size) = size else {
+            return (body, false);
+        };
+        rest = &rest[end + 2..];
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(data) = rest.get(..size) else {
+            body.extend_from_slice(rest);
+            return (body, false);
+        };
+        body.extend_from_slice(data);
+        rest = rest.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Stand-ins for tests, the demo and the load generator.
+//!
+//! `engine` is a model engine or a plain service with faults, `http` a small
+//! caller that shows what came over the connection, `raw` an endpoint that
+//! answers with scripted bytes, and `control` the replicated ledger within one
+//! process.
+
+pub mod control;
+pub mod engine;
+pub mod http;
+mod model;
+pub mod raw;
+mod slots;
+
+pub use control::LocalControl;
+pub use engine::Fake;
+pub use engine::FakeOptions;
+pub use engine::Fault;
--- /dev/null
+++ b/crates/fakes/src/model.rs
@@ -0,0 +1,266 @@
+//! Answers of the fake model engine.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::StatusCode;
+use http_body_util::StreamBody;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::mpsc;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use crate::engine::CRASH_MARK;
+use crate::engine::Fault;
+use crate::engine::Shared;
+use crate::engine::text;
+
+/// Longest part of a prompt that is echoed, in characters.
+const ECHO_CHARS: usize = 200;
+
+/// Pieces of a stream; an `Err` breaks the connection.
+struct Pieces(mpsc::Receiver<Result<Bytes, std::io::Error>>);
+
+impl futures::Stream for Pieces {
+    type Item = Result<http_body::Frame<Bytes>, Box<dyn std::error::Error + Send + Sync>>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.0
+            .poll_recv(cx)
+            .map(|piece| piece.map(|piece| piece.map(http_body::Frame::data).map_err(Into::into)))
+    }
+}
+
+/// Returns the last text of the prompt.
+fn prompt_of(req: &Value) -> String {
+    let text = req["prompt"].as_str().or_else(|| {
+        req["messages"]
+            .as_array()
+            .and_then(|m| m.last())
+            .and_then(|m| m["content"].as_str())
+    });
+    text.unwrap_or_default().to_owned()
+}
+
+struct Job {
+    shared: Arc<Shared>,
+    chat: bool,
+    model: String,
+    prompt: String,
+    tokens: u32,
+    fault: Fault,
+    include_usage: bool,
+}
+
+impl Job {
+    fn token(&self, n: u32) -> String {
+        if n == 0 {
+            let head: String = self.prompt.chars().take(ECHO_CHARS).collect();
+            format!("[{head}]")
+        } else {
+            format!(" t{n}")
+        }
+    }
+
+    fn usage(&self, completion: u32) -> Value {
+        let prompt = (self.prompt.len() as u64).div_ceil(4);
+        let factor = if self.fault == Fault::HugeUsage {
+            1_000_000
+        } else {
+            1
+        };
+        json!({
+            "prompt_tokens": prompt * factor,
+            "completion_tokens": u64::from(completion) * factor,
+            "total_tokens": (prompt + u64::from(completion)) * factor,
+        })
+    }
+
+    fn event(&self, content: &str, finish: Option<&str>) -> String {
+        // Written by hand: this is the hot path of the load generator.
+        let content = serde_json::to_string(content).unwrap_or_default();
+        let finish = finish.map_or("null".to_owned(), |f| format!("\"{f}\""));
+        if self.chat {
+            format!(
+                "data: {{\"id\":\"fake\",\"object\":\"chat.completion.chunk\",\"created\":0,\"model\":\"{}\",\"choices\":[{{\"index\":0,\"delta\":{{\"content\":{content}}},\"finish_reason\":{finish}}}]}}\n\n",
+                self.model
+            )
+        } else {
+            format!(
+                "data: {{\"id\":\"fake\",\"object\":\"text_completion\",\"created\":0,\"model\":\"{}\",\"choices\":[{{\"index\":0,\"text\":{content},\"finish_reason\":{finish}}}]}}\n\n",
+                self.model
+            )
+        }
+    }
+
+    fn whole(&self) -> String {
+        let content: String = (0..self.tokens).map(|n| self.token(n)).collect();
+        let choice = if self.chat {
+            json!({"index": 0, "message": {"role": "assistant", "content": content}, "finish_reason": "stop"})
+        } else {
+            json!({"index": 0, "text": content, "finish_reason": "stop"})
+        };
+        let mut answer = json!({
+            "id": "fake",
+            "object": if self.chat { "chat.completion" } else { "text_completion" },
+            "created": 0,
+            "model": self.model,
+            "choices": [choice],
+        });
+        if self.fault != Fault::NoUsage {
+            answer["usage"] = self.usage(self.tokens);
+        }
+        answer.to_string()
+    }
+
+    /// Does what a fault asks for after so many tokens.
+    async fn fail_after(&self, n: u32) -> Option<std::io::Error> {
+        match self.fault {
+            Fault::DieAfter(after) if n >= after => {
+                // What was written before goes out first.
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                self.shared.kill.cancel();
+                std::future::pending().await
+            }
+            Fault::BreakAfter(after) if n >= after => Some(std::io::Error::other("broken")),
+            Fault::SilentAfter(after) if n >= after => std::future::pending().await,
+            _ => None,
+        }
+    }
+
+    async fn stream(&self, tx: &mpsc::Sender<Result<Bytes, std::io::Error>>) -> bool {
+        let options = &self.shared.options;
+        let mut buf = String::new();
+        let mut n = 0;
+        while n < self.tokens || self.fault == Fault::Endless {
+            if let Some(e) = self.fail_after(n).await {
+                tx.send(Err(e)).await.ok();
+                return false;
+            }
+            if n > 0 && !options.token_delay.is_zero() {
+                tokio::time::sleep(options.token_delay).await;
+            }
+            buf.push_str(&self.event(&self.token(n), None));
+            n += 1;
+            self.shared.counts.tokens.fetch_add(1, Ordering::Relaxed);
+            let full = (n as usize).is_multiple_of(options.burst.max(1));
+            if (full || !options.token_delay.is_zero())
+                && tx
+                    .send(Ok(Bytes::from(std::mem::take(&mut buf))))
+                    .await
+                    .is_err()
+            {
+                return false;
+            }
+        }
+        if self.fault != Fault::NoDone {
+            buf.push_str(&self.event("", Some("stop")));
+            if self.include_usage && self.fault != Fault::NoUsage {
+                buf.push_str(&format!(
+                    "data: {{\"id\":\"fake\",\"choices\":[],\"usage\":{}}}\n\n",
+                    self.usage(self.tokens)
+                ));
+            }
+            buf.push_str("data: [DONE]\n\n");
+        }
+        buf.is_empty() || tx.send(Ok(Bytes::from(buf))).await.is_ok()
+    }
+}
+
+/// Answers a model request.
+pub(crate) async fn answer(
+    shared: &Arc<Shared>,
+    path: &str,
+    body: &[u8],
+    attempt: &str,
+    priority: u32,
+    fault: Fault,
+) -> Response {
+    let Ok(req) = serde_json::from_slice::<Value>(body) else {
+        return text(
+            StatusCode::BAD_REQUEST,
+            "{\"error\":{\"message\":\"not JSON\"}}",
+        );
+    };
+    let model = req["model"].as_str().unwrap_or_default().to_owned();
+    if !shared.options.models.contains(&model) {
+        return text(
+            StatusCode::NOT_FOUND,
+            "{\"error\":{\"message\":\"model not loaded\"}}",
+        );
+    }
+    let limit = req["max_tokens"].as_u64().unwrap_or(u64::MAX);
+    let tokens = u64::from(shared.options.tokens).min(limit) as u32;
+    let job = Job {
+        shared: Arc::clone(shared),
+        chat: path == "/v1/chat/completions",
+        model,
+        prompt: prompt_of(&req),
+        tokens,
+        fault,
+        include_usage: req["stream_options"]["include_usage"] == true,
+    };
+    shared.counts.count_run(&job.prompt);
+    let cancel = shared.register(attempt);
+    let slot = shared.slots.take(priority).await;
+    if shared.options.crashes && job.prompt.contains(CRASH_MARK) {
+        shared.kill.cancel();
+        std::future::pending::<()>().await;
+    }
+    if fault == Fault::Fail {
+        shared.forget(attempt);
+        return text(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+    }
+    if fault == Fault::SilentAfter(0) {
+        std::future::pending::<()>().await;
+    }
+    tokio::time::sleep(shared.options.first_token).await;
+    if req["stream"] == true {
+        let (tx, rx) = mpsc::channel(8);
+        let shared = Arc::clone(shared);
+        let attempt = attempt.to_owned();
+        tokio::spawn(async move {
+            let _slot = slot;
+            let finished = tokio::select! {
+                finished = job.stream(&tx) => finished,
+                () = cancel.cancelled() => false,
+                () = tx.closed() => false,
+            };
+            let counter = if finished {
+                &shared.counts.finished
+            } else {
+                &shared.counts.cancelled
+            };
+            counter.fetch_add(1, Ordering::Relaxed);
+            shared.forget(&attempt);
+        });
+        let mut resp = Response::new(Body::from_stream(StreamBody::new(Pieces(rx))));
+        resp.headers_mut().insert(
+            http::header::CONTENT_TYPE,
+            HeaderValue::from_static("text/event-stream"),
+        );
+        return resp;
+    }
+    for n in 0..job.tokens {
+        if job.fail_after(n).await.is_some() {
+            break;
+        }
+        if !shared.options.token_delay.is_zero() {
+            tokio::time::sleep(shared.options.token_delay).await;
+        }
+    }
+    shared
+        .counts
+        .tokens
+        .fetch_add(u64::from(job.tokens), Ordering::Relaxed);
+    shared.counts.finished.fetch_add(1, Ordering::Relaxed);
+    shared.forget(attempt);
+    text(StatusCode::OK, &job.whole())
+}
--- /dev/null
+++ b/crates/fakes/src/raw.rs
@@ -0,0 +1,150 @@
+//! An endpoint that answers with scripted bytes, for answers that no HTTP
+//! library would send: late, doubled, cut or crossed ones.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::http::Call;
+
+/// What the script sees of a request.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Number of the request, over all connections, from 0.
+    pub number: u64,
+    /// Attempt id that the router sent.
+    pub attempt: String,
+    /// Body.
+    pub body: String,
+}
+
+/// One step of an answer.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Sends bytes.
+    Send(Vec<u8>),
+    /// Waits.
+    Wait(Duration),
+    /// Closes the connection.
+    Close,
+}
+
+/// Makes the bytes of a whole JSON answer.
+pub fn whole_answer(attempt: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nx-anvilloft-attempt: {attempt}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Makes the body of a chat answer with one text.
+pub fn chat_body(content: &str) -> String {
+    serde_json::json!({
+        "choices": [{"index": 0, "message": {"role": "assistant", "content": content}}],
+        "usage": {"prompt_tokens": 1, "completion_tokens": 1, "total_tokens": 2},
+    })
+    .to_string()
+}
+
+/// A scripted endpoint; its tasks end with the runtime.
+pub struct RawEndpoint {
+    /// Address.
+    pub addr: SocketAddr,
+    /// Requests seen.
+    pub seen: Arc<AtomicU64>,
+}
+
+impl RawEndpoint {
+    /// Starts an endpoint that answers each request by `script`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no address can be bound.
+    pub async fn start(
+        script: impl Fn(Seen) -> Vec<Step> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let seen = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&seen);
+        let script = Arc::new(script);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let script = Arc::clone(&script);
+                let counter = Arc::clone(&counter);
+                tokio::spawn(async move {
+                    serve(stream, &counter, &*script).await.ok();
+                });
+            }
+        });
+        Ok(Self { addr, seen })
+    }
+
+    /// Announces the endpoint to a router as a model engine.
+    pub async fn announce(&self, router: SocketAddr, key: &str, id: &str, model: &str, seq: u64) {
+        let text = serde_json::json!({
+            "id": id, "incarnation": 1, "seq": seq, "address": self.addr.to_string(),
+            "data_centre": "dc1", "pool": "pool", "kind": "model",
+            "models": [{"name": model, "version": "1"}], "slots": 8,
+        });
+        Call::post("/v1/endpoints/announce", text.to_string())
+            .key(key)
+            .send(router, Duration::from_secs(1))
+            .await
+            .ok();
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    counter: &AtomicU64,
+    script: &(dyn Fn(Seen) -> Vec<Step> + Send + Sync),
+) -> io::Result<()> {
+    let mut buf = Vec::new();
+    loop {
+        let head_end = loop {
+            if let Some(at) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+                break at + 4;
+            }
+            if stream.read_buf(&mut buf).await? == 0 {
+                return Ok(());
+            }
+        };
+        let head = String::from_utf8_lossy(&buf[..head_end]).to_ascii_lowercase();
+        let field = |name: &str| {
+            head.lines()
+                .find_map(|l| l.strip_prefix(name))
+                .map(|v| v.trim_start_matches(':').trim().to_owned())
+                .unwrap_or_default()
+        };
+        let length: usize = field("content-length").parse().unwrap_or(0);
+        while buf.len() < head_end + length {
+            if stream.read_buf(&mut buf).await? == 0 {
+                return Ok(());
+            }
+        }
+        let body = String::from_utf8_lossy(&buf[head_end..head_end + length]).into_owned();
+        buf.drain(..head_end + length);
+        let seen = Seen {
+            number: counter.fetch_add(1, Ordering::Relaxed),
+            attempt: field("x-anvilloft-attempt"),
+            body,
+        };
+        for step in script(seen) {
+            match step {
+                Step::Send(bytes) => stream.write_all(&bytes).await?,
+                Step::Wait(time) => tokio::time::sleep(time).await,
+                Step::Close => return Ok(()),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/error.rs
@@ -0,0 +1,114 @@
+//! The error answer to callers.
+
+use std::time::Duration;
+
+use anvilloft_types::RunState;
+use http::HeaderValue;
+use http::StatusCode;
+use serde_json::json;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+/// A refusal or failure as told to the caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Refusal {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Stable machine-readable code.
+    pub code: &'static str,
+    /// Reason for people.
+    pub message: String,
+    /// Whether the request was run.
+    pub run: RunState,
+    /// When a new try may help.
+    pub retry_after: Option<Duration>,
+    /// Field of the request at fault.
+    pub param: Option<String>,
+    /// Routers to try instead.
+    pub try_routers: Vec<String>,
+}
+
+impl Refusal {
+    /// Makes a refusal of a request that was not run.
+    pub fn new(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            run: RunState::No,
+            retry_after: None,
+            param: None,
+            try_routers: Vec::new(),
+        }
+    }
+
+    /// A request that breaks the format, with the field at fault.
+    pub fn bad_request(param: &str, message: impl Into<String>) -> Self {
+        let mut refusal = Self::new(StatusCode::BAD_REQUEST, "invalid_request", message);
+        refusal.param = (!param.is_empty()).then(|| param.to_owned());
+        refusal
+    }
+
+    /// The router can't serve now; others may.
+    pub fn unavailable(code: &'static str, message: impl Into<String>) -> Self {
+        Self::new(StatusCode::SERVICE_UNAVAILABLE, code, message)
+    }
+
+    /// The endpoint failed.
+    pub fn bad_gateway(code: &'static str, message: impl Into<String>, run: RunState) -> Self {
+        let mut refusal = Self::new(StatusCode::BAD_GATEWAY, code, message);
+        refusal.run = run;
+        refusal
+    }
+
+    /// Sets whether the request was run.
+    #[must_use]
+    pub fn run(mut self, run: RunState) -> Self {
+        self.run = run;
+        self
+    }
+
+    /// Sets when a new try may help.
+    #[must_use]
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the error as JSON.
+    pub fn json(&self) -> serde_json::Value {
+        let kind = match self.status.as_u16() {
+            401 => "authentication_error",
+            403 => "permission_error",
+            402 => "insufficient_quota",
+            429 => "rate_limit_error",
+            400..=499 => "invalid_request_error",
+            _ => "server_error",
+        };
+        json!({"error": {
+            "message": self.message,
+            "type": kind,
+            "code": self.code,
+            "param": self.param,
+            "run": self.run.as_str(),
+            "retry_after_ms": self.retry_after.map(|d| d.as_millis() as u64),
+            "try": self.try_routers,
+        }})
+    }
+
+    /// Returns the error as an HTTP answer.
+    pub fn into_response(self) -> Response {
+        let mut resp = Response::new(Body::from(self.json().to_string()));
+        *resp.status_mut() = self.status;
+        let headers = resp.headers_mut();
+        headers.insert(
+            http::header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if let Some(after) = self.retry_after {
+            let seconds = after.as_millis().div_ceil(1000) as u64;
+            headers.insert(http::header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        resp
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,87 @@
+//! Metrics of the traffic threads. No label names a team.
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Counters of one router.
+pub struct Metrics {
+    /// Registry that `/metrics` shows; other parts add theirs.
+    pub registry: Registry,
+    /// Answers by path kind and code.
+    pub answers: IntCounterVec,
+    /// Attempts at endpoints by outcome.
+    pub attempts: IntCounterVec,
+    /// Requests being served.
+    pub in_flight: IntGauge,
+    /// Messages that wait for the control thread.
+    pub core_queue: IntGauge,
+    /// Idle connections to endpoints.
+    pub idle_connections: IntGauge,
+    /// Seconds from a request's arrival to its first answer byte.
+    pub first_byte: Histogram,
+}
+
+impl Metrics {
+    /// Makes and registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a name is registered twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let answers = IntCounterVec::new(
+            Opts::new("anvilloft_answers_total", "Answers to callers"),
+            &["kind", "code"],
+        )?;
+        let attempts = IntCounterVec::new(
+            Opts::new("anvilloft_attempts_total", "Attempts at endpoints"),
+            &["outcome"],
+        )?;
+        let in_flight = IntGauge::new("anvilloft_in_flight", "Requests being served")?;
+        let core_queue = IntGauge::new(
+            "anvilloft_core_queue",
+            "Messages waiting for the control thread",
+        )?;
+        let idle_connections = IntGauge::new(
+            "anvilloft_idle_connections",
+            "Idle connections to endpoints",
+        )?;
+        let first_byte = Histogram::with_opts(
+            HistogramOpts::new(
+                "anvilloft_first_byte_seconds",
+                "Time to the first answer byte",
+            )
+            .buckets(prometheus::exponential_buckets(0.001, 2.0, 15)?),
+        )?;
+        registry.register(Box::new(answers.clone()))?;
+        registry.register(Box::new(attempts.clone()))?;
+        registry.register(Box::new(in_flight.clone()))?;
+        registry.register(Box::new(core_queue.clone()))?;
+        registry.register(Box::new(idle_connections.clone()))?;
+        registry.register(Box::new(first_byte.clone()))?;
+        Ok(Self {
+            registry,
+            answers,
+            attempts,
+            in_flight,
+            core_queue,
+            idle_connections,
+            first_byte,
+        })
+    }
+
+    /// Returns the text format of all metrics.
+    pub fn text(&self) -> String {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .ok();
+        String::from_utf8(buf).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/router/src/core/peers.rs
@@ -0,0 +1,145 @@
+//! Announcements of endpoints and frames of peers.
+
+use std::time::Duration;
+
+use anvilloft_directory::Change;
+use anvilloft_routing::EndpointState;
+use anvilloft_routing::Load;
+use anvilloft_routing::Served;
+use anvilloft_wire::frame::EndpointUpdate;
+use anvilloft_wire::frame::Payload;
+use anvilloft_wire::peers::FromPeer;
+
+use super::Core;
+
+/// One-way distance to another data centre of the region.
+const OTHER_CENTRE: Duration = Duration::from_millis(1);
+/// Models and services whose requests are queued apart, at most.
+const MAX_LANES: usize = 1024;
+
+impl Core {
+    pub(crate) fn on_frame(&mut self, now: Duration, frame: FromPeer) {
+        match frame.payload {
+            Payload::EndpointUpdate(update) => {
+                // Without a fresh round trip the age is unknown, and the lease
+                // could last too long.
+                if let Some(transit) = frame.transit {
+                    let age = Duration::from_millis(update.age_ms) + transit;
+                    self.on_announce(now, update, age, false).ok();
+                }
+            }
+            Payload::Recall(budget) => self.allotments.recall(now, &budget),
+            Payload::ConfigPush(revision) if revision > self.config.revision() => {
+                self.renew_at = now;
+                self.tick_lease(now);
+            }
+            Payload::SettlementCopy(copy) => self.copies.insert(copy),
+            _ => {}
+        }
+    }
+
+    /// Takes an announcement. One that came from the endpoint itself is
+    /// relayed to the other routers of its subset.
+    pub(crate) fn on_announce(
+        &mut self,
+        now: Duration,
+        update: EndpointUpdate,
+        age: Duration,
+        direct: bool,
+    ) -> Result<(), String> {
+        let (id, incarnation) = (update.id.clone(), update.incarnation);
+        let change = self
+            .endpoints
+            .announce(now, update.clone(), age)
+            .map_err(|e| e.to_string())?;
+        if direct {
+            for router in self.routers.subset(&id) {
+                if router.router != self.id.router {
+                    let mut relayed = update.clone();
+                    relayed.age_ms = 0;
+                    self.peers
+                        .send(&router.router, Payload::EndpointUpdate(relayed));
+                }
+            }
+        }
+        match change {
+            Change::Stale => return Ok(()),
+            Change::Restarted { old } => {
+                slog::info!(self.log, "endpoint restarted"; "endpoint" => &id,
+                    "old" => old, "new" => incarnation);
+            }
+            Change::Added => {
+                slog::info!(self.log, "endpoint added"; "endpoint" => &id,
+                    "incarnation" => incarnation);
+            }
+            Change::Renewed => {}
+        }
+        if let Some(entry) = self.endpoints.get(&id) {
+            let state = self.state_of(&entry.update, entry.expires, entry.announced);
+            self.selector.update(now, &state);
+        }
+        self.capacity_dirty = true;
+        if change == Change::Added {
+            self.publish();
+        }
+        self.endpoint_alive(now, &id, incarnation);
+        Ok(())
+    }
+
+    fn state_of(
+        &self,
+        update: &EndpointUpdate,
+        expires: Duration,
+        measured: Duration,
+    ) -> EndpointState {
+        let distance = if update.data_centre == self.id.data_centre {
+            Duration::ZERO
+        } else {
+            OTHER_CENTRE
+        };
+        EndpointState {
+            id: update.id.clone(),
+            incarnation: update.incarnation,
+            seq: update.seq,
+            models: update
+                .models
+                .iter()
+                .map(|m| Served {
+                    model: m.name.clone(),
+                    version: m.version.clone(),
+                    adapters: m.adapters.clone(),
+                })
+                .collect(),
+            service: if update.service {
+                update.pool.clone()
+            } else {
+                String::new()
+            },
+            slots: update.slots,
+            leaving: update.leaving,
+            distance,
+            expires,
+            measured,
+            load: update.load.as_ref().map(|l| Load {
+                running: l.running,
+                waiting: l.waiting,
+                kv_used: l.kv_used,
+                tokens_per_s: l.tokens_per_s,
+            }),
+            prefixes: update.prefixes.clone(),
+        }
+    }
+
+    pub(crate) fn tick_endpoints(&mut self, now: Duration) {
+        for entry in self.endpoints.expire(now) {
+            slog::info!(self.log, "endpoint lease ended"; "endpoint" => &entry.update.id);
+            self.selector.remove(&entry.update.id);
+            self.capacity_dirty = true;
+            self.endpoint_lost(now, &entry.update.id, entry.update.incarnation);
+        }
+        if self.lanes.len() > MAX_LANES {
+            self.lanes
+                .retain(|_, lane| lane.admission.counts() != (0, 0));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/core/requests.rs
@@ -0,0 +1,689 @@
+//! Requests: reservation, queue, endpoint, end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvilloft_admission::Capacity;
+use anvilloft_admission::FairAdmission;
+use anvilloft_admission::Offer;
+use anvilloft_admission::Policy;
+use anvilloft_admission::Rank;
+use anvilloft_admission::Reason;
+use anvilloft_admission::Verdict;
+use anvilloft_budget::NeedId;
+use anvilloft_budget::ReservationId;
+use anvilloft_gateway::Refusal;
+use anvilloft_gateway::ports::Admit;
+use anvilloft_gateway::ports::AttemptEnd;
+use anvilloft_gateway::ports::Target;
+use anvilloft_gateway::ports::Ticket;
+use anvilloft_routing::Choice;
+use anvilloft_routing::Failure;
+use anvilloft_routing::NoRoute;
+use anvilloft_routing::Outcome as RouteOutcome;
+use anvilloft_routing::RouteRequest;
+use anvilloft_routing::suspect::Permission;
+use anvilloft_types::AttemptId;
+use anvilloft_types::EndpointId;
+use anvilloft_types::Incarnation;
+use anvilloft_types::RequestNo;
+use anvilloft_types::RunState;
+use anvilloft_types::Tokens;
+use http::StatusCode;
+use tokio::sync::oneshot;
+
+use super::Core;
+use super::Lane;
+use super::LaneKey;
+use super::Lingering;
+
+/// Attempts of one request, at most.
+const MAX_ATTEMPTS: usize = 4;
+/// Cancelled attempts that are watched, at most.
+const MAX_LINGERING: usize = 4096;
+/// Where nothing better is known.
+const RETRY_LATER: Duration = Duration::from_secs(1);
+
+/// A failed attempt whose caller waits for an answer.
+pub(crate) struct Failing {
+    pub(crate) retry: bool,
+    pub(crate) run: RunState,
+    pub(crate) used: Tokens,
+    pub(crate) reply: oneshot::Sender<Result<Ticket, Refusal>>,
+}
+
+/// The attempt that runs.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) id: AttemptId,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) started: Duration,
+    pub(crate) first_byte: Option<Duration>,
+}
+
+/// Where a request is.
+pub(crate) enum Stage {
+    /// Waits for tokens, for its turn or for an endpoint.
+    Waiting,
+    /// Waits for a suspect permit.
+    Permit,
+    /// An attempt runs.
+    Running(Attempt),
+    /// Waits for the verdict on the endpoint of its failed attempt.
+    Judging {
+        failing: Option<Failing>,
+        attempt: Attempt,
+        since: Duration,
+    },
+}
+
+/// A request that this router took.
+pub(crate) struct Req {
+    pub(crate) admit: Admit,
+    pub(crate) lane: LaneKey,
+    pub(crate) stage: Stage,
+    /// Receives the next ticket or refusal.
+    pub(crate) reply: Option<oneshot::Sender<Result<Ticket, Refusal>>>,
+    pub(crate) need: Option<NeedId>,
+    pub(crate) reservation: Option<ReservationId>,
+    /// Whether admission started it and must hear of its end.
+    pub(crate) started: bool,
+    pub(crate) queued: bool,
+    pub(crate) level: u32,
+    pub(crate) since: Duration,
+    /// When it could first have started.
+    pub(crate) routed_since: Option<Duration>,
+    pub(crate) tried: Vec<EndpointId>,
+    /// What its caller is told when no further attempt is possible.
+    pub(crate) last_failure: Option<(RunState, Tokens)>,
+    pub(crate) has_permit: bool,
+}
+
+impl Core {
+    pub(crate) fn on_admit(
+        &mut self,
+        now: Duration,
+        admit: Admit,
+        reply: oneshot::Sender<Result<Ticket, Refusal>>,
+    ) {
+        if let Err(refusal) = self.check_lease(now, &admit.team) {
+            reply.send(Err(refusal)).ok();
+            return;
+        }
+        let no = admit.no;
+        let lane = match &admit.target {
+            Target::Model { name, .. } => LaneKey::Model(name.clone()),
+            Target::Service(name) => LaneKey::Service(name.clone()),
+        };
+        self.count_demand(&admit.team.clone(), admit.amount);
+        let (budget, amount) = (admit.budget.clone(), admit.amount);
+        let req = Req {
+            admit,
+            lane,
+            stage: Stage::Waiting,
+            reply: Some(reply),
+            need: None,
+            reservation: None,
+            started: false,
+            queued: false,
+            level: 0,
+            since: now,
+            routed_since: None,
+            tried: Vec::new(),
+            last_failure: None,
+            has_permit: false,
+        };
+        self.requests.insert(no, req);
+        if amount == 0 {
+            self.offer(now, no);
+            return;
+        }
+        match self.allotments.reserve(now, &budget, amount) {
+            Ok(id) => {
+                if let Some(req) = self.requests.get_mut(&no) {
+                    req.reservation = Some(id);
+                }
+                self.offer(now, no);
+            }
+            Err(need) => {
+                let need = need.need();
+                self.needs.insert(need, no);
+                if let Some(req) = self.requests.get_mut(&no) {
+                    req.need = Some(need);
+                }
+            }
+        }
+    }
+
+    fn check_lease(&self, now: Duration, team: &str) -> Result<(), Refusal> {
+        if now < self.lease_until {
+            return Ok(());
+        }
+        let mut refusal = Refusal::unavailable(
+            "no_lease",
+            "this router has no valid configuration lease at present",
+        )
+        .retry_after(RETRY_LATER);
+        refusal.try_routers = self
+            .routers
+            .entry(team, 3)
+            .into_iter()
+            .filter(|r| r.router != self.id.router)
+            .map(|r| r.caller_address.clone())
+            .collect();
+        Err(refusal)
+    }
+
+    fn policy(&self) -> Policy {
+        let mut policy = Policy::default();
+        let ranks: Vec<Rank> = self
+            .config
+            .ranks()
+            .map(|r| Rank {
+                name: r.name.clone(),
+                level: r.level,
+                weight: r.weight,
+                floor_percent: r.floor_percent,
+                queue: Duration::from_millis(u64::from(r.queue_ms)),
+            })
+            .collect();
+        if !ranks.is_empty() {
+            policy.ranks = ranks;
+        }
+        policy
+    }
+
+    /// Makes the queues anew after the ranks changed. Running requests end
+    /// without the new queues; the selector still counts them.
+    pub(crate) fn rebuild_lanes(&mut self, now: Duration) {
+        let policy = self.policy();
+        for lane in self.lanes.values_mut() {
+            lane.admission = Box::new(FairAdmission::new(policy.clone()));
+        }
+        self.set_capacities(now);
+        let waiting: Vec<RequestNo> = self
+            .requests
+            .iter_mut()
+            .filter(|(_, r)| r.queued && !r.started)
+            .map(|(no, r)| {
+                r.queued = false;
+                *no
+            })
+            .collect();
+        for no in waiting {
+            self.offer(now, no);
+        }
+    }
+
+    fn route_request<'a>(req: &'a Req, now: Duration) -> RouteRequest<'a> {
+        let waited = req
+            .routed_since
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let mut route = RouteRequest {
+            level: req.level,
+            fingerprint: req.admit.fingerprint,
+            waited,
+            exclude: &req.tried,
+            ..RouteRequest::default()
+        };
+        match &req.admit.target {
+            Target::Model {
+                name,
+                version,
+                prefix,
+                prompt,
+                ..
+            } => {
+                route.model = name;
+                route.version = version;
+                route.prefix = Some(*prefix);
+                // The bound counts bytes; four of them make a token.
+                route.prompt_tokens = prompt / 4;
+            }
+            Target::Service(name) => route.service = name,
+        }
+        route
+    }
+
+    fn capacity_of(&self, now: Duration, lane: &LaneKey) -> Capacity {
+        let (model, service) = match lane {
+            LaneKey::Model(name) => (name.as_str(), ""),
+            LaneKey::Service(name) => ("", name.as_str()),
+        };
+        let route = RouteRequest {
+            model,
+            service,
+            ..RouteRequest::default()
+        };
+        Capacity::slots(self.selector.room(now, &route).slots)
+    }
+
+    pub(crate) fn set_capacities(&mut self, now: Duration) {
+        let keys: Vec<LaneKey> = self.lanes.keys().cloned().collect();
+        for key in keys {
+            let capacity = self.capacity_of(now, &key);
+            if let Some(lane) = self.lanes.get_mut(&key) {
+                lane.admission.set_capacity(now, capacity);
+            }
+        }
+    }
+
+    /// Puts a request with a reservation into its queue.
+    pub(crate) fn offer(&mut self, now: Duration, no: RequestNo) {
+        let Some(req) = self.requests.get_mut(&no) else {
+            return;
+        };
+        req.queued = true;
+        let team = self.config.team(&req.admit.team);
+        let urgent = self.config.value("urgent_share_percent", &req.admit.team);
+        let offer = Offer {
+            id: no,
+            team: req.admit.team.clone(),
+            weight: team.map_or(1, |t| t.weight),
+            rank: req.admit.rank.clone(),
+            tokens: req.admit.amount.max(1),
+            max_wait: None,
+            urgent_percent: u32::try_from(urgent).ok().filter(|u| *u > 0),
+        };
+        let key = req.lane.clone();
+        if !self.lanes.contains_key(&key) {
+            let mut lane = Lane {
+                admission: Box::new(FairAdmission::new(self.policy())),
+                parked: Vec::new(),
+            };
+            lane.admission
+                .set_capacity(now, self.capacity_of(now, &key));
+            self.lanes.insert(key.clone(), lane);
+        }
+        let Some(lane) = self.lanes.get_mut(&key) else {
+            return;
+        };
+        self.lanes_dirty = true;
+        if let Err(refusal) = lane.admission.offer(now, offer) {
+            self.refuse_admission(now, no, refusal);
+        }
+    }
+
+    fn refuse_admission(
+        &mut self,
+        now: Duration,
+        no: RequestNo,
+        refusal: anvilloft_admission::Refusal,
+    ) {
+        if let Some(req) = self.requests.get_mut(&no) {
+            req.queued = false;
+        }
+        let code = match refusal.reason {
+            Reason::NoCapacity => "no_endpoint",
+            Reason::TeamQueueFull | Reason::QueueFull => "queue_full",
+            Reason::WaitTooLong => "wait_too_long",
+            Reason::DeadlinePassed => "deadline_passed",
+            Reason::DuplicateId => "duplicate",
+        };
+        let status = if refusal.reason == Reason::NoCapacity {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::TOO_MANY_REQUESTS
+        };
+        let refusal = Refusal::new(status, code, refusal.reason.to_string())
+            .retry_after(refusal.retry_after.max(Duration::from_millis(1)));
+        self.refuse(now, no, refusal);
+    }
+
+    pub(crate) fn poll_lanes(&mut self, now: Duration) {
+        if now >= self.lease_until && self.requests.values().any(|r| r.reply.is_some()) {
+            self.refuse_waiting(now);
+        }
+        let keys: Vec<LaneKey> = self.lanes.keys().cloned().collect();
+        for key in keys {
+            let Some(lane) = self.lanes.get_mut(&key) else {
+                continue;
+            };
+            let parked = std::mem::take(&mut lane.parked);
+            for no in parked {
+                self.route(now, no);
+            }
+            let Some(lane) = self.lanes.get_mut(&key) else {
+                continue;
+            };
+            for verdict in lane.admission.poll(now) {
+                match verdict {
+                    Verdict::Start { id, level, .. } => {
+                        if let Some(req) = self.requests.get_mut(&id) {
+                            req.started = true;
+                            req.level = level;
+                            req.routed_since = Some(now);
+                        }
+                        self.route(now, id);
+                    }
+                    Verdict::Refuse { id, refusal } => self.refuse_admission(now, id, refusal),
+                }
+            }
+        }
+    }
+
+    /// The lease ran out: what waits is refused, what runs goes on.
+    fn refuse_waiting(&mut self, now: Duration) {
+        let waiting: Vec<(RequestNo, String)> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| matches!(r.stage, Stage::Waiting) && r.tried.is_empty())
+            .map(|(no, r)| (*no, r.admit.team.clone()))
+            .collect();
+        for (no, team) in waiting {
+            if let Err(refusal) = self.check_lease(now, &team) {
+                self.refuse(now, no, refusal);
+            }
+        }
+    }
+
+    /// Chooses an endpoint for a started request.
+    pub(crate) fn route(&mut self, now: Duration, no: RequestNo) {
+        let Some(req) = self.requests.get(&no) else {
+            return;
+        };
+        if req.reply.as_ref().is_none_or(oneshot::Sender::is_closed) {
+            // The caller went away; its `Finish` follows.
+            return;
+        }
+        let suspect = self.suspects.check(&req.admit.fingerprint) == Permission::Permit;
+        if suspect && self.permits.contains(&req.admit.fingerprint) {
+            return self.park(now, no, Duration::ZERO);
+        }
+        let route = Self::route_request(req, now);
+        match self.selector.choose(now, &route) {
+            Ok(choice) if suspect => self.ask_permit(no, choice),
+            Ok(choice) => self.assign(now, no, choice),
+            Err(NoRoute::Full(_)) => self.park(now, no, Duration::ZERO),
+            Err(e @ (NoRoute::NoEndpoint | NoRoute::Excluded)) => {
+                let refusal = match req.last_failure {
+                    Some((run, _)) => {
+                        Refusal::bad_gateway("endpoint_failed", "the endpoint failed", run)
+                    }
+                    None => Refusal::unavailable("no_endpoint", e.to_string()),
+                };
+                self.refuse(now, no, refusal.retry_after(RETRY_LATER));
+            }
+        }
+    }
+
+    /// Keeps a started request until an endpoint has room.
+    pub(crate) fn park(&mut self, now: Duration, no: RequestNo, _pause: Duration) {
+        let Some(req) = self.requests.get_mut(&no) else {
+            return;
+        };
+        req.stage = Stage::Waiting;
+        let limit = self
+            .config
+            .rank(&req.admit.rank)
+            .map_or(0, |r| u64::from(r.queue_ms));
+        if now.saturating_sub(req.since) > Duration::from_millis(limit) {
+            let refusal = match req.last_failure {
+                Some((run, _)) => {
+                    Refusal::bad_gateway("endpoint_failed", "the endpoint failed", run)
+                }
+                None => Refusal::new(
+                    StatusCode::TOO_MANY_REQUESTS,
+                    "deadline_passed",
+                    "the request waited as long as it may",
+                ),
+            };
+            return self.refuse(now, no, refusal.retry_after(RETRY_LATER));
+        }
+        let key = req.lane.clone();
+        if let Some(lane) = self.lanes.get_mut(&key) {
+            lane.parked.push(no);
+        }
+    }
+
+    /// Hands the ticket of an attempt to the traffic thread.
+    pub(crate) fn assign(&mut self, now: Duration, no: RequestNo, choice: Choice) {
+        let address = self
+            .endpoints
+            .get(&choice.endpoint)
+            .filter(|e| e.usable(now) && e.update.incarnation == choice.incarnation)
+            .and_then(|e| e.update.address.parse::<SocketAddr>().ok());
+        let Some(address) = address else {
+            self.selector.remove(&choice.endpoint);
+            return self.park(now, no, Duration::ZERO);
+        };
+        let Some(req) = self.requests.get_mut(&no) else {
+            return;
+        };
+        let id = match req.admit.attempt.take() {
+            Some(id) => id,
+            None => rand::random(),
+        };
+        let attempt = Attempt {
+            id,
+            endpoint: choice.endpoint.clone(),
+            incarnation: choice.incarnation,
+            started: now,
+            first_byte: None,
+        };
+        slog::debug!(self.log, "decision"; "decision" => "route",
+            "request" => &req.admit.request_id, "team" => &req.admit.team,
+            "rank" => &req.admit.rank, "endpoint" => &choice.endpoint,
+            "candidates" => choice.candidates, "reason" => ?choice.why,
+            "attempt" => req.tried.len() + 1);
+        req.tried.push(choice.endpoint.clone());
+        req.stage = Stage::Running(attempt);
+        let ticket = Ticket {
+            no,
+            endpoint: choice.endpoint.clone(),
+            address,
+            attempt: id,
+            priority: req.level,
+        };
+        let (amount, fingerprint) = (req.admit.amount, req.admit.fingerprint);
+        self.selector.started(now, &choice.endpoint, id, amount);
+        self.suspects
+            .started(&choice.endpoint, choice.incarnation, id, fingerprint);
+        if let Some(reply) = req.reply.take() {
+            // A caller that went away sends `Finish`, which ends the attempt.
+            reply.send(Ok(ticket)).ok();
+        }
+    }
+
+    pub(crate) fn on_first_byte(&mut self, now: Duration, no: RequestNo, _waited: Duration) {
+        if let Some(req) = self.requests.get_mut(&no)
+            && let Stage::Running(attempt) = &mut req.stage
+        {
+            attempt.first_byte = Some(now);
+            let (endpoint, id) = (attempt.endpoint.clone(), attempt.id);
+            self.selector.first_byte(now, &endpoint, id);
+        }
+    }
+
+    pub(crate) fn on_finish(
+        &mut self,
+        now: Duration,
+        no: RequestNo,
+        used: Tokens,
+        end: AttemptEnd,
+        key: Option<[u8; 16]>,
+    ) {
+        let Some(mut req) = self.requests.remove(&no) else {
+            return;
+        };
+        let stage = std::mem::replace(&mut req.stage, Stage::Waiting);
+        let (attempt, permit) = match stage {
+            Stage::Running(attempt) => (Some(attempt), req.has_permit),
+            Stage::Judging { attempt, .. } => (Some(attempt), req.has_permit),
+            _ => (None, req.has_permit),
+        };
+        if let Some(attempt) = attempt {
+            let outcome = if end == AttemptEnd::Cancelled {
+                RouteOutcome::Cancelled
+            } else {
+                self.retry.success(now);
+                let first_token = attempt
+                    .first_byte
+                    .unwrap_or(now)
+                    .saturating_sub(attempt.started);
+                let gap = match (&req.admit.target, attempt.first_byte) {
+                    (Target::Model { prompt, .. }, Some(first)) => {
+                        let tokens = used.saturating_sub(prompt / 4);
+                        let spent = now.saturating_sub(first);
+                        u32::try_from(tokens)
+                            .ok()
+                            .and_then(|n| spent.checked_div(n))
+                            .unwrap_or_default()
+                    }
+                    _ => Duration::ZERO,
+                };
+                RouteOutcome::Done { first_token, gap }
+            };
+            self.selector
+                .finished(now, &attempt.endpoint, attempt.id, outcome);
+            if end == AttemptEnd::Cancelled && self.lingering.len() < MAX_LINGERING {
+                // The endpoint may still die of it; it counts as in flight
+                // until the next announcement.
+                self.lingering.push(Lingering {
+                    endpoint: attempt.endpoint,
+                    incarnation: attempt.incarnation,
+                    attempt: attempt.id,
+                    since: now,
+                    permit: permit.then_some(req.admit.fingerprint),
+                });
+            } else {
+                self.suspects
+                    .finished(&attempt.endpoint, attempt.incarnation, attempt.id);
+                self.strikes.remove(&attempt.id);
+                if permit {
+                    self.end_permit(
+                        req.admit.fingerprint,
+                        attempt.endpoint,
+                        attempt.incarnation,
+                        false,
+                    );
+                }
+            }
+        }
+        self.release(now, no, req, used, key);
+    }
+
+    /// Frees the place and settles the reservation of a removed request.
+    fn release(
+        &mut self,
+        now: Duration,
+        no: RequestNo,
+        req: Req,
+        used: Tokens,
+        key: Option<[u8; 16]>,
+    ) {
+        if let Some(lane) = self.lanes.get_mut(&req.lane) {
+            if req.started {
+                lane.admission.finish(now, no, used);
+            } else if req.queued {
+                lane.admission.cancel(now, no);
+            }
+            lane.parked.retain(|n| *n != no);
+        }
+        self.lanes_dirty = true;
+        if let Some(need) = req.need {
+            self.allotments.cancel(&req.admit.budget, need);
+            self.needs.remove(&need);
+        }
+        if let Some(id) = req.reservation {
+            if used > 0 {
+                self.allotments.settle(now, id, used, key);
+            } else {
+                self.allotments.release(now, id);
+            }
+        }
+    }
+
+    /// Ends a request with an answer to its caller.
+    pub(crate) fn refuse(&mut self, now: Duration, no: RequestNo, refusal: Refusal) {
+        let Some(mut req) = self.requests.remove(&no) else {
+            return;
+        };
+        slog::debug!(self.log, "decision"; "decision" => "admission",
+            "request" => &req.admit.request_id, "team" => &req.admit.team,
+            "rank" => &req.admit.rank, "reason" => refusal.code,
+            "run" => refusal.run.as_str());
+        let used = req.last_failure.map_or(0, |(_, used)| used);
+        if let Some(reply) = req.reply.take() {
+            reply.send(Err(refusal)).ok();
+        }
+        self.release(now, no, req, used, None);
+    }
+
+    pub(crate) fn on_failed(
+        &mut self,
+        now: Duration,
+        no: RequestNo,
+        end: AttemptEnd,
+        failing: Failing,
+    ) {
+        let Some(req) = self.requests.get_mut(&no) else {
+            let refusal =
+                Refusal::bad_gateway("endpoint_failed", "the endpoint failed", failing.run);
+            failing.reply.send(Err(refusal)).ok();
+            return;
+        };
+        let Stage::Running(attempt) = &req.stage else {
+            return;
+        };
+        let attempt = attempt.clone();
+        let failure = match end {
+            AttemptEnd::Busy => Failure::Refused,
+            AttemptEnd::Unreachable => Failure::Connect,
+            AttemptEnd::Broken => Failure::Reset,
+            AttemptEnd::Silent if attempt.first_byte.is_some() => Failure::Gap,
+            AttemptEnd::Silent => Failure::FirstByte,
+            AttemptEnd::Ok | AttemptEnd::Failed | AttemptEnd::Cancelled => Failure::BadAnswer,
+        };
+        slog::info!(self.log, "attempt failed"; "request" => &req.admit.request_id,
+            "endpoint" => &attempt.endpoint, "reason" => ?failure,
+            "run" => failing.run.as_str());
+        req.last_failure = Some((failing.run, failing.used));
+        req.stage = Stage::Judging {
+            failing: Some(failing),
+            attempt: attempt.clone(),
+            since: now,
+        };
+        self.selector.finished(
+            now,
+            &attempt.endpoint,
+            attempt.id,
+            RouteOutcome::Failed(failure),
+        );
+        self.judge(now, no, &attempt, failure);
+    }
+
+    /// Goes on with a request whose endpoint has been judged: another attempt
+    /// or the failure answer.
+    pub(crate) fn resume(&mut self, now: Duration, no: RequestNo) {
+        let Some(req) = self.requests.get_mut(&no) else {
+            return;
+        };
+        let Stage::Judging {
+            failing, attempt, ..
+        } = &mut req.stage
+        else {
+            return;
+        };
+        let Some(failing) = failing.take() else {
+            return;
+        };
+        self.strikes.remove(&attempt.id);
+        let attempt = attempt.clone();
+        req.stage = Stage::Waiting;
+        req.reply = Some(failing.reply);
+        let had_permit = std::mem::take(&mut req.has_permit);
+        let fingerprint = req.admit.fingerprint;
+        let again = failing.retry && req.tried.len() < MAX_ATTEMPTS && self.retry.take(now);
+        if had_permit {
+            // Not dead, or it would have been ended as such.
+            self.end_permit(fingerprint, attempt.endpoint, attempt.incarnation, false);
+        }
+        if again {
+            return self.route(now, no);
+        }
+        let refusal = Refusal::bad_gateway("endpoint_failed", "the endpoint failed", failing.run);
+        self.refuse(now, no, refusal);
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,3 +1,3 @@
-//! Entry point.
+//! The router daemon.
 
 fn main() {}
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,308 @@
+//! Starts and stops a router within this process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use anvilloft_gateway::Api;
+use anvilloft_gateway::ApiOptions;
+use anvilloft_gateway::Clock;
+use anvilloft_gateway::CoreHandle;
+use anvilloft_gateway::View;
+use anvilloft_gateway::api::ApiService;
+use anvilloft_gateway::client::Client;
+use anvilloft_gateway::client::Limits;
+use anvilloft_gateway::metrics::Metrics;
+use anvilloft_gateway::serve::serve;
+use anvilloft_types::Incarnation;
+use anvilloft_wire::Control;
+use anvilloft_wire::peers::FromPeer;
+use anvilloft_wire::peers::Peers;
+use quick_error::quick_error;
+use slog::Logger;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::core::Core;
+use crate::core::CoreParts;
+use crate::core::Identity;
+use crate::core::Phase;
+
+/// Largest whole answer of an endpoint, in bytes.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Time between two closings of idle connections.
+const IDLE_EVERY: Duration = Duration::from_secs(1);
+
+quick_error! {
+    /// Why a router did not start.
+    #[derive(Debug)]
+    pub enum RouterError {
+        /// A socket or thread could not be made.
+        Io(err: io::Error) {
+            from()
+            display("{}", err)
+            source(err)
+        }
+        /// A metric was registered twice.
+        Metrics(err: prometheus::Error) {
+            from()
+            display("{}", err)
+            source(err)
+        }
+    }
+}
+
+/// Settings of a router.
+#[derive(Clone, Debug)]
+pub struct RouterOptions {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Incarnation; 0 for the present time in milliseconds.
+    pub incarnation: Incarnation,
+    /// Address for callers.
+    pub caller_listen: SocketAddr,
+    /// Address that callers are told; `None` for the bound one.
+    pub caller_address: Option<SocketAddr>,
+    /// Address that peers are told.
+    pub peer_address: String,
+    /// Threads that carry traffic.
+    pub threads: usize,
+    /// Limits towards callers; name and endpoint key are part of them.
+    pub api: ApiOptions,
+    /// Limits towards endpoints.
+    pub client: Limits,
+}
+
+impl RouterOptions {
+    /// Makes settings for a router on a free loopback port.
+    pub fn loopback(name: &str, data_centre: &str, endpoint_key: &str) -> Self {
+        Self {
+            name: name.into(),
+            data_centre: data_centre.into(),
+            incarnation: 0,
+            caller_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            caller_address: None,
+            peer_address: format!("local-{name}"),
+            threads: 2,
+            api: ApiOptions {
+                router: name.into(),
+                endpoint_key: endpoint_key.into(),
+                ..ApiOptions::default()
+            },
+            client: Limits::default(),
+        }
+    }
+}
+
+/// How a router reaches control and its peers.
+pub struct Links {
+    /// Access to the ledger.
+    pub control: Arc<dyn Control>,
+    /// Access to peers.
+    pub peers: Arc<dyn Peers>,
+    /// Frames of peers and of control.
+    pub inbox: mpsc::Receiver<FromPeer>,
+}
+
+/// A running router. Dropping it ends it like a crash.
+pub struct Router {
+    address: SocketAddr,
+    traffic: Option<Runtime>,
+    core: Option<std::thread::JoinHandle<()>>,
+    kill: CancellationToken,
+    drain: watch::Sender<bool>,
+    phase: watch::Receiver<Phase>,
+    metrics: Arc<Metrics>,
+    api: Arc<Api>,
+    stop_accepting: CancellationToken,
+}
+
+impl Router {
+    /// Starts the threads of a router.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound or a thread can't be started.
+    pub fn start(options: RouterOptions, links: Links, log: Logger) -> Result<Self, RouterError> {
+        let listener = std::net::TcpListener::bind(options.caller_listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let told = options.caller_address.unwrap_or(address);
+        let clock = Clock::start();
+        let view = Arc::new(arc_swap::ArcSwap::from_pointee(View::empty()));
+        let (handle, msgs) = CoreHandle::new();
+        let metrics = Arc::new(Metrics::new()?);
+        let client = Client::new(options.client, MAX_ANSWER_BYTES);
+        let log = log.new(slog::o!("router" => options.name.clone()));
+        let api = Arc::new(Api {
+            options: options.api,
+            clock,
+            view: Arc::clone(&view),
+            core: handle,
+            client: Arc::clone(&client),
+            metrics: Arc::clone(&metrics),
+            log: log.clone(),
+        });
+        let incarnation = match options.incarnation {
+            0 => SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(1, |d| d.as_millis() as u64),
+            n => n,
+        };
+        let core = Core::new(CoreParts {
+            id: Identity {
+                router: options.name.clone(),
+                incarnation,
+                data_centre: options.data_centre,
+                caller_address: told.to_string(),
+                peer_address: options.peer_address,
+            },
+            clock,
+            log,
+            view,
+            control: links.control,
+            peers: links.peers,
+            seed: rand::random(),
+        });
+        let phase = core.phase();
+        let (drain, drain_rx) = watch::channel(false);
+        let kill = CancellationToken::new();
+        let killed = kill.clone();
+        let control_runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let inbox = links.inbox;
+        let core = std::thread::Builder::new()
+            .name(format!("{}-core", options.name))
+            .spawn(move || {
+                control_runtime.block_on(async {
+                    tokio::select! {
+                        () = core.run(msgs, inbox, drain_rx) => {}
+                        () = killed.cancelled() => {}
+                    }
+                });
+            })?;
+        let traffic = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(options.threads)
+            .thread_name(format!("{}-traffic", options.name))
+            .enable_all()
+            .build()?;
+        let stop_accepting = CancellationToken::new();
+        let service = ApiService(Arc::clone(&api));
+        let stop = stop_accepting.clone();
+        traffic.spawn(async move {
+            loop {
+                tokio::time::sleep(IDLE_EVERY).await;
+                client.close_idle();
+            }
+        });
+        let (started, result) = std::sync::mpsc::channel();
+        traffic.spawn(async move {
+            let res = match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => serve(listener, service, stop).await,
+                Err(e) => Err(e),
+            };
+            started.send(res).ok();
+        });
+        result
+            .recv()
+            .map_err(|_| io::Error::other("the server did not start"))??;
+        Ok(Self {
+            address,
+            traffic: Some(traffic),
+            core: Some(core),
+            kill,
+            drain,
+            phase,
+            metrics,
+            api,
+            stop_accepting,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &Arc<Metrics> {
+        &self.metrics
+    }
+
+    /// Returns the shared state of the traffic threads.
+    pub fn api(&self) -> &Arc<Api> {
+        &self.api
+    }
+
+    /// Follows the phase.
+    pub fn phase(&self) -> watch::Receiver<Phase> {
+        self.phase.clone()
+    }
+
+    /// Returns how many endpoints this router may use now.
+    pub fn endpoints(&self) -> usize {
+        self.api.view.load().endpoints
+    }
+
+    /// Waits until the router has a lease, at most for `limit`.
+    pub async fn ready(&self, limit: Duration) -> bool {
+        let until = tokio::time::Instant::now() + limit;
+        while tokio::time::Instant::now() < until {
+            if self.api.view.load().has_lease(self.api.clock.now()) {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        false
+    }
+
+    /// Starts the planned stop.
+    pub fn start_drain(&self) {
+        self.drain.send_replace(true);
+    }
+
+    /// Drains, and ends the threads once everything is settled. Returns
+    /// whether that was within `limit`; otherwise what runs is interrupted.
+    pub async fn drain(mut self, limit: Duration) -> bool {
+        self.start_drain();
+        let mut phase = self.phase.clone();
+        let closed = tokio::time::timeout(limit, phase.wait_for(|p| *p >= Phase::Closed)).await;
+        self.stop_accepting.cancel();
+        let done = matches!(closed, Ok(Ok(p)) if *p == Phase::Closed);
+        if done {
+            // Answers that were settled may still be on their way out.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        self.end();
+        done
+    }
+
+    /// Ends the router at once, like a crash: every socket closes.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.kill.cancel();
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+        if let Some(core) = self.core.take() {
+            core.join().ok();
+        }
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod control;
 pub mod frame;
+pub mod peers;
 pub mod session;
 
 pub use command::Command;
