Add the administration subcommands

Cause: operators have no command for the administration API. Change: one file a subcommand, a client that tries every member and resends with the same ids, tables and JSON, and exit codes.

--- /dev/null
+++ b/crates/cli/src/api.rs
@@ -0,0 +1,298 @@
+//! Client of the administration API.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anvilloft_settings::Secret;
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use http::Method;
+use http::header;
+use http_body_util::BodyExt;
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use volo::net::Address;
+use volo_http::client::Client;
+use volo_http::client::ClientBuilder;
+
+use crate::error::CliError;
+
+/// Time for one subcommand, resends included.
+const TOTAL: Duration = Duration::from_secs(20);
+/// Time to connect to one address.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Time for one answer; longer than a control member waits for its group.
+const ANSWER: Duration = Duration::from_secs(8);
+/// Pause before the addresses are tried again.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Adds the options of every subcommand that uses the API.
+pub(crate) fn with_options(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("admin")
+                .long("admin")
+                .value_name("ADDRESSES")
+                .help("Administration addresses of control members, separated by commas [environment: ANVILLOFT_ADMIN]")
+                .global(true),
+        )
+        .arg(
+            Arg::new("key-file")
+                .long("key-file")
+                .value_name("FILE")
+                .help("File with the key, readable by its owner only [environment: ANVILLOFT_KEY_FILE]")
+                .global(true),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Prints JSON")
+                .global(true),
+        )
+}
+
+/// Adds the options of every subcommand that changes the configuration.
+pub(crate) fn with_change_options(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("reason")
+                .long("reason")
+                .value_name("TEXT")
+                .required(true)
+                .help("Why the change is made; kept in the history"),
+        )
+        .arg(
+            Arg::new("change-id")
+                .long("change-id")
+                .value_name("ID")
+                .help(
+                    "Id of the change; the same id never changes anything twice [default: random]",
+                ),
+        )
+        .arg(
+            Arg::new("base-revision")
+                .long("base-revision")
+                .value_name("REVISION")
+                .value_parser(clap::value_parser!(u64))
+                .help("Revision that the change was made against [default: the one in force]"),
+        )
+        .arg(
+            Arg::new("dry-run")
+                .long("dry-run")
+                .action(ArgAction::SetTrue)
+                .help("Shows what would change and changes nothing"),
+        )
+}
+
+/// Returns random hexadecimal digits.
+pub(crate) fn random_hex(bytes: usize) -> Result<String, CliError> {
+    let mut buf = vec![0; bytes];
+    OsRng
+        .try_fill_bytes(&mut buf)
+        .map_err(|err| CliError::Usage(format!("no random numbers: {err}")))?;
+    Ok(hex::encode(buf))
+}
+
+/// Access to the administration API.
+pub(crate) struct Api {
+    addresses: Vec<SocketAddr>,
+    key: String,
+    client: Client,
+    /// Id of this run's change.
+    change_id: String,
+}
+
+fn option(args: &ArgMatches, name: &str, variable: &str) -> Result<String, CliError> {
+    args.get_one::<String>(name)
+        .cloned()
+        .or_else(|| std::env::var(variable).ok())
+        .ok_or_else(|| CliError::Usage(format!("--{name} or {variable} must be given")))
+}
+
+impl Api {
+    /// Reads the options.
+    pub(crate) fn new(args: &ArgMatches) -> Result<Self, CliError> {
+        let addresses = option(args, "admin", "ANVILLOFT_ADMIN")?
+            .split(',')
+            .map(|part| {
+                part.trim().parse().map_err(|_| {
+                    CliError::Usage(format!("`{part}` is not an address such as 192.0.2.1:7100"))
+                })
+            })
+            .collect::<Result<_, _>>()?;
+        let path = PathBuf::from(option(args, "key-file", "ANVILLOFT_KEY_FILE")?);
+        let key = read_key(&path)?;
+        let change_id = match args.try_get_one::<String>("change-id") {
+            Ok(Some(id)) => id.clone(),
+            _ => random_hex(16)?,
+        };
+        let mut builder = ClientBuilder::new();
+        builder.set_request_timeout(ANSWER);
+        let client = builder
+            .build()
+            .map_err(|err| CliError::Usage(format!("HTTP client: {err}")))?;
+        Ok(Self {
+            addresses,
+            key,
+            client,
+            change_id,
+        })
+    }
+
+    /// Returns the id of this run's change.
+    pub(crate) fn change_id(&self) -> &str {
+        &self.change_id
+    }
+
+    /// Adds the head of a change to a body.
+    pub(crate) async fn change(
+        &self,
+        args: &ArgMatches,
+        mut body: Value,
+    ) -> Result<Value, CliError> {
+        let revision = match args.get_one::<u64>("base-revision") {
+            Some(revision) => *revision,
+            None => self.revision().await?,
+        };
+        body["change_id"] = json!(self.change_id);
+        body["base_revision"] = json!(revision);
+        body["reason"] = json!(args.get_one::<String>("reason"));
+        body["dry_run"] = json!(args.get_flag("dry-run"));
+        Ok(body)
+    }
+
+    async fn revision(&self) -> Result<u64, CliError> {
+        let ranks = self.get("/admin/v1/ranks").await?;
+        ranks["revision"]
+            .as_u64()
+            .ok_or_else(|| CliError::NotRun("the answer names no revision".to_owned()))
+    }
+
+    /// Reads.
+    pub(crate) async fn get(&self, path: &str) -> Result<Value, CliError> {
+        self.call(Method::GET, path, None).await
+    }
+
+    /// Sends a request to the first member that can run it, and again with the
+    /// same ids after a lost answer.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Value, CliError> {
+        let deadline = Instant::now() + TOTAL;
+        let mut unknown = None;
+        let mut last = "no address is given".to_owned();
+        loop {
+            for address in &self.addresses {
+                // Nothing was sent to an address that can't be connected to.
+                match timeout(CONNECT, TcpStream::connect(address)).await {
+                    Ok(Ok(_)) => (),
+                    Ok(Err(err)) => {
+                        last = format!("{address}: {err}");
+                        continue;
+                    }
+                    Err(_) => {
+                        last = format!("{address}: no connection in time");
+                        continue;
+                    }
+                }
+                match self.send(*address, method.clone(), path, body).await {
+                    Err(reason) => unknown = Some(format!("{address}: {reason}")),
+                    Ok((503 | 429, reply)) => last = message(&reply),
+                    Ok((504, reply)) => unknown = Some(message(&reply)),
+                    Ok((status, reply)) if status < 300 => return Ok(reply),
+                    Ok((409, reply)) => return Err(CliError::Conflict(message(&reply))),
+                    Ok((_, reply)) => {
+                        let code = reply["error"]["code"].as_str().unwrap_or("error");
+                        return Err(CliError::Refused(code.to_owned(), message(&reply)));
+                    }
+                }
+            }
+            if Instant::now() + PAUSE >= deadline {
+                return Err(match unknown {
+                    Some(reason) if method != Method::GET => {
+                        CliError::Unknown(reason, self.change_id.clone())
+                    }
+                    Some(reason) => CliError::NotRun(reason),
+                    None => CliError::NotRun(last),
+                });
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<(u16, Value), String> {
+        let body = body.map(Value::to_string).unwrap_or_default();
+        let response = self
+            .client
+            .request(method, format!("http://{address}{path}"))
+            .address(Address::from(address))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .data(body)
+            .send()
+            .await
+            .map_err(|err| err.to_string())?;
+        let status = response.status().as_u16();
+        let limited = http_body_util::Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let bytes = limited.collect().await.map_err(|err| err.to_string())?;
+        let reply = serde_json::from_slice(&bytes.to_bytes()).map_err(|err| err.to_string())?;
+        Ok((status, reply))
+    }
+}
+
+fn message(reply: &Value) -> String {
+    reply["error"]["message"]
+        .as_str()
+        .unwrap_or("the answer has no message")
+        .to_owned()
+}
+
+fn read_key(path: &Path) -> Result<String, CliError> {
+    let key = Secret::from_file(path).map_err(CliError::Usage)?;
+    String::from_utf8(key.expose().to_vec())
+        .map_err(|_| CliError::Usage(format!("the key in {} is no text", path.display())))
+}
+
+/// Encodes a name for use in a path.
+pub(crate) fn encode(name: &str) -> String {
+    let mut out = String::new();
+    for b in name.bytes() {
+        if b.is_ascii_alphanumeric() || b"-_.".contains(&b) {
+            out.push(char::from(b));
+        } else {
+            out.push_str(&format!("%{b:02X}"));
+        }
+    }
+    out
+}
+
+/// Runs a future to its end.
+pub(crate) fn block_on<T>(
+    future: impl Future<Output = Result<T, CliError>>,
+) -> Result<T, CliError> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|err| CliError::Usage(format!("runtime: {err}")))?
+        .block_on(future)
+}
--- /dev/null
+++ b/crates/cli/src/cmd/budget.rs
@@ -0,0 +1,74 @@
+//! `anvilloft budget`: lists budgets, makes them and tops them up.
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use http::Method;
+use serde_json::json;
+
+use crate::api::Api;
+use crate::api::block_on;
+use crate::api::with_options;
+use crate::cmd::items::Field;
+use crate::cmd::items::Items;
+use crate::cmd::items::Type;
+use crate::error::CliError;
+use crate::output::print;
+
+const ITEMS: Items = Items {
+    one: "budget",
+    path: "budgets",
+    about: "Lists budgets, makes them and tops them up",
+    by_team: false,
+    fields: &[Field {
+        name: "team",
+        flag: "team",
+        ty: Type::Text,
+        help: "Team that owns the budget; can't be changed later",
+    }],
+};
+
+/// Returns the command-line definition.
+pub(crate) fn command() -> Command {
+    let top_up = Command::new("topup")
+        .about("Adds tokens, or corrects the budget with a negative amount")
+        .arg(Arg::new("name").value_name("NAME").required(true))
+        .arg(
+            Arg::new("amount")
+                .value_name("TOKENS")
+                .required(true)
+                .allow_negative_numbers(true)
+                .value_parser(clap::value_parser!(i64)),
+        )
+        .arg(
+            Arg::new("reason")
+                .long("reason")
+                .value_name("TEXT")
+                .required(true)
+                .help("Why the amount changes; kept in the history"),
+        )
+        .arg(
+            Arg::new("change-id")
+                .long("change-id")
+                .value_name("ID")
+                .help("Id of the top-up; the same id never adds anything twice [default: random]"),
+        );
+    ITEMS.command().subcommand(with_options(top_up))
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(args: &ArgMatches) -> Result<(), CliError> {
+    let Some(("topup", args)) = args.subcommand() else {
+        return ITEMS.run(args);
+    };
+    let api = Api::new(args)?;
+    let body = json!({
+        "id": api.change_id(),
+        "amount": args.get_one::<i64>("amount"),
+        "reason": args.get_one::<String>("reason"),
+    });
+    let path = format!("{}/topups", ITEMS.item_path(args));
+    let reply = block_on(api.call(Method::POST, &path, Some(&body)))?;
+    print(args, &reply);
+    Ok(())
+}
