Carry peer sessions and membership requests of a control member

Cause: the driver needs a transport, and calls must reach the leader. Change: add the table of sessions, forwarding by one hop, and group requests.

--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,322 @@
+//! Sessions of a control member with other members and with routers.
+//!
+//! [`Peers`] carries consensus messages (it is the driver's [`Transport`]),
+//! answers calls, and forwards calls to the leader, one hop at most. A message
+//! to a member uses any open session with it, whichever side dialled.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_types::BoxFuture;
+use anvilloft_types::Incarnation;
+use anvilloft_types::MemberId;
+use anvilloft_types::Revision;
+use anvilloft_wire::CallError;
+use anvilloft_wire::Control;
+use anvilloft_wire::ControlReply;
+use anvilloft_wire::ControlRequest;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::Request;
+use anvilloft_wire::frame::Call;
+use anvilloft_wire::frame::ConsensusFrame;
+use anvilloft_wire::frame::Payload;
+use anvilloft_wire::session::HOPS_BY_CONTROL;
+use anvilloft_wire::session::Handler;
+use anvilloft_wire::session::Identity;
+use anvilloft_wire::session::Link;
+use anvilloft_wire::session::Session;
+use anvilloft_wire::session::SessionError;
+use slog::Logger;
+use slog::warn;
+use tokio::runtime;
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+
+use crate::driver::Handle;
+use crate::driver::Transport;
+use crate::group;
+
+/// Longest time that a call of a peer may take, whatever the peer asks for.
+const MAX_CALL: Duration = Duration::from_secs(60);
+/// Pause before a call is tried again while no leader is known.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Time for one forwarded attempt; a call outlives one lost leader.
+const ATTEMPT: Duration = Duration::from_secs(1);
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Every holder makes one change only, so a panic leaves no half state.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sessions and links of one control member.
+pub struct Peers {
+    identity: Arc<Identity>,
+    runtime: runtime::Handle,
+    handle: OnceLock<Handle>,
+    /// Open sessions with members, newest last.
+    members: Mutex<HashMap<MemberId, Vec<Arc<Session>>>>,
+    /// Open sessions with routers, by session.
+    routers: Mutex<Vec<Arc<Session>>>,
+    /// Links by peer address. Bounded by the settings and the membership.
+    links: Mutex<HashMap<SocketAddr, Link>>,
+    calls: Semaphore,
+    forwarded: AtomicU64,
+    log: Logger,
+}
+
+impl std::fmt::Debug for Peers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Peers").finish_non_exhaustive()
+    }
+}
+
+impl Peers {
+    /// Makes the table without sessions. `max_calls` bounds the calls of all
+    /// peers that run at once.
+    pub fn new(
+        identity: Arc<Identity>,
+        runtime: runtime::Handle,
+        max_calls: usize,
+        log: Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            identity,
+            runtime,
+            handle: OnceLock::new(),
+            members: Mutex::default(),
+            routers: Mutex::default(),
+            links: Mutex::default(),
+            calls: Semaphore::new(max_calls),
+            forwarded: AtomicU64::new(0),
+            log,
+        })
+    }
+
+    /// Names the driver, once it runs.
+    pub fn set_handle(&self, handle: Handle) {
+        // A second driver would need a second table.
+        let _ = self.handle.set(handle);
+    }
+
+    /// Keeps links to exactly these addresses.
+    pub fn set_links(self: &Arc<Self>, addresses: &[SocketAddr]) {
+        let _guard = self.runtime.enter();
+        let mut links = lock(&self.links);
+        links.retain(|address, _| addresses.contains(address));
+        for address in addresses {
+            links.entry(*address).or_insert_with(|| {
+                let handler = Arc::new(PeerHandler(self.clone()));
+                Link::start(*address, self.identity.clone(), handler, self.log.clone())
+            });
+        }
+    }
+
+    /// Ends all links and sessions.
+    pub fn stop(&self) {
+        lock(&self.links).clear();
+        for session in lock(&self.members).values().flatten() {
+            session.close();
+        }
+        for session in lock(&self.routers).iter() {
+            session.close();
+        }
+    }
+
+    /// Returns an open session with a member.
+    pub fn member(&self, id: MemberId) -> Option<Arc<Session>> {
+        let members = lock(&self.members);
+        let open = members.get(&id)?.iter().rev().find(|s| s.is_open());
+        open.cloned()
+    }
+
+    /// Returns the number of open sessions with members and with routers.
+    pub fn counts(&self) -> (usize, usize) {
+        let members = lock(&self.members).values().map(Vec::len).sum();
+        (members, lock(&self.routers).len())
+    }
+
+    /// Returns the number of calls passed on to the leader.
+    pub fn forwarded(&self) -> u64 {
+        self.forwarded.load(Ordering::Relaxed)
+    }
+
+    /// Answers a call here or passes it on to the leader until `limit`.
+    async fn run(&self, req: ControlRequest, limit: Duration, hops: u32) -> ControlReply {
+        let Some(handle) = self.handle.get() else {
+            return Answer::Unavailable("the member is starting".to_owned()).into();
+        };
+        let deadline = Instant::now() + limit;
+        let changes = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
+        // Once set it stays: a later refusal says nothing about the earlier
+        // attempt.
+        let mut unknown = None;
+        let mut last = "no leader is known".to_owned();
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return match unknown {
+                    Some(reason) if changes => Answer::Unknown(reason).into(),
+                    Some(reason) => Answer::Unavailable(reason).into(),
+                    None => Answer::Unavailable(last).into(),
+                };
+            }
+            let local = match &req.request {
+                Some(Request::Group(group)) => group::run(handle, self, group).await,
+                _ => handle.call(req.clone(), left).await,
+            };
+            let hint = match local {
+                Ok(ControlReply {
+                    answer: Some(Answer::NotLeader(hint)),
+                }) => hint,
+                Ok(reply) => match reply.answer {
+                    Some(Answer::Unknown(reason)) => {
+                        unknown = Some(reason);
+                        String::new()
+                    }
+                    Some(Answer::Unavailable(reason)) => {
+                        last = reason;
+                        String::new()
+                    }
+                    _ => return reply,
+                },
+                Err(CallError::Unknown(reason)) => {
+                    unknown = Some(reason);
+                    String::new()
+                }
+                Err(CallError::Unavailable(reason)) => {
+                    last = reason;
+                    String::new()
+                }
+            };
+            if hops >= HOPS_BY_CONTROL {
+                // The caller knows more members than this one does.
+                return match unknown {
+                    Some(reason) if changes => Answer::Unknown(reason).into(),
+                    _ => Answer::NotLeader(hint).into(),
+                };
+            }
+            let leader = handle.status().borrow().leader;
+            if let Some(session) = leader.and_then(|id| self.member(id)) {
+                self.forwarded.fetch_add(1, Ordering::Relaxed);
+                let limit = left.min(ATTEMPT);
+                match session.call(req.clone(), limit, HOPS_BY_CONTROL).await {
+                    Ok(reply) => match reply.answer {
+                        Some(Answer::NotLeader(_)) => (),
+                        Some(Answer::Unavailable(reason)) => last = reason,
+                        Some(Answer::Unknown(reason)) => unknown = Some(reason),
+                        _ => return reply,
+                    },
+                    Err(CallError::Unknown(reason)) => unknown = Some(reason),
+                    Err(CallError::Unavailable(reason)) => last = reason,
+                }
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            tokio::time::sleep(left.min(PAUSE)).await;
+        }
+    }
+}
+
+impl Control for Peers {
+    fn call(
+        &self,
+        req: ControlRequest,
+        timeout: Duration,
+    ) -> BoxFuture<'_, Result<ControlReply, CallError>> {
+        Box::pin(async move {
+            let reply = self.run(req, timeout, 0).await;
+            match reply.answer {
+                Some(Answer::Unavailable(reason)) => Err(CallError::Unavailable(reason)),
+                Some(Answer::Unknown(reason)) => Err(CallError::Unknown(reason)),
+                _ => Ok(reply),
+            }
+        })
+    }
+}
+
+/// The handler of all sessions. It owns the table, because the answer to a
+/// call outlives the session's borrow.
+pub(crate) struct PeerHandler(pub(crate) Arc<Peers>);
+
+impl Handler for PeerHandler {
+    fn opened(&self, session: &Arc<Session>) {
+        if session.peer().role == "control" {
+            let mut members = lock(&self.0.members);
+            let sessions = members.entry(session.peer().member).or_default();
+            sessions.push(session.clone());
+        } else {
+            lock(&self.0.routers).push(session.clone());
+        }
+    }
+
+    fn closed(&self, session: &Arc<Session>, reason: &SessionError) {
+        slog::debug!(self.0.log, "peer session ended";
+            "peer" => &session.peer().node, "reason" => %reason);
+        lock(&self.0.members).retain(|_, sessions| {
+            sessions.retain(|s| !Arc::ptr_eq(s, session));
+            !sessions.is_empty()
+        });
+        lock(&self.0.routers).retain(|s| !Arc::ptr_eq(s, session));
+    }
+
+    fn frame(&self, session: &Arc<Session>, payload: Payload) {
+        let Payload::Consensus(frame) = payload else {
+            return;
+        };
+        // Whoever holds the fleet key is trusted, but a member must not speak
+        // for another one by mistake, such as with a copied data folder.
+        if session.peer().role != "control" || frame.from != session.peer().member {
+            warn!(self.0.log, "dropped a consensus message in another member's name";
+                "peer" => &session.peer().node, "from" => frame.from);
+            return;
+        }
+        if let Some(handle) = self.0.handle.get() {
+            handle.consensus(frame);
+        }
+    }
+
+    fn call(&self, _session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
+        let peers = self.0.clone();
+        Box::pin(async move {
+            let Ok(_permit) = peers.calls.try_acquire() else {
+                return Answer::Unavailable("too many calls run".to_owned()).into();
+            };
+            let Some(req) = call.request else {
+                return Answer::Unavailable("empty request".to_owned()).into();
+            };
+            let limit = Duration::from_millis(call.timeout_ms).min(MAX_CALL);
+            peers.run(req, limit, call.hops).await
+        })
+    }
+}
+
+impl Transport for Peers {
+    fn send(&self, member: MemberId, frame: ConsensusFrame) {
+        if let Some(session) = self.member(member) {
+            // A lost message is sent again by the consensus.
+            let _ = session.send(Payload::Consensus(frame));
+        }
+    }
+
+    fn recall(&self, router: &str, incarnation: Incarnation, budget: &str) {
+        for session in lock(&self.routers).iter() {
+            let peer = session.peer();
+            if peer.node == router && peer.incarnation == incarnation {
+                let _ = session.send(Payload::Recall(budget.to_owned()));
+            }
+        }
+    }
+
+    fn config_push(&self, revision: Revision) {
+        for session in lock(&self.routers).iter() {
+            let _ = session.send(Payload::ConfigPush(revision));
+        }
+    }
+}
