--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -342,6 +342,11 @@
                         Err(e) => return Err(CallError::Unavailable(e.to_string())),
                     }
                 }
+                Some(Request::Group(_)) => {
+                    return Err(CallError::Unavailable(
+                        "the in-process control has no members".into(),
+                    ));
+                }
                 None => return Err(CallError::Unavailable("empty request".into())),
             };
             if self.cut.load(Ordering::Relaxed) {
