Run control members as daemons

Cause: the driver and the administration API are not joined to a process. Change: peer sessions carry consensus messages and calls, calls go on to the leader by one hop, a new group is refused beside an old one, the data folder is closed to others, SIGTERM ends after the calls in flight, and /metrics, /healthz and /readyz are served. Conclusion: changes survive the loss of the leader, races, lost answers, a restart after 200 missed changes and the replacement of a lost disk.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -19,6 +19,7 @@
 pub use calls::CALLS;
 pub use calls::CallSpec;
 pub use error::ApiError;
+pub use http::Readiness;
 pub use http::serve;
 pub use items::ItemKind;
 pub use run::Admin;
--- a/crates/control/src/admin/http.rs
+++ b/crates/control/src/admin/http.rs
@@ -1,8 +1,6 @@
 //! HTTP server of the administration API and the operational paths.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_telemetry::Metrics;
@@ -81,11 +79,14 @@
     }
 }
 
+/// Says whether the member is ready, and a line for people.
+pub type Readiness = Arc<dyn Fn() -> (bool, String) + Send + Sync>;
+
 /// Serves until `stop` becomes true. `ready` decides the answer of /readyz.
 pub async fn serve(
     admin: Arc<Admin>,
     metrics: Metrics,
-    ready: Arc<AtomicBool>,
+    ready: Readiness,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
     log: Logger,
@@ -116,14 +117,20 @@
     }
 }
 
-async fn answer(admin: &Admin, metrics: &Metrics, ready: &AtomicBool, req: Request) -> Response {
+async fn answer(admin: &Admin, metrics: &Metrics, ready: &Readiness, req: Request) -> Response {
     let (parts, body) = req.into_parts();
     let path = parts.uri.path();
     if parts.method == Method::GET {
         match path {
             "/healthz" => return text(StatusCode::OK, "ok\n"),
-            "/readyz" if ready.load(Ordering::Relaxed) => return text(StatusCode::OK, "ready\n"),
-            "/readyz" => return text(StatusCode::SERVICE_UNAVAILABLE, "no leader is known\n"),
+            "/readyz" => {
+                let (ready, line) = ready();
+                let status = match ready {
+                    true => StatusCode::OK,
+                    false => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                return text(status, &format!("{line}\n"));
+            }
             "/metrics" => {
                 return match metrics.render() {
                     Ok(page) => reply(StatusCode::OK, "text/plain; version=0.0.4", page),
--- a/crates/control/src/admin/run.rs
+++ b/crates/control/src/admin/run.rs
@@ -522,9 +522,9 @@
         })
     }
 
-    /// Removes a member whose disk is lost and adds its successor. The old
-    /// member goes first: while both are members, the lost one counts towards
-    /// the size of a majority.
+    /// Adds the successor of a member whose disk is lost and removes the
+    /// member. The successor comes first, so that it catches up while the old
+    /// one is removed; it gets its vote from the leader once it has caught up.
     async fn replace_member(
         &self,
         caller: &Caller,
@@ -534,8 +534,13 @@
         let old = parse_member(&values[0])?;
         let (id, address) = take_member(&mut body)?;
         check_empty(&body)?;
-        self.group(GroupAction::Remove, old, "").await?;
-        let reply = self.group(GroupAction::AddLearner, id, &address).await?;
+        if old == id {
+            return Err(ApiError::BadRequest(
+                "a host that lost its disk starts with a new id".to_owned(),
+            ));
+        }
+        self.group(GroupAction::AddLearner, id, &address).await?;
+        let reply = self.group(GroupAction::Remove, old, "").await?;
         info!(self.log, "member replaced"; "author" => &caller.key,
             "old" => format!("{old:016x}"), "new" => format!("{id:016x}"));
         Ok(Reply {
@@ -548,7 +553,14 @@
 fn read_json(answer: Option<Answer>) -> Result<Value, ApiError> {
     match answer {
         Some(Answer::QueryResult(text)) => {
-            serde_json::from_str(&text).map_err(|err| ApiError::Internal(err.to_string()))
+            let value: Value =
+                serde_json::from_str(&text).map_err(|err| ApiError::Internal(err.to_string()))?;
+            // How the control thread passes on an error of a query, such as an
+            // item that was deleted a moment ago.
+            match value["error"].as_str() {
+                Some(error) => Err(ApiError::Refused("query".to_owned(), error.to_owned())),
+                None => Ok(value),
+            }
         }
         Some(answer) => Err(answer.into()),
         None => Err(ApiError::Internal("the reply is empty".to_owned())),
--- /dev/null
+++ b/crates/control/src/daemon/figures.rs
@@ -0,0 +1,186 @@
+//! Metrics of a control member.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_telemetry::Metrics;
+use anvilloft_telemetry::MetricsError;
+use anvilloft_wire::session::Identity;
+use prometheus::IntGauge;
+
+use crate::driver::DriverStats;
+use crate::driver::Handle;
+use crate::peers::Peers;
+
+type Read = fn(&DriverStats) -> &AtomicU64;
+type ReadSession = fn(&Identity) -> &AtomicU64;
+
+/// Counters of the control thread: name, help, and where they are read.
+const DRIVER: &[(&str, &str, Read)] = &[
+    ("control_syncs_total", "Syncs of the data folder.", |s| {
+        &s.syncs
+    }),
+    (
+        "control_sync_microseconds_total",
+        "Time spent in syncs.",
+        |s| &s.sync_us,
+    ),
+    (
+        "control_applied_total",
+        "Log entries applied to the ledger.",
+        |s| &s.applied,
+    ),
+    (
+        "control_snapshots_total",
+        "Snapshots taken or received.",
+        |s| &s.snapshots,
+    ),
+    (
+        "control_elections_won_total",
+        "Times that this member became leader.",
+        |s| &s.elections_won,
+    ),
+    (
+        "control_calls_refused_total",
+        "Calls refused because a queue was full.",
+        |s| &s.calls_refused,
+    ),
+    (
+        "control_messages_dropped_total",
+        "Consensus messages dropped because a queue was full.",
+        |s| &s.messages_dropped,
+    ),
+    (
+        "control_waiting_commands",
+        "Commands that wait to be committed.",
+        |s| &s.waiting,
+    ),
+    (
+        "control_held_grants",
+        "Grants that wait for returned allotments.",
+        |s| &s.held_grants,
+    ),
+];
+
+/// Counters of the peer sessions.
+const SESSIONS: &[(&str, &str, ReadSession)] = &[
+    ("peer_sessions_opened_total", "Peer sessions opened.", |i| {
+        &i.stats.opened
+    }),
+    (
+        "peer_handshakes_failed_total",
+        "Peer handshakes that failed.",
+        |i| &i.stats.handshakes_failed,
+    ),
+    (
+        "peer_sessions_silent_total",
+        "Peer sessions dropped because nothing was received.",
+        |i| &i.stats.dropped_silent,
+    ),
+    (
+        "peer_sessions_overflow_total",
+        "Peer sessions dropped because a send queue was full.",
+        |i| &i.stats.dropped_overflow,
+    ),
+    (
+        "peer_sessions_invalid_total",
+        "Peer sessions dropped because of a wrong frame.",
+        |i| &i.stats.dropped_invalid,
+    ),
+    (
+        "peer_connections_refused_total",
+        "Peer connections refused at the limit.",
+        |i| &i.stats.refused,
+    ),
+];
+
+/// Gauges that are set from the member's state.
+pub(super) struct Figures {
+    driver: Vec<(IntGauge, Read)>,
+    sessions: Vec<(IntGauge, ReadSession)>,
+    leads: IntGauge,
+    has_leader: IntGauge,
+    term: IntGauge,
+    commit: IntGauge,
+    applied: IntGauge,
+    revision: IntGauge,
+    members: IntGauge,
+    voters: IntGauge,
+    member_sessions: IntGauge,
+    router_sessions: IntGauge,
+    forwarded: IntGauge,
+}
+
+impl Figures {
+    pub(super) fn new(metrics: &Metrics) -> Result<Self, MetricsError> {
+        let mut driver = Vec::new();
+        for (name, help, read) in DRIVER {
+            driver.push((metrics.gauge(name, help)?, *read));
+        }
+        let mut sessions = Vec::new();
+        for (name, help, read) in SESSIONS {
+            sessions.push((metrics.gauge(name, help)?, *read));
+        }
+        Ok(Self {
+            driver,
+            sessions,
+            leads: metrics.gauge("control_leads", "1 while this member leads.")?,
+            has_leader: metrics.gauge("control_has_leader", "1 while a leader is known.")?,
+            term: metrics.gauge("control_term", "Consensus term.")?,
+            commit: metrics.gauge("control_commit_index", "Last committed log entry.")?,
+            applied: metrics.gauge("control_applied_index", "Last applied log entry.")?,
+            revision: metrics.gauge("control_revision", "Configuration revision.")?,
+            members: metrics.gauge("control_members", "Members of the group.")?,
+            voters: metrics.gauge("control_voters", "Members with a vote.")?,
+            member_sessions: metrics
+                .gauge("peer_member_sessions", "Open sessions with members.")?,
+            router_sessions: metrics
+                .gauge("peer_router_sessions", "Open sessions with routers.")?,
+            forwarded: metrics
+                .gauge("control_forwarded_total", "Calls passed on to the leader.")?,
+        })
+    }
+
+    /// Copies the figures until the task is aborted.
+    pub(super) async fn run(
+        self,
+        handle: Handle,
+        peers: Arc<Peers>,
+        identity: Arc<Identity>,
+        every: Duration,
+    ) {
+        let mut interval = tokio::time::interval(every);
+        loop {
+            interval.tick().await;
+            self.copy(&handle, &peers, &identity);
+        }
+    }
+
+    fn copy(&self, handle: &Handle, peers: &Peers, identity: &Identity) {
+        let int = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
+        let load = |counter: &AtomicU64| int(counter.load(Ordering::Relaxed));
+        for (gauge, read) in &self.driver {
+            gauge.set(load(read(handle.stats())));
+        }
+        for (gauge, read) in &self.sessions {
+            gauge.set(load(read(identity)));
+        }
+        let status = handle.status().borrow().clone();
+        let members = &status.membership.members;
+        self.leads.set(i64::from(status.leads));
+        self.has_leader.set(i64::from(status.leader.is_some()));
+        self.term.set(int(status.term));
+        self.commit.set(int(status.commit));
+        self.applied.set(int(status.applied));
+        self.revision.set(int(status.revision));
+        self.members.set(int(members.len() as u64));
+        self.voters
+            .set(int(members.iter().filter(|m| m.voter).count() as u64));
+        let (with_members, with_routers) = peers.counts();
+        self.member_sessions.set(int(with_members as u64));
+        self.router_sessions.set(int(with_routers as u64));
+        self.forwarded.set(int(peers.forwarded()));
+    }
+}
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -11,6 +11,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -42,8 +43,9 @@
 
 use crate::driver::Handle;
 use crate::driver::Transport;
-use crate::group;
 
+/// Kind of a query that each member answers by itself.
+pub(crate) const LOCAL_QUERY: &str = "member";
 /// Longest time that a call of a peer may take, whatever the peer asks for.
 const MAX_CALL: Duration = Duration::from_secs(60);
 /// Pause before a call is tried again while no leader is known.
@@ -68,6 +70,8 @@
     /// Links by peer address. Bounded by the settings and the membership.
     links: Mutex<HashMap<SocketAddr, Link>>,
     calls: Semaphore,
+    max_calls: usize,
+    draining: AtomicBool,
     forwarded: AtomicU64,
     log: Logger,
 }
@@ -95,6 +99,8 @@
             routers: Mutex::default(),
             links: Mutex::default(),
             calls: Semaphore::new(max_calls),
+            max_calls,
+            draining: AtomicBool::new(false),
             forwarded: AtomicU64::new(0),
             log,
         })
@@ -148,13 +154,41 @@
         self.forwarded.load(Ordering::Relaxed)
     }
 
+    /// Refuses calls from now on, so that callers turn to other members, and
+    /// waits until the calls in flight have ended.
+    pub async fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        let all = u32::try_from(self.max_calls).unwrap_or(u32::MAX);
+        // The semaphore is never closed.
+        let _ = self.calls.acquire_many(all).await;
+    }
+
     /// Answers a call here or passes it on to the leader until `limit`.
     async fn run(&self, req: ControlRequest, limit: Duration, hops: u32) -> ControlReply {
         let Some(handle) = self.handle.get() else {
-            return Answer::Unavailable("the member is starting".to_owned()).into();
+            return unavailable("the member is starting");
         };
-        let deadline = Instant::now() + limit;
+        if let Some(Request::Query(query)) = &req.request
+            && query.kind == LOCAL_QUERY
+        {
+            return Answer::QueryResult(local_status(handle)).into();
+        }
+        if self.draining.load(Ordering::Relaxed) {
+            return unavailable("the member is stopping");
+        }
+        let Ok(_permit) = self.calls.try_acquire() else {
+            return unavailable("too many calls run");
+        };
+        if hops >= HOPS_BY_CONTROL {
+            // The caller knows more members than this one does.
+            return match handle.call(req, limit).await {
+                Ok(reply) => reply,
+                Err(CallError::Unavailable(reason)) => Answer::Unavailable(reason).into(),
+                Err(CallError::Unknown(reason)) => Answer::Unknown(reason).into(),
+            };
+        }
         let changes = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
+        let deadline = Instant::now() + limit;
         // Once set it stays: a later refusal says nothing about the earlier
         // attempt.
         let mut unknown = None;
@@ -168,55 +202,24 @@
                     None => Answer::Unavailable(last).into(),
                 };
             }
-            let local = match &req.request {
-                Some(Request::Group(group)) => group::run(handle, self, group).await,
-                _ => handle.call(req.clone(), left).await,
+            let leader = handle.status().borrow().leader;
+            let result = match leader.and_then(|id| self.member(id)) {
+                Some(session) => {
+                    self.forwarded.fetch_add(1, Ordering::Relaxed);
+                    let limit = left.min(ATTEMPT);
+                    session.call(req.clone(), limit, HOPS_BY_CONTROL).await
+                }
+                None => handle.call(req.clone(), left.min(ATTEMPT)).await,
             };
-            let hint = match local {
-                Ok(ControlReply {
-                    answer: Some(Answer::NotLeader(hint)),
-                }) => hint,
+            match result {
                 Ok(reply) => match reply.answer {
-                    Some(Answer::Unknown(reason)) => {
-                        unknown = Some(reason);
-                        String::new()
-                    }
-                    Some(Answer::Unavailable(reason)) => {
-                        last = reason;
-                        String::new()
-                    }
+                    Some(Answer::NotLeader(_)) => (),
+                    Some(Answer::Unavailable(reason)) => last = reason,
+                    Some(Answer::Unknown(reason)) => unknown = Some(reason),
                     _ => return reply,
                 },
-                Err(CallError::Unknown(reason)) => {
-                    unknown = Some(reason);
-                    String::new()
-                }
-                Err(CallError::Unavailable(reason)) => {
-                    last = reason;
-                    String::new()
-                }
-            };
-            if hops >= HOPS_BY_CONTROL {
-                // The caller knows more members than this one does.
-                return match unknown {
-                    Some(reason) if changes => Answer::Unknown(reason).into(),
-                    _ => Answer::NotLeader(hint).into(),
-                };
-            }
-            let leader = handle.status().borrow().leader;
-            if let Some(session) = leader.and_then(|id| self.member(id)) {
-                self.forwarded.fetch_add(1, Ordering::Relaxed);
-                let limit = left.min(ATTEMPT);
-                match session.call(req.clone(), limit, HOPS_BY_CONTROL).await {
-                    Ok(reply) => match reply.answer {
-                        Some(Answer::NotLeader(_)) => (),
-                        Some(Answer::Unavailable(reason)) => last = reason,
-                        Some(Answer::Unknown(reason)) => unknown = Some(reason),
-                        _ => return reply,
-                    },
-                    Err(CallError::Unknown(reason)) => unknown = Some(reason),
-                    Err(CallError::Unavailable(reason)) => last = reason,
-                }
+                Err(CallError::Unknown(reason)) => unknown = Some(reason),
+                Err(CallError::Unavailable(reason)) => last = reason,
             }
             let left = deadline.saturating_duration_since(Instant::now());
             tokio::time::sleep(left.min(PAUSE)).await;
@@ -224,6 +227,23 @@
     }
 }
 
+fn unavailable(reason: &str) -> ControlReply {
+    Answer::Unavailable(reason.to_owned()).into()
+}
+
+/// Says what this member knows of its group, without asking the leader.
+fn local_status(handle: &Handle) -> String {
+    let status = handle.status().borrow().clone();
+    serde_json::json!({
+        "id": format!("{:016x}", status.id),
+        "members": status.membership.members.len(),
+        "leader": status.leader.map(|id| format!("{id:016x}")),
+        "term": status.term,
+        "applied": status.applied,
+    })
+    .to_string()
+}
+
 impl Control for Peers {
     fn call(
         &self,
@@ -285,11 +305,8 @@
     fn call(&self, _session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
         let peers = self.0.clone();
         Box::pin(async move {
-            let Ok(_permit) = peers.calls.try_acquire() else {
-                return Answer::Unavailable("too many calls run".to_owned()).into();
-            };
             let Some(req) = call.request else {
-                return Answer::Unavailable("empty request".to_owned()).into();
+                return unavailable("empty request");
             };
             let limit = Duration::from_millis(call.timeout_ms).min(MAX_CALL);
             peers.run(req, limit, call.hops).await
--- /dev/null
+++ b/crates/control/tests/group/hosts.rs
@@ -0,0 +1,254 @@
+//! Control hosts of one test: daemons over loopback with real data folders,
+//! and a plain HTTP client.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anvilloft_control::ControlDaemon;
+use anvilloft_control::DaemonError;
+use anvilloft_control::admin::hash_secret;
+use anvilloft_settings::ControlSettings;
+use anvilloft_settings::GroupStart;
+use anvilloft_settings::Secret;
+use anvilloft_telemetry::Metrics;
+use serde_json::Value;
+use serde_json::json;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+pub(crate) const ROOT: &str = "root-secret";
+
+pub(crate) struct Host {
+    pub(crate) peer: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) daemon: Option<ControlDaemon>,
+    name: String,
+    folder: PathBuf,
+}
+
+pub(crate) struct Hosts {
+    pub(crate) hosts: Vec<Host>,
+    dir: TempDir,
+}
+
+/// Returns a loopback address that was free a moment ago.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Hosts {
+    /// Prepares hosts without starting them.
+    pub(crate) fn new(count: usize) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        fs::write(
+            dir.path().join("operator.hash"),
+            hex::encode(hash_secret(ROOT)),
+        )
+        .unwrap();
+        let hosts = (0..count)
+            .map(|i| Host {
+                peer: free_address(),
+                admin: free_address(),
+                daemon: None,
+                name: format!("c{i}"),
+                folder: dir.path().join(format!("data{i}")),
+            })
+            .collect();
+        Self { hosts, dir }
+    }
+
+    pub(crate) fn folder(&self, i: usize) -> &PathBuf {
+        &self.hosts[i].folder
+    }
+
+    pub(crate) async fn start(&mut self, i: usize, group: GroupStart) -> Result<(), DaemonError> {
+        let host = &self.hosts[i];
+        let peers: Vec<SocketAddr> = self
+            .hosts
+            .iter()
+            .map(|h| h.peer)
+            .filter(|peer| *peer != host.peer)
+            .collect();
+        let settings = ControlSettings::builder()
+            .name(host.name.clone())
+            .data_centre(format!("dc{i}"))
+            .data_folder(host.folder.clone())
+            .peer_listen(host.peer)
+            .admin_listen(host.admin)
+            .group(group)
+            .peers(peers)
+            .stop_limit(Duration::from_secs(2))
+            .fleet_key(Secret::new("0123456789abcdef0123456789abcdef"))
+            .operator_hash_file(self.dir.path().join("operator.hash"))
+            .build()
+            .unwrap();
+        let log = Logger::root(Discard, o!());
+        let daemon = ControlDaemon::start(settings, Metrics::new().unwrap(), log).await?;
+        self.hosts[i].daemon = Some(daemon);
+        Ok(())
+    }
+
+    /// Starts all hosts and makes one group of them.
+    pub(crate) async fn group(count: usize) -> Self {
+        let mut hosts = Self::new(count);
+        hosts.start(0, GroupStart::New).await.unwrap();
+        for i in 1..count {
+            hosts.start(i, GroupStart::Join).await.unwrap();
+            let id = hosts.id(i);
+            let body = json!({ "id": id, "address": hosts.hosts[i].peer.to_string() });
+            let (status, reply) = hosts.ask(0, "POST", "/admin/v1/members", &body).await;
+            assert_eq!(status, 200, "{reply}");
+        }
+        hosts.wait_for_voters(0, count).await;
+        hosts
+    }
+
+    pub(crate) fn daemon(&self, i: usize) -> &ControlDaemon {
+        self.hosts[i].daemon.as_ref().unwrap()
+    }
+
+    pub(crate) fn id(&self, i: usize) -> String {
+        format!("{:016x}", self.daemon(i).member())
+    }
+
+    /// Ends a host without notice.
+    pub(crate) async fn kill(&mut self, i: usize) {
+        self.hosts[i].daemon.take().unwrap().kill().await.unwrap();
+    }
+
+    /// Returns the host that leads.
+    pub(crate) async fn leader(&self) -> usize {
+        let end = Instant::now() + Duration::from_secs(10);
+        loop {
+            let leads = |h: &Host| {
+                h.daemon
+                    .as_ref()
+                    .is_some_and(|d| d.handle().status().borrow().leads)
+            };
+            if let Some(i) = self.hosts.iter().position(leads) {
+                return i;
+            }
+            assert!(Instant::now() < end, "no leader");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub(crate) async fn wait_for_voters(&self, at: usize, count: usize) -> Value {
+        let end = Instant::now() + Duration::from_secs(20);
+        loop {
+            let (_, reply) = self.ask(at, "GET", "/admin/v1/members", &Value::Null).await;
+            let members = reply["members"].as_array().cloned().unwrap_or_default();
+            let voters = members.iter().filter(|m| m["voter"] == true).count();
+            if voters == count && members.len() == count {
+                return reply;
+            }
+            assert!(Instant::now() < end, "{reply}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Sends one request as the first operator.
+    pub(crate) async fn ask(
+        &self,
+        at: usize,
+        method: &str,
+        path: &str,
+        body: &Value,
+    ) -> (u16, Value) {
+        http(self.hosts[at].admin, method, path, body).await
+    }
+
+    /// Sends a request to the hosts in turn until one answers for sure. The
+    /// body's ids make that safe.
+    pub(crate) async fn insist(
+        &self,
+        first: usize,
+        method: &str,
+        path: &str,
+        body: &Value,
+    ) -> (u16, Value) {
+        let end = Instant::now() + Duration::from_secs(20);
+        let count = self.hosts.len();
+        for at in (first..).map(|i| i % count) {
+            let (status, reply) = self.ask(at, method, path, body).await;
+            if ![0, 503, 504].contains(&status) {
+                return (status, reply);
+            }
+            assert!(Instant::now() < end, "{status} {reply}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        unreachable!("the range has no end")
+    }
+
+    pub(crate) async fn revision(&self, at: usize) -> u64 {
+        let (status, reply) = self
+            .insist(at, "GET", "/admin/v1/ranks", &Value::Null)
+            .await;
+        assert_eq!(status, 200, "{reply}");
+        reply["revision"].as_u64().unwrap()
+    }
+}
+
+pub(crate) fn weight(id: &str, base: u64, weight: u64) -> Value {
+    json!({ "change_id": id, "base_revision": base, "reason": "test", "item": { "weight": weight } })
+}
+
+fn request(method: &str, path: &str, body: &Value) -> Vec<u8> {
+    let body = if body.is_null() {
+        String::new()
+    } else {
+        body.to_string()
+    };
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {ROOT}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Sends a request and closes the connection before the answer.
+pub(crate) async fn send_only(address: SocketAddr, method: &str, path: &str, body: &Value) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream
+        .write_all(&request(method, path, body))
+        .await
+        .unwrap();
+    // Gives the request time to be read, but not the answer.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
+/// Sends a request. A host that can't be reached gives status 0.
+pub(crate) async fn http(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &Value,
+) -> (u16, Value) {
+    let run = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(&request(method, path, body)).await?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await?;
+        Ok::<_, std::io::Error>(String::from_utf8_lossy(&answer).into_owned())
+    };
+    let Ok(Ok(answer)) = timeout(Duration::from_secs(10), run).await else {
+        return (0, Value::Null);
+    };
+    let status = answer
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    (status, serde_json::from_str(body).unwrap_or(json!(body)))
+}
--- /dev/null
+++ b/crates/control/tests/group/main.rs
@@ -0,0 +1,224 @@
+//! Guards against changes that are lost, doubled or reverted while control
+//! hosts fail, and against a second group beside the first.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+mod hosts;
+
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use std::time::Duration;
+
+use anvilloft_control::DaemonError;
+use anvilloft_settings::GroupStart;
+use futures::future::join_all;
+use hosts::Hosts;
+use hosts::send_only;
+use hosts::weight;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::Instant;
+
+const TEAM: &str = "/admin/v1/teams/alder";
+
+/// Returns the ids of all changes, oldest first.
+async fn history(hosts: &Hosts, at: usize) -> Vec<String> {
+    let path = "/admin/v1/history?limit=1000";
+    let (_, reply) = hosts.insist(at, "GET", path, &Value::Null).await;
+    let changes = reply["changes"].as_array().unwrap().iter().rev();
+    changes
+        .map(|c| c["change_id"].as_str().unwrap().to_owned())
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn changes_go_on_when_the_leader_dies_and_each_is_made_once() {
+    let mut hosts = Hosts::group(3).await;
+    let mut survivor = 0;
+    for n in 0..40u64 {
+        if n == 15 {
+            let leader = hosts.leader().await;
+            survivor = (leader + 1) % 3;
+            hosts.kill(leader).await;
+        }
+        // The first host asked may be the dead one.
+        let at = usize::try_from(n).unwrap() % 3;
+        let change = weight(&format!("c{n}"), n, n + 1);
+        let (status, reply) = hosts.insist(at, "PUT", TEAM, &change).await;
+        assert_eq!(
+            (status, reply["revision"].as_u64()),
+            (200, Some(n + 1)),
+            "{reply}"
+        );
+    }
+    let expected: Vec<String> = (0..40).map(|n| format!("c{n}")).collect();
+    assert_eq!(history(&hosts, survivor).await, expected);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn of_racing_operators_one_wins_and_the_others_learn_the_revision() {
+    let hosts = Hosts::group(3).await;
+    // Every member serves at the first attempt, whoever leads.
+    for at in 0..3 {
+        let (status, reply) = hosts.ask(at, "GET", "/admin/v1/config", &Value::Null).await;
+        assert_eq!(status, 200, "{reply}");
+    }
+    for round in 0..10u64 {
+        let base = hosts.revision(0).await;
+        let changes: Vec<Value> = (0..8u64)
+            .map(|n| weight(&format!("r{round}-{n}"), base, 100 * round + n + 1))
+            .collect();
+        let answers = join_all(
+            changes
+                .iter()
+                .enumerate()
+                .map(|(n, change)| hosts.insist(n % 3, "PUT", TEAM, change)),
+        )
+        .await;
+        let won: Vec<usize> = (0..8).filter(|n| answers[*n].0 == 200).collect();
+        assert_eq!(won.len(), 1, "{answers:?}");
+        for (status, reply) in &answers {
+            match status {
+                200 => assert_eq!(reply["revision"], base + 1),
+                409 => assert_eq!(reply["error"]["current"], base + 1),
+                _ => panic!("{status} {reply}"),
+            }
+        }
+        let (_, team) = hosts.insist(1, "GET", TEAM, &Value::Null).await;
+        assert_eq!(team["team"]["weight"], 100 * round + won[0] as u64 + 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_change_resent_after_a_lost_answer_is_made_once() {
+    let hosts = Hosts::group(3).await;
+    for n in 0..20u64 {
+        let base = hosts.revision(0).await;
+        let change = weight(&format!("lost{n}"), base, n + 1);
+        let at = usize::try_from(n).unwrap() % 3;
+        send_only(hosts.hosts[at].admin, "PUT", TEAM, &change).await;
+        let (status, reply) = hosts.insist((at + 1) % 3, "PUT", TEAM, &change).await;
+        assert_eq!((status, &reply["revision"]), (200, &json!(base + 1)));
+    }
+    assert_eq!(history(&hosts, 0).await.len(), 20);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_member_restarted_after_hundreds_of_changes_catches_up() {
+    let mut hosts = Hosts::group(3).await;
+    let leader = hosts.leader().await;
+    let restarted = (leader + 1) % 3;
+    let id = hosts.id(restarted);
+    for n in 0..300u64 {
+        if n == 100 {
+            hosts.hosts[restarted]
+                .daemon
+                .take()
+                .unwrap()
+                .stop()
+                .await
+                .unwrap();
+        }
+        let change = weight(&format!("c{n}"), n, n + 1);
+        let (status, reply) = hosts.insist(leader, "PUT", TEAM, &change).await;
+        assert_eq!(status, 200, "{reply}");
+    }
+    hosts.start(restarted, GroupStart::Join).await.unwrap();
+    assert_eq!(hosts.id(restarted), id);
+    let mut status = hosts.daemon(restarted).handle().status();
+    let caught_up = status.wait_for(|s| s.revision == 300);
+    let limit = Duration::from_secs(10);
+    assert!(tokio::time::timeout(limit, caught_up).await.is_ok());
+    // It answers for the group, and counts towards a majority again.
+    hosts.kill((leader + 2) % 3).await;
+    let (status, reply) = hosts
+        .insist(restarted, "PUT", TEAM, &weight("last", 300, 1))
+        .await;
+    assert_eq!((status, &reply["revision"]), (200, &json!(301)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_member_with_a_lost_disk_is_replaced_and_never_votes_as_before() {
+    let mut hosts = Hosts::group(3).await;
+    let leader = hosts.leader().await;
+    let lost = (leader + 1) % 3;
+    let old = hosts.id(lost);
+    for n in 0..50u64 {
+        let (status, _) = hosts
+            .insist(leader, "PUT", TEAM, &weight(&format!("c{n}"), n, n + 1))
+            .await;
+        assert_eq!(status, 200);
+    }
+    hosts.kill(lost).await;
+    fs::remove_dir_all(hosts.folder(lost)).unwrap();
+    // A forgotten `group = new` must not start a second group.
+    let err = hosts.start(lost, GroupStart::New).await.unwrap_err();
+    assert!(matches!(err, DaemonError::GroupExists(_)), "{err}");
+    hosts.start(lost, GroupStart::Join).await.unwrap();
+    let new = hosts.id(lost);
+    assert_ne!(new, old);
+    let body = json!({ "id": new, "address": hosts.hosts[lost].peer.to_string() });
+    let path = format!("/admin/v1/members/{old}/replace");
+    let (status, reply) = hosts.insist(leader, "POST", &path, &body).await;
+    assert_eq!(status, 200, "{reply}");
+    let members = hosts.wait_for_voters(leader, 3).await;
+    let ids: Vec<&Value> = members["members"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|m| &m["id"])
+        .collect();
+    assert!(
+        ids.contains(&&json!(new)) && !ids.contains(&&json!(old)),
+        "{members}"
+    );
+    // A second host fails right after the repair: the new member must count.
+    let leader = hosts.leader().await;
+    let third = (0..3)
+        .find(|i| *i != leader && *i != lost)
+        .unwrap_or(leader);
+    hosts.kill(third).await;
+    let (status, reply) = hosts
+        .insist(lost, "PUT", TEAM, &weight("after", 50, 7))
+        .await;
+    assert_eq!((status, &reply["revision"]), (200, &json!(51)), "{reply}");
+    assert_eq!(history(&hosts, lost).await.len(), 51);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn without_a_majority_nothing_is_changed_and_the_answer_says_so() {
+    let mut hosts = Hosts::group(3).await;
+    let (status, _) = hosts.insist(0, "PUT", TEAM, &weight("first", 0, 1)).await;
+    assert_eq!(status, 200);
+    hosts.kill(1).await;
+    hosts.kill(2).await;
+    let start = Instant::now();
+    let (status, reply) = hosts.ask(0, "PUT", TEAM, &weight("second", 1, 2)).await;
+    assert!([503, 504].contains(&status), "{status} {reply}");
+    assert!(start.elapsed() < Duration::from_secs(9));
+    let (ready, _) = hosts.ask(0, "GET", "/readyz", &Value::Null).await;
+    assert_eq!(ready, 503);
+    hosts.start(1, GroupStart::Join).await.unwrap();
+    let (status, reply) = hosts.insist(0, "PUT", TEAM, &weight("second", 1, 2)).await;
+    assert_eq!((status, &reply["revision"]), (200, &json!(2)), "{reply}");
+    let (ready, page) = hosts.ask(0, "GET", "/metrics", &Value::Null).await;
+    assert_eq!(ready, 200);
+    assert!(page.to_string().contains("anvilloft_control_has_leader"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_folder_that_others_can_read_or_that_is_in_use_is_refused() {
+    let mut hosts = Hosts::new(2);
+    let folder = hosts.folder(0).clone();
+    fs::create_dir(&folder).unwrap();
+    fs::set_permissions(&folder, fs::Permissions::from_mode(0o750)).unwrap();
+    let err = hosts.start(0, GroupStart::New).await.unwrap_err();
+    assert!(err.to_string().contains("mode 0750"), "{err}");
+    fs::set_permissions(&folder, fs::Permissions::from_mode(0o700)).unwrap();
+    hosts.start(0, GroupStart::New).await.unwrap();
+    let mut second = Hosts::new(1);
+    fs::remove_dir_all(second.folder(0)).ok();
+    std::os::unix::fs::symlink(&folder, second.folder(0)).unwrap();
+    let err = second.start(0, GroupStart::Join).await.unwrap_err();
+    assert!(err.to_string().contains("another process"), "{err}");
+}
