Join the administration subcommands to the command

Cause: the subcommands were not in the table. Change: add them with documented exit codes, a time limit, and tests that run command lines against a control member in the same process.

--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -26,8 +26,8 @@
 
 use crate::error::CliError;
 
-/// Time for one subcommand, resends included.
-const TOTAL: Duration = Duration::from_secs(20);
+/// Time for one request, resends included, in seconds.
+const TOTAL: &str = "20";
 /// Time to connect to one address.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Time for one answer; longer than a control member waits for its group.
@@ -54,6 +54,15 @@
                 .help("File with the key, readable by its owner only [environment: ANVILLOFT_KEY_FILE]")
                 .global(true),
         )
+        .arg(
+            Arg::new("timeout")
+                .long("timeout")
+                .value_name("SECONDS")
+                .value_parser(clap::value_parser!(u64).range(1..=3600))
+                .default_value(TOTAL)
+                .help("Time for one request, resends included")
+                .global(true),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
@@ -110,6 +119,7 @@
     addresses: Vec<SocketAddr>,
     key: String,
     client: Client,
+    total: Duration,
     /// Id of this run's change.
     change_id: String,
 }
@@ -147,6 +157,7 @@
             addresses,
             key,
             client,
+            total: Duration::from_secs(args.get_one("timeout").copied().unwrap_or(20)),
             change_id,
         })
     }
@@ -193,7 +204,7 @@
         path: &str,
         body: Option<&Value>,
     ) -> Result<Value, CliError> {
-        let deadline = Instant::now() + TOTAL;
+        let deadline = Instant::now() + self.total;
         let mut unknown = None;
         let mut last = "no address is given".to_owned();
         loop {
--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -1,13 +1,33 @@
 //! The table of subcommands. Each has a file with its usage text at the top,
 //! an arguments type and one `run`.
 
+mod apply;
+mod bootstrap;
+mod budget;
+mod check;
+mod default;
 mod demo;
+mod exception;
+mod history;
+mod items;
+mod key;
+mod member;
+mod model;
+mod rank;
+mod router;
+mod service;
+mod settings;
+mod status;
+mod team;
 
 use std::process::ExitCode;
 
 use clap::ArgMatches;
 use clap::Command;
 
+use crate::error::CliError;
+use crate::error::EXIT_CODES;
+
 /// Why a subcommand failed, as told to the operator.
 pub(crate) type Failure = Box<dyn std::error::Error + Send + Sync>;
 
@@ -18,18 +38,46 @@
     run: fn(&ArgMatches) -> Result<ExitCode, Failure>,
 }
 
-/// Every subcommand by name.
-const TABLE: &[Entry] = &[Entry {
-    name: demo::NAME,
-    command: demo::command,
-    run: demo::run,
-}];
+macro_rules! administration {
+    ($($name:ident),+ $(,)?) => {
+        &[
+            Entry {
+                name: demo::NAME,
+                command: demo::command,
+                run: demo::run,
+            },
+            $(Entry {
+                name: stringify!($name),
+                command: $name::command,
+                run: |args| Ok(exit_code($name::run(args))),
+            },)+
+        ]
+    };
+}
+
+/// Every subcommand by name, in the order of the help.
+const TABLE: &[Entry] = administration![
+    status, team, key, budget, rank, model, service, default, exception, router, member, history,
+    apply, check, settings, bootstrap,
+];
+
+/// Prints the error and returns the documented exit code.
+fn exit_code(result: Result<(), CliError>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("anvilloft: {err}");
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
 
 /// Returns the whole command line.
 pub(crate) fn root() -> Command {
     let mut root = Command::new("anvilloft")
         .about("Operates a fleet of anvilloft routers")
         .version(clap::crate_version!())
+        .after_help(EXIT_CODES)
         .subcommand_required(true)
         .arg_required_else_help(true);
     for entry in TABLE {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,11 @@
 //! The operator command of anvilloft.
 
+mod api;
 mod cmd;
+mod error;
+mod output;
+#[cfg(test)]
+mod tests;
 
 use std::process::ExitCode;
 
