Test routers end to end and fix what the tests found

Cause: the paths for failures were untested. Found and fixed: a permit whose request never ran cleared the strike (SuspectEnd gains not_run); a second router ran a crashing request before its lease named the strike (routers tell each other, frame Struck); a recall that came just before a request's end left tokens behind; a lone endpoint with two failures had no capacity.

--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -69,6 +69,8 @@
     pub inbox: mpsc::Receiver<FromPeer>,
     /// Set to cut the router off from control and peers.
     pub cut: Arc<AtomicBool>,
+    /// Set to cut the router off from control alone.
+    pub cut_control: Arc<AtomicBool>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -101,16 +103,19 @@
             cut: Arc::clone(&cut),
         };
         lock(&self.routers).insert(router.to_owned(), joined);
+        let cut_control = Arc::new(AtomicBool::new(false));
         let end = Arc::new(LocalEnd {
             control: Arc::clone(self),
             router: router.to_owned(),
             cut: Arc::clone(&cut),
+            cut_control: Arc::clone(&cut_control),
         });
         LocalLink {
             control: Arc::clone(&end) as Arc<dyn Control>,
             peers: end,
             inbox,
             cut,
+            cut_control,
         }
     }
 
@@ -319,6 +324,13 @@
     control: Arc<LocalControl>,
     router: String,
     cut: Arc<AtomicBool>,
+    cut_control: Arc<AtomicBool>,
+}
+
+impl LocalEnd {
+    fn no_control(&self) -> bool {
+        self.cut.load(Ordering::Relaxed) || self.cut_control.load(Ordering::Relaxed)
+    }
 }
 
 impl Control for LocalEnd {
@@ -328,7 +340,7 @@
         timeout: Duration,
     ) -> BoxFuture<'_, Result<ControlReply, CallError>> {
         Box::pin(async move {
-            if self.cut.load(Ordering::Relaxed) {
+            if self.no_control() {
                 // A cut link is silent rather than refusing.
                 tokio::time::sleep(timeout).await;
                 return Err(CallError::Unavailable("no connection".into()));
@@ -342,9 +354,11 @@
                         Err(e) => return Err(CallError::Unavailable(e.to_string())),
                     }
                 }
-                None => return Err(CallError::Unavailable("empty request".into())),
+                Some(Request::Group(_)) | None => {
+                    return Err(CallError::Unavailable("not offered here".into()));
+                }
             };
-            if self.cut.load(Ordering::Relaxed) {
+            if self.no_control() {
                 return Err(CallError::Unknown("the link was cut".into()));
             }
             Ok(reply)
--- a/crates/ledger/src/suspects.rs
+++ b/crates/ledger/src/suspects.rs
@@ -232,6 +232,8 @@
             if c.died {
                 let condemn_ms = self.config.value("condemn_ms", "");
                 self.suspects.quarantine(&f, self.now_ms, condemn_ms);
+            } else if c.not_run {
+                self.suspects.release(&f);
             } else {
                 self.suspects.release(&f);
                 self.suspects.by_fingerprint.remove(&f);
--- a/crates/ledger/tests/work.rs
+++ b/crates/ledger/tests/work.rs
@@ -198,6 +198,7 @@
         died,
         endpoint: endpoint.into(),
         endpoint_incarnation: 1,
+        not_run: false,
     })
 }
 
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -58,6 +58,8 @@
 
 /// Time between two looks at everything that is due by time.
 const TICK: Duration = Duration::from_millis(10);
+/// Messages taken at once.
+const MSG_BATCH: usize = 64;
 /// Limit of one call to control.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
@@ -177,12 +179,16 @@
     pub(crate) copy_holder: Option<String>,
     pub(crate) delivering: HashSet<(String, Incarnation)>,
     pub(crate) needs: HashMap<NeedId, RequestNo>,
+    /// Budgets asked back lately: what requests free until then goes back too.
+    pub(crate) recalled: HashMap<String, Duration>,
 
     pub(crate) requests: HashMap<RequestNo, Req>,
     pub(crate) judging: Vec<RequestNo>,
     pub(crate) strikes: HashMap<AttemptId, bool>,
     pub(crate) permits: HashSet<Fingerprint>,
     pub(crate) lingering: Vec<Lingering>,
+    /// Strikes that peers told, until the lease's list has them.
+    pub(crate) told: HashMap<Fingerprint, Duration>,
     pub(crate) open_orders: usize,
 
     /// Tokens by team, decayed, for the shares of the entry answer.
@@ -243,11 +249,13 @@
             copy_holder: None,
             delivering: HashSet::new(),
             needs: HashMap::new(),
+            recalled: HashMap::new(),
             requests: HashMap::new(),
             judging: Vec::new(),
             strikes: HashMap::new(),
             permits: HashSet::new(),
             lingering: Vec::new(),
+            told: HashMap::new(),
             open_orders: 0,
             demand: HashMap::new(),
             shares_at: now,
@@ -297,7 +305,20 @@
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         self.open();
         loop {
+            // Frames of peers come before new requests: a caller that sends a
+            // crashing request again must not overtake the strike.
             tokio::select! {
+                biased;
+                Some(frame) = inbox.recv() => self.on_frame(self.clock.now(), frame),
+                _ = tick.tick() => self.on_tick(self.clock.now()),
+                Ok(()) = drain.changed() => {
+                    if *drain.borrow() {
+                        self.start_drain();
+                    }
+                }
+                Some(done) = self.calls.next(), if !self.calls.is_empty() => {
+                    self.on_done(self.clock.now(), done);
+                }
                 msg = msgs.recv() => {
                     let Some(msg) = msg else {
                         return;
@@ -306,20 +327,13 @@
                     self.on_msg(now, msg);
                     // Takes what else is there before deciding, which saves
                     // polls of the queues under load.
-                    while let Ok(msg) = msgs.try_recv() {
+                    for _ in 0..MSG_BATCH {
+                        let Ok(msg) = msgs.try_recv() else {
+                            break;
+                        };
                         self.on_msg(now, msg);
                     }
                 }
-                Some(done) = self.calls.next(), if !self.calls.is_empty() => {
-                    self.on_done(self.clock.now(), done);
-                }
-                Some(frame) = inbox.recv() => self.on_frame(self.clock.now(), frame),
-                _ = tick.tick() => self.on_tick(self.clock.now()),
-                Ok(()) = drain.changed() => {
-                    if *drain.borrow() {
-                        self.start_drain();
-                    }
-                }
             }
             self.flush(self.clock.now());
             if self.phase_now() == Phase::Closed {
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -18,6 +18,9 @@
 use super::Done;
 use super::Outcome;
 
+/// Recalled budgets that are kept, at most.
+const MAX_RECALLED: usize = 65_536;
+
 impl Core {
     pub(crate) fn flush_budgets(&mut self, now: Duration) {
         while let Some(grant) = self.allotments.next_grant(now) {
@@ -43,6 +46,18 @@
         }
     }
 
+    /// Gives back what is idle now and what requests free while the grant
+    /// that asked for it waits. A request that ends just after the recall
+    /// would otherwise keep tokens that the other router is refused for.
+    pub(crate) fn on_recall(&mut self, now: Duration, budget: String) {
+        self.allotments.recall(now, &budget);
+        let wait = Duration::from_millis(self.config.value("recall_wait_ms", ""));
+        self.recalled.retain(|_, until| now < *until);
+        if self.recalled.len() < MAX_RECALLED {
+            self.recalled.insert(budget, now + wait);
+        }
+    }
+
     pub(crate) fn on_granted(&mut self, now: Duration, seq: u64, res: Outcome) {
         let reply = match res.map(|r| r.answer) {
             Ok(Some(Answer::Applied(reply))) => reply,
--- a/crates/router/src/core/lease.rs
+++ b/crates/router/src/core/lease.rs
@@ -178,8 +178,8 @@
             .iter()
             .filter_map(|f| Fingerprint::try_from(f.as_slice()).ok());
         self.suspects.set_struck(now, suspects);
-        for budget in &grant.recalls {
-            self.allotments.recall(now, budget);
+        for budget in grant.recalls {
+            self.on_recall(now, budget);
         }
         let until = sent + Duration::from_millis(grant.valid_ms);
         if until > self.lease_until {
--- a/crates/router/src/core/peers.rs
+++ b/crates/router/src/core/peers.rs
@@ -28,12 +28,13 @@
                     self.on_announce(now, update, age, false).ok();
                 }
             }
-            Payload::Recall(budget) => self.allotments.recall(now, &budget),
+            Payload::Recall(budget) => self.on_recall(now, budget),
             Payload::ConfigPush(revision) if revision > self.config.revision() => {
                 self.renew_at = now;
                 self.tick_lease(now);
             }
             Payload::SettlementCopy(copy) => self.copies.insert(copy),
+            Payload::Struck(fingerprint) => self.on_told(now, &fingerprint),
             _ => {}
         }
     }
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -22,7 +22,6 @@
 use anvilloft_routing::NoRoute;
 use anvilloft_routing::Outcome as RouteOutcome;
 use anvilloft_routing::RouteRequest;
-use anvilloft_routing::suspect::Permission;
 use anvilloft_types::AttemptId;
 use anvilloft_types::EndpointId;
 use anvilloft_types::Incarnation;
@@ -36,6 +35,7 @@
 use super::Lane;
 use super::LaneKey;
 use super::Lingering;
+use super::suspects::PermitEnd;
 
 /// Attempts of one request, at most.
 const MAX_ATTEMPTS: usize = 4;
@@ -256,7 +256,22 @@
             service,
             ..RouteRequest::default()
         };
-        Capacity::slots(self.selector.room(now, &route).slots)
+        let slots = self.selector.room(now, &route).slots;
+        if slots > 0 {
+            return Capacity::slots(slots);
+        }
+        // Endpoints that failed lately are left out above. When there is no
+        // other, one request at each is better than refusing all.
+        let last_resort = self
+            .endpoints
+            .iter()
+            .filter(|e| e.usable(now))
+            .filter(|e| match lane {
+                LaneKey::Model(name) => e.update.models.iter().any(|m| m.name == *name),
+                LaneKey::Service(name) => e.update.service && e.update.pool == *name,
+            })
+            .count();
+        Capacity::slots(last_resort as u32)
     }
 
     pub(crate) fn set_capacities(&mut self, now: Duration) {
@@ -387,15 +402,15 @@
             // The caller went away; its `Finish` follows.
             return;
         }
-        let suspect = self.suspects.check(&req.admit.fingerprint) == Permission::Permit;
+        let suspect = self.is_suspect(now, &req.admit.fingerprint);
         if suspect && self.permits.contains(&req.admit.fingerprint) {
-            return self.park(now, no, Duration::ZERO);
+            return self.park(now, no);
         }
         let route = Self::route_request(req, now);
         match self.selector.choose(now, &route) {
             Ok(choice) if suspect => self.ask_permit(no, choice),
             Ok(choice) => self.assign(now, no, choice),
-            Err(NoRoute::Full(_)) => self.park(now, no, Duration::ZERO),
+            Err(NoRoute::Full(_)) => self.park(now, no),
             Err(e @ (NoRoute::NoEndpoint | NoRoute::Excluded)) => {
                 let refusal = match req.last_failure {
                     Some((run, _)) => {
@@ -409,7 +424,7 @@
     }
 
     /// Keeps a started request until an endpoint has room.
-    pub(crate) fn park(&mut self, now: Duration, no: RequestNo, _pause: Duration) {
+    pub(crate) fn park(&mut self, now: Duration, no: RequestNo) {
         let Some(req) = self.requests.get_mut(&no) else {
             return;
         };
@@ -446,7 +461,7 @@
             .and_then(|e| e.update.address.parse::<SocketAddr>().ok());
         let Some(address) = address else {
             self.selector.remove(&choice.endpoint);
-            return self.park(now, no, Duration::ZERO);
+            return self.park(now, no);
         };
         let Some(req) = self.requests.get_mut(&no) else {
             return;
@@ -556,7 +571,7 @@
                         req.admit.fingerprint,
                         attempt.endpoint,
                         attempt.incarnation,
-                        false,
+                        PermitEnd::Clean,
                     );
                 }
             }
@@ -592,6 +607,13 @@
             } else {
                 self.allotments.release(now, id);
             }
+            if self
+                .recalled
+                .get(&req.admit.budget)
+                .is_some_and(|until| now < *until)
+            {
+                self.allotments.recall(now, &req.admit.budget);
+            }
         }
     }
 
@@ -651,6 +673,7 @@
             attempt.id,
             RouteOutcome::Failed(failure),
         );
+        self.capacity_dirty = true;
         self.judge(now, no, &attempt, failure);
     }
 
@@ -677,8 +700,14 @@
         let fingerprint = req.admit.fingerprint;
         let again = failing.retry && req.tried.len() < MAX_ATTEMPTS && self.retry.take(now);
         if had_permit {
-            // Not dead, or it would have been ended as such.
-            self.end_permit(fingerprint, attempt.endpoint, attempt.incarnation, false);
+            // Not dead, or it would have been ended as such. Only a request
+            // that may have run clears itself.
+            let end = if failing.run == RunState::No {
+                PermitEnd::NotRun
+            } else {
+                PermitEnd::Clean
+            };
+            self.end_permit(fingerprint, attempt.endpoint, attempt.incarnation, end);
         }
         if again {
             return self.route(now, no);
--- a/crates/router/src/core/suspects.rs
+++ b/crates/router/src/core/suspects.rs
@@ -6,6 +6,7 @@
 use anvilloft_gateway::Refusal;
 use anvilloft_routing::Choice;
 use anvilloft_routing::Failure;
+use anvilloft_routing::suspect::Permission;
 use anvilloft_routing::suspect::StrikeDue;
 use anvilloft_types::Fingerprint;
 use anvilloft_types::Incarnation;
@@ -16,6 +17,7 @@
 use anvilloft_wire::command::SuspectBegin;
 use anvilloft_wire::command::SuspectEnd;
 use anvilloft_wire::control::Answer;
+use anvilloft_wire::frame::Payload;
 use http::StatusCode;
 
 use super::CALL_LIMIT;
@@ -29,10 +31,30 @@
 const RESEND: Duration = Duration::from_millis(100);
 /// Limit of a probe. A dead process refuses at once; silence proves nothing.
 const PROBE_LIMIT: Duration = Duration::from_millis(300);
+/// Probes of one failure. A dying process closes its listener a little after
+/// its connections.
+const PROBES: u32 = 4;
+/// Pause between two probes.
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
+/// How long a strike told by a peer is kept; the lease has it by then.
+const TOLD_KEEP: Duration = Duration::from_secs(5);
+/// Strikes told by peers that are kept, at most.
+const MAX_TOLD: usize = 16_384;
 /// Longest wait for a verdict and its commit, after which the request fails
 /// without a retry.
 const VERDICT_LIMIT: Duration = Duration::from_secs(6);
 
+/// How a run under a permit ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PermitEnd {
+    /// The endpoint lives; the request is no suspect any more.
+    Clean,
+    /// The endpoint died.
+    Died,
+    /// Nothing was run; the strike stays.
+    NotRun,
+}
+
 impl Core {
     /// Decides whether a failed attempt must wait for the verdict on its
     /// endpoint, and asks for one.
@@ -69,11 +91,18 @@
             Some(address) => {
                 let endpoint = endpoint.to_owned();
                 self.calls.push(Box::pin(async move {
-                    let connect = tokio::net::TcpStream::connect(address);
-                    let refused = match tokio::time::timeout(PROBE_LIMIT, connect).await {
-                        Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
-                        Ok(Ok(_)) | Err(_) => false,
-                    };
+                    let mut refused = false;
+                    for _ in 0..PROBES {
+                        let connect = tokio::net::TcpStream::connect(address);
+                        refused = match tokio::time::timeout(PROBE_LIMIT, connect).await {
+                            Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+                            Ok(Ok(_)) | Err(_) => false,
+                        };
+                        if refused {
+                            break;
+                        }
+                        tokio::time::sleep(PROBE_PAUSE).await;
+                    }
                     Done::Probed(endpoint, incarnation, refused)
                 }));
             }
@@ -98,6 +127,9 @@
             .suspects
             .counts_as_death(now, endpoint, incarnation, false)
         {
+            // A later announcement brings it back.
+            self.selector.remove(endpoint);
+            self.capacity_dirty = true;
             let due = self.suspects.died(now, endpoint, incarnation);
             self.strike(now, due);
         }
@@ -165,7 +197,12 @@
                 self.suspects.finished(endpoint, l.incarnation, l.attempt);
             }
             if let Some(fingerprint) = l.permit {
-                self.end_permit(fingerprint, l.endpoint, l.incarnation, died);
+                let end = if died {
+                    PermitEnd::Died
+                } else {
+                    PermitEnd::Clean
+                };
+                self.end_permit(fingerprint, l.endpoint, l.incarnation, end);
             }
         }
     }
@@ -176,6 +213,7 @@
             slog::warn!(self.log, "decision"; "decision" => "strike",
                 "endpoint" => &d.endpoint, "incarnation" => d.incarnation);
             self.strikes.insert(d.attempt, false);
+            self.tell_peers(&d.fingerprint);
             let holder = self.requests.iter().find_map(|(no, r)| match &r.stage {
                 Stage::Judging { attempt, .. } | Stage::Running(attempt)
                     if attempt.id == d.attempt && r.has_permit =>
@@ -191,7 +229,7 @@
                     req.has_permit = false;
                 }
                 self.strikes.insert(d.attempt, true);
-                self.end_permit(d.fingerprint, d.endpoint, d.incarnation, true);
+                self.end_permit(d.fingerprint, d.endpoint, d.incarnation, PermitEnd::Died);
                 self.struck_request(now, no);
                 continue;
             }
@@ -199,6 +237,36 @@
         }
     }
 
+    /// Tells every router of a strike. Its caller may send the request again
+    /// elsewhere before the next lease brings the list there.
+    fn tell_peers(&self, fingerprint: &Fingerprint) {
+        for router in self.routers.iter() {
+            if router.router != self.id.router {
+                self.peers
+                    .send(&router.router, Payload::Struck(fingerprint.to_vec()));
+            }
+        }
+    }
+
+    pub(crate) fn on_told(&mut self, now: Duration, fingerprint: &[u8]) {
+        self.told
+            .retain(|_, at| now.saturating_sub(*at) < TOLD_KEEP);
+        if let Ok(fingerprint) = Fingerprint::try_from(fingerprint)
+            && self.told.len() < MAX_TOLD
+        {
+            self.told.insert(fingerprint, now);
+        }
+    }
+
+    /// Returns whether a request may only run under a permit.
+    pub(crate) fn is_suspect(&self, now: Duration, fingerprint: &Fingerprint) -> bool {
+        self.suspects.check(fingerprint) == Permission::Permit
+            || self
+                .told
+                .get(fingerprint)
+                .is_some_and(|at| now.saturating_sub(*at) < TOLD_KEEP)
+    }
+
     pub(crate) fn send_strike(&mut self, due: StrikeDue) {
         let body = Body::Strike(Strike {
             fingerprint: due.fingerprint.to_vec(),
@@ -318,19 +386,15 @@
             .get(&no)
             .is_some_and(|r| matches!(r.stage, Stage::Permit));
         match reply {
-            Some(s) if s.run && waits => {
-                if let Some(req) = self.requests.get_mut(&no) {
-                    req.has_permit = true;
+            Some(s) if s.run => {
+                let (endpoint, inc) = (choice.endpoint.clone(), choice.incarnation);
+                if waits {
+                    self.assign(now, no, choice);
                 }
-                self.assign(now, no, choice);
-                let assigned = self
-                    .requests
-                    .get(&no)
-                    .is_some_and(|r| matches!(r.stage, Stage::Running(_)));
-                if !assigned {
-                    // The endpoint went away meanwhile; nothing was run, so
-                    // the strike must stay.
-                    self.permits.remove(&fingerprint);
+                match self.requests.get_mut(&no) {
+                    Some(req) if matches!(req.stage, Stage::Running(_)) => req.has_permit = true,
+                    // The caller or the endpoint went away meanwhile.
+                    _ => self.end_permit(fingerprint, endpoint, inc, PermitEnd::NotRun),
                 }
             }
             Some(s) if s.condemned_until_ms > 0 => {
@@ -342,12 +406,20 @@
                 );
                 self.refuse(now, no, refusal);
             }
-            _ => {
-                // Another one runs, or control is not reachable. A permit
-                // whose reply was lost is given again for the same endpoint.
+            Some(_) => {
+                // Another run of it, or of another suspect there, goes on.
                 self.permits.remove(&fingerprint);
                 if waits {
-                    self.park(now, no, Duration::ZERO);
+                    self.park(now, no);
+                }
+            }
+            None => {
+                // The permit may have been given. It is handed back, as the
+                // next choice may be another endpoint.
+                let (endpoint, inc) = (choice.endpoint, choice.incarnation);
+                self.end_permit(fingerprint, endpoint, inc, PermitEnd::NotRun);
+                if waits {
+                    self.park(now, no);
                 }
             }
         }
@@ -358,13 +430,14 @@
         fingerprint: Fingerprint,
         endpoint: String,
         endpoint_incarnation: Incarnation,
-        died: bool,
+        end: PermitEnd,
     ) {
         self.send_permit_end(SuspectEnd {
             fingerprint: fingerprint.to_vec(),
             router: self.id.router.clone(),
             incarnation: self.id.incarnation,
-            died,
+            died: end == PermitEnd::Died,
+            not_run: end == PermitEnd::NotRun,
             endpoint,
             endpoint_incarnation,
         });
--- /dev/null
+++ b/crates/router/tests/leases.rs
@@ -0,0 +1,234 @@
+//! Leases of routers and endpoints, and the planned stop.
+
+mod common;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use anvilloft_fakes::http::Call;
+use anvilloft_wire::config::DefaultValue;
+use anvilloft_wire::config::Item;
+use common::*;
+
+/// Guards against work under an expired configuration (I8) and against a
+/// refusal that says `run: no` although an endpoint got the request (I4).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_without_a_lease_refuses_and_runs_nothing() {
+    let fleet = Fleet::start(2, 1_000_000).await;
+    let mut options = engine("e1");
+    options.tokens = 1000;
+    options.token_delay = Duration::from_millis(5);
+    let fake = fleet.fake(options).await;
+    // Knows its peers.
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    let addr = fleet.addr(0);
+    let running = tokio::spawn(async move {
+        let body = r#"{"model":"m","prompt":"long","max_tokens":700,"stream":true}"#;
+        Call::post("/v1/completions", body)
+            .key(KEY)
+            .send(addr, LIMIT)
+            .await
+    });
+    wait(|| fake.running() == 1).await;
+    fleet.cuts[0].store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(3100)).await;
+    let arrived = fake.counts().arrived.load(Ordering::Relaxed);
+    for call in [chat("late", true), chat("late", false), order("late")] {
+        let reply = call.send(addr, LIMIT).await.unwrap();
+        assert_eq!(reply.status, 503);
+        assert_eq!(error(&reply), ("no".into(), "no_lease".into()));
+        let other = fleet.addr(1).to_string();
+        assert_eq!(reply.json()["error"]["try"][0], other.as_str());
+    }
+    assert_eq!(fake.counts().arrived.load(Ordering::Relaxed), arrived);
+    assert_eq!(fake.counts().runs("late"), 0);
+    assert_eq!(
+        Call::get("/readyz").send(addr, LIMIT).await.unwrap().status,
+        503
+    );
+    // Work in flight ends normally, and the other router serves on.
+    let reply = running.await.unwrap().unwrap();
+    assert_eq!(reply.events().last().map(String::as_str), Some("[DONE]"));
+    assert_eq!(
+        chat("else", false)
+            .send(fleet.addr(1), LIMIT)
+            .await
+            .unwrap()
+            .status,
+        200
+    );
+    fleet.cuts[0].store(false, Ordering::Relaxed);
+    wait(|| {
+        fleet.routers[0]
+            .api()
+            .view
+            .load()
+            .has_lease(fleet.routers[0].api().clock.now())
+    })
+    .await;
+    assert_eq!(
+        chat("back", false).send(addr, LIMIT).await.unwrap().status,
+        200
+    );
+}
+
+/// Guards against changes that some router misses for more than 4 s (I8).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_disabled_team_is_refused_everywhere_at_once() {
+    let fleet = Fleet::start(3, 1_000_000).await;
+    let _fake = fleet.fake(engine("e1")).await;
+    let changed = Instant::now();
+    fleet
+        .control
+        .set(vec![Item::Team(anvilloft_wire::config::Team {
+            name: "team".into(),
+            default_rank: "normal".into(),
+            weight: 1,
+            disabled: true,
+        })]);
+    for n in 0..3 {
+        while chat("off", false)
+            .send(fleet.addr(n), LIMIT)
+            .await
+            .unwrap()
+            .status
+            != 403
+        {
+            assert!(changed.elapsed() < Duration::from_secs(4));
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    assert!(
+        changed.elapsed() < Duration::from_secs(1),
+        "the push was lost"
+    );
+}
+
+/// Guards against new work for a leaving endpoint (I6), told or silent, and
+/// against cutting off what runs there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_endpoints_get_no_new_work() {
+    let fleet = Fleet::start(2, 10_000_000).await;
+    let mut options = engine("leaves");
+    options.tokens = 30;
+    options.token_delay = Duration::from_millis(10);
+    let told = fleet.fake(options.clone()).await;
+    options.id = "stops".into();
+    let silent = fleet.fake(options.clone()).await;
+    options.id = "stays".into();
+    let _stays = fleet.fake(options).await;
+    let streams: Vec<_> = (0..9)
+        .map(|n| {
+            let addr = fleet.addr(n % 2);
+            tokio::spawn(async move { chat(&format!("s{n}"), true).send(addr, LIMIT).await })
+        })
+        .collect();
+    wait(|| told.running() > 0 && silent.running() > 0).await;
+    told.leave();
+    silent.stop_announcing();
+    for stream in streams {
+        let reply = stream.await.unwrap().unwrap();
+        assert_eq!(reply.events().last().map(String::as_str), Some("[DONE]"));
+    }
+    // The told one leaves at once; the silent one within its lease.
+    let at = |f: &anvilloft_fakes::Fake| f.counts().arrived.load(Ordering::Relaxed);
+    let told_before = at(&told);
+    let send = async |tag: &str| {
+        let calls = (0..12).map(|n| {
+            let (addr, prompt) = (fleet.addr(n % 2), format!("{tag}{n}"));
+            async move { chat(&prompt, false).send(addr, LIMIT).await.unwrap() }
+        });
+        for reply in futures::future::join_all(calls).await {
+            assert_eq!(reply.status, 200, "{}", reply.text());
+        }
+    };
+    send("a").await;
+    assert_eq!(at(&told), told_before);
+    tokio::time::sleep(Duration::from_millis(2600)).await;
+    let silent_before = at(&silent);
+    send("b").await;
+    assert_eq!(at(&silent), silent_before);
+}
+
+/// Guards against requests cut off by a planned stop (I7), against callers
+/// whose cached entry answer leads nowhere, and against tokens kept by a
+/// router that is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drain_under_load_cuts_nothing_off() {
+    let mut fleet = Fleet::start(2, 10_000_000).await;
+    fleet.control.set(vec![Item::Default(DefaultValue {
+        name: "keep_ms".into(),
+        value: 1000,
+    })]);
+    let mut options = engine("e1");
+    options.slots = 64;
+    options.tokens = 50;
+    options.token_delay = Duration::from_millis(10);
+    let _fake = fleet.fake(options).await;
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    let (leaving, staying) = (fleet.addr(0), fleet.addr(1));
+    // A caller keeps its entry answer for `keep_ms` and follows refusals.
+    let callers: Vec<_> = (0..12)
+        .map(|c| {
+            tokio::spawn(async move {
+                let mut done = 0;
+                let until = Instant::now() + Duration::from_millis(3500);
+                let mut router = leaving;
+                while Instant::now() < until {
+                    let call = chat(&format!("c{c}-{done}"), true);
+                    let reply = match call.send(router, LIMIT).await {
+                        Ok(reply) => reply,
+                        // The listener is closed only after the drain.
+                        Err(_) => {
+                            router = staying;
+                            continue;
+                        }
+                    };
+                    if reply.status == 503 {
+                        let (run, code) = error(&reply);
+                        assert_eq!((run.as_str(), code.as_str()), ("no", "draining"));
+                        let other = reply.json()["error"]["try"][0].clone();
+                        router = other.as_str().unwrap().parse().unwrap();
+                        continue;
+                    }
+                    assert_eq!(reply.status, 200, "{}", reply.text());
+                    assert!(reply.complete);
+                    assert_eq!(reply.events().last().map(String::as_str), Some("[DONE]"));
+                    done += 1;
+                }
+                done
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let router = fleet.routers.remove(0);
+    let began = Instant::now();
+    let entry = Call::get("/v1/entry?team=team");
+    router.start_drain();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // It serves on while callers may keep an answer that names it.
+    assert_eq!(
+        chat("still", false)
+            .send(leaving, LIMIT)
+            .await
+            .unwrap()
+            .status,
+        200
+    );
+    assert!(router.drain(LIMIT).await, "not drained");
+    assert!(began.elapsed() >= Duration::from_millis(1000));
+    assert!(began.elapsed() < Duration::from_secs(3));
+    let mut total = 0;
+    for caller in callers {
+        total += caller.await.unwrap();
+    }
+    assert!(total >= 36, "only {total} answers");
+    let named = entry.send(staying, LIMIT).await.unwrap().json();
+    assert_eq!(named["routers"].as_array().unwrap().len(), 1);
+    fleet.settled().await;
+    let open = fleet.control.with_ledger(|l| l.routers());
+    assert_eq!(open.len(), 1, "the incarnation is closed");
+    let held = fleet.control.with_ledger(|l| l.holders(BUDGET));
+    assert!(held.iter().all(|(router, _, _)| router == "r1"), "{held:?}");
+}
--- /dev/null
+++ b/crates/router/tests/streams.rs
@@ -0,0 +1,260 @@
+//! Answers of model engines on their way to callers.
+
+mod common;
+
+use std::time::Duration;
+
+use anvilloft_fakes::Fault;
+use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::Step;
+use anvilloft_fakes::raw::chat_body;
+use anvilloft_fakes::raw::whole_answer;
+use common::*;
+
+/// Guards against lost, doubled or wrongly billed answers on the plain path.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whole_and_streamed_answers_are_complete_and_billed_by_usage() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let fake = fleet.fake(engine("e1")).await;
+    for stream in [false, true] {
+        let reply = chat("oak", stream)
+            .send(fleet.addr(0), LIMIT)
+            .await
+            .unwrap();
+        assert_eq!(reply.status, 200);
+        assert!(reply.complete);
+        assert_eq!(reply.content(), "[oak] t1 t2 t3 t4 t5 t6 t7");
+        assert_eq!(stream, reply.events().last().is_some_and(|e| e == "[DONE]"));
+        // The caller didn't ask for the usage event.
+        assert!(!stream || !reply.text().contains("usage"));
+    }
+    let body = r#"{"model":"m","prompt":"elm","max_tokens":3,"stream":true,"stream_options":{"include_usage":true}}"#;
+    let call = anvilloft_fakes::http::Call::post("/v1/completions", body).key(KEY);
+    let reply = call.send(fleet.addr(0), LIMIT).await.unwrap();
+    assert!(reply.text().contains("\"usage\""));
+    assert!(reply.text().contains("[elm]"));
+    // 1 prompt token each, 8 + 8 + 3 generated.
+    assert_eq!(fleet.settled().await, 9 + 9 + 4);
+    assert_eq!(fake.counts().runs("oak"), 2);
+}
+
+/// Guards against interrupted streams that look complete, against usage above
+/// the reservation, and against streams that outrun their reservation.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn broken_streams_end_as_errors_and_bill_at_most_the_reservation() {
+    struct Case {
+        name: &'static str,
+        fault: Fault,
+        interrupted: bool,
+    }
+    let cases = [
+        Case {
+            name: "break",
+            fault: Fault::BreakAfter(3),
+            interrupted: true,
+        },
+        Case {
+            name: "no end",
+            fault: Fault::NoDone,
+            interrupted: true,
+        },
+        Case {
+            name: "endless",
+            fault: Fault::Endless,
+            interrupted: true,
+        },
+        Case {
+            name: "huge usage",
+            fault: Fault::HugeUsage,
+            interrupted: false,
+        },
+        Case {
+            name: "no usage",
+            fault: Fault::NoUsage,
+            interrupted: false,
+        },
+    ];
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let mut options = engine("e1");
+    // The start of a stream must be out before it breaks.
+    options.token_delay = Duration::from_millis(5);
+    let fake = fleet.fake(options).await;
+    let mut billed = 0;
+    for case in cases {
+        fake.set_fault(case.fault);
+        let reply = chat(case.name, true)
+            .send(fleet.addr(0), LIMIT)
+            .await
+            .unwrap();
+        assert_eq!(reply.status, 200, "{}", case.name);
+        assert!(reply.complete, "{}", case.name);
+        assert_eq!(
+            interrupted(&reply),
+            case.interrupted,
+            "{}: {}",
+            case.name,
+            reply.text()
+        );
+        assert!(reply.content().starts_with(&format!("[{}]", case.name)));
+        let now = fleet.settled().await;
+        let cost = now - billed;
+        billed = now;
+        assert!(cost >= 4, "{} cost {cost}", case.name);
+        // The bound is the body's length plus 50 tokens.
+        assert!(cost < 50 + 150, "{} cost {cost}", case.name);
+    }
+}
+
+/// Guards against engines that go on working for callers who went away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_goes_away_cancels_the_engine_and_pays_for_what_it_got() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let mut options = engine("e1");
+    options.tokens = 1000;
+    options.token_delay = Duration::from_millis(10);
+    let fake = fleet.fake(options).await;
+    let mut open = chat("gone", true).open(fleet.addr(0)).await.unwrap();
+    assert!(open.read_until(" t3", LIMIT).await);
+    drop(open);
+    wait(|| fake.running() == 0).await;
+    wait(|| {
+        fake.counts()
+            .cancel_calls
+            .load(std::sync::atomic::Ordering::Relaxed)
+            == 1
+    })
+    .await;
+    let settled = fleet.settled().await;
+    assert!((4..100).contains(&settled), "settled {settled}");
+}
+
+/// Guards against answers of other requests (I3): wrong or missing attempt
+/// ids, and late or doubled answers on a connection that is used again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crossed_and_late_answers_never_reach_a_caller() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let fake = fleet.fake(engine("e1")).await;
+    for fault in [Fault::WrongAttempt, Fault::NoAttempt] {
+        fake.set_fault(fault);
+        for stream in [false, true] {
+            let reply = chat("mine", stream)
+                .send(fleet.addr(0), LIMIT)
+                .await
+                .unwrap();
+            assert_eq!(reply.status, 502, "{fault:?}");
+            assert!(!reply.text().contains("[mine]"));
+        }
+    }
+    drop(fake);
+    // A second answer comes right behind the first, later on an idle
+    // connection, or in place of the expected one.
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let raw = RawEndpoint::start(|seen| {
+        let prompt = seen.body.split("\"content\":\"").nth(1).unwrap_or_default();
+        let prompt = prompt.split('"').next().unwrap_or_default().to_owned();
+        let own = whole_answer(&seen.attempt, &chat_body(&prompt));
+        let stray = whole_answer(&seen.attempt, &chat_body("stray"));
+        match seen.number % 3 {
+            0 => vec![Step::Send([own, stray].concat())],
+            1 => vec![
+                Step::Send(own),
+                Step::Wait(Duration::from_millis(5)),
+                Step::Send(stray),
+            ],
+            _ => vec![Step::Send(own)],
+        }
+    })
+    .await
+    .unwrap();
+    raw.announce(fleet.addr(0), ENDPOINT_KEY, "raw", "m", 1)
+        .await;
+    for n in 0..30 {
+        let prompt = format!("p{n}");
+        let reply = chat(&prompt, false)
+            .send(fleet.addr(0), LIMIT)
+            .await
+            .unwrap();
+        if reply.status == 200 {
+            assert_eq!(reply.content(), prompt);
+        } else {
+            assert!(!reply.text().contains("stray"));
+        }
+        tokio::time::sleep(Duration::from_millis(n % 4 * 4)).await;
+        raw.announce(fleet.addr(0), ENDPOINT_KEY, "raw", "m", n + 2)
+            .await;
+    }
+}
+
+/// Guards against cut answers that pass for whole ones.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_its_end_is_a_failure() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let raw = RawEndpoint::start(|seen| {
+        let body = chat_body("cut");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-anvilloft-attempt: {}\r\n",
+            seen.attempt
+        );
+        let bytes = match seen.number % 3 {
+            // Shorter than its length.
+            0 => format!("{head}content-length: {}\r\n\r\n{body}", body.len() + 1),
+            // Without the terminal chunk.
+            1 => format!(
+                "{head}transfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n",
+                body.len()
+            ),
+            // Ended by the close alone.
+            _ => format!("{head}connection: close\r\n\r\n{body}"),
+        };
+        vec![Step::Send(bytes.into_bytes()), Step::Close]
+    })
+    .await
+    .unwrap();
+    for n in 0..3 {
+        raw.announce(fleet.addr(0), ENDPOINT_KEY, "raw", "m", 2 * n + 1)
+            .await;
+        let announcer = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            raw.announce(fleet.addr(0), ENDPOINT_KEY, "raw", "m", 2 * n + 2)
+                .await;
+        };
+        let call = chat("cut", false);
+        let (reply, ()) = tokio::join!(call.send(fleet.addr(0), LIMIT), announcer);
+        let reply = reply.unwrap();
+        assert_eq!(reply.status, 502, "case {n}: {}", reply.text());
+        assert_eq!(error(&reply).0, "unknown");
+    }
+    assert_eq!(fleet.settled().await, 0);
+}
+
+/// Guards against requests that hang on a connection or process that went
+/// silent while others work.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_endpoints_are_left_within_the_limits() {
+    let fleet = Fleet::start_with(1, 1_000_000, |o| {
+        o.client.first_byte = Duration::from_millis(300);
+        o.client.gap = Duration::from_millis(300);
+    })
+    .await;
+    let silent = fleet.fake(engine("e1")).await;
+    let fine = fleet.fake(engine("e2")).await;
+    silent.set_fault(Fault::SilentAfter(0));
+    for n in 0..6 {
+        let reply = chat(&format!("s{n}"), true)
+            .send(fleet.addr(0), LIMIT)
+            .await
+            .unwrap();
+        assert_eq!(reply.status, 200);
+        assert_eq!(reply.events().last().map(String::as_str), Some("[DONE]"));
+    }
+    // In the middle of a stream there is no retry, but an end.
+    silent.set_fault(Fault::SilentAfter(2));
+    fine.set_fault(Fault::SilentAfter(2));
+    let began = std::time::Instant::now();
+    let reply = chat("middle", true)
+        .send(fleet.addr(0), LIMIT)
+        .await
+        .unwrap();
+    assert!(interrupted(&reply), "{}", reply.text());
+    assert!(began.elapsed() < Duration::from_secs(3));
+}
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -322,6 +322,9 @@
     /// Incarnation of that endpoint.
     #[prost(uint64, tag = "6")]
     pub endpoint_incarnation: u64,
+    /// Whether the request was not run, so that its strike stays.
+    #[prost(bool, tag = "7")]
+    pub not_run: bool,
 }
 
 /// Drops records whose retention has passed.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -44,7 +44,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// The frame itself.
-    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub payload: Option<Payload>,
 }
 
@@ -78,6 +78,10 @@
     /// Tells a router that a newer configuration revision exists.
     #[prost(uint64, tag = "9")]
     ConfigPush(u64),
+    /// Fingerprint of a request that is being struck, 16 bytes, between
+    /// routers. It comes sooner than the list in the next lease.
+    #[prost(bytes = "vec", tag = "10")]
+    Struck(Vec<u8>),
 }
 
 /// A request on a session.
