--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -95,6 +95,17 @@
     Superseded,
 }
 
+/// What the router was told about its stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stop {
+    /// Run on.
+    No,
+    /// Finish the requests in flight, then stop.
+    Drain,
+    /// Stop now and interrupt what runs.
+    Now,
+}
+
 /// The result of a call to control or of a probe.
 pub(crate) enum Done {
     Opened(Outcome),
@@ -293,13 +304,13 @@
         }));
     }
 
-    /// Runs until the sender of `msgs` and `drain` are gone or the router is
-    /// closed.
+    /// Runs until the senders of `msgs` are gone, the router is closed or it is
+    /// told to stop now.
     pub async fn run(
         mut self,
         mut msgs: mpsc::Receiver<CoreMsg>,
         mut inbox: mpsc::Receiver<FromPeer>,
-        mut drain: watch::Receiver<bool>,
+        mut stop: watch::Receiver<Stop>,
     ) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -311,9 +322,12 @@
                 biased;
                 Some(frame) = inbox.recv() => self.on_frame(self.clock.now(), frame),
                 _ = tick.tick() => self.on_tick(self.clock.now()),
-                Ok(()) = drain.changed() => {
-                    if *drain.borrow() {
-                        self.start_drain();
+                Ok(()) = stop.changed() => {
+                    let wanted = *stop.borrow();
+                    match wanted {
+                        Stop::No => {}
+                        Stop::Drain => self.start_drain(),
+                        Stop::Now => return self.log_interrupted(),
                     }
                 }
                 Some(done) = self.calls.next(), if !self.calls.is_empty() => {
--- a/crates/router/src/core/drain.rs
+++ b/crates/router/src/core/drain.rs
@@ -50,6 +50,16 @@
         }
     }
 
+    /// Says what a stop without a drain interrupts.
+    pub(crate) fn log_interrupted(&self) {
+        for (no, req) in &self.requests {
+            slog::warn!(self.log, "interrupted"; "no" => no,
+                "request" => &req.admit.request_id, "team" => &req.admit.team);
+        }
+        slog::warn!(self.log, "stops without a drain";
+            "requests" => self.requests.len(), "orders" => self.open_orders);
+    }
+
     pub(crate) fn on_closed(&mut self, res: Outcome) {
         match res.map(|r| r.answer) {
             Ok(Some(Answer::Applied(_))) => {
--- /dev/null
+++ b/crates/router/src/daemon.rs
@@ -0,0 +1,193 @@
+//! The process around a router: settings, log and signals.
+
+use std::path::Path;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use anvilloft_gateway::ApiOptions;
+use anvilloft_gateway::client::Limits;
+use anvilloft_settings::RouterSettings;
+use anvilloft_settings::SettingsError;
+use anvilloft_telemetry::LogOptions;
+use anvilloft_wire::session::Identity;
+use prometheus::IntCounter;
+use quick_error::quick_error;
+use slog::Logger;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::core::Phase;
+use crate::router::Router;
+use crate::router::RouterError;
+use crate::router::RouterOptions;
+use crate::tcp;
+use crate::tcp::TcpOptions;
+
+quick_error! {
+    /// Why the daemon ended with a failure.
+    #[derive(Debug)]
+    pub enum DaemonError {
+        /// The settings are invalid.
+        Settings(err: SettingsError) {
+            from()
+            display("{}", err)
+            source(err)
+        }
+        /// The router did not start.
+        Router(err: RouterError) {
+            from()
+            display("{}", err)
+            source(err)
+        }
+        /// A socket, signal or runtime could not be made.
+        Io(err: std::io::Error) {
+            from()
+            display("{}", err)
+            source(err)
+        }
+        /// The endpoint key is not text.
+        EndpointKey {
+            display("the endpoint key must be ASCII text without spaces")
+        }
+        /// Control ended the incarnation.
+        Superseded {
+            display("control ended this incarnation; start the router again")
+        }
+        /// The drain was cut short.
+        Interrupted {
+            display("requests in flight were interrupted")
+        }
+    }
+}
+
+/// Returns the options of a router from its settings.
+///
+/// # Errors
+///
+/// Fails when the endpoint key can't be sent in a header.
+pub fn options(settings: &RouterSettings) -> Result<RouterOptions, DaemonError> {
+    let key = std::str::from_utf8(settings.endpoint_key.expose())
+        .ok()
+        .map(str::trim)
+        .filter(|key| !key.is_empty() && key.bytes().all(|b| b.is_ascii_graphic()))
+        .ok_or(DaemonError::EndpointKey)?;
+    let bytes = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+    Ok(RouterOptions {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(1, |d| d.as_millis() as u64),
+        caller_listen: settings.caller_listen,
+        caller_address: settings.caller_address,
+        peer_address: settings.peer_address().to_string(),
+        threads: bytes(settings.threads),
+        max_answer_bytes: bytes(settings.max_answer_bytes),
+        api: ApiOptions {
+            router: settings.name.clone(),
+            max_body_bytes: bytes(settings.max_body_bytes),
+            body_gap: settings.header_read,
+            write_stall: settings.write_stall,
+            service_first_byte: settings.first_byte_service,
+            endpoint_key: key.to_owned(),
+            ..ApiOptions::default()
+        },
+        client: Limits {
+            connect: settings.connect,
+            first_byte: settings.first_byte_model,
+            gap: settings.gap,
+            idle: settings.idle,
+        },
+    })
+}
+
+/// Starts a router and its sessions.
+///
+/// # Errors
+///
+/// Fails when an address can't be bound or a key can't be used.
+pub fn start(settings: &RouterSettings, log: &Logger) -> Result<Router, DaemonError> {
+    let options = options(settings)?;
+    let listener = std::net::TcpListener::bind(settings.peer_listen)?;
+    let mut identity = Identity::new(
+        &settings.name,
+        "router",
+        &settings.data_centre,
+        settings.fleet_key.clone(),
+    );
+    identity.incarnation = options.incarnation;
+    let tcp_options = TcpOptions {
+        identity,
+        listener,
+        control: settings.control.clone(),
+        routers: settings.routers.clone(),
+    };
+    let link_log = log.clone();
+    let router = Router::start_with(
+        options,
+        move |_| Ok(tcp::links(tcp_options, &link_log)?),
+        log.clone(),
+    )?;
+    Ok(router)
+}
+
+/// Runs a router until it is told to stop and has drained.
+///
+/// # Errors
+///
+/// Fails when the settings are invalid, the router can't start, control ends
+/// its incarnation, or the drain was cut short.
+pub fn run(path: &Path) -> Result<(), DaemonError> {
+    let settings = RouterSettings::load(path)?;
+    let dropped =
+        IntCounter::new("log_dropped_total", "Log lines dropped").map_err(RouterError::Metrics)?;
+    let (log, _guard) = anvilloft_telemetry::start(
+        LogOptions {
+            level: settings.log_level,
+            format: settings.log_format,
+            queue_lines: usize::try_from(settings.log_queue).unwrap_or(usize::MAX),
+        },
+        dropped.clone(),
+    );
+    let router = start(&settings, &log)?;
+    router
+        .metrics()
+        .registry
+        .register(Box::new(dropped))
+        .map_err(RouterError::Metrics)?;
+    slog::info!(log, "serves callers"; "address" => %router.address());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(until_stopped(router, settings.drain_limit))
+}
+
+/// Waits for a signal, drains, and stops early at a second signal.
+async fn until_stopped(router: Router, limit: Duration) -> Result<(), DaemonError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut phase = router.phase();
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = phase.wait_for(|p| *p == Phase::Superseded) => {
+            // Work in flight ends; nothing new is taken.
+            router.drain_until(limit, async move {
+                terminate.recv().await;
+            }).await;
+            return Err(DaemonError::Superseded);
+        }
+    }
+    let second = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    if router.drain_until(limit, second).await {
+        Ok(())
+    } else {
+        Err(DaemonError::Interrupted)
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,10 +2,13 @@
 //! stop.
 //!
 //! `core` is the control thread. `router` starts both kinds of threads and
-//! serves callers.
+//! serves callers. `tcp` reaches control and peers over sessions. `daemon` is
+//! the process: settings, log, signals.
 
 pub mod core;
+pub mod daemon;
 mod router;
+mod tcp;
 
 pub use router::Links;
 pub use router::Router;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -32,9 +32,12 @@
 use crate::core::CoreParts;
 use crate::core::Identity;
 use crate::core::Phase;
+use crate::core::Stop;
 
-/// Largest whole answer of an endpoint, in bytes.
+/// Default of the largest whole answer of an endpoint, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Time for the last bytes of settled answers to leave.
+const LAST_BYTES: Duration = Duration::from_millis(100);
 /// Time between two closings of idle connections.
 const IDLE_EVERY: Duration = Duration::from_secs(1);
 
@@ -74,6 +77,8 @@
     pub peer_address: String,
     /// Threads that carry traffic.
     pub threads: usize,
+    /// Largest whole answer of an endpoint, in bytes.
+    pub max_answer_bytes: usize,
     /// Limits towards callers; name and endpoint key are part of them.
     pub api: ApiOptions,
     /// Limits towards endpoints.
@@ -91,6 +96,7 @@
             caller_address: None,
             peer_address: format!("local-{name}"),
             threads: 2,
+            max_answer_bytes: MAX_ANSWER_BYTES,
             api: ApiOptions {
                 router: name.into(),
                 endpoint_key: endpoint_key.into(),
@@ -117,7 +123,7 @@
     traffic: Option<Runtime>,
     core: Option<std::thread::JoinHandle<()>>,
     kill: CancellationToken,
-    drain: watch::Sender<bool>,
+    stop: watch::Sender<Stop>,
     phase: watch::Receiver<Phase>,
     metrics: Arc<Metrics>,
     api: Arc<Api>,
@@ -131,6 +137,20 @@
     ///
     /// Fails when the address can't be bound or a thread can't be started.
     pub fn start(options: RouterOptions, links: Links, log: Logger) -> Result<Self, RouterError> {
+        Self::start_with(options, |_| Ok(links), log)
+    }
+
+    /// Like [`Router::start`], with links that are made within the runtime of
+    /// the control thread, where their tasks then run.
+    ///
+    /// # Errors
+    ///
+    /// As [`Router::start`], and those of `make`.
+    pub fn start_with(
+        options: RouterOptions,
+        make: impl FnOnce(Incarnation) -> Result<Links, RouterError>,
+        log: Logger,
+    ) -> Result<Self, RouterError> {
         let listener = std::net::TcpListener::bind(options.caller_listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
@@ -139,7 +159,7 @@
         let view = Arc::new(arc_swap::ArcSwap::from_pointee(View::empty()));
         let (handle, msgs) = CoreHandle::new();
         let metrics = Arc::new(Metrics::new()?);
-        let client = Client::new(options.client, MAX_ANSWER_BYTES);
+        let client = Client::new(options.client, options.max_answer_bytes);
         let log = log.new(slog::o!("router" => options.name.clone()));
         let api = Arc::new(Api {
             options: options.api,
@@ -156,6 +176,13 @@
                 .map_or(1, |d| d.as_millis() as u64),
             n => n,
         };
+        let control_runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let links = {
+            let _inside = control_runtime.enter();
+            make(incarnation)?
+        };
         let core = Core::new(CoreParts {
             id: Identity {
                 router: options.name.clone(),
@@ -172,19 +199,16 @@
             seed: rand::random(),
         });
         let phase = core.phase();
-        let (drain, drain_rx) = watch::channel(false);
+        let (stop, stop_rx) = watch::channel(Stop::No);
         let kill = CancellationToken::new();
         let killed = kill.clone();
-        let control_runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
         let inbox = links.inbox;
         let core = std::thread::Builder::new()
             .name(format!("{}-core", options.name))
             .spawn(move || {
                 control_runtime.block_on(async {
                     tokio::select! {
-                        () = core.run(msgs, inbox, drain_rx) => {}
+                        () = core.run(msgs, inbox, stop_rx) => {}
                         () = killed.cancelled() => {}
                     }
                 });
@@ -196,7 +220,7 @@
             .build()?;
         let stop_accepting = CancellationToken::new();
         let service = ApiService(Arc::clone(&api));
-        let stop = stop_accepting.clone();
+        let stop_listening = stop_accepting.clone();
         traffic.spawn(async move {
             loop {
                 tokio::time::sleep(IDLE_EVERY).await;
@@ -206,7 +230,7 @@
         let (started, result) = std::sync::mpsc::channel();
         traffic.spawn(async move {
             let res = match tokio::net::TcpListener::from_std(listener) {
-                Ok(listener) => serve(listener, service, stop).await,
+                Ok(listener) => serve(listener, service, stop_listening).await,
                 Err(e) => Err(e),
             };
             started.send(res).ok();
@@ -219,7 +243,7 @@
             traffic: Some(traffic),
             core: Some(core),
             kill,
-            drain,
+            stop,
             phase,
             metrics,
             api,
@@ -266,23 +290,54 @@
 
     /// Starts the planned stop.
     pub fn start_drain(&self) {
-        self.drain.send_replace(true);
+        self.stop.send_if_modified(|stop| {
+            let first = *stop == Stop::No;
+            if first {
+                *stop = Stop::Drain;
+            }
+            first
+        });
     }
 
     /// Drains, and ends the threads once everything is settled. Returns
-    /// whether that was within `limit`; otherwise what runs is interrupted.
-    pub async fn drain(mut self, limit: Duration) -> bool {
+    /// whether that was within `limit` and before `hurry` ended; otherwise
+    /// what runs is interrupted and logged.
+    pub async fn drain_until(mut self, limit: Duration, hurry: impl Future<Output = ()>) -> bool {
         self.start_drain();
         let mut phase = self.phase.clone();
-        let closed = tokio::time::timeout(limit, phase.wait_for(|p| *p >= Phase::Closed)).await;
+        let in_flight = self.metrics.in_flight.clone();
+        let closed = tokio::select! {
+            // An incarnation that control ended can't be closed, but its work
+            // in flight still ends.
+            () = async {
+                phase_is(&mut self.phase.clone(), Phase::Superseded).await;
+                while in_flight.get() > 0 {
+                    tokio::time::sleep(LAST_BYTES).await;
+                }
+            } => false,
+            closed = phase.wait_for(|p| *p == Phase::Closed) => {
+                closed.is_ok()
+            }
+            () = tokio::time::sleep(limit) => false,
+            () = hurry => false,
+        };
         self.stop_accepting.cancel();
-        let done = matches!(closed, Ok(Ok(p)) if *p == Phase::Closed);
-        if done {
+        if closed {
             // Answers that were settled may still be on their way out.
-            tokio::time::sleep(Duration::from_millis(100)).await;
+            tokio::time::sleep(LAST_BYTES).await;
+        } else {
+            self.stop.send_replace(Stop::Now);
+            if let Some(core) = self.core.take() {
+                core.join().ok();
+            }
         }
         self.end();
-        done
+        closed
+    }
+
+    /// Drains for at most `limit`; see [`Router::drain_until`].
+    pub async fn drain(self, limit: Duration) -> bool {
+        self.drain_until(limit, std::future::pending()).await
     }
 
     /// Ends the router at once, like a crash: every socket closes.
@@ -301,6 +356,12 @@
     }
 }
 
+async fn phase_is(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
+    if phase.wait_for(|p| *p == wanted).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 impl Drop for Router {
     fn drop(&mut self) {
         self.end();
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -35,7 +35,7 @@
         /// Open connections of callers.
         max_connections: u64 = ["limits", "max_connections", "connections", Some("8192"), 16, 1_000_000],
         /// Largest request body.
-        max_body_bytes: u64 = ["limits", "max_body_bytes", "bytes", Some("8388608"), 1024, 268_435_456],
+        max_body_bytes: u64 = ["limits", "max_body_bytes", "bytes", Some("4194304"), 1024, 268_435_456],
         /// Largest answer of an endpoint that is kept in memory as a whole.
         max_answer_bytes: u64 = ["limits", "max_answer_bytes", "bytes", Some("33554432"), 1024, 268_435_456],
         /// Requests that wait in all queues.
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::command::OpenIncarnation;
 use crate::frame::Payload;
 
 /// A frame that a peer sent.
@@ -20,4 +21,7 @@
 pub trait Peers: Send + Sync {
     /// Queues a frame. Returns whether there is a session that took it.
     fn send(&self, node: &str, payload: Payload) -> bool;
+
+    /// Names the routers of the fleet, after each change.
+    fn set_routers(&self, _routers: &[OpenIncarnation]) {}
 }
