--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,7 @@
 //! Benchmarks of the decision code and of whole processes.
 //!
+//! - [`lease`]: configuration leases against serving on during isolation.
 //! - [`traffic`]: admission and routing against a model of endpoints.
 
+pub mod lease;
 pub mod traffic;
