Measure commits, their latency and restarts on real folders

Change: bench::commits with group commit of one and three members, restart after 1,000 and 100,000 changes, and bytes on disk an entry. The store counts the bytes of its log.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,7 @@
 //! Benchmarks of the decision code and of whole processes.
 //!
+//! - [`commits`]: the replicated log on real folders.
 //! - [`traffic`]: admission and routing against a model of endpoints.
 
+pub mod commits;
 pub mod traffic;
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -386,6 +386,8 @@
                 let us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
                 self.stats.syncs.fetch_add(1, Ordering::Relaxed);
                 self.stats.sync_us.fetch_add(us, Ordering::Relaxed);
+                let bytes = self.store.log_bytes();
+                self.stats.log_bytes.store(bytes, Ordering::Relaxed);
             }
             self.send(&fx.messages);
             self.node.persisted(self.now(), fx.token);
--- a/crates/control/src/driver/status.rs
+++ b/crates/control/src/driver/status.rs
@@ -39,6 +39,8 @@
     pub syncs: AtomicU64,
     /// Time spent in syncs, in microseconds.
     pub sync_us: AtomicU64,
+    /// Log records written, in bytes.
+    pub log_bytes: AtomicU64,
     /// Entries applied.
     pub applied: AtomicU64,
     /// Snapshots taken or received.
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -74,6 +74,7 @@
     /// Length of the last segment, all of it synced.
     len: u64,
     next_segment: u64,
+    written: u64,
     failed: bool,
 }
 
@@ -172,6 +173,7 @@
             segments: Vec::new(),
             len: 0,
             next_segment: file.first_segment,
+            written: 0,
             failed: false,
         };
         let base = file.snapshot.as_ref().map_or(0, |s| s.index);
@@ -223,6 +225,11 @@
         Ok(log)
     }
 
+    /// Returns the bytes of log records written since the store was opened.
+    pub fn log_bytes(&self) -> u64 {
+        self.written
+    }
+
     /// Writes and syncs what an [`Effects`] asks for. All of it is durable
     /// when this returns.
     ///
@@ -308,6 +315,7 @@
             self.disk.sync_folder()?;
         }
         self.len += buf.len() as u64;
+        self.written += buf.len() as u64;
         Ok(())
     }
 }
