--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,4 +4,8 @@
 //! - [`traffic`]: admission and routing against a model of endpoints.
 
 pub mod lease;
+//! - [`commits`]: the replicated log on real folders.
+//! - [`traffic`]: admission and routing against a model of endpoints.
+
+pub mod commits;
 pub mod traffic;
