Deliver a dead router's settlements without waiting for each reply

Change: Copies::next returns several reports in order; the randomised runs send up to 32 over one session and check each schedule for late settlements. Conclusion: one fault loses no settlement that had been copied.

--- a/crates/budget/src/copies.rs
+++ b/crates/budget/src/copies.rs
@@ -62,13 +62,14 @@
         }
     }
 
-    /// Returns the oldest copy of an incarnation, to be proposed in its name.
-    /// Control applies a report once, whoever sends it.
-    pub fn next(&self, router: &str, incarnation: Incarnation) -> Option<&Report> {
+    /// Returns the oldest copies of an incarnation in order, at most `count`,
+    /// to be proposed in its name. Control applies a report once, whoever
+    /// sends it. Several are sent without waiting for each reply, as a backlog
+    /// has to arrive within `peer_flush_ms`.
+    pub fn next(&self, router: &str, incarnation: Incarnation, count: usize) -> Vec<Report> {
         self.by_incarnation
-            .get(&(router.to_string(), incarnation))?
-            .values()
-            .next()
+            .get(&(router.to_string(), incarnation))
+            .map_or_else(Vec::new, |r| r.values().take(count).cloned().collect())
     }
 
     /// Drops what is kept for an incarnation, for example once it is closed
--- a/crates/budget/tests/allotments.rs
+++ b/crates/budget/tests/allotments.rs
@@ -16,7 +16,6 @@
 use anvilloft_wire::command::Insufficient;
 use anvilloft_wire::command::Refused;
 use anvilloft_wire::command::Reply;
-use anvilloft_wire::command::Report;
 use anvilloft_wire::command::ReportEntry;
 
 fn ms(n: u64) -> Duration {
@@ -260,14 +259,16 @@
     while let Some(copy) = a.next_copy(ms(500)) {
         copies.insert(copy);
     }
-    let mut seqs = Vec::new();
-    let mut sum = 0;
-    while let Some(Report { seq, entries, .. }) = copies.next("r1", 1).cloned() {
-        seqs.push(seq);
-        sum += entries.iter().map(|e| e.settled).sum::<u64>();
-        copies.on_ack("r1", 1, seq);
-    }
+    let kept = copies.next("r1", 1, 10);
+    let seqs: Vec<_> = kept.iter().map(|r| r.seq).collect();
+    let sum: u64 = kept
+        .iter()
+        .flat_map(|r| &r.entries)
+        .map(|e| e.settled)
+        .sum();
     assert_eq!((seqs, sum), (vec![1, 2, 3], 309));
+    copies.on_ack("r1", 1, 3);
+    assert!(copies.incarnations().is_empty());
     assert_eq!(a.unacknowledged(), 3);
     a.copy_again();
     assert_eq!(a.next_copy(ms(500)), Some(first.clone()), "for a new peer");
@@ -278,7 +279,7 @@
     copies.insert(first);
     copies.insert(a.copy_release());
     assert_eq!(
-        copies.next("r1", 1).map(|r| r.seq),
+        copies.next("r1", 1, 1).first().map(|r| r.seq),
         Some(2),
         "acknowledged copies are dropped"
     );
--- a/crates/budget/tests/schedules/fleet.rs
+++ b/crates/budget/tests/schedules/fleet.rs
@@ -77,8 +77,8 @@
 #[derive(Clone, Debug)]
 enum Message {
     ToControl(Option<Id>, Body),
-    // The copy holder delivers another router's report.
-    Delivery(usize, Report),
+    // The copy holder delivers another router's reports over one session.
+    Delivery(usize, Vec<Report>),
     Reply(Id, Body, Reply),
     DeliveryAck(usize, Report),
     Copy(usize, Report),
@@ -394,10 +394,9 @@
         }
         // The holder delivers what an incarnation that is gone left behind.
         for (router, incarnation) in p.copies.incarnations() {
-            if !self.ledger.incarnation_open(&router, incarnation)
-                && let Some(report) = p.copies.next(&router, incarnation)
-            {
-                out.push(Message::Delivery(i, report.clone()));
+            if !self.ledger.incarnation_open(&router, incarnation) {
+                let reports = p.copies.next(&router, incarnation, 32);
+                out.push(Message::Delivery(i, reports));
             }
         }
         if p.opened && !p.closed && now >= self.cut_until[i] && self.rng.random_ratio(2, 3) {
@@ -479,13 +478,12 @@
                 self.waiting_grants.push((self.now + RECALL_WAIT, id, g));
             }
             Message::ToControl(from, body) => self.apply(from, body),
-            Message::Delivery(i, report) => {
-                let id = (report.router.clone(), report.incarnation);
-                let reply = self.apply_report(&id, &report);
-                let gone =
-                    matches!(&reply, Reply::Refused(r) if r.code == code::UNKNOWN_INCARNATION);
-                if gone || matches!(reply, Reply::Ok(_)) {
-                    self.send(Message::DeliveryAck(i, report));
+            Message::Delivery(i, reports) => {
+                for report in reports {
+                    let id = (report.router.clone(), report.incarnation);
+                    if matches!(self.apply_report(&id, &report), Reply::Ok(_)) {
+                        self.send(Message::DeliveryAck(i, report));
+                    }
                 }
             }
             Message::DeliveryAck(i, report) => {
@@ -810,6 +808,9 @@
                 self.ledger.lost()
             );
             self.outcome.written_off += a.written_off;
+            if self.faults == Faults::Single {
+                assert_eq!(a.written_off, 0, "{budget}: a settlement came too late");
+            }
         }
         for (id, (settled, copied)) in &self.model.dead {
             for (budget, settled) in settled {
--- a/crates/budget/tests/schedules/main.rs
+++ b/crates/budget/tests/schedules/main.rs
@@ -48,7 +48,6 @@
 #[test]
 fn one_fault_loses_nothing() {
     let sum = run(Faults::Single);
-    assert_eq!(sum.written_off, 0, "no settlement came too late");
     assert!(sum.served > 0 && sum.orders_run > 0, "the runs did work");
 }
 
