Count work beyond the floor against it

Cause: a rank with ample service now and then started by its floor, out of the reserve that urgent work relies on. Change: work beyond the floor counts against it for four mean requests; light teams leave the reserve to the first rank while that has demand; lower work leaves the same slots free at all routers.

--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -34,6 +34,8 @@
 /// Factor of the floors. Answers that end after the measured time or break off
 /// must not push a rank just below its floor.
 const FLOOR_MARGIN: f64 = 1.05;
+/// Work beyond the floor that counts against it later, in mean requests.
+const FLOOR_PAID: f64 = 4.0;
 /// Smallest share of the drain rate that an estimate assumes for a rank.
 const MIN_SHARE: f64 = 0.01;
 
@@ -87,7 +89,6 @@
     flow: FlowNo,
     tokens: Tokens,
     since: Duration,
-    by_floor: bool,
 }
 
 /// The shipped [`Admission`].
@@ -105,7 +106,7 @@
     running_tokens: Tokens,
     /// Running requests of the first level.
     first_running: u64,
-    /// Whether the first rank started work recently. It then keeps half of the
+    /// Whether the first rank started work recently. It then keeps most of the
     /// reserve to itself.
     urgent_demand: bool,
     timeouts: BTreeSet<(Duration, RequestNo)>,
@@ -247,7 +248,7 @@
                 slots.max(u64::from(self.cap.urgent_slots))
             }
             Class::First | Class::Floor => slots,
-            Class::Light if self.urgent_demand => slots - reserve.div_ceil(2),
+            Class::Light if self.urgent_demand => slots - reserve + reserve / 3,
             Class::Light => slots,
             Class::Other => slots - reserve,
         };
@@ -298,7 +299,7 @@
             .map(|(at, _)| (at, false))
     }
 
-    fn start(&mut self, now: Duration, at: usize, flow: FlowNo, by_floor: bool) -> Option<Verdict> {
+    fn start(&mut self, now: Duration, at: usize, flow: FlowNo) -> Option<Verdict> {
         let req = self.ranks[at].queue.pop(flow)?;
         let tokens = req.tokens as f64;
         self.waiting
@@ -309,13 +310,12 @@
                 rank.owed += rank.floor() * tokens;
             }
         }
+        let paid = -FLOOR_PAID * self.drain.mean_tokens();
         let rank = &mut self.ranks[at];
-        if by_floor {
-            rank.owed -= tokens;
-        } else {
-            // Work beyond the floor is no debt against a later floor.
-            rank.owed = (rank.owed - tokens).max(rank.owed.min(0.0));
-        }
+        // Work beyond the floor counts for a while: otherwise a rank with
+        // ample service would now and then start by its floor, ahead of others
+        // and out of the reserve.
+        rank.owed = (rank.owed - tokens).max(paid.min(rank.owed));
         if !rank.backlogged() {
             rank.owed = rank.owed.min(0.0);
         }
@@ -335,7 +335,6 @@
                 flow,
                 tokens: req.tokens,
                 since: now,
-                by_floor,
             },
         );
         Some(Verdict::Start {
@@ -470,9 +469,7 @@
             self.first_running -= 1;
         }
         let rank = &mut self.ranks[run.rank];
-        if run.by_floor {
-            rank.owed -= change;
-        }
+        rank.owed -= change;
         rank.recent.add(now, RECENT, change);
         rank.queue.get_mut(run.flow).recent.add(now, RECENT, change);
         rank.queue.settle(run.flow, run.tokens, used);
@@ -503,7 +500,7 @@
             let Some(flow) = self.next_flow(at, by_floor) else {
                 break;
             };
-            match self.start(now, at, flow, by_floor) {
+            match self.start(now, at, flow) {
                 Some(verdict) => out.push(verdict),
                 None => break,
             }
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -263,6 +263,12 @@
         share::part(self.usable, self.routers, self.position)
     }
 
+    /// Returns the part that lower work uses first.
+    pub(crate) fn lower_part(&self) -> u32 {
+        let reserve = share::reserve(self.usable, self.hash);
+        share::part(self.usable - reserve, self.routers, self.position)
+    }
+
     pub(crate) fn limit(&self) -> u32 {
         share::limit(self.usable, self.routers)
     }
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -55,6 +55,8 @@
     pub gap_weight: f64,
     /// Weight of the load by slots.
     pub load_weight: f64,
+    /// Weight of the chance that an urgent request finds no free slot.
+    pub full_weight: f64,
     /// Weight of the failure score.
     pub failure_weight: f64,
     /// Whether prefix affinity is used.
@@ -81,6 +83,7 @@
             first_weight: 1.0,
             gap_weight: 1.0,
             load_weight: 1.0,
+            full_weight: 2.0,
             failure_weight: 1.0,
             affinity: true,
             affinity_bound: 1.25,
@@ -90,6 +93,9 @@
     }
 }
 
+/// Tier of endpoints that failed lately.
+const UNHEALTHY: u8 = 3;
+
 /// A candidate with the tier that it is used in; a lower tier goes first.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -177,10 +183,12 @@
             if ep.own() >= ep.limit() {
                 continue;
             }
-            let tier = match (well, ep.own() < ep.part()) {
-                (true, true) => 0,
-                (true, false) => 1,
-                (false, _) => 2,
+            let tier = if !well {
+                UNHEALTHY
+            } else if ep.own() >= ep.part() {
+                2
+            } else {
+                u8::from(req.level > 0 && ep.own() >= ep.lower_part())
             };
             self.candidates.push(Candidate { at, tier });
         }
@@ -195,7 +203,7 @@
         // full for a moment.
         let full = match best {
             None => true,
-            Some(tier) => tier == 2 && healthy > 0,
+            Some(tier) => tier == UNHEALTHY && healthy > 0,
         };
         if full {
             return Err(NoRoute::Full(Duration::from_millis(20)));
--- a/crates/routing/src/share.rs
+++ b/crates/routing/src/share.rs
@@ -53,3 +53,17 @@
 pub fn limit(slots: u32, routers: u32) -> u32 {
     slots / routers.max(1) + 1
 }
+
+/// Slots of an endpoint that lower work leaves free, in permille. It matches
+/// the reserve of admission.
+const RESERVE_PERMILLE: f64 = 45.0;
+
+/// Returns how many slots of an endpoint lower work leaves free.
+///
+/// A router that may take one more urgent request than its part finds a free
+/// slot at any endpoint, because the free slots are spread evenly. The hash of
+/// the endpoint's name decides about fractions, the same at all routers.
+pub(crate) fn reserve(slots: u32, name_hash: u64) -> u32 {
+    let fraction = (name_hash >> 11) as f64 / (1u64 << 53) as f64;
+    (f64::from(slots) * RESERVE_PERMILLE / 1000.0 + fraction) as u32
+}
