--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -137,7 +137,7 @@
             if open || self.routers.version() == 0 || self.delivering.contains(&id) {
                 continue;
             }
-            let Some(report) = self.copies.next(&id.0, id.1).cloned() else {
+            let Some(report) = self.copies.next(&id.0, id.1, 1).pop() else {
                 continue;
             };
             self.delivering.insert(id.clone());
