Add the bench subcommand

Cause: the benchmarks had no command. Conclusion: the reports print; further modules join the table as they land.

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -2,6 +2,7 @@
 //! an arguments type and one `run`.
 
 mod apply;
+mod bench;
 mod bootstrap;
 mod budget;
 mod check;
@@ -58,7 +59,7 @@
 /// Every subcommand by name, in the order of the help.
 const TABLE: &[Entry] = administration![
     status, team, key, budget, rank, model, service, default, exception, router, member, history,
-    apply, check, settings, bootstrap,
+    apply, bench, check, settings, bootstrap,
 ];
 
 /// Prints the error and returns the documented exit code.
--- /dev/null
+++ b/crates/cli/src/cmd/bench.rs
@@ -0,0 +1,157 @@
+//! `anvilloft bench`: runs the benchmarks and prints their reports.
+
+use std::path::PathBuf;
+
+use anvilloft_bench::commits;
+use anvilloft_bench::commits::CommitsConfig;
+use anvilloft_bench::lease;
+use anvilloft_bench::lease::LeaseConfig;
+use anvilloft_bench::traffic;
+use anvilloft_bench::traffic::TrafficConfig;
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::error::CliError;
+
+/// Options of a run.
+struct Options {
+    seed: Option<u64>,
+    folder: Option<PathBuf>,
+}
+
+/// Report of one benchmark.
+struct Output {
+    text: String,
+    json: Value,
+    /// Figures that miss their bound.
+    misses: usize,
+}
+
+/// One benchmark.
+struct Bench {
+    name: &'static str,
+    run: fn(&Options) -> Result<Output, CliError>,
+}
+
+const TABLE: &[Bench] = &[
+    Bench {
+        name: "traffic",
+        run: run_traffic,
+    },
+    Bench {
+        name: "lease",
+        run: run_lease,
+    },
+    Bench {
+        name: "commits",
+        run: run_commits,
+    },
+];
+
+/// Returns the command-line definition.
+pub(crate) fn command() -> Command {
+    Command::new("bench")
+        .about("Runs the benchmarks and prints their reports; exits with 1 when a bound is missed")
+        .arg(
+            Arg::new("name")
+                .value_name("NAME")
+                .action(ArgAction::Append)
+                .value_parser(["traffic", "lease", "commits"])
+                .help("Benchmarks to run [default: all]"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("NUMBER")
+                .value_parser(clap::value_parser!(u64))
+                .help("Seed of the random choices [default: fixed for each benchmark]"),
+        )
+        .arg(
+            Arg::new("folder")
+                .long("folder")
+                .value_name("FOLDER")
+                .help("Folder whose disk `commits` measures [default: the temporary folder]"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Prints JSON"),
+        )
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(args: &ArgMatches) -> Result<(), CliError> {
+    let options = Options {
+        seed: args.get_one("seed").copied(),
+        folder: args.get_one::<String>("folder").map(PathBuf::from),
+    };
+    let named: Vec<&String> = args.get_many("name").unwrap_or_default().collect();
+    let mut reports = json!({});
+    let mut misses = 0;
+    for bench in TABLE {
+        if !named.is_empty() && !named.iter().any(|name| *name == bench.name) {
+            continue;
+        }
+        let output = (bench.run)(&options)?;
+        misses += output.misses;
+        if args.get_flag("json") {
+            reports[bench.name] = output.json;
+        } else {
+            println!("== {}\n{}", bench.name, output.text);
+        }
+    }
+    if args.get_flag("json") {
+        println!("{reports}");
+    }
+    match misses {
+        0 => Ok(()),
+        n => Err(CliError::Problems(format!("{n} figures miss their bound"))),
+    }
+}
+
+fn to_json(report: &impl serde::Serialize) -> Result<Value, CliError> {
+    serde_json::to_value(report).map_err(|err| CliError::Problems(err.to_string()))
+}
+
+fn run_traffic(options: &Options) -> Result<Output, CliError> {
+    let mut cfg = TrafficConfig::default();
+    cfg.seed = options.seed.unwrap_or(cfg.seed);
+    let report = traffic::run(&cfg);
+    Ok(Output {
+        text: report.to_string(),
+        json: to_json(&report)?,
+        misses: report.misses().len(),
+    })
+}
+
+fn run_lease(options: &Options) -> Result<Output, CliError> {
+    let mut cfg = LeaseConfig::default();
+    cfg.seed = options.seed.unwrap_or(cfg.seed);
+    let report = lease::run(&cfg);
+    Ok(Output {
+        text: report.to_string(),
+        json: to_json(&report)?,
+        misses: 0,
+    })
+}
+
+fn run_commits(options: &Options) -> Result<Output, CliError> {
+    let mut cfg = CommitsConfig::default();
+    if let Some(folder) = &options.folder {
+        cfg.folder.clone_from(folder);
+    }
+    let figures = commits::run(&cfg).map_err(|err| CliError::Problems(err.to_string()))?;
+    let line = |f: &commits::CommitFigure| format!("{:<56} {:>12.3} {}\n", f.name, f.value, f.unit);
+    let row =
+        |f: &commits::CommitFigure| json!({ "name": f.name, "value": f.value, "unit": f.unit });
+    Ok(Output {
+        text: figures.iter().map(line).collect(),
+        json: figures.iter().map(row).collect(),
+        misses: 0,
+    })
+}
