--- a/crates/cli/src/cmd/bench.rs
+++ b/crates/cli/src/cmd/bench.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 
 use crate::error::CliError;
+use crate::output::write;
 
 /// Options of a run.
 struct Options {
@@ -102,11 +103,11 @@
         if args.get_flag("json") {
             reports[bench.name] = output.json;
         } else {
-            println!("== {}\n{}", bench.name, output.text);
+            write(&format!("== {}\n{}\n", bench.name, output.text));
         }
     }
     if args.get_flag("json") {
-        println!("{reports}");
+        write(&format!("{reports}\n"));
     }
     match misses {
         0 => Ok(()),
--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -10,6 +10,7 @@
 
 use crate::cmd::settings::daemon;
 use crate::error::CliError;
+use crate::output::write;
 
 /// Returns the command-line definition.
 pub(crate) fn command() -> Command {
@@ -29,7 +30,7 @@
     };
     match result {
         Ok(()) => {
-            println!("{file}: no faults");
+            write(&format!("{file}: no faults\n"));
             Ok(())
         }
         Err(err) => Err(CliError::Problems(err.to_string())),
--- a/crates/cli/src/cmd/settings.rs
+++ b/crates/cli/src/cmd/settings.rs
@@ -7,6 +7,7 @@
 use clap::Command;
 
 use crate::error::CliError;
+use crate::output::write;
 
 /// Returns the argument that names a daemon.
 pub(crate) fn daemon() -> Arg {
@@ -29,6 +30,6 @@
         Some("router") => RouterSettings::defaults(),
         _ => ControlSettings::defaults(),
     };
-    print!("{text}");
+    write(&text);
     Ok(())
 }
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -9,6 +9,7 @@
 use crate::error::CliError;
 use crate::output::print;
 use crate::output::table;
+use crate::output::write;
 
 /// Returns the command-line definition.
 pub(crate) fn command() -> Command {
@@ -25,12 +26,12 @@
     if args.get_flag("json") {
         print(args, &reply);
     } else {
-        println!("problems:");
-        print!("{}", table(&reply["problems"].take()));
+        write("problems:\n");
+        write(&table(&reply["problems"].take()));
         if let Some(fields) = reply.as_object_mut() {
             fields.remove("problems");
         }
-        print!("\n{}", table(&reply));
+        write(&format!("\n{}", table(&reply)));
     }
     match errors {
         0 => Ok(()),
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,15 +1,22 @@
 //! Tables for people and JSON for programs.
 
+use std::io::Write;
+
 use clap::ArgMatches;
 use serde_json::Value;
 
 /// Prints a value as JSON with `--json`, and as a table otherwise.
 pub(crate) fn print(args: &ArgMatches, value: &Value) {
-    if args.get_flag("json") {
-        println!("{value}");
-    } else {
-        print!("{}", table(value));
-    }
+    write(&match args.get_flag("json") {
+        true => format!("{value}\n"),
+        false => table(value),
+    });
+}
+
+/// Writes to standard output. A reader that has seen enough, such as `head`,
+/// is no fault.
+pub(crate) fn write(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
 }
 
 /// Formats a list of objects as a table, and an object as lines.
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -52,8 +52,6 @@
 
 use figures::Figures;
 
-/// Time to look for an existing group before a new one is started.
-const LOOK_FOR_GROUP: Duration = Duration::from_secs(3);
 /// Interval at which metrics are copied.
 const FIGURES: Duration = Duration::from_secs(1);
 /// Files that a folder without consensus state may hold.
@@ -76,6 +74,10 @@
         GroupExists(peer: String) {
             display("[control] group = new, but {} belongs to a group; set group = join", peer)
         }
+        /// A new group can't be started while another member may have one.
+        PeersSilent(answered: usize, peers: usize) {
+            display("[control] group = new, but only {} of {} addresses in [peers] control answered; start the other members first", answered, peers)
+        }
         /// The hash of the first operator key can't be read.
         OperatorHash(reason: String) {
             display("[key] operator_hash_file: {}", reason)
@@ -409,7 +411,7 @@
         log.clone(),
     )));
     let client = ControlClient::start(&settings.peers, identity, handler, log.clone());
-    let end = tokio::time::Instant::now() + LOOK_FOR_GROUP;
+    let end = tokio::time::Instant::now() + settings.group_wait;
     let mut asked = 0;
     while tokio::time::Instant::now() < end && asked < settings.peers.len() {
         let sessions = client.sessions();
@@ -423,11 +425,10 @@
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    if asked < settings.peers.len() {
-        warn!(log, "starting a new group without an answer of every peer";
-            "answered" => asked, "peers" => settings.peers.len());
+    match asked < settings.peers.len() {
+        true => Err(DaemonError::PeersSilent(asked, settings.peers.len())),
+        false => Ok(()),
     }
-    Ok(())
 }
 
 async fn members_of(session: &Session) -> Option<u64> {
@@ -449,6 +450,14 @@
         return Ok(None);
     };
     let fault = |reason: String| DaemonError::OperatorHash(format!("{}: {reason}", path.display()));
+    let meta = fs::metadata(path).map_err(|err| fault(err.to_string()))?;
+    let mode = meta.permissions().mode() & 0o777;
+    // Whoever can write the file can make an operator key.
+    if mode & 0o022 != 0 {
+        return Err(fault(format!(
+            "has mode {mode:04o}; group and others must not write (chmod 600)"
+        )));
+    }
     let text = fs::read_to_string(path).map_err(|err| fault(err.to_string()))?;
     let hash = hex::decode(text.trim()).ok();
     match hash.and_then(|hash| hash.try_into().ok()) {
--- a/crates/control/tests/group/hosts.rs
+++ b/crates/control/tests/group/hosts.rs
@@ -67,6 +67,10 @@
         Self { hosts, dir }
     }
 
+    pub(crate) fn operator_hash(&self) -> PathBuf {
+        self.dir.path().join("operator.hash")
+    }
+
     pub(crate) fn folder(&self, i: usize) -> &PathBuf {
         &self.hosts[i].folder
     }
@@ -86,6 +90,7 @@
             .peer_listen(host.peer)
             .admin_listen(host.admin)
             .group(group)
+            .group_wait(Duration::from_secs(2))
             .peers(peers)
             .stop_limit(Duration::from_secs(2))
             .fleet_key(Secret::new("0123456789abcdef0123456789abcdef"))
@@ -101,9 +106,11 @@
     /// Starts all hosts and makes one group of them.
     pub(crate) async fn group(count: usize) -> Self {
         let mut hosts = Self::new(count);
-        hosts.start(0, GroupStart::New).await.unwrap();
         for i in 1..count {
             hosts.start(i, GroupStart::Join).await.unwrap();
+        }
+        hosts.start(0, GroupStart::New).await.unwrap();
+        for i in 1..count {
             let id = hosts.id(i);
             let body = json!({ "id": id, "address": hosts.hosts[i].peer.to_string() });
             let (status, reply) = hosts.ask(0, "POST", "/admin/v1/members", &body).await;
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -207,14 +207,32 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_folder_that_others_can_read_or_that_is_in_use_is_refused() {
-    let mut hosts = Hosts::new(2);
+async fn a_new_group_is_not_started_while_another_member_is_silent() {
+    // The silent member may hold the group that this host lost with its disk.
+    let mut hosts = Hosts::new(3);
+    hosts.start(1, GroupStart::Join).await.unwrap();
+    let err = hosts.start(0, GroupStart::New).await.unwrap_err();
+    assert!(matches!(err, DaemonError::PeersSilent(1, 2)), "{err}");
+    hosts.start(2, GroupStart::Join).await.unwrap();
+    hosts.start(0, GroupStart::New).await.unwrap();
+    assert_eq!(hosts.leader().await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn files_open_to_others_and_a_folder_in_use_are_refused() {
+    let mut hosts = Hosts::new(1);
     let folder = hosts.folder(0).clone();
     fs::create_dir(&folder).unwrap();
     fs::set_permissions(&folder, fs::Permissions::from_mode(0o750)).unwrap();
     let err = hosts.start(0, GroupStart::New).await.unwrap_err();
     assert!(err.to_string().contains("mode 0750"), "{err}");
     fs::set_permissions(&folder, fs::Permissions::from_mode(0o700)).unwrap();
+    // Whoever could write this file could make an operator key.
+    let hash = hosts.operator_hash();
+    fs::set_permissions(&hash, fs::Permissions::from_mode(0o620)).unwrap();
+    let err = hosts.start(0, GroupStart::New).await.unwrap_err();
+    assert!(err.to_string().contains("mode 0620"), "{err}");
+    fs::set_permissions(&hash, fs::Permissions::from_mode(0o600)).unwrap();
     hosts.start(0, GroupStart::New).await.unwrap();
     let mut second = Hosts::new(1);
     fs::remove_dir_all(second.folder(0)).ok();
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -29,6 +29,9 @@
         /// What to do with an empty data folder: join or new.
         /// Set new on the first member of a new group only, for its first start only.
         group: GroupStart = ["control", "group", "", Some("join"), 0, 0],
+        /// Time that the first member of a new group waits for an answer of every other member.
+        /// Without it a host that lost its disk could start a second group beside the first.
+        group_wait: Duration = ["control", "group_wait_ms", "ms", Some("30000"), 100, 600_000],
         /// Peer addresses of the other control members known at the start.
         peers: Vec<SocketAddr> = ["peers", "control", "", Some(""), 0, 7],
         /// Time between heartbeats of the leader.
