Fail a streamed body that ends without its last piece

The body took a closed channel for its end, so when the feeding task was dropped before the connection a truncated answer looked whole. Ruled out: a stream that had finished before the kill (the printed text stopped at the third token) and the test's timing. Change: pieces are More or Last; a channel that closes before Last fails the body, which drops the connection without a terminal chunk. Conclusion: a panic or a kill of the feeding task can no longer pass for the end of an answer.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http_body::Frame;
 use http_body_util::BodyExt;
+use quick_error::quick_error;
 use tokio::sync::mpsc;
 use volo_http::body::Body;
 
@@ -66,28 +67,60 @@
     Ok(whole.unwrap_or_else(|| more.freeze()))
 }
 
+quick_error! {
+    /// A streamed body whose end was never sent.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// The task that feeds the body ended early, for example in a panic.
+        Truncated {
+            display("the stream ended without its last piece")
+        }
+    }
+}
+
+/// A piece of a streamed answer.
+pub(crate) enum Piece {
+    /// More pieces follow.
+    More(Bytes),
+    /// The body ends after this piece.
+    Last(Bytes),
+}
+
 /// Body of a streamed answer, fed through a bounded channel.
+///
+/// A channel that closes before its last piece fails the body, so that the
+/// connection is dropped: an ordinary end of the body would make a truncated
+/// answer look whole.
 pub(crate) struct ChannelBody {
-    rx: mpsc::Receiver<Bytes>,
+    rx: mpsc::Receiver<Piece>,
+    ended: bool,
 }
 
 impl ChannelBody {
     /// Makes a body that gets the pieces sent to the channel.
-    pub(crate) fn body(rx: mpsc::Receiver<Bytes>) -> Body {
-        Body::from_body(Self { rx })
+    pub(crate) fn body(rx: mpsc::Receiver<Piece>) -> Body {
+        Body::from_body(Self { rx, ended: false })
     }
 }
 
 impl http_body::Body for ChannelBody {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        self.rx
-            .poll_recv(cx)
-            .map(|data| data.map(|data| Ok(Frame::data(data))))
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        self.rx.poll_recv(cx).map(|piece| match piece {
+            Some(Piece::More(data)) => Some(Ok(Frame::data(data))),
+            Some(Piece::Last(data)) => {
+                self.ended = true;
+                Some(Ok(Frame::data(data)))
+            }
+            None => Some(Err(BodyError::Truncated)),
+        })
     }
 }
--- a/crates/gateway/src/chat.rs
+++ b/crates/gateway/src/chat.rs
@@ -24,6 +24,7 @@
 use crate::api::json_response;
 use crate::body;
 use crate::body::ChannelBody;
+use crate::body::Piece;
 use crate::client::Answer;
 use crate::client::ClientError;
 use crate::client::PRIORITY_HEADER;
@@ -396,7 +397,7 @@
     core: crate::ports::CoreHandle,
     stream: Stream,
     running: Running,
-    tx: mpsc::Sender<Bytes>,
+    tx: mpsc::Sender<Piece>,
     prompt_estimate: Tokens,
     max_tokens: Tokens,
     amount: Tokens,
@@ -430,18 +431,22 @@
         loop {
             // Kept up to date for the case that this task is dropped.
             self.running.used = self.used();
-            if !out.is_empty() {
-                if self.stream.scanner.done {
+            let done = self.stream.scanner.done;
+            if !out.is_empty() || done {
+                let piece = if done {
                     // Settled first: a caller that saw its end may ask for
                     // its budget at once.
                     let used = self.used();
                     self.running.finish(used, AttemptEnd::Ok);
-                }
-                match self.tx.try_send(out) {
+                    Piece::Last(out)
+                } else {
+                    Piece::More(out)
+                };
+                match self.tx.try_send(piece) {
                     Ok(()) => {}
                     Err(mpsc::error::TrySendError::Closed(_)) => return End::CallerGone,
-                    Err(mpsc::error::TrySendError::Full(out)) => {
-                        let send = self.tx.send(out);
+                    Err(mpsc::error::TrySendError::Full(piece)) => {
+                        let send = self.tx.send(piece);
                         match tokio::time::timeout(self.write_stall, send).await {
                             Ok(Ok(())) => {}
                             Ok(Err(_)) | Err(_) => return End::CallerGone,
@@ -449,7 +454,7 @@
                     }
                 }
             }
-            if self.stream.scanner.done {
+            if done {
                 return End::Done;
             }
             if self.stream.scanner.failed {
@@ -517,7 +522,7 @@
             }
         };
         let event = format!("data: {}\n\n", refusal.json());
-        let send = self.tx.send(Bytes::from(event));
+        let send = self.tx.send(Piece::Last(Bytes::from(event)));
         tokio::time::timeout(self.write_stall, send).await.ok();
     }
 }
--- a/crates/router/tests/failover.rs
+++ b/crates/router/tests/failover.rs
@@ -44,7 +44,11 @@
     for mut stream in open {
         stream.read_to_end(LIMIT).await;
         let reply = stream.reply();
-        assert!(!reply.complete, "a dead router's stream looks complete");
+        assert!(
+            !reply.complete,
+            "a dead router's stream looks complete: {}",
+            reply.text()
+        );
         assert!(!reply.text().contains("[DONE]"));
     }
     for n in 1..5 {
