--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -30,6 +30,10 @@
 /// Time without early grants after one was refused or came in exact size: the
 /// budget is nearly spent then, and its tokens shall not be scattered.
 const EARLY_PAUSE: Duration = Duration::from_secs(10);
+/// How long a recall stays in effect: tokens that come free meanwhile go back
+/// too. Longer than control waits for them, as a request that ends during the
+/// wait would otherwise leave its rest at the wrong router.
+const RECALL_EFFECT: Duration = Duration::from_secs(1);
 /// Default of [`Allotments::set_idle`], as the built-in `allotment_idle_ms`.
 const IDLE: Duration = Duration::from_secs(10);
 /// Code of a refusal after which the grant is asked again under a new number.
@@ -107,6 +111,11 @@
     // Count of needs that the next grant may cover, after a grant for more of
     // them was refused.
     cover_limit: Option<usize>,
+    // Needs are asked for in full, and idle tokens go back first. Otherwise
+    // the recall for the rest of a need takes the part that is held, and the
+    // router asks for the parts in turn without end.
+    ask_in_full: bool,
+    recalled_until: Duration,
     used_at: Duration,
     window: Duration,
     demand: Tokens,
@@ -254,7 +263,11 @@
             local.used_at = now;
         }
         self.outbox.settled(now, &r.budget, used, key);
-        if self.draining {
+        let recalled = self
+            .budgets
+            .get(&r.budget)
+            .is_some_and(|l| now < l.recalled_until);
+        if self.draining || recalled {
             self.give_back(now, &r.budget);
         }
         used
@@ -288,6 +301,10 @@
     }
 
     fn make_grant(&mut self, now: Duration, budget: &str) -> Option<Grant> {
+        let local = self.budgets.get(budget)?;
+        if local.ask_in_full && local.outstanding.is_none() {
+            self.give_back(now, budget);
+        }
         let local = self.budgets.get_mut(budget)?;
         if local.outstanding.is_some() {
             return None;
@@ -356,6 +373,7 @@
             }
             Some(Reply::Insufficient(i)) => {
                 local.early_after = now + EARLY_PAUSE;
+                local.ask_in_full = true;
                 // Control has waited for recalled tokens, so a need that
                 // exceeds what there is now can't be met; the others may fit
                 // where their sum doesn't.
@@ -424,7 +442,9 @@
                 outcome: Ok(need),
             });
         }
-        if !local.waiting.is_empty() {
+        if local.waiting.is_empty() {
+            local.ask_in_full = false;
+        } else {
             self.due.push_back(budget.into());
         }
         if self.draining {
@@ -432,8 +452,14 @@
         }
     }
 
-    /// Returns the idle tokens of a budget to control without delay.
+    /// Returns the idle tokens of a budget to control without delay, and those
+    /// that come free within the next second.
     pub fn recall(&mut self, now: Duration, budget: &str) {
+        if let Some(local) = self.budgets.get_mut(budget) {
+            local.recalled_until = now + RECALL_EFFECT;
+            local.early_after = now + EARLY_PAUSE;
+            local.ask_in_full = !local.waiting.is_empty();
+        }
         self.give_back(now, budget);
     }
 
