--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,9 +1,11 @@
 //! Benchmarks of the decision code and of whole processes.
 //!
+//! - [`budgets`]: small and large teams, and the cost of budgets at scale.
 //! - [`commits`]: the replicated log on real folders.
 //! - [`lease`]: configuration leases against serving on during isolation.
 //! - [`traffic`]: admission and routing against a model of endpoints.
 
+pub mod budgets;
 pub mod commits;
 pub mod lease;
 pub mod traffic;
