Place urgent requests beyond the part where more slots are free

Cause: an urgent request beyond its router's part took the place of another router's urgent request. Change: it goes to endpoints where lower work leaves more slots free. The bench can run one case.

--- a/crates/bench/examples/traffic.rs
+++ b/crates/bench/examples/traffic.rs
@@ -1,5 +1,5 @@
-//! Prints the report of the traffic bench: `traffic [seed] [seconds] [plain]`.
-//! With a third argument the simple policies are left out.
+//! Prints the report of the traffic bench: `traffic [seed] [seconds] [case]`.
+//! With a case (a part of its name) the simple policies are left out.
 
 fn main() {
     let mut args = std::env::args().skip(1);
@@ -10,6 +10,9 @@
     if let Some(seconds) = args.next().and_then(|a| a.parse().ok()) {
         cfg.seconds = seconds;
     }
-    cfg.baselines = args.next().is_none();
+    if let Some(only) = args.next() {
+        cfg.baselines = false;
+        cfg.only = only;
+    }
     println!("{}", anvilloft_bench::traffic::run(&cfg));
 }
--- a/crates/bench/src/traffic.rs
+++ b/crates/bench/src/traffic.rs
@@ -30,6 +30,8 @@
     pub seconds: f64,
     /// Whether simple policies run as well.
     pub baselines: bool,
+    /// Cases whose names contain this; all when empty.
+    pub only: String,
 }
 
 impl Default for TrafficConfig {
@@ -39,6 +41,7 @@
             endpoints: vec![12, 20],
             seconds: 60.0,
             baselines: true,
+            only: String::new(),
         }
     }
 }
--- a/crates/bench/src/traffic/cases.rs
+++ b/crates/bench/src/traffic/cases.rs
@@ -166,21 +166,48 @@
         });
     }
 
+    /// Runs every case whose name is asked for.
     pub(crate) fn all(&mut self) {
+        let only = self.cfg.only.clone();
+        let wanted = |name: &str| name.contains(&only);
         for policy in Policy::all(self.cfg.baselines) {
-            self.floods(&policy);
-            self.small_team(&policy);
-            self.saturation(&policy);
-            self.faults(&policy);
-            self.load_curve(&policy);
+            if wanted("low flood") {
+                self.low_flood(&policy);
+            }
+            if wanted("urgent flood") {
+                self.urgent_flood(&policy);
+            }
+            if wanted("one team floods urgent") {
+                self.one_team_flood(&policy);
+            }
+            if wanted("small team") {
+                self.small_team(&policy);
+            }
+            if wanted("saturation") {
+                self.saturation(&policy);
+            }
+            if wanted("dead, silent, slow") {
+                self.faults(&policy);
+            }
+            if wanted("load") {
+                self.load_curve(&policy);
+            }
+        }
+        for (resend, case) in [
+            (Resend::InTurn, "poison, in turn"),
+            (Resend::AtOnce, "poison, at once"),
+            (Resend::FromStart, "poison, from start"),
+        ] {
+            if wanted(case) {
+                self.poison(resend, case);
+            }
+        }
+        if wanted("entry") {
+            self.entry_by_share();
         }
-        self.poison(Resend::InTurn, "poison, in turn");
-        self.poison(Resend::AtOnce, "poison, at once");
-        self.poison(Resend::FromStart, "poison, from start");
-        self.entry_by_share();
     }
 
-    fn floods(&mut self, policy: &Policy) {
+    fn low_flood(&mut self, policy: &Policy) {
         let calm = self.run(policy, &self.workload(self.sources([1.0; 3], SHAPES)));
         let low = self.run(
             policy,
@@ -217,7 +244,10 @@
             None,
         );
         self.note(case, name, "p95 gap, s", percentile(&low.gaps, 0.95), None);
+    }
 
+    fn urgent_flood(&mut self, policy: &Policy) {
+        let name = policy.name;
         let flood = self.run(
             policy,
             &self.workload(self.sources([10.0, 1.0, 1.0], SHAPES)),
@@ -237,7 +267,6 @@
             flood.token_share(2),
             Bound::AtLeast(0.05),
         );
-        self.one_team_flood(policy);
     }
 
     /// One team floods the urgent rank; the others keep their service.
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -269,6 +269,11 @@
         share::part(self.usable - reserve, self.routers, self.position)
     }
 
+    /// Returns whether lower work leaves more slots free here than elsewhere.
+    pub(crate) fn leaves_more_free(&self) -> bool {
+        share::reserve(self.usable, self.hash) > share::reserve(self.usable, 0)
+    }
+
     pub(crate) fn limit(&self) -> u32 {
         share::limit(self.usable, self.routers)
     }
--- a/crates/routing/src/score.rs
+++ b/crates/routing/src/score.rs
@@ -6,9 +6,6 @@
 use crate::endpoint::Endpoint;
 use crate::select::SelectorConfig;
 
-/// Requests by which the estimate of an endpoint's load is off.
-const FULL_SPREAD: f64 = 2.0;
-
 /// Prediction for one request at one endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Prediction {
@@ -40,11 +37,7 @@
     let raw =
         cfg.first_base.as_secs_f64() + prefill + waiting / slots * cfg.residence.as_secs_f64();
     let first = raw * ep.first_factor() + 2.0 * distance;
-    // The chance that every slot is taken, with late reports about the others.
-    let full = ((load - slots + FULL_SPREAD) / (2.0 * FULL_SPREAD)).clamp(0.0, 1.0);
-    let full_weight = if req.level == 0 { cfg.full_weight } else { 0.0 };
-    let score = full_weight * full
-        + cfg.first_weight * first / cfg.target_first.as_secs_f64()
+    let score = cfg.first_weight * first / cfg.target_first.as_secs_f64()
         + cfg.gap_weight * gap / cfg.target_gap.as_secs_f64()
         + cfg.load_weight * load / slots
         + cfg.failure_weight * ep.failure_score(now);
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -55,8 +55,6 @@
     pub gap_weight: f64,
     /// Weight of the load by slots.
     pub load_weight: f64,
-    /// Weight of the chance that an urgent request finds no free slot.
-    pub full_weight: f64,
     /// Weight of the failure score.
     pub failure_weight: f64,
     /// Whether prefix affinity is used.
@@ -83,7 +81,6 @@
             first_weight: 1.0,
             gap_weight: 1.0,
             load_weight: 1.0,
-            full_weight: 2.0,
             failure_weight: 1.0,
             affinity: true,
             affinity_bound: 1.25,
@@ -94,7 +91,7 @@
 }
 
 /// Tier of endpoints that failed lately.
-const UNHEALTHY: u8 = 3;
+const UNHEALTHY: u8 = 4;
 
 /// A candidate with the tier that it is used in; a lower tier goes first.
 #[derive(Clone, Copy, Debug)]
@@ -186,7 +183,9 @@
             let tier = if !well {
                 UNHEALTHY
             } else if ep.own() >= ep.part() {
-                2
+                // Where more is left free, the place beyond the own part is
+                // rarely that of another router's urgent request.
+                2 + u8::from(!ep.leaves_more_free())
             } else {
                 u8::from(req.level > 0 && ep.own() >= ep.lower_part())
             };
