Keep copies of a request within two endpoints

Cause: copies of a crashing request that are sent through several routers at once ran on many endpoints before the first strike was known. Change: the two candidates of a request follow from its fingerprint, the same at all routers; suspects stay within the pair.

--- a/crates/bench/src/traffic/flow.rs
+++ b/crates/bench/src/traffic/flow.rs
@@ -119,7 +119,10 @@
         }
         let r = self.reqs[no].router;
         let req = &self.reqs[no];
-        let wanted = Self::route_request(req, &req.tried);
+        let mut wanted = Self::route_request(req, &req.tried);
+        let suspects = &self.routers[r].suspects;
+        let permit = suspects.check(&wanted.fingerprint) == Permission::Permit;
+        wanted.suspect = permit;
         let choice = match self.routers[r].selector.choose(self.now, &wanted) {
             Ok(choice) => choice,
             Err(NoRoute::Excluded) => {
@@ -139,8 +142,6 @@
             .engines
             .binary_search_by(|e| e.id.cmp(&choice.endpoint))
             .unwrap_or(0);
-        let fingerprint = wanted.fingerprint;
-        let permit = self.routers[r].suspects.check(&fingerprint) == Permission::Permit;
         let at = self.attempts.len();
         self.attempts.push(Attempt {
             req: no,
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -84,6 +84,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     id: AttemptId,
+    /// Key of the request's fingerprint.
+    key: u64,
     started: Duration,
     answered: bool,
     /// Predicted time to the first token without the endpoint's own factor.
@@ -145,6 +147,8 @@
     first_factor: f64,
     /// Prediction for the request that was routed here last.
     pub(crate) predicted: f64,
+    /// Key of the fingerprint of that request.
+    pub(crate) key: u64,
     failures: f64,
     failures_at: Duration,
     sent: VecDeque<(u64, Duration)>,
@@ -173,6 +177,7 @@
             gap_samples: 0,
             first_factor: 1.0,
             predicted: 0.0,
+            key: 0,
             failures: 0.0,
             failures_at: Duration::ZERO,
             sent: VecDeque::new(),
@@ -347,12 +352,18 @@
     pub(crate) fn started(&mut self, now: Duration, id: AttemptId) {
         self.attempts.push(Attempt {
             id,
+            key: self.key,
             started: now,
             answered: false,
             predicted: self.predicted,
         });
     }
 
+    /// Returns whether a request with this key runs here for this router.
+    pub(crate) fn runs(&self, key: u64) -> bool {
+        self.attempts.iter().any(|a| a.key == key)
+    }
+
     pub(crate) fn first_byte(&mut self, id: AttemptId) {
         if let Some(a) = self.attempts.iter_mut().find(|a| a.id == id) {
             a.answered = true;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -48,8 +48,9 @@
     pub prefix: Option<u64>,
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// Time since the request could have started, over all calls of `choose`.
-    pub waited: Duration,
+    /// Whether the request runs under a permit. It then stays within the pair
+    /// of its fingerprint while one of the pair is healthy.
+    pub suspect: bool,
     /// Endpoints that earlier attempts used.
     pub exclude: &'a [EndpointId],
 }
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -70,7 +70,7 @@
 impl Default for SelectorConfig {
     fn default() -> Self {
         Self {
-            method: Method::LeastScore,
+            method: Method::FingerprintPair,
             target_first: Duration::from_millis(790),
             target_gap: Duration::from_millis(31),
             first_base: Duration::from_millis(50),
@@ -93,6 +93,12 @@
 /// Tier of endpoints that failed lately.
 const UNHEALTHY: u8 = 4;
 
+/// Time after which a request that found no room asks again.
+const RETRY: Duration = Duration::from_millis(20);
+/// Load over the slots up to which a request may exceed the part of its router
+/// to stay within the pair of its fingerprint.
+const LOOSE: f64 = 0.8;
+
 /// A candidate with the tier that it is used in; a lower tier goes first.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -205,43 +211,93 @@
             Some(tier) => tier == UNHEALTHY && healthy > 0,
         };
         if full {
-            return Err(NoRoute::Full(Duration::from_millis(20)));
+            return Err(NoRoute::Full(RETRY));
         }
-        self.candidates.retain(|c| Some(c.tier) == best);
         Ok(())
     }
 
     /// Narrows the candidates by the method.
-    fn narrow(&mut self, req: &RouteRequest<'_>) {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoRoute::Full`] for a suspect whose pair has no room.
+    fn narrow(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<(), NoRoute> {
+        if self.cfg.method == Method::FingerprintPair {
+            if self.narrow_to_pair(now, req) {
+                return Ok(());
+            }
+            if req.suspect && self.pair_is_busy(now, req) {
+                return Err(NoRoute::Full(RETRY));
+            }
+        }
+        let best = self.candidates.iter().map(|c| c.tier).min();
+        self.candidates.retain(|c| Some(c.tier) == best);
         let n = self.candidates.len();
-        if n <= 2 {
-            return;
+        if n > 2 && self.cfg.method == Method::PowerOfTwo {
+            let a = self.rng.random_range(0..n);
+            let b = (a + self.rng.random_range(1..n)) % n;
+            self.candidates = vec![self.candidates[a], self.candidates[b]];
+        }
+        Ok(())
+    }
+
+    /// Returns whether a healthy endpoint of the pair has no room.
+    fn pair_is_busy(&self, now: Duration, req: &RouteRequest<'_>) -> bool {
+        let overdue = self.cfg.overdue.as_secs_f64();
+        let pair = self.pair(now, req, key_of(&req.fingerprint));
+        pair.iter().flatten().any(|&at| {
+            let ep = &self.endpoints[at];
+            ep.healthy(now, overdue) && !req.exclude.contains(&ep.state.id)
+        })
+    }
+
+    /// Narrows the candidates to the pair of the fingerprint, if one of it has
+    /// room. Returns whether it has.
+    fn narrow_to_pair(&mut self, now: Duration, req: &RouteRequest<'_>) -> bool {
+        let key = key_of(&req.fingerprint);
+        let pair = self.pair(now, req, key);
+        let endpoints = &self.endpoints;
+        let fits = |c: &Candidate| {
+            let ep = &endpoints[c.at];
+            let loose = ep.load() + 1.0 <= LOOSE * f64::from(ep.usable());
+            let tier = c.tier < 2 || (c.tier < UNHEALTHY && (loose || req.suspect));
+            pair.contains(&Some(c.at)) && tier
+        };
+        // A copy shares the fate of the one that runs already.
+        let copy = self
+            .candidates
+            .iter()
+            .find(|c| fits(c) && endpoints[c.at].runs(key))
+            .copied();
+        if let Some(copy) = copy {
+            self.candidates = vec![copy];
+            return true;
         }
-        match self.cfg.method {
-            Method::LeastScore | Method::LeastInFlight => {}
-            Method::PowerOfTwo => {
-                let a = self.rng.random_range(0..n);
-                let b = (a + self.rng.random_range(1..n)) % n;
-                self.candidates = vec![self.candidates[a], self.candidates[b]];
+        if !self.candidates.iter().any(fits) {
+            return false;
+        }
+        self.candidates.retain(fits);
+        let best = self.candidates.iter().map(|c| c.tier).min();
+        self.candidates.retain(|c| Some(c.tier) == best);
+        true
+    }
+
+    /// Returns the first two endpoints that serve a request, in rendezvous
+    /// order over its key, whether they have room or not.
+    fn pair(&self, now: Duration, req: &RouteRequest<'_>, key: u64) -> [Option<usize>; 2] {
+        let mut best: [Option<(u64, usize)>; 2] = [None, None];
+        for (at, ep) in self.endpoints.iter().enumerate() {
+            if !ep.serves(now, req) {
+                continue;
             }
-            Method::FingerprintPair => {
-                let key = u64::from_le_bytes([
-                    req.fingerprint[0],
-                    req.fingerprint[1],
-                    req.fingerprint[2],
-                    req.fingerprint[3],
-                    req.fingerprint[4],
-                    req.fingerprint[5],
-                    req.fingerprint[6],
-                    req.fingerprint[7],
-                ]);
-                let endpoints = &self.endpoints;
-                self.candidates.sort_by_key(|c| {
-                    std::cmp::Reverse(share::weight_of(key, endpoints[c.at].hash))
-                });
-                self.candidates.truncate(2);
+            let entry = Some((share::weight_of(key, ep.hash), at));
+            if entry > best[0] {
+                best = [entry, best[0]];
+            } else if entry > best[1] {
+                best[1] = entry;
             }
         }
+        best.map(|b| b.map(|(_, at)| at))
     }
 
     /// Returns the chance that the prefix is cached at an endpoint, or zero
@@ -270,6 +326,12 @@
     }
 }
 
+/// Returns the rendezvous key of a fingerprint.
+fn key_of(fingerprint: &Fingerprint) -> u64 {
+    let [a, b, c, d, e, f, g, h, ..] = *fingerprint;
+    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+}
+
 impl Selector for PredictiveSelector {
     fn set_routers(&mut self, own: &str, routers: &[RouterId]) {
         self.own = own.to_owned();
@@ -339,7 +401,7 @@
                 .max_by_key(|c| share::weight_of(prefix, self.endpoints[c.at].hash))
                 .map(|c| c.at);
         }
-        self.narrow(req);
+        self.narrow(now, req)?;
         let mut best: Option<(usize, Prediction, f64)> = None;
         for c in &self.candidates {
             let ep = &self.endpoints[c.at];
@@ -359,6 +421,7 @@
         };
         let ep = &mut self.endpoints[at];
         ep.predicted = p.raw;
+        ep.key = key_of(&req.fingerprint);
         if let Some(prefix) = prefix {
             ep.note_prefix(now, prefix);
         }
