Measure subsets and the cost of decisions

Cause: the target size needs figures for subsets and decisions. Change: the bench compares subsets with full knowledge at 350 routers and 1,300 endpoints, and prints time and memory as slopes.

--- a/crates/bench/src/traffic.rs
+++ b/crates/bench/src/traffic.rs
@@ -11,6 +11,7 @@
 mod flow;
 mod ledger;
 mod report;
+mod scale;
 mod tally;
 mod workload;
 mod world;
@@ -30,6 +31,8 @@
     pub seconds: f64,
     /// Whether simple policies run as well.
     pub baselines: bool,
+    /// Whether the target size and the cost of a decision are measured.
+    pub scale: bool,
     /// Cases whose names contain this; all when empty.
     pub only: String,
 }
@@ -41,6 +44,7 @@
             endpoints: vec![12, 20],
             seconds: 60.0,
             baselines: true,
+            scale: true,
             only: String::new(),
         }
     }
@@ -58,6 +62,12 @@
         cases.all();
         rows.append(&mut cases.rows);
     }
+    if "subsets".contains(&cfg.only) && cfg.scale {
+        rows.append(&mut scale::subsets(cfg.seed));
+    }
+    if "cost".contains(&cfg.only) && cfg.scale {
+        rows.append(&mut scale::costs(cfg.seed));
+    }
     Report {
         seed: cfg.seed,
         notes: notes(),
--- /dev/null
+++ b/crates/bench/src/traffic/scale.rs
@@ -0,0 +1,396 @@
+//! Subsets of a large fleet, and the cost of one decision.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use anvilloft_admission::Admission;
+use anvilloft_admission::Capacity;
+use anvilloft_admission::FairAdmission;
+use anvilloft_admission::Offer;
+use anvilloft_admission::Policy;
+use anvilloft_routing::EndpointState;
+use anvilloft_routing::Load;
+use anvilloft_routing::Outcome;
+use anvilloft_routing::PredictiveSelector;
+use anvilloft_routing::RouteRequest;
+use anvilloft_routing::Selector;
+use anvilloft_routing::SelectorConfig;
+use anvilloft_routing::Served;
+use anvilloft_routing::share;
+use anvilloft_types::RouterId;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::engine::MODEL;
+use super::report::Row;
+use super::tally::deviation;
+use super::tally::percentile;
+
+/// Routers and endpoints of the target size.
+const ROUTERS: usize = 350;
+const ENDPOINTS: usize = 1300;
+/// Slots of an endpoint.
+const SLOTS: u32 = 32;
+/// Mean time of a request in a slot, in seconds.
+const SERVICE: f64 = 2.0;
+
+fn row(case: &str, endpoints: usize, policy: &str, measure: &str, value: f64) -> Row {
+    Row {
+        case: case.to_owned(),
+        endpoints,
+        policy: policy.to_owned(),
+        measure: measure.to_owned(),
+        value,
+        bound: None,
+    }
+}
+
+fn state(no: usize, seq: u64, load: u32) -> EndpointState {
+    EndpointState {
+        id: format!("e{no:04}"),
+        incarnation: 1,
+        seq,
+        models: vec![Served {
+            model: MODEL.to_owned(),
+            ..Served::default()
+        }],
+        slots: SLOTS,
+        expires: Duration::from_secs(3600),
+        measured: Duration::from_secs(seq),
+        load: Some(Load {
+            running: load.min(SLOTS),
+            waiting: load.saturating_sub(SLOTS),
+            kv_used: 0.0,
+            tokens_per_s: f64::from(load.min(SLOTS)) / 0.025,
+        }),
+        ..EndpointState::default()
+    }
+}
+
+fn request(rng: &mut SmallRng) -> RouteRequest<'static> {
+    RouteRequest {
+        model: MODEL,
+        level: 1,
+        prompt_tokens: 500,
+        fingerprint: rng.random(),
+        ..RouteRequest::default()
+    }
+}
+
+/// How the load spreads over the endpoints of a large fleet.
+struct Fleet {
+    selectors: Vec<PredictiveSelector>,
+    /// Selectors that know an endpoint.
+    users: Vec<Vec<usize>>,
+    load: Vec<u32>,
+    refused: u64,
+    offered: u64,
+}
+
+impl Fleet {
+    fn new(subset: usize, seed: u64) -> Self {
+        let names: Vec<RouterId> = (0..ROUTERS).map(|r| format!("r{r:03}")).collect();
+        let mut selectors: Vec<PredictiveSelector> = names
+            .iter()
+            .enumerate()
+            .map(|(r, name)| {
+                let cfg = SelectorConfig {
+                    subset,
+                    ..SelectorConfig::default()
+                };
+                let rng = SmallRng::seed_from_u64(seed ^ r as u64);
+                let mut s = PredictiveSelector::new(cfg, rng);
+                s.set_routers(name, &names);
+                s
+            })
+            .collect();
+        let mut users = Vec::new();
+        for e in 0..ENDPOINTS {
+            let first = state(e, 1, 0);
+            let own: Vec<usize> = share::subset(&first.id, &names, subset)
+                .into_iter()
+                .filter_map(|n| names.iter().position(|r| r == n))
+                .collect();
+            for &r in &own {
+                selectors[r].update(Duration::ZERO, &first);
+            }
+            users.push(own);
+        }
+        Self {
+            selectors,
+            users,
+            load: vec![0; ENDPOINTS],
+            refused: 0,
+            offered: 0,
+        }
+    }
+
+    /// Runs at a part of the capacity and returns the samples of the relative
+    /// deviation and of the largest load over the slots.
+    fn run(&mut self, part: f64, seed: u64) -> (Vec<f32>, Vec<f32>) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let rate = part * ENDPOINTS as f64 * f64::from(SLOTS) / SERVICE;
+        let mut ends: BinaryHeap<Reverse<(Duration, u64, usize, usize)>> = BinaryHeap::new();
+        let (mut at, mut no, mut second) = (0.0, 0u64, 1u64);
+        let (mut spread, mut most) = (Vec::new(), Vec::new());
+        while at < 8.0 {
+            at -= rng.random::<f64>().max(1e-12).ln() / rate;
+            let now = Duration::from_secs_f64(at);
+            while let Some(&Reverse((end, id, e, r))) = ends.peek()
+                && end <= now
+            {
+                ends.pop();
+                self.load[e] -= 1;
+                let outcome = Outcome::Done {
+                    first_token: Duration::from_millis(150),
+                    gap: Duration::ZERO,
+                };
+                self.selectors[r].finished(end, &format!("e{e:04}"), u128::from(id), outcome);
+            }
+            if at >= second as f64 {
+                second += 1;
+                for e in 0..ENDPOINTS {
+                    let report = state(e, second, self.load[e]);
+                    for &r in &self.users[e] {
+                        self.selectors[r].update(now, &report);
+                    }
+                }
+                if second > 4 {
+                    let loads: Vec<f64> = self.load.iter().map(|l| f64::from(*l)).collect();
+                    spread.push(deviation(&loads) as f32);
+                    let max = self.load.iter().copied().max().unwrap_or(0);
+                    most.push(max as f32 / SLOTS as f32);
+                }
+            }
+            no += 1;
+            self.offered += 1;
+            let r = rng.random_range(0..ROUTERS);
+            let req = request(&mut rng);
+            let Ok(choice) = self.selectors[r].choose(now, &req) else {
+                self.refused += 1;
+                continue;
+            };
+            let e: usize = choice.endpoint[1..].parse().unwrap_or(0);
+            self.selectors[r].started(now, &choice.endpoint, u128::from(no), 500);
+            self.load[e] += 1;
+            let service = -rng.random::<f64>().max(1e-12).ln() * SERVICE;
+            let end = now + Duration::from_secs_f64(service);
+            ends.push(Reverse((end, no, e, r)));
+        }
+        (spread, most)
+    }
+}
+
+/// Compares subsets with full knowledge at 70 % load.
+pub(crate) fn subsets(seed: u64) -> Vec<Row> {
+    let case = "subsets, 350 routers";
+    let mut rows = Vec::new();
+    for subset in [6, 12, 24] {
+        let mut fleet = Fleet::new(subset, seed);
+        let known: Vec<f64> = fleet.selectors.iter().map(|s| s.len() as f64).collect();
+        let (spread, most) = fleet.run(0.7, seed);
+        let name = format!("subset {subset}");
+        let full = fleet.refused as f64 / fleet.offered as f64;
+        for (measure, value) in [
+            (
+                "endpoints a router knows, mean",
+                known.iter().sum::<f64>() / known.len() as f64,
+            ),
+            ("endpoints a router knows, deviation", deviation(&known)),
+            ("endpoint load, deviation", percentile(&spread, 0.5)),
+            ("most loaded endpoint over slots", percentile(&most, 0.5)),
+            ("no room in own share, part", full),
+        ] {
+            rows.push(row(case, ENDPOINTS, &name, measure, value));
+        }
+    }
+    // Full knowledge: each request goes to the least loaded endpoint.
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut heap: BinaryHeap<Reverse<(u32, usize)>> =
+        (0..ENDPOINTS).map(|e| Reverse((0, e))).collect();
+    let mut load = vec![0u32; ENDPOINTS];
+    let rate = 0.7 * ENDPOINTS as f64 * f64::from(SLOTS) / SERVICE;
+    let mut ends: BinaryHeap<Reverse<(Duration, usize)>> = BinaryHeap::new();
+    let mut at = 0.0;
+    while at < 8.0 {
+        at -= rng.random::<f64>().max(1e-12).ln() / rate;
+        let now = Duration::from_secs_f64(at);
+        while let Some(&Reverse((end, e))) = ends.peek()
+            && end <= now
+        {
+            ends.pop();
+            load[e] -= 1;
+            heap.push(Reverse((load[e], e)));
+        }
+        // Entries whose load is out of date are skipped.
+        while let Some(&Reverse((l, e))) = heap.peek() {
+            if l == load[e] {
+                break;
+            }
+            heap.pop();
+        }
+        if let Some(Reverse((_, e))) = heap.pop() {
+            load[e] += 1;
+            heap.push(Reverse((load[e], e)));
+            let service = -rng.random::<f64>().max(1e-12).ln() * SERVICE;
+            ends.push(Reverse((now + Duration::from_secs_f64(service), e)));
+        }
+    }
+    let loads: Vec<f64> = load.iter().map(|l| f64::from(*l)).collect();
+    let max = load.iter().copied().max().unwrap_or(0);
+    let name = "full knowledge";
+    rows.push(row(
+        case,
+        ENDPOINTS,
+        name,
+        "endpoint load, deviation",
+        deviation(&loads),
+    ));
+    let most = f64::from(max) / f64::from(SLOTS);
+    rows.push(row(
+        case,
+        ENDPOINTS,
+        name,
+        "most loaded endpoint over slots",
+        most,
+    ));
+    rows
+}
+
+/// Returns base and slope of a line through points.
+fn line(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let (mx, my) = (
+        points.iter().map(|p| p.0).sum::<f64>() / n,
+        points.iter().map(|p| p.1).sum::<f64>() / n,
+    );
+    let xx: f64 = points.iter().map(|p| (p.0 - mx).powi(2)).sum();
+    let xy: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
+    let slope = xy / xx.max(1e-12);
+    (my - slope * mx, slope)
+}
+
+/// Resident memory of the process, in bytes; 0 where it is not known.
+fn resident() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0.0) * 4096.0
+}
+
+fn selector(endpoints: usize, seed: u64) -> PredictiveSelector {
+    let mut s = PredictiveSelector::new(SelectorConfig::default(), SmallRng::seed_from_u64(seed));
+    s.set_routers("r0", &["r0".to_owned()]);
+    for e in 0..endpoints {
+        s.update(Duration::ZERO, &state(e, 1, 8));
+    }
+    s
+}
+
+fn offer(id: u64, teams: u64) -> Offer {
+    Offer {
+        id,
+        team: format!("team{}", id % teams),
+        weight: 1,
+        rank: ["urgent", "normal", "low"][(id % 3) as usize].to_owned(),
+        tokens: 100 + id % 900,
+        max_wait: Some(Duration::from_secs(3600)),
+        urgent_percent: None,
+    }
+}
+
+fn unbounded() -> Policy {
+    let mut policy = Policy {
+        team_queue: usize::MAX,
+        total_queue: usize::MAX,
+        ..Policy::default()
+    };
+    for rank in &mut policy.ranks {
+        rank.queue = Duration::from_secs(3600);
+    }
+    policy
+}
+
+/// Measures decisions in microseconds and memory in bytes, and their slopes.
+pub(crate) fn costs(seed: u64) -> Vec<Row> {
+    let mut rows = Vec::new();
+    let case = "cost of routing";
+    let mut points = Vec::new();
+    for endpoints in [12, 45, 200, 1300] {
+        let mut s = selector(endpoints, seed);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let rounds = 20_000;
+        let from = Instant::now();
+        for i in 0..rounds {
+            let now = Duration::from_micros(i);
+            let req = request(&mut rng);
+            if let Ok(c) = s.choose(now, &req) {
+                s.started(now, &c.endpoint, u128::from(i), 500);
+                let outcome = Outcome::Done {
+                    first_token: Duration::from_millis(150),
+                    gap: Duration::ZERO,
+                };
+                s.finished(now, black_box(&c.endpoint), u128::from(i), outcome);
+            }
+        }
+        let us = from.elapsed().as_secs_f64() * 1e6 / rounds as f64;
+        rows.push(row(
+            case,
+            endpoints,
+            "shipped",
+            "choose, start and finish, us",
+            us,
+        ));
+        points.push((endpoints as f64, us));
+    }
+    let (base, slope) = line(&points);
+    rows.push(row(case, 0, "shipped", "base, us", base));
+    rows.push(row(case, 0, "shipped", "slope, us an endpoint", slope));
+    let before = resident();
+    let many: Vec<PredictiveSelector> = (0..40).map(|i| selector(1300, i)).collect();
+    let bytes = (resident() - before) / (40.0 * 1300.0);
+    black_box(&many);
+    rows.push(row(case, 1300, "shipped", "bytes an endpoint", bytes));
+
+    let case = "cost of admission";
+    let mut points = Vec::new();
+    for queued in [100u64, 1000, 8000] {
+        let mut a = FairAdmission::new(unbounded());
+        a.set_capacity(Duration::ZERO, Capacity::slots(1));
+        for id in 0..queued {
+            let _ = a.offer(Duration::ZERO, offer(id, 500));
+        }
+        let rounds = 20_000;
+        let from = Instant::now();
+        for i in 0..rounds {
+            let now = Duration::from_micros(i);
+            let _ = a.offer(now, offer(queued + i, 500));
+            for verdict in a.poll(now) {
+                if let anvilloft_admission::Verdict::Start { id, .. } = verdict {
+                    a.finish(now, id, 300);
+                }
+            }
+        }
+        let us = from.elapsed().as_secs_f64() * 1e6 / rounds as f64;
+        let measure = format!("offer, poll and finish, {queued} queued, us");
+        rows.push(row(case, 0, "shipped", &measure, us));
+        points.push((queued as f64, us));
+    }
+    let (base, slope) = line(&points);
+    rows.push(row(case, 0, "shipped", "base, us", base));
+    rows.push(row(case, 0, "shipped", "slope, us a queued request", slope));
+    let before = resident();
+    let mut a = FairAdmission::new(unbounded());
+    a.set_capacity(Duration::ZERO, Capacity::slots(1));
+    let count = 400_000;
+    for id in 0..count {
+        let _ = a.offer(Duration::ZERO, offer(id, 5000));
+    }
+    let bytes = (resident() - before) / count as f64;
+    black_box(a.counts());
+    rows.push(row(case, 0, "shipped", "bytes a queued request", bytes));
+    rows
+}
