--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -92,8 +92,6 @@
     pub(crate) queued: bool,
     pub(crate) level: u32,
     pub(crate) since: Duration,
-    /// When it could first have started.
-    pub(crate) routed_since: Option<Duration>,
     pub(crate) tried: Vec<EndpointId>,
     /// What its caller is told when no further attempt is possible.
     pub(crate) last_failure: Option<(RunState, Tokens)>,
@@ -129,7 +127,6 @@
             queued: false,
             level: 0,
             since: now,
-            routed_since: None,
             tried: Vec::new(),
             last_failure: None,
             has_permit: false,
@@ -216,14 +213,11 @@
         }
     }
 
-    fn route_request<'a>(req: &'a Req, now: Duration) -> RouteRequest<'a> {
-        let waited = req
-            .routed_since
-            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+    fn route_request(req: &Req, suspect: bool) -> RouteRequest<'_> {
         let mut route = RouteRequest {
             level: req.level,
             fingerprint: req.admit.fingerprint,
-            waited,
+            suspect,
             exclude: &req.tried,
             ..RouteRequest::default()
         };
@@ -368,7 +362,6 @@
                         if let Some(req) = self.requests.get_mut(&id) {
                             req.started = true;
                             req.level = level;
-                            req.routed_since = Some(now);
                         }
                         self.route(now, id);
                     }
@@ -406,7 +399,7 @@
         if suspect && self.permits.contains(&req.admit.fingerprint) {
             return self.park(now, no);
         }
-        let route = Self::route_request(req, now);
+        let route = Self::route_request(req, suspect);
         match self.selector.choose(now, &route) {
             Ok(choice) if suspect => self.ask_permit(no, choice),
             Ok(choice) => self.assign(now, no, choice),
