--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -29,7 +29,7 @@
             let mut out = String::new();
             for (name, value) in fields {
                 match value {
-                    Value::Array(rows) if rows.iter().any(Value::is_object) => {
+                    Value::Array(rows) if rows.iter().all(Value::is_object) => {
                         out.push_str(&format!("\n{name}:\n{}", rows_table(rows)));
                     }
                     Value::Object(_) => {
@@ -57,6 +57,9 @@
 }
 
 fn rows_table(rows: &[Value]) -> String {
+    if rows.is_empty() {
+        return "none\n".to_owned();
+    }
     let mut columns: Vec<&str> = Vec::new();
     for field in rows
         .iter()
--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -211,4 +211,5 @@
     let rows = json!([{ "team": "alder", "name": "a" }, { "team": "x", "name": "long\u{1b}[2J" }]);
     let expected = "name      team\na         alder\nlong [2J  x\n";
     assert_eq!(table(&rows), expected);
+    assert_eq!(table(&json!([])), "none\n");
 }
