--- a/crates/cli/src/cmd/bench.rs
+++ b/crates/cli/src/cmd/bench.rs
@@ -1,7 +1,10 @@
 //! `anvilloft bench`: runs the benchmarks and prints their reports.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
+use anvilloft_bench::budgets;
+use anvilloft_bench::budgets::StudyConfig;
 use anvilloft_bench::commits;
 use anvilloft_bench::commits::CommitsConfig;
 use anvilloft_bench::lease;
@@ -38,7 +41,22 @@
     run: fn(&Options) -> Result<Output, CliError>,
 }
 
+/// Counts of budgets at which `slopes` measures; the last is the target size.
+const SLOPE_BUDGETS: [usize; 4] = [1_000, 10_000, 100_000, 740_000];
+/// Time for which `slopes` measures each rate.
+const SLOPE_TIME: Duration = Duration::from_secs(1);
+
+/// `slopes` comes first: it compares the resident size of the process, which
+/// the others change.
 const TABLE: &[Bench] = &[
+    Bench {
+        name: "slopes",
+        run: run_slopes,
+    },
+    Bench {
+        name: "budgets",
+        run: run_budgets,
+    },
     Bench {
         name: "traffic",
         run: run_traffic,
@@ -61,7 +79,7 @@
             Arg::new("name")
                 .value_name("NAME")
                 .action(ArgAction::Append)
-                .value_parser(["traffic", "lease", "commits"])
+                .value_parser(["slopes", "budgets", "traffic", "lease", "commits"])
                 .help("Benchmarks to run [default: all]"),
         )
         .arg(
@@ -119,6 +137,30 @@
     serde_json::to_value(report).map_err(|err| CliError::Problems(err.to_string()))
 }
 
+fn lines(rows: &[impl std::fmt::Display]) -> String {
+    rows.iter().map(|row| format!("{row}\n")).collect()
+}
+
+fn run_slopes(_options: &Options) -> Result<Output, CliError> {
+    let rows = budgets::slopes(&SLOPE_BUDGETS, SLOPE_TIME);
+    Ok(Output {
+        text: lines(&rows),
+        json: to_json(&rows)?,
+        misses: 0,
+    })
+}
+
+fn run_budgets(options: &Options) -> Result<Output, CliError> {
+    let mut cfg = StudyConfig::default();
+    cfg.seed = options.seed.unwrap_or(cfg.seed);
+    let rows = budgets::study(&cfg);
+    Ok(Output {
+        text: lines(&rows),
+        json: to_json(&rows)?,
+        misses: 0,
+    })
+}
+
 fn run_traffic(options: &Options) -> Result<Output, CliError> {
     let mut cfg = TrafficConfig::default();
     cfg.seed = options.seed.unwrap_or(cfg.seed);
