Use all slots of an engine that misses the token gap with one request

Cause: the stop test with an engine at 500 ms between tokens took 22 s instead of 12: its four streams ran one after the other. limit_gap cut the usable slots to 1 when even a single request missed the 31 ms target. Ruled out: the drain itself (1.1 s by hand) and the emulator's slots. Change: the limit is the target, or 1.5 times the gap of a single request where that is larger. Conclusion: a slow pool serves at its own pace with all its slots.

--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -9,6 +9,9 @@
 use crate::RouteRequest;
 use crate::share;
 
+/// Growth of the time between tokens, from one request to all, that is accepted
+/// at an engine that misses the target with a single request.
+const SLOW_ENGINE_GROWTH: f64 = 1.5;
 /// Most finished attempts that are kept to correct a late report.
 const MOST_FINISHES: usize = 256;
 /// Age up to which finished attempts are kept. Older reports are not
@@ -245,12 +248,13 @@
             return;
         }
         let (base, slope) = self.gap.line();
+        // One request alone may already break the target on a slow engine.
+        // Fewer requests there would cost throughput and still not meet it.
+        let target = target.max(SLOW_ENGINE_GROWTH * (base + slope));
         let most = if slope > 1e-9 {
             ((target - base) / slope).floor()
-        } else if base <= target {
-            f64::from(slots)
         } else {
-            1.0
+            f64::from(slots)
         };
         self.usable = most.clamp(1.0, f64::from(slots.max(1))) as u32;
     }
--- /dev/null
+++ b/crates/routing/tests/slow_engine.rs
@@ -0,0 +1,102 @@
+//! Guards against serving a slow engine's requests one at a time.
+
+use std::time::Duration;
+
+use anvilloft_routing::EndpointState;
+use anvilloft_routing::PredictiveSelector;
+use anvilloft_routing::RouteRequest;
+use anvilloft_routing::Selector;
+use anvilloft_routing::SelectorConfig;
+use anvilloft_routing::endpoint::Load;
+use anvilloft_routing::endpoint::Served;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn report(seq: u64, running: u32, gap_ms: f64) -> EndpointState {
+    let now = Duration::from_secs(seq);
+    EndpointState {
+        id: "e".into(),
+        incarnation: 1,
+        seq,
+        models: vec![Served {
+            model: "m".into(),
+            ..Served::default()
+        }],
+        slots: 8,
+        expires: now + Duration::from_secs(3),
+        measured: now,
+        load: Some(Load {
+            running,
+            tokens_per_s: f64::from(running) * 1_000.0 / gap_ms,
+            ..Load::default()
+        }),
+        ..EndpointState::default()
+    }
+}
+
+/// Requests that one router places at an endpoint with such reports.
+fn placed(gap_ms: impl Fn(u32) -> f64) -> usize {
+    let rng = SmallRng::seed_from_u64(1);
+    let mut selector = PredictiveSelector::new(SelectorConfig::default(), rng);
+    selector.set_routers("r", &["r".into()]);
+    for seq in 1..20 {
+        let running = 1 + (seq % 4) as u32;
+        selector.update(
+            Duration::from_secs(seq),
+            &report(seq, running, gap_ms(running)),
+        );
+    }
+    let now = Duration::from_secs(20);
+    selector.update(now, &report(20, 0, 1.0));
+    let mut count = 0;
+    for attempt in 0..16 {
+        let req = RouteRequest {
+            model: "m",
+            ..RouteRequest::default()
+        };
+        let Ok(choice) = selector.choose(now, &req) else {
+            break;
+        };
+        selector.started(now, &choice.endpoint, attempt, 10);
+        count += 1;
+    }
+    count
+}
+
+#[test]
+fn slots_follow_the_time_between_tokens() {
+    struct Case {
+        name: &'static str,
+        base_ms: f64,
+        slope_ms: f64,
+        least: usize,
+        most: usize,
+    }
+    let cases = [
+        Case {
+            name: "a fast engine uses its slots",
+            base_ms: 10.0,
+            slope_ms: 1.0,
+            least: 8,
+            most: 9,
+        },
+        Case {
+            name: "an engine is not filled past the target",
+            base_ms: 11.0,
+            slope_ms: 5.0,
+            least: 3,
+            most: 5,
+        },
+        Case {
+            name: "an engine that always misses the target is still used whole",
+            base_ms: 500.0,
+            slope_ms: 1.0,
+            least: 8,
+            most: 9,
+        },
+    ];
+    for c in cases {
+        let count = placed(|running| c.base_ms + c.slope_ms * f64::from(running));
+        assert!((c.least..=c.most).contains(&count), "{}: {count}", c.name);
+    }
+}
