Prove the fleet as separate processes and drop dead routers from entries

Cause: nothing ran the daemons as processes. Trying it by hand showed a killed router in entry answers for 10 minutes, since the ledger marks it lost only after the longest stream, and no decision line at the default log level; the router daemon also took its settings without the control daemon's flag.

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -7,6 +7,7 @@
 mod check;
 mod default;
 mod demo;
+mod emulate;
 mod exception;
 mod history;
 mod items;
@@ -46,6 +47,11 @@
                 command: demo::command,
                 run: demo::run,
             },
+            Entry {
+                name: emulate::NAME,
+                command: emulate::command,
+                run: emulate::run,
+            },
             $(Entry {
                 name: stringify!($name),
                 command: $name::command,
--- /dev/null
+++ b/crates/cli/tests/processes.rs
@@ -0,0 +1,116 @@
+//! The whole fleet as separate processes: three control members, two routers
+//! and emulated endpoints.
+
+mod workdir;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use anvilloft_fakes::http::Call;
+use workdir::LIMIT;
+use workdir::Workdir;
+use workdir::wait;
+
+fn amounts(work: &Workdir) -> (u64, u64, u64, u64) {
+    let b = work.json(&["budget", "show", "main"]);
+    let n = |name: &str| b[name].as_u64().unwrap_or_else(|| panic!("{name}: {b}"));
+    (n("topped_up"), n("unspent"), n("allotted"), n("settled"))
+}
+
+/// Guards against balances, orders or configuration lost or doubled when the
+/// control leader and a router are killed without warning, and against a dead
+/// router that stays in entry answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_processes_lose_and_double_nothing() {
+    let mut work = Workdir::new(3, 2);
+    work.start_fleet(3, 2, "100000");
+    work.emulate("eng", &["--model", "m", "--count", "2", "--token-ms", "1"]);
+    work.emulate("shop", &["--service", "orders"]);
+
+    let first = work.until_ok("r0-caller", &work.chat("one", true)).await;
+    assert!(first.complete && first.text().contains("[DONE]"));
+    let order = work.until_ok("r1-caller", &work.order("o-1")).await.text();
+
+    // The leader dies. A top-up and both routers go on.
+    work.kill("c0");
+    let before = amounts(&work);
+    work.json(&["budget", "topup", "main", "500", "--reason", "during"]);
+    for router in ["r0-caller", "r1-caller"] {
+        work.until_ok(router, &work.chat("two", false)).await;
+    }
+    assert_eq!(amounts(&work).0, before.0 + 500);
+    work.start("c0");
+
+    // A router dies. The other one repeats the order's answer.
+    work.kill("r1");
+    let again = work.until_ok("r0-caller", &work.order("o-1")).await.text();
+    assert_eq!(again, order, "the order ran again");
+    let entry = Call::get("/v1/entry?team=carvers");
+    let start = Instant::now();
+    let dead = work.addr("r1-caller").to_string();
+    loop {
+        let reply = entry.send(work.addr("r0-caller"), LIMIT).await.unwrap();
+        if !reply.text().contains(&dead) {
+            break;
+        }
+        assert!(
+            start.elapsed() < Duration::from_secs(6),
+            "a dead router is still in the entry answer"
+        );
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    work.start("r1");
+    work.until_ok("r1-caller", &work.chat("three", false)).await;
+
+    // The whole control group restarts from its folders.
+    for c in ["c0", "c1", "c2"] {
+        work.kill(c);
+    }
+    for c in ["c0", "c1", "c2"] {
+        work.start(c);
+    }
+    wait("control is back", || {
+        work.run(&["member", "list"]).status.success()
+    });
+    let (topped_up, unspent, allotted, settled) = amounts(&work);
+    assert_eq!(topped_up, 100_500, "a top-up was lost or doubled");
+    assert_eq!(topped_up, unspent + allotted + settled);
+    assert!(settled >= before.3);
+    assert!(work.log("r0").contains("\"decision\":\"route\""));
+}
+
+/// Guards against a planned stop that cuts off a stream in flight (I7).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_terminated_router_finishes_its_streams() {
+    let mut work = Workdir::new(1, 2);
+    work.start_fleet(1, 2, "100000");
+    // A short entry answer keeps the stop short.
+    work.json(&[
+        "default", "set", "keep_ms", "--value", "1000", "--reason", "test",
+    ]);
+    // Eight tokens in four seconds outlast `keep_ms`.
+    work.emulate("eng", &["--model", "m", "--token-ms", "500"]);
+    work.until_ok("r0-caller", &work.chat("warm", false)).await;
+    let mut streams = Vec::new();
+    for n in 0..4 {
+        let call = work.chat(&format!("stream {n}"), true);
+        let mut open = call.open(work.addr("r0-caller")).await.unwrap();
+        assert!(open.read_until("data:", LIMIT).await);
+        streams.push(open);
+    }
+    let stop = tokio::task::spawn_blocking(move || {
+        let code = work.terminate("r0");
+        (work, code)
+    });
+    for mut open in streams {
+        open.read_to_end(LIMIT).await;
+        let reply = open.reply();
+        assert!(reply.complete, "a stream was cut off: {}", reply.text());
+        assert!(reply.text().contains("[DONE]"));
+    }
+    let (work, code) = stop.await.unwrap();
+    assert_eq!(code, Some(0), "{}", work.log("r0"));
+    let (topped_up, unspent, allotted, settled) = amounts(&work);
+    assert_eq!(topped_up, unspent + allotted + settled);
+    assert_eq!(allotted, 0, "the stopped router kept an allotment");
+}
--- /dev/null
+++ b/crates/cli/tests/workdir/mod.rs
@@ -0,0 +1,322 @@
+//! A work directory with a fleet of real daemons on loopback ports. Everything
+//! that was started is killed by its id when the directory is dropped.
+
+#![expect(clippy::unwrap_used, reason = "test support")]
+
+use std::collections::HashMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use anvilloft_fakes::http::Call;
+use anvilloft_fakes::http::Reply;
+
+/// Limit of everything that is waited for.
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
+
+/// A work directory and the processes started in it.
+pub(crate) struct Workdir {
+    dir: tempfile::TempDir,
+    processes: HashMap<String, Child>,
+    ports: HashMap<String, SocketAddr>,
+    /// Secret of the team's key.
+    pub(crate) key: String,
+}
+
+impl Workdir {
+    /// Makes keys and settings of `controls` members and `routers` routers.
+    pub(crate) fn new(controls: usize, routers: usize) -> Self {
+        let mut work = Self {
+            dir: tempfile::tempdir().unwrap(),
+            processes: HashMap::new(),
+            ports: HashMap::new(),
+            key: String::new(),
+        };
+        work.secret("fleet.key", "0123456789abcdef0123456789abcdef-fleet");
+        work.secret("endpoint.key", "0123456789abcdef0123456789abcdef-endpoint");
+        let path = work.path("op.hash");
+        let out = work.run(&["bootstrap", &path]);
+        let secret = String::from_utf8(out.stdout).unwrap();
+        work.secret("op.key", secret.lines().next().unwrap().trim());
+        for n in 0..controls {
+            for port in ["peer", "admin"] {
+                work.reserve(&format!("c{n}-{port}"));
+            }
+        }
+        for n in 0..routers {
+            for port in ["peer", "caller"] {
+                work.reserve(&format!("r{n}-{port}"));
+            }
+        }
+        for n in 0..controls {
+            work.write_control(n, controls);
+        }
+        for n in 0..routers {
+            work.write_router(n, controls);
+        }
+        work
+    }
+
+    fn path(&self, name: &str) -> String {
+        let path: PathBuf = self.dir.path().join(name);
+        path.to_str().unwrap().to_owned()
+    }
+
+    fn secret(&self, name: &str, text: &str) {
+        let path = self.path(name);
+        fs::write(&path, text).unwrap();
+        fs::set_permissions(&path, fs::Permissions::from_mode(0o600)).unwrap();
+    }
+
+    fn reserve(&mut self, name: &str) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        self.ports.insert(name.to_owned(), addr);
+    }
+
+    /// Returns a reserved address, such as `r0-caller`.
+    pub(crate) fn addr(&self, name: &str) -> SocketAddr {
+        self.ports[name]
+    }
+
+    fn controls(&self, kind: &str, count: usize) -> String {
+        let list: Vec<String> = (0..count)
+            .map(|n| self.addr(&format!("c{n}-{kind}")).to_string())
+            .collect();
+        list.join(",")
+    }
+
+    fn write_control(&self, n: usize, controls: usize) {
+        let text = format!(
+            "[control]\nname = c{n}\ndata_centre = dc{n}\ndata_folder = {}\n\
+             peer_listen = {}\nadmin_listen = {}\ngroup = {}\n[peers]\ncontrol = {}\n\
+             [key]\nfleet_file = {}\noperator_hash_file = {}\n",
+            self.path(&format!("c{n}.data")),
+            self.addr(&format!("c{n}-peer")),
+            self.addr(&format!("c{n}-admin")),
+            if n == 0 { "new" } else { "join" },
+            self.controls("peer", controls),
+            self.path("fleet.key"),
+            self.path("op.hash"),
+        );
+        fs::write(self.path(&format!("c{n}.ini")), text).unwrap();
+    }
+
+    fn write_router(&self, n: usize, controls: usize) {
+        let text = format!(
+            "[router]\nname = r{n}\ndata_centre = dc{n}\ncaller_listen = {}\n\
+             peer_listen = {}\n[peers]\ncontrol = {}\n[key]\nfleet_file = {}\n\
+             endpoint_file = {}\n",
+            self.addr(&format!("r{n}-caller")),
+            self.addr(&format!("r{n}-peer")),
+            self.controls("peer", controls),
+            self.path("fleet.key"),
+            self.path("endpoint.key"),
+        );
+        fs::write(self.path(&format!("r{n}.ini")), text).unwrap();
+    }
+
+    fn binary(name: &str) -> PathBuf {
+        let cli = PathBuf::from(env!("CARGO_BIN_EXE_anvilloft"));
+        let path = cli.with_file_name(name);
+        assert!(
+            path.exists(),
+            "{} is missing; run `cargo build --workspace` first",
+            path.display()
+        );
+        path
+    }
+
+    fn spawn(&mut self, name: &str, binary: &str, args: &[&str]) {
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.path(&format!("{name}.log")))
+            .unwrap();
+        let child = Command::new(Self::binary(binary))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.processes.insert(name.to_owned(), child);
+    }
+
+    /// Starts or restarts a daemon: `c0` is a control member, `r0` a router.
+    pub(crate) fn start(&mut self, name: &str) {
+        let binary = match name.starts_with('c') {
+            true => "anvilloft-control",
+            false => "anvilloft-router",
+        };
+        let path = self.path(&format!("{name}.ini"));
+        self.spawn(name, binary, &["--settings", &path]);
+    }
+
+    /// Starts an emulated endpoint that announces itself to two routers.
+    pub(crate) fn emulate(&mut self, name: &str, args: &[&str]) {
+        let routers = format!("{},{}", self.addr("r0-caller"), self.addr("r1-caller"));
+        let key = self.path("endpoint.key");
+        let mut all = vec!["emulate", "--routers", &routers];
+        all.extend_from_slice(&["--endpoint-key-file", &key, "--id", name]);
+        all.extend_from_slice(args);
+        self.spawn(name, "anvilloft", &all);
+    }
+
+    /// Kills a process without warning.
+    pub(crate) fn kill(&mut self, name: &str) {
+        let mut child = self.processes.remove(name).unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Sends SIGTERM and returns the exit code.
+    pub(crate) fn terminate(&mut self, name: &str) -> Option<i32> {
+        let mut child = self.processes.remove(name).unwrap();
+        let id = child.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        let start = Instant::now();
+        while start.elapsed() < LIMIT * 2 {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        child.kill().unwrap();
+        child.wait().unwrap();
+        None
+    }
+
+    /// Returns what a process logged.
+    pub(crate) fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.path(&format!("{name}.log"))).unwrap()
+    }
+
+    /// Runs the operator command.
+    pub(crate) fn run(&self, args: &[&str]) -> Output {
+        let controls = self.ports.keys().filter(|k| k.ends_with("-admin")).count();
+        Command::new(Self::binary("anvilloft"))
+            .args(args)
+            .env("ANVILLOFT_ADMIN", self.controls("admin", controls))
+            .env("ANVILLOFT_KEY_FILE", self.path("op.key"))
+            .output()
+            .unwrap()
+    }
+
+    /// Runs the operator command, which has to succeed, and returns its JSON.
+    pub(crate) fn json(&self, args: &[&str]) -> serde_json::Value {
+        let mut all = args.to_vec();
+        all.push("--json");
+        let out = self.run(&all);
+        let text = String::from_utf8_lossy(&out.stdout).into_owned();
+        assert!(
+            out.status.success(),
+            "{args:?}: {text} {}",
+            String::from_utf8_lossy(&out.stderr)
+        );
+        serde_json::from_str(&text).unwrap_or_else(|e| panic!("{args:?}: {e}: {text}"))
+    }
+
+    /// Starts everything and makes a team with a budget of `tokens`.
+    pub(crate) fn start_fleet(&mut self, controls: usize, routers: usize, tokens: &str) {
+        for n in 0..controls {
+            self.start(&format!("c{n}"));
+        }
+        wait("the first member leads", || {
+            self.run(&["member", "list"]).status.success()
+        });
+        for n in 1..controls {
+            let id = self.member_id(n);
+            let addr = self.addr(&format!("c{n}-peer")).to_string();
+            self.json(&["member", "add", &id, &addr]);
+            wait("a learner catches up", || {
+                self.run(&["member", "promote", &id]).status.success()
+            });
+        }
+        self.json(&["team", "set", "carvers", "--reason", "test"]);
+        self.json(&[
+            "budget", "set", "main", "--team", "carvers", "--reason", "test",
+        ]);
+        self.json(&["budget", "topup", "main", tokens, "--reason", "paid"]);
+        let model = ["model", "set", "m", "--default-max-tokens", "16"];
+        self.json(&[&model[..], &["--max-tokens", "512", "--reason", "test"]].concat());
+        let service = ["service", "set", "orders", "--idempotent", "false"];
+        self.json(&[&service[..], &["--price", "3", "--reason", "test"]].concat());
+        let key = ["key", "make", "k", "--team", "carvers", "--budget", "main"];
+        let key = self.json(&[&key[..], &["--reason", "test"]].concat());
+        self.key = key["secret"].as_str().unwrap().to_owned();
+        for n in 0..routers {
+            self.start(&format!("r{n}"));
+        }
+    }
+
+    fn member_id(&self, n: usize) -> String {
+        let mark = "\"member\":\"";
+        wait("a member logs its id", || {
+            self.log(&format!("c{n}")).contains(mark)
+        });
+        let log = self.log(&format!("c{n}"));
+        let at = log.find(mark).unwrap() + mark.len();
+        log[at..at + 16].to_owned()
+    }
+
+    /// Returns a chat call of the team.
+    pub(crate) fn chat(&self, prompt: &str, stream: bool) -> Call {
+        let body = serde_json::json!({
+            "model": "m", "stream": stream, "max_tokens": 8,
+            "messages": [{"role": "user", "content": prompt}],
+        });
+        Call::post("/v1/chat/completions", body.to_string()).key(&self.key)
+    }
+
+    /// Returns an order of the team.
+    pub(crate) fn order(&self, key: &str) -> Call {
+        Call::post("/v1/services/orders/new", "{\"sku\":1}")
+            .key(&self.key)
+            .header("Idempotency-Key", key)
+    }
+
+    /// Sends a call to a router until it is answered with 200.
+    pub(crate) async fn until_ok(&self, router: &str, call: &Call) -> Reply {
+        let start = Instant::now();
+        let mut last = String::new();
+        while start.elapsed() < LIMIT {
+            match call.send(self.addr(router), LIMIT).await {
+                Ok(reply) if reply.status == 200 => return reply,
+                Ok(reply) => last = reply.text(),
+                Err(e) => last = e.to_string(),
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        panic!("{router} did not answer with 200; last: {last}");
+    }
+}
+
+impl Drop for Workdir {
+    fn drop(&mut self) {
+        for child in self.processes.values_mut() {
+            child.kill().ok();
+            child.wait().ok();
+        }
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while start.elapsed() < LIMIT {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("{what}: not within {LIMIT:?}");
+}
--- a/crates/control/src/driver/clocks.rs
+++ b/crates/control/src/driver/clocks.rs
@@ -41,6 +41,22 @@
         self.heard.insert((router.to_owned(), incarnation), now);
     }
 
+    /// Returns the open incarnations' routers that have not renewed for a whole
+    /// lease, by name.
+    pub(crate) fn silent(&self, now: Duration, ledger: &Ledger) -> Vec<RouterId> {
+        let lease = Duration::from_millis(ledger.config().value("config_lease_ms", ""));
+        let mut silent: Vec<RouterId> = self
+            .heard
+            .iter()
+            .filter(|((router, incarnation), heard)| {
+                now > **heard + lease && ledger.incarnation_open(router, *incarnation)
+            })
+            .map(|((router, _), _)| router.clone())
+            .collect();
+        silent.sort();
+        silent
+    }
+
     /// Returns the proposals that are due.
     pub(crate) fn due(&mut self, now: Duration, ledger: &Ledger) -> Vec<Body> {
         let mut due = Vec::new();
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -350,7 +350,7 @@
         }
         slog::info!(self.log, "leadership changed";
             "leads" => led != 0, "term" => self.node.term(),
-            "leader" => ?self.node.leader());
+            "leader" => self.node.leader().map(|id| format!("{id:016x}")));
         if led != 0 {
             self.stats.elections_won.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/control/src/driver/reads.rs
+++ b/crates/control/src/driver/reads.rs
@@ -69,6 +69,7 @@
             routers,
             suspects: ledger.suspects().iter().map(|f| f.to_vec()).collect(),
             recalls: self.recalls.of_router(now, &req.router, req.incarnation),
+            silent: self.clocks.silent(now, ledger),
         }
     }
 }
--- a/crates/directory/src/routers.rs
+++ b/crates/directory/src/routers.rs
@@ -13,6 +13,8 @@
     version: u64,
     // Sorted by router name.
     list: Vec<OpenIncarnation>,
+    // Sorted names.
+    silent: Vec<String>,
 }
 
 /// Returns the rendezvous score of a router for a subject. The highest wins.
@@ -24,7 +26,22 @@
     /// Makes the directory from a lease answer.
     pub fn new(version: u64, mut list: Vec<OpenIncarnation>) -> Self {
         list.sort_by(|a, b| a.router.cmp(&b.router));
-        Self { version, list }
+        Self {
+            version,
+            list,
+            silent: Vec::new(),
+        }
+    }
+
+    /// Replaces the names of routers that control has not heard for a lease.
+    pub fn set_silent(&mut self, mut silent: Vec<String>) {
+        silent.sort();
+        self.silent = silent;
+    }
+
+    /// Returns the names of routers that control has not heard for a lease.
+    pub fn silent(&self) -> &[String] {
+        &self.silent
     }
 
     /// Returns the version.
@@ -39,9 +56,9 @@
 
     /// Returns the routers that take new callers.
     pub fn alive(&self) -> impl Iterator<Item = &OpenIncarnation> {
-        self.list
-            .iter()
-            .filter(|r| r.state == RouterState::Alive as i32)
+        self.list.iter().filter(|r| {
+            r.state == RouterState::Alive as i32 && self.silent.binary_search(&r.router).is_err()
+        })
     }
 
     /// Returns the router of this name.
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -253,6 +253,7 @@
             },
             suspects: ledger.suspects().iter().map(|f| f.to_vec()).collect(),
             recalls: Vec::new(),
+            silent: Vec::new(),
         }
     }
 
--- a/crates/router/src/core/lease.rs
+++ b/crates/router/src/core/lease.rs
@@ -159,13 +159,17 @@
                 }
             }
         }
-        if grant.directory_version != self.routers.version() || !grant.routers.is_empty() {
+        let changed = grant.directory_version != self.routers.version();
+        if changed || !grant.routers.is_empty() {
             self.routers = Arc::new(Routers::new(grant.directory_version, grant.routers));
             let list: Vec<OpenIncarnation> = self.routers.iter().cloned().collect();
             self.peers.set_routers(&list);
             let names: Vec<RouterId> = self.routers.iter().map(|r| r.router.clone()).collect();
             self.selector.set_routers(&self.id.router, &names);
             self.capacity_dirty = true;
+        }
+        if changed || grant.silent != self.routers.silent() {
+            Arc::make_mut(&mut self.routers).set_silent(grant.silent);
             let holder = self
                 .routers
                 .copy_holder(&self.id.router)
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -470,7 +470,7 @@
             started: now,
             first_byte: None,
         };
-        slog::debug!(self.log, "decision"; "decision" => "route",
+        anvilloft_telemetry::decision!(self.log, "route";
             "request" => &req.admit.request_id, "team" => &req.admit.team,
             "rank" => &req.admit.rank, "endpoint" => &choice.endpoint,
             "candidates" => choice.candidates, "reason" => ?choice.why,
@@ -615,7 +615,7 @@
         let Some(mut req) = self.requests.remove(&no) else {
             return;
         };
-        slog::debug!(self.log, "decision"; "decision" => "admission",
+        anvilloft_telemetry::decision!(self.log, "admission";
             "request" => &req.admit.request_id, "team" => &req.admit.team,
             "rank" => &req.admit.rank, "reason" => refusal.code,
             "run" => refusal.run.as_str());
--- a/crates/router/src/core/suspects.rs
+++ b/crates/router/src/core/suspects.rs
@@ -210,7 +210,7 @@
     /// Commits strikes. The requests go on once theirs is committed.
     fn strike(&mut self, now: Duration, due: Vec<StrikeDue>) {
         for d in due {
-            slog::warn!(self.log, "decision"; "decision" => "strike",
+            anvilloft_telemetry::decision!(self.log, "strike";
                 "endpoint" => &d.endpoint, "incarnation" => d.incarnation);
             self.strikes.insert(d.attempt, false);
             self.tell_peers(&d.fingerprint);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -12,10 +12,11 @@
         .version(clap::crate_version!())
         .arg(
             Arg::new("settings")
+                .long("settings")
                 .required(true)
                 .value_name("FILE")
                 .value_parser(clap::value_parser!(PathBuf))
-                .help("Settings file"),
+                .help("Settings file; `anvilloft settings router` prints the defaults"),
         )
         .get_matches();
     let Some(path) = matches.get_one::<PathBuf>("settings") else {
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -106,6 +106,10 @@
     /// Budgets whose idle allotments should come back.
     #[prost(string, repeated, tag = "6")]
     pub recalls: Vec<String>,
+    /// Routers of the directory that have not renewed for a whole lease. They
+    /// can't take new work, so callers are not sent to them.
+    #[prost(string, repeated, tag = "7")]
+    pub silent: Vec<String>,
 }
 
 /// Reads state. The result is JSON, as it is meant for people and scripts.
