--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -34,6 +34,8 @@
 /// Factor of the floors. Answers that end after the measured time or break off
 /// must not push a rank just below its floor.
 const FLOOR_MARGIN: f64 = 1.05;
+/// Work beyond the floor that counts against it later, in mean requests.
+const FLOOR_PAID: f64 = 4.0;
 /// Smallest share of the drain rate that an estimate assumes for a rank.
 const MIN_SHARE: f64 = 0.01;
 
@@ -66,8 +68,10 @@
 enum Class {
     /// The first rank.
     First,
-    /// Starts by a floor, or of a team that uses little.
-    Favoured,
+    /// Started by a floor.
+    Floor,
+    /// Of a team that uses little.
+    Light,
     /// Everything else.
     Other,
 }
@@ -85,7 +89,6 @@
     flow: FlowNo,
     tokens: Tokens,
     since: Duration,
-    by_floor: bool,
 }
 
 /// The shipped [`Admission`].
@@ -103,6 +106,9 @@
     running_tokens: Tokens,
     /// Running requests of the first level.
     first_running: u64,
+    /// Whether the first rank started work recently. It then keeps most of the
+    /// reserve to itself.
+    urgent_demand: bool,
     timeouts: BTreeSet<(Duration, RequestNo)>,
     /// Verdicts that a call other than `poll` caused.
     due: Vec<Verdict>,
@@ -135,6 +141,7 @@
             running: HashMap::new(),
             running_tokens: 0,
             first_running: 0,
+            urgent_demand: false,
             timeouts: BTreeSet::new(),
             due: Vec::new(),
             drain: DrainRate::default(),
@@ -233,14 +240,17 @@
     /// Returns whether one more request may run.
     fn fits(&self, class: Class, tokens: Tokens) -> bool {
         let slots = u64::from(self.cap.slots);
+        let reserve = (slots * u64::from(self.policy.reserve_permille) + 500) / 1000;
         let limit = match class {
             // In a flood of the first rank the place beyond the slots would
             // only fill the queues inside the engines.
             Class::First if 2 * self.first_running < slots => {
                 slots.max(u64::from(self.cap.urgent_slots))
             }
-            Class::First | Class::Favoured => slots,
-            Class::Other => slots - (slots * u64::from(self.policy.reserve_permille) + 500) / 1000,
+            Class::First | Class::Floor => slots,
+            Class::Light if self.urgent_demand => slots - reserve + reserve / 3,
+            Class::Light => slots,
+            Class::Other => slots - reserve,
         };
         let running = self.running.len() as u64;
         if running >= limit {
@@ -255,7 +265,7 @@
         let queue = &self.ranks[at].queue;
         let (flow, req) = queue.peek()?;
         let class = if by_floor {
-            Class::Favoured
+            Class::Floor
         } else if self.ranks[at].rank.level == self.ranks[0].rank.level {
             Class::First
         } else {
@@ -265,7 +275,7 @@
             return Some(flow);
         }
         let (light, req) = queue.peek_light()?;
-        self.fits(Class::Favoured, req.tokens).then_some(light)
+        self.fits(Class::Light, req.tokens).then_some(light)
     }
 
     /// Returns the rank whose turn it is, and whether by its floor.
@@ -289,7 +299,7 @@
             .map(|(at, _)| (at, false))
     }
 
-    fn start(&mut self, now: Duration, at: usize, flow: FlowNo, by_floor: bool) -> Option<Verdict> {
+    fn start(&mut self, now: Duration, at: usize, flow: FlowNo) -> Option<Verdict> {
         let req = self.ranks[at].queue.pop(flow)?;
         let tokens = req.tokens as f64;
         self.waiting
@@ -300,13 +310,12 @@
                 rank.owed += rank.floor() * tokens;
             }
         }
+        let paid = -FLOOR_PAID * self.drain.mean_tokens();
         let rank = &mut self.ranks[at];
-        if by_floor {
-            rank.owed -= tokens;
-        } else {
-            // Work beyond the floor is no debt against a later floor.
-            rank.owed = (rank.owed - tokens).max(rank.owed.min(0.0));
-        }
+        // Work beyond the floor counts for a while: otherwise a rank with
+        // ample service would now and then start by its floor, ahead of others
+        // and out of the reserve.
+        rank.owed = (rank.owed - tokens).max(paid.min(rank.owed));
         if !rank.backlogged() {
             rank.owed = rank.owed.min(0.0);
         }
@@ -326,7 +335,6 @@
                 flow,
                 tokens: req.tokens,
                 since: now,
-                by_floor,
             },
         );
         Some(Verdict::Start {
@@ -461,9 +469,7 @@
             self.first_running -= 1;
         }
         let rank = &mut self.ranks[run.rank];
-        if run.by_floor {
-            rank.owed -= change;
-        }
+        rank.owed -= change;
         rank.recent.add(now, RECENT, change);
         rank.queue.get_mut(run.flow).recent.add(now, RECENT, change);
         rank.queue.settle(run.flow, run.tokens, used);
@@ -489,11 +495,12 @@
                 refusal: self.refusal(Reason::DeadlinePassed, None, limit),
             });
         }
+        self.urgent_demand = self.ranks[0].recent.value(now, RECENT) > 1.0;
         while let Some((at, by_floor)) = self.next_rank() {
             let Some(flow) = self.next_flow(at, by_floor) else {
                 break;
             };
-            match self.start(now, at, flow, by_floor) {
+            match self.start(now, at, flow) {
                 Some(verdict) => out.push(verdict),
                 None => break,
             }
--- a/crates/bench/src/traffic/cases.rs
+++ b/crates/bench/src/traffic/cases.rs
@@ -166,21 +166,48 @@
         });
     }
 
+    /// Runs every case whose name is asked for.
     pub(crate) fn all(&mut self) {
+        let only = self.cfg.only.clone();
+        let wanted = |name: &str| name.contains(&only);
         for policy in Policy::all(self.cfg.baselines) {
-            self.floods(&policy);
-            self.small_team(&policy);
-            self.saturation(&policy);
-            self.faults(&policy);
-            self.load_curve(&policy);
+            if wanted("low flood") {
+                self.low_flood(&policy);
+            }
+            if wanted("urgent flood") {
+                self.urgent_flood(&policy);
+            }
+            if wanted("one team floods urgent") {
+                self.one_team_flood(&policy);
+            }
+            if wanted("small team") {
+                self.small_team(&policy);
+            }
+            if wanted("saturation") {
+                self.saturation(&policy);
+            }
+            if wanted("dead, silent, slow") {
+                self.faults(&policy);
+            }
+            if wanted("load") {
+                self.load_curve(&policy);
+            }
+        }
+        for (resend, case) in [
+            (Resend::InTurn, "poison, in turn"),
+            (Resend::AtOnce, "poison, at once"),
+            (Resend::FromStart, "poison, from start"),
+        ] {
+            if wanted(case) {
+                self.poison(resend, case);
+            }
+        }
+        if wanted("entry") {
+            self.entry_by_share();
         }
-        self.poison(Resend::InTurn, "poison, in turn");
-        self.poison(Resend::AtOnce, "poison, at once");
-        self.poison(Resend::FromStart, "poison, from start");
-        self.entry_by_share();
     }
 
-    fn floods(&mut self, policy: &Policy) {
+    fn low_flood(&mut self, policy: &Policy) {
         let calm = self.run(policy, &self.workload(self.sources([1.0; 3], SHAPES)));
         let low = self.run(
             policy,
@@ -204,6 +231,8 @@
             Bound::Below(1.2),
         );
         self.note(case, name, "urgent p95 wait, s", urgent.wait_p95(), None);
+        let inside = percentile(&low.engine_waits[0], 0.95);
+        self.note(case, name, "urgent p95 wait inside engine, s", inside, None);
         self.note(case, name, "busy slots, part", low.busy_part(), None);
         let first = percentile(&calm.first, 0.95);
         self.note("calm", name, "p95 first token, s", first, None);
@@ -215,7 +244,10 @@
             None,
         );
         self.note(case, name, "p95 gap, s", percentile(&low.gaps, 0.95), None);
+    }
 
+    fn urgent_flood(&mut self, policy: &Policy) {
+        let name = policy.name;
         let flood = self.run(
             policy,
             &self.workload(self.sources([10.0, 1.0, 1.0], SHAPES)),
@@ -235,7 +267,6 @@
             flood.token_share(2),
             Bound::AtLeast(0.05),
         );
-        self.one_team_flood(policy);
     }
 
     /// One team floods the urgent rank; the others keep their service.
@@ -295,6 +326,8 @@
             Bound::AtMost(1.5),
         );
         self.note(case, name, "small team p95 wait, s", own.wait_p95(), None);
+        let inside = percentile(&beside.engine_waits[1], 0.95);
+        self.note(case, name, "p95 wait inside engine, s", inside, None);
         self.note(case, name, "busy slots, part", beside.busy_part(), None);
     }
 
--- a/crates/budget/tests/allotments.rs
+++ b/crates/budget/tests/allotments.rs
@@ -16,7 +16,6 @@
 use anvilloft_wire::command::Insufficient;
 use anvilloft_wire::command::Refused;
 use anvilloft_wire::command::Reply;
-use anvilloft_wire::command::Report;
 use anvilloft_wire::command::ReportEntry;
 
 fn ms(n: u64) -> Duration {
@@ -183,6 +182,30 @@
     assert_eq!(a.next_grant(ms(5_000)), None, "nobody waits");
 }
 
+/// Guards against a router that asks for a need in parts without end: each
+/// recall for the rest would take the part that it holds.
+#[test]
+fn after_a_recall_a_need_is_asked_for_in_full() {
+    let mut a = with(100);
+    let need = a.reserve(ms(0), "b", 150).expect_err("too much").need();
+    let grant = a.next_grant(ms(0)).expect("a grant");
+    assert_eq!(grant.need, 50, "the idle tokens count");
+    a.recall(ms(10), "b");
+    assert_eq!(a.on_grant(ms(20), grant.seq, &granted(50)), []);
+    let grant = a.next_grant(ms(20)).expect("a grant");
+    assert_eq!((grant.need, a.holding("b")), (150, holding(0, 0, 150)));
+    let report = a.next_report(ms(20)).expect("sent without delay");
+    assert_eq!(report.entries, [entry("b", 0, 150, None)]);
+    let results = a.on_grant(ms(30), grant.seq, &granted(150));
+    assert_eq!(
+        results,
+        [GrantResult {
+            need,
+            outcome: Ok(need)
+        }]
+    );
+}
+
 /// Guards against needs that wait forever after a refusal, and against a stale
 /// number that ends them.
 #[test]
@@ -217,6 +240,14 @@
     let report = a.next_report(ms(1)).expect("sent without delay");
     assert_eq!(report.entries, [entry("b", 0, 70, None)]);
     a.on_report_ack(ms(2), report.seq);
+    assert_eq!(a.next_report(ms(900)), None, "reserved tokens stay");
+    // What comes free soon after the recall goes back too.
+    a.settle(ms(900), id, 10, None);
+    let report = a.next_report(ms(900)).expect("sent without delay");
+    assert_eq!(report.entries, [entry("b", 10, 20, None)]);
+
+    let mut a = with(100);
+    let id = a.reserve(ms(0), "b", 30).expect("held");
     a.settle(ms(2), id, 10, None);
     assert_eq!(a.next_report(ms(10)), None, "waits for others");
     let report = a.next_report(ms(22)).expect("due");
@@ -225,7 +256,7 @@
     assert_eq!(a.next_report(ms(9_990)), None);
     a.next_report(ms(11_100));
     let report = a.next_report(ms(11_200)).expect("the idle time has passed");
-    assert_eq!(report.entries, [entry("b", 0, 20, None)]);
+    assert_eq!(report.entries, [entry("b", 0, 90, None)]);
     a.on_report_ack(ms(11_200), report.seq);
     assert!(a.is_settled() && a.budgets() == 0);
 
@@ -260,14 +291,16 @@
     while let Some(copy) = a.next_copy(ms(500)) {
         copies.insert(copy);
     }
-    let mut seqs = Vec::new();
-    let mut sum = 0;
-    while let Some(Report { seq, entries, .. }) = copies.next("r1", 1).cloned() {
-        seqs.push(seq);
-        sum += entries.iter().map(|e| e.settled).sum::<u64>();
-        copies.on_ack("r1", 1, seq);
-    }
+    let kept = copies.next("r1", 1, 10);
+    let seqs: Vec<_> = kept.iter().map(|r| r.seq).collect();
+    let sum: u64 = kept
+        .iter()
+        .flat_map(|r| &r.entries)
+        .map(|e| e.settled)
+        .sum();
     assert_eq!((seqs, sum), (vec![1, 2, 3], 309));
+    copies.on_ack("r1", 1, 3);
+    assert!(copies.incarnations().is_empty());
     assert_eq!(a.unacknowledged(), 3);
     a.copy_again();
     assert_eq!(a.next_copy(ms(500)), Some(first.clone()), "for a new peer");
@@ -278,7 +311,7 @@
     copies.insert(first);
     copies.insert(a.copy_release());
     assert_eq!(
-        copies.next("r1", 1).map(|r| r.seq),
+        copies.next("r1", 1, 1).first().map(|r| r.seq),
         Some(2),
         "acknowledged copies are dropped"
     );
