--- a/crates/budget/src/outbox.rs
+++ b/crates/budget/src/outbox.rs
@@ -59,6 +59,9 @@
         used: Tokens,
         key: Option<[u8; 16]>,
     ) {
+        if used == 0 {
+            return;
+        }
         if let Some(key) = key {
             self.keyed.push(ReportEntry {
                 budget: budget.into(),
@@ -67,7 +70,7 @@
                 request_key: key.to_vec(),
             });
             self.added(now);
-        } else if used > 0 {
+        } else {
             let sums = self.merged.entry(budget.into()).or_default();
             sums.0 = sums.0.saturating_add(used);
             self.added(now);
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -416,7 +416,9 @@
 
     fn report_entry(&mut self, router: &str, incarnation: Incarnation, e: &ReportEntry) {
         let (mut settled, mut returned) = (e.settled, e.returned);
-        if let Ok(key) = <[u8; 16]>::try_from(e.request_key.as_slice())
+        // An attempt that used nothing leaves the key to the one that will.
+        if settled > 0
+            && let Ok(key) = <[u8; 16]>::try_from(e.request_key.as_slice())
             && self.accounts.bill_key(key, self.now_ms)
         {
             // Billed before: the tokens go back.
--- a/crates/placement/tests/planner.rs
+++ b/crates/placement/tests/planner.rs
@@ -129,6 +129,11 @@
         assert!(window <= 4, "{window} loads in the minute from {t}");
     }
     assert!(loads.len() > 20, "loads went on: {}", loads.len());
+    // The old leader may have ordered a load just before the election.
+    let empty = fleet(&[&[]]);
+    let mut planner = Planner::new(cfg.clone(), 1_000, secs(1_000));
+    let first = (1_000..1_100).find(|t| !planner.plan(secs(*t), secs(*t), &d, &empty).is_empty());
+    assert_eq!(first, Some(1_015), "a load in 15 s, at 4 a minute");
     let stopped = PlacementConfig {
         loads_per_minute: 0,
         ..cfg
