Test the selector, suspects and the retry budget

Change: property tests for shares and hot spots, tables for candidates and deaths, tests for silent endpoints, token gaps, copies and strikes.

--- /dev/null
+++ b/crates/routing/tests/failures.rs
@@ -0,0 +1,115 @@
+//! Rules of retries and suspects.
+
+use std::time::Duration;
+
+use anvilloft_routing::Failure;
+use anvilloft_routing::RetryBudget;
+use anvilloft_routing::Suspects;
+use anvilloft_routing::suspect::Permission;
+use rstest::rstest;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Guards against retries that multiply the load of a fleet that fails.
+#[test]
+fn retries_are_a_tenth_of_successes_and_three_a_second() {
+    let mut b = RetryBudget::new(ms(0));
+    let mut taken = 0;
+    for t in 0..20_000 {
+        if t % 10 == 0 {
+            b.success(ms(t));
+        }
+        taken += u32::from(b.take(ms(t)));
+    }
+    // 2,000 successes give 200 retries, 20 s give 60.
+    assert!((220..=270).contains(&taken), "{taken}");
+    let mut failing = RetryBudget::new(ms(0));
+    let taken = (0..20_000).filter(|t| failing.take(ms(*t))).count();
+    assert!((50..=70).contains(&taken), "{taken}");
+}
+
+/// Guards against a slow or unreachable endpoint that counts as dead, and
+/// against a death that does not count.
+#[rstest]
+#[case("timeout", &[Failure::FirstByte, Failure::Gap], true, false)]
+#[case("refusal", &[Failure::Refused, Failure::BadAnswer], true, false)]
+#[case("no connection", &[Failure::Connect], true, false)]
+#[case("broken connection", &[Failure::Reset], false, false)]
+#[case("broken, announcement stopped", &[Failure::Reset], true, true)]
+#[case("broken, then refused", &[Failure::Reset, Failure::Connect], false, true)]
+fn what_counts_as_death(
+    #[case] name: &str,
+    #[case] failures: &[Failure],
+    #[case] lease_lost: bool,
+    #[case] dead: bool,
+) {
+    let mut s = Suspects::new();
+    for (id, failure) in failures.iter().enumerate() {
+        s.started("e", 1, id as u128, [1; 16]);
+        s.failed(ms(10), "e", 1, id as u128, *failure);
+    }
+    assert_eq!(
+        s.counts_as_death(ms(20), "e", 1, lease_lost),
+        dead,
+        "{name}"
+    );
+    assert!(!s.counts_as_death(ms(6000), "e", 1, lease_lost), "{name}");
+    assert!(!s.counts_as_death(ms(20), "e", 2, lease_lost), "{name}");
+}
+
+/// Guards against strikes for requests that were not in flight, and against
+/// requests in flight that get none.
+#[test]
+fn every_request_in_flight_is_struck_once() {
+    let mut s = Suspects::new();
+    for id in 0..4u8 {
+        s.started("e", 1, u128::from(id), [id; 16]);
+    }
+    s.started("other", 1, 9, [9; 16]);
+    s.finished("e", 1, 0);
+    // Never sent, so it can't be the cause.
+    assert!(!s.failed(ms(1), "e", 1, 1, Failure::Connect));
+    assert!(s.failed(ms(1), "e", 1, 2, Failure::Reset));
+    let mut due = s.died(ms(2), "e", 1);
+    due.sort_unstable_by_key(|d| d.attempt);
+    let struck: Vec<u128> = due.iter().map(|d| d.attempt).collect();
+    assert_eq!(struck, [2, 3]);
+    assert!(s.died(ms(3), "e", 1).is_empty());
+    assert_eq!(s.check(&[2; 16]), Permission::Permit);
+    assert_eq!(s.check(&[1; 16]), Permission::Run);
+    assert_eq!(s.in_flight(), 1);
+}
+
+/// Guards against a restart that is taken for the same process.
+#[test]
+fn a_new_incarnation_strikes_what_ran_on_the_old_one() {
+    let mut s = Suspects::new();
+    s.started("e", 1, 1, [1; 16]);
+    s.started("e", 2, 2, [2; 16]);
+    assert!(s.alive(ms(1), "e", 1).is_empty());
+    let due = s.alive(ms(2), "e", 2);
+    assert_eq!(due.len(), 1);
+    assert_eq!((due[0].attempt, due[0].incarnation), (1, 1));
+}
+
+/// Guards against a caller that waits for ever for the verdict on an endpoint,
+/// and against a fleet-wide list that undoes a strike it doesn't have yet.
+#[test]
+fn verdicts_and_own_strikes_expire() {
+    let mut s = Suspects::new();
+    s.started("e", 1, 1, [1; 16]);
+    assert!(s.failed(ms(0), "e", 1, 1, Failure::Reset));
+    assert!(s.expire(ms(4000)).is_empty());
+    assert_eq!(s.expire(ms(5001)), [1]);
+    assert_eq!(s.in_flight(), 0);
+    s.started("f", 1, 2, [2; 16]);
+    s.died(ms(6000), "f", 1);
+    s.set_struck(ms(6001), []);
+    assert_eq!(s.check(&[2; 16]), Permission::Permit);
+    s.set_struck(ms(6002), [[2; 16]]);
+    assert_eq!(s.check(&[2; 16]), Permission::Permit);
+    s.set_struck(ms(6003), []);
+    assert_eq!(s.check(&[2; 16]), Permission::Run);
+}
--- /dev/null
+++ b/crates/routing/tests/select.rs
@@ -0,0 +1,283 @@
+//! Rules of the shipped selector.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use anvilloft_routing::EndpointState;
+use anvilloft_routing::Failure;
+use anvilloft_routing::Load;
+use anvilloft_routing::NoRoute;
+use anvilloft_routing::Outcome;
+use anvilloft_routing::PredictiveSelector;
+use anvilloft_routing::RouteRequest;
+use anvilloft_routing::Selector;
+use anvilloft_routing::SelectorConfig;
+use anvilloft_routing::Served;
+use anvilloft_routing::share;
+use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+const DONE: Outcome = Outcome::Done {
+    first_token: Duration::from_millis(100),
+    gap: Duration::ZERO,
+};
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn state(no: usize, seq: u64, slots: u32) -> EndpointState {
+    EndpointState {
+        id: format!("e{no}"),
+        incarnation: 1,
+        seq,
+        models: vec![Served {
+            model: "m".to_owned(),
+            version: "1".to_owned(),
+            adapters: vec!["a".to_owned()],
+        }],
+        slots,
+        expires: secs(1000),
+        ..EndpointState::default()
+    }
+}
+
+fn selector(own: usize, routers: usize, endpoints: usize, slots: u32) -> PredictiveSelector {
+    let names: Vec<String> = (0..routers).map(|r| format!("r{r}")).collect();
+    let rng = SmallRng::seed_from_u64(own as u64);
+    let mut s = PredictiveSelector::new(SelectorConfig::default(), rng);
+    s.set_routers(&names[own], &names);
+    for e in 0..endpoints {
+        s.update(secs(0), &state(e, 1, slots));
+    }
+    s
+}
+
+fn request(fingerprint: u64) -> RouteRequest<'static> {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&fingerprint.to_le_bytes());
+    RouteRequest {
+        model: "m",
+        level: 1,
+        prompt_tokens: 1000,
+        fingerprint: bytes,
+        ..RouteRequest::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 40, ..ProptestConfig::default() })]
+
+    /// Guards against endpoints that routers fill beyond their slots by more
+    /// than one request a router, and against parts that don't add up.
+    #[test]
+    fn routers_that_see_nothing_of_each_other_keep_to_the_slots(
+        routers in 1usize..12,
+        endpoints in 1usize..6,
+        slots in 1u32..40,
+        seed in 0u64..1000,
+    ) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut all: Vec<_> = (0..routers)
+            .map(|r| selector(r, routers, endpoints, slots))
+            .collect();
+        let parts: u32 = all.iter().map(|s| s.room(secs(0), &request(0)).slots).sum();
+        prop_assert_eq!(parts, slots * endpoints as u32);
+        let mut load: HashMap<String, u32> = HashMap::new();
+        let mut running = Vec::new();
+        for id in 0..1500u128 {
+            let r = rng.random_range(0..routers);
+            if rng.random_range(0..5) == 0 && !running.is_empty() {
+                let at = rng.random_range(0..running.len());
+                let (r, ep, id): (usize, String, u128) = running.swap_remove(at);
+                all[r].finished(secs(1), &ep, id, DONE);
+                *load.entry(ep).or_default() -= 1;
+                continue;
+            }
+            let req = RouteRequest {
+                level: rng.random_range(0..3),
+                prefix: Some(rng.random_range(0..3)),
+                ..request(rng.random())
+            };
+            if let Ok(c) = all[r].choose(secs(1), &req) {
+                all[r].started(secs(1), &c.endpoint, id, 10);
+                let n = load.entry(c.endpoint.clone()).or_default();
+                *n += 1;
+                prop_assert!(*n <= slots + routers as u32);
+                running.push((r, c.endpoint, id));
+            }
+        }
+        // Every router is full now, so every slot is taken.
+        for e in 0..endpoints {
+            let n = load.get(&format!("e{e}")).copied().unwrap_or(0);
+            prop_assert!(n + 2 * routers as u32 >= slots, "e{e}: {n} of {slots}");
+        }
+    }
+
+    /// Guards against a popular prefix that makes a hot spot.
+    #[test]
+    fn one_prefix_makes_no_hot_spot(seed in 0u64..1000, requests in 20u32..200) {
+        let mut s = selector(0, 1, 8, 64);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut load: HashMap<String, u32> = HashMap::new();
+        for id in 0..requests {
+            let req = RouteRequest { prefix: Some(7), ..request(rng.random()) };
+            let c = s.choose(secs(1), &req).expect("there is room");
+            s.started(secs(1), &c.endpoint, u128::from(id), 10);
+            *load.entry(c.endpoint).or_default() += 1;
+        }
+        let most = load.values().copied().max().unwrap_or(0);
+        // 1.25 times the mean, one request, and two for the pair's imbalance.
+        let bound = 1.25 * f64::from(requests) / 8.0 + 3.0;
+        prop_assert!(f64::from(most) <= bound, "{most} of {requests}: {load:?}");
+    }
+}
+
+/// Guards against requests that go where they can't be served.
+#[rstest]
+#[case("model", RouteRequest { model: "other", ..request(1) }, false)]
+#[case("version", RouteRequest { version: "2", ..request(1) }, false)]
+#[case("adapter", RouteRequest { adapter: "b", ..request(1) }, false)]
+#[case("service", RouteRequest { model: "", service: "shop", ..request(1) }, false)]
+#[case("all match", RouteRequest { version: "1", adapter: "a", ..request(1) }, true)]
+fn candidates_serve_the_request(
+    #[case] name: &str,
+    #[case] req: RouteRequest<'static>,
+    #[case] found: bool,
+) {
+    let mut s = selector(0, 1, 3, 4);
+    let choice = s.choose(secs(1), &req);
+    assert_eq!(choice.is_ok(), found, "{name}");
+    if !found {
+        assert_eq!(choice, Err(NoRoute::NoEndpoint), "{name}");
+    }
+}
+
+/// Guards against new work for endpoints that leave, whose lease has ended or
+/// that an older announcement brings back.
+#[test]
+fn leaving_and_expired_endpoints_get_nothing() {
+    let mut s = selector(0, 1, 1, 4);
+    let leaving = EndpointState {
+        leaving: true,
+        ..state(0, 3, 4)
+    };
+    s.update(secs(1), &leaving);
+    s.update(secs(1), &state(0, 2, 4));
+    assert_eq!(s.choose(secs(1), &request(1)), Err(NoRoute::NoEndpoint));
+    s.update(secs(1), &state(0, 4, 4));
+    assert!(s.choose(secs(999), &request(1)).is_ok());
+    assert_eq!(s.choose(secs(1000), &request(1)), Err(NoRoute::NoEndpoint));
+    let tried = ["e0".to_owned()];
+    let again = RouteRequest {
+        exclude: &tried,
+        ..request(1)
+    };
+    assert_eq!(s.choose(secs(1), &again), Err(NoRoute::Excluded));
+}
+
+/// Guards against work for endpoints that fail or fall silent while others are
+/// healthy, and against refusals when none is.
+#[test]
+fn failing_and_silent_endpoints_are_avoided() {
+    let mut s = selector(0, 1, 3, 64);
+    for id in 0..2 {
+        s.started(secs(1), "e0", id, 10);
+        s.finished(secs(1), "e0", id, Outcome::Failed(Failure::FirstByte));
+    }
+    // A first byte that is overdue counts before any time limit is reached.
+    s.started(secs(1), "e1", 9, 10);
+    for f in 0..50 {
+        let c = s.choose(secs(5), &request(f)).expect("e2 is healthy");
+        assert_eq!(c.endpoint, "e2");
+    }
+    s.first_byte(secs(5), "e1", 9);
+    let chosen: Vec<String> = (0..50)
+        .filter_map(|f| s.choose(secs(5), &request(f)).ok())
+        .map(|c| c.endpoint)
+        .collect();
+    assert!(chosen.contains(&"e1".to_owned()) && !chosen.contains(&"e0".to_owned()));
+    s.remove("e1");
+    s.remove("e2");
+    s.remove("e2");
+    let left = s
+        .choose(secs(5), &request(1))
+        .expect("better than a refusal");
+    assert_eq!(left.endpoint, "e0");
+}
+
+/// Guards against an endpoint that is filled beyond the point where the time
+/// between tokens breaks its target of 31 ms.
+#[test]
+fn slots_end_where_the_gap_breaks() {
+    let mut s = selector(0, 1, 1, 100);
+    for seq in 2..40 {
+        // 10 ms and 1 ms more for each running request: 21 keep the target.
+        let running = 5 + (seq % 20) as u32;
+        let gap = 0.010 + 0.001 * f64::from(running);
+        let mut ep = state(0, seq, 100);
+        ep.measured = secs(seq);
+        ep.load = Some(Load {
+            running,
+            tokens_per_s: f64::from(running) / gap,
+            ..Load::default()
+        });
+        s.update(secs(seq), &ep);
+    }
+    let slots = s.room(secs(50), &request(0)).slots;
+    assert!((19..=21).contains(&slots), "{slots}");
+}
+
+/// Guards against copies of one request that spread over the fleet when they
+/// come through routers that don't see each other.
+#[test]
+fn copies_stay_within_two_endpoints() {
+    for fingerprint in 0..50 {
+        let mut used = std::collections::HashSet::new();
+        for r in 0..9 {
+            let mut s = selector(r, 9, 12, 32);
+            for id in 0..3 {
+                let c = s.choose(secs(1), &request(fingerprint)).expect("room");
+                s.started(secs(1), &c.endpoint, id, 10);
+                used.insert(c.endpoint);
+            }
+        }
+        assert!(used.len() <= 2, "{used:?}");
+    }
+}
+
+/// Guards against attempts that are forgotten when an endpoint's announcement
+/// is missing for a while: they still fill its slots.
+#[test]
+fn running_attempts_survive_a_gap_in_announcements() {
+    let mut s = selector(0, 1, 1, 2);
+    for id in 0..3 {
+        s.started(secs(1), "e0", id, 10);
+    }
+    s.remove("e0");
+    s.update(secs(2), &state(0, 2, 2));
+    assert!(matches!(
+        s.choose(secs(2), &request(1)),
+        Err(NoRoute::Full(_))
+    ));
+    s.finished(secs(3), "e0", 0, DONE);
+    assert!(s.choose(secs(3), &request(1)).is_ok());
+}
+
+/// Guards against subsets on which routers disagree and against endpoints that
+/// no router uses.
+#[test]
+fn subsets_have_the_same_size_everywhere() {
+    let names: Vec<String> = (0..350).map(|r| format!("r{r}")).collect();
+    let mut reversed = names.clone();
+    reversed.reverse();
+    for e in 0..100 {
+        let ep = format!("e{e}");
+        let chosen = share::subset(&ep, &names, share::SUBSET_ROUTERS);
+        assert_eq!(chosen.len(), 12);
+        assert_eq!(chosen, share::subset(&ep, &reversed, share::SUBSET_ROUTERS));
+    }
+}
