Choose between the homes of the prefix and of the fingerprint

Cause: with two candidates by fingerprint a prompt rarely met its cached prefix. Change: one candidate follows from the prefix, the other from the fingerprint.

--- a/crates/bench/src/traffic/cases.rs
+++ b/crates/bench/src/traffic/cases.rs
@@ -75,6 +75,10 @@
     }
 }
 
+fn mean(samples: &[f32]) -> f64 {
+    samples.iter().copied().map(f64::from).sum::<f64>() / samples.len().max(1) as f64
+}
+
 /// One size of the bench.
 pub(crate) struct Cases<'a> {
     pub(crate) cfg: &'a TrafficConfig,
@@ -485,6 +489,7 @@
         };
         let case = "ways to choose";
         for policy in [
+            way("prefix pair", Method::PrefixPair, true),
             way("pair", Method::FingerprintPair, true),
             way("pair, no prefix", Method::FingerprintPair, false),
             way("power of two", Method::PowerOfTwo, true),
@@ -506,6 +511,7 @@
             let lost = poison.deaths.values().copied().max().unwrap_or(0);
             for (measure, value) in [
                 ("calm p95 first token, s", percentile(&calm.first, 0.95)),
+                ("calm mean first token, s", mean(&calm.first)),
                 ("calm p95 gap, s", percentile(&calm.gaps, 0.95)),
                 ("calm load deviation", percentile(&calm.spread, 0.5)),
                 ("low flood urgent p95 wait, s", low.rank(0).wait_p95()),
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -28,6 +28,9 @@
     LeastInFlight,
     /// Two by rendezvous over the fingerprint; the better score wins.
     FingerprintPair,
+    /// One by rendezvous over the prefix and one over the fingerprint; the
+    /// better score wins.
+    PrefixPair,
 }
 
 /// Weights and expectations of a [`PredictiveSelector`].
@@ -71,7 +74,7 @@
 impl Default for SelectorConfig {
     fn default() -> Self {
         Self {
-            method: Method::FingerprintPair,
+            method: Method::PrefixPair,
             target_first: Duration::from_millis(790),
             target_gap: Duration::from_millis(31),
             first_base: Duration::from_millis(50),
@@ -223,7 +226,10 @@
     ///
     /// Returns [`NoRoute::Full`] for a suspect whose pair has no room.
     fn narrow(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<(), NoRoute> {
-        if self.cfg.method == Method::FingerprintPair {
+        if matches!(
+            self.cfg.method,
+            Method::FingerprintPair | Method::PrefixPair
+        ) {
             if self.narrow_to_pair(now, req) {
                 return Ok(());
             }
@@ -285,14 +291,22 @@
         true
     }
 
-    /// Returns the first two endpoints that serve a request, in rendezvous
-    /// order over its key, whether they have room or not.
+    /// Returns the two endpoints that serve a request and come first in
+    /// rendezvous order, whether they have room or not: the first one over the
+    /// prefix and the first other one over the fingerprint, or the first two
+    /// over the fingerprint.
     fn pair(&self, now: Duration, req: &RouteRequest<'_>, key: u64) -> [Option<usize>; 2] {
+        let by_prefix = self.cfg.method == Method::PrefixPair && self.cfg.affinity;
+        let home = req.prefix.filter(|_| by_prefix);
+        let mut first: Option<(u64, usize)> = None;
         let mut best: [Option<(u64, usize)>; 2] = [None, None];
         for (at, ep) in self.endpoints.iter().enumerate() {
             if !ep.serves(now, req) {
                 continue;
             }
+            if let Some(prefix) = home {
+                first = first.max(Some((share::weight_of(prefix, ep.hash), at)));
+            }
             let entry = Some((share::weight_of(key, ep.hash), at));
             if entry > best[0] {
                 best = [entry, best[0]];
@@ -300,7 +314,12 @@
                 best[1] = entry;
             }
         }
-        best.map(|b| b.map(|(_, at)| at))
+        let [one, two] = best.map(|b| b.map(|(_, at)| at));
+        match first.map(|(_, at)| at) {
+            None => [one, two],
+            home if home == one => [home, two],
+            home => [home, one],
+        }
     }
 
     /// Returns the chance that the prefix is cached at an endpoint, or zero
