--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -8,6 +8,7 @@
 mod check;
 mod default;
 mod demo;
+mod emulate;
 mod exception;
 mod history;
 mod items;
@@ -47,6 +48,11 @@
                 command: demo::command,
                 run: demo::run,
             },
+            Entry {
+                name: emulate::NAME,
+                command: emulate::command,
+                run: emulate::run,
+            },
             $(Entry {
                 name: stringify!($name),
                 command: $name::command,
