Read the configuration in pages

Cause: every change read the whole configuration, which exceeds the 4 MiB of a peer frame at some tens of thousands of items; the target is 740,000 budgets. Figures: with 2,500 teams the largest ledger reply during a change of one team stayed below 4,096 bytes; a page of 1,000 teams below 256 KiB. Conclusion: the cost of a change no longer grows with the configuration.

--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -196,6 +196,22 @@
         self.call(Method::GET, path, None).await
     }
 
+    /// Reads all items of a kind, page by page.
+    pub(crate) async fn list(&self, kind: &str) -> Result<Value, CliError> {
+        let mut all = Vec::new();
+        let mut path = format!("/admin/v1/{kind}");
+        loop {
+            let mut page = self.get(&path).await?;
+            if let Value::Array(items) = page[kind].take() {
+                all.extend(items);
+            }
+            match page["next"].as_str() {
+                Some(next) => path = format!("/admin/v1/{kind}?after={}", encode(next)),
+                None => return Ok(Value::Array(all)),
+            }
+        }
+    }
+
     /// Sends a request to the first member that can run it, and again with the
     /// same ids after a lost answer.
     pub(crate) async fn call(
--- a/crates/cli/src/cmd/items.rs
+++ b/crates/cli/src/cmd/items.rs
@@ -110,10 +110,7 @@
         let api = Api::new(args)?;
         let reply = block_on(async {
             match verb {
-                "list" => {
-                    let reply = api.get(&format!("/admin/v1/{}", self.path)).await?;
-                    Ok(reply[self.path].clone())
-                }
+                "list" => api.list(self.path).await,
                 "show" => Ok(api.get(&self.item_path(args)).await?[self.one].clone()),
                 "set" => self.set(&api, args).await,
                 _ => {
--- a/crates/cli/src/cmd/key.rs
+++ b/crates/cli/src/cmd/key.rs
@@ -59,8 +59,8 @@
     };
     let api = Api::new(args)?;
     if verb == "list" {
-        let reply = block_on(api.get("/admin/v1/keys"))?;
-        print(args, &reply["keys"]);
+        let reply = block_on(api.list("keys"))?;
+        print(args, &reply);
         return Ok(());
     }
     let named = args.get_one::<String>("name").map_or("", String::as_str);
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -3,7 +3,7 @@
 //! `calls` is the table of all calls with the roles that may use them, and
 //! `run` carries them out. `auth` finds the role of a key, `items` converts
 //! configuration items from and to JSON, `change` turns requests into ledger
-//! changes and diffs, `status` says what is wrong, and `http` serves it all.
+//! changes and diffs, `read` reads in pages, `status` says what is wrong, and `http` serves it all.
 
 mod auth;
 mod calls;
@@ -11,6 +11,7 @@
 mod error;
 mod http;
 mod items;
+mod read;
 mod run;
 mod status;
 
--- a/crates/control/src/admin/calls.rs
+++ b/crates/control/src/admin/calls.rs
@@ -149,7 +149,8 @@
     for want in pattern.split('/') {
         let got = path.next()?;
         if want.starts_with('{') {
-            values.push(decode(got)?);
+            // Names hold no `/`, so an encoded one is refused.
+            values.push(decode(got).filter(|name| !name.contains('/'))?);
         } else if want != got {
             return None;
         }
@@ -157,8 +158,8 @@
     path.next().is_none().then_some(values)
 }
 
-/// Decodes `%xx`. Names hold no `/`, so an encoded one is refused.
-fn decode(segment: &str) -> Option<String> {
+/// Decodes `%xx`.
+pub(super) fn decode(segment: &str) -> Option<String> {
     let mut out = Vec::with_capacity(segment.len());
     let mut bytes = segment.bytes();
     while let Some(b) = bytes.next() {
@@ -170,5 +171,5 @@
         out.extend(hex::decode(pair).ok()?);
     }
     let text = String::from_utf8(out).ok()?;
-    (!text.is_empty() && !text.contains('/')).then_some(text)
+    (!text.is_empty()).then_some(text)
 }
--- a/crates/control/src/admin/change.rs
+++ b/crates/control/src/admin/change.rs
@@ -1,5 +1,6 @@
 //! Requests that change the configuration, and their diffs.
 
+use anvilloft_ledger::item_json;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::ConfigChange;
 use anvilloft_wire::config::ConfigOp;
@@ -16,7 +17,6 @@
 use super::items::from_json;
 use super::items::name_of;
 use super::items::set;
-use super::items::to_json;
 
 /// Longest id of a change, in bytes.
 const MAX_ID_BYTES: usize = 128;
@@ -157,6 +157,21 @@
     from_json(kind, &with_hash(config, kind, item))
 }
 
+/// Returns the kinds that the operations of a `changes` request name.
+pub(super) fn kinds_of(ops: &Value) -> Vec<ItemKind> {
+    let ops = ops.as_array().map_or(&[][..], Vec::as_slice);
+    let named: Vec<&str> = ops
+        .iter()
+        .filter_map(Value::as_object)
+        .flat_map(|op| op.values())
+        .filter_map(|target| target["kind"].as_str())
+        .collect();
+    ItemKind::ALL
+        .into_iter()
+        .filter(|kind| named.contains(&kind.path))
+        .collect()
+}
+
 /// Reads the operations of a `changes` request.
 pub(super) fn read_ops(config: &Value, ops: &Value) -> Result<Vec<ConfigOp>, ApiError> {
     let bad = |reason: &str| ApiError::BadRequest(format!("ops: {reason}"));
@@ -216,7 +231,7 @@
         let mut names = Vec::new();
         for item in section {
             let item = read_item(config, kind, None, item.clone())?;
-            let after = to_json(&item);
+            let after = item_json(&item);
             let name = name_of(kind, &after);
             if names.contains(&name) {
                 return Err(ApiError::BadRequest(format!(
@@ -261,7 +276,7 @@
                     Item::Default(_) => Kind::Default,
                     Item::Exception(_) => Kind::Exception,
                 })?;
-                let after = to_json(item);
+                let after = item_json(item);
                 let name = name_of(kind, &after);
                 let before = find(config, kind, &name).map(plain);
                 let verb = match &before {
--- a/crates/control/src/admin/items.rs
+++ b/crates/control/src/admin/items.rs
@@ -17,7 +17,6 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use serde_json::json;
 
 use super::error::ApiError;
 
@@ -241,51 +240,6 @@
     })
 }
 
-/// Returns an item in the form of the ledger's `config` query.
-pub(super) fn to_json(item: &Item) -> Value {
-    match item {
-        Item::Team(i) => json!({
-            "name": i.name,
-            "default_rank": i.default_rank,
-            "weight": i.weight,
-            "disabled": i.disabled,
-        }),
-        Item::Key(i) => json!({
-            "name": i.name,
-            "team": i.team,
-            "budget": i.budget,
-            "role": i.role,
-            "sha256": hex::encode(&i.hash),
-        }),
-        Item::Budget(i) => json!({ "name": i.name, "team": i.team }),
-        Item::Rank(i) => json!({
-            "name": i.name,
-            "level": i.level,
-            "weight": i.weight,
-            "floor_percent": i.floor_percent,
-            "queue_ms": i.queue_ms,
-        }),
-        Item::Model(i) => json!({
-            "name": i.name,
-            "version": i.version,
-            "default_max_tokens": i.default_max_tokens,
-            "max_tokens": i.max_tokens,
-        }),
-        Item::Service(i) => json!({
-            "name": i.name,
-            "idempotent": i.idempotent,
-            "price": i.price,
-        }),
-        Item::Default(i) => json!({ "name": i.name, "value": i.value }),
-        Item::Exception(i) => json!({
-            "team": i.team,
-            "name": i.name,
-            "value": i.value,
-            "reason": i.reason,
-        }),
-    }
-}
-
 /// Returns the name that identifies an item within its kind.
 pub(super) fn name_of(kind: ItemKind, value: &Value) -> String {
     let text = |field: &str| value[field].as_str().unwrap_or_default();
--- a/crates/control/src/admin/run.rs
+++ b/crates/control/src/admin/run.rs
@@ -37,10 +37,9 @@
 use super::items::ItemKind;
 use super::items::parse_hash;
 use super::items::set;
+use super::read::MAX_ROWS;
 use super::status;
 
-/// Largest count of rows that a client may ask for.
-const MAX_ROWS: u32 = 1_000;
 /// Requests that run at once.
 const MAX_REQUESTS: usize = 128;
 
@@ -129,7 +128,7 @@
         };
         match spec.run {
             Run::Status => ok(self.status(&caller).await?),
-            Run::Config => ok(self.config(&caller).await?),
+            Run::Config => ok(self.sections(&caller, &ItemKind::ALL).await?),
             Run::History => ok(self.rows("history", &caller, query).await?),
             Run::Orders => ok(self.rows("orders", &caller, query).await?),
             Run::Routers => ok(json!({ "routers": self.rows("routers", &caller, query).await? })),
@@ -152,7 +151,7 @@
             Run::MakeKey => self.make_key(&caller, body).await,
             Run::RotateKey => self.rotate_key(&caller, &values, body).await,
             Run::TopUp => self.top_up(&caller, &values, body).await,
-            Run::List => self.list(&caller, &values).await,
+            Run::List => self.list(&caller, &values, query).await,
             Run::Get => self.get(&caller, &values).await,
             Run::Set => self.set(&caller, &values, body).await,
             Run::Delete => self.delete(&caller, &values, body).await,
@@ -218,40 +217,13 @@
         }
     }
 
-    /// Reads the configuration. Only operators see the hashes of keys.
-    async fn config(&self, caller: &Caller) -> Result<Value, ApiError> {
-        let mut config = self.query("config", "", caller.team(), 0).await?;
-        if caller.role != super::auth::Role::Operator
-            && let Some(keys) = config["keys"].as_array_mut()
-        {
-            for key in keys.iter_mut().filter_map(Value::as_object_mut) {
-                key.remove("sha256");
-            }
-        }
-        Ok(config)
-    }
-
-    async fn rows(&self, kind: &str, caller: &Caller, query: &str) -> Result<Value, ApiError> {
-        let mut limit = 0;
-        for pair in query.split('&').filter(|pair| !pair.is_empty()) {
-            limit = match pair.split_once('=') {
-                Some(("limit", value)) => value.parse().ok().filter(|n| *n <= MAX_ROWS),
-                _ => None,
-            }
-            .ok_or_else(|| ApiError::BadRequest(format!("only limit=0..{MAX_ROWS} is known")))?;
-        }
-        self.query(kind, "", caller.team(), limit).await
-    }
-
     async fn status(&self, caller: &Caller) -> Result<Value, ApiError> {
         let team = caller.team();
         let ledger = self.query("status", "", team, 0).await?;
         let budgets = self.query("budgets", "", team, MAX_ROWS).await?;
-        let config = self.query("config", "", team, 0).await?;
-        let defaults = ItemKind::find("defaults")?;
-        let small = change::find(&config, defaults, "small_budget_tokens")
-            .and_then(|default| default["value"].as_u64())
-            .unwrap_or(0);
+        let small = "small_budget_tokens";
+        let small = self.query("item/defaults", small, team, 0).await?;
+        let small = small["item"]["value"].as_u64().unwrap_or(0);
         if !team.is_empty() {
             return Ok(status::team_status(&ledger, &budgets, small));
         }
@@ -260,33 +232,6 @@
         Ok(status::status(&ledger, &group, &routers, &budgets, small))
     }
 
-    async fn list(&self, caller: &Caller, values: &[String]) -> Result<Reply, ApiError> {
-        let kind = ItemKind::find(&values[0])?;
-        let mut config = self.config(caller).await?;
-        let mut body = json!({ "revision": config["revision"] });
-        body[kind.path] = match kind.path {
-            "budgets" => self.query("budgets", "", caller.team(), MAX_ROWS).await?,
-            _ => config[kind.path].take(),
-        };
-        Ok(Reply { status: 200, body })
-    }
-
-    async fn get(&self, caller: &Caller, values: &[String]) -> Result<Reply, ApiError> {
-        let kind = ItemKind::find(&values[0])?;
-        let name = values[1..].join("/");
-        let config = self.config(caller).await?;
-        // An item of another team is as absent as one that doesn't exist.
-        let Some(item) = change::find(&config, kind, &name) else {
-            return Err(ApiError::NotFound(format!("{} {name}", kind.one)));
-        };
-        let item = match kind.path {
-            "budgets" => self.query("budget", &name, caller.team(), 0).await?,
-            _ => item.clone(),
-        };
-        let body = json!({ "revision": config["revision"], kind.one: item });
-        Ok(Reply { status: 200, body })
-    }
-
     /// Proposes operations, or shows their diff in a dry run.
     async fn propose(
         &self,
@@ -329,8 +274,8 @@
         let head = Head::take(&mut body)?;
         let item = take(&mut body, "item")?;
         check_empty(&body)?;
-        let config = self.config(caller).await?;
         let name = values[1..].join("/");
+        let config = self.one(caller, kind, &name).await?;
         let item = change::read_item(&config, kind, Some(&name), item)?;
         let body = self
             .propose(caller, &head, &config, vec![set(item)])
@@ -347,8 +292,9 @@
         let kind = ItemKind::find(&values[0])?;
         let head = Head::take(&mut body)?;
         check_empty(&body)?;
-        let config = self.config(caller).await?;
-        let ops = vec![kind.delete(&values[1..].join("/"))];
+        let name = values[1..].join("/");
+        let config = self.one(caller, kind, &name).await?;
+        let ops = vec![kind.delete(&name)];
         let body = self.propose(caller, &head, &config, ops).await?;
         Ok(Reply { status: 200, body })
     }
@@ -361,7 +307,7 @@
         let head = Head::take(&mut body)?;
         let ops = take(&mut body, "ops")?;
         check_empty(&body)?;
-        let config = self.config(caller).await?;
+        let config = self.sections(caller, &change::kinds_of(&ops)).await?;
         let ops = change::read_ops(&config, &ops)?;
         let body = self.propose(caller, &head, &config, ops).await?;
         Ok(Reply { status: 200, body })
@@ -372,13 +318,15 @@
         caller: &Caller,
         mut body: Map<String, Value>,
     ) -> Result<Reply, ApiError> {
-        let config = self.config(caller).await?;
+        let file = take(&mut body, "file")?;
+        let in_file = |kind: &ItemKind| file.get(kind.path).is_some();
+        let kinds: Vec<ItemKind> = ItemKind::ALL.into_iter().filter(in_file).collect();
+        let config = self.sections(caller, &kinds).await?;
         // Without a base the file is applied to the revision just read.
         if !body.contains_key("base_revision") {
             body.insert("base_revision".to_owned(), config["revision"].clone());
         }
         let head = Head::take(&mut body)?;
-        let file = take(&mut body, "file")?;
         let prune = body.remove("prune").is_some_and(|prune| prune == true);
         check_empty(&body)?;
         let ops = change::plan(&config, &file, prune)?;
@@ -402,7 +350,7 @@
         let head = Head::take(&mut body)?;
         let name = take_text(&mut body, "name")?;
         let (secret, hash) = new_secret(&take_text(&mut body, "sha256")?)?;
-        let config = self.config(caller).await?;
+        let config = self.one(caller, kind, &name).await?;
         // A resent request finds its own key, so only the change id decides.
         if let Some(old) = change::find(&config, kind, &name)
             && (secret.is_some() || old["sha256"] != hex::encode(&hash))
@@ -431,8 +379,8 @@
         let head = Head::take(&mut body)?;
         let (secret, hash) = new_secret(&take_text(&mut body, "sha256")?)?;
         check_empty(&body)?;
-        let config = self.config(caller).await?;
         let name = &values[0];
+        let config = self.one(caller, kind, name).await?;
         let Some(old) = change::find(&config, kind, name) else {
             return Err(ApiError::NotFound(format!("key {name}")));
         };
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -173,7 +173,7 @@
         cfg.node.election_min = settings.election_min;
         cfg.node.election_max = settings.election_max;
         if settings.group == GroupStart::New && is_blank(cfg.disk.as_ref())? {
-            look_for_group(&settings, identity.clone(), &log).await?;
+            look_for_group(&settings, told, identity.clone(), &log).await?;
             cfg.found = Some(told.to_string());
         }
         let driver = Driver::start(cfg)?;
@@ -398,10 +398,14 @@
 /// settings still say `group = new` would otherwise serve an empty ledger.
 async fn look_for_group(
     settings: &ControlSettings,
+    own: SocketAddr,
     identity: Arc<Identity>,
     log: &Logger,
 ) -> Result<(), DaemonError> {
-    if settings.peers.is_empty() {
+    // One list of all members may serve every host.
+    let mut others = settings.peers.clone();
+    others.retain(|address| *address != own && *address != settings.peer_listen);
+    if others.is_empty() {
         return Ok(());
     }
     let handler = Arc::new(PeerHandler(Peers::new(
@@ -410,10 +414,10 @@
         1,
         log.clone(),
     )));
-    let client = ControlClient::start(&settings.peers, identity, handler, log.clone());
+    let client = ControlClient::start(&others, identity, handler, log.clone());
     let end = tokio::time::Instant::now() + settings.group_wait;
     let mut asked = 0;
-    while tokio::time::Instant::now() < end && asked < settings.peers.len() {
+    while tokio::time::Instant::now() < end && asked < others.len() {
         let sessions = client.sessions();
         asked = 0;
         for session in sessions {
@@ -425,8 +429,8 @@
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    match asked < settings.peers.len() {
-        true => Err(DaemonError::PeersSilent(asked, settings.peers.len())),
+    match asked < others.len() {
+        true => Err(DaemonError::PeersSilent(asked, others.len())),
         false => Ok(()),
     }
 }
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -24,6 +24,7 @@
         .after_help(HELP)
         .arg(
             Arg::new("settings")
+                .long("settings")
                 .value_name("FILE")
                 .required(true)
                 .help("Settings file; `anvilloft settings control` prints the defaults"),
--- a/crates/control/tests/admin.rs
+++ b/crates/control/tests/admin.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_control::admin::Access;
@@ -69,7 +70,7 @@
     }
 
     async fn revision(&self) -> u64 {
-        self.ok("GET", "/admin/v1/config", Value::Null).await["revision"]
+        self.ok("GET", "/admin/v1/ranks", Value::Null).await["revision"]
             .as_u64()
             .unwrap()
     }
@@ -474,6 +475,41 @@
     assert_eq!(config["keys"].as_array().unwrap().len(), 1);
 }
 
+#[tokio::test]
+async fn many_items_are_read_in_pages_and_stay_out_of_other_calls() {
+    let f = Fixture::new();
+    let ops: Vec<Value> = (0..2_500)
+        .map(|n| json!({ "set": { "kind": "teams", "item": { "name": format!("t{n:04}") } } }))
+        .collect();
+    let body = f.head("many", json!({ "ops": ops })).await;
+    f.ok("POST", "/admin/v1/changes", body).await;
+    let mut names = Vec::new();
+    let mut query = String::new();
+    while names.len() <= 2_500 {
+        let auth = format!("Bearer {ROOT}");
+        let page = f
+            .admin
+            .handle("GET", "/admin/v1/teams", &query, Some(&auth), &[])
+            .await;
+        assert!(page.body.to_string().len() < 256 * 1024);
+        let teams = page.body["teams"].as_array().unwrap().clone();
+        names.extend(teams.iter().map(|t| t["name"].as_str().unwrap().to_owned()));
+        match page.body["next"].as_str() {
+            Some(next) => query = format!("after={next}"),
+            None => break,
+        }
+    }
+    let expected: Vec<String> = (0..2_500).map(|n| format!("t{n:04}")).collect();
+    assert_eq!(names, expected);
+    // The largest reply of the ledger while one item is changed must not grow
+    // with the count of items.
+    f.control.largest.store(0, Ordering::SeqCst);
+    f.put("teams/t0007", json!({ "weight": 2 })).await;
+    assert!(f.control.largest.load(Ordering::SeqCst) < 4_096);
+    let config = f.ok("GET", "/admin/v1/config", Value::Null).await;
+    assert_eq!(config["teams"].as_array().unwrap().len(), 2_500);
+}
+
 #[tokio::test]
 async fn a_secret_is_shown_once_and_ends_with_rotation_or_revocation() {
     let f = Fixture::new();
--- a/crates/control/tests/group/hosts.rs
+++ b/crates/control/tests/group/hosts.rs
@@ -77,12 +77,8 @@
 
     pub(crate) async fn start(&mut self, i: usize, group: GroupStart) -> Result<(), DaemonError> {
         let host = &self.hosts[i];
-        let peers: Vec<SocketAddr> = self
-            .hosts
-            .iter()
-            .map(|h| h.peer)
-            .filter(|peer| *peer != host.peer)
-            .collect();
+        // One list serves every host, its own address included.
+        let peers: Vec<SocketAddr> = self.hosts.iter().map(|h| h.peer).collect();
         let settings = ControlSettings::builder()
             .name(host.name.clone())
             .data_centre(format!("dc{i}"))
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A control group of one ledger without consensus, for tests of the API alone.
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_ledger::Ledger;
@@ -18,6 +20,8 @@
 #[derive(Default)]
 pub(crate) struct OneLedger {
     pub(crate) ledger: Mutex<Ledger>,
+    /// Length of the largest query result so far, in bytes.
+    pub(crate) largest: AtomicUsize,
     /// Error to return instead.
     pub(crate) fail: Mutex<Option<CallError>>,
 }
@@ -40,7 +44,10 @@
                     Answer::Applied(reply)
                 }
                 Some(Request::Query(q)) => match ledger.query(&q) {
-                    Ok(json) => Answer::QueryResult(json),
+                    Ok(json) => {
+                        self.largest.fetch_max(json.len(), Ordering::SeqCst);
+                        Answer::QueryResult(json)
+                    }
                     Err(err) => Answer::Unavailable(err.to_string()),
                 },
                 Some(Request::Group(_)) => Answer::QueryResult(GROUP.to_owned()),
--- a/crates/ledger/src/config.rs
+++ b/crates/ledger/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::ops::Bound;
 
 use anvilloft_types::Revision;
 use anvilloft_wire::config::Budget;
@@ -105,6 +106,15 @@
     }
 }
 
+fn follow<'a, T>(
+    items: &'a BTreeMap<String, T>,
+    name: &str,
+) -> impl Iterator<Item = &'a T> + use<'a, T> {
+    items
+        .range::<str, _>((Bound::Excluded(name), Bound::Unbounded))
+        .map(|(_, item)| item)
+}
+
 impl Config {
     /// Returns the configuration of revision 0: the built-in ranks and defaults.
     pub fn new() -> Self {
@@ -320,6 +330,41 @@
         self.exceptions.values()
     }
 
+    /// Returns budgets whose names follow `name`, sorted.
+    pub(crate) fn budgets_after(&self, name: &str) -> impl Iterator<Item = &Budget> {
+        follow(&self.budgets, name)
+    }
+
+    /// Returns the items of a kind whose names follow `name`, sorted.
+    pub(crate) fn after(&self, kind: Kind, name: &str) -> Box<dyn Iterator<Item = Item> + '_> {
+        match kind {
+            Kind::Team => Box::new(follow(&self.teams, name).cloned().map(Item::Team)),
+            Kind::Key => Box::new(follow(&self.keys, name).cloned().map(Item::Key)),
+            Kind::Budget => Box::new(follow(&self.budgets, name).cloned().map(Item::Budget)),
+            Kind::Rank => Box::new(follow(&self.ranks, name).cloned().map(Item::Rank)),
+            Kind::Model => Box::new(follow(&self.models, name).cloned().map(Item::Model)),
+            Kind::Service => Box::new(follow(&self.services, name).cloned().map(Item::Service)),
+            Kind::Default => Box::new(follow(&self.defaults, name).cloned().map(Item::Default)),
+            Kind::Exception => {
+                Box::new(follow(&self.exceptions, name).cloned().map(Item::Exception))
+            }
+        }
+    }
+
+    /// Returns the named item of a kind.
+    pub(crate) fn item(&self, kind: Kind, name: &str) -> Option<Item> {
+        match kind {
+            Kind::Team => self.teams.get(name).cloned().map(Item::Team),
+            Kind::Key => self.keys.get(name).cloned().map(Item::Key),
+            Kind::Budget => self.budgets.get(name).cloned().map(Item::Budget),
+            Kind::Rank => self.ranks.get(name).cloned().map(Item::Rank),
+            Kind::Model => self.models.get(name).cloned().map(Item::Model),
+            Kind::Service => self.services.get(name).cloned().map(Item::Service),
+            Kind::Default => self.defaults.get(name).cloned().map(Item::Default),
+            Kind::Exception => self.exceptions.get(name).cloned().map(Item::Exception),
+        }
+    }
+
     /// Returns the value of a default for a team: its exception, else the
     /// default that a change has set, else the built-in value. An empty team
     /// has no exceptions; an unknown name is 0.
--- a/crates/ledger/src/query.rs
+++ b/crates/ledger/src/query.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 
 use crate::accounts::Amounts;
+use crate::items::KINDS;
 use crate::ledger::Ledger;
 use crate::ledger::LedgerError;
 use crate::orders::Progress;
@@ -36,7 +37,14 @@
             "routers" => self.query_routers(q),
             "orders" => self.query_orders(q, limit),
             "status" => self.query_status(q),
-            kind => return Err(LedgerError::UnknownQuery(kind.into())),
+            kind => {
+                let found = match kind.split_once('/') {
+                    Some(("item", kind)) => self.query_item(kind, q),
+                    Some(("items", kind)) => self.query_items(kind, q, limit),
+                    _ => None,
+                };
+                found.ok_or_else(|| LedgerError::UnknownQuery(kind.into()))?
+            }
         };
         Ok(value.to_string())
     }
@@ -50,64 +58,26 @@
 
     fn query_budgets(&self, q: &Query, limit: usize) -> Value {
         self.config
-            .budgets()
+            .budgets_after(&q.name)
             .filter(|b| sees(q, &b.team))
             .filter_map(|b| Some(budget_row(&b.name, &b.team, self.accounts.get(&b.name)?)))
             .take(limit)
             .collect()
     }
 
+    // Grows with the count of items: `items/KIND` serves large fleets.
     fn query_config(&self, q: &Query) -> Value {
-        let cfg = &self.config;
-        json!({
-            "revision": cfg.revision(),
-            "teams": cfg.teams().filter(|t| sees(q, &t.name)).map(|t| json!({
-                "name": t.name,
-                "default_rank": t.default_rank,
-                "weight": t.weight,
-                "disabled": t.disabled,
-            })).collect::<Value>(),
-            "keys": cfg.keys().filter(|k| sees(q, &k.team)).map(|k| json!({
-                "name": k.name,
-                "team": k.team,
-                "budget": k.budget,
-                "role": k.role,
-                "sha256": hex(&k.hash),
-            })).collect::<Value>(),
-            "budgets": cfg.budgets().filter(|b| sees(q, &b.team)).map(|b| json!({
-                "name": b.name,
-                "team": b.team,
-            })).collect::<Value>(),
-            "ranks": cfg.ranks().map(|r| json!({
-                "name": r.name,
-                "level": r.level,
-                "weight": r.weight,
-                "floor_percent": r.floor_percent,
-                "queue_ms": r.queue_ms,
-            })).collect::<Value>(),
-            "models": cfg.models().map(|m| json!({
-                "name": m.name,
-                "version": m.version,
-                "default_max_tokens": m.default_max_tokens,
-                "max_tokens": m.max_tokens,
-            })).collect::<Value>(),
-            "services": cfg.services().map(|s| json!({
-                "name": s.name,
-                "idempotent": s.idempotent,
-                "price": s.price,
-            })).collect::<Value>(),
-            "defaults": crate::defaults::DEFAULTS.iter().map(|d| json!({
-                "name": d.name,
-                "value": cfg.value(d.name, &q.team),
-                "built_in": d.value,
-            })).collect::<Value>(),
-            "exceptions": cfg.exceptions().filter(|e| sees(q, &e.team)).map(|e| json!({
-                "team": e.team,
-                "name": e.name,
-                "value": e.value,
-                "reason": e.reason,
-            })).collect::<Value>(),
-        })
+        let mut config = json!({ "revision": self.config.revision() });
+        let all = Query {
+            name: String::new(),
+            ..q.clone()
+        };
+        for (kind, _) in KINDS {
+            if let Some(mut page) = self.query_items(kind, &all, usize::MAX) {
+                config[kind] = page["items"].take();
+            }
+        }
+        config
     }
 
     // An unknown key is `null`, not an error: the asker refuses its bearer.
@@ -259,10 +229,6 @@
     q.team.is_empty() || q.team == team
 }
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|b| format!("{b:02x}")).collect()
-}
-
 fn unhex(text: &str) -> Option<[u8; 32]> {
     let mut hash = [0; 32];
     if text.len() != 64 || !text.is_ascii() {
