--- a/crates/control/src/admin/http.rs
+++ b/crates/control/src/admin/http.rs
@@ -13,11 +13,7 @@
 use http_body_util::Limited;
 use slog::Logger;
 use slog::warn;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
-use volo::net::conn::Conn;
-use volo::net::incoming::Incoming;
-use volo::net::incoming::MakeIncoming;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -25,69 +21,20 @@
 use volo_http::server::route::Router;
 
 use super::error::ApiError;
+use super::listener::Listener;
 use super::run::Admin;
 
 /// Time to read a request's body.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
-/// Pause after a failed `accept`, for example without free file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
-/// Accepts connections until told to stop. The library's own listener is
-/// asked again at once after an error, which takes a whole core while file
-/// descriptors are short.
-struct Listener {
-    listener: Option<TcpListener>,
-    stop: watch::Receiver<bool>,
-    log: Logger,
-}
-
-impl std::fmt::Debug for Listener {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.listener.fmt(f)
-    }
-}
-
-impl Incoming for Listener {
-    async fn accept(&mut self) -> std::io::Result<Option<Conn>> {
-        while let Some(listener) = &self.listener {
-            let stop = async {
-                let _ = self.stop.wait_for(|stop| *stop).await;
-            };
-            let accepted = tokio::select! {
-                accepted = listener.accept() => Some(accepted),
-                () = stop => None,
-            };
-            match accepted {
-                Some(Ok((stream, _))) => return Ok(Some(Conn::from(stream))),
-                Some(Err(err)) => {
-                    warn!(self.log, "can't accept an administration connection"; "error" => %err);
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-                // Frees the port. The library's task goes on to ask.
-                None => self.listener = None,
-            }
-        }
-        std::future::pending().await
-    }
-}
-
-impl MakeIncoming for Listener {
-    type Incoming = Self;
-
-    async fn make_incoming(self) -> std::io::Result<Self> {
-        Ok(self)
-    }
-}
-
 /// Says whether the member is ready, and a line for people.
 pub type Readiness = Arc<dyn Fn() -> (bool, String) + Send + Sync>;
 
 /// Serves until `stop` becomes true. `ready` decides the answer of /readyz.
-pub async fn serve(
+pub(super) async fn serve(
     admin: Arc<Admin>,
     metrics: Metrics,
     ready: Readiness,
-    listener: TcpListener,
+    incoming: Listener,
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) {
@@ -102,11 +49,6 @@
     // Administration is rare: a connection carries one request, so idle ones
     // hold no file descriptors.
     server.http1_config().set_keep_alive(false);
-    let incoming = Listener {
-        listener: Some(listener),
-        stop: stop.clone(),
-        log: log.clone(),
-    };
     tokio::select! {
         result = server.run(incoming) => {
             if let Err(err) = result {
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -40,6 +40,7 @@
 use crate::admin;
 use crate::admin::Admin;
 use crate::admin::AdminOptions;
+use crate::admin::ConnectionLimits;
 use crate::driver::Driver;
 use crate::driver::DriverConfig;
 use crate::driver::DriverError;
@@ -52,6 +53,9 @@
 
 use figures::Figures;
 
+/// Time of an administration connection beyond the wait for the group, to read
+/// the request and write the answer.
+const CONNECTION_SLACK: Duration = Duration::from_secs(20);
 /// Interval at which metrics are copied.
 const FIGURES: Duration = Duration::from_secs(1);
 /// Files that a folder without consensus state may hold.
@@ -201,6 +205,16 @@
                 _ => (false, "no leader is known".to_owned()),
             }
         });
+        let server = admin::Server {
+            admin,
+            metrics,
+            ready,
+            limits: ConnectionLimits {
+                count: usize::try_from(settings.admin_connections).unwrap_or(usize::MAX),
+                life: settings.admin_timeout + CONNECTION_SLACK,
+            },
+            log: log.clone(),
+        };
         let tasks = vec![
             tokio::spawn(serve(
                 peer_listener,
@@ -210,14 +224,7 @@
                 stopped.clone(),
                 log.clone(),
             )),
-            tokio::spawn(admin::serve(
-                admin,
-                metrics,
-                ready,
-                admin_listener,
-                stopped.clone(),
-                log.clone(),
-            )),
+            tokio::spawn(server.serve(admin_listener, stopped.clone())?),
             tokio::spawn(follow_membership(
                 handle.clone(),
                 peers.clone(),
