Let every control member share one list of member addresses

Cause: after the guard against a second group landed, the process tests failed: the first member waited for an answer from its own address, which its [peers] list named as well. Change: a member leaves its own address out of the list; both daemons take the settings file as their only argument; the process test waits for the leader's log line in place of the API. Conclusion: hosts can share one list.

--- a/crates/cli/tests/workdir/mod.rs
+++ b/crates/cli/tests/workdir/mod.rs
@@ -158,7 +158,7 @@
             false => "anvilloft-router",
         };
         let path = self.path(&format!("{name}.ini"));
-        self.spawn(name, binary, &["--settings", &path]);
+        self.spawn(name, binary, &[&path]);
     }
 
     /// Starts an emulated endpoint that announces itself to two routers.
@@ -231,7 +231,7 @@
             self.start(&format!("c{n}"));
         }
         wait("the first member leads", || {
-            self.run(&["member", "list"]).status.success()
+            self.log("c0").contains("\"leads\":true")
         });
         for n in 1..controls {
             let id = self.member_id(n);
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -221,7 +221,7 @@
             tokio::spawn(follow_membership(
                 handle.clone(),
                 peers.clone(),
-                settings.peers.clone(),
+                settings.other_members(),
                 told,
             )),
             tokio::spawn(figures.run(handle.clone(), peers.clone(), identity, FIGURES)),
@@ -401,7 +401,8 @@
     identity: Arc<Identity>,
     log: &Logger,
 ) -> Result<(), DaemonError> {
-    if settings.peers.is_empty() {
+    let others = settings.other_members();
+    if others.is_empty() {
         return Ok(());
     }
     let handler = Arc::new(PeerHandler(Peers::new(
@@ -410,10 +411,10 @@
         1,
         log.clone(),
     )));
-    let client = ControlClient::start(&settings.peers, identity, handler, log.clone());
+    let client = ControlClient::start(&others, identity, handler, log.clone());
     let end = tokio::time::Instant::now() + settings.group_wait;
     let mut asked = 0;
-    while tokio::time::Instant::now() < end && asked < settings.peers.len() {
+    while tokio::time::Instant::now() < end && asked < others.len() {
         let sessions = client.sessions();
         asked = 0;
         for session in sessions {
@@ -425,8 +426,8 @@
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    match asked < settings.peers.len() {
-        true => Err(DaemonError::PeersSilent(asked, settings.peers.len())),
+    match asked < others.len() {
+        true => Err(DaemonError::PeersSilent(asked, others.len())),
         false => Ok(()),
     }
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -12,7 +12,6 @@
         .version(clap::crate_version!())
         .arg(
             Arg::new("settings")
-                .long("settings")
                 .required(true)
                 .value_name("FILE")
                 .value_parser(clap::value_parser!(PathBuf))
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -32,7 +32,7 @@
         /// Time that the first member of a new group waits for an answer of every other member.
         /// Without it a host that lost its disk could start a second group beside the first.
         group_wait: Duration = ["control", "group_wait_ms", "ms", Some("30000"), 100, 600_000],
-        /// Peer addresses of the other control members known at the start.
+        /// Peer addresses of control members known at the start; this one may be among them.
         peers: Vec<SocketAddr> = ["peers", "control", "", Some(""), 0, 7],
         /// Time between heartbeats of the leader.
         heartbeat: Duration = ["consensus", "heartbeat_ms", "ms", Some("50"), 5, 10_000],
@@ -72,6 +72,13 @@
         self.peer_address.unwrap_or(self.peer_listen)
     }
 
+    /// Returns the addresses of the other members. The setting may name this
+    /// member too, so that all hosts can share one list.
+    pub fn other_members(&self) -> Vec<SocketAddr> {
+        let own = self.peer_address();
+        self.peers.iter().copied().filter(|a| *a != own).collect()
+    }
+
     fn check(&self, file: &str, faults: &mut Vec<Fault>) {
         let mut fault = |section: &str, key: &str, message: &str| {
             faults.push(Fault {
