Wait for returned tokens before a need is asked for in full

Cause: a router that returns its idle tokens and asks in full could have its grant decided before its own report; control's leader holds a grant only while other routers hold tokens, so the need was refused although it was covered. Change: the grant waits until control has acknowledged the return. Conclusion: the order of report and grant no longer matters.

--- a/crates/bench/src/budgets.rs
+++ b/crates/bench/src/budgets.rs
@@ -44,6 +44,9 @@
     pub balances: Vec<u64>,
     /// Count of teams for each balance.
     pub teams: usize,
+    /// Time from which one router and control can't reach each other, in
+    /// seconds. Callers then use the others.
+    pub cut_at: Option<u64>,
     /// Sets of rules to compare.
     pub rules: Vec<(&'static str, Rules)>,
 }
@@ -56,6 +59,7 @@
             routers: 9,
             balances: vec![3_000, 10_000, 30_000, 100_000, 300_000, 1_000_000],
             teams: 20,
+            cut_at: None,
             rules: vec![
                 ("all rules", all),
                 (
--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -115,6 +115,9 @@
     // the recall for the rest of a need takes the part that is held, and the
     // router asks for the parts in turn without end.
     ask_in_full: bool,
+    // Report with the idle tokens that go back first. Control has to apply it
+    // before it decides on the grant.
+    returned_in: Option<u64>,
     recalled_until: Duration,
     used_at: Duration,
     window: Duration,
@@ -140,6 +143,7 @@
             && self.reserved == 0
             && self.waiting.is_empty()
             && self.outstanding.is_none()
+            && self.returned_in.is_none()
     }
 }
 
@@ -162,6 +166,8 @@
     // Budgets to look at for a grant.
     due: VecDeque<BudgetId>,
     outstanding: BTreeMap<u64, BudgetId>,
+    // Budgets with `returned_in`.
+    returning: Vec<BudgetId>,
     next_id: u64,
     next_seq: u64,
     outbox: Outbox,
@@ -181,6 +187,7 @@
             reservations: HashMap::new(),
             due: VecDeque::new(),
             outstanding: BTreeMap::new(),
+            returning: Vec::new(),
             next_id: 1,
             next_seq: 1,
             idle: IDLE,
@@ -302,11 +309,14 @@
 
     fn make_grant(&mut self, now: Duration, budget: &str) -> Option<Grant> {
         let local = self.budgets.get(budget)?;
-        if local.ask_in_full && local.outstanding.is_none() {
+        if local.ask_in_full && local.outstanding.is_none() && local.idle > 0 {
             self.give_back(now, budget);
+            let seq = self.outbox.seal_all(now);
+            self.budgets.get_mut(budget)?.returned_in = Some(seq);
+            self.returning.push(budget.into());
         }
         let local = self.budgets.get_mut(budget)?;
-        if local.outstanding.is_some() {
+        if local.outstanding.is_some() || local.returned_in.is_some() {
             return None;
         }
         let covers = local
@@ -373,7 +383,6 @@
             }
             Some(Reply::Insufficient(i)) => {
                 local.early_after = now + EARLY_PAUSE;
-                local.ask_in_full = true;
                 // Control has waited for recalled tokens, so a need that
                 // exceeds what there is now can't be met; the others may fit
                 // where their sum doesn't.
@@ -501,6 +510,17 @@
     /// Takes control's acknowledgement of every report up to `seq`.
     pub fn on_report_ack(&mut self, _now: Duration, seq: u64) {
         self.outbox.acknowledge(seq);
+        self.returning.retain(|budget| {
+            let Some(local) = self.budgets.get_mut(budget) else {
+                return false;
+            };
+            if local.returned_in.is_some_and(|n| n > seq) {
+                return true;
+            }
+            local.returned_in = None;
+            self.due.push_back(budget.clone());
+            false
+        });
     }
 
     /// Returns the next report to copy to the peer router. Reports are copied
--- a/crates/budget/src/outbox.rs
+++ b/crates/budget/src/outbox.rs
@@ -94,6 +94,13 @@
         self.urgent = true;
     }
 
+    /// Lets everything so far leave. Returns the number of the last report.
+    pub(crate) fn seal_all(&mut self, now: Duration) -> u64 {
+        self.urgent = true;
+        self.seal(now);
+        self.next_seq - 1
+    }
+
     fn seal(&mut self, now: Duration) {
         let due = self
             .oldest
