--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -2,11 +2,13 @@
 //! an arguments type and one `run`.
 
 mod apply;
+mod bench;
 mod bootstrap;
 mod budget;
 mod check;
 mod default;
 mod demo;
+mod emulate;
 mod exception;
 mod history;
 mod items;
@@ -46,6 +48,11 @@
                 command: demo::command,
                 run: demo::run,
             },
+            Entry {
+                name: emulate::NAME,
+                command: emulate::command,
+                run: emulate::run,
+            },
             $(Entry {
                 name: stringify!($name),
                 command: $name::command,
@@ -58,7 +65,7 @@
 /// Every subcommand by name, in the order of the help.
 const TABLE: &[Entry] = administration![
     status, team, key, budget, rank, model, service, default, exception, router, member, history,
-    apply, check, settings, bootstrap,
+    apply, bench, check, settings, bootstrap,
 ];
 
 /// Prints the error and returns the documented exit code.
