Let copies of a running request wait for its endpoint

Cause: copies that one router could not place beside the first one moved on to other endpoints. Change: they wait until their endpoint has room.

--- a/crates/bench/src/traffic/flow.rs
+++ b/crates/bench/src/traffic/flow.rs
@@ -87,10 +87,9 @@
     /// Takes the decisions that are due at a router.
     pub(super) fn pump(&mut self, r: usize) {
         self.capacity(r);
-        while let Some(no) = self.routers[r].pending.pop_front() {
+        for no in std::mem::take(&mut self.routers[r].pending) {
             if !self.try_route(no) {
-                self.routers[r].pending.push_front(no);
-                break;
+                self.routers[r].pending.push_back(no);
             }
         }
         for verdict in self.routers[r].admission.poll(self.now) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -49,7 +49,7 @@
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
     /// Whether the request runs under a permit. It then stays within the pair
-    /// of its fingerprint while one of the pair is healthy.
+    /// of its fingerprint while one of the pair is left to try.
     pub suspect: bool,
     /// Endpoints that earlier attempts used.
     pub exclude: &'a [EndpointId],
@@ -96,7 +96,8 @@
             display("every endpoint that serves the request was tried")
         }
         /// This router uses its share of the slots of every candidate. Ask
-        /// again when an attempt finishes or after the given time.
+        /// again when an attempt finishes or after the given time. Other
+        /// requests may find room meanwhile.
         Full(retry: Duration) {
             display("all slots are taken, try again in {} ms", retry.as_millis())
         }
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -26,10 +26,10 @@
     PowerOfTwo,
     /// All of them; the fewest own attempts by slots win.
     LeastInFlight,
-    /// Two by rendezvous over the fingerprint; the better score wins.
+    /// Two by rendezvous over the fingerprint; the better score wins. Copies of
+    /// a request run where the first one runs.
     FingerprintPair,
-    /// One by rendezvous over the prefix and one over the fingerprint; the
-    /// better score wins.
+    /// The same with one of the two by rendezvous over the prefix.
     PrefixPair,
 }
 
@@ -230,10 +230,10 @@
             self.cfg.method,
             Method::FingerprintPair | Method::PrefixPair
         ) {
-            if self.narrow_to_pair(now, req) {
+            if self.narrow_to_copies(now, req)? || self.narrow_to_pair(now, req) {
                 return Ok(());
             }
-            if req.suspect && self.pair_is_busy(now, req) {
+            if req.suspect && self.pair_is_open(now, req) {
                 return Err(NoRoute::Full(RETRY));
             }
         }
@@ -248,14 +248,36 @@
         Ok(())
     }
 
-    /// Returns whether a healthy endpoint of the pair has no room.
-    fn pair_is_busy(&self, now: Duration, req: &RouteRequest<'_>) -> bool {
-        let overdue = self.cfg.overdue.as_secs_f64();
+    /// Returns whether an endpoint of the pair was not tried yet. If it fails, it
+    /// may have died a moment ago of a copy of the request: the verdict on it
+    /// must come before a third endpoint is risked.
+    fn pair_is_open(&self, now: Duration, req: &RouteRequest<'_>) -> bool {
         let pair = self.pair(now, req, key_of(&req.fingerprint));
-        pair.iter().flatten().any(|&at| {
-            let ep = &self.endpoints[at];
-            ep.healthy(now, overdue) && !req.exclude.contains(&ep.state.id)
-        })
+        pair.iter()
+            .flatten()
+            .any(|&at| !req.exclude.contains(&self.endpoints[at].state.id))
+    }
+
+    /// Narrows the candidates to the endpoint where a copy of the request runs
+    /// already: both share one fate. Returns whether there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoRoute::Full`] when that endpoint has no room. The copy waits
+    /// instead of risking another endpoint.
+    fn narrow_to_copies(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<bool, NoRoute> {
+        let key = key_of(&req.fingerprint);
+        let overdue = self.cfg.overdue.as_secs_f64();
+        let runs = |ep: &Endpoint| ep.runs(key) && ep.healthy(now, overdue);
+        if !self.endpoints.iter().any(runs) {
+            return Ok(false);
+        }
+        let endpoints = &self.endpoints;
+        self.candidates.retain(|c| runs(&endpoints[c.at]));
+        if self.candidates.is_empty() {
+            return Err(NoRoute::Full(RETRY));
+        }
+        Ok(true)
     }
 
     /// Narrows the candidates to the pair of the fingerprint, if one of it has
@@ -272,16 +294,6 @@
             let tier = own || (c.tier < UNHEALTHY && (loose || req.suspect));
             pair.contains(&Some(c.at)) && tier
         };
-        // A copy shares the fate of the one that runs already.
-        let copy = self
-            .candidates
-            .iter()
-            .find(|c| fits(c) && endpoints[c.at].runs(key))
-            .copied();
-        if let Some(copy) = copy {
-            self.candidates = vec![copy];
-            return true;
-        }
         if !self.candidates.iter().any(fits) {
             return false;
         }
--- a/crates/routing/tests/select.rs
+++ b/crates/routing/tests/select.rs
@@ -249,6 +249,47 @@
     }
 }
 
+/// Guards against copies of a running request that move on to other endpoints
+/// because the first one has no room: each could cost one more endpoint.
+#[test]
+fn copies_wait_for_the_endpoint_of_the_first_one() {
+    let mut s = selector(0, 1, 4, 2);
+    let first = s.choose(secs(1), &request(7)).expect("room");
+    for id in 0..3 {
+        let c = s.choose(secs(1), &request(7)).expect("room");
+        assert_eq!(c.endpoint, first.endpoint);
+        s.started(secs(1), &c.endpoint, id, 10);
+    }
+    assert!(matches!(
+        s.choose(secs(1), &request(7)),
+        Err(NoRoute::Full(_))
+    ));
+    assert!(s.choose(secs(1), &request(8)).is_ok());
+    for id in 0..3 {
+        s.finished(secs(2), &first.endpoint, id, DONE);
+    }
+    assert!(s.choose(secs(2), &request(7)).is_ok());
+}
+
+/// Guards against prompts that miss the cache which holds their prefix, and
+/// against routers that send one prefix to different endpoints.
+#[test]
+fn a_prefix_has_one_home_at_all_routers() {
+    let mut homes = std::collections::HashSet::new();
+    for r in 0..9 {
+        let mut s = selector(r, 9, 12, 32);
+        for id in 0..2 {
+            let req = RouteRequest {
+                prefix: Some(99),
+                ..request(1000 + r as u64 * 10 + id)
+            };
+            let c = s.choose(secs(1), &req).expect("room");
+            homes.insert(c.endpoint);
+        }
+    }
+    assert_eq!(homes.len(), 1, "{homes:?}");
+}
+
 /// Guards against attempts that are forgotten when an endpoint's announcement
 /// is missing for a while: they still fill its slots.
 #[test]
