--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -170,7 +170,9 @@
     /// Returns [`NoRoute`] when no endpoint can take the attempt now.
     fn choose(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<Choice, NoRoute>;
 
-    /// Reports that an attempt was sent to the chosen endpoint.
+    /// Reports that an attempt is sent to the chosen endpoint. Follows the call
+    /// of [`choose`](Self::choose) before any other one, so that the place is
+    /// counted and copies of the request are recognised.
     fn started(&mut self, now: Duration, ep: &str, attempt: AttemptId, tokens: Tokens);
 
     /// Reports the first byte of an answer. An attempt whose first byte is
--- a/crates/routing/tests/select.rs
+++ b/crates/routing/tests/select.rs
@@ -255,7 +255,8 @@
 fn copies_wait_for_the_endpoint_of_the_first_one() {
     let mut s = selector(0, 1, 4, 2);
     let first = s.choose(secs(1), &request(7)).expect("room");
-    for id in 0..3 {
+    s.started(secs(1), &first.endpoint, 0, 10);
+    for id in 1..3 {
         let c = s.choose(secs(1), &request(7)).expect("room");
         assert_eq!(c.endpoint, first.endpoint);
         s.started(secs(1), &c.endpoint, id, 10);
