Tighten the tests of small teams and deadlines

Cause: mutations of the saved claim, the reserve and the deadlines survived. Change: the small team's test uses long requests; a test covers deadlines.

--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -154,13 +154,44 @@
 /// share.
 #[test]
 fn a_small_team_starts_at_once_beside_floods() {
-    let small = stream(9, 1, 400);
-    let floods = [stream(0, 1, 3), stream(1, 1, 3), stream(2, 1, 3), small];
-    let out = simulate(&floods, 24, 60, 3);
+    // Requests take 400 ms: 24 slots end one every 17 ms, and the small team
+    // asks for half of its quarter.
+    let long = |team, every| Stream {
+        tokens: 4000,
+        ..stream(team, 1, every)
+    };
+    let streams = [long(0, 30), long(1, 30), long(2, 30), long(9, 140)];
+    let out = simulate(&streams, 24, 120, 3);
     let mut waits = out.waits[&9].clone();
     waits.sort_unstable();
-    let p95 = waits[waits.len() * 95 / 100];
-    assert!(p95 <= ms(10), "{p95:?} of {}", waits.len());
+    let p90 = waits[waits.len() * 90 / 100];
+    // 18 ms without saved claims, 43 ms without the reserve.
+    assert!(p90 <= ms(12), "{p90:?} of {}", waits.len());
+}
+
+/// Guards against requests that wait for ever behind a full fleet.
+#[test]
+fn a_request_is_refused_when_its_wait_ends() {
+    let mut a = FairAdmission::new(Policy::default());
+    a.set_capacity(ms(0), Capacity::slots(1));
+    assert!(a.offer(ms(0), offer(0, 0, 0, 10)).is_ok());
+    assert_eq!(a.poll(ms(0)).len(), 1);
+    let patient = offer(1, 0, 0, 10);
+    let hasty = Offer {
+        max_wait: Some(ms(300)),
+        ..offer(2, 0, 0, 10)
+    };
+    assert!(a.offer(ms(0), patient).is_ok() && a.offer(ms(0), hasty).is_ok());
+    for (id, at) in [(2, 300), (1, 2000)] {
+        assert_eq!(a.next_timeout(), Some(ms(at)));
+        assert!(a.poll(ms(at - 1)).is_empty());
+        let refused = a.poll(ms(at));
+        let [Verdict::Refuse { id: got, refusal }] = refused[..] else {
+            panic!("{refused:?}");
+        };
+        assert_eq!((got, refusal.reason), (id, Reason::DeadlinePassed));
+    }
+    assert_eq!(a.next_timeout(), None);
 }
 
 /// Guards against estimates that accept work which then times out, and against
