Run the demo on the real control member over sessions

Change: the demo starts one control member with a temporary data folder and two router daemons that reach it over TCP sessions, all in this process. A router whose peer port is 0 tells the bound one.

--- a/crates/cli/src/cmd/demo.rs
+++ b/crates/cli/src/cmd/demo.rs
@@ -4,18 +4,37 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use anvilloft_control::ControlDaemon;
 use anvilloft_fakes::Fake;
 use anvilloft_fakes::FakeOptions;
-use anvilloft_fakes::LocalControl;
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::Reply;
-use anvilloft_router::Links;
+use anvilloft_ledger::set_op;
 use anvilloft_router::Router;
-use anvilloft_router::RouterOptions;
+use anvilloft_settings::ControlSettings;
+use anvilloft_settings::GroupStart;
+use anvilloft_settings::RouterSettings;
+use anvilloft_settings::Secret;
+use anvilloft_telemetry::Metrics;
+use anvilloft_wire::Control;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::ConfigChange;
+use anvilloft_wire::command::Reply as CommandReply;
+use anvilloft_wire::command::TopUp;
+use anvilloft_wire::config::Budget;
+use anvilloft_wire::config::Item;
+use anvilloft_wire::config::Key;
+use anvilloft_wire::config::Model;
+use anvilloft_wire::config::Service;
+use anvilloft_wire::config::Team;
+use anvilloft_wire::control::Answer;
 use clap::Arg;
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use sha2::Digest;
+use sha2::Sha256;
+use tempfile::TempDir;
 
 use super::Failure;
 
@@ -24,9 +43,9 @@
 
 const ABOUT: &str = "Starts a small fleet in this process and prints calls to try";
 const USAGE: &str = "\
-Starts, on loopback ports, the replicated ledger within this process, two
-routers, two fake model endpoints and a fake order service, and prints curl
-lines to try. It runs until Ctrl-C.
+Starts, on loopback ports and within this process, one control member with a
+temporary data folder, two routers, two fake model endpoints and a fake order
+service, and prints curl lines to try. It runs until Ctrl-C.
 
 With --self-test it makes these calls itself, prints the answers and exits with
 0 when all are as expected, else with 1.";
@@ -36,6 +55,8 @@
 /// Key that the endpoints announce themselves with.
 const ENDPOINT_KEY: &str = "demo-endpoint-key";
 const TOKENS: i64 = 1_000_000;
+const BUDGET: &str = "demo-budget";
+const FLEET_KEY: &[u8] = b"the demo runs on loopback alone!";
 /// Limit of one call of the self-test.
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -76,7 +97,8 @@
 
 /// The processes of the demo, as threads and tasks.
 struct Fleet {
-    control: std::sync::Arc<LocalControl>,
+    _control: ControlDaemon,
+    _folder: TempDir,
     routers: Vec<Router>,
     endpoints: Vec<Fake>,
 }
@@ -117,22 +139,112 @@
     })
 }
 
+/// Starts a control group of one member.
+async fn start_control(folder: &TempDir, log: &slog::Logger) -> Result<ControlDaemon, Failure> {
+    let settings = ControlSettings::builder()
+        .name("control-1")
+        .data_centre("dc1")
+        .data_folder(folder.path().join("control-1"))
+        .peer_listen(any_port())
+        .admin_listen(any_port())
+        .group(GroupStart::New)
+        .fleet_key(Secret::new(FLEET_KEY))
+        .build()?;
+    Ok(ControlDaemon::start(settings, Metrics::new()?, log.clone()).await?)
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Proposes a command until the new group has a leader.
+async fn propose(control: &dyn Control, body: Body) -> Result<(), Failure> {
+    let until = tokio::time::Instant::now() + LIMIT;
+    loop {
+        let reply = control.call(body.clone().into(), LIMIT).await;
+        if let Ok(reply) = reply
+            && let Some(Answer::Applied(applied)) = reply.answer
+        {
+            return match applied.reply {
+                Some(CommandReply::Ok(_) | CommandReply::Accepted(_)) => Ok(()),
+                other => Err(format!("control refused a command: {other:?}").into()),
+            };
+        }
+        if tokio::time::Instant::now() > until {
+            return Err("control has no leader".into());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Sets up a team with a key and a budget, a model and a service.
+async fn set_up(control: &dyn Control) -> Result<(), Failure> {
+    let items = vec![
+        Item::Team(Team {
+            name: "demo".into(),
+            default_rank: "normal".into(),
+            weight: 1,
+            disabled: false,
+        }),
+        Item::Budget(Budget {
+            name: BUDGET.into(),
+            team: "demo".into(),
+        }),
+        Item::Key(Key {
+            name: "demo-key-1".into(),
+            team: "demo".into(),
+            budget: BUDGET.into(),
+            hash: Sha256::digest(KEY).to_vec(),
+            role: String::new(),
+        }),
+        Item::Model(Model {
+            name: "forge".into(),
+            version: String::new(),
+            default_max_tokens: 64,
+            max_tokens: 1024,
+        }),
+        Item::Service(Service {
+            name: "orders".into(),
+            idempotent: false,
+            price: 50,
+        }),
+    ];
+    let change = ConfigChange {
+        change_id: "demo-set-up".into(),
+        base_revision: 0,
+        author: "demo".into(),
+        reason: "set up the demo".into(),
+        ops: items.into_iter().map(set_op).collect(),
+        dry_run: false,
+    };
+    propose(control, Body::ConfigChange(change)).await?;
+    let top_up = TopUp {
+        id: "demo-top-up".into(),
+        budget: BUDGET.into(),
+        amount: TOKENS,
+        author: "demo".into(),
+        reason: "set up the demo".into(),
+    };
+    propose(control, Body::TopUp(top_up)).await
+}
+
 async fn start() -> Result<Fleet, Failure> {
-    let control = LocalControl::new();
-    control.add_team("demo", KEY, "normal", TOKENS);
-    control.add_model("forge", 64, 1024);
-    control.add_service("orders", false, 50);
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let folder = TempDir::new()?;
+    let control = start_control(&folder, &log).await?;
+    set_up(control.handle()).await?;
     let mut routers = Vec::new();
     for (name, centre) in [("router-1", "dc1"), ("router-2", "dc2")] {
-        let link = control.join(name);
-        let links = Links {
-            control: link.control,
-            peers: link.peers,
-            inbox: link.inbox,
-        };
-        let options = RouterOptions::loopback(name, centre, ENDPOINT_KEY);
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        routers.push(Router::start(options, links, log)?);
+        let settings = RouterSettings::builder()
+            .name(name)
+            .data_centre(centre)
+            .caller_listen(any_port())
+            .peer_listen(any_port())
+            .control(vec![control.peer_address()])
+            .fleet_key(Secret::new(FLEET_KEY))
+            .endpoint_key(Secret::new(ENDPOINT_KEY))
+            .build()?;
+        routers.push(anvilloft_router::daemon::start(&settings, &log)?);
     }
     let addresses: Vec<SocketAddr> = routers.iter().map(Router::address).collect();
     let mut endpoints = Vec::new();
@@ -157,7 +269,8 @@
     }
     wait_for_directory(&routers).await?;
     Ok(Fleet {
-        control,
+        _control: control,
+        _folder: folder,
         routers,
         endpoints,
     })
@@ -259,23 +372,26 @@
         same && fleet.endpoints[2].counts().runs("self-test-1") == 1,
     );
 
-    let mut settled = 0;
+    let mut balanced = false;
     let mut reply = Reply::default();
     for _ in 0..50 {
         reply = Call::get("/v1/budget").key(KEY).send(second, LIMIT).await?;
-        settled = reply.json()["settled"].as_u64().unwrap_or(0);
-        if settled > 50 {
+        let amounts = reply.json();
+        let amount = |name: &str| amounts[name].as_i64().unwrap_or(-1);
+        let sum = amount("unspent") + amount("allotted") + amount("settled");
+        // The chat and the order, once.
+        balanced = sum == TOKENS && amount("settled") > 50;
+        if balanced {
             break;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    ok &= show("budget", &reply, reply.status == 200 && settled > 50);
+    ok &= show("budget", &reply, reply.status == 200 && balanced);
 
     let reply = Call::get("/v1/budget")
         .key("wrong")
         .send(first, LIMIT)
         .await?;
     ok &= show("wrong key", &reply, reply.status == 401);
-    fleet.control.with_ledger(|l| l.check());
     Ok(ok)
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -108,8 +108,12 @@
 ///
 /// Fails when an address can't be bound or a key can't be used.
 pub fn start(settings: &RouterSettings, log: &Logger) -> Result<Router, DaemonError> {
-    let options = options(settings)?;
+    let mut options = options(settings)?;
     let listener = std::net::TcpListener::bind(settings.peer_listen)?;
+    if settings.peer_address.is_none() {
+        // Port 0 asks for any free port.
+        options.peer_address = listener.local_addr()?.to_string();
+    }
     let mut identity = Identity::new(
         &settings.name,
         "router",
