--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -173,7 +173,7 @@
         cfg.node.election_min = settings.election_min;
         cfg.node.election_max = settings.election_max;
         if settings.group == GroupStart::New && is_blank(cfg.disk.as_ref())? {
-            look_for_group(&settings, identity.clone(), &log).await?;
+            look_for_group(&settings, told, identity.clone(), &log).await?;
             cfg.found = Some(told.to_string());
         }
         let driver = Driver::start(cfg)?;
@@ -221,7 +221,7 @@
             tokio::spawn(follow_membership(
                 handle.clone(),
                 peers.clone(),
-                settings.other_members(),
+                settings.peers.clone(),
                 told,
             )),
             tokio::spawn(figures.run(handle.clone(), peers.clone(), identity, FIGURES)),
@@ -398,10 +398,13 @@
 /// settings still say `group = new` would otherwise serve an empty ledger.
 async fn look_for_group(
     settings: &ControlSettings,
+    own: SocketAddr,
     identity: Arc<Identity>,
     log: &Logger,
 ) -> Result<(), DaemonError> {
-    let others = settings.other_members();
+    // One list of all members may serve every host.
+    let mut others = settings.peers.clone();
+    others.retain(|address| *address != own && *address != settings.peer_listen);
     if others.is_empty() {
         return Ok(());
     }
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -72,13 +72,6 @@
         self.peer_address.unwrap_or(self.peer_listen)
     }
 
-    /// Returns the addresses of the other members. The setting may name this
-    /// member too, so that all hosts can share one list.
-    pub fn other_members(&self) -> Vec<SocketAddr> {
-        let own = self.peer_address();
-        self.peers.iter().copied().filter(|a| *a != own).collect()
-    }
-
     fn check(&self, file: &str, faults: &mut Vec<Fault>) {
         let mut fault = |section: &str, key: &str, message: &str| {
             faults.push(Fault {
