--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,10 +4,12 @@
 //! - [`commits`]: the replicated log on real folders.
 //! - [`history`]: checks that recorded concurrent runs are linearizable.
 //! - [`lease`]: configuration leases against serving on during isolation.
+//! - [`load`]: whole requests through a router against direct ones.
 //! - [`traffic`]: admission and routing against a model of endpoints.
 
 pub mod budgets;
 pub mod commits;
 pub mod history;
 pub mod lease;
+pub mod load;
 pub mod traffic;
