--- a/crates/cli/tests/workdir/mod.rs
+++ b/crates/cli/tests/workdir/mod.rs
@@ -158,7 +158,7 @@
             false => "anvilloft-router",
         };
         let path = self.path(&format!("{name}.ini"));
-        self.spawn(name, binary, &[&path]);
+        self.spawn(name, binary, &["--settings", &path]);
     }
 
     /// Starts an emulated endpoint that announces itself to two routers.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -12,6 +12,7 @@
         .version(clap::crate_version!())
         .arg(
             Arg::new("settings")
+                .long("settings")
                 .required(true)
                 .value_name("FILE")
                 .value_parser(clap::value_parser!(PathBuf))
