--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -131,28 +131,31 @@
         *self = Self::new(Some(snapshot), Vec::new());
     }
 
-    /// Makes a snapshot at `index` and drops the entries that are more than
-    /// `trailing` below it. Returns `None` when the index isn't in memory or
-    /// an equal or newer snapshot exists.
-    pub(crate) fn compact(
-        &mut self,
+    /// Returns the snapshot at an index, or `None` when the index isn't in
+    /// memory or an equal or newer snapshot exists.
+    pub(crate) fn snapshot_at(
+        &self,
         group: u32,
         index: LogIndex,
         state: Vec<u8>,
-        trailing: u64,
     ) -> Option<Arc<Snapshot>> {
         if self.snapshot.as_ref().is_some_and(|s| s.index >= index) {
             return None;
         }
-        let snapshot = Arc::new(Snapshot {
+        Some(Arc::new(Snapshot {
             group,
             index,
             term: self.term(index)?,
             membership: Some(self.membership_at(index)),
             state,
-        });
-        self.snapshot = Some(Arc::clone(&snapshot));
-        let cut = index.saturating_sub(trailing);
+        }))
+    }
+
+    /// Keeps a snapshot and drops the entries that are more than `trailing`
+    /// below it.
+    pub(crate) fn compact(&mut self, snapshot: Arc<Snapshot>, trailing: u64) {
+        let cut = snapshot.index.saturating_sub(trailing);
+        self.snapshot = Some(snapshot);
         while self.base.0 < cut {
             let Some(e) = self.entries.pop_front() else {
                 break;
@@ -162,6 +165,5 @@
         while self.memberships.len() > 1 && self.memberships[1].0 <= self.base.0 {
             self.memberships.remove(0);
         }
-        Some(snapshot)
     }
 }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -105,6 +105,10 @@
             out: Effects::default(),
         };
         node.reset_election_timer(now);
+        if node.log.membership().voters().eq([node.cfg.id]) {
+            // No other member can lead, so there is nobody to wait for.
+            node.election_due = now;
+        }
         node
     }
 
@@ -262,15 +266,41 @@
     /// Replaces the log up to an applied entry by the state after it. The
     /// snapshot to persist comes with the next effects.
     pub fn compact(&mut self, through: LogIndex, state: Vec<u8>) {
+        if let Some(s) = self.snapshot_at(through, state) {
+            self.compact_to(s);
+        }
+    }
+
+    /// Returns the snapshot at an applied entry, for a caller that writes it
+    /// ahead of [`compact_to`](Self::compact_to). Returns `None` when a newer
+    /// one exists.
+    pub fn snapshot_at(&self, through: LogIndex, state: Vec<u8>) -> Option<Arc<Snapshot>> {
         if through > self.applied {
-            return;
+            return None;
         }
-        let trailing = self.cfg.trailing;
-        if let Some(s) = self.log.compact(self.cfg.group, through, state, trailing) {
-            self.out.snapshot = Some(s);
+        self.log.snapshot_at(self.cfg.group, through, state)
+    }
+
+    /// Like [`compact`](Self::compact), with a snapshot from
+    /// [`snapshot_at`](Self::snapshot_at).
+    pub fn compact_to(&mut self, snapshot: Arc<Snapshot>) {
+        // A leader's snapshot may have come in between.
+        let newest = self.log.snapshot().map_or(0, |s| s.index);
+        if snapshot.index > newest && snapshot.index <= self.applied {
+            self.log.compact(Arc::clone(&snapshot), self.cfg.trailing);
+            self.out.snapshot = Some(snapshot);
         }
     }
 
+    /// Returns entries that were handed out in `Effects::committed`, from an
+    /// index on, up to a size in bytes, at least one. Entries far below the
+    /// newest snapshot are not kept.
+    pub fn applied_entries(&self, from: LogIndex, max_bytes: usize) -> Vec<Entry> {
+        let mut entries = self.log.slice(from, max_bytes);
+        entries.retain(|e| e.index <= self.applied);
+        entries
+    }
+
     /// Returns the identity of this member.
     pub fn id(&self) -> MemberId {
         self.cfg.id
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -373,6 +373,18 @@
     assert_eq!(membership.voters().count(), 3);
 }
 
+/// Guards against a sole voter that waits for others at each start, and
+/// against members of a group that don't.
+#[test]
+fn only_a_sole_voter_leads_at_once() {
+    let mut sole = founder(1, &[1]);
+    sole.tick(ms(0));
+    assert_eq!(sole.role(), Role::Leader);
+    let mut one_of_two = founder(1, &[1, 2]);
+    one_of_two.tick(ms(299));
+    assert_eq!(one_of_two.role(), Role::Follower);
+}
+
 /// Guards against acknowledged entries that a power failure takes back: a
 /// leader counts itself only after its own sync.
 #[test]
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -5,7 +5,8 @@
 //! it implements [`Control`](anvilloft_wire::Control) and takes consensus
 //! messages of other members. `core` is the loop, `reads` the leases and
 //! queries, `group` the membership, `clocks` the time limits of router
-//! incarnations, `recalls` the grants that wait for returns.
+//! incarnations, `recalls` the grants that wait for returns. `shadow` makes
+//! snapshots on a second thread.
 //!
 //! All input that waits when a sync ends goes into the next one, so a sync
 //! serves many commands.
@@ -16,6 +17,7 @@
 mod handle;
 mod reads;
 mod recalls;
+mod shadow;
 mod status;
 #[cfg(test)]
 mod tests;
@@ -44,6 +46,7 @@
 use tokio::sync::watch;
 
 use self::core::Core;
+use self::shadow::Shadow;
 
 pub use self::handle::Handle;
 pub use self::status::DriverStats;
@@ -198,17 +201,16 @@
             "snapshot" => restored.snapshot.as_ref().map_or(0, |s| s.index),
             "entries" => restored.entries.len(),
             "ms" => u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX));
+        let shadow = Shadow::start(restored.snapshot.clone())?;
         let (calls_tx, calls) = mpsc::channel(QUEUE_CALLS);
         let (messages_tx, messages) = mpsc::channel(QUEUE_MESSAGES);
         let (status_tx, status) = watch::channel(Status::default());
-        let (config_tx, config) = watch::channel(Arc::new(ledger.config().clone()));
         let (stop_tx, stop) = watch::channel(false);
         let stats = Arc::new(DriverStats::default());
         let handle = Handle {
             calls: calls_tx,
             messages: messages_tx,
             status,
-            config,
             stop: Arc::new(stop_tx),
             stats: Arc::clone(&stats),
         };
@@ -219,10 +221,10 @@
             .name("control".to_owned())
             .spawn(move || {
                 let node = Node::new(cfg.node, restored, start.elapsed(), cfg.seed);
-                let mut core = Core::new(start, node, store, ledger, cfg.transport, cfg.log);
+                let mut core =
+                    Core::new(start, node, store, ledger, shadow, cfg.transport, cfg.log);
                 core.stats = stats;
                 core.status = status_tx;
-                core.config = config_tx;
                 core.snapshot_every = cfg.snapshot_every;
                 runtime.block_on(core.run(calls, messages, stop))
             })?;
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -15,7 +15,7 @@
 use anvilloft_consensus::Node;
 use anvilloft_consensus::ProposeError;
 use anvilloft_consensus::Role;
-use anvilloft_ledger::Config;
+use anvilloft_consensus::Snapshot;
 use anvilloft_ledger::Ledger;
 use anvilloft_storage::Store;
 use anvilloft_types::prelude::*;
@@ -45,12 +45,22 @@
 use super::handle::Call;
 use super::reads::Read;
 use super::recalls::Recalls;
+use super::shadow::Shadow;
 use super::status::DriverStats;
 use super::status::Status;
 
 /// Calls and messages taken in before their effects are carried out. Bounds
 /// the size of one sync.
 const BATCH: usize = 1_024;
+/// A snapshot waits until the log since the last one is this share of its
+/// size: a state of 74 MB, which 740,000 budgets need, isn't written for every
+/// 4,096 entries of 71 bytes.
+const SNAPSHOT_SHARE: usize = 4;
+/// Entries given to the snapshot thread at once, in bytes.
+const SHADOW_BYTES: usize = 1024 * 1024;
+/// Part of a snapshot file that is written at once, in bytes. Writing 74 MB in
+/// one call took 0.3 s, the shortest election timeout.
+const STAGE_BYTES: usize = 4 * 1024 * 1024;
 /// Commands that wait to be committed, in bytes.
 const MAX_WAITING_BYTES: usize = 64 * 1024 * 1024;
 /// Interval between checks of incarnation clocks and of the membership.
@@ -78,9 +88,12 @@
     pub(super) log: Logger,
     pub(super) stats: Arc<DriverStats>,
     pub(super) status: watch::Sender<Status>,
-    pub(super) config: watch::Sender<Arc<Config>>,
     pub(super) snapshot_every: u64,
+    shadow: Shadow,
+    /// Snapshot whose file is being written.
+    staging: Option<Arc<Snapshot>>,
     applied: u64,
+    bytes_since_snapshot: usize,
     /// Term in which this member is known to lead, or 0.
     led_term: u64,
     waiters: BTreeMap<u64, Waiter>,
@@ -105,6 +118,7 @@
         node: Node,
         store: Store,
         ledger: Ledger,
+        shadow: Shadow,
         transport: Arc<dyn Transport>,
         log: Logger,
     ) -> Self {
@@ -118,9 +132,11 @@
             log,
             stats: Arc::default(),
             status: watch::Sender::default(),
-            config: watch::Sender::default(),
             snapshot_every: 4_096,
+            shadow,
+            staging: None,
             applied,
+            bytes_since_snapshot: 0,
             led_term: 0,
             waiters: BTreeMap::new(),
             waiting_bytes: 0,
@@ -392,6 +408,7 @@
             self.send(&fx.messages);
             self.node.persisted(self.now(), fx.token);
             self.apply(fx)?;
+            self.tend_snapshot()?;
             let now = self.now();
             self.lead(now);
         }
@@ -416,6 +433,9 @@
                 state => Ledger::decode(state)?,
             };
             self.applied = s.index;
+            self.bytes_since_snapshot = 0;
+            self.shadow.reset(Some(Arc::clone(s)));
+            self.staging = None;
             self.stats.snapshots.fetch_add(1, Ordering::Relaxed);
         }
         let count = fx.committed.len() as u64;
@@ -423,13 +443,9 @@
             self.apply_entry(e);
         }
         self.stats.applied.fetch_add(count, Ordering::Relaxed);
-        if self.ledger.config().revision() != revision {
-            let config = Arc::new(self.ledger.config().clone());
-            self.config.send_replace(config);
-            if self.led_term != 0 {
-                let revision = self.ledger.config().revision();
-                self.transport.config_push(revision);
-            }
+        let current = self.ledger.config().revision();
+        if current != revision && self.led_term != 0 {
+            self.transport.config_push(current);
         }
         for ctx in fx.failed_reads {
             if let Some((_, reply)) = self.reads.remove(&ctx) {
@@ -442,18 +458,41 @@
                 answer(reply, result);
             }
         }
-        let base = self.node.snapshot().map_or(0, |s| s.index);
-        if self.applied >= base + self.snapshot_every {
-            let state = self.ledger.encode();
-            slog::info!(self.log, "snapshot"; "index" => self.applied, "bytes" => state.len());
-            self.node.compact(self.applied, state);
+        Ok(())
+    }
+
+    /// Begins a snapshot when one is due, and takes one that is finished.
+    fn tend_snapshot(&mut self) -> Result<(), DriverError> {
+        let (base, size) = self
+            .node
+            .snapshot()
+            .map_or((0, 0), |s| (s.index, s.state.len()));
+        // A large state isn't written again for a few entries.
+        let due = self.applied >= base + self.snapshot_every
+            && self.bytes_since_snapshot >= size / SNAPSHOT_SHARE;
+        if due && !self.shadow.is_busy() && self.staging.is_none() {
+            self.shadow.begin(self.applied);
+            self.bytes_since_snapshot = 0;
+        }
+        let node = &self.node;
+        let entries = |from| node.applied_entries(from, SHADOW_BYTES);
+        if let Some((index, state)) = self.shadow.advance(entries) {
+            slog::info!(self.log, "snapshot"; "index" => index, "bytes" => state.len());
+            self.staging = self.node.snapshot_at(index, state);
+        }
+        if let Some(s) = &self.staging
+            && self.store.stage(s, STAGE_BYTES)?
+        {
             self.stats.snapshots.fetch_add(1, Ordering::Relaxed);
+            self.node.compact_to(Arc::clone(s));
+            self.staging = None;
         }
         Ok(())
     }
 
     fn apply_entry(&mut self, e: Entry) {
         self.applied = e.index;
+        self.bytes_since_snapshot += e.data.len();
         let waiter = self.waiters.remove(&e.index);
         let reply = match e.kind() {
             EntryKind::Command => match Command::decode(e.data.as_slice()) {
--- a/crates/control/src/driver/handle.rs
+++ b/crates/control/src/driver/handle.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use anvilloft_ledger::Config;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
@@ -31,7 +30,6 @@
     pub(super) calls: mpsc::Sender<Call>,
     pub(super) messages: mpsc::Sender<ConsensusFrame>,
     pub(super) status: watch::Receiver<Status>,
-    pub(super) config: watch::Receiver<Arc<Config>>,
     pub(super) stop: Arc<watch::Sender<bool>>,
     pub(super) stats: Arc<DriverStats>,
 }
@@ -49,11 +47,6 @@
         self.status.clone()
     }
 
-    /// Returns this member's configuration, which may be behind the leader's.
-    pub fn config(&self) -> watch::Receiver<Arc<Config>> {
-        self.config.clone()
-    }
-
     /// Returns the counters of the control thread.
     pub fn stats(&self) -> &DriverStats {
         &self.stats
--- a/crates/control/tests/driver/fleet.rs
+++ b/crates/control/tests/driver/fleet.rs
@@ -184,6 +184,14 @@
         self.handle(id).status().borrow().clone()
     }
 
+    pub(crate) fn snapshots(&self, id: u64) -> u64 {
+        let handle = self.handle(id);
+        handle
+            .stats()
+            .snapshots
+            .load(std::sync::atomic::Ordering::Relaxed)
+    }
+
     fn ids(&self) -> Vec<u64> {
         self.drivers.lock().unwrap().keys().copied().collect()
     }
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use anvilloft_control::driver::Status;
 use anvilloft_storage::MemDisk;
 use anvilloft_storage::RealDisk;
 use anvilloft_wire::CallError;
@@ -78,8 +79,13 @@
     fleet.launch(1, disk(), true);
     fleet.wait(|s| s.leads && s.revision == 1_000).await;
     println!("serving {:?} after the restart", began.elapsed());
-    let config = fleet.handle(1).config();
-    assert_eq!(config.borrow().value("config_lease_ms", ""), 1_999);
+    assert_eq!(fleet.propose(open("r1", 1)).await, Reply::Ok);
+    let renew = RenewLease {
+        router: "r1".into(),
+        incarnation: 1,
+        ..RenewLease::default()
+    };
+    assert_eq!(fleet.lease(1, &renew).await.unwrap().valid_ms, 1_999);
 }
 
 /// Guards against leases from a leader that no majority follows any more: it
@@ -140,11 +146,18 @@
                 && !s.changing
         })
         .await;
+    // The new member goes on to make snapshots of its own.
+    let received = fleet.snapshots(4);
+    for n in 60..100 {
+        fleet.propose(value_change(n, 1_500 + n)).await;
+    }
+    let made = |_: &Status| fleet.snapshots(4) > received;
+    fleet.wait(made).await;
     let second = fleet.leader().await;
     fleet.kill(second);
     assert_eq!(
-        fleet.propose(value_change(60, 2_000)).await,
-        Reply::Accepted(61)
+        fleet.propose(value_change(100, 2_000)).await,
+        Reply::Accepted(101)
     );
 }
 
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -64,6 +64,14 @@
     last: LogIndex,
 }
 
+/// A snapshot file that is written in parts.
+struct Staged {
+    index: LogIndex,
+    first_segment: u64,
+    buf: Vec<u8>,
+    written: usize,
+}
+
 /// The durable state of one group on one member.
 pub struct Store {
     disk: Box<dyn Disk>,
@@ -75,6 +83,7 @@
     len: u64,
     next_segment: u64,
     written: u64,
+    staged: Option<Staged>,
     failed: bool,
 }
 
@@ -98,21 +107,41 @@
     }
 }
 
-/// Writes a file as a whole: a reader sees the old or the new content.
+/// Writes a file of one record as a whole: a reader sees the old or the new
+/// content.
 fn replace(disk: &mut dyn Disk, name: &str, payload: &[u8]) -> io::Result<()> {
-    let tmp = format!("{name}.tmp");
-    match disk.remove(&tmp) {
-        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-        _ => {}
-    }
     let mut buf = Vec::with_capacity(payload.len() + 8);
     record::put_plain(&mut buf, payload);
-    disk.append(&tmp, &buf)?;
+    replace_by(disk, name, &buf)
+}
+
+fn replace_by(disk: &mut dyn Disk, name: &str, buf: &[u8]) -> io::Result<()> {
+    let tmp = format!("{name}.tmp");
+    remove_if_there(disk, &tmp)?;
+    disk.append(&tmp, buf)?;
     disk.sync(&tmp)?;
     disk.rename(&tmp, name)?;
     disk.sync_folder()
 }
 
+fn remove_if_there(disk: &mut dyn Disk, name: &str) -> io::Result<()> {
+    match disk.remove(name) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+        _ => Ok(()),
+    }
+}
+
+/// Returns the content of a snapshot file.
+fn snapshot_file(first_segment: u64, snapshot: &Snapshot) -> Vec<u8> {
+    let file = SnapshotFile {
+        first_segment,
+        snapshot: Some(snapshot.clone()),
+    };
+    let mut buf = Vec::new();
+    record::put_plain(&mut buf, &file.encode_to_vec());
+    buf
+}
+
 fn read_message<M: Message + Default>(
     disk: &dyn Disk,
     name: &str,
@@ -174,6 +203,7 @@
             len: 0,
             next_segment: file.first_segment,
             written: 0,
+            staged: None,
             failed: false,
         };
         let base = file.snapshot.as_ref().map_or(0, |s| s.index);
@@ -259,30 +289,95 @@
         Ok(())
     }
 
-    fn save_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), StorageError> {
-        // A reset makes every segment old at once: their entries may differ
-        // from the leader's and must not come back after a crash.
-        let keep_from = if reset {
-            self.segments.len()
-        } else {
-            let full = self.segments.len().saturating_sub(1);
-            self.segments
-                .iter()
-                .take(full)
-                .take_while(|s| s.last <= snapshot.index)
-                .count()
+    /// Writes and syncs a part of a snapshot file ahead of the `save` that
+    /// carries the snapshot, so that no single call takes long. Returns whether
+    /// all parts are written. Nothing but `save` makes the snapshot count.
+    ///
+    /// # Errors
+    ///
+    /// Like [`save`](Self::save).
+    pub fn stage(&mut self, snapshot: &Snapshot, max_bytes: usize) -> Result<bool, StorageError> {
+        if self.failed {
+            return Err(StorageError::Failed);
+        }
+        let result = self.try_stage(snapshot, max_bytes);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn try_stage(&mut self, snapshot: &Snapshot, max_bytes: usize) -> Result<bool, StorageError> {
+        let tmp = format!("{}-snapshot.tmp", self.group);
+        if self
+            .staged
+            .as_ref()
+            .is_none_or(|s| s.index != snapshot.index)
+        {
+            remove_if_there(&mut *self.disk, &tmp)?;
+            let first_segment = self.first_segment(snapshot.index);
+            self.staged = Some(Staged {
+                index: snapshot.index,
+                first_segment,
+                buf: snapshot_file(first_segment, snapshot),
+                written: 0,
+            });
+        }
+        let Some(staged) = &mut self.staged else {
+            return Ok(false);
         };
-        let first_segment = self
+        let end = staged.buf.len().min(staged.written + max_bytes);
+        if staged.written < end {
+            self.disk.append(&tmp, &staged.buf[staged.written..end])?;
+            self.disk.sync(&tmp)?;
+            staged.written = end;
+        }
+        Ok(staged.written == staged.buf.len())
+    }
+
+    /// Returns the first segment that holds entries above an index.
+    fn first_segment(&self, index: LogIndex) -> u64 {
+        let full = self.segments.len().saturating_sub(1);
+        let keep_from = self
             .segments
+            .iter()
+            .take(full)
+            .take_while(|s| s.last <= index)
+            .count();
+        self.segments
             .get(keep_from)
-            .map_or(self.next_segment, |s| s.number);
-        let file = SnapshotFile {
-            first_segment,
-            snapshot: Some(snapshot.clone()),
-        };
+            .map_or(self.next_segment, |s| s.number)
+    }
+
+    fn save_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), StorageError> {
         let name = format!("{}-snapshot", self.group);
-        replace(&mut *self.disk, &name, &file.encode_to_vec())?;
-        let old: Vec<Segment> = self.segments.drain(..keep_from).collect();
+        let staged = self
+            .staged
+            .take()
+            .filter(|s| !reset && s.index == snapshot.index && s.written == s.buf.len());
+        let first_segment = match staged {
+            Some(staged) => {
+                self.disk.rename(&format!("{name}.tmp"), &name)?;
+                self.disk.sync_folder()?;
+                staged.first_segment
+            }
+            None => {
+                // A reset makes every segment old at once: their entries may
+                // differ from the leader's and must not come back.
+                let first_segment = if reset {
+                    self.next_segment
+                } else {
+                    self.first_segment(snapshot.index)
+                };
+                let buf = snapshot_file(first_segment, snapshot);
+                replace_by(&mut *self.disk, &name, &buf)?;
+                first_segment
+            }
+        };
+        let old = self
+            .segments
+            .iter()
+            .take_while(|s| s.number < first_segment)
+            .count();
+        let old: Vec<Segment> = self.segments.drain(..old).collect();
         for s in &old {
             self.disk.remove(&segment_name(self.group, s.number))?;
         }
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -106,6 +106,16 @@
             if fails {
                 disk.fail_power_after(rng.random_range(0..8));
             }
+            if let Some(s) = &fx.snapshot
+                && rng.random_bool(0.5)
+            {
+                // Written ahead in parts, all of them or only the first.
+                while let Ok(false) = store.stage(s, 40) {
+                    if rng.random_bool(0.2) {
+                        break;
+                    }
+                }
+            }
             let saved = store.save(&fx);
             if saved.is_ok() {
                 (log, base) = (after, base_after);
