--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,21 @@
-//! Entry point.
+//! The operator command of anvilloft.
 
-fn main() {}
+mod api;
+mod cmd;
+mod error;
+mod output;
+#[cfg(test)]
+mod tests;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cmd::root().get_matches();
+    match cmd::run(&matches) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("anvilloft: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,126 @@
+//! Bodies of requests and streamed answers.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::StatusCode;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use quick_error::quick_error;
+use tokio::sync::mpsc;
+use volo_http::body::Body;
+
+use crate::error::Refusal;
+
+fn too_large(limit: usize) -> Refusal {
+    Refusal::new(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "body_too_large",
+        format!("the body is longer than {limit} bytes"),
+    )
+}
+
+/// Reads a request body of at most `limit` bytes.
+///
+/// Memory is taken only for bytes that arrived, never for a claimed length.
+pub(crate) async fn read(body: Body, limit: usize, gap: Duration) -> Result<Bytes, Refusal> {
+    if http_body::Body::size_hint(&body).lower() > limit as u64 {
+        return Err(too_large(limit));
+    }
+    let mut body = std::pin::pin!(body);
+    let mut whole: Option<Bytes> = None;
+    let mut more = BytesMut::new();
+    loop {
+        let frame = match tokio::time::timeout(gap, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(_))) => {
+                return Err(Refusal::bad_request("", "the body is truncated"));
+            }
+            Err(_) => {
+                return Err(Refusal::new(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "body_timeout",
+                    "the body stopped arriving",
+                ));
+            }
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if more.len() + whole.as_ref().map_or(0, Bytes::len) + data.len() > limit {
+            return Err(too_large(limit));
+        }
+        match whole.take() {
+            None if more.is_empty() => whole = Some(data),
+            None => more.extend_from_slice(&data),
+            Some(head) => {
+                more.extend_from_slice(&head);
+                more.extend_from_slice(&data);
+            }
+        }
+    }
+    Ok(whole.unwrap_or_else(|| more.freeze()))
+}
+
+quick_error! {
+    /// A streamed body whose end was never sent.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// The task that feeds the body ended early, for example in a panic.
+        Truncated {
+            display("the stream ended without its last piece")
+        }
+    }
+}
+
+/// A piece of a streamed answer.
+pub(crate) enum Piece {
+    /// More pieces follow.
+    More(Bytes),
+    /// The body ends after this piece.
+    Last(Bytes),
+}
+
+/// Body of a streamed answer, fed through a bounded channel.
+///
+/// A channel that closes before its last piece fails the body, so that the
+/// connection is dropped: an ordinary end of the body would make a truncated
+/// answer look whole.
+pub(crate) struct ChannelBody {
+    rx: mpsc::Receiver<Piece>,
+    ended: bool,
+}
+
+impl ChannelBody {
+    /// Makes a body that gets the pieces sent to the channel.
+    pub(crate) fn body(rx: mpsc::Receiver<Piece>) -> Body {
+        Body::from_body(Self { rx, ended: false })
+    }
+}
+
+impl http_body::Body for ChannelBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        self.rx.poll_recv(cx).map(|piece| match piece {
+            Some(Piece::More(data)) => Some(Ok(Frame::data(data))),
+            Some(Piece::Last(data)) => {
+                self.ended = true;
+                Some(Ok(Frame::data(data)))
+            }
+            None => Some(Err(BodyError::Truncated)),
+        })
+    }
+}
