Let urgent work exceed the router's part in the router

Cause: the router set the capacity without the places beyond its part. Change: urgent_slots comes from the selector's room.

--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -250,9 +250,12 @@
             service,
             ..RouteRequest::default()
         };
-        let slots = self.selector.room(now, &route).slots;
-        if slots > 0 {
-            return Capacity::slots(slots);
+        let room = self.selector.room(now, &route);
+        if room.slots > 0 {
+            return Capacity {
+                urgent_slots: room.limit,
+                ..Capacity::slots(room.slots)
+            };
         }
         // Endpoints that failed lately are left out above. When there is no
         // other, one request at each is better than refusing all.
