Export metrics of the control thread and take queue bounds from settings

Cause: tables of the control thread had no metric; queue_team and queue_total were read but unused; copies lost with a session were not sent again. Change: gauges over each table, counters of retries, strikes and bad updates; the queue bounds; copies go again every 2 s while unacknowledged; capacity passes the selector's limit on as urgent slots. queues.rs is split from requests.rs.

--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -6,9 +6,11 @@
 
 mod budgets;
 mod drain;
+mod gauges;
 mod lease;
 mod orders;
 mod peers;
+mod queues;
 mod requests;
 mod suspects;
 
@@ -54,6 +56,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+pub use crate::core::gauges::Gauges;
 use crate::core::requests::Req;
 
 /// Time between two looks at everything that is due by time.
@@ -78,6 +81,15 @@
     pub peer_address: String,
 }
 
+/// Bounds of the queues of one model or service, in requests.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueLimits {
+    /// Of one team in one rank.
+    pub team: usize,
+    /// Of all teams and ranks.
+    pub total: usize,
+}
+
 /// How far the router is with its planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -205,6 +217,9 @@
     /// Tokens by team, decayed, for the shares of the entry answer.
     pub(crate) demand: HashMap<String, f64>,
     pub(crate) shares_at: Duration,
+    pub(crate) gauges: Gauges,
+    pub(crate) queues: QueueLimits,
+    pub(crate) copies_at: Duration,
 }
 
 /// What the control thread is made of.
@@ -221,6 +236,10 @@
     pub control: Arc<dyn Control>,
     /// Access to peers.
     pub peers: Arc<dyn Peers>,
+    /// Metrics.
+    pub gauges: Gauges,
+    /// Bounds of the queues.
+    pub queues: QueueLimits,
     /// Seed of the selector's random choices.
     pub seed: u64,
 }
@@ -270,6 +289,9 @@
             open_orders: 0,
             demand: HashMap::new(),
             shares_at: now,
+            gauges: parts.gauges,
+            queues: parts.queues,
+            copies_at: now,
         }
     }
 
@@ -437,6 +459,8 @@
         self.tick_endpoints(now);
         self.tick_judging(now);
         self.tick_shares(now);
+        self.tick_gauges(now);
+        self.tick_copies(now);
         self.tick_drain(now);
         self.deliver_copies();
         self.lanes_dirty = true;
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -18,6 +18,8 @@
 use super::Done;
 use super::Outcome;
 
+/// Time after which unacknowledged settlements are copied again.
+const COPY_AGAIN: Duration = Duration::from_secs(2);
 /// Recalled budgets that are kept, at most.
 const MAX_RECALLED: usize = 65_536;
 
@@ -126,6 +128,17 @@
         }
     }
 
+    /// Sends copies again while control has not acknowledged their reports: a
+    /// session that broke may have lost them.
+    pub(crate) fn tick_copies(&mut self, now: Duration) {
+        if now.saturating_sub(self.copies_at) >= COPY_AGAIN {
+            self.copies_at = now;
+            if self.allotments.unacknowledged() > 0 {
+                self.allotments.copy_again();
+            }
+        }
+    }
+
     /// Delivers the settlements of routers that are gone.
     pub(crate) fn deliver_copies(&mut self) {
         for (router, incarnation) in self.copies.incarnations() {
--- a/crates/router/src/core/lease.rs
+++ b/crates/router/src/core/lease.rs
@@ -154,6 +154,7 @@
                 Err(e) => {
                     // The lease stands for the granted revision; without its
                     // items it must not count.
+                    self.gauges.bad_updates.inc();
                     slog::error!(self.log, "cannot apply configuration"; "error" => %e);
                     return;
                 }
--- /dev/null
+++ b/crates/router/src/core/queues.rs
@@ -0,0 +1,246 @@
+//! Queues of models and services: capacity, offers and verdicts.
+
+use std::time::Duration;
+
+use anvilloft_admission::Capacity;
+use anvilloft_admission::FairAdmission;
+use anvilloft_admission::Offer;
+use anvilloft_admission::Policy;
+use anvilloft_admission::Rank;
+use anvilloft_admission::Reason;
+use anvilloft_admission::Verdict;
+use anvilloft_gateway::Refusal;
+use anvilloft_gateway::ports::Target;
+use anvilloft_routing::RouteRequest;
+use anvilloft_types::RequestNo;
+use http::StatusCode;
+
+use super::Core;
+use super::Lane;
+use super::LaneKey;
+use super::requests::Req;
+use super::requests::Stage;
+
+impl Core {
+    fn policy(&self) -> Policy {
+        let mut policy = Policy {
+            team_queue: self.queues.team,
+            total_queue: self.queues.total,
+            ..Policy::default()
+        };
+        let ranks: Vec<Rank> = self
+            .config
+            .ranks()
+            .map(|r| Rank {
+                name: r.name.clone(),
+                level: r.level,
+                weight: r.weight,
+                floor_percent: r.floor_percent,
+                queue: Duration::from_millis(u64::from(r.queue_ms)),
+            })
+            .collect();
+        if !ranks.is_empty() {
+            policy.ranks = ranks;
+        }
+        policy
+    }
+
+    /// Makes the queues anew after the ranks changed. Running requests end
+    /// without the new queues; the selector still counts them.
+    pub(crate) fn rebuild_lanes(&mut self, now: Duration) {
+        let policy = self.policy();
+        for lane in self.lanes.values_mut() {
+            lane.admission = Box::new(FairAdmission::new(policy.clone()));
+        }
+        self.set_capacities(now);
+        let waiting: Vec<RequestNo> = self
+            .requests
+            .iter_mut()
+            .filter(|(_, r)| r.queued && !r.started)
+            .map(|(no, r)| {
+                r.queued = false;
+                *no
+            })
+            .collect();
+        for no in waiting {
+            self.offer(now, no);
+        }
+    }
+
+    pub(crate) fn route_request(req: &Req, suspect: bool) -> RouteRequest<'_> {
+        let mut route = RouteRequest {
+            level: req.level,
+            fingerprint: req.admit.fingerprint,
+            suspect,
+            exclude: &req.tried,
+            ..RouteRequest::default()
+        };
+        match &req.admit.target {
+            Target::Model {
+                name,
+                version,
+                prefix,
+                prompt,
+                ..
+            } => {
+                route.model = name;
+                route.version = version;
+                route.prefix = Some(*prefix);
+                // The bound counts bytes; four of them make a token.
+                route.prompt_tokens = prompt / 4;
+            }
+            Target::Service(name) => route.service = name,
+        }
+        route
+    }
+
+    fn capacity_of(&self, now: Duration, lane: &LaneKey) -> Capacity {
+        let (model, service) = match lane {
+            LaneKey::Model(name) => (name.as_str(), ""),
+            LaneKey::Service(name) => ("", name.as_str()),
+        };
+        let route = RouteRequest {
+            model,
+            service,
+            ..RouteRequest::default()
+        };
+        let room = self.selector.room(now, &route);
+        if room.slots > 0 {
+            return Capacity {
+                urgent_slots: room.limit.max(room.slots),
+                ..Capacity::slots(room.slots)
+            };
+        }
+        // Endpoints that failed lately, or of which this router has no part,
+        // are left out above. When there is no other, one request at each is
+        // better than refusing all.
+        let last_resort = self
+            .endpoints
+            .iter()
+            .filter(|e| e.usable(now))
+            .filter(|e| match lane {
+                LaneKey::Model(name) => e.update.models.iter().any(|m| m.name == *name),
+                LaneKey::Service(name) => e.update.service && e.update.pool == *name,
+            })
+            .count();
+        Capacity::slots(last_resort as u32)
+    }
+
+    pub(crate) fn set_capacities(&mut self, now: Duration) {
+        let keys: Vec<LaneKey> = self.lanes.keys().cloned().collect();
+        for key in keys {
+            let capacity = self.capacity_of(now, &key);
+            if let Some(lane) = self.lanes.get_mut(&key) {
+                lane.admission.set_capacity(now, capacity);
+            }
+        }
+    }
+
+    /// Puts a request with a reservation into its queue.
+    pub(crate) fn offer(&mut self, now: Duration, no: RequestNo) {
+        let Some(req) = self.requests.get_mut(&no) else {
+            return;
+        };
+        req.queued = true;
+        let team = self.config.team(&req.admit.team);
+        let urgent = self.config.value("urgent_share_percent", &req.admit.team);
+        let offer = Offer {
+            id: no,
+            team: req.admit.team.clone(),
+            weight: team.map_or(1, |t| t.weight),
+            rank: req.admit.rank.clone(),
+            tokens: req.admit.amount.max(1),
+            max_wait: None,
+            urgent_percent: u32::try_from(urgent).ok().filter(|u| *u > 0),
+        };
+        let key = req.lane.clone();
+        if !self.lanes.contains_key(&key) {
+            let mut lane = Lane {
+                admission: Box::new(FairAdmission::new(self.policy())),
+                parked: Vec::new(),
+            };
+            lane.admission
+                .set_capacity(now, self.capacity_of(now, &key));
+            self.lanes.insert(key.clone(), lane);
+        }
+        let Some(lane) = self.lanes.get_mut(&key) else {
+            return;
+        };
+        self.lanes_dirty = true;
+        if let Err(refusal) = lane.admission.offer(now, offer) {
+            self.refuse_admission(now, no, refusal);
+        }
+    }
+
+    fn refuse_admission(
+        &mut self,
+        now: Duration,
+        no: RequestNo,
+        refusal: anvilloft_admission::Refusal,
+    ) {
+        if let Some(req) = self.requests.get_mut(&no) {
+            req.queued = false;
+        }
+        let code = match refusal.reason {
+            Reason::NoCapacity => "no_endpoint",
+            Reason::TeamQueueFull | Reason::QueueFull => "queue_full",
+            Reason::WaitTooLong => "wait_too_long",
+            Reason::DeadlinePassed => "deadline_passed",
+            Reason::DuplicateId => "duplicate",
+        };
+        let status = if refusal.reason == Reason::NoCapacity {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::TOO_MANY_REQUESTS
+        };
+        let refusal = Refusal::new(status, code, refusal.reason.to_string())
+            .retry_after(refusal.retry_after.max(Duration::from_millis(1)));
+        self.refuse(now, no, refusal);
+    }
+
+    pub(crate) fn poll_lanes(&mut self, now: Duration) {
+        if now >= self.lease_until && self.requests.values().any(|r| r.reply.is_some()) {
+            self.refuse_waiting(now);
+        }
+        let keys: Vec<LaneKey> = self.lanes.keys().cloned().collect();
+        for key in keys {
+            let Some(lane) = self.lanes.get_mut(&key) else {
+                continue;
+            };
+            let parked = std::mem::take(&mut lane.parked);
+            for no in parked {
+                self.route(now, no);
+            }
+            let Some(lane) = self.lanes.get_mut(&key) else {
+                continue;
+            };
+            for verdict in lane.admission.poll(now) {
+                match verdict {
+                    Verdict::Start { id, level, .. } => {
+                        if let Some(req) = self.requests.get_mut(&id) {
+                            req.started = true;
+                            req.level = level;
+                        }
+                        self.route(now, id);
+                    }
+                    Verdict::Refuse { id, refusal } => self.refuse_admission(now, id, refusal),
+                }
+            }
+        }
+    }
+
+    /// The lease ran out: what waits is refused, what runs goes on.
+    fn refuse_waiting(&mut self, now: Duration) {
+        let waiting: Vec<(RequestNo, String)> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| matches!(r.stage, Stage::Waiting) && r.tried.is_empty())
+            .map(|(no, r)| (*no, r.admit.team.clone()))
+            .collect();
+        for (no, team) in waiting {
+            if let Err(refusal) = self.check_lease(now, &team) {
+                self.refuse(now, no, refusal);
+            }
+        }
+    }
+}
--- a/crates/router/src/core/suspects.rs
+++ b/crates/router/src/core/suspects.rs
@@ -213,6 +213,7 @@
             anvilloft_telemetry::decision!(self.log, "strike";
                 "endpoint" => &d.endpoint, "incarnation" => d.incarnation);
             self.strikes.insert(d.attempt, false);
+            self.gauges.strikes.inc();
             self.tell_peers(&d.fingerprint);
             let holder = self.requests.iter().find_map(|(no, r)| match &r.stage {
                 Stage::Judging { attempt, .. } | Stage::Running(attempt)
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -18,6 +18,7 @@
 use tokio::signal::unix::signal;
 
 use crate::core::Phase;
+use crate::core::QueueLimits;
 use crate::router::Router;
 use crate::router::RouterError;
 use crate::router::RouterOptions;
@@ -72,7 +73,7 @@
         .map(str::trim)
         .filter(|key| !key.is_empty() && key.bytes().all(|b| b.is_ascii_graphic()))
         .ok_or(DaemonError::EndpointKey)?;
-    let bytes = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+    let size = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
     Ok(RouterOptions {
         name: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
@@ -82,11 +83,15 @@
         caller_listen: settings.caller_listen,
         caller_address: settings.caller_address,
         peer_address: settings.peer_address().to_string(),
-        threads: bytes(settings.threads),
-        max_answer_bytes: bytes(settings.max_answer_bytes),
+        threads: size(settings.threads),
+        max_answer_bytes: size(settings.max_answer_bytes),
+        queues: QueueLimits {
+            team: size(settings.queue_team),
+            total: size(settings.queue_total),
+        },
         api: ApiOptions {
             router: settings.name.clone(),
-            max_body_bytes: bytes(settings.max_body_bytes),
+            max_body_bytes: size(settings.max_body_bytes),
             body_gap: settings.header_read,
             write_stall: settings.write_stall,
             service_first_byte: settings.first_byte_service,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -30,8 +30,10 @@
 
 use crate::core::Core;
 use crate::core::CoreParts;
+use crate::core::Gauges;
 use crate::core::Identity;
 use crate::core::Phase;
+use crate::core::QueueLimits;
 use crate::core::Stop;
 
 /// Default of the largest whole answer of an endpoint, in bytes.
@@ -79,6 +81,8 @@
     pub threads: usize,
     /// Largest whole answer of an endpoint, in bytes.
     pub max_answer_bytes: usize,
+    /// Bounds of the queues.
+    pub queues: QueueLimits,
     /// Limits towards callers; name and endpoint key are part of them.
     pub api: ApiOptions,
     /// Limits towards endpoints.
@@ -97,6 +101,10 @@
             peer_address: format!("local-{name}"),
             threads: 2,
             max_answer_bytes: MAX_ANSWER_BYTES,
+            queues: QueueLimits {
+                team: 256,
+                total: 8192,
+            },
             api: ApiOptions {
                 router: name.into(),
                 endpoint_key: endpoint_key.into(),
@@ -196,6 +204,8 @@
             view,
             control: links.control,
             peers: links.peers,
+            gauges: Gauges::new(&metrics.registry)?,
+            queues: options.queues,
             seed: rand::random(),
         });
         let phase = core.phase();
