Wait for slow callers in a drain, and send orders on new connections

Cause: a drain ended 100 ms after the last settlement, which could cut off an answer that its caller reads slowly; a request that passed the check just before the drain finished could start; an order on a pooled connection that its peer closes at that moment became unknown. Change: answers count as open until their connection took them, and a drain waits for them; the control thread refuses work once it finishes; orders use new connections. A test covers requests that are queued when the lease runs out.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -9,7 +9,9 @@
 use bytes::BytesMut;
 use http::StatusCode;
 use http_body::Frame;
+use http_body::SizeHint;
 use http_body_util::BodyExt;
+use prometheus::IntGauge;
 use quick_error::quick_error;
 use tokio::sync::mpsc;
 use volo_http::body::Body;
@@ -67,6 +69,22 @@
     Ok(whole.unwrap_or_else(|| more.freeze()))
 }
 
+/// Counts an answer that its connection has not taken as a whole.
+pub(crate) struct OpenAnswer(IntGauge);
+
+impl OpenAnswer {
+    pub(crate) fn new(gauge: &IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge.clone())
+    }
+}
+
+impl Drop for OpenAnswer {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 quick_error! {
     /// A streamed body whose end was never sent.
     #[derive(Debug)]
@@ -94,12 +112,17 @@
 pub(crate) struct ChannelBody {
     rx: mpsc::Receiver<Piece>,
     ended: bool,
+    _open: OpenAnswer,
 }
 
 impl ChannelBody {
     /// Makes a body that gets the pieces sent to the channel.
-    pub(crate) fn body(rx: mpsc::Receiver<Piece>) -> Body {
-        Body::from_body(Self { rx, ended: false })
+    pub(crate) fn body(rx: mpsc::Receiver<Piece>, open: OpenAnswer) -> Body {
+        Body::from_body(Self {
+            rx,
+            ended: false,
+            _open: open,
+        })
     }
 }
 
@@ -124,3 +147,45 @@
         })
     }
 }
+
+/// Bytes of a whole answer that the connection takes at once. It takes the next
+/// ones when its buffer has room, so that a drain sees a slow caller.
+const WHOLE_PIECE: usize = 64 * 1024;
+
+/// Body of a whole answer.
+pub(crate) struct WholeBody {
+    data: Bytes,
+    _open: OpenAnswer,
+}
+
+impl WholeBody {
+    /// Makes a body of known length.
+    pub(crate) fn body(data: Bytes, open: OpenAnswer) -> Body {
+        Body::from_body(Self { data, _open: open })
+    }
+}
+
+impl http_body::Body for WholeBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if self.data.is_empty() {
+            return Poll::Ready(None);
+        }
+        let end = self.data.len().min(WHOLE_PIECE);
+        let piece = self.data.split_to(end);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.data.len() as u64)
+    }
+}
--- a/crates/gateway/src/chat.rs
+++ b/crates/gateway/src/chat.rs
@@ -15,7 +15,6 @@
 use sha2::Digest;
 use sha2::Sha256;
 use tokio::sync::mpsc;
-use volo_http::body::Body;
 use volo_http::response::Response;
 
 use crate::api::Api;
@@ -24,7 +23,9 @@
 use crate::api::json_response;
 use crate::body;
 use crate::body::ChannelBody;
+use crate::body::OpenAnswer;
 use crate::body::Piece;
+use crate::body::WholeBody;
 use crate::client::Answer;
 use crate::client::ClientError;
 use crate::client::PRIORITY_HEADER;
@@ -195,8 +196,9 @@
     match started {
         Started::Whole { body, usage } => {
             let used = usage.map_or(amount, |u| u.total()).min(amount);
+            let open = OpenAnswer::new(&api.metrics.open_answers);
             running.finish(used, AttemptEnd::Ok);
-            Ok(json_response(body))
+            Ok(json_response(WholeBody::body(body, open)))
         }
         Started::Stream(stream) => {
             let (tx, rx) = mpsc::channel(STREAM_QUEUE);
@@ -213,7 +215,10 @@
                 until: Instant::now() + api.options.stream_limit,
             };
             tokio::spawn(pump.run());
-            let mut resp = Response::new(ChannelBody::body(rx));
+            let mut resp = Response::new(ChannelBody::body(
+                rx,
+                OpenAnswer::new(&api.metrics.open_answers),
+            ));
             let headers = resp.headers_mut();
             headers.insert(
                 http::header::CONTENT_TYPE,
@@ -249,7 +254,7 @@
     let first_byte = api.client.limits().first_byte;
     let sent = api
         .client
-        .send(ticket.address, request, ticket.attempt, first_byte)
+        .send(ticket.address, request, ticket.attempt, first_byte, false)
         .await;
     let answer = match sent {
         Ok(answer) => answer,
@@ -528,8 +533,14 @@
 }
 
 /// Makes an answer with the status and content type of an endpoint.
-pub(crate) fn passed_on(status: StatusCode, content_type: &str, body: Bytes) -> Response {
-    let mut resp = Response::new(Body::from(body));
+pub(crate) fn passed_on(
+    api: &Api,
+    status: StatusCode,
+    content_type: &str,
+    body: Bytes,
+) -> Response {
+    let open = OpenAnswer::new(&api.metrics.open_answers);
+    let mut resp = Response::new(WholeBody::body(body, open));
     *resp.status_mut() = status;
     if let Ok(value) = HeaderValue::from_str(content_type)
         && !content_type.is_empty()
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -298,7 +298,8 @@
         idle.values().map(Vec::len).sum()
     }
 
-    /// Sends one attempt and waits for the answer's headers.
+    /// Sends one attempt and waits for the answer's headers. With `fresh` it
+    /// opens a new connection.
     ///
     /// # Errors
     ///
@@ -310,6 +311,7 @@
         mut req: Request<Full<Bytes>>,
         attempt: AttemptId,
         first_byte: Duration,
+        fresh: bool,
     ) -> Result<Answer, SendError> {
         let id = format!("{attempt:032x}");
         let host = HeaderValue::from_str(&addr.to_string());
@@ -317,7 +319,8 @@
             req.headers_mut().insert(http::header::HOST, host);
             req.headers_mut().insert(ATTEMPT_HEADER, id);
         }
-        let mut conn = match self.take_idle(addr) {
+        let pooled = if fresh { None } else { self.take_idle(addr) };
+        let mut conn = match pooled {
             Some(conn) => conn,
             None => Conn::open(addr, &self.limits)
                 .await
@@ -394,7 +397,9 @@
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)));
         if let Ok(req) = req
-            && let Ok(answer) = self.send(addr, req, attempt, self.limits.connect).await
+            && let Ok(answer) = self
+                .send(addr, req, attempt, self.limits.connect, false)
+                .await
         {
             answer.collect(self.limits.connect).await.ok();
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub attempts: IntCounterVec,
     /// Requests being served.
     pub in_flight: IntGauge,
+    /// Answers that their connections have not taken as a whole.
+    pub open_answers: IntGauge,
     /// Messages that wait for the control thread.
     pub core_queue: IntGauge,
     /// Idle connections to endpoints.
@@ -44,6 +46,8 @@
             &["outcome"],
         )?;
         let in_flight = IntGauge::new("anvilloft_in_flight", "Requests being served")?;
+        let open_answers =
+            IntGauge::new("anvilloft_open_answers", "Answers on their way to callers")?;
         let core_queue = IntGauge::new(
             "anvilloft_core_queue",
             "Messages waiting for the control thread",
@@ -62,6 +66,7 @@
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(in_flight.clone()))?;
+        registry.register(Box::new(open_answers.clone()))?;
         registry.register(Box::new(core_queue.clone()))?;
         registry.register(Box::new(idle_connections.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
@@ -70,6 +75,7 @@
             answers,
             attempts,
             in_flight,
+            open_answers,
             core_queue,
             idle_connections,
             first_byte,
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -224,7 +224,7 @@
         let state = OrderState::try_from(reply.state).unwrap_or(OrderState::Unknown);
         match state {
             OrderState::Run => return Ok(None),
-            OrderState::Finished => return recorded(reply).map(Some),
+            OrderState::Finished => return recorded(api, reply).map(Some),
             OrderState::Running if Instant::now() + RUNNING_POLL < until => {
                 tokio::time::sleep(RUNNING_POLL).await;
             }
@@ -256,7 +256,7 @@
     }
 }
 
-fn recorded(reply: OrderReply) -> Result<Response, Refusal> {
+fn recorded(api: &Api, reply: OrderReply) -> Result<Response, Refusal> {
     let status = u16::try_from(reply.status)
         .ok()
         .and_then(|s| StatusCode::from_u16(s).ok())
@@ -266,10 +266,11 @@
             "{{\"run\":\"yes\",\"status\":{},\"message\":\"the order was run; its answer was too long to keep\"}}",
             status.as_u16()
         );
-        return Ok(passed_on(status, "application/json", Bytes::from(text)));
+        let body = Bytes::from(text);
+        return Ok(passed_on(api, status, "application/json", body));
     }
     let body = Bytes::from(reply.body);
-    Ok(passed_on(status, &reply.content_type, body))
+    Ok(passed_on(api, status, &reply.content_type, body))
 }
 
 async fn run(
@@ -299,7 +300,7 @@
                 if let Some(order) = order {
                     order.finish(OrderOutcome::Done, Some(&done));
                 }
-                return Ok(passed_on(done.status, &done.content_type, done.body));
+                return Ok(passed_on(api, done.status, &done.content_type, done.body));
             }
             Err(failure) => failure,
         };
@@ -362,7 +363,9 @@
     let limit = api.options.service_first_byte;
     let answer = match api
         .client
-        .send(ticket.address, request, ticket.attempt, limit)
+        // A pooled connection may be closed by its peer just now, which would
+        // leave an order in an unknown state.
+        .send(ticket.address, request, ticket.attempt, limit, order)
         .await
     {
         Ok(answer) => answer,
--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -27,7 +27,7 @@
     let req = Request::post("/x")
         .body(Full::new(Bytes::from_static(b"{}")))
         .unwrap();
-    let answer = client.send(addr, req, attempt, GAP).await?;
+    let answer = client.send(addr, req, attempt, GAP, false).await?;
     answer.collect(GAP).await.map_err(|error| SendError {
         error,
         written: true,
--- a/crates/router/src/core/orders.rs
+++ b/crates/router/src/core/orders.rs
@@ -40,6 +40,10 @@
         within: Duration,
         reply: oneshot::Sender<Result<OrderReply, Refusal>>,
     ) {
+        if let Err(refusal) = self.check_lease(now, &begin.team) {
+            reply.send(Err(refusal)).ok();
+            return;
+        }
         begin.incarnation = self.id.incarnation;
         self.open_orders += 1;
         self.send_order_begin(Beginning {
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -26,6 +26,7 @@
 use super::Core;
 use super::LaneKey;
 use super::Lingering;
+use super::Phase;
 use super::suspects::PermitEnd;
 
 /// Attempts of one request, at most.
@@ -144,15 +145,19 @@
         }
     }
 
+    /// Refuses new work without a lease or after the drain began to finish.
     pub(crate) fn check_lease(&self, now: Duration, team: &str) -> Result<(), Refusal> {
-        if now < self.lease_until {
+        let mut refusal = if self.phase_now() > Phase::Leaving {
+            Refusal::unavailable("draining", "this router is stopping")
+        } else if now < self.lease_until {
             return Ok(());
-        }
-        let mut refusal = Refusal::unavailable(
-            "no_lease",
-            "this router has no valid configuration lease at present",
-        )
-        .retry_after(RETRY_LATER);
+        } else {
+            Refusal::unavailable(
+                "no_lease",
+                "this router has no valid configuration lease at present",
+            )
+            .retry_after(RETRY_LATER)
+        };
         refusal.try_routers = self
             .routers
             .entry(team, 3)
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -333,7 +333,13 @@
         };
         self.stop_accepting.cancel();
         if closed {
-            // Answers that were settled may still be on their way out.
+            // Answers that were settled may still be on their way to slow
+            // callers, each of which is given up after the write stall.
+            let open = self.metrics.open_answers.clone();
+            let until = tokio::time::Instant::now() + self.api.options.write_stall;
+            while open.get() > 0 && tokio::time::Instant::now() < until {
+                tokio::time::sleep(LAST_BYTES).await;
+            }
             tokio::time::sleep(LAST_BYTES).await;
         } else {
             self.stop.send_replace(Stop::Now);
--- a/crates/router/tests/leases.rs
+++ b/crates/router/tests/leases.rs
@@ -73,6 +73,39 @@
     );
 }
 
+/// Guards against queued requests that start after the lease ran out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn queued_requests_are_refused_when_the_lease_runs_out() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let mut options = engine("e1");
+    options.slots = 1;
+    options.tokens = 1000;
+    options.token_delay = Duration::from_millis(5);
+    let fake = fleet.fake(options).await;
+    let addr = fleet.addr(0);
+    let body = r#"{"model":"m","prompt":"first","max_tokens":800,"stream":true}"#;
+    let mut running = Vec::new();
+    for _ in 0..2 {
+        let call = Call::post("/v1/completions", body).key(KEY);
+        running.push(tokio::spawn(async move { call.send(addr, LIMIT).await }));
+    }
+    wait(|| fake.running() == 1).await;
+    let queued = tokio::spawn(async move { chat("queued", false).send(addr, LIMIT).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.cuts[0].store(true, Ordering::Relaxed);
+    let reply = queued.await.unwrap().unwrap();
+    assert_eq!(
+        error(&reply),
+        ("no".into(), "no_lease".into()),
+        "{}",
+        reply.text()
+    );
+    assert_eq!(fake.counts().runs("queued"), 0);
+    for stream in running {
+        stream.abort();
+    }
+}
+
 /// Guards against changes that some router misses for more than 4 s (I8).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_disabled_team_is_refused_everywhere_at_once() {
