Test that an unused permit keeps its strike

Cause: no test failed when a permit whose run reached nothing cleared the strike. Change: one test for the ledger, one end to end; each was seen to fail with the rule broken by hand (the end-to-end one here). Conclusion: both pass.

--- a/crates/ledger/tests/work.rs
+++ b/crates/ledger/tests/work.rs
@@ -273,3 +273,21 @@
         "cleared: no permit needed"
     );
 }
+
+/// Guards against a strike that is lost because a permit's run never reached
+/// its endpoint.
+#[test]
+fn a_permit_that_was_not_used_keeps_the_strike() {
+    let mut ledger = ledger();
+    apply(&mut ledger, strike(1, "e1"));
+    assert!(ask(&mut ledger, 1, "r1", "e2").run);
+    let Body::SuspectEnd(mut unused) = end(1, "r1", "e2", false) else {
+        panic!("another command");
+    };
+    unused.not_run = true;
+    apply(&mut ledger, Body::SuspectEnd(unused));
+    assert_eq!(ledger.suspects(), [[1; 16]]);
+    assert!(ask(&mut ledger, 1, "r2", "e3").run, "the permit is free");
+    apply(&mut ledger, end(1, "r2", "e3", true));
+    assert!(!ask(&mut ledger, 1, "r1", "e4").run, "the second death");
+}
--- a/crates/router/tests/failover.rs
+++ b/crates/router/tests/failover.rs
@@ -6,6 +6,7 @@
 
 use anvilloft_fakes::Fake;
 use anvilloft_fakes::engine::CRASH_MARK;
+use anvilloft_fakes::http::Call;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::CloseIncarnation;
 use common::*;
@@ -144,6 +145,38 @@
     fleet.control.with_ledger(|l| l.check());
 }
 
+/// Guards against a strike that is cleared by a run that never reached its
+/// endpoint, after which the request would crash two more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_run_that_reached_nothing_clears_no_strike() {
+    let fleet = Fleet::start(1, 10_000_000).await;
+    let mut options = engine("e1");
+    options.crashes = true;
+    let crashes = fleet.fake(options).await;
+    let call = chat(&format!("{CRASH_MARK} once"), false);
+    let reply = call.send(fleet.addr(0), LIMIT).await.unwrap();
+    assert_ne!(reply.status, 200);
+    assert!(!crashes.alive());
+    assert_eq!(fleet.control.with_ledger(|l| l.suspects().len()), 1);
+    // An endpoint that announced itself and is gone.
+    let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = gone.local_addr().unwrap().to_string();
+    drop(gone);
+    let ghost = serde_json::json!({
+        "id": "ghost", "incarnation": 1, "seq": 1, "address": address, "data_centre": "dc1",
+        "pool": "p", "kind": "model", "models": [{"name": "m"}], "slots": 4,
+    });
+    let announce = Call::post("/v1/endpoints/announce", ghost.to_string()).key(ENDPOINT_KEY);
+    assert_eq!(
+        announce.send(fleet.addr(0), LIMIT).await.unwrap().status,
+        200
+    );
+    let reply = call.send(fleet.addr(0), LIMIT).await.unwrap();
+    assert_eq!(error(&reply).0, "no", "{}", reply.text());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(fleet.control.with_ledger(|l| l.suspects().len()), 1);
+}
+
 /// Guards against caller-visible failures when an endpoint dies before the
 /// first byte: the request moves to another one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
