--- a/crates/control/src/admin/read.rs
+++ b/crates/control/src/admin/read.rs
@@ -90,7 +90,8 @@
         caller: &Caller,
         kinds: &[ItemKind],
     ) -> Result<Option<Value>, ApiError> {
-        let ledger = self.query("status", "", caller.team(), 0).await?;
+        // An item without a name doesn't exist: this asks for the revision alone.
+        let ledger = self.query("item/ranks", "", caller.team(), 0).await?;
         let mut config = json!({ "revision": ledger["revision"] });
         let mut count = 0;
         for kind in kinds {
