--- a/crates/cli/src/cmd/bench.rs
+++ b/crates/cli/src/cmd/bench.rs
@@ -9,6 +9,8 @@
 use anvilloft_bench::commits::CommitsConfig;
 use anvilloft_bench::lease;
 use anvilloft_bench::lease::LeaseConfig;
+use anvilloft_bench::load;
+use anvilloft_bench::load::LoadOptions;
 use anvilloft_bench::traffic;
 use anvilloft_bench::traffic::TrafficConfig;
 use clap::Arg;
@@ -69,6 +71,10 @@
         name: "commits",
         run: run_commits,
     },
+    Bench {
+        name: "load",
+        run: run_load,
+    },
 ];
 
 /// Returns the command-line definition.
@@ -79,7 +85,7 @@
             Arg::new("name")
                 .value_name("NAME")
                 .action(ArgAction::Append)
-                .value_parser(["slopes", "budgets", "traffic", "lease", "commits"])
+                .value_parser(["slopes", "budgets", "traffic", "lease", "commits", "load"])
                 .help("Benchmarks to run [default: all]"),
         )
         .arg(
@@ -198,3 +204,28 @@
         misses: 0,
     })
 }
+
+fn run_load(_options: &Options) -> Result<Output, CliError> {
+    let report =
+        load::run(&LoadOptions::default()).map_err(|err| CliError::Problems(err.to_string()))?;
+    let latency =
+        |l: &load::Latency| json!({ "p50_s": l.p50.as_secs_f64(), "p99_s": l.p99.as_secs_f64() });
+    let rate = |r: &load::Rate| json!({ "per_s": r.per_s, "per_core_s": r.per_core_s });
+    let json = json!({
+        "direct": latency(&report.direct),
+        "routed": latency(&report.routed),
+        "direct_requests": rate(&report.direct_requests),
+        "routed_requests": rate(&report.routed_requests),
+        "direct_tokens": rate(&report.direct_tokens),
+        "routed_tokens": rate(&report.routed_tokens),
+        "rest_kib": report.rest_kib,
+        "streams_kib": report.streams_kib,
+        "open_streams": report.open_streams,
+        "failed": report.failed,
+    });
+    Ok(Output {
+        text: report.to_string(),
+        json,
+        misses: 0,
+    })
+}
