Keep the place of an endpoint that is gone for five seconds

Cause: when an endpoint died, the next one took its place in the pair of every copy of the request that crashed it. Change: a gone endpoint keeps its place in the rendezvous order for 5 s, and suspects wait rather than risk a third endpoint; the bench removes dead endpoints as the router does.

--- a/crates/bench/src/traffic/flow.rs
+++ b/crates/bench/src/traffic/flow.rs
@@ -309,6 +309,7 @@
         let _ = suspects.failed(self.now, &engine.id, inc, u128::MAX, Failure::Connect);
         if suspects.counts_as_death(self.now, &engine.id, inc, false) {
             let due = suspects.died(self.now, &engine.id, inc);
+            self.routers[r].selector.remove(&engine.id);
             self.strike_all(due);
         }
     }
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -26,6 +26,10 @@
 /// Failure score from which an endpoint is used only when no other is left.
 /// One failure is below it, two in a row are above.
 const FAILURE_LIMIT: f64 = 1.5;
+/// Time for which an endpoint that is gone keeps its place in the rendezvous
+/// order. Otherwise copies of a request that crashed it would all move on to
+/// the next endpoint before the strike is known everywhere.
+const GONE_KEEP: Duration = Duration::from_secs(5);
 /// Weight of the newest sample of the time between tokens.
 const GAP_DECAY: f64 = 0.9;
 /// Weight of the newest sample of the time to the first token.
@@ -292,10 +296,19 @@
         self.usable
     }
 
+    /// Returns whether a request may go here.
     pub(crate) fn serves(&self, now: Duration, req: &RouteRequest<'_>) -> bool {
-        if self.state.leaving || self.state.expires <= now {
-            return false;
-        }
+        !self.state.leaving && self.state.expires > now && self.offers(req)
+    }
+
+    /// Returns whether the endpoint is gone for longer than copies of a request
+    /// that crashed it may still come.
+    pub(crate) fn forgotten(&self, now: Duration) -> bool {
+        now > self.state.expires + GONE_KEEP
+    }
+
+    /// Returns whether the endpoint has what a request needs, live or not.
+    pub(crate) fn offers(&self, req: &RouteRequest<'_>) -> bool {
         if !req.service.is_empty() {
             return self.state.service == req.service;
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -160,7 +160,7 @@
     /// the same incarnation and older incarnations are dropped.
     fn update(&mut self, now: Duration, ep: &EndpointState);
 
-    /// Forgets an endpoint.
+    /// Takes an endpoint out until a newer announcement of it comes.
     fn remove(&mut self, ep: &str);
 
     /// Chooses the endpoint of an attempt.
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -116,6 +116,8 @@
     rng: SmallRng,
     own: RouterId,
     routers: Vec<RouterId>,
+    /// Time of the latest call.
+    now: Duration,
     /// Sorted by name.
     endpoints: Vec<Endpoint>,
     /// Reused between calls.
@@ -130,6 +132,7 @@
             rng,
             own: RouterId::new(),
             routers: Vec::new(),
+            now: Duration::ZERO,
             endpoints: Vec::new(),
             candidates: Vec::new(),
         }
@@ -303,8 +306,8 @@
         true
     }
 
-    /// Returns the two endpoints that serve a request and come first in
-    /// rendezvous order, whether they have room or not: the first one over the
+    /// Returns the two endpoints that serve a request, or did a moment ago, and
+    /// come first in rendezvous order, with or without room: the first over the
     /// prefix and the first other one over the fingerprint, or the first two
     /// over the fingerprint.
     fn pair(&self, now: Duration, req: &RouteRequest<'_>, key: u64) -> [Option<usize>; 2] {
@@ -313,7 +316,7 @@
         let mut first: Option<(u64, usize)> = None;
         let mut best: [Option<(u64, usize)>; 2] = [None, None];
         for (at, ep) in self.endpoints.iter().enumerate() {
-            if !ep.serves(now, req) {
+            if ep.forgotten(now) || !ep.offers(req) {
                 continue;
             }
             if let Some(prefix) = home {
@@ -375,7 +378,10 @@
         }
     }
 
-    fn update(&mut self, _now: Duration, ep: &EndpointState) {
+    fn update(&mut self, now: Duration, ep: &EndpointState) {
+        self.now = self.now.max(now);
+        self.endpoints
+            .retain(|e| e.own() > 0 || !e.forgotten(now) || e.state.id == ep.id);
         let target = self.cfg.target_gap.as_secs_f64();
         match self.find(&ep.id) {
             Ok(at) => {
@@ -403,19 +409,16 @@
     }
 
     fn remove(&mut self, ep: &str) {
-        let Ok(at) = self.find(ep) else {
-            return;
-        };
-        if self.endpoints[at].own() == 0 {
-            self.endpoints.remove(at);
-        } else {
+        let now = self.now;
+        if let Some(ep) = self.find_mut(ep) {
             // Attempts that still run count against the share if the endpoint
             // comes back.
-            self.endpoints[at].state.expires = Duration::ZERO;
+            ep.state.expires = ep.state.expires.min(now);
         }
     }
 
     fn choose(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<Choice, NoRoute> {
+        self.now = self.now.max(now);
         self.collect(now, req)?;
         let count = self.candidates.len();
         let prefix = req.prefix.filter(|_| self.cfg.affinity);
@@ -486,13 +489,8 @@
     }
 
     fn finished(&mut self, now: Duration, ep: &str, attempt: AttemptId, outcome: Outcome) {
-        let Ok(at) = self.find(ep) else {
-            return;
-        };
-        let ep = &mut self.endpoints[at];
-        ep.finished(now, attempt, outcome);
-        if ep.own() == 0 && ep.state.expires == Duration::ZERO {
-            self.endpoints.remove(at);
+        if let Some(ep) = self.find_mut(ep) {
+            ep.finished(now, attempt, outcome);
         }
     }
 
--- a/crates/routing/tests/select.rs
+++ b/crates/routing/tests/select.rs
@@ -272,6 +272,29 @@
     assert!(s.choose(secs(2), &request(7)).is_ok());
 }
 
+/// Guards against copies and suspects that move on to a third endpoint when one
+/// of their two dies, before the strike is known.
+#[test]
+fn suspects_stay_within_two_endpoints_after_a_death() {
+    let mut s = selector(0, 1, 6, 8);
+    let seen = |s: &mut PredictiveSelector, at| {
+        let suspect = RouteRequest {
+            suspect: true,
+            ..request(7)
+        };
+        s.choose(secs(at), &suspect).map(|c| c.endpoint)
+    };
+    let first = seen(&mut s, 1).expect("room");
+    s.remove(&first);
+    let second = seen(&mut s, 1).expect("room");
+    assert_ne!(first, second);
+    s.remove(&second);
+    assert!(matches!(seen(&mut s, 2), Err(NoRoute::Full(_))));
+    // Others are not held up, and the pair is chosen anew after a while.
+    assert!(s.choose(secs(2), &request(8)).is_ok());
+    assert!(seen(&mut s, 7).is_ok());
+}
+
 /// Guards against prompts that miss the cache which holds their prefix, and
 /// against routers that send one prefix to different endpoints.
 #[test]
