--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -40,6 +40,7 @@
 use crate::admin;
 use crate::admin::Admin;
 use crate::admin::AdminOptions;
+use crate::admin::ConnectionLimits;
 use crate::driver::Driver;
 use crate::driver::DriverConfig;
 use crate::driver::DriverError;
@@ -52,6 +53,9 @@
 
 use figures::Figures;
 
+/// Time of an administration connection beyond the wait for the group, to read
+/// the request and write the answer.
+const CONNECTION_SLACK: Duration = Duration::from_secs(20);
 /// Interval at which metrics are copied.
 const FIGURES: Duration = Duration::from_secs(1);
 /// Files that a folder without consensus state may hold.
@@ -173,7 +177,7 @@
         cfg.node.election_min = settings.election_min;
         cfg.node.election_max = settings.election_max;
         if settings.group == GroupStart::New && is_blank(cfg.disk.as_ref())? {
-            look_for_group(&settings, identity.clone(), &log).await?;
+            look_for_group(&settings, told, identity.clone(), &log).await?;
             cfg.found = Some(told.to_string());
         }
         let driver = Driver::start(cfg)?;
@@ -201,6 +205,16 @@
                 _ => (false, "no leader is known".to_owned()),
             }
         });
+        let server = admin::Server {
+            admin,
+            metrics,
+            ready,
+            limits: ConnectionLimits {
+                count: usize::try_from(settings.admin_connections).unwrap_or(usize::MAX),
+                life: settings.admin_timeout + CONNECTION_SLACK,
+            },
+            log: log.clone(),
+        };
         let tasks = vec![
             tokio::spawn(serve(
                 peer_listener,
@@ -210,14 +224,7 @@
                 stopped.clone(),
                 log.clone(),
             )),
-            tokio::spawn(admin::serve(
-                admin,
-                metrics,
-                ready,
-                admin_listener,
-                stopped.clone(),
-                log.clone(),
-            )),
+            tokio::spawn(server.serve(admin_listener, stopped.clone())?),
             tokio::spawn(follow_membership(
                 handle.clone(),
                 peers.clone(),
@@ -398,10 +405,14 @@
 /// settings still say `group = new` would otherwise serve an empty ledger.
 async fn look_for_group(
     settings: &ControlSettings,
+    own: SocketAddr,
     identity: Arc<Identity>,
     log: &Logger,
 ) -> Result<(), DaemonError> {
-    if settings.peers.is_empty() {
+    // One list of all members may serve every host.
+    let mut others = settings.peers.clone();
+    others.retain(|address| *address != own && *address != settings.peer_listen);
+    if others.is_empty() {
         return Ok(());
     }
     let handler = Arc::new(PeerHandler(Peers::new(
@@ -410,10 +421,10 @@
         1,
         log.clone(),
     )));
-    let client = ControlClient::start(&settings.peers, identity, handler, log.clone());
+    let client = ControlClient::start(&others, identity, handler, log.clone());
     let end = tokio::time::Instant::now() + settings.group_wait;
     let mut asked = 0;
-    while tokio::time::Instant::now() < end && asked < settings.peers.len() {
+    while tokio::time::Instant::now() < end && asked < others.len() {
         let sessions = client.sessions();
         asked = 0;
         for session in sessions {
@@ -425,8 +436,8 @@
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    match asked < settings.peers.len() {
-        true => Err(DaemonError::PeersSilent(asked, settings.peers.len())),
+    match asked < others.len() {
+        true => Err(DaemonError::PeersSilent(asked, others.len())),
         false => Ok(()),
     }
 }
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -32,7 +32,7 @@
         /// Time that the first member of a new group waits for an answer of every other member.
         /// Without it a host that lost its disk could start a second group beside the first.
         group_wait: Duration = ["control", "group_wait_ms", "ms", Some("30000"), 100, 600_000],
-        /// Peer addresses of the other control members known at the start.
+        /// Peer addresses of control members known at the start; this one may be among them.
         peers: Vec<SocketAddr> = ["peers", "control", "", Some(""), 0, 7],
         /// Time between heartbeats of the leader.
         heartbeat: Duration = ["consensus", "heartbeat_ms", "ms", Some("50"), 5, 10_000],
