Let PROPTEST_CASES set the count of ledger cases

Cause: the fixed count in the test's configuration overrode the variable that docs/testing-ledger.md names. Change: the test reads the variable, with 128 as before by default. Conclusion: the documented command runs as many cases as it says.

--- a/crates/ledger/tests/replay.rs
+++ b/crates/ledger/tests/replay.rs
@@ -105,8 +105,16 @@
     proptest::collection::vec(cmd, 1..120)
 }
 
+// Small by default, as each case applies up to 240 commands.
+fn cases() -> u32 {
+    std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(128)
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(128))]
+    #![proptest_config(ProptestConfig::with_cases(cases()))]
 
     /// Guards against a command that panics or breaks an invariant, a snapshot
     /// that loses or reorders state, and members that diverge after a restart.
