--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -32,8 +32,14 @@
 
 /// Reads a file that consists of one record.
 pub(crate) fn get_plain(buf: &[u8]) -> Option<&[u8]> {
+    let (payload, rest) = split_plain(buf)?;
+    rest.is_empty().then_some(payload)
+}
+
+/// Reads the first record, and returns what follows it.
+pub(crate) fn split_plain(buf: &[u8]) -> Option<(&[u8], &[u8])> {
     let payload = payload_at(buf, 0)?;
-    (HEADER + payload.len() == buf.len()).then_some(payload)
+    Some((payload, buf.get(HEADER + payload.len()..)?))
 }
 
 /// Appends a log record. `offset` is where `buf` will be written.
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -48,13 +48,20 @@
     }
 }
 
-/// Snapshot file: the snapshot and the first segment that counts.
+/// Head of a snapshot file. The state follows it as raw bytes, then a record
+/// with the checksum of the state. So the file is written from the state in
+/// memory in parts, without another copy.
 #[derive(Clone, PartialEq, Message)]
-struct SnapshotFile {
+struct SnapshotHead {
+    /// First segment that counts.
     #[prost(uint64, tag = "1")]
     first_segment: u64,
+    /// Snapshot without its state.
     #[prost(message, optional, tag = "2")]
     snapshot: Option<Snapshot>,
+    /// Length of the state, in bytes.
+    #[prost(uint64, tag = "3")]
+    state_len: u64,
 }
 
 /// A segment file and the highest index in it.
@@ -64,12 +71,14 @@
     last: LogIndex,
 }
 
-/// A snapshot file that is written in parts.
+/// A snapshot file that is being written.
 struct Staged {
     index: LogIndex,
     first_segment: u64,
-    buf: Vec<u8>,
+    /// Part of the state that is written and synced, in bytes.
     written: usize,
+    crc: crc32fast::Hasher,
+    done: bool,
 }
 
 /// The durable state of one group on one member.
@@ -110,15 +119,11 @@
 /// Writes a file of one record as a whole: a reader sees the old or the new
 /// content.
 fn replace(disk: &mut dyn Disk, name: &str, payload: &[u8]) -> io::Result<()> {
-    let mut buf = Vec::with_capacity(payload.len() + 8);
-    record::put_plain(&mut buf, payload);
-    replace_by(disk, name, &buf)
-}
-
-fn replace_by(disk: &mut dyn Disk, name: &str, buf: &[u8]) -> io::Result<()> {
     let tmp = format!("{name}.tmp");
     remove_if_there(disk, &tmp)?;
-    disk.append(&tmp, buf)?;
+    let mut buf = Vec::with_capacity(payload.len() + 8);
+    record::put_plain(&mut buf, payload);
+    disk.append(&tmp, &buf)?;
     disk.sync(&tmp)?;
     disk.rename(&tmp, name)?;
     disk.sync_folder()
@@ -131,15 +136,32 @@
     }
 }
 
-/// Returns the content of a snapshot file.
-fn snapshot_file(first_segment: u64, snapshot: &Snapshot) -> Vec<u8> {
-    let file = SnapshotFile {
-        first_segment,
-        snapshot: Some(snapshot.clone()),
+/// Reads a snapshot file: the first segment that counts, and the snapshot.
+fn read_snapshot(
+    disk: &dyn Disk,
+    name: &str,
+) -> Result<Option<(u64, Arc<Snapshot>)>, StorageError> {
+    let buf = match disk.read(name) {
+        Ok(buf) => buf,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e.into()),
     };
-    let mut buf = Vec::new();
-    record::put_plain(&mut buf, &file.encode_to_vec());
-    buf
+    parse_snapshot(&buf)
+        .map(Some)
+        .ok_or_else(|| StorageError::Corrupt(name.to_owned(), 0))
+}
+
+fn parse_snapshot(buf: &[u8]) -> Option<(u64, Arc<Snapshot>)> {
+    let (head, rest) = record::split_plain(buf)?;
+    let head = SnapshotHead::decode(head).ok()?;
+    let (state, tail) = rest.split_at_checked(usize::try_from(head.state_len).ok()?)?;
+    let crc = crc32fast::hash(state).to_le_bytes();
+    if record::get_plain(tail)? != crc {
+        return None;
+    }
+    let mut snapshot = head.snapshot?;
+    snapshot.state = state.to_vec();
+    Some((head.first_segment, Arc::new(snapshot)))
 }
 
 fn read_message<M: Message + Default>(
@@ -179,8 +201,10 @@
         segment_bytes: u64,
     ) -> Result<(Self, Restored), StorageError> {
         let hard: Option<HardState> = read_message(&*disk, &format!("{group}-hard"))?;
-        let file: SnapshotFile =
-            read_message(&*disk, &format!("{group}-snapshot"))?.unwrap_or_default();
+        let (first_segment, snapshot) = match read_snapshot(&*disk, &format!("{group}-snapshot"))? {
+            Some((first_segment, snapshot)) => (first_segment, Some(snapshot)),
+            None => (0, None),
+        };
         let prefix = format!("{group}-log-");
         let mut numbers: Vec<u64> = disk
             .list()?
@@ -189,7 +213,7 @@
             .collect();
         numbers.sort_unstable();
         let (old, kept): (Vec<u64>, Vec<u64>) =
-            numbers.into_iter().partition(|n| *n < file.first_segment);
+            numbers.into_iter().partition(|n| *n < first_segment);
         let mut store = Self {
             disk: {
                 for number in old {
@@ -201,19 +225,19 @@
             segment_bytes,
             segments: Vec::new(),
             len: 0,
-            next_segment: file.first_segment,
+            next_segment: first_segment,
             written: 0,
             staged: None,
             failed: false,
         };
-        let base = file.snapshot.as_ref().map_or(0, |s| s.index);
+        let base = snapshot.as_ref().map_or(0, |s| s.index);
         let entries = store.read_segments(&kept, base)?;
         store.disk.sync_folder()?;
         Ok((
             store,
             Restored {
                 hard_state: hard.unwrap_or_default(),
-                snapshot: file.snapshot.map(Arc::new),
+                snapshot,
                 entries,
             },
         ))
@@ -300,37 +324,75 @@
         if self.failed {
             return Err(StorageError::Failed);
         }
-        let result = self.try_stage(snapshot, max_bytes);
+        let first_segment = match &self.staged {
+            Some(staged) if staged.index == snapshot.index => staged.first_segment,
+            _ => self.first_segment(snapshot.index),
+        };
+        let result = self.stage_part(snapshot, first_segment, max_bytes);
         self.failed = result.is_err();
         result
     }
 
-    fn try_stage(&mut self, snapshot: &Snapshot, max_bytes: usize) -> Result<bool, StorageError> {
+    fn stage_part(
+        &mut self,
+        snapshot: &Snapshot,
+        first_segment: u64,
+        max_bytes: usize,
+    ) -> Result<bool, StorageError> {
         let tmp = format!("{}-snapshot.tmp", self.group);
+        let mut buf = Vec::new();
         if self
             .staged
             .as_ref()
             .is_none_or(|s| s.index != snapshot.index)
         {
             remove_if_there(&mut *self.disk, &tmp)?;
-            let first_segment = self.first_segment(snapshot.index);
+            let head = SnapshotHead {
+                first_segment,
+                snapshot: Some(Snapshot {
+                    group: snapshot.group,
+                    index: snapshot.index,
+                    term: snapshot.term,
+                    membership: snapshot.membership.clone(),
+                    state: Vec::new(),
+                }),
+                state_len: snapshot.state.len() as u64,
+            };
+            record::put_plain(&mut buf, &head.encode_to_vec());
             self.staged = Some(Staged {
                 index: snapshot.index,
                 first_segment,
-                buf: snapshot_file(first_segment, snapshot),
                 written: 0,
+                crc: crc32fast::Hasher::new(),
+                done: false,
             });
         }
         let Some(staged) = &mut self.staged else {
             return Ok(false);
         };
-        let end = staged.buf.len().min(staged.written + max_bytes);
-        if staged.written < end {
-            self.disk.append(&tmp, &staged.buf[staged.written..end])?;
-            self.disk.sync(&tmp)?;
-            staged.written = end;
+        if staged.done {
+            return Ok(true);
         }
-        Ok(staged.written == staged.buf.len())
+        let rest = snapshot.state.get(staged.written..).unwrap_or_default();
+        let part = &rest[..rest.len().min(max_bytes)];
+        staged.crc.update(part);
+        let done = part.len() == rest.len();
+        if !buf.is_empty() {
+            self.disk.append(&tmp, &buf)?;
+        }
+        if !part.is_empty() {
+            self.disk.append(&tmp, part)?;
+        }
+        if done {
+            let crc = staged.crc.clone().finalize().to_le_bytes();
+            let mut tail = Vec::new();
+            record::put_plain(&mut tail, &crc);
+            self.disk.append(&tmp, &tail)?;
+        }
+        self.disk.sync(&tmp)?;
+        staged.written += part.len();
+        staged.done = done;
+        Ok(done)
     }
 
     /// Returns the first segment that holds entries above an index.
@@ -349,29 +411,20 @@
 
     fn save_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), StorageError> {
         let name = format!("{}-snapshot", self.group);
-        let staged = self
-            .staged
-            .take()
-            .filter(|s| !reset && s.index == snapshot.index && s.written == s.buf.len());
-        let first_segment = match staged {
-            Some(staged) => {
-                self.disk.rename(&format!("{name}.tmp"), &name)?;
-                self.disk.sync_folder()?;
-                staged.first_segment
-            }
-            None => {
-                // A reset makes every segment old at once: their entries may
-                // differ from the leader's and must not come back.
-                let first_segment = if reset {
-                    self.next_segment
-                } else {
-                    self.first_segment(snapshot.index)
-                };
-                let buf = snapshot_file(first_segment, snapshot);
-                replace_by(&mut *self.disk, &name, &buf)?;
-                first_segment
-            }
+        if reset {
+            self.staged = None;
+        }
+        let first_segment = match &self.staged {
+            Some(staged) if staged.index == snapshot.index => staged.first_segment,
+            // A reset makes every segment old at once: their entries may
+            // differ from the leader's and must not come back.
+            _ if reset => self.next_segment,
+            _ => self.first_segment(snapshot.index),
         };
+        while !self.stage_part(snapshot, first_segment, usize::MAX)? {}
+        self.staged = None;
+        self.disk.rename(&format!("{name}.tmp"), &name)?;
+        self.disk.sync_folder()?;
         let old = self
             .segments
             .iter()
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -179,10 +179,11 @@
 /// Guards against damage in a segment that isn't the last, and in the files
 /// that are replaced as a whole: neither may be repaired by leaving data out.
 #[rstest]
-#[case::old_segment("0-log-0000000000")]
-#[case::hard_state("0-hard")]
-#[case::snapshot("0-snapshot")]
-fn damage_elsewhere_is_an_error(#[case] file: &str) {
+#[case::old_segment("0-log-0000000000", 9)]
+#[case::hard_state("0-hard", 9)]
+#[case::snapshot_head("0-snapshot", 9)]
+#[case::snapshot_state("0-snapshot", 50)]
+fn damage_elsewhere_is_an_error(#[case] file: &str, #[case] at: usize) {
     let disk = MemDisk::new();
     let (mut store, _) = open(&disk).unwrap();
     store.save(&entries(1, 20, 1)).unwrap();
@@ -194,7 +195,7 @@
     });
     store.save(&fx).unwrap();
     drop(store);
-    disk.corrupt(file, 9);
+    disk.corrupt(file, at);
     let before = disk.read(file).unwrap();
     assert!(matches!(open(&disk).err(), Some(StorageError::Corrupt(..))));
     assert_eq!(disk.read(file).unwrap(), before);
