--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -27,6 +27,10 @@
 use crate::types::Role;
 use crate::types::Term;
 
+/// Largest term or snapshot index that is taken from a message. Far beyond any
+/// real one, it keeps additions from overflowing.
+pub(crate) const MAX_NUMBER: u64 = 1 << 62;
+
 /// A read that waits for its round to be acknowledged by a majority, and for
 /// its index to be committed.
 #[derive(Debug)]
@@ -145,6 +149,9 @@
         let Some(body) = msg.body else {
             return;
         };
+        if msg.term > MAX_NUMBER {
+            return;
+        }
         // A pre-vote and its grant carry the term asked about, which nobody
         // has entered yet.
         let prospective = match &body {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -12,6 +12,7 @@
 use crate::message::InstallReply;
 use crate::message::Message;
 use crate::message::Snapshot;
+use crate::node::MAX_NUMBER;
 use crate::node::Node;
 use crate::types::LogIndex;
 use crate::types::Role;
@@ -335,7 +336,7 @@
                 p.inflight.pop_front();
             }
             // The heartbeat of a waiting member matches index 0 only.
-            let probed = !p.probing || r.index + 1 >= p.next;
+            let probed = !p.probing || r.index >= p.next - 1;
             if p.snapshot.is_none() && probed {
                 p.probing = false;
                 p.waiting = false;
@@ -345,7 +346,7 @@
         } else {
             // A reject that was overtaken by a newer reply says nothing.
             let stale = if p.probing {
-                r.index + 1 != p.next
+                r.index != p.next - 1
             } else {
                 r.index <= p.matched
             };
@@ -355,7 +356,10 @@
             p.probing = true;
             p.waiting = false;
             p.inflight.clear();
-            p.next = (r.hint + 1).clamp(p.matched + 1, p.next.max(p.matched + 1));
+            p.next = r
+                .hint
+                .saturating_add(1)
+                .clamp(p.matched + 1, p.next.max(p.matched + 1));
         }
         self.send_append(now, at, false);
     }
@@ -372,6 +376,9 @@
             round: req.round,
         };
         let round = req.round;
+        if req.index > MAX_NUMBER {
+            return;
+        }
         if req.index <= self.commit {
             let reply = done(req.index);
             self.send(from, self.term, Body::InstallReply(reply));
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -23,10 +23,16 @@
 use anvilloft_consensus::message::Append;
 use anvilloft_consensus::message::AppendReply;
 use anvilloft_consensus::message::Body;
+use anvilloft_consensus::message::Install;
+use anvilloft_consensus::message::InstallReply;
 use anvilloft_consensus::message::VoteReply;
 use anvilloft_consensus::message::VoteRequest;
 use cluster::Cluster;
 use cluster::ms;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use rstest::rstest;
 use std::sync::Arc;
 
@@ -418,3 +424,80 @@
     assert!(fx.messages.is_empty() && !fx.must_sync());
     assert_eq!(node.term(), 0);
 }
+
+/// Guards against panics on wrong messages of an authenticated peer, such as
+/// overflows on extreme numbers.
+#[test]
+fn wrong_messages_never_panic() {
+    for seed in 0..3_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut node = with_log(&[1, 2, 2]);
+        let mut now = ms(0);
+        for _ in 0..40 {
+            let mut n = || match rng.random_range(0..8) {
+                0 => u64::MAX,
+                1 => u64::MAX - rng.random_range(0..3),
+                2 => 1 << 62,
+                _ => rng.random_range(0..6),
+            };
+            let vote = VoteRequest {
+                last_index: n(),
+                last_term: n(),
+            };
+            let entry = Entry {
+                index: n(),
+                term: n(),
+                kind: i32::try_from(n() % 4).unwrap(),
+                data: vec![7; 3],
+            };
+            let bodies = [
+                Body::PreVote(vote),
+                Body::Vote(vote),
+                Body::PreVoteReply(VoteReply { granted: true }),
+                Body::VoteReply(VoteReply { granted: true }),
+                Body::Append(Append {
+                    prev_index: n(),
+                    prev_term: n(),
+                    entries: vec![entry.clone(), entry],
+                    commit: n(),
+                    round: n(),
+                }),
+                Body::AppendReply(AppendReply {
+                    stored: n() % 2 == 0,
+                    index: n(),
+                    hint: n(),
+                    round: n(),
+                }),
+                Body::Install(Install {
+                    index: n(),
+                    last_term: n(),
+                    membership: None,
+                    total: n(),
+                    offset: n(),
+                    data: vec![1; 4],
+                    round: n(),
+                }),
+                Body::InstallReply(InstallReply {
+                    index: n(),
+                    offset: n(),
+                    done: n() % 2 == 0,
+                    round: n(),
+                }),
+            ];
+            let term = if rng.random_bool(0.5) {
+                node.term() + rng.random_range(0..2)
+            } else {
+                *[0, 1 << 62, u64::MAX].choose(&mut rng).unwrap()
+            };
+            let body = bodies.choose(&mut rng).unwrap().clone();
+            let from = rng.random_range(2..5);
+            now += ms(rng.random_range(0..200));
+            node.step(now, from, message(1, term, body));
+            node.tick(now);
+            let _ = node.propose(now, vec![1]);
+            let _ = node.read(now, 1);
+            let token = node.take_effects(now).token;
+            node.persisted(now, token);
+        }
+    }
+}
