Restore the queue settings of the router, which it now reads

Change: both settings, their check and their rows of the settings table. Conclusion: settings tests pass and the router builds.

--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -34,6 +34,10 @@
         max_body_bytes: u64 = ["limits", "max_body_bytes", "bytes", Some("4194304"), 1024, 268_435_456],
         /// Largest answer of an endpoint that is kept in memory as a whole.
         max_answer_bytes: u64 = ["limits", "max_answer_bytes", "bytes", Some("33554432"), 1024, 268_435_456],
+        /// Requests that wait in all queues of one model or service.
+        queue_total: u64 = ["limits", "queue_total", "requests", Some("8192"), 1, 1_000_000],
+        /// Requests of one team that wait in one rank of one model or service.
+        queue_team: u64 = ["limits", "queue_team", "requests", Some("256"), 1, 1_000_000],
         /// Time to read a request's header.
         header_read: Duration = ["limits", "header_read_ms", "ms", Some("10000"), 100, 600_000],
         /// Time that a caller may take no byte of its answer.
@@ -100,6 +104,9 @@
         if self.caller_listen == self.peer_listen && self.peer_listen.port() != 0 {
             fault("router", "peer_listen", "is the same as caller_listen");
         }
+        if self.queue_team > self.queue_total {
+            fault("limits", "queue_team", "is larger than queue_total");
+        }
         if self.fleet_key == self.endpoint_key {
             // Endpoints hold the endpoint key; with the fleet key they could
             // speak as a router.
