Make the test of clean connections independent of load

Change: the test lets the stray answer arrive before the next call. Conclusion: the rule is checked as strictly as before.

--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -46,7 +46,7 @@
         match seen.number {
             2 => steps.push(Step::Close),
             4 => {
-                steps.push(Step::Wait(Duration::from_millis(20)));
+                steps.push(Step::Wait(Duration::from_millis(5)));
                 steps.push(Step::Send(whole_answer(&seen.attempt, "stray")));
             }
             _ => {}
@@ -61,7 +61,11 @@
         assert_eq!(body, n.to_string());
         // The close after answer 2 may be seen together with it.
         assert!(client.idle_count() == 1 || n == 2, "after {n}");
-        tokio::time::sleep(Duration::from_millis(40)).await;
+        // The stray answer after number 4 must be there before the next call;
+        // one that comes later is told by its attempt id, which other tests
+        // cover.
+        let pause = if n == 4 { 500 } else { 40 };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
     }
     let idle = Limits {
         idle: Duration::from_millis(10),
