Bound the bytes of all request bodies and keep strikes of unproven runs

Cause: bodies were bounded one by one but not together; a suspect request whose caller left, or that its endpoint answered with an error, cleared its strike. Change: bodies in memory count against one bound (512 MiB) with a metric; only a whole answer clears a suspect. Conclusion: all tests of gateway and router pass, one of them new.

--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -21,6 +21,7 @@
 use crate::auth;
 use crate::auth::Caller;
 use crate::body;
+use crate::body::ReadLimits;
 use crate::chat;
 use crate::client::Client;
 use crate::error::Refusal;
@@ -46,6 +47,8 @@
     pub router: String,
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
+    /// Bytes of all request bodies in memory, at most.
+    pub max_buffered_bytes: usize,
     /// Largest sum of header names and values, in bytes.
     pub max_header_bytes: usize,
     /// Longest pause while a body arrives.
@@ -65,6 +68,7 @@
         Self {
             router: String::new(),
             max_body_bytes: 4 * 1024 * 1024,
+            max_buffered_bytes: 512 * 1024 * 1024,
             max_header_bytes: 32 * 1024,
             body_gap: Duration::from_secs(10),
             write_stall: Duration::from_secs(30),
@@ -135,6 +139,15 @@
         Err(self.with_routers(view, team, refusal))
     }
 
+    /// Returns the bounds for reading a body of at most `bytes`.
+    pub(crate) fn read_limits(&self, bytes: usize) -> ReadLimits<'_> {
+        ReadLimits {
+            bytes,
+            gap: self.options.body_gap,
+            buffered: (&self.metrics.body_bytes, self.options.max_buffered_bytes),
+        }
+    }
+
     /// Adds the other routers of the team to a refusal.
     pub(crate) fn with_routers(&self, view: &View, team: &str, mut refusal: Refusal) -> Refusal {
         refusal.try_routers = view
@@ -274,8 +287,8 @@
 
     async fn announce(&self, asked: Asked) -> Result<Response, Refusal> {
         self.check_endpoint(&asked.headers)?;
-        let limit = announce::MAX_ANNOUNCE_BYTES;
-        let body = body::read(asked.body, limit, self.options.body_gap).await?;
+        let limits = self.read_limits(announce::MAX_ANNOUNCE_BYTES);
+        let (body, _buffered) = body::read(asked.body, &limits).await?;
         let update: EndpointUpdate = announce::parse(&body)?;
         let id = update.id.clone();
         self.core
@@ -298,8 +311,8 @@
     /// carries the prefixes as a whole, so that they are only counted.
     async fn events(&self, asked: Asked) -> Result<Response, Refusal> {
         self.check_endpoint(&asked.headers)?;
-        let limit = announce::MAX_ANNOUNCE_BYTES;
-        body::read(asked.body, limit, self.options.body_gap).await?;
+        let limits = self.read_limits(announce::MAX_ANNOUNCE_BYTES);
+        body::read(asked.body, &limits).await?;
         Ok(json_response("{}"))
     }
 
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -26,10 +26,41 @@
     )
 }
 
-/// Reads a request body of at most `limit` bytes.
+/// Bounds for reading a body.
+pub(crate) struct ReadLimits<'a> {
+    /// Bytes of this body.
+    pub(crate) bytes: usize,
+    /// Longest pause while it arrives.
+    pub(crate) gap: Duration,
+    /// Bytes of all bodies in memory, and their bound.
+    pub(crate) buffered: (&'a IntGauge, usize),
+}
+
+/// Bytes of a body that count as in memory until this is dropped.
+pub(crate) struct Buffered {
+    gauge: IntGauge,
+    bytes: i64,
+}
+
+impl Drop for Buffered {
+    fn drop(&mut self) {
+        self.gauge.sub(self.bytes);
+    }
+}
+
+/// Reads a request body.
 ///
 /// Memory is taken only for bytes that arrived, never for a claimed length.
-pub(crate) async fn read(body: Body, limit: usize, gap: Duration) -> Result<Bytes, Refusal> {
+pub(crate) async fn read(
+    body: Body,
+    limits: &ReadLimits<'_>,
+) -> Result<(Bytes, Buffered), Refusal> {
+    let (limit, gap) = (limits.bytes, limits.gap);
+    let (gauge, most) = limits.buffered;
+    let mut buffered = Buffered {
+        gauge: gauge.clone(),
+        bytes: 0,
+    };
     if http_body::Body::size_hint(&body).lower() > limit as u64 {
         return Err(too_large(limit));
     }
@@ -57,6 +88,16 @@
         if more.len() + whole.as_ref().map_or(0, Bytes::len) + data.len() > limit {
             return Err(too_large(limit));
         }
+        let len = i64::try_from(data.len()).unwrap_or(i64::MAX);
+        buffered.bytes += len;
+        gauge.add(len);
+        if usize::try_from(gauge.get()).is_ok_and(|sum| sum > most) {
+            return Err(Refusal::unavailable(
+                "overloaded",
+                "too many bytes of requests are in memory",
+            )
+            .retry_after(Duration::from_secs(1)));
+        }
         match whole.take() {
             None if more.is_empty() => whole = Some(data),
             None => more.extend_from_slice(&data),
@@ -66,7 +107,7 @@
             }
         }
     }
-    Ok(whole.unwrap_or_else(|| more.freeze()))
+    Ok((whole.unwrap_or_else(|| more.freeze()), buffered))
 }
 
 /// Counts an answer that its connection has not taken as a whole.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub attempts: IntCounterVec,
     /// Requests being served.
     pub in_flight: IntGauge,
+    /// Bytes of request bodies in memory.
+    pub body_bytes: IntGauge,
     /// Answers that their connections have not taken as a whole.
     pub open_answers: IntGauge,
     /// Messages that wait for the control thread.
@@ -48,6 +50,8 @@
         let in_flight = IntGauge::new("anvilloft_in_flight", "Requests being served")?;
         let open_answers =
             IntGauge::new("anvilloft_open_answers", "Answers on their way to callers")?;
+        let body_bytes =
+            IntGauge::new("anvilloft_body_bytes", "Bytes of request bodies in memory")?;
         let core_queue = IntGauge::new(
             "anvilloft_core_queue",
             "Messages waiting for the control thread",
@@ -66,6 +70,7 @@
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(in_flight.clone()))?;
+        registry.register(Box::new(body_bytes.clone()))?;
         registry.register(Box::new(open_answers.clone()))?;
         registry.register(Box::new(core_queue.clone()))?;
         registry.register(Box::new(idle_connections.clone()))?;
@@ -75,6 +80,7 @@
             answers,
             attempts,
             in_flight,
+            body_bytes,
             open_answers,
             core_queue,
             idle_connections,
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -23,6 +23,7 @@
 use crate::api::Api;
 use crate::api::Asked;
 use crate::body;
+use crate::body::Buffered;
 use crate::chat::Failure;
 use crate::chat::hash16;
 use crate::chat::idempotency_key;
@@ -57,6 +58,7 @@
     path: String,
     headers: HeaderMap,
     body: Bytes,
+    _buffered: Buffered,
 }
 
 /// An endpoint's answer.
@@ -133,7 +135,8 @@
             "calls of this service need an Idempotency-Key",
         ));
     }
-    let body = body::read(asked.body, api.options.max_body_bytes, api.options.body_gap).await?;
+    let limits = api.read_limits(api.options.max_body_bytes);
+    let (body, buffered) = body::read(asked.body, &limits).await?;
     let fingerprint = hash16(&[
         caller.team.as_bytes(),
         name.as_bytes(),
@@ -149,6 +152,7 @@
         path,
         headers: asked.headers,
         body,
+        _buffered: buffered,
     };
     let mut admit = Admit {
         no: 0,
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -475,13 +475,9 @@
         let fingerprint = req.admit.fingerprint;
         let again = failing.retry && req.tried.len() < MAX_ATTEMPTS && self.retry.take(now);
         if had_permit {
-            // Not dead, or it would have been ended as such. Only a request
-            // that may have run clears itself.
-            let end = if failing.run == RunState::No {
-                PermitEnd::NotRun
-            } else {
-                PermitEnd::Clean
-            };
+            // Not dead, or it would have been ended as such; but only a whole
+            // answer clears the request.
+            let end = PermitEnd::Unproven;
             self.end_permit(fingerprint, attempt.endpoint, attempt.incarnation, end);
         }
         if again {
--- a/crates/router/src/core/suspects.rs
+++ b/crates/router/src/core/suspects.rs
@@ -47,12 +47,12 @@
 /// How a run under a permit ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PermitEnd {
-    /// The endpoint lives; the request is no suspect any more.
+    /// The whole answer came; the request is no suspect any more.
     Clean,
     /// The endpoint died.
     Died,
-    /// Nothing was run; the strike stays.
-    NotRun,
+    /// Not run, or not to its end; the strike stays.
+    Unproven,
 }
 
 impl Core {
@@ -395,7 +395,7 @@
                 match self.requests.get_mut(&no) {
                     Some(req) if matches!(req.stage, Stage::Running(_)) => req.has_permit = true,
                     // The caller or the endpoint went away meanwhile.
-                    _ => self.end_permit(fingerprint, endpoint, inc, PermitEnd::NotRun),
+                    _ => self.end_permit(fingerprint, endpoint, inc, PermitEnd::Unproven),
                 }
             }
             Some(s) if s.condemned_until_ms > 0 => {
@@ -418,7 +418,7 @@
                 // The permit may have been given. It is handed back, as the
                 // next choice may be another endpoint.
                 let (endpoint, inc) = (choice.endpoint, choice.incarnation);
-                self.end_permit(fingerprint, endpoint, inc, PermitEnd::NotRun);
+                self.end_permit(fingerprint, endpoint, inc, PermitEnd::Unproven);
                 if waits {
                     self.park(now, no);
                 }
@@ -438,7 +438,7 @@
             router: self.id.router.clone(),
             incarnation: self.id.incarnation,
             died: end == PermitEnd::Died,
-            not_run: end == PermitEnd::NotRun,
+            not_run: end == PermitEnd::Unproven,
             endpoint,
             endpoint_incarnation,
         });
--- a/crates/router/tests/input.rs
+++ b/crates/router/tests/input.rs
@@ -216,6 +216,29 @@
     }
 }
 
+/// Guards against memory taken by many large bodies at once, and against bytes
+/// that count as taken after their requests ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_are_bounded_together() {
+    let fleet = Fleet::start_with(1, 100_000_000, |o| o.api.max_buffered_bytes = 150_000).await;
+    let mut options = engine("e1");
+    options.first_token = Duration::from_millis(200);
+    let _fake = fleet.fake(options).await;
+    let addr = fleet.addr(0);
+    let prompt = "x".repeat(100_000);
+    let calls = (0..2).map(|_| {
+        let call = chat(&prompt, false);
+        async move { call.send(addr, LIMIT).await.unwrap() }
+    });
+    let replies = futures::future::join_all(calls).await;
+    let refused: Vec<_> = replies.iter().filter(|r| r.status == 503).collect();
+    assert_eq!(refused.len(), 1);
+    assert_eq!(error(refused[0]), ("no".into(), "overloaded".into()));
+    wait(|| fleet.routers[0].metrics().body_bytes.get() == 0).await;
+    let reply = chat(&prompt, false).send(addr, LIMIT).await.unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.text());
+}
+
 /// Guards against announcements by anyone without the endpoint key, and
 /// against fields that take memory or crash the directory.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -322,7 +322,8 @@
     /// Incarnation of that endpoint.
     #[prost(uint64, tag = "6")]
     pub endpoint_incarnation: u64,
-    /// Whether the request was not run, so that its strike stays.
+    /// Whether the request was not run, or not to its end, so that its strike
+    /// stays.
     #[prost(bool, tag = "7")]
     pub not_run: bool,
 }
