Test partitions and double failures with real processes

Cause: nothing ran the daemons on a network that silently drops packets; the fleet tests only killed processes.

Failed fleet tests print the end of each process's log.

The work directory now reserves ports below the range that the system gives to connections.

--- a/crates/cli/tests/workdir/mod.rs
+++ b/crates/cli/tests/workdir/mod.rs
@@ -2,6 +2,9 @@
 //! that was started is killed by its id when the directory is dropped.
 
 #![expect(clippy::unwrap_used, reason = "test support")]
+#![expect(dead_code, reason = "each test file uses a part of it")]
+
+pub(crate) mod proxy;
 
 use std::collections::HashMap;
 use std::fs;
@@ -13,11 +16,14 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::Reply;
+use proxy::Network;
 
 /// Limit of everything that is waited for.
 pub(crate) const LIMIT: Duration = Duration::from_secs(20);
@@ -34,6 +40,16 @@
 impl Workdir {
     /// Makes keys and settings of `controls` members and `routers` routers.
     pub(crate) fn new(controls: usize, routers: usize) -> Self {
+        Self::build(controls, routers, None)
+    }
+
+    /// The same with a proxy in front of each daemon's peer address. Must be
+    /// called within a tokio runtime.
+    pub(crate) fn proxied(controls: usize, routers: usize, net: &Network) -> Self {
+        Self::build(controls, routers, Some(net))
+    }
+
+    fn build(controls: usize, routers: usize, net: Option<&Network>) -> Self {
         let mut work = Self {
             dir: tempfile::tempdir().unwrap(),
             processes: HashMap::new(),
@@ -56,8 +72,14 @@
                 work.reserve(&format!("r{n}-{port}"));
             }
         }
+        if let Some(net) = net {
+            let controls = (0..controls).map(|n| format!("c{n}"));
+            for host in controls.chain((0..routers).map(|n| format!("r{n}"))) {
+                work.put_proxy(&host, net);
+            }
+        }
         for n in 0..controls {
-            work.write_control(n, controls);
+            work.write_control(n, controls, n == 0);
         }
         for n in 0..routers {
             work.write_router(n, controls);
@@ -77,11 +99,29 @@
     }
 
     fn reserve(&mut self, name: &str) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
+        let addr = free_listener().local_addr().unwrap();
         self.ports.insert(name.to_owned(), addr);
     }
 
+    /// The peer address that is told and dialled becomes the proxy's.
+    fn put_proxy(&mut self, host: &str, net: &Network) {
+        let target = self.addr(&format!("{host}-peer"));
+        let listener = free_listener();
+        let told = listener.local_addr().unwrap();
+        net.carry(host, listener, target);
+        self.ports.insert(format!("{host}-listen"), target);
+        self.ports.insert(format!("{host}-peer"), told);
+    }
+
+    /// Returns the settings of the peer address.
+    fn peer_settings(&self, host: &str) -> String {
+        let told = self.addr(&format!("{host}-peer"));
+        match self.ports.get(&format!("{host}-listen")) {
+            Some(listen) => format!("peer_listen = {listen}\npeer_address = {told}"),
+            None => format!("peer_listen = {told}"),
+        }
+    }
+
     /// Returns a reserved address, such as `r0-caller`.
     pub(crate) fn addr(&self, name: &str) -> SocketAddr {
         self.ports[name]
@@ -94,15 +134,15 @@
         list.join(",")
     }
 
-    fn write_control(&self, n: usize, controls: usize) {
+    fn write_control(&self, n: usize, controls: usize, new: bool) {
         let text = format!(
             "[control]\nname = c{n}\ndata_centre = dc{n}\ndata_folder = {}\n\
-             peer_listen = {}\nadmin_listen = {}\ngroup = {}\n[peers]\ncontrol = {}\n\
+             {}\nadmin_listen = {}\ngroup = {}\n[peers]\ncontrol = {}\n\
              [key]\nfleet_file = {}\noperator_hash_file = {}\n",
             self.path(&format!("c{n}.data")),
-            self.addr(&format!("c{n}-peer")),
+            self.peer_settings(&format!("c{n}")),
             self.addr(&format!("c{n}-admin")),
-            if n == 0 { "new" } else { "join" },
+            if new { "new" } else { "join" },
             self.controls("peer", controls),
             self.path("fleet.key"),
             self.path("op.hash"),
@@ -113,10 +153,10 @@
     fn write_router(&self, n: usize, controls: usize) {
         let text = format!(
             "[router]\nname = r{n}\ndata_centre = dc{n}\ncaller_listen = {}\n\
-             peer_listen = {}\n[peers]\ncontrol = {}\n[key]\nfleet_file = {}\n\
+             {}\n[peers]\ncontrol = {}\n[key]\nfleet_file = {}\n\
              endpoint_file = {}\n",
             self.addr(&format!("r{n}-caller")),
-            self.addr(&format!("r{n}-peer")),
+            self.peer_settings(&format!("r{n}")),
             self.controls("peer", controls),
             self.path("fleet.key"),
             self.path("endpoint.key"),
@@ -178,6 +218,13 @@
         child.wait().unwrap();
     }
 
+    /// Sends SIGKILL to a process while others use the directory; `kill` has
+    /// to follow.
+    pub(crate) fn kill_shared(&self, name: &str) {
+        let id = self.processes[name].id().to_string();
+        Command::new("kill").args(["-KILL", &id]).status().unwrap();
+    }
+
     /// Sends SIGTERM and returns the exit code.
     pub(crate) fn terminate(&mut self, name: &str) -> Option<i32> {
         let mut child = self.processes.remove(name).unwrap();
@@ -200,12 +247,39 @@
         fs::read_to_string(self.path(&format!("{name}.log"))).unwrap()
     }
 
+    /// Prints the last lines of each process, for the report of a failure.
+    fn print_logs(&self) {
+        for entry in fs::read_dir(self.dir.path())
+            .into_iter()
+            .flatten()
+            .flatten()
+        {
+            let path = entry.path();
+            if path.extension().is_some_and(|e| e == "log") {
+                let log = fs::read_to_string(&path).unwrap_or_default();
+                let lines: Vec<&str> = log.lines().collect();
+                let last = &lines[lines.len().saturating_sub(40)..];
+                eprintln!("{}:\n{}", path.display(), last.join("\n"));
+            }
+        }
+    }
+
     /// Runs the operator command.
     pub(crate) fn run(&self, args: &[&str]) -> Output {
         let controls = self.ports.keys().filter(|k| k.ends_with("-admin")).count();
+        let all: Vec<usize> = (0..controls).collect();
+        self.run_at(&all, args)
+    }
+
+    /// Runs the operator command with these control members only.
+    pub(crate) fn run_at(&self, members: &[usize], args: &[&str]) -> Output {
+        let list: Vec<String> = members
+            .iter()
+            .map(|n| self.addr(&format!("c{n}-admin")).to_string())
+            .collect();
         Command::new(Self::binary("anvilloft"))
             .args(args)
-            .env("ANVILLOFT_ADMIN", self.controls("admin", controls))
+            .env("ANVILLOFT_ADMIN", list.join(","))
             .env("ANVILLOFT_KEY_FILE", self.path("op.key"))
             .output()
             .unwrap()
@@ -213,9 +287,16 @@
 
     /// Runs the operator command, which has to succeed, and returns its JSON.
     pub(crate) fn json(&self, args: &[&str]) -> serde_json::Value {
+        let controls = self.ports.keys().filter(|k| k.ends_with("-admin")).count();
+        let all: Vec<usize> = (0..controls).collect();
+        self.json_at(&all, args)
+    }
+
+    /// The same with these control members only.
+    pub(crate) fn json_at(&self, members: &[usize], args: &[&str]) -> serde_json::Value {
         let mut all = args.to_vec();
         all.push("--json");
-        let out = self.run(&all);
+        let out = self.run_at(members, &all);
         let text = String::from_utf8_lossy(&out.stdout).into_owned();
         assert!(
             out.status.success(),
@@ -258,7 +339,25 @@
         }
     }
 
-    fn member_id(&self, n: usize) -> String {
+    /// Empties the data folder and the log of a killed control member, whose
+    /// settings then say `group = join`.
+    pub(crate) fn lose_disk(&self, n: usize) {
+        fs::remove_dir_all(self.path(&format!("c{n}.data"))).unwrap();
+        fs::remove_file(self.path(&format!("c{n}.log"))).unwrap();
+        let controls = self.ports.keys().filter(|k| k.ends_with("-admin")).count();
+        self.write_control(n, controls, false);
+    }
+
+    /// Returns the number of the control member that leads.
+    pub(crate) fn leader(&self, members: &[usize]) -> usize {
+        let list = self.json_at(members, &["member", "list"]);
+        let leader = list["leader"].as_str().unwrap().to_owned();
+        let all = self.ports.keys().filter(|k| k.ends_with("-admin")).count();
+        (0..all).find(|n| self.member_id(*n) == leader).unwrap()
+    }
+
+    /// Returns the id that a control member logged.
+    pub(crate) fn member_id(&self, n: usize) -> String {
         let mark = "\"member\":\"";
         wait("a member logs its id", || {
             self.log(&format!("c{n}")).contains(mark)
@@ -268,6 +367,15 @@
         log[at..at + 16].to_owned()
     }
 
+    /// Returns a read of the administration API of one control member.
+    pub(crate) fn reading(&self, n: usize, path: &str) -> ReadCall {
+        let key = fs::read_to_string(self.path("op.key")).unwrap();
+        ReadCall {
+            call: Call::get(path).key(key.trim()),
+            addr: self.addr(&format!("c{n}-admin")),
+        }
+    }
+
     /// Returns a chat call of the team.
     pub(crate) fn chat(&self, prompt: &str, stream: bool) -> Call {
         let body = serde_json::json!({
@@ -300,12 +408,43 @@
     }
 }
 
+/// A read of the administration API that can be sent again and again.
+pub(crate) struct ReadCall {
+    call: Call,
+    addr: SocketAddr,
+}
+
+impl ReadCall {
+    /// Sends it once.
+    pub(crate) async fn send(&self, limit: Duration) -> std::io::Result<Reply> {
+        self.call.send(self.addr, limit).await
+    }
+}
+
 impl Drop for Workdir {
     fn drop(&mut self) {
         for child in self.processes.values_mut() {
             child.kill().ok();
             child.wait().ok();
         }
+        if std::thread::panicking() {
+            self.print_logs();
+        }
+    }
+}
+
+/// Binds a free port below those that the system picks by itself. It gives a
+/// reserved port of that range to any connection before the daemon binds it.
+fn free_listener() -> TcpListener {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = TAKEN
+            .fetch_add(1, Ordering::Relaxed)
+            .wrapping_add(std::process::id().wrapping_mul(128));
+        let port = u16::try_from(10_000 + n % 22_000).unwrap();
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener;
+        }
     }
 }
 
