Test the lease itself in the isolated router's case

Cause: with all checks of the lease taken out by hand in the router core, the case still passed, because a small budget's exact grants and the orders' commits refuse work without the lease.

Change: the budget is large enough for an allotment held in advance; a stream starts within the lease; after 3.5 s a chat and an order are refused within 1 s with no_lease, run no and the other router's address. Both streams end normally and settle after the return.

Conclusion: no fault of the shipping code found.

--- a/crates/cli/tests/partitions.rs
+++ b/crates/cli/tests/partitions.rs
@@ -175,7 +175,8 @@
 async fn an_isolated_router_refuses_and_settles_later() {
     let net = Network::default();
     let mut work = Workdir::proxied(3, 2, &net);
-    work.start_fleet(3, 2, "100000");
+    // Above `small_budget_tokens` a grant exceeds the need.
+    work.start_fleet(3, 2, "10000000");
     work.emulate("eng", &["--model", "m", "--token-ms", "800"]);
     work.emulate("shop", &["--service", "orders"]);
     for (router, id) in [("r0-caller", "o-0"), ("r1-caller", "o-1")] {
@@ -206,29 +207,30 @@
     assert_eq!(before[3], 6, "two orders at 3 tokens");
     net.isolate("r0");
     let cut = Instant::now();
-    let refusal = loop {
-        let probe = work.order(&format!("p-{:?}", cut.elapsed()));
-        let reply = probe.send(work.addr("r0-caller"), LIMIT).await.unwrap();
-        if reply.status != 200 && reply.json()["error"]["run"] == "no" {
-            let try_list = reply.json()["error"]["try"].to_string();
-            if try_list.contains(&other) {
-                break reply;
-            }
-        }
+    // The router holds an allotment, so only the lease keeps it from new work.
+    let mut inside = call.open(work.addr("r0-caller")).await.unwrap();
+    assert!(
+        inside.read_until("data:", Duration::from_secs(2)).await,
+        "refused within the lease: {}",
+        inside.reply().text()
+    );
+    let left = Duration::from_millis(3500).saturating_sub(cut.elapsed());
+    tokio::time::sleep(left).await;
+    for late in [work.chat("late", false), work.order("late")] {
+        let sent = Instant::now();
+        let reply = late.send(work.addr("r0-caller"), LIMIT).await.unwrap();
+        let error = reply.json()["error"].clone();
+        assert_eq!(error["run"], "no", "{}", reply.text());
+        assert_eq!(error["code"], "no_lease", "{}", reply.text());
         assert!(
-            cut.elapsed() < Duration::from_secs(8),
-            "no refusal: {}",
+            error["try"].to_string().contains(&other),
+            "{}",
             reply.text()
         );
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    };
-    assert!(refusal.status >= 429, "{}", refusal.text());
-    let left = Duration::from_millis(3500).saturating_sub(cut.elapsed());
-    tokio::time::sleep(left).await;
-    // After the lease models are refused too, which need no commit to start.
-    let chat = work.chat("late", false);
-    let reply = chat.send(work.addr("r0-caller"), LIMIT).await.unwrap();
-    assert_eq!(reply.json()["error"]["run"], "no", "{}", reply.text());
+        assert!(sent.elapsed() < Duration::from_secs(1), "a late refusal");
+    }
+    inside.read_to_end(LIMIT).await;
+    assert!(inside.reply().complete && inside.reply().text().contains("[DONE]"));
     open.read_to_end(LIMIT).await;
     assert!(open.reply().complete && open.reply().text().contains("[DONE]"));
     assert!(
@@ -240,16 +242,16 @@
     let same = work.chat("same prompt", false);
     let used = tokens(&work.until_ok("r1-caller", &same).await);
     net.rejoin("r0");
-    // Both calls have the same prompt and length, so the same price.
+    // The three calls have the same prompt and length, so the same price.
     wait("the settlements arrive", || {
-        amounts(&work, &ALL)[3] >= 6 + 2 * used
+        amounts(&work, &ALL)[3] >= 6 + 3 * used
     });
     work.until_ok("r0-caller", &work.order("o-2")).await;
     wait("the order is settled", || {
-        amounts(&work, &ALL)[3] == 9 + 2 * used
+        amounts(&work, &ALL)[3] == 9 + 3 * used
     });
     assert_exact(amounts(&work, &ALL));
-    assert_eq!(amounts(&work, &ALL)[0], 100_000);
+    assert_eq!(amounts(&work, &ALL)[0], 10_000_000);
 }
 
 /// Guards against sessions that stay silent for good while new connections
