--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -12,3 +12,4 @@
 pub use endpoints::Endpoints;
 pub use endpoints::Entry;
 pub use routers::Routers;
+pub use routers::entry_count;
--- a/crates/directory/src/routers.rs
+++ b/crates/directory/src/routers.rs
@@ -7,6 +7,21 @@
 /// Largest count of routers that use one endpoint.
 pub const SUBSET: usize = 12;
 
+/// Least count of routers in an entry answer, so that the death of one leaves
+/// the team another.
+const ENTRY_LEAST: usize = 2;
+/// Routers of a team over its share of the fleet. Each router has an equal part
+/// of every endpoint's slots, so a team needs more routers than its share of
+/// the demand, or it queues there while slots elsewhere are free.
+const ENTRY_HEADROOM: f64 = 4.0;
+
+/// Returns how many of `routers` a team should use that makes `share` (0 to 1)
+/// of the demand.
+pub fn entry_count(share: f64, routers: usize) -> usize {
+    let count = (ENTRY_HEADROOM * share.clamp(0.0, 1.0) * routers as f64).ceil() as usize;
+    count.max(ENTRY_LEAST).min(routers)
+}
+
 /// The router directory at one version.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Routers {
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -6,6 +6,7 @@
 use anvilloft_directory::DirectoryError;
 use anvilloft_directory::Endpoints;
 use anvilloft_directory::Routers;
+use anvilloft_directory::entry_count;
 use anvilloft_wire::command::OpenIncarnation;
 use anvilloft_wire::command::RouterState;
 use anvilloft_wire::frame::EndpointUpdate;
@@ -236,3 +237,42 @@
         .collect();
     assert_eq!(Routers::new(1, many).subset("m1").len(), 12);
 }
+
+#[test]
+fn a_team_gets_routers_by_its_share() {
+    struct Case {
+        name: &'static str,
+        share: f64,
+        routers: usize,
+        count: usize,
+    }
+    let cases = [
+        Case {
+            name: "a team without demand has a second router when one dies",
+            share: 0.0,
+            routers: 9,
+            count: 2,
+        },
+        Case {
+            name: "a large team doesn't queue beside free slots",
+            share: 0.25,
+            routers: 9,
+            count: 9,
+        },
+        Case {
+            name: "a small team's tokens are not scattered in a large fleet",
+            share: 0.001,
+            routers: 350,
+            count: 2,
+        },
+        Case {
+            name: "a fleet of one",
+            share: 1.0,
+            routers: 1,
+            count: 1,
+        },
+    ];
+    for c in cases {
+        assert_eq!(entry_count(c.share, c.routers), c.count, "{}", c.name);
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use anvilloft_directory::Routers;
+use anvilloft_directory::entry_count;
 use anvilloft_ledger::Config;
 use arc_swap::ArcSwap;
 
@@ -44,11 +45,6 @@
     pub endpoints: usize,
 }
 
-/// Least count of routers in an entry answer.
-const MIN_ENTRY: usize = 2;
-/// Routers named for a team that makes the whole demand.
-const ENTRY_PER_SHARE: f64 = 8.0;
-
 impl View {
     /// Makes the picture of a router that has no lease yet.
     pub fn empty() -> Self {
@@ -69,7 +65,7 @@
             .shares
             .binary_search_by(|(name, _)| name.as_str().cmp(team))
             .map_or(0.0, |at| self.shares[at].1);
-        ((ENTRY_PER_SHARE * share).ceil() as usize).max(MIN_ENTRY)
+        entry_count(share, self.routers.alive().count())
     }
 
     /// Returns whether the configuration lease holds.
