Bound the requests that wait for a grant of tokens

Cause: each request without a local allotment waited for its grant in a table without a bound, so callers could fill a router's memory while control was slow.

Change: settings `[limits] grant_wait_requests` (8,192) and `grant_wait_team_requests` (1,024, so that one team's flood leaves room for the others). The next request is refused with 429, `grant_wait_full` and `run: no`. The counter `anvilloft_grant_wait_refused_total` counts refusals beside the existing gauge `anvilloft_grant_needs`.

Before: in a trial without the bounds the new test failed, the request over the bound waited until the lease ran out (503 `no_lease`). After: the tests of router and settings pass. No other figures measured.

Conclusion: the wait for tokens is bounded in total and by team.

--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -41,6 +41,7 @@
 use anvilloft_types::Fingerprint;
 use anvilloft_types::Incarnation;
 use anvilloft_types::RequestNo;
+use anvilloft_types::TeamId;
 use anvilloft_types::Tokens;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
@@ -81,13 +82,18 @@
     pub peer_address: String,
 }
 
-/// Bounds of the queues of one model or service, in requests.
+/// Bounds of the queues of one model or service, and of the requests that wait
+/// for tokens, in requests.
 #[derive(Clone, Copy, Debug)]
 pub struct QueueLimits {
     /// Of one team in one rank.
     pub team: usize,
     /// Of all teams and ranks.
     pub total: usize,
+    /// Of one team that wait for a grant of tokens, over all budgets.
+    pub grant_wait_team_requests: usize,
+    /// Of all teams that wait for a grant of tokens.
+    pub grant_wait_requests: usize,
 }
 
 /// How far the router is with its planned stop.
@@ -201,7 +207,10 @@
     pub(crate) copies: Copies,
     pub(crate) copy_holder: Option<String>,
     pub(crate) deliveries: HashMap<(String, Incarnation), budgets::Delivery>,
-    pub(crate) needs: HashMap<NeedId, RequestNo>,
+    /// Requests that wait for a grant, with their teams.
+    pub(crate) needs: HashMap<NeedId, (RequestNo, TeamId)>,
+    /// Count of `needs` by team.
+    pub(crate) team_needs: HashMap<TeamId, usize>,
     /// Budgets asked back lately: what requests free until then goes back too.
     pub(crate) recalled: HashMap<String, Duration>,
 
@@ -279,6 +288,7 @@
             copy_holder: None,
             deliveries: HashMap::new(),
             needs: HashMap::new(),
+            team_needs: HashMap::new(),
             recalled: HashMap::new(),
             requests: HashMap::new(),
             judging: Vec::new(),
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use anvilloft_budget::GrantRefusal;
+use anvilloft_budget::NeedId;
 use anvilloft_gateway::Refusal;
 use anvilloft_ledger::code;
 use anvilloft_types::Incarnation;
+use anvilloft_types::RequestNo;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Reply;
 use anvilloft_wire::control::Answer;
@@ -18,6 +20,7 @@
 use super::Core;
 use super::Done;
 use super::Outcome;
+use super::requests::RETRY_LATER;
 
 /// Time after which unacknowledged settlements are copied again, and copies
 /// that could not be delivered are delivered again.
@@ -79,6 +82,47 @@
         }
     }
 
+    /// Lets a request wait for a grant, within the bounds.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when too many wait already. One team has a bound of its own, so
+    /// that its flood against a slow budget leaves the others room.
+    pub(crate) fn begin_need(
+        &mut self,
+        need: NeedId,
+        no: RequestNo,
+        team: &str,
+    ) -> Result<(), Refusal> {
+        let of_team = self.team_needs.get(team).copied().unwrap_or(0);
+        if of_team >= self.queues.grant_wait_team_requests
+            || self.needs.len() >= self.queues.grant_wait_requests
+        {
+            self.gauges.grant_wait_refused.inc();
+            return Err(Refusal::new(
+                StatusCode::TOO_MANY_REQUESTS,
+                "grant_wait_full",
+                "too many requests wait for tokens of their budgets at this router",
+            )
+            .retry_after(RETRY_LATER));
+        }
+        self.needs.insert(need, (no, team.to_owned()));
+        self.team_needs.insert(team.to_owned(), of_team + 1);
+        Ok(())
+    }
+
+    /// Forgets a need and returns its request.
+    pub(crate) fn end_need(&mut self, need: NeedId) -> Option<RequestNo> {
+        let (no, team) = self.needs.remove(&need)?;
+        if let Some(count) = self.team_needs.get_mut(&team) {
+            *count -= 1;
+            if *count == 0 {
+                self.team_needs.remove(&team);
+            }
+        }
+        Some(no)
+    }
+
     pub(crate) fn on_granted(&mut self, now: Duration, seq: u64, res: Outcome) {
         let reply = match res.map(|r| r.answer) {
             Ok(Some(Answer::Applied(reply))) => reply,
@@ -86,7 +130,7 @@
             _ => return,
         };
         for result in self.allotments.on_grant(now, seq, &reply) {
-            let Some(no) = self.needs.remove(&result.need) else {
+            let Some(no) = self.end_need(result.need) else {
                 if let Ok(id) = result.outcome {
                     self.allotments.release(now, id);
                 }
--- a/crates/router/src/core/gauges.rs
+++ b/crates/router/src/core/gauges.rs
@@ -36,6 +36,8 @@
     pub(crate) strikes: IntCounter,
     /// Configuration updates that could not be applied.
     pub(crate) bad_updates: IntCounter,
+    /// Requests refused because too many waited for tokens.
+    pub(crate) grant_wait_refused: IntCounter,
     at: Duration,
 }
 
@@ -80,6 +82,10 @@
             retries: counter("retries", "Attempts after the first of a request")?,
             strikes: counter("strikes", "Requests in flight where an endpoint died")?,
             bad_updates: counter("bad_updates", "Configuration updates not applied")?,
+            grant_wait_refused: counter(
+                "grant_wait_refused",
+                "Requests refused because too many waited for tokens",
+            )?,
             at: Duration::ZERO,
         })
     }
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -34,7 +34,7 @@
 /// Cancelled attempts that are watched, at most.
 const MAX_LINGERING: usize = 4096;
 /// Where nothing better is known.
-const RETRY_LATER: Duration = Duration::from_secs(1);
+pub(crate) const RETRY_LATER: Duration = Duration::from_secs(1);
 
 /// A failed attempt whose caller waits for an answer.
 pub(crate) struct Failing {
@@ -108,6 +108,7 @@
         };
         self.count_demand(&admit.team.clone(), admit.amount);
         let (budget, amount) = (admit.budget.clone(), admit.amount);
+        let team = admit.team.clone();
         let req = Req {
             admit,
             lane,
@@ -137,10 +138,12 @@
             }
             Err(need) => {
                 let need = need.need();
-                self.needs.insert(need, no);
                 if let Some(req) = self.requests.get_mut(&no) {
                     req.need = Some(need);
                 }
+                if let Err(refusal) = self.begin_need(need, no, &team) {
+                    self.refuse(now, no, refusal);
+                }
             }
         }
     }
@@ -374,7 +377,7 @@
         self.lanes_dirty = true;
         if let Some(need) = req.need {
             self.allotments.cancel(&req.admit.budget, need);
-            self.needs.remove(&need);
+            self.end_need(need);
         }
         if let Some(id) = req.reservation {
             if used > 0 {
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -88,6 +88,8 @@
         queues: QueueLimits {
             team: size(settings.queue_team),
             total: size(settings.queue_total),
+            grant_wait_team_requests: size(settings.grant_wait_team_requests),
+            grant_wait_requests: size(settings.grant_wait_requests),
         },
         api: ApiOptions {
             router: settings.name.clone(),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -104,6 +104,8 @@
             queues: QueueLimits {
                 team: 256,
                 total: 8192,
+                grant_wait_team_requests: 1024,
+                grant_wait_requests: 8192,
             },
             api: ApiOptions {
                 router: name.into(),
--- a/crates/router/tests/budgets.rs
+++ b/crates/router/tests/budgets.rs
@@ -2,6 +2,10 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_fakes::http::Call;
 use common::*;
 
 /// Guards against overspending (I1) when two routers draw on one budget at
@@ -84,3 +88,48 @@
     assert_eq!(reply.status, 200, "{}", reply.text());
     assert!(fleet.settled().await > used);
 }
+
+/// Guards against requests that pile up without bound while no grant arrives,
+/// and against one team that takes every place of that wait.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_wait_for_tokens_are_bounded_by_team() {
+    let ask = |prompt: &str, key: &str| {
+        let body = format!(r#"{{"model":"m","prompt":"{prompt}","max_tokens":50}}"#);
+        Call::post("/v1/completions", body).key(key)
+    };
+    let fleet = Fleet::start_with(1, 1_000_000, |o| {
+        o.queues.grant_wait_team_requests = 4;
+        o.queues.grant_wait_requests = 6;
+    })
+    .await;
+    let fake = fleet.fake(engine("e1")).await;
+    fleet
+        .control
+        .add_team("other", "other-key", "normal", 1_000_000);
+    let api = fleet.routers[0].api();
+    wait(|| api.view.load().config.team("other").is_some()).await;
+    fleet.control_cuts[0].store(true, Ordering::Relaxed);
+    let addr = fleet.addr(0);
+    let mut waiting = Vec::new();
+    for n in 0..6 {
+        let key = if n < 4 { KEY } else { "other-key" };
+        let call = ask(&format!("first{n}"), key);
+        waiting.push(tokio::spawn(async move { call.send(addr, LIMIT).await }));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for key in [KEY, "other-key"] {
+        let reply = ask("last", key).send(addr, LIMIT).await.unwrap();
+        assert_eq!(reply.status, 429, "{}", reply.text());
+        assert_eq!(error(&reply), ("no".into(), "grant_wait_full".into()));
+    }
+    assert_eq!(fake.counts().runs("last"), 0);
+    // The places are free again once the grants arrive.
+    fleet.control_cuts[0].store(false, Ordering::Relaxed);
+    for call in waiting {
+        assert_eq!(call.await.unwrap().unwrap().status, 200);
+    }
+    assert_eq!(
+        ask("last", KEY).send(addr, LIMIT).await.unwrap().status,
+        200
+    );
+}
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -38,6 +38,10 @@
         queue_total: u64 = ["limits", "queue_total", "requests", Some("8192"), 1, 1_000_000],
         /// Requests of one team that wait in one rank.
         queue_team: u64 = ["limits", "queue_team", "requests", Some("256"), 1, 1_000_000],
+        /// Requests that wait for a grant of tokens.
+        grant_wait_requests: u64 = ["limits", "grant_wait_requests", "requests", Some("8192"), 1, 1_000_000],
+        /// Requests of one team that wait for a grant of tokens.
+        grant_wait_team_requests: u64 = ["limits", "grant_wait_team_requests", "requests", Some("1024"), 1, 1_000_000],
         /// Time to read a request's header.
         header_read: Duration = ["limits", "header_read_ms", "ms", Some("10000"), 100, 600_000],
         /// Time that a caller may take no byte of its answer.
@@ -107,6 +111,13 @@
         if self.queue_team > self.queue_total {
             fault("limits", "queue_team", "is larger than queue_total");
         }
+        if self.grant_wait_team_requests > self.grant_wait_requests {
+            fault(
+                "limits",
+                "grant_wait_team_requests",
+                "is larger than grant_wait_requests",
+            );
+        }
         if self.fleet_key == self.endpoint_key {
             // Endpoints hold the endpoint key; with the fleet key they could
             // speak as a router.
