Bound callers' connections and the time to read a header

Cause: volo-http's server offers neither a bound of open connections nor a header timeout, and its stream type is a closed enum that can't carry a permit. `header_read_ms` only limited the pauses of a body.

`[limits] max_connections` (8,192) bounds them; the next one gets 503 `too_many_connections` with `run: no`, written as far as its socket takes it. hyper's header timeout, `header_read_ms`, also closes a connection that is idle between requests. Metrics: `anvilloft_connections`, `anvilloft_connections_refused_total`. The fakes use the same server.

Throughput was not measured.

Conclusion: neither many connections nor slow headers hold places for long.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -18,6 +18,8 @@
 use anvilloft_gateway::announce::ModelEntry;
 use anvilloft_gateway::client::ATTEMPT_HEADER;
 use anvilloft_gateway::client::PRIORITY_HEADER;
+use anvilloft_gateway::metrics::Metrics;
+use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::serve;
 use http::HeaderValue;
 use http::StatusCode;
@@ -373,12 +375,12 @@
         return;
     };
     let service = FakeService(Arc::clone(&shared));
-    if serve(listener, service, CancellationToken::new())
-        .await
-        .is_err()
-    {
+    let Ok(metrics) = Metrics::new() else {
         return;
-    }
+    };
+    let limits = ConnectionLimits::default();
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(listener, service, limits, Arc::new(metrics), stop));
     let announcer = Arc::clone(&shared);
     tokio::spawn(async move {
         let mut left = false;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::Encoder;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -21,6 +22,10 @@
     pub in_flight: IntGauge,
     /// Bytes of request bodies in memory.
     pub body_bytes: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Connections of callers refused at the bound.
+    pub connections_refused: IntCounter,
     /// Answers that their connections have not taken as a whole.
     pub open_answers: IntGauge,
     /// Messages that wait for the control thread.
@@ -48,6 +53,11 @@
             &["outcome"],
         )?;
         let in_flight = IntGauge::new("anvilloft_in_flight", "Requests being served")?;
+        let connections = IntGauge::new("anvilloft_connections", "Open connections of callers")?;
+        let connections_refused = IntCounter::new(
+            "anvilloft_connections_refused_total",
+            "Connections of callers refused at the bound",
+        )?;
         let open_answers =
             IntGauge::new("anvilloft_open_answers", "Answers on their way to callers")?;
         let body_bytes =
@@ -71,6 +81,8 @@
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(body_bytes.clone()))?;
+        registry.register(Box::new(connections.clone()))?;
+        registry.register(Box::new(connections_refused.clone()))?;
         registry.register(Box::new(open_answers.clone()))?;
         registry.register(Box::new(core_queue.clone()))?;
         registry.register(Box::new(idle_connections.clone()))?;
@@ -80,6 +92,8 @@
             answers,
             attempts,
             in_flight,
+            connections,
+            connections_refused,
             body_bytes,
             open_answers,
             core_queue,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,104 +1,143 @@
-//! Runs a volo-http service on a listener without volo's signal handling.
+//! Serves callers' connections within bounds.
+//!
+//! The server of volo-http bounds neither the count of connections nor the time
+//! to read a header, and ends connections on signals of its own. Each accepted
+//! connection is therefore served by hyper's HTTP/1 connection, with the same
+//! volo-http service.
 
-use std::fmt;
-use std::future::Future;
+use std::convert::Infallible;
 use std::io;
-use std::task::Poll;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
-use volo::net::conn::Conn;
-use volo::net::conn::ConnStream;
-use volo::net::incoming::Incoming;
-use volo::net::incoming::MakeIncoming;
+use volo::net::Address;
+use volo_http::body::Body;
 use volo_http::context::ServerContext;
 use volo_http::request::Request;
 use volo_http::response::Response;
-use volo_http::server::Server;
+
+use crate::error::Refusal;
+use crate::metrics::Metrics;
 
 /// Largest count of headers in a request.
 pub const MAX_HEADERS: usize = 100;
+/// Pause after a failed `accept`, for example without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts connections until the token is cancelled.
-struct Accept {
-    listener: Option<TcpListener>,
-    stop: CancellationToken,
+/// Bounds of callers' connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Open connections.
+    pub max_connections: usize,
+    /// Time to read a request's header; an idle connection is closed after it
+    /// too.
+    pub header_read: Duration,
 }
 
-impl fmt::Debug for Accept {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Accept").finish_non_exhaustive()
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 8192,
+            header_read: Duration::from_secs(10),
+        }
     }
 }
 
-impl Incoming for Accept {
-    async fn accept(&mut self) -> io::Result<Option<Conn>> {
-        let Some(listener) = &self.listener else {
-            return std::future::pending().await;
-        };
+/// Serves `service` on `listener` until the token is cancelled.
+///
+/// Cancelling `stop` closes the listener; open connections go on as tasks of
+/// the runtime.
+pub async fn serve<S>(
+    listener: TcpListener,
+    service: S,
+    limits: ConnectionLimits,
+    metrics: Arc<Metrics>,
+    stop: CancellationToken,
+) where
+    S: volo::Service<ServerContext, Request, Response = Response, Error = Infallible>
+        + Send
+        + Sync
+        + 'static,
+{
+    let service = Arc::new(service);
+    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = self.stop.cancelled() => {
-                // Closes the listening socket, so that new callers are
-                // refused at once. The accept loop of volo has no end.
-                self.listener = None;
-                return std::future::pending().await;
-            }
+            () = stop.cancelled() => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                // Small events must not wait for the acknowledgement of the
-                // event before.
-                stream.set_nodelay(true).ok();
-                Ok(Some(Conn::from(ConnStream::from(stream))))
-            }
-            Err(e) => {
-                // Accepting fails when descriptors run out; a short pause
-                // keeps the accept loop from spinning.
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-                Err(e)
-            }
-        }
-    }
-}
-
-impl MakeIncoming for Accept {
-    type Incoming = Self;
-
-    async fn make_incoming(self) -> io::Result<Self> {
-        Ok(self)
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Small events must not wait for the acknowledgement of the event
+        // before.
+        stream.set_nodelay(true).ok();
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            metrics.connections_refused.inc();
+            refuse(&stream).ok();
+            continue;
+        };
+        let service = Arc::clone(&service);
+        let metrics = Arc::clone(&metrics);
+        tokio::spawn(async move {
+            metrics.connections.inc();
+            serve_one(stream, peer, service, limits.header_read).await;
+            metrics.connections.dec();
+            drop(permit);
+        });
     }
 }
 
-/// Starts to serve `service` on `listener` as tasks of the current runtime.
-///
-/// Cancelling `stop` closes the listener; open connections go on.
-///
-/// # Errors
-///
-/// Fails when the server ends at once.
-pub async fn serve<S>(listener: TcpListener, service: S, stop: CancellationToken) -> io::Result<()>
+/// Serves one connection until its end.
+async fn serve_one<S>(stream: TcpStream, peer: SocketAddr, service: Arc<S>, header_read: Duration)
 where
-    S: volo::Service<ServerContext, Request, Response = Response, Error = std::convert::Infallible>
+    S: volo::Service<ServerContext, Request, Response = Response, Error = Infallible>
         + Send
         + Sync
         + 'static,
 {
-    let accept = Accept {
-        listener: Some(listener),
-        stop,
-    };
-    let mut server = Server::new(service);
-    server.http1_config().set_max_headers(MAX_HEADERS);
-    let run = server.http1_only().run(accept);
-    // volo's `run` first starts its accept loop as a task and then waits for
-    // signals, at which it closes connections after 30 s at most. A drain may
-    // take longer, so `run` is polled once and dropped; the accept loop stays.
-    let mut run = Box::pin(run);
-    let first = std::future::poll_fn(|cx| Poll::Ready(run.as_mut().poll(cx))).await;
-    match first {
-        Poll::Pending => Ok(()),
-        Poll::Ready(Ok(())) => Err(io::Error::other("the server ended at once")),
-        Poll::Ready(Err(e)) => Err(io::Error::other(e)),
-    }
+    let answer = service_fn(move |req: hyper::Request<Incoming>| {
+        let service = Arc::clone(&service);
+        async move {
+            let mut cx = ServerContext::new(Address::from(peer));
+            service.call(&mut cx, req.map(Body::from_incoming)).await
+        }
+    });
+    // An error means that the caller went away or broke the protocol; hyper has
+    // answered it where it can.
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_read)
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), answer)
+        .await
+        .ok();
+}
+
+/// Tells a caller beyond the bound that nothing was run. It is written without
+/// waiting, as far as the socket takes it at once.
+fn refuse(stream: &TcpStream) -> io::Result<usize> {
+    let refusal = Refusal::unavailable(
+        "too_many_connections",
+        "this router has as many open connections as it may",
+    )
+    .retry_after(Duration::from_secs(1));
+    let body = refusal.json().to_string();
+    let answer = format!(
+        "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n\
+         retry-after: 1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.try_write(answer.as_bytes())
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use anvilloft_gateway::ApiOptions;
 use anvilloft_gateway::client::Limits;
+use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_settings::RouterSettings;
 use anvilloft_settings::SettingsError;
 use anvilloft_telemetry::LogOptions;
@@ -100,6 +101,10 @@
             endpoint_key: key.to_owned(),
             ..ApiOptions::default()
         },
+        connections: ConnectionLimits {
+            max_connections: size(settings.max_connections),
+            header_read: settings.header_read,
+        },
         client: Limits {
             connect: settings.connect,
             first_byte: settings.first_byte_model,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -16,6 +16,7 @@
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::Limits;
 use anvilloft_gateway::metrics::Metrics;
+use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::serve;
 use anvilloft_types::Incarnation;
 use anvilloft_wire::Control;
@@ -85,6 +86,8 @@
     pub queues: QueueLimits,
     /// Limits towards callers; name and endpoint key are part of them.
     pub api: ApiOptions,
+    /// Limits of callers' connections.
+    pub connections: ConnectionLimits,
     /// Limits towards endpoints.
     pub client: Limits,
 }
@@ -112,6 +115,7 @@
                 endpoint_key: endpoint_key.into(),
                 ..ApiOptions::default()
             },
+            connections: ConnectionLimits::default(),
             client: Limits::default(),
         }
     }
@@ -233,6 +237,7 @@
         let stop_accepting = CancellationToken::new();
         let service = ApiService(Arc::clone(&api));
         let stop_listening = stop_accepting.clone();
+        let (limits, counters) = (options.connections, Arc::clone(&metrics));
         traffic.spawn(async move {
             loop {
                 tokio::time::sleep(IDLE_EVERY).await;
@@ -241,11 +246,15 @@
         });
         let (started, result) = std::sync::mpsc::channel();
         traffic.spawn(async move {
-            let res = match tokio::net::TcpListener::from_std(listener) {
-                Ok(listener) => serve(listener, service, stop_listening).await,
-                Err(e) => Err(e),
-            };
-            started.send(res).ok();
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => {
+                    started.send(Ok(())).ok();
+                    serve(listener, service, limits, counters, stop_listening).await;
+                }
+                Err(e) => {
+                    started.send(Err(e)).ok();
+                }
+            }
         });
         result
             .recv()
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -42,7 +42,9 @@
         grant_wait_requests: u64 = ["limits", "grant_wait_requests", "requests", Some("8192"), 1, 1_000_000],
         /// Requests of one team that wait for a grant of tokens.
         grant_wait_team_requests: u64 = ["limits", "grant_wait_team_requests", "requests", Some("1024"), 1, 1_000_000],
-        /// Time to read a request's header.
+        /// Open connections of callers.
+        max_connections: u64 = ["limits", "max_connections", "connections", Some("8192"), 1, 1_000_000],
+        /// Time to read a request's header, and that a connection may be idle.
         header_read: Duration = ["limits", "header_read_ms", "ms", Some("10000"), 100, 600_000],
         /// Time that a caller may take no byte of its answer.
         write_stall: Duration = ["limits", "write_stall_ms", "ms", Some("30000"), 100, 600_000],
