Count running requests in queues that are made anew

Cause: a change of the ranks replaced the queues by empty ones, so as many requests were started again as already ran, out of their order.

Change: `Admission::resume` takes over a request that runs, at its level, with its place, tokens and team share; the router calls it for each started request before it offers the waiting ones again.

Conclusion: a change of ranks no longer starts requests beyond the capacity. The waiting requests still get new deadlines and are offered in no order.

--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -460,6 +460,41 @@
         Ok(())
     }
 
+    fn resume(&mut self, now: Duration, req: Offer, level: u32, since: Duration) {
+        if self.waiting.contains_key(&req.id) || self.running.contains_key(&req.id) {
+            return;
+        }
+        // It runs at the level that the endpoint was told, which the changed
+        // ranks may give to another rank.
+        let named = self.ranks.iter().position(|r| r.rank.name == req.rank);
+        let at = named
+            .filter(|at| self.ranks[*at].rank.level == level)
+            .or_else(|| self.ranks.iter().position(|r| r.rank.level == level))
+            .or(named)
+            .unwrap_or(self.ranks.len() - 1);
+        let tokens = req.tokens.max(1);
+        let rank = &mut self.ranks[at];
+        let flow = rank.queue.flow(&req.team, req.weight);
+        rank.queue.resume(flow, tokens);
+        rank.recent.add(now, RECENT, tokens as f64);
+        rank.tag += tokens as f64 / f64::from(rank.rank.weight.max(1));
+        rank.queue
+            .get_mut(flow)
+            .recent
+            .add(now, RECENT, tokens as f64);
+        self.running_tokens = self.running_tokens.saturating_add(tokens);
+        self.first_running += u64::from(self.ranks[at].rank.level == self.ranks[0].rank.level);
+        self.running.insert(
+            req.id,
+            Running {
+                rank: at,
+                flow,
+                tokens,
+                since,
+            },
+        );
+    }
+
     fn cancel(&mut self, _now: Duration, id: RequestNo) {
         self.dequeue(id);
     }
--- a/crates/admission/src/flow.rs
+++ b/crates/admission/src/flow.rs
@@ -197,6 +197,15 @@
         req
     }
 
+    /// Counts a request of a team that runs already.
+    pub(crate) fn resume(&mut self, no: FlowNo, tokens: Tokens) {
+        self.unlink(no);
+        let flow = &mut self.flows[no];
+        flow.running += 1;
+        flow.tag = flow.tag.saturating_add(cost(tokens, flow.weight));
+        self.link(no);
+    }
+
     /// Removes a queued request.
     pub(crate) fn remove(&mut self, no: FlowNo, id: RequestNo) -> Option<Queued> {
         let at = self.flows[no].queue.iter().position(|q| q.id == id)?;
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -114,6 +114,12 @@
     /// longer than the limit.
     fn offer(&mut self, now: Duration, req: Offer) -> Result<(), Refusal>;
 
+    /// Takes over a request that another queue started, as when the queues are
+    /// made anew. It counts against the capacity and the shares until
+    /// [`finish`](Self::finish). `level` is the one it was started at, `since`
+    /// the time of its start. A number in use is ignored.
+    fn resume(&mut self, now: Duration, req: Offer, level: u32, since: Duration);
+
     /// Forgets a request that has not started. A request that was started must
     /// be reported with [`finish`](Self::finish).
     fn cancel(&mut self, now: Duration, id: RequestNo);
--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -356,3 +356,40 @@
     a.finish(ms(20), 1, 600);
     assert!(matches!(a.poll(ms(20))[..], [Verdict::Start { id: 2, .. }]));
 }
+
+/// Guards against new queues that start work beyond the capacity, give a place
+/// free twice, or forget which team has the places.
+#[test]
+fn resumed_requests_hold_their_places_and_shares() {
+    let mut a = FairAdmission::new(Policy::default());
+    a.set_capacity(ms(0), Capacity::slots(4));
+    for id in 0..4 {
+        // Started as normal because the team was above its urgent share.
+        a.resume(ms(10), offer(id, 1, 0, 100), 1, ms(0));
+    }
+    a.resume(ms(10), offer(0, 1, 0, 100), 1, ms(0));
+    assert_eq!(a.counts(), (0, 4));
+    for (id, team) in [(10, 1), (11, 1), (20, 2)] {
+        a.offer(ms(20), offer(id, team, 1, 100)).unwrap();
+    }
+    let started = |a: &mut FairAdmission| -> Vec<u64> {
+        let verdicts = a.poll(ms(20)).into_iter();
+        verdicts
+            .map(|v| match v {
+                Verdict::Start { id, .. } => id,
+                Verdict::Refuse { .. } => panic!("{v:?}"),
+            })
+            .collect()
+    };
+    assert!(started(&mut a).is_empty());
+    a.finish(ms(20), 0, 100);
+    // Team 1 has had its turns, though it asked first.
+    assert_eq!(started(&mut a), [20]);
+    a.finish(ms(20), 0, 100);
+    assert!(started(&mut a).is_empty());
+    for id in 1..4 {
+        a.finish(ms(20), id, 100);
+    }
+    a.finish(ms(20), 20, 100);
+    assert_eq!(started(&mut a), [10, 11]);
+}
--- a/crates/bench/src/traffic/baseline.rs
+++ b/crates/bench/src/traffic/baseline.rs
@@ -55,6 +55,10 @@
         Ok(())
     }
 
+    fn resume(&mut self, _now: Duration, req: Offer, _level: u32, _since: Duration) {
+        self.running.insert(req.id);
+    }
+
     fn cancel(&mut self, _now: Duration, id: RequestNo) {
         self.queue.retain(|(q, _)| *q != id);
     }
--- a/crates/router/src/core/queues.rs
+++ b/crates/router/src/core/queues.rs
@@ -46,14 +46,24 @@
         policy
     }
 
-    /// Makes the queues anew after the ranks changed. Running requests end
-    /// without the new queues; the selector still counts them.
+    /// Makes the queues anew after the ranks changed. Running requests count in
+    /// the new queues, which would otherwise fill the endpoints a second time.
     pub(crate) fn rebuild_lanes(&mut self, now: Duration) {
         let policy = self.policy();
         for lane in self.lanes.values_mut() {
             lane.admission = Box::new(FairAdmission::new(policy.clone()));
         }
         self.set_capacities(now);
+        for req in self.requests.values().filter(|r| r.started) {
+            let since = match &req.stage {
+                Stage::Running(attempt) | Stage::Judging { attempt, .. } => attempt.started,
+                Stage::Waiting | Stage::Permit => now,
+            };
+            let offer = self.offer_of(req);
+            if let Some(lane) = self.lanes.get_mut(&req.lane) {
+                lane.admission.resume(now, offer, req.level, since);
+            }
+        }
         let waiting: Vec<RequestNo> = self
             .requests
             .iter_mut()
@@ -137,24 +147,30 @@
         }
     }
 
-    /// Puts a request with a reservation into its queue.
-    pub(crate) fn offer(&mut self, now: Duration, no: RequestNo) {
-        let Some(req) = self.requests.get_mut(&no) else {
-            return;
-        };
-        req.queued = true;
+    fn offer_of(&self, req: &Req) -> Offer {
         let team = self.config.team(&req.admit.team);
         let urgent = self.config.value("urgent_share_percent", &req.admit.team);
-        let offer = Offer {
-            id: no,
+        Offer {
+            id: req.admit.no,
             team: req.admit.team.clone(),
             weight: team.map_or(1, |t| t.weight),
             rank: req.admit.rank.clone(),
             tokens: req.admit.amount.max(1),
             max_wait: None,
             urgent_percent: u32::try_from(urgent).ok().filter(|u| *u > 0),
+        }
+    }
+
+    /// Puts a request with a reservation into its queue.
+    pub(crate) fn offer(&mut self, now: Duration, no: RequestNo) {
+        let Some(req) = self.requests.get_mut(&no) else {
+            return;
         };
+        req.queued = true;
         let key = req.lane.clone();
+        let Some(offer) = self.requests.get(&no).map(|req| self.offer_of(req)) else {
+            return;
+        };
         if !self.lanes.contains_key(&key) {
             let mut lane = Lane {
                 admission: Box::new(FairAdmission::new(self.policy())),
--- a/crates/router/tests/leases.rs
+++ b/crates/router/tests/leases.rs
@@ -265,3 +265,51 @@
     let held = fleet.control.with_ledger(|l| l.holders(BUDGET));
     assert!(held.iter().all(|(router, _, _)| router == "r1"), "{held:?}");
 }
+
+/// Guards against a change of the ranks that makes the queues forget what runs:
+/// they would start as many requests again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn running_requests_count_after_the_ranks_change() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let mut options = engine("e1");
+    options.slots = 2;
+    options.tokens = 1000;
+    options.token_delay = Duration::from_millis(10);
+    let _fake = fleet.fake(options).await;
+    let addr = fleet.addr(0);
+    let mut calls = Vec::new();
+    for n in 0..8 {
+        let body = format!(r#"{{"model":"m","prompt":"p{n}","max_tokens":800,"stream":true}}"#);
+        let call = Call::post("/v1/completions", body).key(KEY);
+        calls.push(tokio::spawn(async move { call.send(addr, LIMIT).await }));
+    }
+    let counts = || {
+        let page = fleet.routers[0].metrics().registry.gather();
+        ["anvilloft_queued", "anvilloft_running"].map(|name| {
+            page.iter()
+                .find(|m| m.name() == name)
+                .map_or(0.0, |m| m.get_metric()[0].get_gauge().get_value())
+        })
+    };
+    wait(|| counts().iter().sum::<f64>() == 8.0).await;
+    let before = counts();
+    assert!(before[0] > 0.0 && before[1] > 0.0, "{before:?}");
+    fleet
+        .control
+        .set(vec![Item::Rank(anvilloft_wire::config::Rank {
+            name: "low".into(),
+            level: 2,
+            weight: 7,
+            floor_percent: 5,
+            queue_ms: 30_000,
+        })]);
+    let view = &fleet.routers[0].api().view;
+    let changed = || view.load().config.rank("low").map(|r| r.weight) == Some(7);
+    wait(changed).await;
+    // The gauges follow each second.
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    assert_eq!(counts(), before, "queued and running");
+    for call in calls {
+        call.abort();
+    }
+}
