Run the placement planner on the control leader

Cause: the planner was tested but nothing called it, so a model that no engine had was refused for ever.

Change: routers report demand by model and engines with every fifth renewal; the leader keeps the reports in memory with a bound and a lease, plans once a second after a confirmed read, and sends orders with fencing numbers to POST /v1/orders. The fake engine takes them, checking numbers or not. GET /admin/v1/endpoints and `anvilloft endpoint list` show the reported engines. Placement is off until the default placement_load_spacing_ms is set; the switch and the weight store's rate are one default because the test of the defaults' table wants a unit at the end of every name.

Before, the request stayed 503; after, tests/placement.rs sees the model unloaded, loaded and served.

Conclusion: tests of wire, ledger, control, router, fakes, cli and placement pass.

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -9,6 +9,7 @@
 mod default;
 mod demo;
 mod emulate;
+mod endpoint;
 mod exception;
 mod history;
 mod items;
@@ -64,8 +65,8 @@
 
 /// Every subcommand by name, in the order of the help.
 const TABLE: &[Entry] = administration![
-    status, team, key, budget, rank, model, service, default, exception, router, member, history,
-    apply, bench, check, settings, bootstrap,
+    status, team, key, budget, rank, model, service, default, exception, router, endpoint, member,
+    history, apply, bench, check, settings, bootstrap,
 ];
 
 /// Prints the error and returns the documented exit code.
--- a/crates/control/src/admin/read.rs
+++ b/crates/control/src/admin/read.rs
@@ -13,6 +13,7 @@
 use super::items::name_of;
 use super::run::Admin;
 use super::run::Reply;
+use crate::driver::ENDPOINTS_QUERY;
 
 /// Largest count of rows that a client may ask for, and of a page.
 pub(super) const MAX_ROWS: u32 = 1_000;
@@ -68,6 +69,18 @@
         Ok(json!({ "revision": page["revision"], kind.path: items }))
     }
 
+    /// Reads a page of the endpoints that routers report to the leader.
+    pub(super) async fn endpoints(&self, query: &str) -> Result<Value, ApiError> {
+        let (limit, after) = page_of(query)?;
+        let page = self.query(ENDPOINTS_QUERY, &after, "", limit).await?;
+        let rows = page.as_array().map_or(&[][..], Vec::as_slice);
+        let next = match rows.last() {
+            Some(last) if rows.len() == limit as usize => last["id"].clone(),
+            _ => Value::Null,
+        };
+        Ok(json!({ "endpoints": rows, "next": next }))
+    }
+
     /// Reads all items of some kinds at one revision.
     pub(super) async fn sections(
         &self,
--- a/crates/control/src/admin/run.rs
+++ b/crates/control/src/admin/run.rs
@@ -132,9 +132,7 @@
             Run::History => ok(self.rows("history", &caller, query).await?),
             Run::Orders => ok(self.rows("orders", &caller, query).await?),
             Run::Routers => ok(json!({ "routers": self.rows("routers", &caller, query).await? })),
-            Run::Endpoints => Err(ApiError::NotFound(
-                "list of endpoints on control members; ask the routers' /metrics".to_owned(),
-            )),
+            Run::Endpoints => ok(self.endpoints(query).await?),
             Run::Members => ok(self.group(GroupAction::Status, 0, "").await?),
             Run::AddMember => self.add_member(&caller, body).await,
             Run::PromoteMember => {
--- a/crates/control/src/daemon/figures.rs
+++ b/crates/control/src/daemon/figures.rs
@@ -62,6 +62,31 @@
         "Grants that wait for returned allotments.",
         |s| &s.held_grants,
     ),
+    (
+        "placement_orders_total",
+        "Orders that the planner gave.",
+        |s| &s.orders_given,
+    ),
+    (
+        "placement_orders_taken_total",
+        "Orders that endpoints took.",
+        |s| &s.orders_taken,
+    ),
+    (
+        "placement_orders_failed_total",
+        "Orders that were dropped, refused or lost.",
+        |s| &s.orders_failed,
+    ),
+    (
+        "placement_endpoints",
+        "Endpoints that routers report.",
+        |s| &s.endpoints,
+    ),
+    (
+        "placement_reports_dropped_total",
+        "Reported routers and endpoints beyond the bounds.",
+        |s| &s.reports_dropped,
+    ),
 ];
 
 /// Counters of the peer sessions.
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -5,7 +5,8 @@
 //! it implements [`Control`](anvilloft_wire::Control) and takes consensus
 //! messages of other members. `core` is the loop, `reads` the leases and
 //! queries, `group` the membership, `clocks` the time limits of router
-//! incarnations, `recalls` the grants that wait for returns. `shadow` makes
+//! incarnations, `recalls` the grants that wait for returns, `placement` the
+//! reports of routers and the planner. `shadow` makes
 //! snapshots on a second thread.
 //!
 //! All input that waits when a sync ends goes into the next one, so a sync
@@ -15,6 +16,7 @@
 mod core;
 mod group;
 mod handle;
+mod placement;
 mod reads;
 mod recalls;
 mod shadow;
@@ -49,6 +51,8 @@
 use self::shadow::Shadow;
 
 pub use self::handle::Handle;
+pub(crate) use self::placement::ENDPOINTS_QUERY;
+pub use self::placement::EndpointOrder;
 pub use self::status::DriverStats;
 pub use self::status::Status;
 
@@ -75,6 +79,10 @@
     /// Tells the routers that a newer configuration revision exists. Called on
     /// the leader only.
     fn config_push(&self, _revision: Revision) {}
+
+    /// Sends an order to an endpoint, or drops it when it can't arrive in
+    /// time. Called on the leader only.
+    fn order(&self, _order: EndpointOrder) {}
 }
 
 quick_error! {
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -43,6 +43,7 @@
 use super::Transport;
 use super::clocks::Clocks;
 use super::handle::Call;
+use super::placement::Placement;
 use super::reads::Read;
 use super::recalls::Recalls;
 use super::shadow::Shadow;
@@ -84,7 +85,7 @@
     pub(super) node: Node,
     store: Store,
     pub(super) ledger: Ledger,
-    transport: Arc<dyn Transport>,
+    pub(super) transport: Arc<dyn Transport>,
     pub(super) log: Logger,
     pub(super) stats: Arc<DriverStats>,
     pub(super) status: watch::Sender<Status>,
@@ -102,6 +103,7 @@
     pub(super) next_read: u64,
     pub(super) clocks: Clocks,
     pub(super) recalls: Recalls<ReplyTo>,
+    pub(super) placement: Placement,
     next_check: Duration,
     next_expire: Duration,
     last_ms: u64,
@@ -144,6 +146,7 @@
             next_read: 0,
             clocks: Clocks::default(),
             recalls: Recalls::default(),
+            placement: Placement::default(),
             next_check: Duration::ZERO,
             next_expire: Duration::ZERO,
             last_ms: 0,
@@ -347,6 +350,7 @@
                 self.propose(now, body, None, None);
             }
             self.tend_membership(now);
+            self.tend_placement(now);
         }
         if now >= self.next_expire {
             self.next_expire = now + EXPIRE_EVERY;
@@ -372,6 +376,7 @@
         }
         self.led_term = led;
         self.clocks.restart();
+        self.placement.restart(led, now);
         self.next_check = now;
         self.next_expire = now + EXPIRE_EVERY;
         let address = self.leader_address();
--- a/crates/control/src/driver/reads.rs
+++ b/crates/control/src/driver/reads.rs
@@ -11,12 +11,15 @@
 use super::core::Core;
 use super::core::ReplyTo;
 use super::core::answer;
+use super::placement::ENDPOINTS_QUERY;
 
 /// A read that waits for its confirmation.
 pub(super) enum Read {
     Renew(RenewLease),
     Query(Query),
     Group,
+    /// Confirms the leadership as of this time, then plans placement.
+    Plan(Duration),
 }
 
 impl Core {
@@ -38,6 +41,14 @@
     pub(super) fn finish_read(&mut self, read: &Read) -> Answer {
         match read {
             Read::Renew(req) => Answer::Lease(self.grant_lease(req)),
+            Read::Plan(asked) => {
+                self.plan_placement(*asked);
+                Answer::QueryResult(String::new())
+            }
+            Read::Query(q) if q.kind == ENDPOINTS_QUERY => {
+                let now = self.now();
+                Answer::QueryResult(self.placement.list(now, &q.name, q.limit).to_string())
+            }
             Read::Query(q) => match self.ledger.query(q) {
                 Ok(json) => Answer::QueryResult(json),
                 Err(e) => Answer::Unavailable(e.to_string()),
@@ -57,6 +68,14 @@
             };
         }
         self.clocks.heard(now, &req.router, req.incarnation);
+        if let Some(report) = &req.report {
+            let dropped = self
+                .placement
+                .take_report(now, &req.router, req.incarnation, report);
+            self.stats
+                .reports_dropped
+                .fetch_add(dropped as u64, Ordering::Relaxed);
+        }
         let routers = if req.directory_version == directory_version {
             Vec::new()
         } else {
--- a/crates/control/src/driver/status.rs
+++ b/crates/control/src/driver/status.rs
@@ -55,4 +55,14 @@
     pub waiting: AtomicU64,
     /// Grants that wait for returned allotments, now.
     pub held_grants: AtomicU64,
+    /// Orders of the planner.
+    pub orders_given: AtomicU64,
+    /// Orders that endpoints took.
+    pub orders_taken: AtomicU64,
+    /// Orders that were dropped, refused or lost.
+    pub orders_failed: AtomicU64,
+    /// Endpoints that routers report, now.
+    pub endpoints: AtomicU64,
+    /// Reports of routers and endpoints in them beyond the bounds.
+    pub reports_dropped: AtomicU64,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 pub mod daemon;
 pub mod driver;
+mod orders;
 pub mod peers;
 
 pub use daemon::ControlDaemon;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -41,8 +41,10 @@
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
+use crate::driver::EndpointOrder;
 use crate::driver::Handle;
 use crate::driver::Transport;
+use crate::orders::OrderSender;
 
 /// Kind of a query that each member answers by itself.
 pub(crate) const LOCAL_QUERY: &str = "member";
@@ -73,6 +75,7 @@
     max_calls: usize,
     draining: AtomicBool,
     forwarded: AtomicU64,
+    orders: OrderSender,
     log: Logger,
 }
 
@@ -102,6 +105,7 @@
             max_calls,
             draining: AtomicBool::new(false),
             forwarded: AtomicU64::new(0),
+            orders: OrderSender::new(log.clone()),
             log,
         })
     }
@@ -336,4 +340,13 @@
             let _ = session.send(Payload::ConfigPush(revision));
         }
     }
+
+    fn order(&self, order: EndpointOrder) {
+        let handle = self.handle.get().cloned();
+        self.orders.send(&self.runtime, order, move |counter| {
+            if let Some(handle) = handle {
+                counter(handle.stats()).fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    }
 }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -31,6 +31,7 @@
 
 use crate::http::Call;
 use crate::model;
+use crate::orders::Orders;
 use crate::slots::Slots;
 
 /// Prompts with this text crash an engine whose options say so.
@@ -79,6 +80,10 @@
     pub service: String,
     /// Models.
     pub models: Vec<String>,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// Time that a load takes.
+    pub load_time: Duration,
     /// Requests that run at once.
     pub slots: u32,
     /// Time to the first token.
@@ -111,6 +116,8 @@
             data_centre: "dc1".into(),
             service: String::new(),
             models: Vec::new(),
+            checks_fencing: true,
+            load_time: Duration::ZERO,
             slots: 8,
             first_token: Duration::ZERO,
             token_delay: Duration::ZERO,
@@ -180,6 +187,7 @@
     pub(crate) fault: Mutex<Fault>,
     pub(crate) slots: Arc<Slots>,
     pub(crate) kill: CancellationToken,
+    pub(crate) orders: Orders,
     leaving: AtomicBool,
     quiet: AtomicBool,
     seq: AtomicU64,
@@ -223,8 +231,9 @@
             } else {
                 "service".into()
             },
-            models: o
-                .models
+            models: self
+                .orders
+                .models()
                 .iter()
                 .map(|name| ModelEntry {
                     name: name.clone(),
@@ -233,7 +242,7 @@
                 })
                 .collect(),
             slots: o.slots,
-            checks_fencing: true,
+            checks_fencing: o.checks_fencing,
             leaving: self.leaving.load(Ordering::Relaxed),
             load: Some(Load {
                 running,
@@ -279,6 +288,7 @@
             fault: Mutex::new(Fault::None),
             slots: Slots::new(options.slots),
             kill: CancellationToken::new(),
+            orders: Orders::new(options.models.clone()),
             leaving: AtomicBool::new(false),
             quiet: AtomicBool::new(false),
             seq: AtomicU64::new(0),
@@ -319,6 +329,16 @@
         &self.shared.counts
     }
 
+    /// Returns the loaded models.
+    pub fn models(&self) -> Vec<String> {
+        self.shared.orders.models()
+    }
+
+    /// Returns how many orders were taken and how many were refused.
+    pub fn orders(&self) -> (u64, u64) {
+        self.shared.orders.counts()
+    }
+
     /// Returns the most requests that ran at once.
     pub fn max_running(&self) -> u32 {
         self.shared.slots.counts().2
@@ -445,6 +465,9 @@
             }
             return Ok(echo(text(StatusCode::OK, "{}"), &attempt));
         }
+        if path == "/v1/orders" {
+            return Ok(crate::orders::answer(shared, &body));
+        }
         shared.counts.arrived.fetch_add(1, Ordering::Relaxed);
         let fault = match header("x-fake-fault").as_str() {
             "die" => Fault::DieAfter(2),
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod http;
 mod model;
+mod orders;
 pub mod raw;
 mod slots;
 
--- a/crates/fakes/src/model.rs
+++ b/crates/fakes/src/model.rs
@@ -197,7 +197,7 @@
         );
     };
     let model = req["model"].as_str().unwrap_or_default().to_owned();
-    if !shared.options.models.contains(&model) {
+    if !shared.orders.models().contains(&model) {
         return text(
             StatusCode::NOT_FOUND,
             "{\"error\":{\"message\":\"model not loaded\"}}",
--- a/crates/ledger/src/defaults.rs
+++ b/crates/ledger/src/defaults.rs
@@ -138,6 +138,21 @@
         MINUTE,
         "A new leader waits this long before it orders endpoints that ignore fencing numbers.",
     ),
+    // The rate that the weight store bears, as the time between two loads.
+    fleet(
+        "placement_load_spacing_ms",
+        0,
+        0,
+        MINUTE,
+        "Time between two model loads that the control leader orders; 0 turns placement off.",
+    ),
+    fleet(
+        "placement_token_gap_ms",
+        31,
+        1,
+        SECOND,
+        "Time between tokens that placement expects of one request at an engine.",
+    ),
     fleet(
         "recall_wait_ms",
         300,
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod orders;
 mod peers;
+mod placement;
 mod queues;
 mod requests;
 mod suspects;
@@ -220,6 +221,7 @@
     pub(crate) gauges: Gauges,
     pub(crate) queues: QueueLimits,
     pub(crate) copies_at: Duration,
+    pub(crate) placement: placement::Reports,
 }
 
 /// What the control thread is made of.
@@ -292,6 +294,7 @@
             gauges: parts.gauges,
             queues: parts.queues,
             copies_at: now,
+            placement: placement::Reports::default(),
         }
     }
 
@@ -520,6 +523,7 @@
             *tokens *= SHARES_DECAY;
             *tokens >= 1.0
         });
+        self.placement.decay();
         self.publish();
     }
 }
--- a/crates/router/src/core/lease.rs
+++ b/crates/router/src/core/lease.rs
@@ -113,6 +113,7 @@
             incarnation: self.id.incarnation,
             revision: self.config.revision(),
             directory_version: self.routers.version(),
+            report: self.next_placement_report(),
         };
         // A renewal that takes longer than the interval is given up for a new
         // one, whose lease counts from a later time.
@@ -123,8 +124,11 @@
         self.renewing = false;
         match res.map(|r| r.answer) {
             Ok(Some(Answer::Lease(grant))) => self.on_lease(now, sent, grant),
-            Ok(_) => {}
-            Err(e) => slog::debug!(self.log, "no lease"; "error" => %e),
+            Ok(_) => self.placement.repeat(),
+            Err(e) => {
+                self.placement.repeat();
+                slog::debug!(self.log, "no lease"; "error" => %e);
+            }
         }
     }
 
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -107,6 +107,9 @@
             Target::Service(name) => LaneKey::Service(name.clone()),
         };
         self.count_demand(&admit.team.clone(), admit.amount);
+        if let LaneKey::Model(name) = &lane {
+            self.placement.count(name, admit.amount);
+        }
         let (budget, amount) = (admit.budget.clone(), admit.amount);
         let req = Req {
             admit,
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -81,6 +81,64 @@
     /// Version of the router directory that the router has.
     #[prost(uint64, tag = "4")]
     pub directory_version: u64,
+    /// What the placement of models needs; not in every renewal.
+    #[prost(message, optional, tag = "5")]
+    pub report: Option<PlacementReport>,
+}
+
+/// What one router knows for the placement of models. It replaces the router's
+/// report before it.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct PlacementReport {
+    /// Demand by model.
+    #[prost(message, repeated, tag = "1")]
+    pub demand: Vec<ModelDemand>,
+    /// Model engines for which this router comes first in their subset.
+    #[prost(message, repeated, tag = "2")]
+    pub endpoints: Vec<ReportedEndpoint>,
+}
+
+/// Demand for one model at one router.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct ModelDemand {
+    /// Name of the model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Thousandths of a token a second, refused requests included.
+    #[prost(uint64, tag = "2")]
+    pub millitokens_per_s: u64,
+}
+
+/// A model engine as it announced itself to a router.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct ReportedEndpoint {
+    /// Name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Incarnation of the endpoint.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Address, `ip:port`.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Data centre of the endpoint.
+    #[prost(string, tag = "4")]
+    pub data_centre: String,
+    /// Names of the loaded models.
+    #[prost(string, repeated, tag = "5")]
+    pub models: Vec<String>,
+    /// Requests that run at once.
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    /// Whether the endpoint refuses old fencing numbers.
+    #[prost(bool, tag = "7")]
+    pub checks_fencing: bool,
+    /// Whether the endpoint takes no new work.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
+    /// Number of the announcement within the incarnation.
+    #[prost(uint64, tag = "9")]
+    pub seq: u64,
 }
 
 /// A configuration lease.
