Test the orders of successive leaders and the list of engines

Cause: only the planner's own tests covered the wait of a new leader, and nothing covered reports that end or the list over separate processes.

Change: a driver test kills the leader and checks that the next one waits out the placement lease for an engine that ignores fencing numbers, and that an engine is forgotten when no router reports it. The process test reads `anvilloft endpoint list`.

--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -19,7 +19,8 @@
 
 /// Guards against balances, orders or configuration lost or doubled when the
 /// control leader and a router are killed without warning, and against a dead
-/// router that stays in entry answers.
+/// router that stays in entry answers. Guards also against engines that control
+/// is not told of.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn killed_processes_lose_and_double_nothing() {
     let mut work = Workdir::new(3, 2);
@@ -31,6 +32,14 @@
     assert!(first.complete && first.text().contains("[DONE]"));
     let order = work.until_ok("r1-caller", &work.order("o-1")).await.text();
 
+    // Both engines, of which a router reports each, and no service.
+    wait("the engines are listed", || {
+        let list = work.json(&["endpoint", "list"]);
+        let models = |e: &serde_json::Value| e["models"] == serde_json::json!(["m"]);
+        list.as_array()
+            .is_some_and(|all| all.len() == 2 && all.iter().all(models))
+    });
+
     // The leader dies. A top-up and both routers go on.
     work.kill("c0");
     let before = amounts(&work);
--- a/crates/control/tests/driver/fleet.rs
+++ b/crates/control/tests/driver/fleet.rs
@@ -8,6 +8,7 @@
 
 use anvilloft_control::driver::Driver;
 use anvilloft_control::driver::DriverConfig;
+use anvilloft_control::driver::EndpointOrder;
 use anvilloft_control::driver::Handle;
 use anvilloft_control::driver::Status;
 use anvilloft_control::driver::Transport;
@@ -42,6 +43,7 @@
     handles: Mutex<HashMap<u64, Handle>>,
     cut: Mutex<HashSet<u64>>,
     recalled: Mutex<HashSet<(String, String)>>,
+    orders: Mutex<Vec<EndpointOrder>>,
 }
 
 struct Port {
@@ -64,6 +66,10 @@
         let recall = (router.to_owned(), budget.to_owned());
         self.net.recalled.lock().unwrap().insert(recall);
     }
+
+    fn order(&self, order: EndpointOrder) {
+        self.net.orders.lock().unwrap().push(order);
+    }
 }
 
 /// The replies that the tests look at.
@@ -266,6 +272,11 @@
         }
     }
 
+    /// Returns the orders to endpoints so far.
+    pub(crate) fn orders(&self) -> Vec<EndpointOrder> {
+        self.net.orders.lock().unwrap().clone()
+    }
+
     /// Waits until a router was asked to return a budget's tokens.
     pub(crate) async fn recalled(&self, router: &str, budget: &str) {
         let recall = (router.to_owned(), budget.to_owned());
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "helpers of tests fail like tests")]
 
 mod fleet;
+mod placement;
 
 use std::time::Duration;
 
