--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod engine;
 pub mod http;
 mod model;
+mod orders;
 pub mod raw;
 mod slots;
 
 pub use control::LocalControl;
+pub use control::LocalLink;
 pub use engine::Fake;
 pub use engine::FakeOptions;
 pub use engine::Fault;
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod orders;
 mod peers;
+mod placement;
 mod queues;
 mod requests;
 mod suspects;
@@ -41,6 +42,7 @@
 use anvilloft_types::Fingerprint;
 use anvilloft_types::Incarnation;
 use anvilloft_types::RequestNo;
+use anvilloft_types::TeamId;
 use anvilloft_types::Tokens;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
@@ -81,13 +83,18 @@
     pub peer_address: String,
 }
 
-/// Bounds of the queues of one model or service, in requests.
+/// Bounds of the queues of one model or service, and of the requests that wait
+/// for tokens, in requests.
 #[derive(Clone, Copy, Debug)]
 pub struct QueueLimits {
     /// Of one team in one rank.
     pub team: usize,
     /// Of all teams and ranks.
     pub total: usize,
+    /// Of one team that wait for a grant of tokens, over all budgets.
+    pub grant_wait_team_requests: usize,
+    /// Of all teams that wait for a grant of tokens.
+    pub grant_wait_requests: usize,
 }
 
 /// How far the router is with its planned stop.
@@ -200,8 +207,11 @@
     pub(crate) allotments: Allotments,
     pub(crate) copies: Copies,
     pub(crate) copy_holder: Option<String>,
-    pub(crate) delivering: HashSet<(String, Incarnation)>,
-    pub(crate) needs: HashMap<NeedId, RequestNo>,
+    pub(crate) deliveries: HashMap<(String, Incarnation), budgets::Delivery>,
+    /// Requests that wait for a grant, with their teams.
+    pub(crate) needs: HashMap<NeedId, (RequestNo, TeamId)>,
+    /// Count of `needs` by team.
+    pub(crate) team_needs: HashMap<TeamId, usize>,
     /// Budgets asked back lately: what requests free until then goes back too.
     pub(crate) recalled: HashMap<String, Duration>,
 
@@ -220,6 +230,7 @@
     pub(crate) gauges: Gauges,
     pub(crate) queues: QueueLimits,
     pub(crate) copies_at: Duration,
+    pub(crate) placement: placement::Reports,
 }
 
 /// What the control thread is made of.
@@ -277,8 +288,9 @@
             allotments,
             copies: Copies::new(),
             copy_holder: None,
-            delivering: HashSet::new(),
+            deliveries: HashMap::new(),
             needs: HashMap::new(),
+            team_needs: HashMap::new(),
             recalled: HashMap::new(),
             requests: HashMap::new(),
             judging: Vec::new(),
@@ -292,6 +304,7 @@
             gauges: parts.gauges,
             queues: parts.queues,
             copies_at: now,
+            placement: placement::Reports::default(),
         }
     }
 
@@ -424,7 +437,7 @@
             Done::Granted(seq, res) => self.on_granted(now, seq, res),
             Done::Reported(seq, res) => self.on_reported(now, seq, res),
             Done::CopyDelivered(router, incarnation, seq, res) => {
-                self.on_copy_delivered(router, incarnation, seq, res);
+                self.on_copy_delivered(now, router, incarnation, seq, res);
             }
             Done::OrderBegun(beginning, res) => self.on_order_begun(now, *beginning, res),
             Done::OrderFinished(finish, res) => self.on_order_finished(*finish, res),
@@ -462,7 +475,7 @@
         self.tick_gauges(now);
         self.tick_copies(now);
         self.tick_drain(now);
-        self.deliver_copies();
+        self.deliver_copies(now);
         self.lanes_dirty = true;
     }
 
@@ -520,6 +533,7 @@
             *tokens *= SHARES_DECAY;
             *tokens >= 1.0
         });
+        self.placement.decay();
         self.publish();
     }
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use anvilloft_gateway::ApiOptions;
 use anvilloft_gateway::client::Limits;
+use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_settings::RouterSettings;
 use anvilloft_settings::SettingsError;
 use anvilloft_telemetry::LogOptions;
@@ -88,6 +89,8 @@
         queues: QueueLimits {
             team: size(settings.queue_team),
             total: size(settings.queue_total),
+            grant_wait_team_requests: size(settings.grant_wait_team_requests),
+            grant_wait_requests: size(settings.grant_wait_requests),
         },
         api: ApiOptions {
             router: settings.name.clone(),
@@ -98,6 +101,10 @@
             endpoint_key: key.to_owned(),
             ..ApiOptions::default()
         },
+        connections: ConnectionLimits {
+            max_connections: size(settings.max_connections),
+            header_read: settings.header_read,
+        },
         client: Limits {
             connect: settings.connect,
             first_byte: settings.first_byte_model,
