Use neutral team names in tests and examples

Cause: ledger tests and one example carried a user's name and trade. Change: the team is called alder.

--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -139,7 +139,7 @@
         ),
         ("key rotate k1 --reason r", "0"),
         (
-            "exception set alder urgent_share_percent --value 60 --reason lathe",
+            "exception set alder urgent_share_percent --value 60 --reason contract",
             "0",
         ),
         ("member list", "0"),
--- a/crates/ledger/tests/amounts.rs
+++ b/crates/ledger/tests/amounts.rs
@@ -124,10 +124,7 @@
     // A grant for a budget that was created since must not be applied late.
     let reply = apply(&mut ledger, grant("r1", 3, "new", 5, 5));
     assert_eq!(code_of(&reply), code::UNKNOWN_BUDGET);
-    apply(
-        &mut ledger,
-        change("new", 1, vec![budget("new", "tikvica")]),
-    );
+    apply(&mut ledger, change("new", 1, vec![budget("new", "alder")]));
     apply(&mut ledger, top_up("new", "new", 100));
     let reply = apply(&mut ledger, grant("r1", 3, "new", 5, 5));
     assert_eq!(code_of(&reply), code::STALE_GRANT);
@@ -319,15 +316,13 @@
     for kind in [
         "budgets", "config", "history", "routers", "orders", "status",
     ] {
-        let text = ledger
-            .query(&query(kind, "", "tikvica"))
-            .expect("an answer");
+        let text = ledger.query(&query(kind, "", "alder")).expect("an answer");
         for word in ["rival", "secret", "rk", "77"] {
             assert!(!text.contains(word), "{kind} shows {word}: {text}");
         }
         ledger.query(&query(kind, "", "")).expect("an answer");
     }
-    assert!(ledger.query(&query("budget", "secret", "tikvica")).is_err());
+    assert!(ledger.query(&query("budget", "secret", "alder")).is_err());
     let text = ledger
         .query(&query("budget", "secret", "rival"))
         .expect("an answer");
--- a/crates/ledger/tests/config.rs
+++ b/crates/ledger/tests/config.rs
@@ -49,7 +49,7 @@
         case(code::DANGLING_REFERENCE, vec![budget("b", "nobody")]),
         case(
             code::DANGLING_REFERENCE,
-            vec![key("k2", "tikvica", "nothing", 2)],
+            vec![key("k2", "alder", "nothing", 2)],
         ),
         case(
             code::DANGLING_REFERENCE,
@@ -61,7 +61,7 @@
         ),
         case(
             code::DANGLING_REFERENCE,
-            vec![delete_op(Kind::Team, "tikvica")],
+            vec![delete_op(Kind::Team, "alder")],
         ),
         case(code::UNKNOWN_ITEM, vec![delete_op(Kind::Model, "none")]),
         case(code::UNKNOWN_DEFAULT, vec![default("no_such_ms", 1)]),
@@ -69,22 +69,22 @@
         case(code::OUT_OF_RANGE, vec![delete_op(Kind::Rank, "normal")]),
         case(
             code::EMPTY_REASON,
-            vec![exception("tikvica", "urgent_share_percent", 60, " ")],
+            vec![exception("alder", "urgent_share_percent", 60, " ")],
         ),
         case(
             code::NO_EXCEPTION,
-            vec![exception("tikvica", "config_lease_ms", 1_000, "r")],
+            vec![exception("alder", "config_lease_ms", 1_000, "r")],
         ),
         case(
             code::DUPLICATE_KEY_HASH,
-            vec![key("k2", "tikvica", "main", 1)],
+            vec![key("k2", "alder", "main", 1)],
         ),
         case(
             code::BUDGET_IN_USE,
             vec![
                 delete_op(Kind::Key, "k1"),
                 delete_op(Kind::Budget, "main"),
-                delete_op(Kind::Team, "tikvica"),
+                delete_op(Kind::Team, "alder"),
             ],
         ),
         case(
@@ -97,7 +97,7 @@
     ];
     for (n, case) in cases.into_iter().enumerate() {
         let mut ledger = ledger();
-        let setup = change("k1", 1, vec![key("k1", "tikvica", "main", 1)]);
+        let setup = change("k1", 1, vec![key("k1", "alder", "main", 1)]);
         assert_eq!(apply(&mut ledger, setup), accepted(2));
         let before = ledger.config().clone();
         let mut ops = vec![team("first")];
@@ -190,7 +190,7 @@
             0 => vec![delete_op(Kind::Team, &format!("t{}", n - 1))],
             _ => vec![
                 team(&format!("t{n}")),
-                key(&format!("k{n}"), "tikvica", "main", n as u8),
+                key(&format!("k{n}"), "alder", "main", n as u8),
             ],
         };
         assert_eq!(
@@ -270,7 +270,7 @@
     let mut ledger = ledger();
     let ops = vec![
         default("urgent_share_percent", 40),
-        exception("tikvica", "urgent_share_percent", 90, "lathe contract"),
+        exception("alder", "urgent_share_percent", 90, "contract"),
         set_op(Item::Model(Model {
             name: "m".into(),
             version: String::new(),
@@ -280,11 +280,11 @@
     ];
     assert_eq!(apply(&mut ledger, change("c", 1, ops)), accepted(2));
     let cfg = ledger.config();
-    assert_eq!(cfg.value("urgent_share_percent", "tikvica"), 90);
+    assert_eq!(cfg.value("urgent_share_percent", "alder"), 90);
     assert_eq!(cfg.value("urgent_share_percent", "rival"), 40);
     assert_eq!(cfg.value("urgent_share_percent", ""), 40);
     assert_eq!(cfg.model("m").map(|m| m.max_tokens), Some(20));
-    let ops = vec![delete_op(Kind::Exception, "tikvica/urgent_share_percent")];
+    let ops = vec![delete_op(Kind::Exception, "alder/urgent_share_percent")];
     assert_eq!(apply(&mut ledger, change("d", 2, ops)), accepted(3));
-    assert_eq!(ledger.config().value("urgent_share_percent", "tikvica"), 40);
+    assert_eq!(ledger.config().value("urgent_share_percent", "alder"), 40);
 }
--- a/crates/ledger/tests/replay.rs
+++ b/crates/ledger/tests/replay.rs
@@ -33,9 +33,9 @@
 fn body() -> impl Strategy<Value = Body> {
     let change = (0..6_u8, 0..5_u64, 0..4_u8).prop_map(|(id, base, kind)| {
         let ops = match kind {
-            0 => vec![budget("b2", "tikvica")],
+            0 => vec![budget("b2", "alder")],
             1 => vec![delete_op(Kind::Budget, "b2")],
-            2 => vec![key(&format!("k{id}"), "tikvica", "main", id)],
+            2 => vec![key(&format!("k{id}"), "alder", "main", id)],
             _ => vec![default("settle_hold_ms", 60_000 + u64::from(id))],
         };
         change(&format!("c{id}"), base, ops)
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -167,7 +167,7 @@
 
 pub(crate) fn begin(router: &str, incarnation: u64, key: &str, body: u8, attempt: u8) -> Body {
     Body::OrderBegin(OrderBegin {
-        team: "tikvica".into(),
+        team: "alder".into(),
         key: key.into(),
         body_hash: vec![body; 32],
         router: router.into(),
@@ -178,7 +178,7 @@
 
 pub(crate) fn finish(key: &str, attempt: u8, outcome: OrderOutcome, body: Vec<u8>) -> Body {
     Body::OrderFinish(OrderFinish {
-        team: "tikvica".into(),
+        team: "alder".into(),
         key: key.into(),
         attempt: vec![attempt; 16],
         outcome: outcome.into(),
@@ -189,11 +189,11 @@
     })
 }
 
-/// Returns a ledger with the team `tikvica`, its budget `main` of 1,000,000
+/// Returns a ledger with the team `alder`, its budget `main` of 1,000,000
 /// tokens and one open incarnation of the routers `r1` and `r2`.
 pub(crate) fn ledger() -> Ledger {
     let mut ledger = Ledger::new();
-    let ops = vec![team("tikvica"), budget("main", "tikvica")];
+    let ops = vec![team("alder"), budget("main", "alder")];
     apply(&mut ledger, change("setup", 0, ops));
     apply(&mut ledger, top_up("setup", "main", 1_000_000));
     apply(&mut ledger, open("r1", 1));
