--- a/crates/ledger/src/routers.rs
+++ b/crates/ledger/src/routers.rs
@@ -51,7 +51,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Incarnated {
+pub(crate) struct RouterIncarnation {
     pub(crate) name: Arc<str>,
     pub(crate) open: OpenIncarnation,
     pub(crate) phase: Phase,
@@ -66,7 +66,7 @@
     pub(crate) held: HashMap<Arc<str>, Held>,
 }
 
-impl Incarnated {
+impl RouterIncarnation {
     pub(crate) fn total(&self) -> Tokens {
         self.held.values().map(|h| h.amount).sum()
     }
@@ -90,14 +90,14 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Routers {
-    pub(crate) by_name: BTreeMap<Arc<str>, BTreeMap<Incarnation, Incarnated>>,
+    pub(crate) by_name: BTreeMap<Arc<str>, BTreeMap<Incarnation, RouterIncarnation>>,
     pub(crate) count: usize,
     pub(crate) directory_version: u64,
     pub(crate) scanned_ms: u64,
 }
 
 impl Routers {
-    pub(crate) fn get(&self, router: &str, incarnation: Incarnation) -> Option<&Incarnated> {
+    pub(crate) fn get(&self, router: &str, incarnation: Incarnation) -> Option<&RouterIncarnation> {
         self.by_name.get(router)?.get(&incarnation)
     }
 
@@ -105,11 +105,11 @@
         &mut self,
         router: &str,
         incarnation: Incarnation,
-    ) -> Option<&mut Incarnated> {
+    ) -> Option<&mut RouterIncarnation> {
         self.by_name.get_mut(router)?.get_mut(&incarnation)
     }
 
-    pub(crate) fn all(&self) -> impl Iterator<Item = &Incarnated> {
+    pub(crate) fn all(&self) -> impl Iterator<Item = &RouterIncarnation> {
         self.by_name.values().flat_map(BTreeMap::values)
     }
 
@@ -157,7 +157,7 @@
             .collect()
     }
 
-    fn hold_ms(&self, inc: &Incarnated) -> u64 {
+    fn hold_ms(&self, inc: &RouterIncarnation) -> u64 {
         let name = if inc.superseded {
             "peer_flush_ms"
         } else {
@@ -235,7 +235,7 @@
             .or_default()
             .insert(
                 c.incarnation,
-                Incarnated {
+                RouterIncarnation {
                     name,
                     open: c.clone(),
                     phase: Phase::Open,
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -19,8 +19,8 @@
 use crate::ledger::LedgerError;
 use crate::orders::Order;
 use crate::routers::Held;
-use crate::routers::Incarnated;
 use crate::routers::Phase;
+use crate::routers::RouterIncarnation;
 use crate::suspects::Suspect;
 
 /// Format written by this build, and the only one that it reads.
@@ -376,7 +376,7 @@
             .or_default()
             .insert(
                 incarnation,
-                Incarnated {
+                RouterIncarnation {
                     name,
                     open: state.open,
                     phase,
@@ -392,7 +392,7 @@
     }
 }
 
-fn incarnation_state(i: &Incarnated) -> IncarnationState {
+fn incarnation_state(i: &RouterIncarnation) -> IncarnationState {
     let mut held: Vec<_> = i
         .held
         .iter()
