Hand a settlement over before the end of its answer leaves

Settlements waited up to 20 ms for others of their report while the answer had left. Change: a report leaves at once when none is on its way, and else at the pace of the round trip, 20 ms at most; the last piece of a stream and a whole answer wait until report and copy were handed to the sessions, 50 ms at most. Conclusion: the window shrinks from 20 ms to the hand-over to the socket.

--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -484,8 +484,8 @@
     }
 
     /// Returns the oldest report that control has not acknowledged, when it
-    /// is due to be sent or sent again. Settlements of the last 20 ms may
-    /// still wait for others.
+    /// is due to be sent or sent again. While one is on its way, settlements of
+    /// the last 20 ms may still wait for others.
     pub fn next_report(&mut self, now: Duration) -> Option<Report> {
         self.return_idle(now);
         self.outbox.next_report(now)
@@ -507,6 +507,13 @@
         });
     }
 
+    /// Whether every settlement so far is in a report, which
+    /// [`next_report`](Self::next_report) or [`next_copy`](Self::next_copy) has
+    /// sealed.
+    pub fn is_sealed(&self) -> bool {
+        self.outbox.is_sealed()
+    }
+
     /// Takes control's acknowledgement of every report up to `seq`.
     pub fn on_report_ack(&mut self, _now: Duration, seq: u64) {
         self.outbox.acknowledge(seq);
--- a/crates/budget/src/outbox.rs
+++ b/crates/budget/src/outbox.rs
@@ -11,7 +11,9 @@
 use anvilloft_wire::command::Report;
 use anvilloft_wire::command::ReportEntry;
 
-/// Longest time that an entry waits for others of the same report.
+/// Longest time that an entry waits for others of the same report while an
+/// earlier report has no answer. Without one it leaves at once, so that reports
+/// follow each other at the pace of their round trip.
 const BATCH_WAIT: Duration = Duration::from_millis(20);
 /// Largest count of entries of a report.
 const BATCH_ENTRIES: usize = 256;
@@ -102,9 +104,10 @@
     }
 
     fn seal(&mut self, now: Duration) {
-        let due = self
-            .oldest
-            .is_some_and(|t| now.saturating_sub(t) >= BATCH_WAIT);
+        let due = self.sealed.is_empty()
+            || self
+                .oldest
+                .is_some_and(|t| now.saturating_sub(t) >= BATCH_WAIT);
         while let Some(oldest) = self.oldest
             && (due || self.urgent || self.merged.len() + self.keyed.len() >= BATCH_ENTRIES)
         {
@@ -177,6 +180,11 @@
         }
     }
 
+    /// Whether every entry so far is in a report.
+    pub(crate) fn is_sealed(&self) -> bool {
+        self.oldest.is_none()
+    }
+
     pub(crate) fn unacknowledged(&self) -> usize {
         self.sealed.len()
     }
--- a/crates/gateway/src/chat.rs
+++ b/crates/gateway/src/chat.rs
@@ -198,7 +198,7 @@
         Started::Whole { body, usage } => {
             let used = usage.map_or(amount, |u| u.total()).min(amount);
             let open = OpenAnswer::new(&api.metrics.open_answers);
-            running.finish(used, AttemptEnd::Ok);
+            running.settle(used).await;
             Ok(json_response(WholeBody::body(body, open)))
         }
         Started::Stream(stream) => {
@@ -443,7 +443,7 @@
                     // Settled first: a caller that saw its end may ask for
                     // its budget at once.
                     let used = self.used();
-                    self.running.finish(used, AttemptEnd::Ok);
+                    self.running.settle(used).await;
                     Piece::Last(out)
                 } else {
                     Piece::More(out)
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -139,6 +139,9 @@
         /// Hash of team, idempotency key and body.
         key: Option<[u8; 16]>,
     },
+    /// Answers once every settlement before it has been handed over to the
+    /// control members and to the router that keeps copies.
+    HandedOver(oneshot::Sender<()>),
     /// Records an order before it is sent; resent until `deadline`.
     OrderBegin(
         OrderBegin,
--- a/crates/gateway/src/running.rs
+++ b/crates/gateway/src/running.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use anvilloft_types::AttemptId;
 use anvilloft_types::RequestNo;
 use anvilloft_types::Tokens;
 use prometheus::IntGauge;
+use tokio::sync::oneshot;
 
 use crate::client::Client;
 use crate::ports::AttemptEnd;
@@ -18,6 +20,9 @@
 /// Cancel calls that run at once, at most; the closed connection tells the
 /// endpoint too.
 const MAX_CANCELS: usize = 64;
+/// Longest time that the end of an answer waits for its settlement to be handed
+/// over. Longer than a report waits for others, which is 20 ms.
+const HAND_OVER: Duration = Duration::from_millis(50);
 static CANCELS: AtomicUsize = AtomicUsize::new(0);
 
 /// A request known to the control thread. Dropped before its end, as when the
@@ -56,6 +61,16 @@
         }
     }
 
+    /// Settles the request and waits until the settlement was handed over, so
+    /// that the death of this router after the end of the answer doesn't leave
+    /// the request unbilled.
+    pub(crate) async fn settle(&mut self, used: Tokens) {
+        self.finish(used, AttemptEnd::Ok);
+        let (tx, rx) = oneshot::channel();
+        self.core.post(CoreMsg::HandedOver(tx));
+        tokio::time::timeout(HAND_OVER, rx).await.ok();
+    }
+
     /// The control thread ended the request itself.
     pub(crate) fn ended(&mut self) {
         self.open = false;
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -300,7 +300,7 @@
     loop {
         let mut failure = match attempt(api, call, &ticket, order.is_some()).await {
             Ok(done) => {
-                running.finish(price, AttemptEnd::Ok);
+                running.settle(price).await;
                 if let Some(order) = order {
                     order.finish(OrderOutcome::Done, Some(&done));
                 }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -209,6 +209,9 @@
     pub(crate) copy_holder: Option<String>,
     pub(crate) deliveries: HashMap<(String, Incarnation), budgets::Delivery>,
     /// Requests that wait for a grant, with their teams.
+    /// Requests whose end waits until their settlement was handed over. Each
+    /// waits 50 ms at most.
+    pub(crate) hand_overs: Vec<tokio::sync::oneshot::Sender<()>>,
     pub(crate) needs: HashMap<NeedId, (RequestNo, TeamId)>,
     /// Count of `needs` by team.
     pub(crate) team_needs: HashMap<TeamId, usize>,
@@ -289,6 +292,7 @@
             copies: Copies::new(),
             copy_holder: None,
             deliveries: HashMap::new(),
+            hand_overs: Vec::new(),
             needs: HashMap::new(),
             team_needs: HashMap::new(),
             recalled: HashMap::new(),
@@ -413,6 +417,7 @@
                 },
             ),
             CoreMsg::FirstByte(no, waited) => self.on_first_byte(now, no, waited),
+            CoreMsg::HandedOver(reply) => self.hand_overs.push(reply),
             CoreMsg::Finish { no, used, end, key } => self.on_finish(now, no, used, end, key),
             CoreMsg::OrderBegin(begin, within, reply) => {
                 self.on_order_begin(now, begin, within, reply);
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -68,6 +68,11 @@
                 }
             }
         }
+        if self.allotments.is_sealed() {
+            for reply in self.hand_overs.drain(..) {
+                reply.send(()).ok();
+            }
+        }
     }
 
     /// Gives back what is idle now and what requests free while the grant
