Correct the report rate behind the size of a delivery batch

Cause: since reports follow each other at the pace of the round trip, the comment's 50 a second holds only while control acknowledges none, which is when a backlog of copies grows. Change: the comment says so; no code changed. Conclusion: the bound still covers a backlog.

--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -29,7 +29,8 @@
 const MAX_RECALLED: usize = 65_536;
 /// Copies of one incarnation that are delivered at once, in reports. With a tick
 /// of 10 ms and a round trip of 10 ms at most 6,400 leave in a second; a router
-/// makes up to 50 a second, and `peer_flush_ms` is 30 s.
+/// makes up to 50 a second while control acknowledges none, and `peer_flush_ms`
+/// is 30 s.
 const DELIVERY_BATCH: usize = 128;
 /// Copies of all incarnations that are delivered at once, in reports; half of a
 /// session's send queue.
