--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -25,7 +25,7 @@
 /// Time after which an unanswered grant is sent again. Longer than the time
 /// that control waits for recalled tokens.
 const GRANT_RESEND: Duration = Duration::from_millis(1_000);
-/// Length of the window over which demand is measured.
+/// Default of [`Allotments::set_demand_window`].
 const WINDOW: Duration = Duration::from_secs(1);
 /// Time without early grants after one was refused or came in exact size: the
 /// budget is nearly spent then, and its tokens shall not be scattered.
@@ -127,10 +127,10 @@
 }
 
 impl Local {
-    fn count_demand(&mut self, now: Duration, amount: Tokens) {
+    fn count_demand(&mut self, now: Duration, amount: Tokens, window: Duration) {
         let age = now.saturating_sub(self.window);
-        if age >= WINDOW {
-            self.last_demand = if age < WINDOW * 2 { self.demand } else { 0 };
+        if age >= window {
+            self.last_demand = if age < window * 2 { self.demand } else { 0 };
             self.demand = 0;
             self.window = now;
         }
@@ -172,6 +172,7 @@
     next_seq: u64,
     outbox: Outbox,
     idle: Duration,
+    demand_window: Duration,
     scanned: Duration,
     draining: bool,
 }
@@ -191,6 +192,7 @@
             next_id: 1,
             next_seq: 1,
             idle: IDLE,
+            demand_window: WINDOW,
             scanned: Duration::ZERO,
             draining: false,
         }
@@ -201,6 +203,19 @@
         self.idle = idle;
     }
 
+    /// Sets the time over which demand is measured. A grant asks for the demand
+    /// of two windows, so a longer one carries the router further through a
+    /// partition and leaves more tokens idle.
+    pub fn set_demand_window(&mut self, window: Duration) {
+        self.demand_window = window;
+    }
+
+    /// Sets how long a settlement waits for others of the same report. Without
+    /// a pace the first leaves at once and others follow at the round trip.
+    pub fn set_report_pace(&mut self, pace: Duration) {
+        self.outbox.set_pace(pace);
+    }
+
     /// Reserves the upper bound of a request.
     ///
     /// # Errors
@@ -215,7 +230,7 @@
         let id = self.next_id;
         self.next_id += 1;
         let local = self.budgets.entry(budget.into()).or_default();
-        local.count_demand(now, amount);
+        local.count_demand(now, amount, self.demand_window);
         if amount <= local.idle {
             local.idle -= amount;
             local.reserved += amount;
--- a/crates/budget/src/outbox.rs
+++ b/crates/budget/src/outbox.rs
@@ -36,6 +36,8 @@
     // Number of the next report to copy to the peer.
     next_copy: u64,
     sent: Option<(u64, Duration)>,
+    // Fixed wait of entries for others, instead of the round trip.
+    pace: Option<Duration>,
 }
 
 impl Outbox {
@@ -51,9 +53,14 @@
             next_seq: 1,
             next_copy: 1,
             sent: None,
+            pace: None,
         }
     }
 
+    pub(crate) fn set_pace(&mut self, pace: Duration) {
+        self.pace = Some(pace);
+    }
+
     pub(crate) fn settled(
         &mut self,
         now: Duration,
@@ -104,10 +111,14 @@
     }
 
     fn seal(&mut self, now: Duration) {
-        let due = self.sealed.is_empty()
-            || self
-                .oldest
-                .is_some_and(|t| now.saturating_sub(t) >= BATCH_WAIT);
+        let waited = |wait| {
+            self.oldest
+                .is_some_and(|t| now.saturating_sub(t) >= wait)
+        };
+        let due = match self.pace {
+            Some(pace) => waited(pace),
+            None => self.sealed.is_empty() || waited(BATCH_WAIT),
+        };
         while let Some(oldest) = self.oldest
             && (due || self.urgent || self.merged.len() + self.keyed.len() >= BATCH_ENTRIES)
         {
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -45,6 +45,7 @@
 use crate::driver::DriverConfig;
 use crate::driver::DriverError;
 use crate::driver::Handle;
+use crate::join::stay_in_group;
 use crate::peers::LOCAL_QUERY;
 use crate::peers::PeerHandler;
 use crate::peers::Peers;
@@ -137,7 +138,7 @@
         log: Logger,
     ) -> Result<Self, DaemonError> {
         let operator_hash = read_operator_hash(&settings)?;
-        let mut disk = open_folder(&settings.data_folder)?;
+        let mut disk = open_folder(&settings.data_folder, settings.private_folder)?;
         let member = member_id(&mut disk, random()?)?;
         let hex = format!("{member:016x}");
         info!(log, "control member starts"; "member" => &hex, "name" => &settings.name,
@@ -176,6 +177,8 @@
         cfg.node.heartbeat = settings.heartbeat;
         cfg.node.election_min = settings.election_min;
         cfg.node.election_max = settings.election_max;
+        cfg.node.trailing = settings.trailing_entries;
+        cfg.snapshot_log_bytes = usize::try_from(settings.snapshot_log_bytes).unwrap_or(usize::MAX);
         if settings.group == GroupStart::New && is_blank(cfg.disk.as_ref())? {
             look_for_group(&settings, told, identity.clone(), &log).await?;
             cfg.found = Some(told.to_string());
@@ -215,7 +218,7 @@
             },
             log: log.clone(),
         };
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(serve(
                 peer_listener,
                 identity.clone(),
@@ -232,7 +235,17 @@
                 told,
             )),
             tokio::spawn(figures.run(handle.clone(), peers.clone(), identity, FIGURES)),
+            tokio::spawn(peers.clone().pass_on_renewals()),
         ];
+        if settings.auto_join {
+            tasks.push(tokio::spawn(stay_in_group(
+                handle.clone(),
+                peers.clone(),
+                member,
+                told.to_string(),
+                log.clone(),
+            )));
+        }
         info!(log, "control member listens"; "peer_listen" => %peer_address,
             "admin_listen" => %admin_address);
         Ok(Self {
@@ -269,6 +282,11 @@
         &self.handle
     }
 
+    /// Returns the access to the group, and to routers and endpoints.
+    pub fn peers(&self) -> &Arc<Peers> {
+        &self.peers
+    }
+
     /// Waits until the control thread fails, for example with its disk.
     pub async fn failed(&self) -> String {
         let mut status = self.handle.status();
@@ -373,7 +391,7 @@
 
 /// Opens the data folder, which must be closed to group and others: it holds
 /// the hashes of keys and all amounts.
-fn open_folder(folder: &Path) -> Result<RealDisk, DaemonError> {
+fn open_folder(folder: &Path, private: bool) -> Result<RealDisk, DaemonError> {
     let fault = |reason: String| DaemonError::Folder(folder.display().to_string(), reason);
     fs::DirBuilder::new()
         .recursive(true)
@@ -382,7 +400,7 @@
         .map_err(|err| fault(err.to_string()))?;
     let meta = fs::metadata(folder).map_err(|err| fault(err.to_string()))?;
     let mode = meta.permissions().mode() & 0o777;
-    if mode & 0o077 != 0 {
+    if private && mode & 0o077 != 0 {
         return Err(fault(format!(
             "has mode {mode:04o}; group and others must have no access (chmod 700)"
         )));
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -80,6 +80,10 @@
     /// the leader only.
     fn config_push(&self, _revision: Revision) {}
 
+    /// Tells the routers that a newer route table was published. Called on
+    /// every member, as a router may have lost its session with the leader.
+    fn publication_push(&self, _version: u64) {}
+
     /// Sends an order to an endpoint, or drops it when it can't arrive in
     /// time. Called on the leader only.
     fn order(&self, _order: EndpointOrder) {}
@@ -132,6 +136,9 @@
     pub seed: u64,
     /// Entries after which a snapshot is taken.
     pub snapshot_every: u64,
+    /// Bytes of log after which a snapshot is taken, whatever the count of
+    /// entries.
+    pub snapshot_log_bytes: usize,
 }
 
 impl DriverConfig {
@@ -154,6 +161,7 @@
             log,
             seed,
             snapshot_every: 4_096,
+            snapshot_log_bytes: 64 * 1024 * 1024,
         }
     }
 }
@@ -234,6 +242,7 @@
                 core.stats = stats;
                 core.status = status_tx;
                 core.snapshot_every = cfg.snapshot_every;
+                core.snapshot_log_bytes = cfg.snapshot_log_bytes;
                 runtime.block_on(core.run(calls, messages, stop))
             })?;
         Ok(Self { handle, thread })
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -26,6 +26,7 @@
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Expire;
 use anvilloft_wire::command::Grant;
+use anvilloft_wire::command::OpenIncarnation;
 use anvilloft_wire::command::Refused;
 use anvilloft_wire::command::Reply;
 use anvilloft_wire::command::RouterState;
@@ -90,6 +91,9 @@
     pub(super) stats: Arc<DriverStats>,
     pub(super) status: watch::Sender<Status>,
     pub(super) snapshot_every: u64,
+    pub(super) snapshot_log_bytes: usize,
+    /// Routers that are neither closed nor lost, at a directory version.
+    directory: (u64, Arc<[OpenIncarnation]>),
     shadow: Shadow,
     /// Snapshot whose file is being written.
     staging: Option<Arc<Snapshot>>,
@@ -135,6 +139,8 @@
             stats: Arc::default(),
             status: watch::Sender::default(),
             snapshot_every: 4_096,
+            snapshot_log_bytes: usize::MAX,
+            directory: (u64::MAX, Arc::default()),
             shadow,
             staging: None,
             applied,
@@ -432,6 +438,7 @@
 
     fn apply(&mut self, fx: Effects) -> Result<(), DriverError> {
         let revision = self.ledger.config().revision();
+        let publication = self.ledger.publication_version();
         if let (true, Some(s)) = (fx.reset, &fx.snapshot) {
             self.ledger = match s.state.as_slice() {
                 [] => Ledger::new(),
@@ -452,6 +459,16 @@
         if current != revision && self.led_term != 0 {
             self.transport.config_push(current);
         }
+        let current = self.ledger.publication_version();
+        if current != publication {
+            slog::info!(self.log, "route table published"; "version" => current,
+                "from" => publication);
+            self.transport.publication_push(current);
+        }
+        let version = self.ledger.directory_version();
+        if version != self.directory.0 {
+            self.directory = (version, self.ledger.routers().into());
+        }
         for ctx in fx.failed_reads {
             if let Some((_, reply)) = self.reads.remove(&ctx) {
                 answer(reply, Answer::NotLeader(self.leader_address()));
@@ -473,7 +490,8 @@
             .snapshot()
             .map_or((0, 0), |s| (s.index, s.state.len()));
         // A large state isn't written again for a few entries.
-        let due = self.applied >= base + self.snapshot_every
+        let due = (self.applied >= base + self.snapshot_every
+            || self.bytes_since_snapshot >= self.snapshot_log_bytes)
             && self.bytes_since_snapshot >= size / SNAPSHOT_SHARE;
         if due && !self.shadow.is_busy() && self.staging.is_none() {
             self.shadow.begin(self.applied);
@@ -536,6 +554,11 @@
             .unwrap_or_default()
     }
 
+    pub(super) fn member_addresses(&self) -> Vec<String> {
+        let members = &self.node.membership().members;
+        members.iter().map(|m| m.address.clone()).collect()
+    }
+
     fn publish(&self, failed: &str) {
         let set = |gauge: &AtomicU64, len: usize| gauge.store(len as u64, Ordering::Relaxed);
         set(&self.stats.waiting, self.waiters.len());
@@ -551,6 +574,8 @@
             commit: self.node.commit_index(),
             applied: self.applied,
             revision: self.ledger.config().revision(),
+            publication: self.ledger.publication_version(),
+            routers: Arc::clone(&self.directory.1),
             failed: failed.to_owned(),
         };
         self.status.send_if_modified(|old| {
--- a/crates/control/src/driver/group.rs
+++ b/crates/control/src/driver/group.rs
@@ -1,5 +1,6 @@
 //! The membership of the control group, on its leader.
 
+use anvilloft_consensus::Member;
 use anvilloft_consensus::MemberChange;
 use anvilloft_consensus::ProposeError;
 use anvilloft_types::prelude::*;
@@ -64,8 +65,9 @@
             .is_some_and(|at| now >= at + SILENCE)
     }
 
-    /// Removes a silent member whose address a new identity took over, and
-    /// promotes a learner that has caught up.
+    /// Promotes a learner that has caught up, and removes the silent member that
+    /// it replaces: the one whose address it took over, or else the voter that
+    /// has been silent longest.
     pub(super) fn tend_membership(&mut self, now: Duration) {
         let members = self.node.membership().members.clone();
         let ready = members
@@ -74,7 +76,8 @@
         for m in ready {
             let old = members
                 .iter()
-                .find(|o| o.id != m.id && o.address == m.address && !m.address.is_empty());
+                .find(|o| o.id != m.id && o.address == m.address && !m.address.is_empty())
+                .or_else(|| (!m.voter).then(|| self.silent_voter(now)).flatten());
             let change = match old {
                 // Removed before the promotion: while the dead member counts,
                 // a further voter would raise the majority.
@@ -89,6 +92,13 @@
         }
     }
 
+    fn silent_voter(&self, now: Duration) -> Option<&Member> {
+        let voters = self.node.membership().members.iter().filter(|m| m.voter);
+        voters
+            .filter(|m| self.is_silent(now, m.id))
+            .min_by_key(|m| self.node.last_heard(m.id))
+    }
+
     /// Returns members, leader and progress.
     pub(super) fn group_status(&self) -> Value {
         let now = self.now();
--- a/crates/control/src/driver/reads.rs
+++ b/crates/control/src/driver/reads.rs
@@ -89,6 +89,8 @@
             suspects: ledger.suspects().iter().map(|f| f.to_vec()).collect(),
             recalls: self.recalls.of_router(now, &req.router, req.incarnation),
             silent: self.clocks.silent(now, ledger),
+            publication: ledger.publication_since(req.publication),
+            members: self.member_addresses(),
         }
     }
 }
--- a/crates/control/src/driver/status.rs
+++ b/crates/control/src/driver/status.rs
@@ -1,9 +1,11 @@
 //! What the control thread publishes about itself.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
 use anvilloft_consensus::Membership;
 use anvilloft_types::prelude::*;
+use anvilloft_wire::command::OpenIncarnation;
 
 /// State of a control member.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -28,6 +30,10 @@
     pub applied: u64,
     /// Configuration revision of this member's ledger.
     pub revision: Revision,
+    /// Version of the published route table in this member's ledger.
+    pub publication: u64,
+    /// Routers that this member's ledger lists, by name.
+    pub routers: Arc<[OpenIncarnation]>,
     /// Why the control thread stopped, or empty.
     pub failed: String,
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -20,6 +20,7 @@
 use anvilloft_types::Incarnation;
 use anvilloft_types::MemberId;
 use anvilloft_types::Revision;
+use anvilloft_types::RouterId;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
 use anvilloft_wire::ControlReply;
@@ -28,6 +29,8 @@
 use anvilloft_wire::control::Request;
 use anvilloft_wire::frame::Call;
 use anvilloft_wire::frame::ConsensusFrame;
+use anvilloft_wire::frame::EndpointBatch;
+use anvilloft_wire::frame::EndpointUpdate;
 use anvilloft_wire::frame::Payload;
 use anvilloft_wire::session::HOPS_BY_CONTROL;
 use anvilloft_wire::session::Handler;
@@ -45,6 +48,9 @@
 use crate::driver::Handle;
 use crate::driver::Transport;
 use crate::orders::OrderSender;
+use crate::registry::BATCH_EVERY;
+use crate::registry::Heard;
+use crate::registry::Registry;
 
 /// Kind of a query that each member answers by itself.
 pub(crate) const LOCAL_QUERY: &str = "member";
@@ -76,6 +82,8 @@
     draining: AtomicBool,
     forwarded: AtomicU64,
     orders: OrderSender,
+    registry: Registry,
+    started: Instant,
     log: Logger,
 }
 
@@ -106,6 +114,8 @@
             draining: AtomicBool::new(false),
             forwarded: AtomicU64::new(0),
             orders: OrderSender::new(log.clone()),
+            registry: Registry::default(),
+            started: Instant::now(),
             log,
         })
     }
@@ -147,6 +157,62 @@
         open.cloned()
     }
 
+    /// Returns one open session with each member.
+    pub fn members(&self) -> Vec<Arc<Session>> {
+        let members = lock(&self.members);
+        members
+            .values()
+            .filter_map(|sessions| sessions.iter().rev().find(|s| s.is_open()).cloned())
+            .collect()
+    }
+
+    /// Returns the names of the routers with an open session, sorted.
+    pub fn router_names(&self) -> Vec<RouterId> {
+        let routers = lock(&self.routers);
+        let open = routers.iter().filter(|s| s.is_open());
+        let mut names: Vec<RouterId> = open.map(|s| s.peer().node.clone()).collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    /// Takes an endpoint's announcement. What changes where requests may go is
+    /// passed on to the routers before this returns.
+    pub fn announce(&self, update: EndpointUpdate) -> Heard {
+        let now = self.started.elapsed();
+        let id = update.id.clone();
+        let heard = self.registry.announce(now, update);
+        if heard == Heard::Changed
+            && let Some(update) = self.registry.get(now, &id)
+        {
+            slog::info!(self.log, "endpoint changed"; "endpoint" => &id,
+                "incarnation" => update.incarnation, "seq" => update.seq,
+                "address" => &update.address, "pool" => &update.pool,
+                "leaving" => update.leaving, "left" => update.left);
+            self.to_routers(EndpointBatch {
+                updates: vec![update],
+            });
+        }
+        heard
+    }
+
+    /// Passes renewals on to the routers until the runtime ends.
+    pub(crate) async fn pass_on_renewals(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(BATCH_EVERY).await;
+            if let Some(batch) = self.registry.take_batch(self.started.elapsed()) {
+                self.to_routers(batch);
+            }
+        }
+    }
+
+    fn to_routers(&self, batch: EndpointBatch) {
+        for session in lock(&self.routers).iter() {
+            // A router whose session ends hears everything again with the next.
+            let _ = session.send(Payload::EndpointBatch(batch.clone()));
+        }
+    }
+
     /// Returns the number of open sessions with members and with routers.
     pub fn counts(&self) -> (usize, usize) {
         let members = lock(&self.members).values().map(Vec::len).sum();
@@ -277,6 +343,10 @@
             sessions.push(session.clone());
         } else {
             lock(&self.0.routers).push(session.clone());
+            let all = self.0.registry.all(self.0.started.elapsed());
+            if !all.updates.is_empty() {
+                let _ = session.send(Payload::EndpointBatch(all));
+            }
         }
     }
 
@@ -341,6 +411,12 @@
         }
     }
 
+    fn publication_push(&self, version: u64) {
+        for session in lock(&self.routers).iter() {
+            let _ = session.send(Payload::PublicationPush(version));
+        }
+    }
+
     fn order(&self, order: EndpointOrder) {
         let handle = self.handle.get().cloned();
         self.orders.send(&self.runtime, order, move |counter| {
--- /dev/null
+++ b/crates/dispatch/src/dispatcher.rs
@@ -0,0 +1,435 @@
+//! The choice of an endpoint.
+//!
+//! Plain services get the least loaded endpoint, one of the router's own data
+//! centre before others. Batch engines are chosen by the predicted time to the
+//! first event: the wait for prompts that are being read, the delay measured
+//! lately, and the part of the prompt that the engine's memory doesn't hold.
+//! Every router ranks the engines for a shared prompt part by the same hash, so
+//! that requests of all routers meet at the few engines that have read it.
+
+use anvilloft_types::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::cache::Part;
+use crate::endpoint::Announcement;
+use crate::endpoint::Change;
+use crate::endpoint::Endpoint;
+use crate::endpoint::Outcome;
+use crate::endpoint::Running;
+
+/// How long an endpoint that left is remembered, so that a late announcement
+/// doesn't bring it back.
+const LEFT_KEEP: Duration = Duration::from_secs(30);
+/// Largest count of endpoints.
+const MAX_ENDPOINTS: usize = 4_096;
+
+/// Fixed properties of a dispatcher.
+#[derive(Clone, Debug)]
+pub struct DispatcherConfig {
+    /// Data centre of this router.
+    pub data_centre: DataCentre,
+    /// Time without an announcement after which an endpoint is used only while
+    /// it answers requests.
+    pub silence: Duration,
+    /// Engines that share the requests for one prompt part.
+    pub replicas: usize,
+    /// Prompt tokens that an engine reads in a second, until measured.
+    pub prefill_rate: f64,
+    /// Predicted time that is given up to stay in the own data centre.
+    pub remote_cost: Duration,
+    /// Weight of the chance that an engine which ranks first for a prompt part,
+    /// but got it from other routers only, has it in memory.
+    pub likely_hit: f64,
+}
+
+impl DispatcherConfig {
+    /// Returns the usual properties for a router of a data centre.
+    pub fn new(data_centre: impl Into<DataCentre>) -> Self {
+        Self {
+            data_centre: data_centre.into(),
+            silence: Duration::from_millis(4_500),
+            replicas: 2,
+            prefill_rate: 51_000.0,
+            remote_cost: Duration::from_millis(4),
+            likely_hit: 0.7,
+        }
+    }
+}
+
+/// A request that needs an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Whether the service's endpoints are batch engines.
+    pub engine_memory: Option<Tokens>,
+    /// Parts of the prompt, in order.
+    pub prompt: &'a [Part],
+    /// Endpoints that the request was sent to already.
+    pub tried: &'a [EndpointId],
+}
+
+/// Why an endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The least predicted time.
+    Predicted,
+    /// It ranks first for a prompt part.
+    Affinity,
+    /// All others were avoided, full or silent.
+    LastResort,
+}
+
+/// The chosen endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Name.
+    pub endpoint: EndpointId,
+    /// Incarnation.
+    pub incarnation: Incarnation,
+    /// Address.
+    pub address: std::net::SocketAddr,
+    /// Why.
+    pub reason: Reason,
+    /// Endpoints that were considered.
+    pub candidates: usize,
+}
+
+/// Why no endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoEndpoint {
+    /// The service has no endpoint that takes work.
+    None,
+    /// Every endpoint was tried already.
+    Tried,
+}
+
+/// Endpoints and the requests that run there.
+#[derive(Debug)]
+pub struct Dispatcher {
+    cfg: DispatcherConfig,
+    // Sorted by id.
+    endpoints: Vec<Endpoint>,
+    rng: SmallRng,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher that knows no endpoint.
+    pub fn new(cfg: DispatcherConfig, seed: u64) -> Self {
+        Self {
+            cfg,
+            endpoints: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn find(&mut self, id: &str) -> Option<&mut Endpoint> {
+        let at = self
+            .endpoints
+            .binary_search_by(|e| e.said.id.as_str().cmp(id))
+            .ok()?;
+        self.endpoints.get_mut(at)
+    }
+
+    /// Takes an announcement, in any order and any number of times.
+    pub fn announce(&mut self, now: Duration, said: Announcement) -> Change {
+        let found = self
+            .endpoints
+            .binary_search_by(|e| e.said.id.cmp(&said.id));
+        let at = match found {
+            Ok(at) => at,
+            Err(at) => {
+                if self.endpoints.len() >= MAX_ENDPOINTS {
+                    return Change::Stale;
+                }
+                let change = match said.leaving || said.left {
+                    true => Change::Leaving,
+                    false => Change::Added,
+                };
+                self.endpoints.insert(at, Endpoint::new(now, said));
+                return change;
+            }
+        };
+        let Some(ep) = self.endpoints.get_mut(at) else {
+            return Change::Stale;
+        };
+        let old = &ep.said;
+        if said.incarnation > old.incarnation {
+            *ep = Endpoint::new(now, said);
+            return Change::Added;
+        }
+        if said.incarnation < old.incarnation || old.left {
+            return Change::Stale;
+        }
+        let leaves = (said.leaving || said.left) && !old.leaving;
+        if said.left {
+            ep.said.left = true;
+            ep.said.leaving = true;
+        } else if said.seq > old.seq {
+            ep.heard = ep.heard.max(now.saturating_sub(said.age));
+            ep.warm_at = now + said.warm_up;
+            ep.said = said;
+        } else {
+            return Change::Stale;
+        }
+        match leaves {
+            true => Change::Leaving,
+            false => Change::Renewed,
+        }
+    }
+
+    /// Forgets endpoints that are silent, run nothing and answer nothing. While
+    /// `in_touch` is false the router hears no announcements, so silence tells
+    /// nothing and every endpoint is kept.
+    pub fn expire(&mut self, now: Duration, in_touch: bool) -> Vec<EndpointId> {
+        let mut gone = Vec::new();
+        if !in_touch {
+            for ep in &mut self.endpoints {
+                ep.heard = ep.heard.max(now.saturating_sub(self.cfg.silence));
+            }
+            return gone;
+        }
+        let silence = self.cfg.silence;
+        self.endpoints.retain(|ep| {
+            let quiet = now.saturating_sub(ep.heard);
+            let keep = if ep.said.left {
+                quiet < LEFT_KEEP
+            } else {
+                quiet < silence * 2
+                    || !ep.running.is_empty()
+                    || ep
+                        .health
+                        .answered
+                        .is_some_and(|at| now.saturating_sub(at) < silence)
+            };
+            if !keep {
+                gone.push(ep.said.id.clone());
+            }
+            keep
+        });
+        gone
+    }
+
+    /// Returns how many endpoints of a service take work.
+    pub fn usable(&self, service: &str) -> usize {
+        let of_service = self.endpoints.iter().filter(|e| e.said.service == service);
+        of_service.filter(|e| !e.said.leaving && !e.said.left).count()
+    }
+
+    /// Returns the count of known endpoints.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    /// Chooses an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// `NoEndpoint` when none takes work or each was tried.
+    pub fn choose(&mut self, now: Duration, ask: &Ask<'_>) -> Result<Pick, NoEndpoint> {
+        let of_service: Vec<usize> = (0..self.endpoints.len())
+            .filter(|at| {
+                let said = &self.endpoints[*at].said;
+                said.service == ask.service && !said.leaving && !said.left
+            })
+            .collect();
+        if of_service.is_empty() {
+            return Err(NoEndpoint::None);
+        }
+        let usual = self.usual_failures(&of_service);
+        let fresh: Vec<usize> = of_service
+            .iter()
+            .copied()
+            .filter(|at| !ask.tried.contains(&self.endpoints[*at].said.id))
+            .collect();
+        if fresh.is_empty() {
+            return Err(NoEndpoint::Tried);
+        }
+        let good: Vec<usize> = fresh
+            .iter()
+            .copied()
+            .filter(|at| self.is_good(now, *at, usual))
+            .collect();
+        let candidates = if good.is_empty() { &fresh } else { &good };
+        let (at, reason) = match ask.engine_memory {
+            Some(_) => self.choose_engine(now, ask, candidates),
+            None => (self.choose_plain(now, candidates), Reason::Predicted),
+        };
+        let reason = match good.is_empty() {
+            true => Reason::LastResort,
+            false => reason,
+        };
+        let said = &self.endpoints[at].said;
+        Ok(Pick {
+            endpoint: said.id.clone(),
+            incarnation: said.incarnation,
+            address: said.address,
+            reason,
+            candidates: candidates.len(),
+        })
+    }
+
+    fn usual_failures(&self, of_service: &[usize]) -> f64 {
+        let mut rates: Vec<f64> = of_service
+            .iter()
+            .filter_map(|at| self.endpoints[*at].health.rate())
+            .collect();
+        rates.sort_by(f64::total_cmp);
+        // The lower median: half of the endpoints may fail and still be found.
+        rates
+            .get(rates.len().saturating_sub(1) / 2)
+            .copied()
+            .unwrap_or(0.0)
+    }
+
+    fn is_good(&self, now: Duration, at: usize, usual: f64) -> bool {
+        let ep = &self.endpoints[at];
+        let silent = now.saturating_sub(ep.heard) > self.cfg.silence;
+        let answers = ep
+            .health
+            .answered
+            .is_some_and(|t| now.saturating_sub(t) < self.cfg.silence);
+        !ep.health.is_full(now) && !ep.health.is_avoided(now, usual) && (!silent || answers)
+    }
+
+    fn choose_plain(&mut self, now: Duration, candidates: &[usize]) -> usize {
+        let mut best = candidates[0];
+        let mut least = f64::INFINITY;
+        for at in candidates {
+            let ep = &self.endpoints[*at];
+            let busy = f64::from(u32::try_from(ep.running.len()).unwrap_or(u32::MAX));
+            let slots = f64::from(ep.said.slots.max(1));
+            let remote = f64::from(u8::from(ep.said.data_centre != self.cfg.data_centre));
+            let cold = f64::from(u8::from(now < ep.warm_at));
+            // A free slot elsewhere goes before a wait in the own data centre.
+            let load = busy / slots + 0.3 * remote + 0.5 * cold;
+            let load = load + self.rng.random_range(0.0..0.01);
+            if load < least {
+                least = load;
+                best = *at;
+            }
+        }
+        best
+    }
+
+    /// Returns the hash by which all routers rank an engine for a prompt part.
+    fn rank(key: u64, id: &str) -> u64 {
+        xxh3_64_with_seed(id.as_bytes(), key)
+    }
+
+    fn choose_engine(&mut self, now: Duration, ask: &Ask<'_>, of: &[usize]) -> (usize, Reason) {
+        let shared = ask.prompt.len().saturating_sub(1);
+        let shared = &ask.prompt[..shared];
+        let shared_tokens: Tokens = shared.iter().map(|p| p.tokens).sum();
+        let own_tokens = ask.prompt.last().map_or(0, |p| p.tokens);
+        let mut ranked: Vec<usize> = of.to_vec();
+        if let Some(key) = shared.last().map(|p| p.id) {
+            let eps = &self.endpoints;
+            ranked.sort_by_key(|at| std::cmp::Reverse(Self::rank(key, &eps[*at].said.id)));
+        }
+        let mut best = (ranked[0], Reason::Predicted);
+        let mut least = f64::INFINITY;
+        for (place, at) in ranked.iter().enumerate() {
+            let ep = &self.endpoints[*at];
+            let hit = ep.cache.hit(shared);
+            let mut missing = (shared_tokens - hit) as f64;
+            if place < self.cfg.replicas && !shared.is_empty() {
+                missing *= 1.0 - self.cfg.likely_hit;
+            }
+            let read = (missing + own_tokens as f64) / self.cfg.prefill_rate;
+            let remote = match ep.said.data_centre == self.cfg.data_centre {
+                true => 0.0,
+                false => self.cfg.remote_cost.as_secs_f64(),
+            };
+            let crowd = ep.running.len() as f64 / f64::from(ep.said.slots.max(1));
+            let cost = read + ep.backlog(now) + ep.delay(now) + remote + crowd * 0.2;
+            let cost = cost + self.rng.random_range(0.0..0.002);
+            if cost < least {
+                least = cost;
+                best = match place < self.cfg.replicas && !shared.is_empty() {
+                    true => (*at, Reason::Affinity),
+                    false => (*at, Reason::Predicted),
+                };
+            }
+        }
+        best
+    }
+
+    /// Notes that a request was sent to an endpoint.
+    pub fn started(&mut self, now: Duration, endpoint: &str, no: RequestNo, ask: &Ask<'_>) {
+        let rate = self.cfg.prefill_rate;
+        let Some(ep) = self.find(endpoint) else {
+            return;
+        };
+        let mut prefill = Duration::ZERO;
+        if let Some(memory) = ask.engine_memory {
+            let all: Tokens = ask.prompt.iter().map(|p| p.tokens).sum();
+            let missing = all - ep.cache.hit(ask.prompt);
+            prefill = Duration::from_secs_f64(missing as f64 / rate);
+            ep.cache.read(ask.prompt, memory);
+        }
+        ep.running.push(Running {
+            no,
+            started: now,
+            prefill,
+            first: false,
+        });
+    }
+
+    /// Notes the first event of an engine's answer.
+    pub fn first_event(&mut self, now: Duration, endpoint: &str, no: RequestNo) {
+        if let Some(ep) = self.find(endpoint)
+            && let Some(run) = ep.running.iter_mut().find(|r| r.no == no)
+        {
+            run.first = true;
+            let took = now.saturating_sub(run.started);
+            let delay = took.as_secs_f64() - run.prefill.as_secs_f64();
+            ep.measured(now, delay);
+        }
+    }
+
+    /// Notes how a request at an endpoint ended.
+    pub fn finished(
+        &mut self,
+        now: Duration,
+        endpoint: &str,
+        incarnation: Incarnation,
+        no: RequestNo,
+        outcome: Outcome,
+    ) {
+        let Some(ep) = self.find(endpoint) else {
+            return;
+        };
+        if ep.said.incarnation != incarnation {
+            return;
+        }
+        ep.running.retain(|r| r.no != no);
+        match outcome {
+            Outcome::Ok => ep.health.ok(now),
+            Outcome::Failed => ep.health.failed(now),
+            Outcome::Full => ep.health.full(now),
+            Outcome::Unreachable | Outcome::Broken => ep.health.unreachable(now),
+            Outcome::Misdirected => {
+                ep.said.left = true;
+                ep.said.leaving = true;
+            }
+            Outcome::Cancelled => {}
+        }
+    }
+
+    /// Makes every endpoint eligible again, for example after the router was
+    /// suspended and its failures told nothing about the endpoints.
+    pub fn forget_failures(&mut self) {
+        for ep in &mut self.endpoints {
+            ep.health.forget();
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/endpoint.rs
@@ -0,0 +1,136 @@
+//! What a router knows about one endpoint.
+
+use std::net::SocketAddr;
+
+use anvilloft_types::prelude::*;
+
+use crate::cache::PartCache;
+use crate::health::Health;
+
+/// Half-life of the measured delay of first events.
+const DELAY_HALF_LIFE: f64 = 2.0;
+/// Weight of the newest delay.
+const DELAY_GAIN: f64 = 0.4;
+
+/// What an endpoint said of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// Name.
+    pub id: EndpointId,
+    /// Incarnation.
+    pub incarnation: Incarnation,
+    /// Number within the incarnation.
+    pub seq: u64,
+    /// Address.
+    pub address: SocketAddr,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Whether it has left for good.
+    pub left: bool,
+    /// How much longer it is slow after its start.
+    pub warm_up: Duration,
+    /// Time since the endpoint sent it.
+    pub age: Duration,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A new endpoint, or a new incarnation of one.
+    Added,
+    /// It takes no new work from now on.
+    Leaving,
+    /// Nothing that decisions depend on.
+    Renewed,
+    /// A newer announcement was taken before.
+    Stale,
+}
+
+/// How a request at an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer without failure.
+    Ok,
+    /// An answer that reports a failure.
+    Failed,
+    /// The endpoint had no room and did not run it.
+    Full,
+    /// Another endpoint has the address.
+    Misdirected,
+    /// No connection could be opened.
+    Unreachable,
+    /// The connection broke, or the answer was not one.
+    Broken,
+    /// The caller left, or the time was over.
+    Cancelled,
+}
+
+/// A request that runs at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Running {
+    pub(crate) no: RequestNo,
+    pub(crate) started: Duration,
+    /// Predicted time to read the uncached part of the prompt.
+    pub(crate) prefill: Duration,
+    pub(crate) first: bool,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) said: Announcement,
+    /// When it was last heard of.
+    pub(crate) heard: Duration,
+    pub(crate) warm_at: Duration,
+    pub(crate) running: Vec<Running>,
+    pub(crate) health: Health,
+    pub(crate) cache: PartCache,
+    /// Measured delay of first events beyond the prediction, in seconds.
+    delay: f64,
+    delay_at: Duration,
+}
+
+impl Endpoint {
+    pub(crate) fn new(now: Duration, said: Announcement) -> Self {
+        Self {
+            heard: now.saturating_sub(said.age),
+            warm_at: now + said.warm_up,
+            said,
+            running: Vec::new(),
+            health: Health::default(),
+            cache: PartCache::default(),
+            delay: 0.0,
+            delay_at: now,
+        }
+    }
+
+    /// Returns the measured delay, which fades without new measurements.
+    pub(crate) fn delay(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.delay_at).as_secs_f64();
+        self.delay * 0.5_f64.powf(age / DELAY_HALF_LIFE)
+    }
+
+    pub(crate) fn measured(&mut self, now: Duration, delay: f64) {
+        let old = self.delay(now);
+        self.delay = old + (delay.max(0.0) - old) * DELAY_GAIN;
+        self.delay_at = now;
+    }
+
+    /// Returns the predicted time to read the prompts that were sent and have
+    /// brought no event yet.
+    pub(crate) fn backlog(&self, now: Duration) -> f64 {
+        let waiting = self.running.iter().filter(|r| !r.first);
+        waiting
+            .map(|r| {
+                let gone = now.saturating_sub(r.started);
+                r.prefill.saturating_sub(gone).as_secs_f64()
+            })
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,24 @@
+//! Chooses the endpoint of a routed request.
+//!
+//! `endpoint` holds what a router knows about one endpoint, `health` judges it
+//! by the outcomes of its requests, `cache` estimates which prompt parts its
+//! memory holds, `dispatcher` chooses, and `retry` limits repeats to a share of
+//! the requests. Nothing here reads a clock or does input or output.
+
+mod cache;
+mod dispatcher;
+mod endpoint;
+mod health;
+mod retry;
+
+pub use cache::Part;
+pub use dispatcher::Ask;
+pub use dispatcher::Dispatcher;
+pub use dispatcher::DispatcherConfig;
+pub use dispatcher::NoEndpoint;
+pub use dispatcher::Pick;
+pub use dispatcher::Reason;
+pub use endpoint::Announcement;
+pub use endpoint::Change;
+pub use endpoint::Outcome;
+pub use retry::RepeatBudget;
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -110,6 +110,8 @@
             }),
             prefixes: a.prefixes,
             age_ms: 0,
+            left: false,
+            warm_up_ms: 0,
         }
     }
 }
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -24,6 +24,7 @@
 use bytes::BytesMut;
 use futures::FutureExt;
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
@@ -182,6 +183,8 @@
     driver_done: bool,
     written: Arc<AtomicU64>,
     idle_since: Instant,
+    /// Idle time that the endpoint announced, or the client's own limit.
+    max_idle: Duration,
 }
 
 impl Conn {
@@ -207,6 +210,7 @@
             driver_done: false,
             written,
             idle_since: Instant::now(),
+            max_idle: limits.idle,
         })
     }
 
@@ -229,8 +233,8 @@
 
     /// Returns whether the connection can carry a request: it is open, nothing
     /// unexpected arrived on it, and it wasn't idle for too long.
-    fn usable(&mut self, limits: &Limits) -> bool {
-        if self.idle_since.elapsed() > limits.idle {
+    fn usable(&mut self) -> bool {
+        if self.idle_since.elapsed() > self.max_idle {
             return false;
         }
         let waker = futures::task::noop_waker();
@@ -264,7 +268,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let conns = idle.get_mut(&addr)?;
         while let Some(mut conn) = conns.pop() {
-            if conn.usable(&self.limits) {
+            if conn.usable() {
                 return Some(conn);
             }
         }
@@ -287,7 +291,7 @@
     pub fn close_idle(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, conns| {
-            conns.retain(|c| c.idle_since.elapsed() <= self.limits.idle);
+            conns.retain(|c| c.idle_since.elapsed() <= c.max_idle);
             !conns.is_empty()
         });
     }
@@ -319,6 +323,25 @@
             req.headers_mut().insert(http::header::HOST, host);
             req.headers_mut().insert(ATTEMPT_HEADER, id);
         }
+        let echo = HeaderName::from_static(ATTEMPT_HEADER);
+        self.exchange(addr, req, &echo, first_byte, fresh).await
+    }
+
+    /// Sends a request as it is and waits for the answer's headers. The
+    /// endpoint must repeat the header `echo` of the request in its answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn exchange(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        echo: &HeaderName,
+        first_byte: Duration,
+        fresh: bool,
+    ) -> Result<Answer, SendError> {
+        let id = req.headers().get(echo).cloned();
         let pooled = if fresh { None } else { self.take_idle(addr) };
         let mut conn = match pooled {
             Some(conn) => conn,
@@ -363,8 +386,7 @@
             Err(e) => return Err(fail(e, &conn)),
         };
         let (parts, body) = response.into_parts();
-        let echoed = parts.headers.get(ATTEMPT_HEADER);
-        if echoed.map(HeaderValue::as_bytes) != Some(id.as_bytes()) {
+        if parts.headers.get(echo) != id.as_ref() {
             return Err(SendError {
                 error: ClientError::WrongAttempt,
                 written: true,
@@ -381,7 +403,6 @@
             status: parts.status,
             headers: parts.headers,
             addr,
-            attempt,
             framed,
             body: Some(body),
             conn: Some(conn),
@@ -414,8 +435,6 @@
     pub headers: HeaderMap,
     /// Address of the endpoint.
     pub addr: SocketAddr,
-    /// The attempt.
-    pub attempt: AttemptId,
     framed: bool,
     body: Option<Incoming>,
     conn: Option<Conn>,
@@ -433,6 +452,19 @@
         self.framed
     }
 
+    /// Returns how long the connection may stay idle: most of what the
+    /// endpoint announced, as it counts from an earlier moment.
+    fn max_idle(&self) -> Duration {
+        let limit = self.client.limits.idle;
+        let announced = self
+            .headers
+            .get("keep-alive")
+            .and_then(|v| v.to_str().ok())
+            .and_then(|v| v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")))
+            .and_then(|v| v.trim().parse::<u32>().ok());
+        announced.map_or(limit, |s| limit.min(Duration::from_secs(s.into()) * 3 / 4))
+    }
+
     fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, ClientError>> {
         let mut first: Option<Bytes> = None;
         let mut more = BytesMut::new();
@@ -474,7 +506,8 @@
                     // The driver must see the end of the exchange before the
                     // connection counts as free.
                     conn.drive(cx);
-                    if let Some(conn) = self.conn.take() {
+                    if let Some(mut conn) = self.conn.take() {
+                        conn.max_idle = self.max_idle();
                         self.client.put_idle(self.addr, conn);
                     }
                 }
@@ -528,10 +561,20 @@
     /// # Errors
     ///
     /// Fails unless the end of the body was seen.
-    pub async fn collect(mut self, gap: Duration) -> Result<Bytes, ClientError> {
+    pub async fn collect(self, gap: Duration) -> Result<Bytes, ClientError> {
         if !self.framed {
             return Err(ClientError::NoEnd);
         }
+        self.read_to_end(gap).await
+    }
+
+    /// Returns the whole body, also of an answer whose only end is that of its
+    /// connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is reset or silent before the end.
+    pub async fn read_to_end(mut self, gap: Duration) -> Result<Bytes, ClientError> {
         let max = self.client.max_answer_bytes;
         let mut whole: Option<Bytes> = None;
         let mut more = BytesMut::new();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -56,13 +56,15 @@
 /// Serves `service` on `listener` until the token is cancelled.
 ///
 /// Cancelling `stop` closes the listener; open connections go on as tasks of
-/// the runtime.
+/// the runtime. Cancelling `finish` ends each of them after the request that it
+/// carries, and idle ones at once.
 pub async fn serve<S>(
     listener: TcpListener,
     service: S,
     limits: ConnectionLimits,
     metrics: Arc<Metrics>,
     stop: CancellationToken,
+    finish: CancellationToken,
 ) where
     S: volo::Service<ServerContext, Request, Response = Response, Error = Infallible>
         + Send
@@ -90,9 +92,10 @@
         };
         let service = Arc::clone(&service);
         let metrics = Arc::clone(&metrics);
+        let finish = finish.clone();
         tokio::spawn(async move {
             metrics.connections.inc();
-            serve_one(stream, peer, service, limits.header_read).await;
+            serve_one(stream, peer, service, limits.header_read, finish).await;
             metrics.connections.dec();
             drop(permit);
         });
@@ -100,8 +103,13 @@
 }
 
 /// Serves one connection until its end.
-async fn serve_one<S>(stream: TcpStream, peer: SocketAddr, service: Arc<S>, header_read: Duration)
-where
+async fn serve_one<S>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    service: Arc<S>,
+    header_read: Duration,
+    finish: CancellationToken,
+) where
     S: volo::Service<ServerContext, Request, Response = Response, Error = Infallible>
         + Send
         + Sync
@@ -116,13 +124,17 @@
     });
     // An error means that the caller went away or broke the protocol; hyper has
     // answered it where it can.
-    http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(header_read)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), answer)
-        .await
-        .ok();
+        .serve_connection(TokioIo::new(stream), answer);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        res = connection.as_mut() => return drop(res),
+        () = finish.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await.ok();
 }
 
 /// Tells a caller beyond the bound that nothing was run. It is written without
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -140,8 +140,9 @@
     }
 }
 
-/// Returns the index after the blank line that ends the first event.
-fn event_end(buf: &[u8], from: usize) -> Option<usize> {
+/// Returns the index after the blank line that ends the first event at or
+/// after `from`.
+pub fn event_end(buf: &[u8], from: usize) -> Option<usize> {
     let mut at = from;
     while let Some(found) = buf.get(at..)?.iter().position(|b| *b == b'\n') {
         let next = at + found + 1;
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -124,9 +124,25 @@
     pub(crate) amounts: Amounts,
     /// Incarnations that hold tokens, sorted.
     pub(crate) holders: Vec<(Arc<str>, Incarnation)>,
+    /// Sum that a published table sets, instead of single top-ups.
+    pub(crate) total: Option<Tokens>,
 }
 
 impl Account {
+    /// Moves `topped_up` to the published sum. What is allotted or spent can't
+    /// be taken back, so a lower sum takes effect as tokens come back.
+    pub(crate) fn follow_total(&mut self) {
+        let Some(total) = self.total else {
+            return;
+        };
+        let amounts = &mut self.amounts;
+        let changed = match total.checked_sub(amounts.topped_up) {
+            Some(more) => amounts.add(more),
+            None => amounts.subtract((amounts.topped_up - total).min(amounts.unspent)),
+        };
+        debug_assert!(changed.is_some());
+    }
+
     pub(crate) fn add_holder(&mut self, router: &Arc<str>, incarnation: Incarnation) {
         let holder = (router.clone(), incarnation);
         if let Err(i) = self.holders.binary_search(&holder) {
@@ -172,10 +188,6 @@
 }
 
 impl Accounts {
-    pub(crate) fn len(&self) -> usize {
-        self.by_name.len()
-    }
-
     pub(crate) fn get(&self, budget: &str) -> Option<&Amounts> {
         self.by_name.get(budget).map(|a| &a.amounts)
     }
@@ -186,6 +198,16 @@
         }
     }
 
+    /// Sets the sum of everything paid into a budget, which is opened when it
+    /// doesn't exist.
+    pub(crate) fn set_total(&mut self, budget: &str, total: Tokens) {
+        self.open(budget);
+        if let Some(account) = self.by_name.get_mut(budget) {
+            account.total = Some(total.min(MAX_TOPPED_UP));
+            account.follow_total();
+        }
+    }
+
     pub(crate) fn remove(&mut self, budget: &str) {
         self.by_name.remove(budget);
     }
@@ -311,6 +333,7 @@
 
     pub(crate) fn grant(&mut self, c: &Grant) -> Reply {
         let now_ms = self.now_ms;
+        let team = self.budget_team(&c.budget);
         let Some(inc) = self.routers.get_mut(&c.router, c.incarnation) else {
             return unknown_incarnation(&c.router, c.incarnation);
         };
@@ -343,9 +366,9 @@
                 format!("grant {} is older than grant {newest}", c.seq),
             );
         }
-        let (Some(account), Some(budget)) = (
+        let (Some(account), Some(team)) = (
             self.accounts.by_name.get_mut(c.budget.as_str()),
-            self.config.budget(&c.budget),
+            team,
         ) else {
             // Without this, a delayed copy could allot tokens that the router
             // doesn't know of once the budget exists.
@@ -354,7 +377,7 @@
         };
         let need = c.need.max(1);
         let amounts = &mut account.amounts;
-        let small = self.config.value("small_budget_tokens", &budget.team);
+        let small = self.config.value("small_budget_tokens", &team);
         let asker = (c.router.as_str(), c.incarnation);
         let others = account
             .holders
@@ -369,7 +392,7 @@
             let share = amounts.unspent / (2 * (others + 1));
             c.want.max(need).min(share.max(need))
         };
-        let held = inc.held.entry(budget.name.as_str().into()).or_default();
+        let held = inc.held.entry(c.budget.as_str().into()).or_default();
         held.seq = c.seq;
         held.at_ms = now_ms;
         held.granted = granted;
@@ -443,6 +466,7 @@
         if inc.phase == Phase::Closed {
             // The close has returned the allotment already.
             amounts.settle_late(settled);
+            account.follow_total();
             return;
         }
         let mut unknown = Held::default();
@@ -455,6 +479,7 @@
         if held.amount == 0 {
             account.remove_holder(router, incarnation);
         }
+        account.follow_total();
         let excess = settled - from_held;
         if excess > 0 {
             account.amounts.settle_late(excess);
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -18,6 +18,8 @@
 use crate::code::refused;
 use crate::config::Config;
 use crate::orders::Orders;
+use crate::publication::Table;
+use crate::publication::team_of;
 use crate::routers::Routers;
 use crate::suspects::Suspects;
 
@@ -55,6 +57,7 @@
     pub(crate) routers: Routers,
     pub(crate) orders: Orders,
     pub(crate) suspects: Suspects,
+    pub(crate) table: Table,
 }
 
 impl Default for Ledger {
@@ -75,6 +78,7 @@
             routers: Routers::default(),
             orders: Orders::default(),
             suspects: Suspects::default(),
+            table: Table::default(),
         }
     }
 
@@ -101,6 +105,7 @@
             Some(Body::SuspectBegin(c)) => self.suspect_begin(c),
             Some(Body::SuspectEnd(c)) => self.suspect_end(c),
             Some(Body::Expire(_)) => self.expire(),
+            Some(Body::Publish(c)) => self.publish(c),
             None => refused(code::MALFORMED, "the command has no body"),
         };
         CommandReply { reply: Some(reply) }
@@ -144,7 +149,13 @@
         self.check_routers();
         self.check_suspects();
         assert!(
-            self.config.budgets().len() == self.accounts.len()
+            self.config.budgets().len()
+                == self
+                    .accounts
+                    .by_name
+                    .keys()
+                    .filter(|name| team_of(name).is_none())
+                    .count()
                 && self
                     .config
                     .budgets()
--- a/crates/ledger/src/query.rs
+++ b/crates/ledger/src/query.rs
@@ -28,6 +28,11 @@
             0 => DEFAULT_ROWS,
             n => n.min(MAX_ROWS),
         } as usize;
+        if q.kind == "publication" {
+            // Returned as it was written, so it is not parsed.
+            return String::from_utf8(self.table.source.to_vec())
+                .map_err(|e| LedgerError::Corrupt(e.to_string()));
+        }
         let value = match q.kind.as_str() {
             "budget" => self.query_budget(q)?,
             "budgets" => self.query_budgets(q, limit),
@@ -208,7 +213,7 @@
             "revision": self.config.revision(),
             "directory_version": self.directory_version(),
             "teams": self.config.teams().len(),
-            "budgets": self.accounts.len(),
+            "budgets": self.accounts.by_name.len(),
             "routers": self.routers().len(),
             "lost_routers": self.lost().len(),
             "orders": self.orders.by_key.len(),
--- a/crates/ledger/src/routers.rs
+++ b/crates/ledger/src/routers.rs
@@ -328,6 +328,7 @@
                 let returned = account.amounts.give_back(held.amount);
                 debug_assert!(returned.is_some());
                 account.remove_holder(&c.router, c.incarnation);
+                account.follow_total();
             }
         }
         if was_open {
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -5,6 +5,7 @@
 
 use anvilloft_wire::command::OpenIncarnation;
 use anvilloft_wire::config::ConfigUpdate;
+use anvilloft_wire::control::Publication;
 use prost::Message;
 use sha2::Digest;
 use sha2::Sha256;
@@ -18,6 +19,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::LedgerError;
 use crate::orders::Order;
+use crate::publication::Table;
 use crate::routers::Held;
 use crate::routers::Phase;
 use crate::routers::RouterIncarnation;
@@ -73,6 +75,8 @@
     suspects: Vec<Suspect>,
     #[prost(message, repeated, tag = "17")]
     answer_order: Vec<AnswerOrder>,
+    #[prost(message, optional, tag = "18")]
+    table: Option<Publication>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -89,6 +93,8 @@
     settled: u64,
     #[prost(uint64, tag = "6")]
     written_off: u64,
+    #[prost(uint64, optional, tag = "7")]
+    total: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -201,6 +207,7 @@
                 allotted: account.amounts.allotted,
                 settled: account.amounts.settled,
                 written_off: account.amounts.written_off,
+                total: account.total,
             })
             .collect();
         budgets.sort_unstable_by(|a, b| a.name.cmp(&b.name));
@@ -256,6 +263,7 @@
                 })
                 .collect(),
             suspects: self.suspects.by_fingerprint.values().cloned().collect(),
+            table: self.publication_since(0),
         }
     }
 
@@ -292,6 +300,7 @@
             let account = Account {
                 amounts,
                 holders: Vec::new(),
+                total: b.total,
             };
             ledger.accounts.by_name.insert(b.name.into(), account);
         }
@@ -328,6 +337,12 @@
             let f = s.fingerprint.as_slice().try_into().map_err(corrupt)?;
             ledger.suspects.insert(f, s);
         }
+        if let Some(t) = c.table {
+            ledger.table = Table {
+                version: t.version,
+                source: t.source.into(),
+            };
+        }
         Ok(ledger)
     }
 
--- /dev/null
+++ b/crates/relay/src/forward.rs
@@ -0,0 +1,490 @@
+//! A request from its header to its answer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use anvilloft_budget::GrantRefusal;
+use anvilloft_budget::NeedId;
+use anvilloft_budget::ReservationId;
+use anvilloft_dispatch::Outcome;
+use anvilloft_gateway::Refusal;
+use anvilloft_ledger::prepaid_budget;
+use anvilloft_routes::Route;
+use anvilloft_routes::RouteTable;
+use anvilloft_routes::Service;
+use anvilloft_routes::Team;
+use anvilloft_types::prelude::*;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+
+use crate::attempt::Answered;
+use crate::attempt::Failed;
+use crate::attempt::Plan;
+use crate::attempt::Progress;
+use crate::attempt::send;
+use crate::dialect::Facts;
+use crate::dialect::TokenCounts;
+use crate::purse::NoTokens;
+use crate::shared::Shared;
+use crate::shared::lock;
+use crate::stream::EventBody;
+
+/// Longest wait for a grant of tokens. Control waits 300 ms for tokens that
+/// other routers give back; the rest covers the way there and an election.
+const GRANT_WAIT: Duration = Duration::from_millis(900);
+/// When to come back while tokens are short: reservations of requests in
+/// flight end within seconds and give back what they did not use.
+const TOKENS_AGAIN: Duration = Duration::from_millis(1_500);
+/// When to come back while endpoints have no room.
+const ROOM_AGAIN: Duration = Duration::from_millis(600);
+/// When to come back while no endpoint is known or the router can't serve.
+const SERVICE_AGAIN: Duration = Duration::from_secs(1);
+/// Time that a caller waits who names none.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Ranks of a team that are told apart; more urgent ones are all first.
+const TEAM_LEVELS: u8 = 3;
+/// Ranks of a route that are told apart within one of a team.
+const ROUTE_LEVELS: u8 = 3;
+/// Headers that concern one connection only (RFC 9110, 7.6.1).
+const CONNECTION_HEADERS: [header::HeaderName; 8] = [
+    header::CONNECTION,
+    header::HeaderName::from_static("keep-alive"),
+    header::HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+];
+
+/// The volo service of the callers' port.
+pub(crate) struct Callers(pub(crate) Arc<Shared>);
+
+impl volo::Service<ServerContext, Request<Body>> for Callers {
+    type Response = Response<Body>;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _cx: &mut ServerContext,
+        req: Request<Body>,
+    ) -> Result<Self::Response, Self::Error> {
+        Ok(answer(&self.0, req).await)
+    }
+}
+
+/// Drops the headers that concern one connection only.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let named: Vec<header::HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// What a request reserved, and what it has used so far. Settles when it is
+/// dropped, also when the caller leaves.
+pub(crate) struct Charge {
+    cx: Arc<Shared>,
+    reservation: Option<ReservationId>,
+    counts: TokenCounts,
+    tokens_per_event: Tokens,
+    /// Whether an endpoint may have read the prompt.
+    pub(crate) ran: bool,
+    /// Events that left for the caller.
+    pub(crate) events: u64,
+}
+
+impl Charge {
+    fn used(&self) -> Tokens {
+        if !self.ran && self.events == 0 {
+            return 0;
+        }
+        let output = self.events.saturating_mul(self.tokens_per_event);
+        let output = output.min(self.counts.most_output);
+        self.counts.prompt.saturating_add(output)
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if let Some(id) = self.reservation.take() {
+            self.cx.purse.settle(self.cx.now(), id, self.used());
+        }
+    }
+}
+
+/// A wait for a grant; one that is dropped leaves the queue.
+struct Waiting<'a> {
+    cx: &'a Shared,
+    budget: &'a str,
+    need: Option<NeedId>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(need) = self.need.take() {
+            self.cx.purse.give_up(self.cx.now(), self.budget, need);
+        }
+    }
+}
+
+async fn answer(cx: &Arc<Shared>, req: Request<Body>) -> Response<Body> {
+    let started = cx.now();
+    cx.metrics.in_flight.inc();
+    let (id, result) = match cx.dialect.facts(req.headers()) {
+        Err(field) => {
+            let message = format!("header \"{field}\" is missing or can't be read");
+            (String::new(), Err(Refusal::bad_request(field, message)))
+        }
+        Ok(facts) => {
+            let id = String::from_utf8_lossy(facts.id.as_bytes()).into_owned();
+            let result = forward(cx, started, &id, facts, req).await;
+            (id, result)
+        }
+    };
+    cx.metrics.in_flight.dec();
+    let now = cx.now();
+    let ms = now.saturating_sub(started).as_millis() as u64;
+    match result {
+        Ok(resp) => {
+            let status = resp.status();
+            let kind = if status.is_success() { "ok" } else { "failed" };
+            cx.metrics
+                .answers
+                .with_label_values(&["route", kind])
+                .inc();
+            slog::info!(cx.log, "answered"; "request" => &id, "status" => status.as_u16(),
+                "ms" => ms);
+            resp
+        }
+        Err(refusal) => {
+            cx.metrics
+                .answers
+                .with_label_values(&["route", refusal.code])
+                .inc();
+            slog::info!(cx.log, "refused"; "request" => &id, "status" => refusal.status.as_u16(),
+                "code" => refusal.code, "run" => refusal.run.as_str(), "ms" => ms,
+                "reason" => &refusal.message,
+                "table" => cx.table.load().version(),
+                "in_touch" => cx.in_touch.load(Ordering::Relaxed));
+            let after = refusal.retry_after;
+            let mut resp = refusal.into_response();
+            if let Some(after) = after {
+                let value = cx.dialect.retry_after(after);
+                resp.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+            resp
+        }
+    }
+}
+
+fn find_route<'a>(table: &'a RouteTable, req: &Request<Body>) -> Result<&'a Route, Refusal> {
+    if table.version() == 0 {
+        return Err(Refusal::unavailable(
+            "no_route_table",
+            "this router has no route table yet",
+        )
+        .retry_after(SERVICE_AGAIN));
+    }
+    let host = req
+        .headers()
+        .get(header::HOST)
+        .and_then(|h| h.to_str().ok())
+        .or_else(|| req.uri().host())
+        .unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let path = req.uri().path();
+    table.route(host, path).ok_or_else(|| {
+        Refusal::new(
+            StatusCode::NOT_FOUND,
+            "unknown_route",
+            format!("no route has host \"{host}\" and a prefix of the path"),
+        )
+    })
+}
+
+fn find_team<'a>(
+    table: &'a RouteTable,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<&'a Team>, Refusal> {
+    let team = key.and_then(|key| table.team_of_key(key));
+    if team.is_none() && !route.anonymous && !table.teams().is_empty() {
+        return Err(Refusal::new(
+            StatusCode::UNAUTHORIZED,
+            "invalid_key",
+            "the bearer key is missing or unknown",
+        ));
+    }
+    Ok(team)
+}
+
+/// Returns the urgency of a request: the team's rank goes before the route's.
+fn urgency(team: Option<&Team>, route: &Route) -> u8 {
+    let team = team.and_then(|t| t.level).unwrap_or(0).min(TEAM_LEVELS - 1);
+    team * ROUTE_LEVELS + route.level.min(ROUTE_LEVELS - 1)
+}
+
+async fn forward(
+    cx: &Arc<Shared>,
+    started: Duration,
+    id: &str,
+    facts: Facts,
+    req: Request<Body>,
+) -> Result<Response<Body>, Refusal> {
+    if cx.closing.load(Ordering::Relaxed) {
+        return Err(
+            Refusal::unavailable("draining", "this router is stopping").retry_after(Duration::ZERO)
+        );
+    }
+    let table = cx.table.load_full();
+    let route = find_route(&table, &req)?;
+    let team = find_team(&table, route, facts.key.as_deref())?;
+    let service = route
+        .pick(rand::random())
+        .and_then(|name| table.service(name))
+        .ok_or_else(no_endpoint)?;
+    let patience = facts.patience.unwrap_or(PATIENCE);
+    let end = started + patience.min(route.timeout);
+    lock(&cx.repeats).of(&service.name).request(started);
+
+    let (parts, body) = req.into_parts();
+    let body = read_body(cx, body, &table, end).await?;
+    let charge = reserve(cx, service, team, facts.tokens, end).await?;
+    let mut headers = parts.headers;
+    strip(&mut headers);
+    let plan = Plan {
+        no: cx.number(),
+        id: id.to_owned(),
+        service: service.name.clone(),
+        engine_memory: service.engine.map(|e| e.memory),
+        kind: route.kind,
+        objective: route.objective,
+        max_endpoints: route.max_endpoints.max(1),
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+        prompt: facts.prompt,
+        team: team.map(|t| t.name.clone()),
+        urgency: urgency(team, route),
+        end,
+    };
+    run(cx, plan, charge).await
+}
+
+async fn read_body(
+    cx: &Shared,
+    body: Body,
+    table: &RouteTable,
+    end: Duration,
+) -> Result<Bytes, Refusal> {
+    let most = table.limits().body_bytes;
+    let left = end.saturating_sub(cx.now());
+    match tokio::time::timeout(left, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+            format!("the body is longer than {most} bytes"),
+        )),
+        Ok(Err(err)) => Err(Refusal::bad_request(
+            "",
+            format!("the body can't be read: {err}"),
+        )),
+        Err(_) => Err(Refusal::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_too_slow",
+            "the body did not arrive in time",
+        )),
+    }
+}
+
+/// Reserves the most that a model request may use.
+async fn reserve(
+    cx: &Arc<Shared>,
+    service: &Service,
+    team: Option<&Team>,
+    counts: Option<TokenCounts>,
+    end: Duration,
+) -> Result<Option<Charge>, Refusal> {
+    let (Some(engine), Some(counts)) = (service.engine, counts) else {
+        return Ok(None);
+    };
+    let Some(team) = team.filter(|t| t.prepaid.is_some()) else {
+        return Ok(None);
+    };
+    let budget = prepaid_budget(&team.name);
+    let now = cx.now();
+    let reserved = match cx.purse.reserve(now, &budget, counts.most()) {
+        Ok(id) => id,
+        Err(NoTokens::Crowded) => {
+            return Err(tokens_short("too many requests wait for tokens"));
+        }
+        Err(NoTokens::Wait(need, rx)) => {
+            let mut waiting = Waiting {
+                cx,
+                budget: &budget,
+                need: Some(need),
+            };
+            if !cx.in_touch.load(Ordering::Relaxed) {
+                return Err(tokens_short(
+                    "control, which grants tokens, can't be reached",
+                ));
+            }
+            let wait = GRANT_WAIT.min(end.saturating_sub(now));
+            match tokio::time::timeout(wait, rx).await {
+                Ok(Ok(outcome)) => {
+                    waiting.need = None;
+                    outcome.map_err(|refusal| refused(&refusal, counts.most()))?
+                }
+                _ => return Err(tokens_short("no tokens were granted in time")),
+            }
+        }
+    };
+    Ok(Some(Charge {
+        cx: Arc::clone(cx),
+        reservation: Some(reserved),
+        counts,
+        tokens_per_event: engine.tokens_per_event.into(),
+        ran: false,
+        events: 0,
+    }))
+}
+
+fn refused(refusal: &GrantRefusal, most: Tokens) -> Refusal {
+    match refusal {
+        // What other routers hold may be for requests that use less.
+        GrantRefusal::Insufficient(unspent, allotted)
+            if unspent.saturating_add(*allotted) >= most =>
+        {
+            tokens_short("the rest of the budget is reserved for requests in flight")
+        }
+        GrantRefusal::Insufficient(unspent, _) => Refusal::new(
+            StatusCode::PAYMENT_REQUIRED,
+            "budget_exhausted",
+            format!("the budget has {unspent} tokens left, the request may use {most}"),
+        ),
+        GrantRefusal::Refused(code, message) => Refusal::unavailable(
+            "budget_unavailable",
+            format!("the budget can't be drawn on: {message} ({code})"),
+        )
+        .retry_after(SERVICE_AGAIN),
+    }
+}
+
+fn tokens_short(reason: &str) -> Refusal {
+    Refusal::new(StatusCode::TOO_MANY_REQUESTS, "tokens_short", reason).retry_after(TOKENS_AGAIN)
+}
+
+fn no_endpoint() -> Refusal {
+    Refusal::unavailable("no_endpoint", "the service has no endpoint that takes work")
+        .retry_after(SERVICE_AGAIN)
+}
+
+/// Says why no endpoint answered.
+fn unanswered(failed: Failed, progress: &Progress) -> Refusal {
+    if progress.may_have_run {
+        return match failed {
+            Failed::Late => Refusal::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "endpoint_late",
+                "the endpoint did not answer in time",
+            )
+            .run(RunState::Unknown),
+            _ => Refusal::bad_gateway("endpoint_failed", "the endpoint failed", RunState::Unknown),
+        };
+    }
+    match failed {
+        Failed::NoEndpoint => no_endpoint(),
+        Failed::Full => Refusal::unavailable("endpoints_full", "the endpoints have no room")
+            .retry_after(ROOM_AGAIN),
+        Failed::Late => Refusal::unavailable("too_late", "the time was over before it was sent"),
+        Failed::Broken => {
+            Refusal::unavailable("endpoints_unreachable", "no endpoint could be reached")
+                .retry_after(SERVICE_AGAIN)
+        }
+    }
+}
+
+async fn run(
+    cx: &Arc<Shared>,
+    plan: Plan,
+    mut charge: Option<Charge>,
+) -> Result<Response<Body>, Refusal> {
+    let mut progress = Progress::default();
+    let mut failure: Option<Response<Body>> = None;
+    loop {
+        let answered = send(cx, &plan, &mut progress, None).await;
+        if let Some(charge) = &mut charge {
+            charge.ran |= progress.may_have_run || answered.is_ok();
+        }
+        let Answered { running, answer } = match answered {
+            Ok(answered) => answered,
+            Err(failed) => {
+                // An endpoint's own failure is passed on when nothing better
+                // came of it.
+                return failure.ok_or_else(|| unanswered(failed, &progress));
+            }
+        };
+        if answer.headers.contains_key(header::CONTENT_ENCODING) {
+            // Callers ask for no encoding, so these are not the endpoint's bytes.
+            progress.may_have_run = true;
+            running.end(Outcome::Broken);
+            continue;
+        }
+        let mut resp = Response::new(Body::empty());
+        *resp.status_mut() = answer.status;
+        *resp.headers_mut() = answer.headers.clone();
+        strip(resp.headers_mut());
+        if answer.status.is_success() && plan.kind.is_stream() {
+            let body = EventBody::new(cx, plan, progress, charge, running, answer);
+            *resp.body_mut() = Body::from_body(body);
+            return Ok(resp);
+        }
+        let left = plan.end.saturating_sub(cx.now());
+        let status = answer.status;
+        match tokio::time::timeout(left, answer.read_to_end(left)).await {
+            Ok(Ok(body)) => {
+                *resp.body_mut() = Body::from(body);
+                if status.is_server_error() {
+                    running.end(Outcome::Failed);
+                    progress.may_have_run = true;
+                    if plan.kind.may_repeat() {
+                        failure = Some(resp);
+                        continue;
+                    }
+                } else {
+                    running.end(Outcome::Ok);
+                }
+                return Ok(resp);
+            }
+            Ok(Err(e)) => {
+                slog::info!(cx.log, "answer broke off"; "request" => &plan.id,
+                    "endpoint" => &running.pick.endpoint, "error" => %e);
+                progress.may_have_run = true;
+                running.end(Outcome::Broken);
+            }
+            Err(_) => {
+                progress.may_have_run = true;
+                running.end(Outcome::Cancelled);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,31 @@
+//! Serves callers by the published route table.
+//!
+//! `relay` starts and stops it. `forward` takes a request from its header to
+//! its answer, `attempt` sends it to one endpoint, `stream` passes the events
+//! of an answer on and resumes them elsewhere, and `events` finds their ends.
+//! `purse` holds the tokens of teams, `control` the sessions with the control
+//! group. `dialect` is the border to a deployment's own names of headers and
+//! its format of the table.
+
+mod attempt;
+mod control;
+mod dialect;
+mod events;
+mod forward;
+mod options;
+mod purse;
+mod relay;
+mod shared;
+mod stream;
+
+pub use dialect::Dialect;
+pub use dialect::Facts;
+pub use dialect::HandOff;
+pub use dialect::TokenCounts;
+pub use dialect::Verdict;
+pub use events::Splitter;
+pub use options::RelayOptions;
+pub use options::RelayOptionsBuilder;
+pub use relay::Relay;
+pub use relay::RelayError;
+pub use stream::BrokenOff;
--- /dev/null
+++ b/crates/relay/src/purse.rs
@@ -0,0 +1,157 @@
+//! Tokens of teams at this router, for requests that wait for them.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use anvilloft_budget::Allotments;
+use anvilloft_budget::GrantRefusal;
+use anvilloft_budget::GrantResult;
+use anvilloft_budget::NeedId;
+use anvilloft_budget::ReservationId;
+use anvilloft_types::prelude::*;
+use anvilloft_wire::CommandReply;
+use anvilloft_wire::command::Grant;
+use anvilloft_wire::command::Report;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+/// Time over which demand is measured. A grant asks for the demand of two of
+/// them, which lasts through a partition of 10 s while the budget has plenty.
+const DEMAND_WINDOW: Duration = Duration::from_secs(5);
+/// Time between two reports of settlements. Each is an entry of the replicated
+/// log.
+const REPORT_PACE: Duration = Duration::from_millis(300);
+/// Requests that wait for a grant, at most.
+const MAX_WAITING: usize = 512;
+
+type Outcome = Result<ReservationId, GrantRefusal>;
+
+/// Why no tokens could be reserved now.
+pub(crate) enum NoTokens {
+    /// The request waits for a grant.
+    Wait(NeedId, oneshot::Receiver<Outcome>),
+    /// Too many wait.
+    Crowded,
+}
+
+struct Inner {
+    allotments: Allotments,
+    waiting: HashMap<NeedId, oneshot::Sender<Outcome>>,
+}
+
+/// Allotments with the requests that wait for them.
+pub(crate) struct Purse {
+    inner: Mutex<Inner>,
+    /// Wakes the control thread: a grant or a report may be due.
+    pub(crate) changed: Notify,
+}
+
+impl Purse {
+    pub(crate) fn new(router: &str, incarnation: Incarnation) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                allotments: allotments(router, incarnation),
+                waiting: HashMap::new(),
+            }),
+            changed: Notify::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts over under another incarnation, before any grant was made.
+    pub(crate) fn restart(&self, router: &str, incarnation: Incarnation) {
+        self.lock().allotments = allotments(router, incarnation);
+    }
+
+    pub(crate) fn reserve(
+        &self,
+        now: Duration,
+        budget: &str,
+        amount: Tokens,
+    ) -> Result<ReservationId, NoTokens> {
+        let mut inner = self.lock();
+        let reserved = inner.allotments.reserve(now, budget, amount);
+        let result = match reserved {
+            Ok(id) => Ok(id),
+            Err(need) if inner.waiting.len() >= MAX_WAITING => {
+                inner.allotments.cancel(budget, need.need());
+                Err(NoTokens::Crowded)
+            }
+            Err(need) => {
+                let (tx, rx) = oneshot::channel();
+                inner.waiting.insert(need.need(), tx);
+                Err(NoTokens::Wait(need.need(), rx))
+            }
+        };
+        drop(inner);
+        self.changed.notify_one();
+        result
+    }
+
+    /// Ends the wait of a request. Tokens that were reserved meanwhile are
+    /// released.
+    pub(crate) fn give_up(&self, now: Duration, budget: &str, need: NeedId) {
+        let mut inner = self.lock();
+        inner.waiting.remove(&need);
+        inner.allotments.cancel(budget, need);
+        // A reservation keeps the number under which it waited.
+        inner.allotments.release(now, need);
+    }
+
+    pub(crate) fn settle(&self, now: Duration, id: ReservationId, used: Tokens) {
+        self.lock().allotments.settle(now, id, used, None);
+        self.changed.notify_one();
+    }
+
+    pub(crate) fn next_grant(&self, now: Duration) -> Option<Grant> {
+        self.lock().allotments.next_grant(now)
+    }
+
+    pub(crate) fn next_report(&self, now: Duration) -> Option<Report> {
+        self.lock().allotments.next_report(now)
+    }
+
+    pub(crate) fn on_grant(&self, now: Duration, seq: u64, reply: &CommandReply) {
+        let mut inner = self.lock();
+        for GrantResult { need, outcome } in inner.allotments.on_grant(now, seq, reply) {
+            let reserved = outcome.as_ref().ok().copied();
+            let sent = inner
+                .waiting
+                .remove(&need)
+                .is_some_and(|tx| tx.send(outcome).is_ok());
+            if let (false, Some(id)) = (sent, reserved) {
+                inner.allotments.release(now, id);
+            }
+        }
+    }
+
+    pub(crate) fn on_report_ack(&self, now: Duration, seq: u64) {
+        self.lock().allotments.on_report_ack(now, seq);
+    }
+
+    pub(crate) fn recall(&self, now: Duration, budget: &str) {
+        self.lock().allotments.recall(now, budget);
+    }
+
+    /// Gives everything unreserved back, now and as requests end.
+    pub(crate) fn drain(&self, now: Duration) {
+        self.lock().allotments.drain(now);
+        self.changed.notify_one();
+    }
+
+    pub(crate) fn is_settled(&self) -> bool {
+        self.lock().allotments.is_settled()
+    }
+}
+
+fn allotments(router: &str, incarnation: Incarnation) -> Allotments {
+    let mut allotments = Allotments::new(router.to_owned(), incarnation);
+    allotments.set_demand_window(DEMAND_WINDOW);
+    allotments.set_report_pace(REPORT_PACE);
+    allotments
+}
--- /dev/null
+++ b/crates/relay/src/stream.rs
@@ -0,0 +1,206 @@
+//! The events of an answer on their way to the caller.
+//!
+//! Whole events are passed on as they arrive. When an endpoint breaks off or
+//! falls silent, a resumable stream goes on at another one after the last whole
+//! event; the caller sees one answer. Any other stream ends without its end, so
+//! the caller can tell.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+
+use anvilloft_dispatch::Outcome;
+use anvilloft_gateway::client::Answer;
+use anvilloft_gateway::client::ClientError;
+use anvilloft_routes::Kind;
+use bytes::Bytes;
+use futures::Stream;
+use http_body::Frame;
+use quick_error::quick_error;
+
+use crate::attempt::Answered;
+use crate::attempt::Plan;
+use crate::attempt::Progress;
+use crate::attempt::Running;
+use crate::attempt::send;
+use crate::events::Splitter;
+use crate::forward::Charge;
+use crate::shared::Shared;
+
+/// Pauses between events after which an endpoint counts as silent, in longest
+/// pauses that are on time. The answer is late by then, and the caller gives up
+/// at eight.
+const SILENT_GAPS: u32 = 3;
+
+quick_error! {
+    /// Why a stream ended without its end. The caller sees a broken connection.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum BrokenOff {
+        /// The endpoint broke off and no other goes on.
+        Endpoint {
+            display("the endpoint broke off")
+        }
+        /// The time is over.
+        Late {
+            display("the time is over")
+        }
+    }
+}
+
+struct Events {
+    cx: Arc<Shared>,
+    plan: Plan,
+    progress: Progress,
+    charge: Option<Charge>,
+    // `None` after the end.
+    current: Option<(Running, Answer)>,
+    splitter: Splitter,
+    started: bool,
+}
+
+impl Events {
+    /// Returns the next whole events, or `None` at the end.
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        loop {
+            let (running, answer) = self.current.as_mut()?;
+            let left = self.plan.end.saturating_sub(self.cx.now());
+            if left.is_zero() {
+                return self.fail(BrokenOff::Late, Outcome::Cancelled);
+            }
+            let gap = match self.plan.kind {
+                Kind::Stream { max_gap, .. } if self.started => max_gap * SILENT_GAPS,
+                _ => left,
+            };
+            match answer.next(gap.min(left)).await {
+                Ok(Some(piece)) => {
+                    let Some(whole) = self.splitter.push(&piece) else {
+                        return self.fail(BrokenOff::Endpoint, Outcome::Broken);
+                    };
+                    if whole.is_empty() {
+                        continue;
+                    }
+                    if !std::mem::replace(&mut self.started, true) {
+                        running.first_event();
+                    }
+                    if let Some(charge) = &mut self.charge {
+                        charge.events = self.splitter.events();
+                    }
+                    return Some(Ok(whole));
+                }
+                Ok(None) => {
+                    let (running, _) = self.current.take()?;
+                    running.end(Outcome::Ok);
+                    slog::info!(self.cx.log, "stream ended"; "request" => &self.plan.id,
+                        "events" => self.splitter.events(), "endpoints" => self.progress.sent);
+                    let rest = self.splitter.finish();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Err(error) => {
+                    if let Err(why) = self.resume(&error).await {
+                        return Some(Err(why));
+                    }
+                }
+            }
+        }
+    }
+
+    fn fail(&mut self, why: BrokenOff, outcome: Outcome) -> Option<Result<Bytes, BrokenOff>> {
+        if let Some((running, _)) = self.current.take() {
+            running.end(outcome);
+        }
+        slog::info!(self.cx.log, "stream broken off"; "request" => &self.plan.id,
+            "reason" => %why, "events" => self.splitter.events());
+        Some(Err(why))
+    }
+
+    /// Goes on at another endpoint after the last whole event.
+    async fn resume(&mut self, error: &ClientError) -> Result<(), BrokenOff> {
+        let Some((running, answer)) = self.current.take() else {
+            return Err(BrokenOff::Endpoint);
+        };
+        slog::info!(self.cx.log, "endpoint broke off"; "request" => &self.plan.id,
+            "endpoint" => &running.pick.endpoint, "error" => %error,
+            "events" => self.splitter.events());
+        // The old connection closes first, so that two runs never overlap.
+        drop(answer);
+        running.end(Outcome::Broken);
+        self.progress.may_have_run = true;
+        self.splitter.drop_partial();
+        let last = self.splitter.last_id().map(str::to_owned);
+        let sent = send(&self.cx, &self.plan, &mut self.progress, last.as_deref()).await;
+        match sent {
+            Ok(Answered { running, answer }) if answer.status.is_success() => {
+                slog::info!(self.cx.log, "stream resumed"; "request" => &self.plan.id,
+                    "endpoint" => &running.pick.endpoint, "after" => last);
+                self.current = Some((running, answer));
+                Ok(())
+            }
+            Ok(Answered { running, .. }) => {
+                running.end(Outcome::Failed);
+                Err(BrokenOff::Endpoint)
+            }
+            Err(_) => Err(BrokenOff::Endpoint),
+        }
+    }
+}
+
+type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>> + Send>>;
+
+/// The body of a streamed answer. Dropping it cancels the run.
+pub(crate) struct EventBody {
+    // The mutex makes the body `Sync`, which the server asks for; it is never
+    // locked, only borrowed.
+    pieces: Mutex<Pieces>,
+}
+
+impl EventBody {
+    pub(crate) fn new(
+        cx: &Arc<Shared>,
+        plan: Plan,
+        progress: Progress,
+        charge: Option<Charge>,
+        running: Running,
+        answer: Answer,
+    ) -> Self {
+        let events = Events {
+            cx: Arc::clone(cx),
+            plan,
+            progress,
+            charge,
+            current: Some((running, answer)),
+            splitter: Splitter::default(),
+            started: false,
+        };
+        let pieces = futures::stream::unfold(Some(events), |events| async move {
+            let mut events = events?;
+            let piece = events.next().await?;
+            let rest = piece.is_ok().then_some(events);
+            Some((piece, rest))
+        });
+        Self {
+            pieces: Mutex::new(Box::pin(pieces)),
+        }
+    }
+}
+
+impl http_body::Body for EventBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let pieces = self
+            .pieces
+            .get_mut()
+            .unwrap_or_else(PoisonError::into_inner);
+        pieces
+            .as_mut()
+            .poll_next(cx)
+            .map(|piece| piece.map(|result| result.map(Frame::data)))
+    }
+}
--- a/crates/router/src/core/lease.rs
+++ b/crates/router/src/core/lease.rs
@@ -114,6 +114,7 @@
             revision: self.config.revision(),
             directory_version: self.routers.version(),
             report: self.next_placement_report(),
+            publication: 0,
         };
         // A renewal that takes longer than the interval is given up for a new
         // one, whose lease counts from a later time.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -249,7 +249,9 @@
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => {
                     started.send(Ok(())).ok();
-                    serve(listener, service, limits, counters, stop_listening).await;
+                    // The runtime ends the connections that are still open.
+                    let finish = CancellationToken::new();
+                    serve(listener, service, limits, counters, stop_listening, finish).await;
                 }
                 Err(e) => {
                     started.send(Err(e)).ok();
--- /dev/null
+++ b/crates/routes/src/build.rs
@@ -0,0 +1,123 @@
+//! Checks of a route table as a whole.
+
+use crate::CallerLimits;
+use crate::Route;
+use crate::RouteTable;
+use crate::Service;
+use crate::TableError;
+use crate::Team;
+
+/// Builder of a [`RouteTable`].
+#[derive(Clone, Debug, Default)]
+pub struct RouteTableBuilder {
+    version: u64,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    teams: Vec<Team>,
+    limits: CallerLimits,
+}
+
+impl RouteTableBuilder {
+    /// Sets the version.
+    #[must_use]
+    pub fn version(mut self, version: u64) -> Self {
+        self.version = version;
+        self
+    }
+
+    /// Adds a route.
+    #[must_use]
+    pub fn route(mut self, route: Route) -> Self {
+        self.routes.push(route);
+        self
+    }
+
+    /// Adds a service.
+    #[must_use]
+    pub fn service(mut self, service: Service) -> Self {
+        self.services.push(service);
+        self
+    }
+
+    /// Adds a team.
+    #[must_use]
+    pub fn team(mut self, team: Team) -> Self {
+        self.teams.push(team);
+        self
+    }
+
+    /// Sets the limits of what callers send.
+    #[must_use]
+    pub fn limits(mut self, limits: CallerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Checks the table as a whole.
+    ///
+    /// # Errors
+    ///
+    /// The first rule that the table breaks.
+    pub fn build(mut self) -> Result<RouteTable, TableError> {
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        if let Some(pair) = self.services.windows(2).find(|w| w[0].name == w[1].name) {
+            return Err(TableError::SameName("services", pair[0].name.clone()));
+        }
+        for route in &self.routes {
+            self.check(route)?;
+        }
+        // Of the routes of a host, the longest prefix comes first.
+        self.routes.sort_by(|a, b| {
+            (&a.host, b.prefix.len(), &a.prefix).cmp(&(&b.host, a.prefix.len(), &b.prefix))
+        });
+        let same = |w: &&[Route]| w[0].host == w[1].host && w[0].prefix == w[1].prefix;
+        if let Some(pair) = self.routes.windows(2).find(same) {
+            let (host, prefix) = (pair[0].host.clone(), pair[0].prefix.clone());
+            return Err(TableError::SamePlace(host, prefix));
+        }
+        self.teams.sort_by(|a, b| a.name.cmp(&b.name));
+        if let Some(pair) = self.teams.windows(2).find(|w| w[0].name == w[1].name) {
+            return Err(TableError::SameName("teams", pair[0].name.clone()));
+        }
+        let mut keys: Vec<(String, usize)> = Vec::new();
+        for (at, team) in self.teams.iter().enumerate() {
+            keys.extend(team.keys.iter().map(|key| (key.clone(), at)));
+        }
+        keys.sort();
+        keys.dedup();
+        if let Some(pair) = keys.windows(2).find(|w| w[0].0 == w[1].0) {
+            let name = |at: usize| self.teams.get(at).map_or("", |t| t.name.as_str()).to_owned();
+            return Err(TableError::SharedKey(name(pair[0].1), name(pair[1].1)));
+        }
+        Ok(RouteTable {
+            version: self.version,
+            routes: self.routes,
+            services: self.services,
+            teams: self.teams,
+            keys,
+            limits: self.limits,
+        })
+    }
+
+    fn check(&self, route: &Route) -> Result<(), TableError> {
+        let name = || route.name.clone();
+        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+            return Err(TableError::BadPrefix(name(), route.prefix.clone()));
+        }
+        if route.timeout.is_zero() {
+            return Err(TableError::NoTimeout(name()));
+        }
+        if route.targets.iter().all(|t| t.weight == 0) {
+            return Err(TableError::NoWeight(name()));
+        }
+        for target in &route.targets {
+            let known = self
+                .services
+                .binary_search_by(|s| s.name.cmp(&target.service));
+            if known.is_err() {
+                return Err(TableError::UnknownService(name(), target.service.clone()));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/routes/src/table.rs
@@ -0,0 +1,84 @@
+//! The table and its lookups.
+
+use crate::CallerLimits;
+use crate::Route;
+use crate::RouteTableBuilder;
+use crate::Service;
+use crate::Team;
+
+/// One version of the route table.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteTable {
+    pub(crate) version: u64,
+    // By host, then longest prefix first.
+    pub(crate) routes: Vec<Route>,
+    // By name.
+    pub(crate) services: Vec<Service>,
+    // By name.
+    pub(crate) teams: Vec<Team>,
+    // Keys with the place of their team, by key.
+    pub(crate) keys: Vec<(String, usize)>,
+    pub(crate) limits: CallerLimits,
+}
+
+impl RouteTable {
+    /// Returns a builder of an empty table.
+    pub fn builder() -> RouteTableBuilder {
+        RouteTableBuilder::default()
+    }
+
+    /// Returns the version; 0 before any table was published.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the route of a request: of the routes of its host, the one with
+    /// the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.to_ascii_lowercase();
+        let from = self.routes.partition_point(|r| r.host < host);
+        let of_host = self.routes.get(from..)?;
+        of_host
+            .iter()
+            .take_while(|r| r.host == host)
+            .find(|r| path.starts_with(&r.prefix))
+    }
+
+    /// Returns all routes.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// Returns a service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let at = self
+            .services
+            .binary_search_by(|s| s.name.as_str().cmp(name))
+            .ok()?;
+        self.services.get(at)
+    }
+
+    /// Returns all services, by name.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Returns the team that holds a key.
+    pub fn team_of_key(&self, key: &str) -> Option<&Team> {
+        let at = self
+            .keys
+            .binary_search_by(|(k, _)| k.as_str().cmp(key))
+            .ok()?;
+        self.keys.get(at).and_then(|(_, team)| self.teams.get(*team))
+    }
+
+    /// Returns all teams, by name.
+    pub fn teams(&self) -> &[Team] {
+        &self.teams
+    }
+
+    /// Returns the limits of what callers send.
+    pub fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+}
--- /dev/null
+++ b/crates/routes/tests/table.rs
@@ -0,0 +1,137 @@
+//! Lookups and checks of a route table.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+use anvilloft_routes::Route;
+use anvilloft_routes::RouteTable;
+use anvilloft_routes::RouteTableBuilder;
+use anvilloft_routes::Service;
+use anvilloft_routes::TableError;
+use anvilloft_routes::Team;
+use std::time::Duration;
+
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        max_connections: 8,
+        engine: None,
+    }
+}
+
+fn team(name: &str, keys: &[&str]) -> Team {
+    Team {
+        name: name.into(),
+        keys: keys.iter().map(|k| (*k).to_owned()).collect(),
+        level: None,
+        prepaid: None,
+    }
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route::builder(name, host, prefix).target("s", 1).build()
+}
+
+fn table() -> RouteTableBuilder {
+    RouteTable::builder().version(1).service(service("s"))
+}
+
+/// Guards against a request that goes to a shorter prefix, to another host's
+/// route, or to a route whose prefix ends within a path segment.
+#[test]
+fn the_longest_prefix_of_the_host_is_chosen() {
+    let table = table()
+        .route(route("short", "A.example", "/a/"))
+        .route(route("long", "a.example", "/a/b/"))
+        .route(route("other", "b.example", "/"))
+        .build()
+        .unwrap();
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let cases = [
+        Case { host: "a.example", path: "/a/x", route: Some("short") },
+        Case { host: "A.EXAMPLE", path: "/a/b/x", route: Some("long") },
+        Case { host: "a.example", path: "/a/bx", route: Some("short") },
+        Case { host: "a.example", path: "/a", route: None },
+        Case { host: "b.example", path: "/a/b/x", route: Some("other") },
+        Case { host: "c.example", path: "/a/", route: None },
+    ];
+    for c in cases {
+        let found = table.route(c.host, c.path).map(|r| r.name.as_str());
+        assert_eq!(found, c.route, "{}{}", c.host, c.path);
+    }
+}
+
+/// Guards against the acceptance of a table that can't be carried out.
+#[test]
+fn a_table_that_breaks_a_rule_is_refused() {
+    struct Case {
+        table: RouteTableBuilder,
+        error: &'static str,
+    }
+    let no_weight = Route::builder("w", "h", "/").target("s", 0).build();
+    let no_time = Route::builder("t", "h", "/").target("s", 1);
+    let cases = [
+        Case {
+            table: table().route(Route::builder("r", "h", "/").target("x", 1).build()),
+            error: "route \"r\" names service \"x\", which does not exist",
+        },
+        Case {
+            table: table().route(route("a", "h", "/p/")).route(route("b", "H", "/p/")),
+            error: "two routes have host \"h\" and path prefix \"/p/\"",
+        },
+        Case {
+            table: table().route(no_weight),
+            error: "the weights of route \"w\" add up to 0",
+        },
+        Case {
+            table: table().route(no_time.timeout(Duration::ZERO).build()),
+            error: "the timeout of route \"t\" is 0",
+        },
+        Case {
+            table: table().route(route("r", "h", "/p")),
+            error: "path prefix \"/p\" of route \"r\" must begin and end with a slash",
+        },
+        Case {
+            table: table().team(team("a", &["k", "l"])).team(team("b", &["k"])),
+            error: "teams \"a\" and \"b\" share a key",
+        },
+        Case {
+            table: table().service(service("s")),
+            error: "two services are called \"s\"",
+        },
+    ];
+    for c in cases {
+        let found = c.table.build().map_err(|e: TableError| e.to_string());
+        assert_eq!(found.err().as_deref(), Some(c.error));
+    }
+}
+
+/// Guards against a key that names no team or another team.
+#[test]
+fn a_key_names_its_team() {
+    let table = table()
+        .team(team("b", &["k2", "k1"]))
+        .team(team("a", &["k3"]))
+        .build()
+        .unwrap();
+    let name = |key| table.team_of_key(key).map(|t| t.name.as_str());
+    assert_eq!(name("k1"), Some("b"));
+    assert_eq!(name("k3"), Some("a"));
+    assert_eq!(name("k"), None);
+}
+
+/// Guards against a split that starves a target or uses one without a weight.
+#[test]
+fn a_split_follows_its_weights() {
+    let route = Route::builder("r", "h", "/")
+        .target("a", 90)
+        .target("none", 0)
+        .target("b", 10)
+        .build();
+    let picks: Vec<_> = (0..1_000).filter_map(|draw| route.pick(draw)).collect();
+    let count = |name| picks.iter().filter(|p| **p == name).count();
+    assert_eq!((count("a"), count("none"), count("b")), (900, 0, 100));
+}
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -29,6 +29,12 @@
         /// What to do with an empty data folder: join or new.
         /// Set new on the first member of a new group only, for its first start only.
         group: GroupStart = ["control", "group", "", Some("join"), 0, 0],
+        /// Whether this member asks the members in [peers] to add it to their group, and asks again
+        /// when it was removed; otherwise an operator adds it.
+        auto_join: bool = ["control", "auto_join", "", Some("no"), 0, 0],
+        /// Whether the data folder must be closed to group and others. Say no only where the file
+        /// system keeps no modes.
+        private_folder: bool = ["control", "private_folder", "", Some("yes"), 0, 0],
         /// Time that the first member of a new group waits for an answer of every other member.
         /// Without it a host that lost its disk could start a second group beside the first.
         group_wait: Duration = ["control", "group_wait_ms", "ms", Some("30000"), 100, 600_000],
@@ -40,6 +46,10 @@
         election_min: Duration = ["consensus", "election_min_ms", "ms", Some("300"), 20, 60_000],
         /// Longest time without a leader before an election.
         election_max: Duration = ["consensus", "election_max_ms", "ms", Some("600"), 20, 120_000],
+        /// Bytes of log after which a snapshot is taken.
+        snapshot_log_bytes: u64 = ["consensus", "snapshot_log_bytes", "bytes", Some("67108864"), 65_536, 1_073_741_824],
+        /// Log entries below a snapshot that stay in memory for members that are a little behind.
+        trailing_entries: u64 = ["consensus", "trailing_entries", "entries", Some("1024"), 16, 1_000_000],
         /// Open connections to the administration API.
         admin_connections: u64 = ["limits", "admin_connections", "connections", Some("256"), 1, 65_536],
         /// Largest body of an administration request.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -40,6 +40,16 @@
     }
 }
 
+impl Value for bool {
+    fn parse(text: &str, _base: &Path) -> Result<Self, String> {
+        match text {
+            "yes" => Ok(true),
+            "no" => Ok(false),
+            _ => Err(format!("`{text}` is neither yes nor no")),
+        }
+    }
+}
+
 impl Value for Duration {
     fn parse(text: &str, base: &Path) -> Result<Self, String> {
         u64::parse(text, base).map(Self::from_millis)
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "1")]
     pub at_ms: u64,
     /// The command itself.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -56,6 +56,36 @@
     /// Drops records whose retention has passed at `at_ms`.
     #[prost(message, tag = "13")]
     Expire(Expire),
+    /// Publishes a route table with the prepaid amounts of its teams.
+    #[prost(message, tag = "14")]
+    Publish(Publish),
+}
+
+/// Publishes a whole route table. The highest version is in force; one that is
+/// not higher than it changes nothing.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Publish {
+    /// Version, chosen by the operator.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The table as the operator wrote it. Routers decode it, and reads return
+    /// it unchanged.
+    #[prost(bytes = "vec", tag = "2")]
+    pub source: Vec<u8>,
+    /// Prepaid amounts by team.
+    #[prost(message, repeated, tag = "3")]
+    pub prepaid: Vec<Prepaid>,
+}
+
+/// The prepaid amount of one team.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Prepaid {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Sum of everything that the team has paid for, in tokens.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
 }
 
 /// Changes the configuration, whole or not at all.
@@ -336,7 +366,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CommandReply {
     /// The reply itself.
-    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub reply: Option<Reply>,
 }
 
@@ -367,6 +397,17 @@
     /// Reply to `SuspectBegin`.
     #[prost(message, tag = "8")]
     Suspect(SuspectReply),
+    /// Reply to `Publish`.
+    #[prost(message, tag = "9")]
+    Published(Published),
+}
+
+/// Reply to `Publish`.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Published {
+    /// Version in force after the command.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
 }
 
 /// The command was applied, or had been before.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -84,6 +84,20 @@
     /// What the placement of models needs; not in every renewal.
     #[prost(message, optional, tag = "5")]
     pub report: Option<PlacementReport>,
+    /// Version of the published route table that the router has.
+    #[prost(uint64, tag = "6")]
+    pub publication: u64,
+}
+
+/// A published route table.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Publication {
+    /// Version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The table as the operator wrote it.
+    #[prost(bytes = "vec", tag = "2")]
+    pub source: Vec<u8>,
 }
 
 /// What one router knows for the placement of models. It replaces the router's
@@ -168,6 +182,12 @@
     /// can't take new work, so callers are not sent to them.
     #[prost(string, repeated, tag = "7")]
     pub silent: Vec<String>,
+    /// The published route table when the router's version is older.
+    #[prost(message, optional, tag = "8")]
+    pub publication: Option<Publication>,
+    /// Peer addresses of the control members, `ip:port`.
+    #[prost(string, repeated, tag = "9")]
+    pub members: Vec<String>,
 }
 
 /// Reads state. The result is JSON, as it is meant for people and scripts.
@@ -175,7 +195,7 @@
 pub struct Query {
     /// What to read: `budget`, `budgets`, `config`, `history`, `key` (named by
     /// the SHA-256 of its secret in hexadecimal digits), `routers`, `orders`,
-    /// `status`.
+    /// `status`, `publication` (the source of the published route table).
     #[prost(string, tag = "1")]
     pub kind: String,
     /// Name, where the kind needs one.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -44,7 +44,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// The frame itself.
-    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub payload: Option<Payload>,
 }
 
@@ -82,6 +82,20 @@
     /// routers. It comes sooner than the list in the next lease.
     #[prost(bytes = "vec", tag = "10")]
     Struck(Vec<u8>),
+    /// Tells a router that a newer route table was published.
+    #[prost(uint64, tag = "11")]
+    PublicationPush(u64),
+    /// Announcements that control members pass on to routers.
+    #[prost(message, tag = "12")]
+    EndpointBatch(EndpointBatch),
+}
+
+/// Announcements that were received since the last batch.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EndpointBatch {
+    /// The announcements, the newest of each endpoint.
+    #[prost(message, repeated, tag = "1")]
+    pub updates: Vec<EndpointUpdate>,
 }
 
 /// A request on a session.
@@ -202,4 +216,10 @@
     /// Age of the announcement when it was sent on, in milliseconds.
     #[prost(uint64, tag = "14")]
     pub age_ms: u64,
+    /// Whether the endpoint has left for good.
+    #[prost(bool, tag = "15")]
+    pub left: bool,
+    /// How much longer the endpoint is slow after its start, in milliseconds.
+    #[prost(uint64, tag = "16")]
+    pub warm_up_ms: u64,
 }
