Send prompts with the same shared parts to one engine

Cause: two engines shared the requests of each prompt part, and each router guessed apart, so parts of 13,300 tokens were read again on several engines. Change: one home engine a prompt; the first shared part narrows the engines to three, the last one picks; leaving home costs 250 ms of predicted time.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,8 +4,10 @@
 //! centre before others. Batch engines are chosen by the predicted time to the
 //! first event: the wait for prompts that are being read, the delay measured
 //! lately, and the part of the prompt that the engine's memory doesn't hold.
-//! Every router ranks the engines for a shared prompt part by the same hash, so
-//! that requests of all routers meet at the few engines that have read it.
+//! Every router ranks the engines for a prompt by the same hash of its shared
+//! parts, so that requests of all routers meet at the engine that has read
+//! them. The first shared part, which many prompts have in common, narrows the
+//! engines to a few; the last one picks among these.
 
 use anvilloft_types::prelude::*;
 use rand::Rng;
@@ -34,15 +36,18 @@
     /// Time without an announcement after which an endpoint is used only while
     /// it answers requests.
     pub silence: Duration,
-    /// Engines that share the requests for one prompt part.
-    pub replicas: usize,
+    /// Engines among which prompts with the same first shared part are divided.
+    pub spread: usize,
     /// Prompt tokens that an engine reads in a second, until measured.
     pub prefill_rate: f64,
     /// Predicted time that is given up to stay in the own data centre.
     pub remote_cost: Duration,
-    /// Weight of the chance that an engine which ranks first for a prompt part,
-    /// but got it from other routers only, has it in memory.
+    /// Chance that the engine which ranks first for a prompt has its shared
+    /// parts in memory, because other routers sent them there.
     pub likely_hit: f64,
+    /// Predicted time that is given up so that a prompt's shared parts are not
+    /// read by one more engine.
+    pub reread_cost: Duration,
 }
 
 impl DispatcherConfig {
@@ -51,10 +56,11 @@
         Self {
             data_centre: data_centre.into(),
             silence: Duration::from_millis(4_500),
-            replicas: 2,
+            spread: 3,
             prefill_rate: 51_000.0,
             remote_cost: Duration::from_millis(4),
-            likely_hit: 0.7,
+            likely_hit: 0.9,
+            reread_cost: Duration::from_millis(250),
         }
     }
 }
@@ -325,36 +331,53 @@
         xxh3_64_with_seed(id.as_bytes(), key)
     }
 
+    /// Orders engines for a prompt by the hash of its shared parts.
+    fn rank_all(&self, shared: &[Part], of: &[usize]) -> Vec<usize> {
+        let mut ranked = of.to_vec();
+        let eps = &self.endpoints;
+        let by = |key: u64| {
+            move |at: &usize| std::cmp::Reverse(Self::rank(key, &eps[*at].said.id))
+        };
+        if let Some(first) = shared.first() {
+            ranked.sort_by_key(by(first.id));
+        }
+        if let [_, .., last] = shared {
+            let spread = self.cfg.spread.min(ranked.len());
+            ranked[..spread].sort_by_key(by(last.id));
+        }
+        ranked
+    }
+
     fn choose_engine(&mut self, now: Duration, ask: &Ask<'_>, of: &[usize]) -> (usize, Reason) {
         let shared = ask.prompt.len().saturating_sub(1);
         let shared = &ask.prompt[..shared];
         let shared_tokens: Tokens = shared.iter().map(|p| p.tokens).sum();
         let own_tokens = ask.prompt.last().map_or(0, |p| p.tokens);
-        let mut ranked: Vec<usize> = of.to_vec();
-        if let Some(key) = shared.last().map(|p| p.id) {
-            let eps = &self.endpoints;
-            ranked.sort_by_key(|at| std::cmp::Reverse(Self::rank(key, &eps[*at].said.id)));
-        }
+        let ranked = self.rank_all(shared, of);
         let mut best = (ranked[0], Reason::Predicted);
         let mut least = f64::INFINITY;
         for (place, at) in ranked.iter().enumerate() {
             let ep = &self.endpoints[*at];
-            let hit = ep.cache.hit(shared);
-            let mut missing = (shared_tokens - hit) as f64;
-            if place < self.cfg.replicas && !shared.is_empty() {
+            let home = place == 0 && !shared.is_empty();
+            let mut missing = (shared_tokens - ep.cache.hit(shared)) as f64;
+            if home {
                 missing *= 1.0 - self.cfg.likely_hit;
             }
             let read = (missing + own_tokens as f64) / self.cfg.prefill_rate;
+            let reread = match missing > 0.0 && !home {
+                true => self.cfg.reread_cost.as_secs_f64(),
+                false => 0.0,
+            };
             let remote = match ep.said.data_centre == self.cfg.data_centre {
                 true => 0.0,
                 false => self.cfg.remote_cost.as_secs_f64(),
             };
             let crowd = ep.running.len() as f64 / f64::from(ep.said.slots.max(1));
-            let cost = read + ep.backlog(now) + ep.delay(now) + remote + crowd * 0.2;
+            let cost = read + reread + ep.backlog(now) + ep.delay(now) + remote + crowd * 0.2;
             let cost = cost + self.rng.random_range(0.0..0.002);
             if cost < least {
                 least = cost;
-                best = match place < self.cfg.replicas && !shared.is_empty() {
+                best = match home {
                     true => (*at, Reason::Affinity),
                     false => (*at, Reason::Predicted),
                 };
