Log settlements and judge engines by requests that wait

Waiting requests told nothing about an engine until they ended. Change: only answered requests are charged; a request that waits beyond its prediction counts as the engine's delay; a log line for each settlement.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -110,14 +110,25 @@
         }
     }
 
-    /// Returns the measured delay, which fades without new measurements.
+    /// Returns the delay of first events beyond the prediction: as measured,
+    /// which fades without new measurements, or as far as a request that still
+    /// waits shows.
     pub(crate) fn delay(&self, now: Duration) -> f64 {
+        let waiting = self.running.iter().filter(|r| !r.first);
+        let overdue = waiting.map(|r| {
+            let gone = now.saturating_sub(r.started);
+            gone.saturating_sub(r.prefill).as_secs_f64()
+        });
+        overdue.fold(self.faded(now), f64::max)
+    }
+
+    fn faded(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.delay_at).as_secs_f64();
         self.delay * 0.5_f64.powf(age / DELAY_HALF_LIFE)
     }
 
     pub(crate) fn measured(&mut self, now: Duration, delay: f64) {
-        let old = self.delay(now);
+        let old = self.faded(now);
         self.delay = old + (delay.max(0.0) - old) * DELAY_GAIN;
         self.delay_at = now;
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -49,7 +49,9 @@
     pub(crate) prompt: Vec<Part>,
     pub(crate) team: Option<TeamId>,
     pub(crate) urgency: u8,
-    /// When the caller must have the answer, by the relay's clock.
+    /// When the request came, by the relay's clock.
+    pub(crate) started: Duration,
+    /// When the caller must have the answer, by the same clock.
     pub(crate) end: Duration,
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -101,10 +101,14 @@
 /// dropped, also when the caller leaves.
 pub(crate) struct Charge {
     cx: Arc<Shared>,
+    /// Id of the request, for logs.
+    id: String,
+    team: TeamId,
     reservation: Option<ReservationId>,
     counts: TokenCounts,
     tokens_per_event: Tokens,
-    /// Whether an endpoint may have read the prompt.
+    /// Whether an endpoint began to answer. A request of which the caller saw
+    /// nothing costs the team nothing.
     pub(crate) ran: bool,
     /// Events that left for the caller.
     pub(crate) events: u64,
@@ -124,7 +128,10 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         if let Some(id) = self.reservation.take() {
-            self.cx.purse.settle(self.cx.now(), id, self.used());
+            let used = self.used();
+            slog::info!(self.cx.log, "settled"; "request" => &self.id, "team" => &self.team,
+                "reserved" => self.counts.most(), "used" => used, "events" => self.events);
+            self.cx.purse.settle(self.cx.now(), id, used);
         }
     }
 }
@@ -262,7 +269,7 @@
 
     let (parts, body) = req.into_parts();
     let body = read_body(cx, body, &table, end).await?;
-    let charge = reserve(cx, service, team, facts.tokens, end).await?;
+    let charge = reserve(cx, id, service, team, facts.tokens, end).await?;
     let mut headers = parts.headers;
     strip(&mut headers);
     let plan = Plan {
@@ -280,6 +287,7 @@
         prompt: facts.prompt,
         team: team.map(|t| t.name.clone()),
         urgency: urgency(team, route),
+        started,
         end,
     };
     run(cx, plan, charge).await
@@ -315,6 +323,7 @@
 /// Reserves the most that a model request may use.
 async fn reserve(
     cx: &Arc<Shared>,
+    id: &str,
     service: &Service,
     team: Option<&Team>,
     counts: Option<TokenCounts>,
@@ -329,7 +338,7 @@
     let budget = prepaid_budget(&team.name);
     let now = cx.now();
     let reserved = match cx.purse.reserve(now, &budget, counts.most()) {
-        Ok(id) => id,
+        Ok(reservation) => reservation,
         Err(NoTokens::Crowded) => {
             return Err(tokens_short("too many requests wait for tokens"));
         }
@@ -356,6 +365,8 @@
     };
     Ok(Some(Charge {
         cx: Arc::clone(cx),
+        id: id.to_owned(),
+        team: team.name.clone(),
         reservation: Some(reserved),
         counts,
         tokens_per_event: engine.tokens_per_event.into(),
@@ -429,7 +440,7 @@
     loop {
         let answered = send(cx, &plan, &mut progress, None).await;
         if let Some(charge) = &mut charge {
-            charge.ran |= progress.may_have_run || answered.is_ok();
+            charge.ran |= matches!(&answered, Ok(a) if a.answer.status.is_success());
         }
         let Answered { running, answer } = match answered {
             Ok(answered) => answered,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -16,6 +16,7 @@
 use anvilloft_gateway::client::Answer;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_routes::Kind;
+use anvilloft_types::prelude::*;
 use bytes::Bytes;
 use futures::Stream;
 use http_body::Frame;
@@ -58,7 +59,8 @@
     // `None` after the end.
     current: Option<(Running, Answer)>,
     splitter: Splitter,
-    started: bool,
+    /// When the first event came.
+    first: Option<Duration>,
 }
 
 impl Events {
@@ -71,7 +73,7 @@
                 return self.fail(BrokenOff::Late, Outcome::Cancelled);
             }
             let gap = match self.plan.kind {
-                Kind::Stream { max_gap, .. } if self.started => max_gap * SILENT_GAPS,
+                Kind::Stream { max_gap, .. } if self.first.is_some() => max_gap * SILENT_GAPS,
                 _ => left,
             };
             match answer.next(gap.min(left)).await {
@@ -82,7 +84,8 @@
                     if whole.is_empty() {
                         continue;
                     }
-                    if !std::mem::replace(&mut self.started, true) {
+                    if self.first.is_none() {
+                        self.first = Some(self.cx.now());
                         running.first_event();
                     }
                     if let Some(charge) = &mut self.charge {
@@ -92,9 +95,12 @@
                 }
                 Ok(None) => {
                     let (running, _) = self.current.take()?;
-                    running.end(Outcome::Ok);
+                    let first = self.first.unwrap_or_default();
                     slog::info!(self.cx.log, "stream ended"; "request" => &self.plan.id,
+                        "endpoint" => &running.pick.endpoint,
+                        "first_ms" => first.saturating_sub(self.plan.started).as_millis() as u64,
                         "events" => self.splitter.events(), "endpoints" => self.progress.sent);
+                    running.end(Outcome::Ok);
                     let rest = self.splitter.finish();
                     return (!rest.is_empty()).then_some(Ok(rest));
                 }
@@ -172,7 +178,7 @@
             charge,
             current: Some((running, answer)),
             splitter: Splitter::default(),
-            started: false,
+            first: None,
         };
         let pieces = futures::stream::unfold(Some(events), |events| async move {
             let mut events = events?;
