--- a/crates/bench/src/budgets/slopes.rs
+++ b/crates/bench/src/budgets/slopes.rs
@@ -211,6 +211,7 @@
                 budget: budget_name((seq as usize * 10) % count),
                 need: 1_000,
                 want: 100_000,
+                lending: false,
             };
             apply(ledger, Body::Grant(grant));
         }
--- a/crates/bench/src/commits.rs
+++ b/crates/bench/src/commits.rs
@@ -325,6 +325,7 @@
                     budget: "budget".into(),
                     need: 1_000,
                     want: 4_000,
+                    lending: false,
                 };
                 match propose(&leader, Body::Grant(grant)).await? {
                     Reply::Granted(_) => times.push(began.elapsed()),
--- a/crates/bench/tests/history.rs
+++ b/crates/bench/tests/history.rs
@@ -486,6 +486,7 @@
             budget,
             need: *need,
             want: *need,
+            lending: false,
         }),
         BudgetCall::Report(router, seq, settled, returned) => Body::Report(Report {
             router: router.clone(),
--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -173,6 +173,7 @@
     outbox: Outbox,
     idle: Duration,
     demand_window: Duration,
+    lending: bool,
     scanned: Duration,
     draining: bool,
 }
@@ -193,6 +194,7 @@
             next_seq: 1,
             idle: IDLE,
             demand_window: WINDOW,
+            lending: false,
             scanned: Duration::ZERO,
             draining: false,
         }
@@ -210,6 +212,40 @@
         self.demand_window = window;
     }
 
+    /// Sets whether routers lend tokens to each other with
+    /// [`reserve_up_to`](Self::reserve_up_to).
+    pub fn set_lending(&mut self, lending: bool) {
+        self.lending = lending;
+    }
+
+    /// Reserves what is idle of a budget, at most `most`. Returns `None` when
+    /// nothing is. Unlike [`reserve`](Self::reserve) it asks for no grant.
+    pub fn reserve_up_to(
+        &mut self,
+        now: Duration,
+        budget: &str,
+        most: Tokens,
+    ) -> Option<(ReservationId, Tokens)> {
+        let local = self.budgets.get_mut(budget)?;
+        let amount = local.idle.min(most);
+        if amount == 0 || self.draining {
+            return None;
+        }
+        local.idle -= amount;
+        local.reserved += amount;
+        local.used_at = now;
+        let id = self.next_id;
+        self.next_id += 1;
+        self.reservations.insert(
+            id,
+            Reservation {
+                budget: budget.into(),
+                amount,
+            },
+        );
+        Some((id, amount))
+    }
+
     /// Sets how long a settlement waits for others of the same report. Without
     /// a pace the first leaves at once and others follow at the round trip.
     pub fn set_report_pace(&mut self, pace: Duration) {
@@ -364,6 +400,7 @@
             budget: budget.into(),
             need,
             want,
+            lending: self.lending,
         };
         self.next_seq += 1;
         local.outstanding = Some(Outstanding {
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -244,6 +244,12 @@
             Some(Request::Renew(req)) => self.read(now, Read::Renew(req), reply),
             Some(Request::Query(q)) => self.read(now, Read::Query(q), reply),
             Some(Request::Group(req)) => self.on_group(now, req, reply),
+            Some(Request::Borrow(_)) => {
+                answer(
+                    reply,
+                    Answer::Unavailable("only routers lend tokens".into()),
+                );
+            }
             None => answer(reply, Answer::Unavailable("empty request".into())),
         }
     }
@@ -259,7 +265,7 @@
                 let message = "a router can't be reported as lost".to_owned();
                 answer(reply, refused("malformed", message));
             }
-            Body::Grant(grant) if self.node.is_settled() => {
+            Body::Grant(grant) if self.node.is_settled() && !grant.lending => {
                 let ready = self.recalls.offer(now, &self.ledger, grant, reply);
                 if let Some((grant, reply)) = ready {
                     self.propose_grant(now, grant, reply);
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -183,6 +183,7 @@
             budget: "b".into(),
             need,
             want: need,
+            lending: false,
         })
     };
     assert_eq!(
--- a/crates/dispatch/src/cache.rs
+++ b/crates/dispatch/src/cache.rs
@@ -25,8 +25,8 @@
     used: u64,
 }
 
-/// The parts that this router sent to one engine, the least recently used
-/// dropped where they exceed its memory.
+/// The parts that routers sent to one engine, the least recently used dropped
+/// where they exceed its memory.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PartCache {
     // Sorted by id.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,10 +4,16 @@
 //! centre before others. Batch engines are chosen by the predicted time to the
 //! first event: the wait for prompts that are being read, the delay measured
 //! lately, and the part of the prompt that the engine's memory doesn't hold.
-//! Every router ranks the engines for a prompt by the same hash of its shared
-//! parts, so that requests of all routers meet at the engine that has read
-//! them. The first shared part, which many prompts have in common, narrows the
-//! engines to a few; the last one picks among these.
+//! Routers tell each other which prompts they sent where, so each knows which
+//! engines have read the shared parts. A prompt whose parts no engine has read
+//! goes to the one that every router ranks first by the same hash: the first
+//! shared part, which many prompts have in common, narrows the engines to a
+//! few, and the last one picks among these.
+//!
+//! Reading a shared part once more costs every request behind it, so it counts
+//! for more than its time. Without that, a crash or a burst moves prompts to
+//! engines that have to read them again, which delays others, which moves them
+//! too, until the engines do little else.
 
 use anvilloft_types::prelude::*;
 use rand::Rng;
@@ -19,14 +25,25 @@
 use crate::endpoint::Announcement;
 use crate::endpoint::Change;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Others;
 use crate::endpoint::Outcome;
+use crate::endpoint::PromptRead;
 use crate::endpoint::Running;
+use crate::endpoint::Work;
 
 /// How long an endpoint that left is remembered, so that a late announcement
 /// doesn't bring it back.
 const LEFT_KEEP: Duration = Duration::from_secs(30);
 /// Largest count of endpoints.
 const MAX_ENDPOINTS: usize = 4_096;
+/// Prompts that wait to be told to peers, at most. Further ones are not told,
+/// and their parts may be read once more.
+const MAX_READS: usize = 256;
+/// Age from which a peer's work is forgotten.
+const PEER_AGE: Duration = Duration::from_secs(2);
+/// Predicted time, in seconds, that an engine with all slots taken needs longer
+/// than an empty one to a first event.
+const CROWD_COST: f64 = 0.2;
 
 /// Fixed properties of a dispatcher.
 #[derive(Clone, Debug)]
@@ -43,11 +60,14 @@
     /// Predicted time that is given up to stay in the own data centre.
     pub remote_cost: Duration,
     /// Chance that the engine which ranks first for a prompt has its shared
-    /// parts in memory, because other routers sent them there.
+    /// parts in memory because of a router whose requests are not told here.
     pub likely_hit: f64,
-    /// Predicted time that is given up so that a prompt's shared parts are not
-    /// read by one more engine.
-    pub reread_cost: Duration,
+    /// Weight of the time to read shared parts again, against the same time as
+    /// a wait.
+    pub reread_weight: f64,
+    /// Predicted time that is given up to send a prompt that no engine has read
+    /// where other routers would send it too.
+    pub home: Duration,
 }
 
 impl DispatcherConfig {
@@ -60,7 +80,8 @@
             prefill_rate: 51_000.0,
             remote_cost: Duration::from_millis(4),
             likely_hit: 0.9,
-            reread_cost: Duration::from_millis(250),
+            reread_weight: 3.0,
+            home: Duration::from_millis(150),
         }
     }
 }
@@ -119,6 +140,12 @@
     cfg: DispatcherConfig,
     // Sorted by id.
     endpoints: Vec<Endpoint>,
+    /// Work that each peer told last, by peer.
+    peers: Vec<(RouterId, Duration, Vec<Work>)>,
+    /// Routers of the fleet, this one included.
+    routers: usize,
+    /// Prompts that were sent since peers were told.
+    reads: Vec<PromptRead>,
     rng: SmallRng,
 }
 
@@ -128,6 +155,9 @@
         Self {
             cfg,
             endpoints: Vec::new(),
+            peers: Vec::new(),
+            routers: 1,
+            reads: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -335,9 +365,7 @@
     fn rank_all(&self, shared: &[Part], of: &[usize]) -> Vec<usize> {
         let mut ranked = of.to_vec();
         let eps = &self.endpoints;
-        let by = |key: u64| {
-            move |at: &usize| std::cmp::Reverse(Self::rank(key, &eps[*at].said.id))
-        };
+        let by = |key: u64| move |at: &usize| std::cmp::Reverse(Self::rank(key, &eps[*at].said.id));
         if let Some(first) = shared.first() {
             ranked.sort_by_key(by(first.id));
         }
@@ -354,6 +382,11 @@
         let shared_tokens: Tokens = shared.iter().map(|p| p.tokens).sum();
         let own_tokens = ask.prompt.last().map_or(0, |p| p.tokens);
         let ranked = self.rank_all(shared, of);
+        let unknown = 1.0 - self.peers.len() as f64 / (self.routers.max(2) - 1) as f64;
+        let likely = self.cfg.likely_hit * unknown.clamp(0.0, 1.0);
+        let is_read = of
+            .iter()
+            .any(|at| self.endpoints[*at].cache.hit(shared) == shared_tokens);
         let mut best = (ranked[0], Reason::Predicted);
         let mut least = f64::INFINITY;
         for (place, at) in ranked.iter().enumerate() {
@@ -361,23 +394,23 @@
             let home = place == 0 && !shared.is_empty();
             let mut missing = (shared_tokens - ep.cache.hit(shared)) as f64;
             if home {
-                missing *= 1.0 - self.cfg.likely_hit;
+                missing *= 1.0 - likely;
             }
-            let read = (missing + own_tokens as f64) / self.cfg.prefill_rate;
-            let reread = match missing > 0.0 && !home {
-                true => self.cfg.reread_cost.as_secs_f64(),
-                false => 0.0,
+            let read = missing * self.cfg.reread_weight + own_tokens as f64;
+            let read = read / self.cfg.prefill_rate;
+            let away = match home || is_read {
+                true => 0.0,
+                false => self.cfg.home.as_secs_f64(),
             };
             let remote = match ep.said.data_centre == self.cfg.data_centre {
                 true => 0.0,
                 false => self.cfg.remote_cost.as_secs_f64(),
             };
-            let crowd = ep.running.len() as f64 / f64::from(ep.said.slots.max(1));
-            let cost = read + reread + ep.backlog(now) + ep.delay(now) + remote + crowd * 0.2;
+            let cost = read + away + ep.wait(now) + remote + ep.crowd() * CROWD_COST;
             let cost = cost + self.rng.random_range(0.0..0.002);
             if cost < least {
                 least = cost;
-                best = match home {
+                best = match missing < 1.0 && !shared.is_empty() {
                     true => (*at, Reason::Affinity),
                     false => (*at, Reason::Predicted),
                 };
@@ -386,10 +419,75 @@
         best
     }
 
+    /// Sets the count of routers, of which only some may be peers.
+    pub fn set_routers(&mut self, routers: usize) {
+        self.routers = routers.max(1);
+    }
+
+    /// Returns this router's work at engines, for its peers.
+    pub fn own_work(&self, now: Duration) -> Vec<Work> {
+        let busy = self.endpoints.iter().filter(|e| !e.running.is_empty());
+        busy.map(|ep| Work {
+            endpoint: ep.said.id.clone(),
+            backlog: Duration::from_secs_f64(ep.backlog(now)),
+            delay: Duration::from_secs_f64(ep.delay(now)),
+            running: u32::try_from(ep.running.len()).unwrap_or(u32::MAX),
+        })
+        .collect()
+    }
+
+    /// Returns the prompts that this router sent since the last call, for its
+    /// peers.
+    pub fn take_reads(&mut self) -> Vec<PromptRead> {
+        std::mem::take(&mut self.reads)
+    }
+
+    /// Takes prompts that a peer sent. `memory` is that of an engine.
+    pub fn peer_reads(&mut self, reads: &[PromptRead], memory: impl Fn(&str) -> Option<Tokens>) {
+        for read in reads {
+            if let Some(ep) = self.find(&read.endpoint)
+                && let Some(memory) = memory(&ep.said.service)
+            {
+                ep.cache.read(&read.prompt, memory);
+            }
+        }
+    }
+
+    /// Takes the work that a peer has at engines. Where only some routers are
+    /// peers, they stand for the others.
+    pub fn peer_work(&mut self, now: Duration, peer: &str, work: Vec<Work>) {
+        self.peers
+            .retain(|(name, at, _)| name != peer && now.saturating_sub(*at) < PEER_AGE);
+        self.peers.push((peer.to_owned(), now, work));
+        for ep in &mut self.endpoints {
+            ep.others = Others {
+                at: now,
+                ..Others::default()
+            };
+        }
+        let peers = std::mem::take(&mut self.peers);
+        let scale = (self.routers.saturating_sub(1)).max(peers.len()) as f64 / peers.len() as f64;
+        for (_, at, work) in &peers {
+            let age = now.saturating_sub(*at).as_secs_f64();
+            for w in work {
+                let Some(ep) = self.find(&w.endpoint) else {
+                    continue;
+                };
+                ep.others.backlog += (w.backlog.as_secs_f64() - age).max(0.0) * scale;
+                ep.others.delay = ep.others.delay.max(w.delay.as_secs_f64() - age);
+                ep.others.running += f64::from(w.running) * scale;
+            }
+        }
+        self.peers = peers;
+    }
+
     /// Notes that a request was sent to an endpoint.
     pub fn started(&mut self, now: Duration, endpoint: &str, no: RequestNo, ask: &Ask<'_>) {
         let rate = self.cfg.prefill_rate;
-        let Some(ep) = self.find(endpoint) else {
+        let found = self
+            .endpoints
+            .binary_search_by(|e| e.said.id.as_str().cmp(endpoint));
+        let Some(ep) = found.ok().and_then(|at| self.endpoints.get_mut(at)) else {
             return;
         };
         let mut prefill = Duration::ZERO;
@@ -398,6 +496,12 @@
             let missing = all - ep.cache.hit(ask.prompt);
             prefill = Duration::from_secs_f64(missing as f64 / rate);
             ep.cache.read(ask.prompt, memory);
+            if self.reads.len() < MAX_READS {
+                self.reads.push(PromptRead {
+                    endpoint: endpoint.to_owned(),
+                    prompt: ask.prompt.to_vec(),
+                });
+            }
         }
         ep.running.push(Running {
             no,
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -4,6 +4,7 @@
 
 use anvilloft_types::prelude::*;
 
+use crate::cache::Part;
 use crate::cache::PartCache;
 use crate::health::Health;
 
@@ -81,6 +82,28 @@
     pub(crate) first: bool,
 }
 
+/// Work of one router at one engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// Name of the engine.
+    pub endpoint: EndpointId,
+    /// Predicted time to read the prompts that wait there.
+    pub backlog: Duration,
+    /// Delay of first events beyond the prediction.
+    pub delay: Duration,
+    /// Requests that run or wait there.
+    pub running: u32,
+}
+
+/// A prompt that an engine reads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptRead {
+    /// Name of the engine.
+    pub endpoint: EndpointId,
+    /// Parts of the prompt, in order.
+    pub prompt: Vec<Part>,
+}
+
 /// One endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct Endpoint {
@@ -94,6 +117,18 @@
     /// Measured delay of first events beyond the prediction, in seconds.
     delay: f64,
     delay_at: Duration,
+    /// Work of peers: prompts that wait, in seconds, the longest delay that one
+    /// of them measured, and requests; as told at a moment.
+    pub(crate) others: Others,
+}
+
+/// Work of all peers at one engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Others {
+    pub(crate) backlog: f64,
+    pub(crate) delay: f64,
+    pub(crate) running: f64,
+    pub(crate) at: Duration,
 }
 
 impl Endpoint {
@@ -107,9 +142,24 @@
             cache: PartCache::default(),
             delay: 0.0,
             delay_at: now,
+            others: Others::default(),
         }
     }
 
+    /// Returns the predicted wait before a new prompt is read: behind the
+    /// prompts of all routers, or as long as the engine was late last.
+    pub(crate) fn wait(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.others.at).as_secs_f64();
+        let others = (self.others.backlog - age).max(0.0);
+        let late = (self.others.delay - age).max(0.0);
+        (self.backlog(now) + others).max(self.delay(now)).max(late)
+    }
+
+    /// Returns the requests of all routers, as a share of the slots.
+    pub(crate) fn crowd(&self) -> f64 {
+        (self.running.len() as f64 + self.others.running) / f64::from(self.said.slots.max(1))
+    }
+
     /// Returns the delay of first events beyond the prediction: as measured,
     /// which fades without new measurements, or as far as a request that still
     /// waits shows.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,4 +21,6 @@
 pub use endpoint::Announcement;
 pub use endpoint::Change;
 pub use endpoint::Outcome;
+pub use endpoint::PromptRead;
+pub use endpoint::Work;
 pub use retry::RepeatBudget;
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -363,7 +363,7 @@
                         Err(e) => return Err(CallError::Unavailable(e.to_string())),
                     }
                 }
-                Some(Request::Group(_)) | None => {
+                Some(Request::Group(_) | Request::Borrow(_)) | None => {
                     return Err(CallError::Unavailable("not offered here".into()));
                 }
             };
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -384,6 +384,8 @@
             .count() as u64;
         let granted = if amounts.unspent < need {
             0
+        } else if c.lending {
+            c.want.max(need).min((amounts.unspent / 2).max(need))
         } else if amounts.unspent < small {
             need
         } else {
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -145,6 +145,7 @@
         budget: budget.into(),
         need,
         want,
+        lending: false,
     })
 }
 
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -1,11 +1,15 @@
 //! The control thread: lease, table, grants, reports and announcements.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use anvilloft_dispatch::Announcement;
 use anvilloft_dispatch::Change;
+use anvilloft_dispatch::Part;
+use anvilloft_dispatch::PromptRead;
+use anvilloft_dispatch::Work;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
@@ -21,15 +25,22 @@
 use anvilloft_wire::control::LeaseGrant;
 use anvilloft_wire::control::Publication;
 use anvilloft_wire::control::RenewLease;
-use anvilloft_wire::frame::Call;
+use anvilloft_wire::control::Request;
 use anvilloft_wire::frame::EndpointUpdate;
+use anvilloft_wire::frame::EngineWork;
 use anvilloft_wire::frame::Payload;
-use anvilloft_wire::session::Handler;
+use anvilloft_wire::frame::PromptRead as WireRead;
+use anvilloft_wire::frame::RouterLoad;
+use anvilloft_wire::peers::FromPeer;
+use anvilloft_wire::peers::Peers;
+use anvilloft_wire::session::FleetOptions;
+use anvilloft_wire::session::FleetPeers;
 use anvilloft_wire::session::Identity;
+use anvilloft_wire::session::PeerCalls;
 use anvilloft_wire::session::Session;
+use anvilloft_wire::session::join_fleet;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -48,8 +59,12 @@
 /// Time between two looks at what is due by time alone: reports, grants that
 /// had no answer, and endpoints that fell silent.
 const TICK: Duration = Duration::from_millis(100);
-/// Frames that wait for the control thread, at most.
-const INBOX: usize = 1_024;
+/// Time between two messages to peers about the work at engines. An engine
+/// reads 13,000 prompt tokens meanwhile, one long prompt.
+const LOAD_EVERY: Duration = Duration::from_millis(250);
+/// Sessions with peers that a router dials, at most. All routers of the smaller
+/// deployments know each other.
+const MOST_PEERS: usize = 10;
 /// Added to an incarnation that control refuses as older than the last: the
 /// clock of the host was set back since.
 const CLOCK_BACK: u64 = 60_000;
@@ -69,17 +84,19 @@
     Closed,
 }
 
-struct Inbox(mpsc::Sender<Payload>);
+/// Lends tokens to peers.
+struct Lender(Arc<Shared>);
 
-impl Handler for Inbox {
-    fn frame(&self, _session: &Arc<Session>, payload: Payload) {
-        // A frame that is lost is made up for by a renewal or a later
-        // announcement.
-        let _ = self.0.try_send(payload);
-    }
-
-    fn call(&self, _session: &Arc<Session>, _call: Call) -> BoxFuture<'static, ControlReply> {
-        Box::pin(async { Answer::Unavailable("a router takes no calls".to_owned()).into() })
+impl PeerCalls for Lender {
+    fn answer(&self, session: &Arc<Session>, req: &ControlRequest) -> Option<ControlReply> {
+        let Some(Request::Borrow(ask)) = &req.request else {
+            return None;
+        };
+        let (now, peer) = (self.0.now(), &session.peer().node);
+        let lent = self.0.purse.lend(now, peer, &ask.budget, ask.most);
+        slog::debug!(self.0.log, "lent"; "peer" => peer, "budget" => &ask.budget,
+            "asked" => ask.most, "amount" => lent.amount);
+        Some(Answer::Lent(lent).into())
     }
 }
 
@@ -98,7 +115,7 @@
     pub(crate) cx: Arc<Shared>,
     pub(crate) identity: Identity,
     pub(crate) members: Vec<SocketAddr>,
-    pub(crate) peer_address: String,
+    pub(crate) peer_listener: TcpListener,
     /// Follows the planned stop: `Leaving` and `Settling` are asked for.
     pub(crate) wanted: watch::Receiver<Phase>,
     pub(crate) phase: watch::Sender<Phase>,
@@ -107,6 +124,7 @@
 struct ControlThread {
     cx: Arc<Shared>,
     client: Arc<ControlClient>,
+    peers: Arc<FleetPeers>,
     seeds: Vec<SocketAddr>,
     members: Vec<SocketAddr>,
     open: OpenIncarnation,
@@ -120,29 +138,41 @@
     /// Version that control says is published.
     published: u64,
     directory_version: u64,
+    load_at: Instant,
 }
 
 /// Runs until everything is settled after a planned stop.
 pub(crate) async fn run(parts: Parts) {
-    let (tx, mut inbox) = mpsc::channel(INBOX);
     let mut wanted = parts.wanted;
+    let peer_address = parts.peer_listener.local_addr();
     let open = OpenIncarnation {
         router: parts.cx.options.name.clone(),
         incarnation: parts.identity.incarnation,
         caller_address: parts.cx.options.listen.to_string(),
-        peer_address: parts.peer_address,
+        peer_address: peer_address.map_or_else(|_| String::new(), |a| a.to_string()),
         data_centre: parts.cx.options.data_centre.clone(),
         state: RouterState::Alive.into(),
     };
-    let client = Arc::new(ControlClient::start(
-        &parts.members,
-        Arc::new(parts.identity),
-        Arc::new(Inbox(tx)),
-        parts.cx.log.clone(),
-    ));
+    let mut options = FleetOptions::new(parts.identity, parts.peer_listener);
+    options.control.clone_from(&parts.members);
+    options.most_peers = MOST_PEERS;
+    options.calls = Arc::new(Lender(Arc::clone(&parts.cx)));
+    let fleet = match join_fleet(options, &parts.cx.log) {
+        Ok(fleet) => fleet,
+        Err(err) => {
+            // Without sessions nothing is ever granted; the callers' port stays
+            // not ready.
+            slog::crit!(parts.cx.log, "can't listen for peers"; "error" => %err);
+            return;
+        }
+    };
+    // Set once: there is one control thread.
+    let _ = parts.cx.peers.set(Arc::clone(&fleet.peers));
+    let mut inbox = fleet.inbox;
     let mut thread = ControlThread {
         cx: parts.cx,
-        client,
+        client: fleet.control,
+        peers: fleet.peers,
         seeds: parts.members.clone(),
         members: parts.members,
         open,
@@ -155,16 +185,17 @@
         renewed: None,
         published: 0,
         directory_version: 0,
+        load_at: Instant::now(),
     };
     thread.open();
     let mut tick = Instant::now() + TICK;
     loop {
         let cx = Arc::clone(&thread.cx);
         tokio::select! {
-            Some(payload) = inbox.recv() => {
-                thread.on_frame(payload);
-                while let Ok(payload) = inbox.try_recv() {
-                    thread.on_frame(payload);
+            Some(frame) = inbox.recv() => {
+                thread.on_frame(frame);
+                while let Ok(frame) = inbox.try_recv() {
+                    thread.on_frame(frame);
                 }
             }
             Some(done) = thread.calls.next(), if !thread.calls.is_empty() => thread.on_done(done),
@@ -317,6 +348,8 @@
             self.directory_version = grant.directory_version;
             let extra = self.cx.options.repeat_extra / grant.routers.len() as f64;
             lock(&self.cx.repeats).set_extra(extra);
+            self.cx.dispatcher().set_routers(grant.routers.len());
+            self.peers.set_routers(&grant.routers);
         }
         for budget in &grant.recalls {
             self.cx.purse.recall(self.cx.now(), budget);
@@ -374,8 +407,21 @@
         }
     }
 
-    fn on_frame(&mut self, payload: Payload) {
-        match payload {
+    fn on_frame(&mut self, frame: FromPeer) {
+        match frame.payload {
+            Payload::LoanEnd(end) => {
+                self.cx.purse.end_loan(self.cx.now(), &frame.node, &end);
+            }
+            Payload::RouterLoad(load) => {
+                let now = self.cx.now();
+                let work = load.engines.into_iter().map(work).collect();
+                let reads: Vec<_> = load.reads.into_iter().map(read).collect();
+                let table = self.cx.table.load();
+                let memory = |service: &str| table.service(service)?.engine.map(|e| e.memory);
+                let mut dispatcher = self.cx.dispatcher();
+                dispatcher.peer_work(now, &frame.node, work);
+                dispatcher.peer_reads(&reads, memory);
+            }
             Payload::EndpointBatch(batch) => {
                 for update in batch.updates {
                     self.on_update(update);
@@ -423,6 +469,33 @@
         if Instant::now() >= self.renew_at {
             self.renew();
         }
+        if Instant::now() >= self.load_at {
+            self.load_at = Instant::now() + LOAD_EVERY;
+            self.tell_load(now);
+        }
+        let overdue = self.cx.purse.close_loans(now);
+        if overdue > 0 {
+            slog::warn!(self.cx.log, "loans never ended count as used up"; "count" => overdue);
+        }
+    }
+
+    fn tell_load(&self, now: Duration) {
+        let peers = self.peers.routers();
+        if peers.is_empty() {
+            return;
+        }
+        let (work, reads) = {
+            let mut dispatcher = self.cx.dispatcher();
+            (dispatcher.own_work(now), dispatcher.take_reads())
+        };
+        let load = RouterLoad {
+            engines: work.into_iter().map(wire_work).collect(),
+            reads: reads.into_iter().map(wire_read).collect(),
+        };
+        for session in peers {
+            // A session that ends loses one message of many.
+            let _ = session.send(Payload::RouterLoad(load.clone()));
+        }
     }
 
     fn on_wanted(&mut self, wanted: Phase) {
@@ -465,6 +538,41 @@
     }
 }
 
+fn work(wire: EngineWork) -> Work {
+    Work {
+        endpoint: wire.endpoint,
+        backlog: Duration::from_millis(wire.backlog_ms.into()),
+        delay: Duration::from_millis(wire.delay_ms.into()),
+        running: wire.running,
+    }
+}
+
+fn read(wire: WireRead) -> PromptRead {
+    let parts = wire.parts.into_iter().zip(wire.tokens);
+    PromptRead {
+        endpoint: wire.endpoint,
+        prompt: parts.map(|(id, tokens)| Part { id, tokens }).collect(),
+    }
+}
+
+fn wire_read(read: PromptRead) -> WireRead {
+    WireRead {
+        endpoint: read.endpoint,
+        parts: read.prompt.iter().map(|p| p.id).collect(),
+        tokens: read.prompt.iter().map(|p| p.tokens).collect(),
+    }
+}
+
+fn wire_work(work: Work) -> EngineWork {
+    let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+    EngineWork {
+        endpoint: work.endpoint,
+        backlog_ms: millis(work.backlog),
+        running: work.running,
+        delay_ms: millis(work.delay),
+    }
+}
+
 /// Returns an announcement in the dispatcher's terms. An endpoint that leaves
 /// may have been heard of by nobody, so its address may be missing.
 fn announcement(update: EndpointUpdate) -> Option<Announcement> {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -34,6 +34,9 @@
 use crate::attempt::send;
 use crate::dialect::Facts;
 use crate::dialect::TokenCounts;
+use crate::loans::Source;
+use crate::loans::gather;
+use crate::loans::settle_all;
 use crate::purse::NoTokens;
 use crate::shared::Shared;
 use crate::shared::lock;
@@ -104,7 +107,7 @@
     /// Id of the request, for logs.
     id: String,
     team: TeamId,
-    reservation: Option<ReservationId>,
+    sources: Vec<Source>,
     counts: TokenCounts,
     tokens_per_event: Tokens,
     /// Whether an endpoint began to answer. A request of which the caller saw
@@ -127,12 +130,12 @@
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        if let Some(id) = self.reservation.take() {
-            let used = self.used();
-            slog::info!(self.cx.log, "settled"; "request" => &self.id, "team" => &self.team,
-                "reserved" => self.counts.most(), "used" => used, "events" => self.events);
-            self.cx.purse.settle(self.cx.now(), id, used);
-        }
+        let sources = std::mem::take(&mut self.sources);
+        let used = self.used();
+        slog::info!(self.cx.log, "settled"; "request" => &self.id, "team" => &self.team,
+            "reserved" => self.counts.most(), "used" => used, "events" => self.events,
+            "sources" => sources.len());
+        settle_all(&self.cx, sources, used);
     }
 }
 
@@ -336,38 +339,15 @@
         return Ok(None);
     };
     let budget = prepaid_budget(&team.name);
-    let now = cx.now();
-    let reserved = match cx.purse.reserve(now, &budget, counts.most()) {
-        Ok(reservation) => reservation,
-        Err(NoTokens::Crowded) => {
-            return Err(tokens_short("too many requests wait for tokens"));
-        }
-        Err(NoTokens::Wait(need, rx)) => {
-            let mut waiting = Waiting {
-                cx,
-                budget: &budget,
-                need: Some(need),
-            };
-            if !cx.in_touch.load(Ordering::Relaxed) {
-                return Err(tokens_short(
-                    "control, which grants tokens, can't be reached",
-                ));
-            }
-            let wait = GRANT_WAIT.min(end.saturating_sub(now));
-            match tokio::time::timeout(wait, rx).await {
-                Ok(Ok(outcome)) => {
-                    waiting.need = None;
-                    outcome.map_err(|refusal| refused(&refusal, counts.most()))?
-                }
-                _ => return Err(tokens_short("no tokens were granted in time")),
-            }
-        }
+    let sources = match granted(cx, &budget, counts.most(), end).await {
+        Ok(id) => vec![Source::Own(id, counts.most())],
+        Err(why) => borrow(cx, &budget, counts.most(), why, end).await?,
     };
     Ok(Some(Charge {
         cx: Arc::clone(cx),
         id: id.to_owned(),
         team: team.name.clone(),
-        reservation: Some(reserved),
+        sources,
         counts,
         tokens_per_event: engine.tokens_per_event.into(),
         ran: false,
@@ -375,6 +355,80 @@
     }))
 }
 
+/// Why this router and control have no tokens for a request.
+enum Short {
+    /// Control granted less than the request may use.
+    Refused(GrantRefusal),
+    /// Control gave no answer in time.
+    Silent,
+    /// Too many requests wait for tokens.
+    Crowded,
+}
+
+/// Reserves tokens of this router's allotment, which control may add to.
+async fn granted(
+    cx: &Shared,
+    budget: &str,
+    amount: Tokens,
+    end: Duration,
+) -> Result<ReservationId, Short> {
+    let now = cx.now();
+    let (need, rx) = match cx.purse.reserve(now, budget, amount) {
+        Ok(id) => return Ok(id),
+        Err(NoTokens::Crowded) => return Err(Short::Crowded),
+        Err(NoTokens::Wait(need, rx)) => (need, rx),
+    };
+    let mut waiting = Waiting {
+        cx,
+        budget,
+        need: Some(need),
+    };
+    if !cx.in_touch.load(Ordering::Relaxed) {
+        return Err(Short::Silent);
+    }
+    let wait = GRANT_WAIT.min(end.saturating_sub(now));
+    match tokio::time::timeout(wait, rx).await {
+        Ok(Ok(outcome)) => {
+            waiting.need = None;
+            outcome.map_err(Short::Refused)
+        }
+        _ => Err(Short::Silent),
+    }
+}
+
+/// Gathers tokens from this router, its peers and the rest of the budget.
+async fn borrow(
+    cx: &Arc<Shared>,
+    budget: &str,
+    amount: Tokens,
+    why: Short,
+    end: Duration,
+) -> Result<Vec<Source>, Refusal> {
+    if let Short::Refused(refusal @ GrantRefusal::Refused(..)) = &why {
+        return Err(refused(refusal, amount));
+    }
+    let mut gathered = gather(cx, budget, amount).await;
+    let missing = amount.saturating_sub(gathered.amount());
+    if missing == 0 {
+        return Ok(gathered.take());
+    }
+    match &why {
+        Short::Refused(refusal @ GrantRefusal::Insufficient(unspent, _)) => {
+            if *unspent >= missing
+                && let Ok(id) = granted(cx, budget, missing, end).await
+            {
+                gathered.push(Source::Own(id, missing));
+                return Ok(gathered.take());
+            }
+            Err(refused(refusal, amount))
+        }
+        Short::Crowded => Err(tokens_short("too many requests wait for tokens")),
+        _ => Err(tokens_short(
+            "control, which grants tokens, can't be reached, and peers have too few",
+        )),
+    }
+}
+
 fn refused(refusal: &GrantRefusal, most: Tokens) -> Refusal {
     match refusal {
         // What other routers hold may be for requests that use less.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,8 +3,8 @@
 //! `relay` starts and stops it. `forward` takes a request from its header to
 //! its answer, `attempt` sends it to one endpoint, `stream` passes the events
 //! of an answer on and resumes them elsewhere, and `events` finds their ends.
-//! `purse` holds the tokens of teams, `control` the sessions with the control
-//! group. `dialect` is the border to a deployment's own names of headers and
+//! `purse` holds the tokens of teams and `loans` those of peers; `control` keeps
+//! in touch with the control group and with peers. `dialect` is the border to a deployment's own names of headers and
 //! its format of the table.
 
 mod attempt;
@@ -12,6 +12,7 @@
 mod dialect;
 mod events;
 mod forward;
+mod loans;
 mod options;
 mod purse;
 mod relay;
--- a/crates/relay/src/purse.rs
+++ b/crates/relay/src/purse.rs
@@ -14,9 +14,13 @@
 use anvilloft_wire::CommandReply;
 use anvilloft_wire::command::Grant;
 use anvilloft_wire::command::Report;
+use anvilloft_wire::control::Lent;
+use anvilloft_wire::frame::LoanEnd;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use crate::loans::Loans;
+
 /// Time over which demand is measured. A grant asks for the demand of two of
 /// them, which lasts through a partition of 10 s while the budget has plenty.
 const DEMAND_WINDOW: Duration = Duration::from_secs(5);
@@ -38,6 +42,7 @@
 
 struct Inner {
     allotments: Allotments,
+    loans: Loans,
     waiting: HashMap<NeedId, oneshot::Sender<Outcome>>,
 }
 
@@ -53,6 +58,7 @@
         Self {
             inner: Mutex::new(Inner {
                 allotments: allotments(router, incarnation),
+                loans: Loans::default(),
                 waiting: HashMap::new(),
             }),
             changed: Notify::new(),
@@ -103,6 +109,49 @@
         inner.allotments.release(now, need);
     }
 
+    /// Reserves what is idle, at most `most`.
+    pub(crate) fn reserve_up_to(
+        &self,
+        now: Duration,
+        budget: &str,
+        most: Tokens,
+    ) -> Option<(ReservationId, Tokens)> {
+        self.lock().allotments.reserve_up_to(now, budget, most)
+    }
+
+    /// Lends what is idle to a peer, at most `most`.
+    pub(crate) fn lend(&self, now: Duration, peer: &str, budget: &str, most: Tokens) -> Lent {
+        let mut inner = self.lock();
+        if !inner.loans.has_room() {
+            return Lent::default();
+        }
+        let Some((loan, amount)) = inner.allotments.reserve_up_to(now, budget, most) else {
+            return Lent::default();
+        };
+        inner.loans.add(now, loan, peer, amount);
+        Lent { loan, amount }
+    }
+
+    /// Ends a loan to a peer.
+    pub(crate) fn end_loan(&self, now: Duration, peer: &str, end: &LoanEnd) {
+        let mut inner = self.lock();
+        if inner.loans.end(end.loan, peer) {
+            inner.allotments.settle(now, end.loan, end.used, None);
+        }
+        drop(inner);
+        self.changed.notify_one();
+    }
+
+    /// Settles loans whose end was never told as used up. Returns their count.
+    pub(crate) fn close_loans(&self, now: Duration) -> usize {
+        let mut inner = self.lock();
+        let overdue = inner.loans.take_overdue(now);
+        for (loan, amount) in &overdue {
+            inner.allotments.settle(now, *loan, *amount, None);
+        }
+        overdue.len()
+    }
+
     pub(crate) fn settle(&self, now: Duration, id: ReservationId, used: Tokens) {
         self.lock().allotments.settle(now, id, used, None);
         self.changed.notify_one();
@@ -153,5 +202,6 @@
     let mut allotments = Allotments::new(router.to_owned(), incarnation);
     allotments.set_demand_window(DEMAND_WINDOW);
     allotments.set_report_pace(REPORT_PACE);
+    allotments.set_lending(true);
     allotments
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -93,8 +94,8 @@
 
 impl Relay {
     /// Starts to serve callers. Must be called within a tokio runtime.
-    /// `members` are addresses of control members, `peer_address` the one that
-    /// peers are told.
+    /// `members` are peer addresses of control members, `peer_listen` the address
+    /// for peer routers.
     ///
     /// # Errors
     ///
@@ -104,13 +105,15 @@
         dialect: Arc<dyn Dialect>,
         identity: Identity,
         members: Vec<SocketAddr>,
-        peer_address: String,
+        peer_listen: SocketAddr,
         log: Logger,
     ) -> Result<Self, RelayError> {
         let listener = TcpListener::bind(options.listen)
             .await
             .map_err(|err| RelayError::Listen(options.listen, err))?;
         let address = listener.local_addr().unwrap_or(options.listen);
+        let peer_listener = std::net::TcpListener::bind(peer_listen)
+            .map_err(|err| RelayError::Listen(peer_listen, err))?;
         let mut options = options;
         options.listen = address;
         let metrics = Arc::new(Metrics::new()?);
@@ -127,6 +130,7 @@
             dispatcher: Mutex::new(Dispatcher::new(dispatcher, rand::random())),
             repeats: Mutex::new(Repeats::new(&options)),
             purse: Purse::new(&options.name, identity.incarnation),
+            peers: OnceLock::new(),
             client: Client::new(limits, MAX_ANSWER_BYTES),
             metrics: Arc::clone(&metrics),
             log: log.clone(),
@@ -141,7 +145,7 @@
             cx: Arc::clone(&cx),
             identity,
             members,
-            peer_address,
+            peer_listener,
             wanted: follow,
             phase: phase_tx,
         };
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -15,6 +16,7 @@
 use anvilloft_gateway::metrics::Metrics;
 use anvilloft_routes::RouteTable;
 use anvilloft_types::prelude::*;
+use anvilloft_wire::session::FleetPeers;
 use arc_swap::ArcSwap;
 use slog::Logger;
 
@@ -88,6 +90,8 @@
     pub(crate) dispatcher: Mutex<Dispatcher>,
     pub(crate) repeats: Mutex<Repeats>,
     pub(crate) purse: Purse,
+    /// Sessions with peers, once the control thread has made them.
+    pub(crate) peers: OnceLock<Arc<FleetPeers>>,
     pub(crate) client: Arc<Client>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log: Logger,
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -11,7 +11,9 @@
 use anvilloft_settings::RouterSettings;
 use anvilloft_settings::SettingsError;
 use anvilloft_telemetry::LogOptions;
+use anvilloft_wire::session::FleetOptions;
 use anvilloft_wire::session::Identity;
+use anvilloft_wire::session::join_fleet;
 use prometheus::IntCounter;
 use quick_error::quick_error;
 use slog::Logger;
@@ -20,11 +22,10 @@
 
 use crate::core::Phase;
 use crate::core::QueueLimits;
+use crate::router::Links;
 use crate::router::Router;
 use crate::router::RouterError;
 use crate::router::RouterOptions;
-use crate::tcp;
-use crate::tcp::TcpOptions;
 
 quick_error! {
     /// Why the daemon ended with a failure.
@@ -133,16 +134,20 @@
         settings.fleet_key.clone(),
     );
     identity.incarnation = options.incarnation;
-    let tcp_options = TcpOptions {
-        identity,
-        listener,
-        control: settings.control.clone(),
-        routers: settings.routers.clone(),
-    };
+    let mut fleet = FleetOptions::new(identity, listener);
+    fleet.control = settings.control.clone();
+    fleet.routers = settings.routers.clone();
     let link_log = log.clone();
     let router = Router::start_with(
         options,
-        move |_| Ok(tcp::links(tcp_options, &link_log)?),
+        move |_| {
+            let fleet = join_fleet(fleet, &link_log)?;
+            Ok(Links {
+                control: fleet.control,
+                peers: fleet.peers,
+                inbox: fleet.inbox,
+            })
+        },
         log.clone(),
     )?;
     Ok(router)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,13 +2,11 @@
 //! stop.
 //!
 //! `core` is the control thread. `router` starts both kinds of threads and
-//! serves callers. `tcp` reaches control and peers over sessions. `daemon` is
-//! the process: settings, log, signals.
+//! serves callers. `daemon` is the process: settings, log, signals.
 
 pub mod core;
 pub mod daemon;
 mod router;
-mod tcp;
 
 pub use router::Links;
 pub use router::Router;
--- a/crates/router/tests/copies.rs
+++ b/crates/router/tests/copies.rs
@@ -54,6 +54,7 @@
         budget: BUDGET.into(),
         need: 10_000,
         want: 10_000,
+        lending: false,
     }));
     let link = fleet.control.join("gone");
     let view = &fleet.routers[0].api().view;
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -199,6 +199,10 @@
     /// Amount that the router would like, in tokens.
     #[prost(uint64, tag = "6")]
     pub want: u64,
+    /// Whether routers lend tokens to each other. The budget may then be divided
+    /// among them to the end, and nothing is recalled for this grant.
+    #[prost(bool, tag = "7")]
+    pub lending: bool,
 }
 
 /// Settles and returns allotted tokens, in order of `seq`, each once.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ControlRequest {
     /// The request itself.
-    #[prost(oneof = "Request", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Request", tags = "1, 2, 3, 4, 5")]
     pub request: Option<Request>,
 }
 
@@ -35,6 +35,32 @@
     /// `QueryResult` or with `Applied` that holds `Ok` or `Refused`.
     #[prost(message, tag = "4")]
     Group(GroupRequest),
+    /// Asks a peer router for tokens that it holds. Answered with `Lent`.
+    #[prost(message, tag = "5")]
+    Borrow(Borrow),
+}
+
+/// Asks a peer router to reserve tokens of its allotment for a request at the
+/// asker. The lender settles what was used, so the ledger needs not know.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Borrow {
+    /// Budget to draw on.
+    #[prost(string, tag = "1")]
+    pub budget: String,
+    /// Most tokens that help.
+    #[prost(uint64, tag = "2")]
+    pub most: u64,
+}
+
+/// Tokens that a router reserved for a peer.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Lent {
+    /// Number of the loan at the lender; named in `LoanEnd`.
+    #[prost(uint64, tag = "1")]
+    pub loan: u64,
+    /// Tokens, 0 when the lender has none idle.
+    #[prost(uint64, tag = "2")]
+    pub amount: u64,
 }
 
 /// Reads or changes the membership of the control group.
@@ -213,7 +239,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ControlReply {
     /// The reply itself.
-    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub answer: Option<Answer>,
 }
 
@@ -238,6 +264,9 @@
     /// The command may have been committed; resend it with the same ids.
     #[prost(string, tag = "6")]
     Unknown(String),
+    /// Tokens that a peer router reserved.
+    #[prost(message, tag = "7")]
+    Lent(Lent),
 }
 
 quick_error! {
@@ -304,6 +333,14 @@
     }
 }
 
+impl From<Borrow> for ControlRequest {
+    fn from(req: Borrow) -> Self {
+        Self {
+            request: Some(Request::Borrow(req)),
+        }
+    }
+}
+
 impl From<GroupRequest> for ControlRequest {
     fn from(req: GroupRequest) -> Self {
         Self {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -44,7 +44,10 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// The frame itself.
-    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "Payload",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
     pub payload: Option<Payload>,
 }
 
@@ -88,6 +91,65 @@
     /// Announcements that control members pass on to routers.
     #[prost(message, tag = "12")]
     EndpointBatch(EndpointBatch),
+    /// Ends a loan of tokens between routers.
+    #[prost(message, tag = "13")]
+    LoanEnd(LoanEnd),
+    /// Work that a router has at engines, for its peers.
+    #[prost(message, tag = "14")]
+    RouterLoad(RouterLoad),
+}
+
+/// Tells the lender what a request used of the tokens that it lent.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct LoanEnd {
+    /// Number of the loan at the lender.
+    #[prost(uint64, tag = "1")]
+    pub loan: u64,
+    /// Tokens used; the rest is the lender's again.
+    #[prost(uint64, tag = "2")]
+    pub used: u64,
+}
+
+/// Work that a router has at engines.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct RouterLoad {
+    /// Engines with work of this router.
+    #[prost(message, repeated, tag = "1")]
+    pub engines: Vec<EngineWork>,
+    /// Prompts that this router sent since its last message.
+    #[prost(message, repeated, tag = "2")]
+    pub reads: Vec<PromptRead>,
+}
+
+/// A prompt that an engine reads, after which its memory holds the parts.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct PromptRead {
+    /// Name of the engine.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Identities of the parts, in order.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub parts: Vec<u64>,
+    /// Their lengths in tokens, in the same order.
+    #[prost(uint64, repeated, tag = "3")]
+    pub tokens: Vec<u64>,
+}
+
+/// Work that one router has at one engine.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct EngineWork {
+    /// Name of the engine.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Predicted time to read the prompts that wait there, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub backlog_ms: u32,
+    /// Requests that run or wait there.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Measured delay of first events beyond the prediction, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub delay_ms: u32,
 }
 
 /// Announcements that were received since the last batch.
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -3,9 +3,11 @@
 //! `handshake` proves to each side that the other holds the fleet key and
 //! derives one key a direction. `seal` adds a MAC to each frame. `peer` runs an
 //! open session, `server` accepts sessions, `link` keeps one open to an
-//! address, and `client` implements [`crate::Control`] over links.
+//! address, `client` implements [`crate::Control`] over links, and
+//! `fleet` keeps the sessions of a router.
 
 mod client;
+mod fleet;
 mod handshake;
 mod link;
 mod peer;
@@ -18,6 +20,11 @@
 use quick_error::quick_error;
 
 pub use client::ControlClient;
+pub use fleet::Fleet;
+pub use fleet::FleetOptions;
+pub use fleet::FleetPeers;
+pub use fleet::PeerCalls;
+pub use fleet::join_fleet;
 pub use handshake::Identity;
 pub use link::Link;
 pub use peer::Handler;
--- a/crates/router/src/tcp.rs
+++ b/crates/wire/src/session/fleet.rs
@@ -1,4 +1,4 @@
-//! Control and peers over authenticated TCP sessions.
+//! The sessions of one router: with control members and with peer routers.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,29 +9,28 @@
 use std::sync::Weak;
 use std::time::Duration;
 
+use super::ControlClient;
+use super::Handler;
+use super::Identity;
+use super::Link;
+use super::Session;
+use super::SessionError;
+use super::serve;
+use crate::command::OpenIncarnation;
+use crate::control::Answer;
+use crate::control::CallError;
+use crate::control::ControlReply;
+use crate::control::ControlRequest;
+use crate::frame::Call;
+use crate::frame::Payload;
+use crate::peers::FromPeer;
+use crate::peers::Peers;
 use anvilloft_types::BoxFuture;
-use anvilloft_wire::CallError;
-use anvilloft_wire::ControlReply;
-use anvilloft_wire::command::OpenIncarnation;
-use anvilloft_wire::control::Answer;
-use anvilloft_wire::frame::Call;
-use anvilloft_wire::frame::Payload;
-use anvilloft_wire::peers::FromPeer;
-use anvilloft_wire::peers::Peers;
-use anvilloft_wire::session::ControlClient;
-use anvilloft_wire::session::Handler;
-use anvilloft_wire::session::Identity;
-use anvilloft_wire::session::Link;
-use anvilloft_wire::session::Session;
-use anvilloft_wire::session::SessionError;
-use anvilloft_wire::session::serve;
 use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use crate::router::Links;
-
 /// Frames of peers that wait for the control thread, at most.
 const INBOX: usize = 4096;
 /// Sessions with peers, at most.
@@ -42,15 +41,64 @@
 /// Role of routers in hellos.
 const ROUTER: &str = "router";
 
+/// Answers calls of peer routers that are meant for this router itself.
+pub trait PeerCalls: Send + Sync {
+    /// Returns the reply, or `None` for a call that is meant for control.
+    fn answer(&self, session: &Arc<Session>, req: &ControlRequest) -> Option<ControlReply>;
+}
+
+/// Relays every call to control.
+struct NoCalls;
+
+impl PeerCalls for NoCalls {
+    fn answer(&self, _session: &Arc<Session>, _req: &ControlRequest) -> Option<ControlReply> {
+        None
+    }
+}
+
 /// Addresses and identity for the sessions of a router.
-pub(crate) struct TcpOptions {
-    pub(crate) identity: Identity,
-    pub(crate) listener: std::net::TcpListener,
-    pub(crate) control: Vec<SocketAddr>,
-    pub(crate) routers: Vec<SocketAddr>,
+pub struct FleetOptions {
+    /// Who this router is.
+    pub identity: Identity,
+    /// Listener for peers.
+    pub listener: std::net::TcpListener,
+    /// Peer addresses of control members.
+    pub control: Vec<SocketAddr>,
+    /// Peer addresses of routers that are known from the start.
+    pub routers: Vec<SocketAddr>,
+    /// Most sessions with peer routers that this router dials. With more
+    /// routers, each dials those that follow it on a ring of all names.
+    pub most_peers: usize,
+    /// Answers calls of peers that are meant for this router.
+    pub calls: Arc<dyn PeerCalls>,
+}
+
+impl FleetOptions {
+    /// Returns the options of a router with a session to every other one.
+    pub fn new(identity: Identity, listener: std::net::TcpListener) -> Self {
+        Self {
+            identity,
+            listener,
+            control: Vec::new(),
+            routers: Vec::new(),
+            most_peers: usize::MAX,
+            calls: Arc::new(NoCalls),
+        }
+    }
 }
 
-struct Shared {
+/// The sessions of one router. Dropping it ends them.
+pub struct Fleet {
+    /// Access to the ledger.
+    pub control: Arc<ControlClient>,
+    /// Access to peers.
+    pub peers: Arc<FleetPeers>,
+    /// Frames of peers and of control.
+    pub inbox: mpsc::Receiver<FromPeer>,
+}
+
+/// Sessions of a router by name of the peer.
+pub struct FleetPeers {
     name: String,
     identity: Arc<Identity>,
     sessions: Mutex<HashMap<String, Arc<Session>>>,
@@ -58,8 +106,10 @@
     fixed: Vec<SocketAddr>,
     inbox: mpsc::Sender<FromPeer>,
     control: OnceLock<Arc<ControlClient>>,
+    most_peers: usize,
+    calls: Arc<dyn PeerCalls>,
     log: Logger,
-    this: Weak<Shared>,
+    this: Weak<FleetPeers>,
     // Ends the acceptor when the router ends.
     _stop: watch::Sender<bool>,
 }
@@ -69,13 +119,17 @@
 }
 
 /// Starts the sessions. Must be called within the control thread's runtime.
-pub(crate) fn links(options: TcpOptions, log: &Logger) -> std::io::Result<Links> {
+///
+/// # Errors
+///
+/// When the listener can't be used.
+pub fn join_fleet(options: FleetOptions, log: &Logger) -> std::io::Result<Fleet> {
     let (tx, inbox) = mpsc::channel(INBOX);
     let (stop, stopped) = watch::channel(false);
     let identity = Arc::new(options.identity);
     options.listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(options.listener)?;
-    let shared = Arc::new_cyclic(|this| Shared {
+    let shared = Arc::new_cyclic(|this| FleetPeers {
         name: identity.node.clone(),
         identity: Arc::clone(&identity),
         sessions: Mutex::new(HashMap::new()),
@@ -83,6 +137,8 @@
         fixed: options.routers.clone(),
         inbox: tx,
         control: OnceLock::new(),
+        most_peers: options.most_peers,
+        calls: options.calls,
         log: log.clone(),
         this: this.clone(),
         _stop: stop,
@@ -108,16 +164,16 @@
     for address in options.routers {
         shared.dial(address);
     }
-    Ok(Links {
+    Ok(Fleet {
         control,
         peers: shared,
         inbox,
     })
 }
 
-impl Shared {
-    /// Returns the sessions with routers, for calls that control can't take.
-    fn routers(&self) -> Vec<Arc<Session>> {
+impl FleetPeers {
+    /// Returns the open sessions with peer routers.
+    pub fn routers(&self) -> Vec<Arc<Session>> {
         lock(&self.sessions)
             .values()
             .filter(|s| s.peer().role == ROUTER && s.is_open())
@@ -125,6 +181,23 @@
             .collect()
     }
 
+    /// Returns the peer addresses of the routers that this one dials.
+    fn to_dial(&self, routers: &[OpenIncarnation]) -> Vec<SocketAddr> {
+        let others = routers.iter().filter(|r| r.router != self.name);
+        let mut others: Vec<&OpenIncarnation> = others.collect();
+        if others.len() <= self.most_peers {
+            // Of two routers, the one whose name comes first dials.
+            others.retain(|r| self.name < r.router);
+        } else {
+            others.sort_by(|a, b| a.router.cmp(&b.router));
+            let next = others.partition_point(|r| r.router < self.name);
+            others.rotate_left(next);
+            others.truncate(self.most_peers);
+        }
+        let addresses = others.iter().filter_map(|r| r.peer_address.parse().ok());
+        addresses.collect()
+    }
+
     fn dial(&self, address: SocketAddr) {
         let Some(this) = self.this.upgrade() else {
             return;
@@ -138,7 +211,7 @@
     }
 }
 
-impl Handler for Shared {
+impl Handler for FleetPeers {
     fn opened(&self, session: &Arc<Session>) {
         let mut sessions = lock(&self.sessions);
         if sessions.len() < MAX_SESSIONS {
@@ -175,7 +248,12 @@
         }
     }
 
-    fn call(&self, _session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
+    fn call(&self, session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
+        if let Some(req) = &call.request
+            && let Some(reply) = self.calls.answer(session, req)
+        {
+            return Box::pin(async move { reply });
+        }
         let control = self.control.get().cloned();
         Box::pin(async move {
             let limit = Duration::from_millis(call.timeout_ms);
@@ -194,19 +272,14 @@
     }
 }
 
-impl Peers for Shared {
+impl Peers for FleetPeers {
     fn send(&self, node: &str, payload: Payload) -> bool {
         let session = lock(&self.sessions).get(node).cloned();
         session.is_some_and(|s| s.send(payload).is_ok())
     }
 
     fn set_routers(&self, routers: &[OpenIncarnation]) {
-        // Of two routers, the one whose name comes first dials.
-        let wanted: Vec<SocketAddr> = routers
-            .iter()
-            .filter(|r| self.name < r.router)
-            .filter_map(|r| r.peer_address.parse().ok())
-            .collect();
+        let wanted = self.to_dial(routers);
         for address in &wanted {
             self.dial(*address);
         }
