Judge the delay of engines by rank

Change: backlog and delay of an engine count by rank; a rank waits only for those that go before it.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -28,8 +28,10 @@
 use crate::endpoint::Others;
 use crate::endpoint::Outcome;
 use crate::endpoint::PromptRead;
+use crate::endpoint::RANKS;
 use crate::endpoint::Running;
 use crate::endpoint::Work;
+use crate::endpoint::rank;
 
 /// How long an endpoint that left is remembered, so that a late announcement
 /// doesn't bring it back.
@@ -93,6 +95,8 @@
     pub service: &'a str,
     /// Whether the service's endpoints are batch engines.
     pub engine_memory: Option<Tokens>,
+    /// Rank of the route, 0 first.
+    pub level: u8,
     /// Parts of the prompt, in order.
     pub prompt: &'a [Part],
     /// Endpoints that the request was sent to already.
@@ -357,7 +361,7 @@
     }
 
     /// Returns the hash by which all routers rank an engine for a prompt part.
-    fn rank(key: u64, id: &str) -> u64 {
+    fn order(key: u64, id: &str) -> u64 {
         xxh3_64_with_seed(id.as_bytes(), key)
     }
 
@@ -365,7 +369,8 @@
     fn rank_all(&self, shared: &[Part], of: &[usize]) -> Vec<usize> {
         let mut ranked = of.to_vec();
         let eps = &self.endpoints;
-        let by = |key: u64| move |at: &usize| std::cmp::Reverse(Self::rank(key, &eps[*at].said.id));
+        let by =
+            |key: u64| move |at: &usize| std::cmp::Reverse(Self::order(key, &eps[*at].said.id));
         if let Some(first) = shared.first() {
             ranked.sort_by_key(by(first.id));
         }
@@ -406,7 +411,8 @@
                 true => 0.0,
                 false => self.cfg.remote_cost.as_secs_f64(),
             };
-            let cost = read + away + ep.wait(now) + remote + ep.crowd() * CROWD_COST;
+            let cost =
+                read + away + ep.wait(now, rank(ask.level)) + remote + ep.crowd() * CROWD_COST;
             let cost = cost + self.rng.random_range(0.0..0.002);
             if cost < least {
                 least = cost;
@@ -429,8 +435,8 @@
         let busy = self.endpoints.iter().filter(|e| !e.running.is_empty());
         busy.map(|ep| Work {
             endpoint: ep.said.id.clone(),
-            backlog: Duration::from_secs_f64(ep.backlog(now)),
-            delay: Duration::from_secs_f64(ep.delay(now)),
+            backlog: std::array::from_fn(|r| Duration::from_secs_f64(ep.backlog(now, r))),
+            delay: std::array::from_fn(|r| Duration::from_secs_f64(ep.delay(now, r))),
             running: u32::try_from(ep.running.len()).unwrap_or(u32::MAX),
         })
         .collect()
@@ -473,8 +479,12 @@
                 let Some(ep) = self.find(&w.endpoint) else {
                     continue;
                 };
-                ep.others.backlog += (w.backlog.as_secs_f64() - age).max(0.0) * scale;
-                ep.others.delay = ep.others.delay.max(w.delay.as_secs_f64() - age);
+                for r in 0..RANKS {
+                    let backlog = w.backlog[r].as_secs_f64() - age;
+                    ep.others.backlog[r] += backlog.max(0.0) * scale;
+                    let delay = w.delay[r].as_secs_f64() - age;
+                    ep.others.delay[r] = ep.others.delay[r].max(delay);
+                }
                 ep.others.running += f64::from(w.running) * scale;
             }
         }
@@ -507,6 +517,7 @@
             no,
             started: now,
             prefill,
+            rank: rank(ask.level),
             first: false,
         });
     }
@@ -519,7 +530,8 @@
             run.first = true;
             let took = now.saturating_sub(run.started);
             let delay = took.as_secs_f64() - run.prefill.as_secs_f64();
-            ep.measured(now, delay);
+            let rank = run.rank;
+            ep.measured(now, rank, delay);
         }
     }
 
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -79,18 +79,28 @@
     pub(crate) started: Duration,
     /// Predicted time to read the uncached part of the prompt.
     pub(crate) prefill: Duration,
+    pub(crate) rank: usize,
     pub(crate) first: bool,
 }
 
+/// Ranks that are told apart. Engines read prompts of urgent work first, so
+/// less urgent work delays no other.
+pub const RANKS: usize = 3;
+
+/// Returns the rank of a route's level.
+pub(crate) fn rank(level: u8) -> usize {
+    usize::from(level).min(RANKS - 1)
+}
+
 /// Work of one router at one engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Work {
     /// Name of the engine.
     pub endpoint: EndpointId,
-    /// Predicted time to read the prompts that wait there.
-    pub backlog: Duration,
-    /// Delay of first events beyond the prediction.
-    pub delay: Duration,
+    /// Predicted time to read the prompts that wait there, by rank.
+    pub backlog: [Duration; RANKS],
+    /// Delay of first events beyond the prediction, by rank.
+    pub delay: [Duration; RANKS],
     /// Requests that run or wait there.
     pub running: u32,
 }
@@ -114,9 +124,9 @@
     pub(crate) running: Vec<Running>,
     pub(crate) health: Health,
     pub(crate) cache: PartCache,
-    /// Measured delay of first events beyond the prediction, in seconds.
-    delay: f64,
-    delay_at: Duration,
+    /// Measured delay of first events beyond the prediction, in seconds, and
+    /// when it was measured, by rank.
+    delay: [(f64, Duration); RANKS],
     /// Work of peers: prompts that wait, in seconds, the longest delay that one
     /// of them measured, and requests; as told at a moment.
     pub(crate) others: Others,
@@ -125,8 +135,8 @@
 /// Work of all peers at one engine.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Others {
-    pub(crate) backlog: f64,
-    pub(crate) delay: f64,
+    pub(crate) backlog: [f64; RANKS],
+    pub(crate) delay: [f64; RANKS],
     pub(crate) running: f64,
     pub(crate) at: Duration,
 }
@@ -140,19 +150,25 @@
             running: Vec::new(),
             health: Health::default(),
             cache: PartCache::default(),
-            delay: 0.0,
-            delay_at: now,
+            delay: [(0.0, now); RANKS],
             others: Others::default(),
         }
     }
 
-    /// Returns the predicted wait before a new prompt is read: behind the
-    /// prompts of all routers, or as long as the engine was late last.
-    pub(crate) fn wait(&self, now: Duration) -> f64 {
+    /// Returns the predicted wait before a new prompt of a rank is read: behind
+    /// the prompts of all routers that go first, or as long as such a prompt
+    /// was late last.
+    pub(crate) fn wait(&self, now: Duration, rank: usize) -> f64 {
         let age = now.saturating_sub(self.others.at).as_secs_f64();
-        let others = (self.others.backlog - age).max(0.0);
-        let late = (self.others.delay - age).max(0.0);
-        (self.backlog(now) + others).max(self.delay(now)).max(late)
+        let mut backlog = 0.0;
+        let mut delay: f64 = 0.0;
+        for r in 0..=rank {
+            backlog += self.backlog(now, r) + (self.others.backlog[r] - age).max(0.0);
+            delay = delay
+                .max(self.delay(now, r))
+                .max(self.others.delay[r] - age);
+        }
+        delay.max(backlog)
     }
 
     /// Returns the requests of all routers, as a share of the slots.
@@ -160,38 +176,41 @@
         (self.running.len() as f64 + self.others.running) / f64::from(self.said.slots.max(1))
     }
 
-    /// Returns the delay of first events beyond the prediction: as measured,
-    /// which fades without new measurements, or as far as a request that still
-    /// waits shows.
-    pub(crate) fn delay(&self, now: Duration) -> f64 {
-        let waiting = self.running.iter().filter(|r| !r.first);
-        let overdue = waiting.map(|r| {
+    /// Returns the delay of first events of a rank beyond the prediction: as
+    /// measured, which fades without new measurements, or as far as a request
+    /// that still waits shows.
+    pub(crate) fn delay(&self, now: Duration, rank: usize) -> f64 {
+        let overdue = self.waiting(rank).map(|r| {
             let gone = now.saturating_sub(r.started);
             gone.saturating_sub(r.prefill).as_secs_f64()
         });
-        overdue.fold(self.faded(now), f64::max)
+        overdue.fold(self.faded(now, rank), f64::max)
     }
 
-    fn faded(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.delay_at).as_secs_f64();
-        self.delay * 0.5_f64.powf(age / DELAY_HALF_LIFE)
+    fn faded(&self, now: Duration, rank: usize) -> f64 {
+        let (delay, at) = self.delay[rank];
+        let age = now.saturating_sub(at).as_secs_f64();
+        delay * 0.5_f64.powf(age / DELAY_HALF_LIFE)
     }
 
-    pub(crate) fn measured(&mut self, now: Duration, delay: f64) {
-        let old = self.faded(now);
-        self.delay = old + (delay.max(0.0) - old) * DELAY_GAIN;
-        self.delay_at = now;
+    pub(crate) fn measured(&mut self, now: Duration, rank: usize, delay: f64) {
+        let old = self.faded(now, rank);
+        self.delay[rank] = (old + (delay.max(0.0) - old) * DELAY_GAIN, now);
     }
 
-    /// Returns the predicted time to read the prompts that were sent and have
-    /// brought no event yet.
-    pub(crate) fn backlog(&self, now: Duration) -> f64 {
-        let waiting = self.running.iter().filter(|r| !r.first);
-        waiting
+    /// Returns the predicted time to read the prompts of a rank that were sent
+    /// and have brought no event yet.
+    pub(crate) fn backlog(&self, now: Duration, rank: usize) -> f64 {
+        self.waiting(rank)
             .map(|r| {
                 let gone = now.saturating_sub(r.started);
                 r.prefill.saturating_sub(gone).as_secs_f64()
             })
             .sum()
     }
+
+    fn waiting(&self, rank: usize) -> impl Iterator<Item = &Running> {
+        let waits = move |r: &&Running| r.rank == rank && !r.first;
+        self.running.iter().filter(waits)
+    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,5 +22,6 @@
 pub use endpoint::Change;
 pub use endpoint::Outcome;
 pub use endpoint::PromptRead;
+pub use endpoint::RANKS;
 pub use endpoint::Work;
 pub use retry::RepeatBudget;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -49,6 +49,8 @@
     pub(crate) prompt: Vec<Part>,
     pub(crate) team: Option<TeamId>,
     pub(crate) urgency: u8,
+    /// Rank of the route, 0 first.
+    pub(crate) level: u8,
     /// When the request came, by the relay's clock.
     pub(crate) started: Duration,
     /// When the caller must have the answer, by the same clock.
@@ -60,6 +62,7 @@
         Ask {
             service: &self.service,
             engine_memory: self.engine_memory,
+            level: self.level,
             prompt: &self.prompt,
             tried,
         }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -539,10 +539,13 @@
 }
 
 fn work(wire: EngineWork) -> Work {
+    let by_rank = |ms: &[u32]| {
+        std::array::from_fn(|r| Duration::from_millis(ms.get(r).copied().unwrap_or(0).into()))
+    };
     Work {
+        backlog: by_rank(&wire.backlog_ms),
+        delay: by_rank(&wire.delay_ms),
         endpoint: wire.endpoint,
-        backlog: Duration::from_millis(wire.backlog_ms.into()),
-        delay: Duration::from_millis(wire.delay_ms.into()),
         running: wire.running,
     }
 }
@@ -564,12 +567,12 @@
 }
 
 fn wire_work(work: Work) -> EngineWork {
-    let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+    let millis = |d: &Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
     EngineWork {
         endpoint: work.endpoint,
-        backlog_ms: millis(work.backlog),
+        backlog_ms: work.backlog.iter().map(millis).collect(),
         running: work.running,
-        delay_ms: millis(work.delay),
+        delay_ms: work.delay.iter().map(millis).collect(),
     }
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -290,6 +290,7 @@
         prompt: facts.prompt,
         team: team.map(|t| t.name.clone()),
         urgency: urgency(team, route),
+        level: route.level,
         started,
         end,
     };
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -135,21 +135,22 @@
     pub tokens: Vec<u64>,
 }
 
-/// Work that one router has at one engine.
+/// Work that one router has at one engine. Lists go by rank, 0 first; ranks
+/// that are missing have none.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct EngineWork {
     /// Name of the engine.
     #[prost(string, tag = "1")]
     pub endpoint: String,
     /// Predicted time to read the prompts that wait there, in milliseconds.
-    #[prost(uint32, tag = "2")]
-    pub backlog_ms: u32,
+    #[prost(uint32, repeated, tag = "2")]
+    pub backlog_ms: Vec<u32>,
     /// Requests that run or wait there.
     #[prost(uint32, tag = "3")]
     pub running: u32,
     /// Measured delay of first events beyond the prediction, in milliseconds.
-    #[prost(uint32, tag = "4")]
-    pub delay_ms: u32,
+    #[prost(uint32, repeated, tag = "4")]
+    pub delay_ms: Vec<u32>,
 }
 
 /// Announcements that were received since the last batch.
