Build up reserves for partitions and settle what lost routers held

Change: a lending router's reserve grows by time, to 10 s of demand in 4 s, and the ledger keeps the reserves of a budget to a third of what is left. What a lost router held of a prepaid budget counts as used: it may have served on while it was cut off.

--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -138,6 +138,14 @@
         self.used_at = now;
     }
 
+    /// Returns the demand of a window: that of the last one, or of the present
+    /// one as far as it tells.
+    fn rate(&self, now: Duration, window: Duration) -> Tokens {
+        let age = now.saturating_sub(self.window).max(window / 3);
+        let present = self.demand as f64 * window.as_secs_f64() / age.as_secs_f64();
+        self.last_demand.max(present as Tokens)
+    }
+
     fn is_unused(&self) -> bool {
         self.idle == 0
             && self.reserved == 0
@@ -153,6 +161,21 @@
     amount: Tokens,
 }
 
+/// How a lending router builds up idle tokens for a partition from control.
+///
+/// Tokens at a router are lost to their team when the router dies, so a reserve
+/// grows slowly: a router that has just come back from a partition, or has just
+/// started, holds little.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reserve {
+    /// Time between two grants for the reserve of one budget.
+    pub every: Duration,
+    /// Demand that the whole reserve lasts for.
+    pub lasts: Duration,
+    /// Demand by which it grows with each grant, beyond what is used meanwhile.
+    pub step: Duration,
+}
+
 /// Allotments, reservations and unreported settlements of one router
 /// incarnation.
 #[derive(Debug)]
@@ -173,8 +196,9 @@
     outbox: Outbox,
     idle: Duration,
     demand_window: Duration,
-    lending: bool,
+    lending: Option<Reserve>,
     scanned: Duration,
+    reserves_at: Duration,
     draining: bool,
 }
 
@@ -194,8 +218,9 @@
             next_seq: 1,
             idle: IDLE,
             demand_window: WINDOW,
-            lending: false,
+            lending: None,
             scanned: Duration::ZERO,
+            reserves_at: Duration::ZERO,
             draining: false,
         }
     }
@@ -212,10 +237,11 @@
         self.demand_window = window;
     }
 
-    /// Sets whether routers lend tokens to each other with
-    /// [`reserve_up_to`](Self::reserve_up_to).
-    pub fn set_lending(&mut self, lending: bool) {
-        self.lending = lending;
+    /// Lets routers lend tokens to each other with
+    /// [`reserve_up_to`](Self::reserve_up_to), and builds up a reserve of each
+    /// budget in use.
+    pub fn set_lending(&mut self, reserve: Reserve) {
+        self.lending = Some(reserve);
     }
 
     /// Reserves what is idle of a budget, at most `most`. Returns `None` when
@@ -271,11 +297,12 @@
             local.idle -= amount;
             local.reserved += amount;
             // Asks early, so that the next requests need not wait for a reply.
-            if !self.draining
-                && local.outstanding.is_none()
-                && now >= local.early_after
-                && local.idle < local.last_demand / 2
-            {
+            let low = match self.lending {
+                // Grants for the reserve are due by time.
+                Some(_) => false,
+                None => local.idle < local.last_demand / 2,
+            };
+            if !self.draining && local.outstanding.is_none() && now >= local.early_after && low {
                 self.due.push_back(budget.into());
             }
             self.reservations.insert(
@@ -339,6 +366,7 @@
     /// Returns the next grant to propose, or an unanswered one to propose
     /// again. At most one is outstanding for each budget.
     pub fn next_grant(&mut self, now: Duration) -> Option<Grant> {
+        self.scan_reserves(now);
         while let Some(budget) = self.due.pop_front() {
             if let Some(grant) = self.make_grant(now, &budget) {
                 return Some(grant);
@@ -358,6 +386,27 @@
         None
     }
 
+    /// Looks for reserves that are due to grow.
+    fn scan_reserves(&mut self, now: Duration) {
+        let Some(reserve) = self.lending else {
+            return;
+        };
+        if self.draining || now < self.reserves_at {
+            return;
+        }
+        self.reserves_at = now + reserve.every / 4;
+        let window = self.demand_window;
+        for (budget, local) in &mut self.budgets {
+            if now.saturating_sub(local.window) >= window * 2 {
+                local.demand = 0;
+                local.last_demand = 0;
+            }
+            if now >= local.early_after && local.outstanding.is_none() {
+                self.due.push_back(budget.clone());
+            }
+        }
+    }
+
     fn make_grant(&mut self, now: Duration, budget: &str) -> Option<Grant> {
         let local = self.budgets.get(budget)?;
         if local.ask_in_full && local.outstanding.is_none() && local.idle > 0 {
@@ -379,8 +428,33 @@
             .iter()
             .take(covers)
             .fold(0, |s: Tokens, (_, t)| s.saturating_add(*t));
-        let rate = local.last_demand.max(local.demand);
-        let (need, want) = if covers > 0 {
+        let window = self.demand_window;
+        let rate = match self.lending {
+            Some(_) => local.rate(now, window),
+            None => local.last_demand.max(local.demand),
+        };
+        let demand_of =
+            |time: Duration| (rate as f64 * time.as_secs_f64() / window.as_secs_f64()) as Tokens;
+        let (need, want) = if let Some(reserve) = self.lending {
+            let need = match covers {
+                0 => 0,
+                _ => sum.saturating_sub(local.idle).max(1),
+            };
+            let most = demand_of(reserve.lasts).saturating_sub(local.idle);
+            let due = now >= local.early_after && most > 0 && !self.draining;
+            if need == 0 && !due {
+                return None;
+            }
+            let step = match due {
+                true => demand_of(reserve.every + reserve.step).min(most),
+                false => 0,
+            };
+            if due {
+                local.early_after = now + reserve.every;
+            }
+            // A reserve is worth having in any size.
+            (need.max(1), need.saturating_add(step))
+        } else if covers > 0 {
             let need = sum.saturating_sub(local.idle).max(1);
             let want = if self.draining {
                 need
@@ -400,7 +474,7 @@
             budget: budget.into(),
             need,
             want,
-            lending: self.lending,
+            lending: self.lending.is_some(),
         };
         self.next_seq += 1;
         local.outstanding = Some(Outstanding {
@@ -429,7 +503,7 @@
             Some(Reply::Granted(g)) => {
                 local.idle = local.idle.saturating_add(g.amount);
                 local.cover_limit = None;
-                if g.amount == need && need < want {
+                if g.amount == need && need < want && self.lending.is_none() {
                     local.early_after = now + EARLY_PAUSE;
                 }
             }
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -16,5 +16,6 @@
 pub use allotments::NeedGrant;
 pub use allotments::NeedId;
 pub use allotments::ReservationId;
+pub use allotments::Reserve;
 pub use copies::Copies;
 pub use copies::is_release;
--- /dev/null
+++ b/crates/control/tests/registry.rs
@@ -0,0 +1,78 @@
+//! Announcements at a control member.
+
+use std::time::Duration;
+
+use anvilloft_control::registry::Heard;
+use anvilloft_control::registry::Registry;
+use anvilloft_wire::frame::EndpointUpdate;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn update(incarnation: u64, seq: u64) -> EndpointUpdate {
+    EndpointUpdate {
+        id: "e".into(),
+        incarnation,
+        seq,
+        address: "10.0.0.1:80".into(),
+        ..EndpointUpdate::default()
+    }
+}
+
+fn leaving(incarnation: u64, seq: u64) -> EndpointUpdate {
+    EndpointUpdate {
+        leaving: true,
+        ..update(incarnation, seq)
+    }
+}
+
+fn left(incarnation: u64) -> EndpointUpdate {
+    EndpointUpdate {
+        id: "e".into(),
+        incarnation,
+        left: true,
+        ..EndpointUpdate::default()
+    }
+}
+
+/// Guards against a delayed announcement that brings an endpoint back which is
+/// leaving, has left or was started anew since.
+#[test]
+fn the_newest_announcement_stands() {
+    let registry = Registry::default();
+    let steps = [
+        (update(5, 1), Heard::Changed),
+        (update(5, 2), Heard::Renewed),
+        (update(5, 2), Heard::Stale),
+        (leaving(5, 3), Heard::Changed),
+        (update(5, 2), Heard::Stale),
+        (left(5), Heard::Changed),
+        (left(5), Heard::Stale),
+        (update(5, 9), Heard::Stale),
+        (update(6, 1), Heard::Changed),
+        (update(5, 99), Heard::Stale),
+    ];
+    for (at, (said, heard)) in steps.into_iter().enumerate() {
+        assert_eq!(registry.announce(SECOND, said), heard, "step {at}");
+    }
+    let known = registry
+        .get(SECOND, "e")
+        .map(|u| (u.incarnation, u.leaving, u.left));
+    assert_eq!(known, Some((6, false, false)));
+}
+
+/// Guards against renewals that are passed on one by one, or without the time
+/// that they waited.
+#[test]
+fn renewals_leave_in_batches_with_their_age() {
+    let registry = Registry::default();
+    registry.announce(SECOND, update(5, 1));
+    assert_eq!(registry.take_batch(SECOND), None, "a change leaves at once");
+    registry.announce(2 * SECOND, update(5, 2));
+    let batch = registry.take_batch(3 * SECOND).map(|b| b.updates);
+    let ages: Vec<u64> = batch.into_iter().flatten().map(|u| u.age_ms).collect();
+    assert_eq!(ages, [1_000]);
+    assert_eq!(registry.take_batch(3 * SECOND), None);
+    assert_eq!(registry.all(3 * SECOND).updates.len(), 1);
+    registry.take_batch(60 * SECOND);
+    assert!(registry.is_empty(), "a silent endpoint is forgotten");
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -51,7 +51,9 @@
                     Err(err) => Answer::Unavailable(err.to_string()),
                 },
                 Some(Request::Group(_)) => Answer::QueryResult(GROUP.to_owned()),
-                Some(Request::Renew(_)) | None => Answer::Unavailable("not here".to_owned()),
+                Some(Request::Renew(_) | Request::Borrow(_)) | None => {
+                    Answer::Unavailable("not here".to_owned())
+                }
             })
         };
         let result = answer().map(ControlReply::from);
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -29,6 +29,9 @@
 /// Largest total of top-ups of one budget, in tokens. Sums of parts of a
 /// budget then never overflow.
 const MAX_TOPPED_UP: Tokens = i64::MAX as Tokens;
+/// Part of what is left of a budget that lending routers may hold beyond the
+/// needs of requests: one in so many.
+const RESERVE_SHARE: Tokens = 3;
 /// Largest count of top-up ids kept for resends.
 const MAX_TOP_UP_IDS: usize = 4_194_304;
 /// Largest count of billed request keys. At the bound the oldest is dropped
@@ -92,7 +95,7 @@
         Some(())
     }
 
-    fn settle(&mut self, amount: Tokens) -> Option<()> {
+    pub(crate) fn settle(&mut self, amount: Tokens) -> Option<()> {
         let allotted = self.allotted.checked_sub(amount)?;
         let settled = self.settled.checked_add(amount)?;
         self.replace(self.topped_up, self.unspent, allotted, settled);
@@ -385,7 +388,11 @@
         let granted = if amounts.unspent < need {
             0
         } else if c.lending {
-            c.want.max(need).min((amounts.unspent / 2).max(need))
+            // Tokens at routers are lost to the team when the routers die.
+            let reserve = (amounts.unspent + amounts.allotted) / RESERVE_SHARE;
+            let room = reserve.saturating_sub(amounts.allotted);
+            let more = c.want.saturating_sub(need).min(room);
+            need + more.min(amounts.unspent - need)
         } else if amounts.unspent < small {
             need
         } else {
--- a/crates/ledger/src/routers.rs
+++ b/crates/ledger/src/routers.rs
@@ -315,6 +315,9 @@
             _ => {}
         }
         let was_open = inc.phase == Phase::Open;
+        // A router with a prepaid budget serves on while it is cut off, and what
+        // it used after its last report died with it.
+        let lost = inc.phase == Phase::Lost;
         let Some(inc) = self.routers.get_mut(&c.router, c.incarnation) else {
             return refused(code::UNKNOWN_INCARNATION, "the incarnation is unknown");
         };
@@ -325,8 +328,11 @@
             if held.amount > 0
                 && let Some(account) = self.accounts.by_name.get_mut(&budget)
             {
-                let returned = account.amounts.give_back(held.amount);
-                debug_assert!(returned.is_some());
+                let moved = match lost && account.total.is_some() {
+                    true => account.amounts.settle(held.amount),
+                    false => account.amounts.give_back(held.amount),
+                };
+                debug_assert!(moved.is_some());
                 account.remove_holder(&c.router, c.incarnation);
                 account.follow_total();
             }
--- /dev/null
+++ b/crates/ledger/tests/publication.rs
@@ -0,0 +1,193 @@
+//! Published route tables and their prepaid budgets.
+
+#![expect(clippy::expect_used, reason = "a failed expectation fails the test")]
+
+mod support;
+
+use anvilloft_ledger::Amounts;
+use anvilloft_ledger::Ledger;
+use anvilloft_ledger::prepaid_budget;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::CloseIncarnation;
+use anvilloft_wire::command::Grant;
+use anvilloft_wire::command::Granted;
+use anvilloft_wire::command::OpenIncarnation;
+use anvilloft_wire::command::Prepaid;
+use anvilloft_wire::command::Publish;
+use anvilloft_wire::command::Published;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::command::Report;
+use anvilloft_wire::command::ReportEntry;
+use anvilloft_wire::command::RouterState;
+use anvilloft_wire::control::Query;
+use support::*;
+
+fn publish(version: u64, source: &str, tokens: u64) -> Body {
+    Body::Publish(Publish {
+        version,
+        source: source.into(),
+        prepaid: vec![Prepaid {
+            team: "small".into(),
+            tokens,
+        }],
+    })
+}
+
+fn published(version: u64) -> Reply {
+    Reply::Published(Published { version })
+}
+
+fn read(ledger: &Ledger) -> String {
+    let query = Query {
+        kind: "publication".into(),
+        ..Query::default()
+    };
+    ledger.query(&query).expect("the publication")
+}
+
+fn amounts(ledger: &Ledger) -> Amounts {
+    ledger
+        .amounts(&prepaid_budget("small"))
+        .expect("the budget exists")
+}
+
+fn open_router(incarnation: u64, state: RouterState) -> Body {
+    Body::OpenIncarnation(OpenIncarnation {
+        router: "r".into(),
+        incarnation,
+        caller_address: "c".into(),
+        peer_address: "p".into(),
+        state: state.into(),
+        ..OpenIncarnation::default()
+    })
+}
+
+fn lend(seq: u64, need: u64, want: u64) -> Body {
+    Body::Grant(Grant {
+        router: "r".into(),
+        incarnation: 1,
+        seq,
+        budget: prepaid_budget("small"),
+        need,
+        want,
+        lending: true,
+    })
+}
+
+fn give_back(returned: u64) -> Body {
+    Body::Report(Report {
+        router: "r".into(),
+        incarnation: 1,
+        seq: 1,
+        entries: vec![ReportEntry {
+            budget: prepaid_budget("small"),
+            returned,
+            ..ReportEntry::default()
+        }],
+    })
+}
+
+/// Guards against a table that reverts to an older version, or whose content
+/// changes under the same number, when operators race or resend.
+#[test]
+fn the_highest_version_stands_with_its_first_content() {
+    let mut ledger = Ledger::new();
+    let steps = [
+        (7, "seven", 7, "seven"),
+        (7, "other", 7, "seven"),
+        (5, "five", 7, "seven"),
+        (12, "twelve", 12, "twelve"),
+        (7, "seven", 12, "twelve"),
+    ];
+    for (version, source, in_force, content) in steps {
+        let reply = apply(&mut ledger, publish(version, source, 100));
+        assert_eq!(reply, published(in_force), "{version} {source}");
+        assert_eq!(read(&ledger), content);
+    }
+    assert_eq!(ledger.publication_since(12), None);
+    assert_eq!(ledger.publication_since(7).map(|p| p.version), Some(12));
+    let restored = Ledger::decode(&ledger.encode()).expect("a snapshot");
+    assert_eq!(restored, ledger);
+}
+
+/// Guards against tokens beyond what a team has paid for after its amount was
+/// lowered while routers held a part of it.
+#[test]
+fn a_lowered_amount_takes_effect_as_tokens_come_back() {
+    let mut ledger = Ledger::new();
+    apply(&mut ledger, publish(1, "", 100));
+    apply(&mut ledger, open_router(1, RouterState::Alive));
+    assert_eq!(
+        apply(&mut ledger, lend(1, 80, 80)),
+        Reply::Granted(Granted { amount: 80 })
+    );
+    apply(&mut ledger, publish(2, "", 50));
+    assert_eq!(
+        (amounts(&ledger).topped_up, amounts(&ledger).unspent),
+        (80, 0)
+    );
+    apply(&mut ledger, give_back(60));
+    assert_eq!(
+        (amounts(&ledger).topped_up, amounts(&ledger).unspent),
+        (50, 30)
+    );
+    apply(&mut ledger, publish(3, "", 70));
+    assert_eq!(
+        (amounts(&ledger).topped_up, amounts(&ledger).unspent),
+        (70, 50)
+    );
+}
+
+/// Guards against tokens that are granted again although a router that was
+/// lost may have used them while it was cut off.
+#[test]
+fn what_a_lost_router_held_counts_as_used() {
+    let mut ledger = Ledger::new();
+    apply(&mut ledger, publish(1, "", 100));
+    apply(&mut ledger, open_router(1, RouterState::Alive));
+    apply(&mut ledger, lend(1, 40, 40));
+    // A new process at the same addresses shows that the old one has ended.
+    apply(&mut ledger, open_router(2, RouterState::Alive));
+    let close = Body::CloseIncarnation(CloseIncarnation {
+        router: "r".into(),
+        incarnation: 1,
+    });
+    at(&mut ledger, 3_600_000, close);
+    let a = amounts(&ledger);
+    assert_eq!((a.unspent, a.allotted, a.settled), (60, 0, 40));
+}
+
+/// Guards against routers that hold so much of a budget for partitions that
+/// their loss takes most of it.
+#[test]
+fn reserves_hold_a_third_of_what_is_left() {
+    struct Case {
+        need: u64,
+        want: u64,
+        granted: u64,
+    }
+    let cases = [
+        Case {
+            need: 1,
+            want: 90,
+            granted: 31,
+        },
+        // The reserve is full; a request still gets what it needs.
+        Case {
+            need: 20,
+            want: 90,
+            granted: 20,
+        },
+    ];
+    let mut ledger = Ledger::new();
+    apply(&mut ledger, publish(1, "", 90));
+    apply(&mut ledger, open_router(1, RouterState::Alive));
+    for (seq, c) in (1..).zip(cases) {
+        let reply = apply(&mut ledger, lend(seq, c.need, c.want));
+        assert_eq!(
+            reply,
+            Reply::Granted(Granted { amount: c.granted }),
+            "grant {seq}"
+        );
+    }
+}
--- a/crates/relay/src/purse.rs
+++ b/crates/relay/src/purse.rs
@@ -10,6 +10,7 @@
 use anvilloft_budget::GrantResult;
 use anvilloft_budget::NeedId;
 use anvilloft_budget::ReservationId;
+use anvilloft_budget::Reserve;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CommandReply;
 use anvilloft_wire::command::Grant;
@@ -21,9 +22,15 @@
 
 use crate::loans::Loans;
 
-/// Time over which demand is measured. A grant asks for the demand of two of
-/// them, which lasts through a partition of 10 s while the budget has plenty.
+/// Time over which demand is measured.
 const DEMAND_WINDOW: Duration = Duration::from_secs(5);
+/// Reserve for partitions from control, which last some 9 s. It is complete
+/// after 4 s of even demand.
+const RESERVE: Reserve = Reserve {
+    every: Duration::from_millis(1_000),
+    lasts: Duration::from_secs(10),
+    step: Duration::from_millis(2_500),
+};
 /// Time between two reports of settlements. Each is an entry of the replicated
 /// log.
 const REPORT_PACE: Duration = Duration::from_millis(300);
@@ -202,6 +209,6 @@
     let mut allotments = Allotments::new(router.to_owned(), incarnation);
     allotments.set_demand_window(DEMAND_WINDOW);
     allotments.set_report_pace(REPORT_PACE);
-    allotments.set_lending(true);
+    allotments.set_lending(RESERVE);
     allotments
 }
