--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -1,7 +1,5 @@
 //! The choice of an endpoint, one rule at a time.
 
-#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
-
 use std::net::SocketAddr;
 use std::time::Duration;
 
