--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -357,12 +357,15 @@
         self.follow(&grant.members);
     }
 
-    /// Keeps links to the members of the group, and to the addresses that the
-    /// router started with while the group names none.
+    /// Keeps links to the members of the group. While the group is smaller than
+    /// the list that the router started with, it still forms, and those links
+    /// stay too.
     fn follow(&mut self, members: &[String]) {
         let mut named: Vec<SocketAddr> = members.iter().filter_map(|m| m.parse().ok()).collect();
-        if named.is_empty() {
-            named.clone_from(&self.seeds);
+        if named.len() < self.seeds.len() {
+            named.extend(&self.seeds);
+            named.sort_unstable();
+            named.dedup();
         }
         named.sort_unstable();
         if named == self.members {
