Test relays, self-forming groups and the replacement of lost members

Change: tests of requests, streams, budgets and the planned stop over one control member, relays and scripted endpoints; the leader removes a voter that is silent for 12 s from a group of even size.

--- a/crates/control/src/driver/group.rs
+++ b/crates/control/src/driver/group.rs
@@ -21,6 +21,10 @@
 /// member whose address a new identity has taken over is removed.
 const SILENCE: Duration = Duration::from_secs(3);
 
+/// Time without a sign of life after which a voter beyond an odd count is
+/// removed. Longer than partitions of a single host usually last.
+const LONG_SILENCE: Duration = Duration::from_secs(12);
+
 impl Core {
     /// Takes a request about the membership. A change is answered once it is
     /// committed; one that is in force already is answered at once.
@@ -90,6 +94,24 @@
             let _ = self.change(now, change);
             return;
         }
+        self.drop_spare_voter(now);
+    }
+
+    /// Removes a voter that has been silent for long from a group of even size.
+    /// Such a group bears no more losses than the next smaller one, so a voter
+    /// that may never come back only takes one of them away. One that does come
+    /// back asks to join again.
+    fn drop_spare_voter(&mut self, now: Duration) {
+        let count = self.node.membership().voters().count();
+        let gone = |m: &&Member| {
+            let heard = self.node.last_heard(m.id);
+            heard.is_some_and(|at| now >= at + LONG_SILENCE)
+        };
+        if count % 2 == 0
+            && let Some(id) = self.silent_voter(now).filter(gone).map(|m| m.id)
+        {
+            let _ = self.change(now, MemberChange::Remove(id));
+        }
     }
 
     fn silent_voter(&self, now: Duration) -> Option<&Member> {
--- /dev/null
+++ b/crates/control/tests/join.rs
@@ -0,0 +1,121 @@
+//! Control members that form and repair their group without an operator.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_control::ControlDaemon;
+use anvilloft_settings::ControlSettings;
+use anvilloft_settings::GroupStart;
+use anvilloft_settings::Secret;
+use anvilloft_telemetry::Metrics;
+use anvilloft_wire::Control;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Publish;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let spread = std::process::id() % 1_000 * 2;
+    loop {
+        let n = spread + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 30_000 + u16::try_from(n % 2_000).unwrap();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+async fn start(
+    name: &str,
+    folder: &Path,
+    peer: SocketAddr,
+    seeds: &[SocketAddr],
+    group: GroupStart,
+) -> ControlDaemon {
+    let settings = ControlSettings::builder()
+        .name(name)
+        .data_centre("a")
+        .data_folder(folder.join(name))
+        .peer_listen(peer)
+        .admin_listen(free_address())
+        .group(group)
+        .auto_join(true)
+        .peers(seeds)
+        .fleet_key(Secret::new([7; 32]))
+        .build()
+        .unwrap();
+    let log = Logger::root(Discard, o!());
+    ControlDaemon::start(settings, Metrics::new().unwrap(), log)
+        .await
+        .unwrap()
+}
+
+/// Returns the voters as a member knows them.
+fn voters(daemon: &ControlDaemon) -> Vec<u64> {
+    let status = daemon.handle().status();
+    let status = status.borrow();
+    status.membership.voters().collect()
+}
+
+async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..3_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not in time: {what}");
+}
+
+/// Guards against a group that needs an operator to form, and against a lost
+/// member that stays a voter after an empty one at another address has taken
+/// its place, so that the next loss would cost the majority.
+#[tokio::test(flavor = "multi_thread")]
+async fn members_join_and_replace_a_lost_one() {
+    let folder = tempfile::tempdir().unwrap();
+    let seeds: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+    let founder = start("c0", folder.path(), seeds[0], &seeds, GroupStart::New);
+    let second = start("c1", folder.path(), seeds[1], &seeds, GroupStart::Join);
+    let third = start("c2", folder.path(), seeds[2], &seeds, GroupStart::Join);
+    let (founder, second, third) = tokio::join!(founder, second, third);
+    eventually("three voters", || voters(&founder).len() == 3).await;
+    let publish = Publish {
+        version: 4,
+        source: b"table".to_vec(),
+        prepaid: Vec::new(),
+    };
+    let limit = Duration::from_secs(5);
+    founder
+        .peers()
+        .call(Body::Publish(publish).into(), limit)
+        .await
+        .unwrap();
+    let lost = second.member();
+    second.kill().await.unwrap();
+    let fresh = start(
+        "c3",
+        folder.path(),
+        free_address(),
+        &seeds,
+        GroupStart::Join,
+    )
+    .await;
+    let replaced = || {
+        let voters = voters(&founder);
+        voters.len() == 3 && voters.contains(&fresh.member()) && !voters.contains(&lost)
+    };
+    eventually("the empty member takes the place", replaced).await;
+    let publication = || fresh.handle().status().borrow().publication;
+    eventually("it has the state", || publication() == 4).await;
+    for daemon in [founder, third, fresh] {
+        daemon.kill().await.unwrap();
+    }
+}
--- a/crates/fakes/src/raw.rs
+++ b/crates/fakes/src/raw.rs
@@ -22,6 +22,8 @@
     pub number: u64,
     /// Attempt id that the router sent.
     pub attempt: String,
+    /// Request line and headers, in lower case.
+    pub head: String,
     /// Body.
     pub body: String,
 }
@@ -137,6 +139,7 @@
         let seen = Seen {
             number: counter.fetch_add(1, Ordering::Relaxed),
             attempt: field("x-anvilloft-attempt"),
+            head: head.clone(),
             body,
         };
         for step in script(seen) {
--- /dev/null
+++ b/crates/relay/tests/common/mod.rs
@@ -0,0 +1,281 @@
+//! A control member, relays and scripted endpoints in one process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_control::ControlDaemon;
+use anvilloft_dispatch::Part;
+use anvilloft_fakes::http::Call;
+use anvilloft_fakes::http::Reply;
+use anvilloft_relay::Dialect;
+use anvilloft_relay::Facts;
+use anvilloft_relay::HandOff;
+use anvilloft_relay::Relay;
+use anvilloft_relay::RelayOptions;
+use anvilloft_relay::TokenCounts;
+use anvilloft_relay::Verdict;
+use anvilloft_routes::Engine;
+use anvilloft_routes::Kind;
+use anvilloft_routes::Route;
+use anvilloft_routes::RouteTable;
+use anvilloft_routes::Service;
+use anvilloft_routes::Team;
+use anvilloft_settings::ControlSettings;
+use anvilloft_settings::GroupStart;
+use anvilloft_settings::Secret;
+use anvilloft_telemetry::Metrics;
+use anvilloft_wire::Control;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Prepaid;
+use anvilloft_wire::command::Publish;
+use anvilloft_wire::frame::EndpointUpdate;
+use anvilloft_wire::session::Identity;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use tempfile::TempDir;
+
+pub(crate) const WAIT: Duration = Duration::from_secs(10);
+/// Tokens of the prompt and most tokens of the answer of each model request.
+pub(crate) const COUNTS: TokenCounts = TokenCounts {
+    prompt: 100,
+    most_output: 40,
+};
+
+/// Headers of the tests' own deployment, and a table made from its version and
+/// the prepaid amount of team `small`.
+struct TestDialect;
+
+impl Dialect for TestDialect {
+    fn facts(&self, headers: &HeaderMap) -> Result<Facts, &'static str> {
+        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+        Ok(Facts {
+            id: headers
+                .get("x-anvilloft-attempt")
+                .cloned()
+                .ok_or("x-anvilloft-attempt")?,
+            patience: Some(Duration::from_secs(5)),
+            key: text("x-key").map(str::to_owned),
+            prompt: vec![Part { id: 1, tokens: 60 }, Part { id: 2, tokens: 40 }],
+            tokens: Some(COUNTS),
+        })
+    }
+
+    fn hand_off(&self, headers: &mut HeaderMap, to: &HandOff<'_>) {
+        headers.remove("x-key");
+        let mut set = |name: &'static str, value: &str| {
+            headers.insert(name, HeaderValue::from_str(value).unwrap());
+        };
+        set("x-endpoint", to.endpoint);
+        set("x-team", to.team.unwrap_or("none"));
+        if let Some(event) = to.last_event {
+            set("last-event-id", event);
+        }
+    }
+
+    fn echo(&self) -> HeaderName {
+        HeaderName::from_static("x-anvilloft-attempt")
+    }
+
+    fn verdict(&self, _status: StatusCode, headers: &HeaderMap) -> Verdict {
+        match headers.contains_key("x-anvilloft-refused") {
+            true => Verdict::Full,
+            false => Verdict::Run,
+        }
+    }
+
+    fn retry_after(&self, after: Duration) -> HeaderValue {
+        HeaderValue::from(after.as_secs())
+    }
+
+    fn table(&self, source: &[u8]) -> Result<RouteTable, String> {
+        let text = String::from_utf8_lossy(source);
+        let (version, prepaid) = text.split_once(' ').ok_or("two numbers")?;
+        let stream = Kind::Stream {
+            resumable: true,
+            max_gap: Duration::from_millis(300),
+        };
+        let route = |name: &str, kind, service| {
+            Route::builder(name, "127.0.0.1", format!("/{name}/"))
+                .kind(kind)
+                .timeout(Duration::from_secs(4))
+                .objective(Duration::from_millis(400))
+                .target(service, 1)
+                .max_endpoints(2)
+                .build()
+        };
+        RouteTable::builder()
+            .version(version.parse().map_err(|_| "version")?)
+            .route(route("stream", stream, "engines"))
+            .route(route("once", Kind::Once, "plain"))
+            .route(route("any", Kind::Idempotent, "plain"))
+            .service(Service {
+                name: "engines".into(),
+                max_connections: 16,
+                engine: Some(Engine {
+                    slots: 8,
+                    memory: 100_000,
+                    tokens_per_event: 4,
+                }),
+            })
+            .service(Service {
+                name: "plain".into(),
+                max_connections: 16,
+                engine: None,
+            })
+            .team(Team {
+                name: "small".into(),
+                keys: vec!["k".into()],
+                level: None,
+                prepaid: prepaid.parse().ok(),
+            })
+            .build()
+            .map_err(|e| e.to_string())
+    }
+}
+
+fn fleet_key() -> Secret {
+    Secret::new([7; 32])
+}
+
+pub(crate) fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// Returns a loopback address that nothing listens on.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let spread = std::process::id() % 1_000 * 10;
+    loop {
+        let n = spread + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 10_000 + u16::try_from(n % 9_000).unwrap();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+pub(crate) struct Fleet {
+    pub(crate) control: ControlDaemon,
+    pub(crate) relays: Vec<Relay>,
+    _folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts one control member and relays that have no table yet.
+    pub(crate) async fn start(relays: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let peer = free_address();
+        let settings = ControlSettings::builder()
+            .name("c")
+            .data_centre("a")
+            .data_folder(folder.path().join("data"))
+            .peer_listen(peer)
+            .admin_listen(free_address())
+            .group(GroupStart::New)
+            .fleet_key(fleet_key())
+            .build()
+            .unwrap();
+        let control = ControlDaemon::start(settings, Metrics::new().unwrap(), log())
+            .await
+            .unwrap();
+        let mut fleet = Self {
+            control,
+            relays: Vec::new(),
+            _folder: folder,
+        };
+        for n in 0..relays {
+            let name = format!("r{n}");
+            let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+            let options = RelayOptions::builder(&name, "a", listen)
+                .drain(Duration::from_millis(100), Duration::from_secs(5))
+                .build();
+            let mut identity = Identity::new(&name, "router", "a", fleet_key());
+            identity.incarnation = 1;
+            let relay = Relay::start(
+                options,
+                Arc::new(TestDialect),
+                identity,
+                vec![peer],
+                free_address(),
+                log(),
+            );
+            fleet.relays.push(relay.await.unwrap());
+        }
+        fleet
+    }
+
+    /// Publishes a table and waits until every relay has one.
+    pub(crate) async fn publish(&self, version: u64, prepaid: u64) {
+        let publish = Publish {
+            version,
+            source: format!("{version} {prepaid}").into_bytes(),
+            prepaid: vec![Prepaid {
+                team: "small".into(),
+                tokens: prepaid,
+            }],
+        };
+        let peers = self.control.peers();
+        peers
+            .call(Body::Publish(publish).into(), WAIT)
+            .await
+            .unwrap();
+        for relay in &self.relays {
+            let ready = relay.readiness();
+            eventually("the relay has a table", || ready()).await;
+        }
+    }
+
+    /// Announces an endpoint.
+    pub(crate) fn announce(&self, id: &str, address: SocketAddr, service: &str) {
+        self.control.peers().announce(EndpointUpdate {
+            id: id.into(),
+            incarnation: 1,
+            seq: 1,
+            address: address.to_string(),
+            data_centre: "a".into(),
+            pool: service.into(),
+            slots: 8,
+            ..EndpointUpdate::default()
+        });
+    }
+
+    /// Sends a request until it is not refused for want of an endpoint, which
+    /// may take a moment to become known.
+    pub(crate) async fn send(&self, relay: usize, path: &str, id: &str) -> Reply {
+        for _ in 0..200 {
+            let reply = self.try_send(relay, path, id).await;
+            if !reply.text().contains("no_endpoint") {
+                return reply;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no endpoint became known");
+    }
+
+    pub(crate) async fn try_send(&self, relay: usize, path: &str, id: &str) -> Reply {
+        let call = Call::post(path, "body")
+            .header("x-key", "k")
+            .header("x-anvilloft-attempt", id);
+        call.send(self.relays[relay].address(), WAIT).await.unwrap()
+    }
+}
+
+/// Waits for a condition.
+pub(crate) async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..500 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not in time: {what}");
+}
--- /dev/null
+++ b/crates/relay/tests/requests.rs
@@ -0,0 +1,288 @@
+//! Requests through a relay, from callers to scripted endpoints.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::Seen;
+use anvilloft_fakes::raw::Step;
+use anvilloft_fakes::raw::whole_answer;
+use common::COUNTS;
+use common::Fleet;
+
+fn send(text: impl Into<Vec<u8>>) -> Step {
+    Step::Send(text.into())
+}
+
+fn stream_head(attempt: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+         x-anvilloft-attempt: {attempt}\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn event(id: u32) -> String {
+    format!("id: {id}\ndata: t{id}\n\n")
+}
+
+/// Answers a stream with the events of a range, from the one after the
+/// caller's last.
+fn whole_stream(seen: &Seen, last: u32) -> Vec<Step> {
+    let after = seen
+        .head
+        .lines()
+        .find_map(|l| l.strip_prefix("last-event-id: "));
+    let first = after
+        .and_then(|id| id.trim().parse().ok())
+        .map_or(1, |id: u32| id + 1);
+    let events: String = (first..=last).map(|id| chunk(&event(id))).collect();
+    vec![send(stream_head(&seen.attempt) + &events + "0\r\n\r\n")]
+}
+
+/// Guards against requests that are served without a table, a route or a key,
+/// and against a key that reaches an endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_needs_a_table_a_route_and_a_key() {
+    let fleet = Fleet::start(1).await;
+    let heads = Arc::new(Mutex::new(Vec::new()));
+    let seen = Arc::clone(&heads);
+    let endpoint = RawEndpoint::start(move |s| {
+        seen.lock().unwrap().push(s.head.clone());
+        vec![send(whole_answer(&s.attempt, "done"))]
+    });
+    let endpoint = endpoint.await.unwrap();
+    assert_eq!(fleet.try_send(0, "/any/x", "a1").await.status, 503);
+    fleet.publish(3, 1_000).await;
+    fleet.announce("e", endpoint.addr, "plain");
+    let reply = fleet.send(0, "/any/x", "a2").await;
+    assert_eq!((reply.status, reply.text().as_str()), (200, "done"));
+    assert_eq!(reply.header("x-anvilloft-attempt"), Some("a2"));
+    assert_eq!(fleet.try_send(0, "/none/x", "a3").await.status, 404);
+    let call = anvilloft_fakes::http::Call::post("/any/x", "")
+        .header("x-key", "wrong")
+        .header("x-anvilloft-attempt", "a4");
+    let reply = call
+        .send(fleet.relays[0].address(), common::WAIT)
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 401);
+    let heads = heads.lock().unwrap();
+    assert_eq!(
+        heads.len(),
+        1,
+        "only the valid request reached the endpoint"
+    );
+    assert!(heads[0].contains("x-team: small") && !heads[0].contains("x-key"));
+    assert!(heads[0].contains("x-endpoint: e"));
+}
+
+/// Guards against an event that is missing, doubled or torn when an endpoint
+/// breaks off in the middle of one and another goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_goes_on_elsewhere_after_the_last_whole_event() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 100_000).await;
+    let broken = RawEndpoint::start(|s| {
+        let torn = chunk(&event(1)) + &chunk(&event(2)) + &chunk("id: 3\nda");
+        vec![
+            send(stream_head(&s.attempt) + &torn),
+            Step::Wait(Duration::from_millis(50)),
+            Step::Close,
+        ]
+    });
+    let broken = broken.await.unwrap();
+    fleet.announce("e1", broken.addr, "engines");
+    // The broken endpoint is known first, so the request begins there.
+    let whole = RawEndpoint::start(|s| whole_stream(&s, 5)).await.unwrap();
+    for n in 0..50 {
+        let id = format!("b{n}");
+        let before = broken.seen.load(Ordering::Relaxed);
+        if n == 1 {
+            fleet.announce("e2", whole.addr, "engines");
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        let reply = fleet.send(0, "/stream/x", &id).await;
+        if n >= 1 && broken.seen.load(Ordering::Relaxed) > before {
+            let expected: String = (1..=5).map(event).collect();
+            assert_eq!(reply.text(), expected);
+            assert_eq!(reply.header("x-anvilloft-attempt"), Some(id.as_str()));
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("no request began at the endpoint that breaks off");
+}
+
+/// Guards against a non-idempotent request that runs twice, and against a
+/// refusal that keeps it from running although it has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_have_run_is_not_sent_again() {
+    let refused = "HTTP/1.1 503 Full\r\nx-anvilloft-refused: not-run\r\nx-anvilloft-attempt: ";
+    struct Case {
+        path: &'static str,
+        refuse: bool,
+        status: u16,
+        second: u64,
+    }
+    let cases = [
+        Case {
+            path: "/once/x",
+            refuse: false,
+            status: 502,
+            second: 0,
+        },
+        Case {
+            path: "/once/x",
+            refuse: true,
+            status: 200,
+            second: 1,
+        },
+        Case {
+            path: "/any/x",
+            refuse: false,
+            status: 200,
+            second: 1,
+        },
+    ];
+    for c in cases {
+        let fleet = Fleet::start(1).await;
+        fleet.publish(1, 0).await;
+        let refuse = c.refuse;
+        let first = RawEndpoint::start(move |s| match refuse {
+            true => vec![send(format!(
+                "{refused}{}\r\ncontent-length: 0\r\n\r\n",
+                s.attempt
+            ))],
+            false => vec![Step::Close],
+        });
+        let first = first.await.unwrap();
+        let second = RawEndpoint::start(|s| vec![send(whole_answer(&s.attempt, "done"))]);
+        let second = second.await.unwrap();
+        fleet.announce("e1", first.addr, "plain");
+        // Sent while only the first endpoint is known, then again with both.
+        let reply = fleet.send(0, c.path, "a1").await;
+        assert_ne!(reply.status, 200, "{}", c.path);
+        fleet.announce("e2", second.addr, "plain");
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let mut statuses = Vec::new();
+        for n in 0..20 {
+            let before = (
+                first.seen.load(Ordering::Relaxed),
+                second.seen.load(Ordering::Relaxed),
+            );
+            let reply = fleet.try_send(0, c.path, &format!("b{n}")).await;
+            if first.seen.load(Ordering::Relaxed) > before.0 {
+                let again = second.seen.load(Ordering::Relaxed) - before.1;
+                statuses.push((reply.status, again));
+            }
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+        assert!(
+            !statuses.is_empty(),
+            "{}: the first endpoint was tried",
+            c.path
+        );
+        assert!(
+            statuses.iter().all(|s| *s == (c.status, c.second)),
+            "{} refuse {}: {statuses:?}",
+            c.path,
+            c.refuse
+        );
+    }
+}
+
+/// Guards against an answer of another request that arrives on a kept
+/// connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_another_request_is_not_passed_on() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 0).await;
+    let crossed = RawEndpoint::start(|s| {
+        let id = if s.number % 2 == 1 {
+            "other"
+        } else {
+            s.attempt.as_str()
+        };
+        vec![send(whole_answer(id, &format!("for {id}")))]
+    });
+    let crossed = crossed.await.unwrap();
+    fleet.announce("e", crossed.addr, "plain");
+    assert_eq!(fleet.send(0, "/once/x", "a1").await.text(), "for a1");
+    let reply = fleet.try_send(0, "/once/x", "a2").await;
+    assert_eq!(reply.status, 502);
+    assert!(!reply.text().contains("for other"));
+}
+
+/// Guards against a team that gets more than it has paid for, and against a
+/// refusal while tokens are left at another router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_team_gets_what_it_has_paid_for_at_all_routers_together() {
+    let fleet = Fleet::start(2).await;
+    // Each request reserves 140 tokens and uses 100 for its prompt and 4 for
+    // each of 5 events.
+    let used = COUNTS.prompt + 20;
+    fleet.publish(1, used * 6 + 20).await;
+    let engine = RawEndpoint::start(|s| whole_stream(&s, 5)).await.unwrap();
+    fleet.announce("e", engine.addr, "engines");
+    let mut statuses = Vec::new();
+    for n in 0..16 {
+        let reply = fleet.send(n % 2, "/stream/x", &format!("t{n}")).await;
+        statuses.push(reply.status);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let served = statuses.iter().filter(|s| **s == 200).count();
+    assert_eq!(served, 6, "{statuses:?}");
+    assert_eq!(
+        engine.seen.load(Ordering::Relaxed),
+        6,
+        "a refused request is not run"
+    );
+    assert!(
+        statuses.iter().all(|s| matches!(s, 200 | 402 | 429)),
+        "{statuses:?}"
+    );
+}
+
+/// Guards against a planned stop that cuts an answer off, or that goes on to
+/// call callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_ends_answers_in_flight() {
+    let mut fleet = Fleet::start(1).await;
+    fleet.publish(1, 100_000).await;
+    let slow = RawEndpoint::start(|s| {
+        let pieces = [chunk(&event(1)), chunk(&event(2)), "0\r\n\r\n".to_owned()];
+        let mut steps = vec![send(stream_head(&s.attempt))];
+        for piece in pieces {
+            steps.push(Step::Wait(Duration::from_millis(250)));
+            steps.push(send(piece));
+        }
+        steps
+    });
+    let slow = slow.await.unwrap();
+    fleet.announce("e", slow.addr, "engines");
+    fleet.send(0, "/stream/x", "warm").await;
+    let relay = fleet.relays.remove(0);
+    let (address, ready) = (relay.address(), relay.readiness());
+    let call = anvilloft_fakes::http::Call::post("/stream/x", "body")
+        .header("x-key", "k")
+        .header("x-anvilloft-attempt", "last");
+    let answer = tokio::spawn(async move { call.send(address, common::WAIT).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(ready());
+    let drained = tokio::spawn(relay.drain());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(!ready(), "callers are sent elsewhere at once");
+    let reply = answer.await.unwrap().unwrap();
+    assert_eq!(reply.text(), event(1) + &event(2));
+    assert!(drained.await.unwrap(), "everything was given back");
+}
