--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -372,11 +372,11 @@
         let by =
             |key: u64| move |at: &usize| std::cmp::Reverse(Self::order(key, &eps[*at].said.id));
         if let Some(first) = shared.first() {
-            ranked.sort_by_key(by(first.id));
+            ranked.sort_by_cached_key(by(first.id));
         }
         if let [_, .., last] = shared {
             let spread = self.cfg.spread.min(ranked.len());
-            ranked[..spread].sort_by_key(by(last.id));
+            ranked[..spread].sort_by_cached_key(by(last.id));
         }
         ranked
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,14 +2,15 @@
 //!
 //! `endpoint` holds what a router knows about one endpoint, `health` judges it
 //! by the outcomes of its requests, `cache` estimates which prompt parts its
-//! memory holds, `dispatcher` chooses, and `retry` limits repeats to a share of
-//! the requests. Nothing here reads a clock or does input or output.
+//! memory holds, `dispatcher` chooses, `retry` limits repeats to a share of the
+//! requests, and `shed` says what a busy router refuses. Nothing here reads a clock or does input or output.
 
 mod cache;
 mod dispatcher;
 mod endpoint;
 mod health;
 mod retry;
+mod shed;
 
 pub use cache::Part;
 pub use dispatcher::Ask;
@@ -25,3 +26,4 @@
 pub use endpoint::RANKS;
 pub use endpoint::Work;
 pub use retry::RepeatBudget;
+pub use shed::Shedder;
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -473,7 +473,6 @@
             self.renew();
         }
         if Instant::now() >= self.load_at {
-            self.load_at = Instant::now() + LOAD_EVERY;
             self.tell_load(now);
         }
         let overdue = self.cx.purse.close_loans(now);
@@ -482,8 +481,11 @@
         }
     }
 
-    fn tell_load(&self, now: Duration) {
+    fn tell_load(&mut self, now: Duration) {
         let peers = self.peers.routers();
+        // Many peers are told less often, which costs as much as a few.
+        let slower = u32::try_from(peers.len() / MOST_PEERS).unwrap_or(u32::MAX);
+        self.load_at = Instant::now() + LOAD_EVERY * slower.max(1);
         if peers.is_empty() {
             return;
         }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -21,6 +21,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -176,8 +177,11 @@
             let status = resp.status();
             let kind = if status.is_success() { "ok" } else { "failed" };
             cx.metrics.answers.with_label_values(&["route", kind]).inc();
-            slog::info!(cx.log, "answered"; "request" => &id, "status" => status.as_u16(),
-                "ms" => ms);
+            // The end of a stream has a line of its own.
+            if resp.body().size_hint().exact().is_some() {
+                slog::info!(cx.log, "answered"; "request" => &id, "status" => status.as_u16(),
+                    "ms" => ms);
+            }
             resp
         }
         Err(refusal) => {
@@ -262,6 +266,12 @@
     let table = cx.table.load_full();
     let route = find_route(&table, &req)?;
     let team = find_team(&table, route, facts.key.as_deref())?;
+    if route.kind.is_stream() {
+        let shedder = *lock(&cx.shedder);
+        if shedder.refuses(route.level, rand::random()) {
+            return Err(busy(shedder.late()));
+        }
+    }
     let service = route
         .pick(rand::random())
         .and_then(|name| table.service(name))
@@ -455,6 +465,12 @@
     Refusal::new(StatusCode::TOO_MANY_REQUESTS, "tokens_short", reason).retry_after(TOKENS_AGAIN)
 }
 
+fn busy(late: Duration) -> Refusal {
+    let ms = late.as_millis();
+    Refusal::unavailable("router_busy", format!("this router is {ms} ms behind"))
+        .retry_after(ROOM_AGAIN)
+}
+
 fn no_endpoint() -> Refusal {
     Refusal::unavailable("no_endpoint", "the service has no endpoint that takes work")
         .retry_after(SERVICE_AGAIN)
--- a/crates/relay/src/purse.rs
+++ b/crates/relay/src/purse.rs
@@ -102,7 +102,11 @@
             }
         };
         drop(inner);
-        self.changed.notify_one();
+        if result.is_err() {
+            // What was held covers the others; reserves grow and reports leave
+            // by time, so the control thread is left asleep.
+            self.changed.notify_one();
+        }
         result
     }
 
@@ -145,8 +149,6 @@
         if inner.loans.end(end.loan, peer) {
             inner.allotments.settle(now, end.loan, end.used, None);
         }
-        drop(inner);
-        self.changed.notify_one();
     }
 
     /// Settles loans whose end was never told as used up. Returns their count.
@@ -161,7 +163,6 @@
 
     pub(crate) fn settle(&self, now: Duration, id: ReservationId, used: Tokens) {
         self.lock().allotments.settle(now, id, used, None);
-        self.changed.notify_one();
     }
 
     pub(crate) fn next_grant(&self, now: Duration) -> Option<Grant> {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -39,6 +39,7 @@
 use crate::purse::Purse;
 use crate::shared::Repeats;
 use crate::shared::Shared;
+use crate::shared::lock;
 
 /// Time to open a connection to an endpoint. A hundred round trips within a
 /// city; an endpoint that needs longer has no room or is gone.
@@ -52,6 +53,8 @@
 const CALLER_IDLE: Duration = Duration::from_secs(15);
 /// Time between two closings of idle connections to endpoints.
 const IDLE_EVERY: Duration = Duration::from_secs(1);
+/// Interval of the timer whose lateness is measured.
+const LATE_EVERY: Duration = Duration::from_millis(50);
 /// Interval at which a planned stop looks for the end of requests.
 const LOOK: Duration = Duration::from_millis(20);
 /// Share of a planned stop's time that is kept for giving tokens back.
@@ -129,6 +132,7 @@
             table: ArcSwap::from_pointee(RouteTable::default()),
             dispatcher: Mutex::new(Dispatcher::new(dispatcher, rand::random())),
             repeats: Mutex::new(Repeats::new(&options)),
+            shedder: Mutex::default(),
             purse: Purse::new(&options.name, identity.incarnation),
             peers: OnceLock::new(),
             client: Client::new(limits, MAX_ANSWER_BYTES),
@@ -169,6 +173,7 @@
             finish.clone(),
         ));
         tokio::spawn(close_idle(Arc::clone(&cx.client)));
+        tokio::spawn(measure_lateness(Arc::clone(&cx)));
         info!(log, "serves callers"; "address" => %address);
         Ok(Self {
             cx,
@@ -229,6 +234,15 @@
     }
 }
 
+/// Measures how late the timers of the traffic threads are.
+async fn measure_lateness(cx: Arc<Shared>) {
+    loop {
+        let due = tokio::time::Instant::now() + LATE_EVERY;
+        tokio::time::sleep_until(due).await;
+        lock(&cx.shedder).measured(due.elapsed());
+    }
+}
+
 async fn close_idle(client: Arc<Client>) {
     loop {
         tokio::time::sleep(IDLE_EVERY).await;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,6 +11,7 @@
 
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::RepeatBudget;
+use anvilloft_dispatch::Shedder;
 use anvilloft_gateway::Clock;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::metrics::Metrics;
@@ -89,6 +90,7 @@
     pub(crate) table: ArcSwap<RouteTable>,
     pub(crate) dispatcher: Mutex<Dispatcher>,
     pub(crate) repeats: Mutex<Repeats>,
+    pub(crate) shedder: Mutex<Shedder>,
     pub(crate) purse: Purse,
     /// Sessions with peers, once the control thread has made them.
     pub(crate) peers: OnceLock<Arc<FleetPeers>>,
