--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -31,7 +31,7 @@
 const MAX_TOPPED_UP: Tokens = i64::MAX as Tokens;
 /// Part of what is left of a budget that lending routers may hold beyond the
 /// needs of requests: one in so many.
-const RESERVE_SHARE: Tokens = 3;
+const RESERVE_SHARE: Tokens = 2;
 /// Largest count of top-up ids kept for resends.
 const MAX_TOP_UP_IDS: usize = 4_194_304;
 /// Largest count of billed request keys. At the bound the oldest is dropped
