Pack route tables on their way to routers

Change: the adapter packs a document once; ledger, log and routers carry it packed, reads and routers unpack it within a bound. Ruled out: fetching from followers, as the bytes between data centres stay.

--- a/crates/ledger/src/publication.rs
+++ b/crates/ledger/src/publication.rs
@@ -33,7 +33,7 @@
     budget.strip_prefix(PREFIX)
 }
 
-/// The table in force.
+/// The table in force, packed.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Table {
     pub(crate) version: u64,
--- a/crates/ledger/src/query.rs
+++ b/crates/ledger/src/query.rs
@@ -1,6 +1,7 @@
 //! Reads for the administration API, as JSON text.
 
 use anvilloft_wire::control::Query;
+use anvilloft_wire::pack::unpack;
 use serde_json::Value;
 use serde_json::json;
 
@@ -30,8 +31,12 @@
         } as usize;
         if q.kind == "publication" {
             // Returned as it was written, so it is not parsed.
-            return String::from_utf8(self.table.source.to_vec())
-                .map_err(|e| LedgerError::Corrupt(e.to_string()));
+            if self.table.version == 0 {
+                return Ok(String::new());
+            }
+            let damaged = |reason: String| LedgerError::Corrupt(reason);
+            let source = unpack(&self.table.source).map_err(|e| damaged(e.to_string()))?;
+            return String::from_utf8(source).map_err(|e| damaged(e.to_string()));
         }
         let value = match q.kind.as_str() {
             "budget" => self.query_budget(q)?,
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -31,6 +31,7 @@
 use anvilloft_wire::frame::Payload;
 use anvilloft_wire::frame::PromptRead as WireRead;
 use anvilloft_wire::frame::RouterLoad;
+use anvilloft_wire::pack::unpack;
 use anvilloft_wire::peers::FromPeer;
 use anvilloft_wire::peers::Peers;
 use anvilloft_wire::session::FleetOptions;
@@ -386,7 +387,10 @@
         if publication.version <= held {
             return;
         }
-        match self.cx.dialect.table(&publication.source) {
+        let table = unpack(&publication.source)
+            .map_err(|e| e.to_string())
+            .and_then(|source| self.cx.dialect.table(&source));
+        match table {
             Ok(table) => {
                 slog::info!(self.cx.log, "route table"; "version" => publication.version,
                     "from" => held, "routes" => table.routes().len(),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -32,6 +32,7 @@
 use anvilloft_wire::command::Prepaid;
 use anvilloft_wire::command::Publish;
 use anvilloft_wire::frame::EndpointUpdate;
+use anvilloft_wire::pack::pack;
 use anvilloft_wire::session::Identity;
 use http::HeaderMap;
 use http::HeaderName;
@@ -217,7 +218,7 @@
     pub(crate) async fn publish(&self, version: u64, prepaid: u64) {
         let publish = Publish {
             version,
-            source: format!("{version} {prepaid}").into_bytes(),
+            source: pack(format!("{version} {prepaid}").as_bytes()).unwrap(),
             prepaid: vec![Prepaid {
                 team: "small".into(),
                 tokens: prepaid,
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -68,8 +68,8 @@
     /// Version, chosen by the operator.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The table as the operator wrote it. Routers decode it, and reads return
-    /// it unchanged.
+    /// The table as the operator wrote it, packed by [`crate::pack::pack`].
+    /// Routers decode it, and reads return it unchanged.
     #[prost(bytes = "vec", tag = "2")]
     pub source: Vec<u8>,
     /// Prepaid amounts by team.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -121,7 +121,7 @@
     /// Version.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The table as the operator wrote it.
+    /// The table as the operator wrote it, packed by [`crate::pack::pack`].
     #[prost(bytes = "vec", tag = "2")]
     pub source: Vec<u8>,
 }
--- /dev/null
+++ b/crates/wire/tests/pack.rs
@@ -0,0 +1,37 @@
+//! Packed route tables.
+
+use anvilloft_wire::pack::MAX_UNPACKED_BYTES;
+use anvilloft_wire::pack::pack;
+use anvilloft_wire::pack::unpack;
+
+/// Guards against a table that comes back changed, and against one that is too
+/// large for what a control member can send to 80 routers.
+#[test]
+fn a_table_of_many_routes_packs_to_a_tenth() {
+    let route = |n: u32| {
+        format!(
+            "{{\"name\":\"r-{n}\",\"host\":\"h.example\",\"pathPrefix\":\"/p{n}/\",\
+             \"kind\":\"safe\",\"timeoutMs\":1000,\"service\":\"s\",\"maxAttempts\":2}}"
+        )
+    };
+    let source: String = (0..600).map(route).collect();
+    let packed = pack(source.as_bytes()).expect("a packed table");
+    assert!(
+        packed.len() * 10 < source.len(),
+        "{} of {}",
+        packed.len(),
+        source.len()
+    );
+    assert_eq!(unpack(&packed).expect("a table"), source.into_bytes());
+}
+
+/// Guards against a few bytes that unpack to more than a router's memory, and
+/// against damaged ones.
+#[test]
+fn damaged_and_oversized_tables_are_refused() {
+    let zeros = vec![0; usize::try_from(MAX_UNPACKED_BYTES).expect("a size") + 1];
+    let bomb = pack(&zeros).expect("a packed table");
+    assert!(unpack(&bomb).is_err());
+    assert!(unpack(&bomb[..bomb.len() / 2]).is_err());
+    assert!(unpack(b"not packed").is_err());
+}
