--- a/crates/budget/tests/lending.rs
+++ b/crates/budget/tests/lending.rs
@@ -1,7 +1,5 @@
 //! Allotments of routers that lend to each other.
 
-#![expect(clippy::expect_used, reason = "a failed expectation fails the test")]
-
 use std::time::Duration;
 
 use anvilloft_budget::Allotments;
--- a/crates/control/src/driver/group.rs
+++ b/crates/control/src/driver/group.rs
@@ -107,7 +107,7 @@
             let heard = self.node.last_heard(m.id);
             heard.is_some_and(|at| now >= at + LONG_SILENCE)
         };
-        if count % 2 == 0
+        if count.is_multiple_of(2)
             && let Some(id) = self.silent_voter(now).filter(gone).map(|m| m.id)
         {
             let _ = self.change(now, MemberChange::Remove(id));
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -231,7 +231,7 @@
             .unwrap();
         for relay in &self.relays {
             let ready = relay.readiness();
-            eventually("the relay has a table", || ready()).await;
+            eventually("the relay has a table", ready).await;
         }
     }
 
