Log which router lends or refuses tokens for a request

Cause: a request whose tokens came from another router left no line that names the lender, so its id did not lead to the cause of a refusal. Ruled out: logging at info, which is one line for each request of a team that borrows.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -352,7 +352,7 @@
     let budget = prepaid_budget(&team.name);
     let sources = match granted(cx, &budget, counts.most(), end).await {
         Ok(id) => vec![Source::Own(id, counts.most())],
-        Err(why) => borrow(cx, &budget, counts.most(), why, end).await?,
+        Err(why) => borrow(cx, id, &budget, counts.most(), why, end).await?,
     };
     Ok(Some(Charge {
         cx: Arc::clone(cx),
@@ -376,6 +376,17 @@
     Crowded,
 }
 
+impl Short {
+    /// Returns the word for logs.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Refused(_) => "refused",
+            Self::Silent => "silent",
+            Self::Crowded => "not asked",
+        }
+    }
+}
+
 /// Reserves tokens of this router's allotment, which control may add to.
 async fn granted(
     cx: &Shared,
@@ -410,6 +421,7 @@
 /// Gathers tokens from this router, its peers and the rest of the budget.
 async fn borrow(
     cx: &Arc<Shared>,
+    id: &str,
     budget: &str,
     amount: Tokens,
     why: Short,
@@ -423,6 +435,10 @@
     if missing == 0 {
         return Ok(gathered.take());
     }
+    anvilloft_telemetry::decision!(cx.log, "tokens"; "request" => id, "budget" => budget,
+        "need" => amount, "gathered" => gathered.amount(), "control" => why.as_str(),
+        "peers" => cx.peers.get().map_or(0, |p| p.routers().len()),
+        "in_touch" => cx.in_touch.load(Ordering::Relaxed));
     match &why {
         Short::Refused(refusal @ GrantRefusal::Insufficient(unspent, _)) => {
             if *unspent >= missing
