Split the tokens of a request from its forwarding

Cause: relay/src/forward.rs held 584 lines, of which the reservation and the settlement of tokens are a subject of their own. Change: charge.rs has both; nothing but the module changes.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 //! its format of the table.
 
 mod attempt;
+mod charge;
 mod control;
 mod dialect;
 mod events;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -27,8 +27,8 @@
 use crate::attempt::Progress;
 use crate::attempt::Running;
 use crate::attempt::send;
+use crate::charge::Charge;
 use crate::events::Splitter;
-use crate::forward::Charge;
 use crate::shared::Shared;
 
 /// Pauses between events after which an endpoint counts as silent, in longest
