Turn from a silent leader, and honour leave notices without an incarnation

Change: the client starts later calls with another member after one gave no answer; a notice of leaving without an incarnation holds for the one that is known. Each has a test that failed first (wire/tests/session.rs, dispatch/tests/dispatcher.rs).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -199,7 +199,10 @@
             *ep = Endpoint::new(now, said);
             return Change::Added;
         }
-        if said.incarnation < old.incarnation || old.left {
+        // A member that had not heard of the endpoint can't tell which
+        // incarnation leaves.
+        let unnamed = said.left && said.incarnation == 0;
+        if (said.incarnation < old.incarnation && !unnamed) || old.left {
             return Change::Stale;
         }
         let leaves = (said.leaving || said.left) && !old.leaving;
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -18,7 +18,7 @@
 pub struct Announcement {
     /// Name.
     pub id: EndpointId,
-    /// Incarnation.
+    /// Incarnation; 0 in a notice of leaving that names none.
     pub incarnation: Incarnation,
     /// Number within the incarnation.
     pub seq: u64,
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -203,6 +203,23 @@
     assert_eq!(d.choose(SECOND, &plain(&[])), Err(NoEndpoint::None));
 }
 
+/// Guards against a notice of leaving that is dropped because it reached a
+/// control member which had not heard of the endpoint before.
+#[test]
+fn a_notice_of_leaving_without_an_incarnation_holds_for_the_known_one() {
+    let mut d = dispatcher(&[("e1", "a")]);
+    let left = Announcement {
+        incarnation: 0,
+        seq: 0,
+        left: true,
+        leaving: true,
+        ..said("e1", "a")
+    };
+    assert_eq!(d.announce(SECOND, left.clone()), Change::Leaving);
+    assert_eq!(d.announce(SECOND, left), Change::Stale);
+    assert_eq!(d.choose(SECOND, &plain(&[])), Err(NoEndpoint::None));
+}
+
 /// Guards against routers that send prompts with the same shared part to
 /// different engines, each of which would read it.
 #[test]
--- a/crates/wire/src/session/client.rs
+++ b/crates/wire/src/session/client.rs
@@ -122,6 +122,24 @@
         self.run(req, limit, HOPS_BY_ROUTER, false).await
     }
 
+    /// Lets later calls start with another member than one that gave no answer:
+    /// a leader cut from its group keeps its sessions with routers.
+    fn pass_over(&self, silent: &Arc<Session>) {
+        let mut links = lock(&self.links);
+        let of = |link: &Arc<Link>| link.session().is_some_and(|s| Arc::ptr_eq(&s, silent));
+        let Some(at) = links.iter().position(of) else {
+            return;
+        };
+        let link = links.remove(at);
+        let address = link.address();
+        links.push(link);
+        drop(links);
+        let mut leader = lock(&self.leader);
+        if *leader == Some(address) {
+            *leader = None;
+        }
+    }
+
     /// Returns sessions to try with the hops of a call on each.
     fn targets(&self, hops: u32, relayed: bool) -> Vec<(Arc<Session>, u32)> {
         let members = self.sessions();
@@ -153,8 +171,14 @@
                     break;
                 }
                 match session.call(req.clone(), left.min(ATTEMPT), hops).await {
-                    Err(CallError::Unavailable(reason)) => last = reason,
-                    Err(CallError::Unknown(reason)) => unknown = Some(reason),
+                    Err(CallError::Unavailable(reason)) => {
+                        self.pass_over(&session);
+                        last = reason;
+                    }
+                    Err(CallError::Unknown(reason)) => {
+                        self.pass_over(&session);
+                        unknown = Some(reason);
+                    }
                     Ok(reply) => match reply.answer {
                         Some(Answer::NotLeader(hint)) => {
                             last = "the member doesn't lead".to_owned();
@@ -167,8 +191,14 @@
                                 }
                             }
                         }
-                        Some(Answer::Unavailable(reason)) => last = reason,
-                        Some(Answer::Unknown(reason)) => unknown = Some(reason),
+                        Some(Answer::Unavailable(reason)) => {
+                            self.pass_over(&session);
+                            last = reason;
+                        }
+                        Some(Answer::Unknown(reason)) => {
+                            self.pass_over(&session);
+                            unknown = Some(reason);
+                        }
                         None => last = "the reply is empty".to_owned(),
                         Some(_) => return Ok(reply),
                     },
--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -221,6 +221,25 @@
     assert!(refuses.handler.hops.lock().unwrap().len() > 1);
 }
 
+/// Guards against a client that spends every call on a leader which was cut
+/// from its group and answers nothing.
+#[tokio::test]
+async fn a_call_follows_another_member_after_the_leader_fell_silent() {
+    let silent = server(identity("silent", KEY), Recorder::default()).await;
+    let next = Recorder {
+        answer: Some(Answer::QueryResult("done".into())),
+        ..Recorder::default()
+    };
+    let next = server(identity("next", KEY), next).await;
+    let client = client(&[silent.address, next.address]);
+    assert!(wait_for(SOON, || client.sessions().len() == 2).await);
+    let one_attempt = Duration::from_secs(1);
+    let first = client.call(query(), one_attempt).await;
+    assert!(first.is_err(), "{first:?}");
+    let second = client.call(query(), one_attempt).await;
+    assert!(second.is_ok(), "{second:?}");
+}
+
 #[tokio::test]
 async fn calls_follow_the_leader_and_use_router_peers_without_a_member() {
     let done = || Some(Answer::QueryResult("done".into()));
