Keep one copy of lock and unix_ms

Change: anvilloft_types has both; every crate calls them. A host whose clock stands before 1970 still gets 0, and routers still start at incarnation 1. Conclusion: no behaviour changes.

--- a/crates/bench/src/commits.rs
+++ b/crates/bench/src/commits.rs
@@ -10,7 +10,6 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -22,6 +21,7 @@
 use anvilloft_control::driver::Status;
 use anvilloft_control::driver::Transport;
 use anvilloft_storage::RealDisk;
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
@@ -150,7 +150,7 @@
 
 impl Transport for Port {
     fn send(&self, member: MemberId, frame: ConsensusFrame) {
-        let handles = self.handles.lock().unwrap_or_else(PoisonError::into_inner);
+        let handles = lock(&self.handles);
         if let Some(handle) = handles.get(&member) {
             handle.consensus(frame);
         }
@@ -194,11 +194,7 @@
         let mut cfg = DriverConfig::new(id, disk, transport, log, id);
         cfg.found = (id == 1).then(|| "member-1".to_owned());
         let driver = Driver::start(cfg)?;
-        let mut handles = self
-            .port
-            .handles
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut handles = lock(&self.port.handles);
         handles.insert(id, driver.handle());
         self.drivers.push(driver);
         Ok(())
--- a/crates/bench/src/history.rs
+++ b/crates/bench/src/history.rs
@@ -13,7 +13,8 @@
 use std::fmt::Debug;
 use std::hash::Hash;
 use std::sync::Mutex;
-use std::sync::PoisonError;
+
+use anvilloft_types::lock;
 
 use quick_error::quick_error;
 
@@ -96,7 +97,7 @@
 
     /// Records a call, just before it is made.
     pub fn call(&self, call: C) -> CallNo {
-        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut log = lock(&self.log);
         log.time += 1;
         let called = log.time;
         log.entries.push(Entry {
@@ -110,7 +111,7 @@
     /// Records the reply to a call, just after it arrived. A call whose
     /// outcome is unknown gets none.
     pub fn reply(&self, call: CallNo, reply: R) {
-        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut log = lock(&self.log);
         log.time += 1;
         let time = log.time;
         if let Some(entry) = log.entries.get_mut(call) {
@@ -120,7 +121,7 @@
 
     /// Returns the count of calls.
     pub fn len(&self) -> usize {
-        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let log = lock(&self.log);
         log.entries.len()
     }
 
@@ -153,7 +154,7 @@
 /// `NotLinearizable` when no order explains the replies, `TooLong` when the
 /// search was given up.
 pub fn check<S: Spec>(spec: &S, history: &History<S::Call, S::Reply>) -> Result<(), Violation> {
-    let log = history.log.lock().unwrap_or_else(PoisonError::into_inner);
+    let log = lock(&history.log);
     let entries = &log.entries;
     let replied = entries.iter().filter(|e| e.reply.is_some()).count();
     let mut visited: HashSet<(Vec<u64>, S::State)> = HashSet::new();
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -8,7 +8,6 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use anvilloft_settings::ControlSettings;
 use anvilloft_settings::GroupStart;
@@ -18,6 +17,7 @@
 use anvilloft_storage::member_id;
 use anvilloft_telemetry::Metrics;
 use anvilloft_telemetry::MetricsError;
+use anvilloft_types::unix_ms;
 use anvilloft_wire::ControlClient;
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::Query;
@@ -374,11 +374,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
-
 async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address)
         .await
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
-use std::time::SystemTime;
 
 use anvilloft_consensus::Effects;
 use anvilloft_consensus::Entry;
@@ -19,6 +18,7 @@
 use anvilloft_ledger::Ledger;
 use anvilloft_storage::Store;
 use anvilloft_types::prelude::*;
+use anvilloft_types::unix_ms;
 use anvilloft_wire::Command;
 use anvilloft_wire::CommandReply;
 use anvilloft_wire::ControlReply;
@@ -336,10 +336,7 @@
     /// Returns the wall clock in milliseconds since the Unix epoch. It never
     /// goes back.
     fn wall_ms(&mut self) -> u64 {
-        let wall = SystemTime::now()
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
-        self.last_ms = self.last_ms.max(wall);
+        self.last_ms = self.last_ms.max(unix_ms());
         self.last_ms
     }
 
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -8,9 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::sync::OnceLock;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -21,6 +19,7 @@
 use anvilloft_types::MemberId;
 use anvilloft_types::Revision;
 use anvilloft_types::RouterId;
+use anvilloft_types::lock;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
 use anvilloft_wire::ControlReply;
@@ -61,11 +60,6 @@
 /// Time for one forwarded attempt; a call outlives one lost leader.
 const ATTEMPT: Duration = Duration::from_secs(1);
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    // Every holder makes one change only, so a panic leaves no half state.
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Sessions and links of one control member.
 pub struct Peers {
     identity: Arc<Identity>,
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -9,8 +9,8 @@
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::frame::EndpointBatch;
 use anvilloft_wire::frame::EndpointUpdate;
@@ -54,8 +54,7 @@
 
 impl Registry {
     fn lock(&self) -> MutexGuard<'_, Vec<Entry>> {
-        // Every holder makes one change only, so a panic leaves no half state.
-        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.entries)
     }
 
     /// Takes an announcement. One that left is remembered, so that a delayed
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -3,17 +3,16 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use anvilloft_ledger::Ledger;
 use anvilloft_ledger::set_op;
 use anvilloft_types::BoxFuture;
+use anvilloft_types::lock;
+use anvilloft_types::unix_ms;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Command;
 use anvilloft_wire::Control;
@@ -74,16 +73,6 @@
     pub cut_control: Arc<AtomicBool>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn now_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
-}
-
 impl LocalControl {
     /// Makes an empty ledger.
     pub fn new() -> Arc<Self> {
@@ -134,7 +123,7 @@
     /// Applies a command at the present time.
     pub fn apply(&self, body: Body) -> Reply {
         let reply = lock(&self.ledger).apply(&Command {
-            at_ms: now_ms(),
+            at_ms: unix_ms(),
             body: Some(body),
         });
         reply
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -7,12 +7,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvilloft_types::lock;
+
 use anvilloft_gateway::announce::Announcement;
 use anvilloft_gateway::announce::Load;
 use anvilloft_gateway::announce::ModelEntry;
@@ -169,12 +170,12 @@
     /// Returns how often the request with this idempotency key, prompt or body
     /// was run.
     pub fn runs(&self, key: &str) -> u64 {
-        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let runs = lock(&self.runs);
         runs.get(key).copied().unwrap_or(0)
     }
 
     pub(crate) fn count_run(&self, key: &str) -> u64 {
-        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut runs = lock(&self.runs);
         let count = runs.entry(key.to_owned()).or_insert(0);
         *count += 1;
         *count
@@ -198,18 +199,18 @@
 
 impl Shared {
     pub(crate) fn fault(&self) -> Fault {
-        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.fault)
     }
 
     pub(crate) fn register(&self, attempt: &str) -> CancellationToken {
         let token = CancellationToken::new();
-        let mut cancels = self.cancels.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut cancels = lock(&self.cancels);
         cancels.insert(attempt.to_owned(), token.clone());
         token
     }
 
     pub(crate) fn forget(&self, attempt: &str) {
-        let mut cancels = self.cancels.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut cancels = lock(&self.cancels);
         cancels.remove(attempt);
     }
 
@@ -353,11 +354,7 @@
 
     /// Sets the fault of the answers from now on.
     pub fn set_fault(&self, fault: Fault) {
-        *self
-            .shared
-            .fault
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = fault;
+        *lock(&self.shared.fault) = fault;
     }
 
     /// Announces that no new work is wanted. Requests that come anyway run.
@@ -464,10 +461,7 @@
             let named: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
             let named = named["attempt"].as_str().unwrap_or_default();
             let token = {
-                let cancels = shared
-                    .cancels
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner);
+                let cancels = lock(&shared.cancels);
                 cancels.get(named).cloned()
             };
             if let Some(token) = token {
--- a/crates/fakes/src/orders.rs
+++ b/crates/fakes/src/orders.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
+
+use anvilloft_types::lock;
 
 use http::StatusCode;
 use serde_json::Value;
@@ -34,7 +35,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 
     pub(crate) fn models(&self) -> Vec<String> {
--- a/crates/fakes/src/slots.rs
+++ b/crates/fakes/src/slots.rs
@@ -3,7 +3,8 @@
 use std::collections::BinaryHeap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
+
+use anvilloft_types::lock;
 
 use tokio::sync::oneshot;
 
@@ -60,7 +61,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Waits for a slot.
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -11,7 +11,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -20,6 +19,7 @@
 use std::time::Instant;
 
 use anvilloft_types::AttemptId;
+use anvilloft_types::lock;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures::FutureExt;
@@ -265,7 +265,7 @@
     }
 
     fn take_idle(&self, addr: SocketAddr) -> Option<Conn> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         let conns = idle.get_mut(&addr)?;
         while let Some(mut conn) = conns.pop() {
             if conn.usable() {
@@ -280,7 +280,7 @@
             return;
         }
         conn.idle_since = Instant::now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         let conns = idle.entry(addr).or_default();
         if conns.len() < MAX_IDLE {
             conns.push(conn);
@@ -289,7 +289,7 @@
 
     /// Closes connections that were idle for too long. Called every second.
     pub fn close_idle(&self) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         idle.retain(|_, conns| {
             conns.retain(|c| c.idle_since.elapsed() <= c.max_idle);
             !conns.is_empty()
@@ -298,7 +298,7 @@
 
     /// Returns the count of idle connections.
     pub fn idle_count(&self) -> usize {
-        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = lock(&self.idle);
         idle.values().map(Vec::len).sum()
     }
 
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -10,6 +10,7 @@
 use anvilloft_dispatch::Part;
 use anvilloft_dispatch::PromptRead;
 use anvilloft_dispatch::Work;
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
@@ -47,7 +48,6 @@
 use tokio::time::sleep_until;
 
 use crate::shared::Shared;
-use crate::shared::lock;
 
 /// Time between two renewals. The table is asked for at once when control
 /// says that a newer one is published, so renewals only make up for what was
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -9,6 +9,7 @@
 use anvilloft_routes::Route;
 use anvilloft_routes::RouteTable;
 use anvilloft_routes::Team;
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -32,7 +33,6 @@
 use crate::charge::reserve;
 use crate::dialect::Facts;
 use crate::shared::Shared;
-use crate::shared::lock;
 use crate::stream::EventBody;
 
 /// When to come back while endpoints have no room.
--- a/crates/relay/src/purse.rs
+++ b/crates/relay/src/purse.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
 use anvilloft_budget::Allotments;
 use anvilloft_budget::GrantRefusal;
@@ -11,6 +10,7 @@
 use anvilloft_budget::NeedId;
 use anvilloft_budget::ReservationId;
 use anvilloft_budget::Reserve;
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CommandReply;
 use anvilloft_wire::command::Grant;
@@ -73,7 +73,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 
     /// Starts over under another incarnation, before any grant was made.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -19,6 +19,7 @@
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::serve;
 use anvilloft_routes::RouteTable;
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::session::Identity;
 use arc_swap::ArcSwap;
@@ -39,7 +40,6 @@
 use crate::purse::Purse;
 use crate::shared::Repeats;
 use crate::shared::Shared;
-use crate::shared::lock;
 
 /// Time to open a connection to an endpoint. A hundred round trips within a
 /// city; an endpoint that needs longer has no room or is gone.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,7 +4,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -16,6 +15,7 @@
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::metrics::Metrics;
 use anvilloft_routes::RouteTable;
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::session::FleetPeers;
 use arc_swap::ArcSwap;
@@ -25,12 +25,6 @@
 use crate::options::RelayOptions;
 use crate::purse::Purse;
 
-/// Locks a mutex whose data stays consistent even if a holder panicked: each
-/// holder makes one change only.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Repeats by service.
 pub(crate) struct Repeats {
     // Sorted by service.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -2,8 +2,6 @@
 
 use std::path::Path;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use anvilloft_gateway::ApiOptions;
 use anvilloft_gateway::client::Limits;
@@ -11,6 +9,7 @@
 use anvilloft_settings::RouterSettings;
 use anvilloft_settings::SettingsError;
 use anvilloft_telemetry::LogOptions;
+use anvilloft_types::unix_ms;
 use anvilloft_wire::session::FleetOptions;
 use anvilloft_wire::session::Identity;
 use anvilloft_wire::session::join_fleet;
@@ -79,9 +78,7 @@
     Ok(RouterOptions {
         name: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
-        incarnation: SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(1, |d| d.as_millis() as u64),
+        incarnation: unix_ms().max(1),
         caller_listen: settings.caller_listen,
         caller_address: settings.caller_address,
         peer_address: settings.peer_address().to_string(),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,8 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use anvilloft_gateway::Api;
 use anvilloft_gateway::ApiOptions;
@@ -19,6 +17,7 @@
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::serve;
 use anvilloft_types::Incarnation;
+use anvilloft_types::unix_ms;
 use anvilloft_wire::Control;
 use anvilloft_wire::peers::FromPeer;
 use anvilloft_wire::peers::Peers;
@@ -185,9 +184,7 @@
             log: log.clone(),
         });
         let incarnation = match options.incarnation {
-            0 => SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .map_or(1, |d| d.as_millis() as u64),
+            0 => unix_ms().max(1),
             n => n,
         };
         let control_runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
+
+use anvilloft_types::lock;
 
 use rand::Rng;
 
@@ -83,7 +84,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Loses what isn't synced, as a power failure does: of each file any part
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -2,6 +2,11 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 pub mod prelude;
 
@@ -62,3 +67,16 @@
         }
     }
 }
+
+/// Locks a mutex whose data stays consistent even if a holder panicked: each
+/// holder makes one change only.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the time of day in milliseconds since the Unix epoch, 0 on a host
+/// whose clock stands before it.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/wire/src/session/client.rs
+++ b/crates/wire/src/session/client.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use anvilloft_types::BoxFuture;
+use anvilloft_types::lock;
 use slog::Logger;
 use tokio::time::Instant;
 
@@ -49,10 +49,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl ControlClient {
     /// Starts links to the members. Must be called within a tokio runtime.
     pub fn start(
--- a/crates/wire/src/session/fleet.rs
+++ b/crates/wire/src/session/fleet.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
-use std::sync::PoisonError;
 use std::sync::Weak;
 use std::time::Duration;
 
@@ -26,6 +25,7 @@
 use crate::peers::FromPeer;
 use crate::peers::Peers;
 use anvilloft_types::BoxFuture;
+use anvilloft_types::lock;
 use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -114,10 +114,6 @@
     _stop: watch::Sender<bool>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Starts the sessions. Must be called within the control thread's runtime.
 ///
 /// # Errors
--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -13,6 +12,7 @@
 use std::time::Instant;
 
 use anvilloft_types::BoxFuture;
+use anvilloft_types::lock;
 use bytes::Bytes;
 use futures::SinkExt;
 use futures::StreamExt;
@@ -275,12 +275,6 @@
     }
 }
 
-/// Locks a mutex whose data stays consistent even if a holder panicked: each
-/// holder makes one change only.
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Runs the handshake and starts the session's tasks. They end by themselves
 /// when the session ends.
 pub(super) async fn open<R, W>(
