Pass over a silent member in one place

Cause: the call loop of ControlClient passed over a member in four arms that otherwise differ in the kind of failure only. Change: the arms yield the failure, which is handled once. Conclusion: no behaviour changes; an empty reply still passes nobody over.

--- a/crates/bench/src/history.rs
+++ b/crates/bench/src/history.rs
@@ -15,7 +15,6 @@
 use std::sync::Mutex;
 
 use anvilloft_types::lock;
-
 use quick_error::quick_error;
 
 pub use specs::BudgetCall;
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -12,8 +12,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anvilloft_types::lock;
-
 use anvilloft_gateway::announce::Announcement;
 use anvilloft_gateway::announce::Load;
 use anvilloft_gateway::announce::ModelEntry;
@@ -22,6 +20,7 @@
 use anvilloft_gateway::metrics::Metrics;
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::serve;
+use anvilloft_types::lock;
 use http::HeaderValue;
 use http::StatusCode;
 use http_body_util::BodyExt;
--- a/crates/fakes/src/orders.rs
+++ b/crates/fakes/src/orders.rs
@@ -5,7 +5,6 @@
 use std::sync::MutexGuard;
 
 use anvilloft_types::lock;
-
 use http::StatusCode;
 use serde_json::Value;
 use volo_http::response::Response;
--- a/crates/fakes/src/slots.rs
+++ b/crates/fakes/src/slots.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 
 use anvilloft_types::lock;
-
 use tokio::sync::oneshot;
 
 struct Waiter {
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -7,7 +7,6 @@
 use std::sync::MutexGuard;
 
 use anvilloft_types::lock;
-
 use rand::Rng;
 
 use crate::disk::Disk;
--- a/crates/wire/src/session/client.rs
+++ b/crates/wire/src/session/client.rs
@@ -166,15 +166,8 @@
                 if left.is_zero() {
                     break;
                 }
-                match session.call(req.clone(), left.min(ATTEMPT), hops).await {
-                    Err(CallError::Unavailable(reason)) => {
-                        self.pass_over(&session);
-                        last = reason;
-                    }
-                    Err(CallError::Unknown(reason)) => {
-                        self.pass_over(&session);
-                        unknown = Some(reason);
-                    }
+                let refusal = match session.call(req.clone(), left.min(ATTEMPT), hops).await {
+                    Err(err) => err,
                     Ok(reply) => match reply.answer {
                         Some(Answer::NotLeader(hint)) => {
                             last = "the member doesn't lead".to_owned();
@@ -186,18 +179,21 @@
                                     break;
                                 }
                             }
+                            continue;
                         }
-                        Some(Answer::Unavailable(reason)) => {
-                            self.pass_over(&session);
-                            last = reason;
+                        Some(Answer::Unavailable(reason)) => CallError::Unavailable(reason),
+                        Some(Answer::Unknown(reason)) => CallError::Unknown(reason),
+                        None => {
+                            last = "the reply is empty".to_owned();
+                            continue;
                         }
-                        Some(Answer::Unknown(reason)) => {
-                            self.pass_over(&session);
-                            unknown = Some(reason);
-                        }
-                        None => last = "the reply is empty".to_owned(),
                         Some(_) => return Ok(reply),
                     },
+                };
+                self.pass_over(&session);
+                match refusal {
+                    CallError::Unavailable(reason) => last = reason,
+                    CallError::Unknown(reason) => unknown = Some(reason),
                 }
             }
             let left = deadline.saturating_duration_since(Instant::now());
