Translate replies that say there is none in one place

Cause: three places turned such a reply into a CallError, and two a CallError into a reply, variant by variant. Change: ControlReply::into_result and From<CallError> for ControlReply, beside the two types. Conclusion: no behaviour changes.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -245,11 +245,8 @@
         };
         if hops >= HOPS_BY_CONTROL {
             // The caller knows more members than this one does.
-            return match handle.call(req, limit).await {
-                Ok(reply) => reply,
-                Err(CallError::Unavailable(reason)) => Answer::Unavailable(reason).into(),
-                Err(CallError::Unknown(reason)) => Answer::Unknown(reason).into(),
-            };
+            let result = handle.call(req, limit).await;
+            return result.unwrap_or_else(ControlReply::from);
         }
         let changes = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
         let deadline = Instant::now() + limit;
@@ -275,13 +272,9 @@
                 }
                 None => handle.call(req.clone(), left.min(ATTEMPT)).await,
             };
-            match result {
-                Ok(reply) => match reply.answer {
-                    Some(Answer::NotLeader(_)) => (),
-                    Some(Answer::Unavailable(reason)) => last = reason,
-                    Some(Answer::Unknown(reason)) => unknown = Some(reason),
-                    _ => return reply,
-                },
+            match result.and_then(ControlReply::into_result) {
+                Ok(reply) if matches!(reply.answer, Some(Answer::NotLeader(_))) => (),
+                Ok(reply) => return reply,
                 Err(CallError::Unknown(reason)) => unknown = Some(reason),
                 Err(CallError::Unavailable(reason)) => last = reason,
             }
@@ -314,14 +307,7 @@
         req: ControlRequest,
         timeout: Duration,
     ) -> BoxFuture<'_, Result<ControlReply, CallError>> {
-        Box::pin(async move {
-            let reply = self.run(req, timeout, 0).await;
-            match reply.answer {
-                Some(Answer::Unavailable(reason)) => Err(CallError::Unavailable(reason)),
-                Some(Answer::Unknown(reason)) => Err(CallError::Unknown(reason)),
-                _ => Ok(reply),
-            }
-        })
+        Box::pin(async move { self.run(req, timeout, 0).await.into_result() })
     }
 }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -356,3 +356,28 @@
         }
     }
 }
+
+impl From<CallError> for ControlReply {
+    fn from(err: CallError) -> Self {
+        match err {
+            CallError::Unavailable(reason) => Answer::Unavailable(reason),
+            CallError::Unknown(reason) => Answer::Unknown(reason),
+        }
+        .into()
+    }
+}
+
+impl ControlReply {
+    /// Returns the reply unless it says that there is none.
+    ///
+    /// # Errors
+    ///
+    /// As [`Control::call`], by what the member answered.
+    pub fn into_result(self) -> Result<Self, CallError> {
+        match self.answer {
+            Some(Answer::Unavailable(reason)) => Err(CallError::Unavailable(reason)),
+            Some(Answer::Unknown(reason)) => Err(CallError::Unknown(reason)),
+            _ => Ok(self),
+        }
+    }
+}
--- a/crates/wire/src/session/client.rs
+++ b/crates/wire/src/session/client.rs
@@ -166,7 +166,8 @@
                 if left.is_zero() {
                     break;
                 }
-                let refusal = match session.call(req.clone(), left.min(ATTEMPT), hops).await {
+                let result = session.call(req.clone(), left.min(ATTEMPT), hops).await;
+                let refusal = match result.and_then(ControlReply::into_result) {
                     Err(err) => err,
                     Ok(reply) => match reply.answer {
                         Some(Answer::NotLeader(hint)) => {
@@ -181,8 +182,6 @@
                             }
                             continue;
                         }
-                        Some(Answer::Unavailable(reason)) => CallError::Unavailable(reason),
-                        Some(Answer::Unknown(reason)) => CallError::Unknown(reason),
                         None => {
                             last = "the reply is empty".to_owned();
                             continue;
--- a/crates/wire/src/session/fleet.rs
+++ b/crates/wire/src/session/fleet.rs
@@ -17,7 +17,6 @@
 use super::serve;
 use crate::command::OpenIncarnation;
 use crate::control::Answer;
-use crate::control::CallError;
 use crate::control::ControlReply;
 use crate::control::ControlRequest;
 use crate::frame::Call;
@@ -259,11 +258,8 @@
             if call.hops > 0 {
                 return Answer::Unavailable("relayed before".into()).into();
             }
-            match control.call_members(req, limit).await {
-                Ok(reply) => reply,
-                Err(CallError::Unavailable(reason)) => Answer::Unavailable(reason).into(),
-                Err(CallError::Unknown(reason)) => Answer::Unknown(reason).into(),
-            }
+            let result = control.call_members(req, limit).await;
+            result.unwrap_or_else(ControlReply::from)
         })
     }
 }
