Choose the routers for callers in the directory crate

Cause: which routers an answer of the directory names was decided in platform/, which only translates. Conclusion: no behaviour changes.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -13,3 +13,4 @@
 pub use endpoints::Entry;
 pub use routers::Routers;
 pub use routers::entry_count;
+pub use routers::serving;
--- a/crates/directory/src/routers.rs
+++ b/crates/directory/src/routers.rs
@@ -14,6 +14,9 @@
 /// of every endpoint's slots, so a team needs more routers than its share of
 /// the demand, or it queues there while slots elsewhere are free.
 const ENTRY_HEADROOM: f64 = 4.0;
+/// Routers in a caller's data centre from which no others are named. With
+/// fewer, the death of one would leave too much to the others.
+const LOCAL_ENOUGH: usize = 2;
 
 /// Returns how many of `routers` a team should use that makes `share` (0 to 1)
 /// of the demand.
@@ -22,6 +25,34 @@
     count.max(ENTRY_LEAST).min(routers)
 }
 
+/// Returns the routers for callers of a data centre. Those without a session
+/// with the control member that answers are left out, unless most have none:
+/// then that member has just started or is the one that is cut off.
+///
+/// `connected` has the names of the routers with a session, sorted.
+pub fn serving<'a>(
+    routers: &'a [OpenIncarnation],
+    connected: &[String],
+    data_centre: &str,
+) -> Vec<&'a OpenIncarnation> {
+    let alive = |r: &&OpenIncarnation| r.state == i32::from(RouterState::Alive);
+    let mut usable: Vec<_> = routers.iter().filter(alive).collect();
+    let has_session = |r: &&OpenIncarnation| connected.binary_search(&r.router).is_ok();
+    let in_touch: Vec<_> = usable.iter().copied().filter(has_session).collect();
+    if in_touch.len() * 2 > usable.len() {
+        usable = in_touch;
+    }
+    let local: Vec<_> = usable
+        .iter()
+        .copied()
+        .filter(|r| r.data_centre == data_centre)
+        .collect();
+    match local.len() >= LOCAL_ENOUGH {
+        true => local,
+        false => usable,
+    }
+}
+
 /// The router directory at one version.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Routers {
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -7,6 +7,7 @@
 use anvilloft_directory::Endpoints;
 use anvilloft_directory::Routers;
 use anvilloft_directory::entry_count;
+use anvilloft_directory::serving;
 use anvilloft_wire::command::OpenIncarnation;
 use anvilloft_wire::command::RouterState;
 use anvilloft_wire::frame::EndpointUpdate;
@@ -276,3 +277,65 @@
         assert_eq!(entry_count(c.share, c.routers), c.count, "{}", c.name);
     }
 }
+
+fn router(name: &str, data_centre: &str, state: RouterState) -> OpenIncarnation {
+    OpenIncarnation {
+        router: name.to_owned(),
+        caller_address: format!("{name}:1"),
+        data_centre: data_centre.to_owned(),
+        state: state.into(),
+        ..OpenIncarnation::default()
+    }
+}
+
+/// Guards against callers who are sent to a router that is stopping or gone,
+/// or to none while the control member that answers is the one that is cut off.
+#[test]
+fn callers_are_sent_to_routers_that_serve() {
+    let routers = [
+        router("r1", "a", RouterState::Alive),
+        router("r2", "a", RouterState::Alive),
+        router("r3", "b", RouterState::Alive),
+        router("r4", "b", RouterState::Draining),
+    ];
+    struct Case {
+        connected: &'static [&'static str],
+        data_centre: &'static str,
+        named: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            connected: &["r1", "r2", "r3", "r4"],
+            data_centre: "a",
+            named: &["r1:1", "r2:1"],
+        },
+        Case {
+            connected: &["r1", "r2", "r3", "r4"],
+            data_centre: "b",
+            named: &["r1:1", "r2:1", "r3:1"],
+        },
+        Case {
+            connected: &["r1", "r3"],
+            data_centre: "a",
+            named: &["r1:1", "r3:1"],
+        },
+        Case {
+            connected: &["r1"],
+            data_centre: "c",
+            named: &["r1:1", "r2:1", "r3:1"],
+        },
+        Case {
+            connected: &[],
+            data_centre: "c",
+            named: &["r1:1", "r2:1", "r3:1"],
+        },
+    ];
+    for c in cases {
+        let connected: Vec<String> = c.connected.iter().map(|n| (*n).to_owned()).collect();
+        let named: Vec<&str> = serving(&routers, &connected, c.data_centre)
+            .iter()
+            .map(|r| r.caller_address.as_str())
+            .collect();
+        assert_eq!(named, c.named, "{}", c.data_centre);
+    }
+}
