--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -2,7 +2,6 @@
 //! die like a process: every socket closes at once.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +17,8 @@
 use anvilloft_gateway::client::ATTEMPT_HEADER;
 use anvilloft_gateway::client::PRIORITY_HEADER;
 use anvilloft_gateway::metrics::Metrics;
+use anvilloft_gateway::serve::AnswerService;
+use anvilloft_gateway::serve::Answers;
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::serve;
 use anvilloft_types::lock;
@@ -27,7 +28,6 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use volo_http::body::Body;
-use volo_http::context::ServerContext;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -390,7 +390,7 @@
     let Ok(listener) = TcpListener::from_std(listener) else {
         return;
     };
-    let service = FakeService(Arc::clone(&shared));
+    let service = AnswerService(FakeService(Arc::clone(&shared)));
     let Ok(metrics) = Metrics::new() else {
         return;
     };
@@ -429,11 +429,8 @@
 
 struct FakeService(Arc<Shared>);
 
-impl volo::Service<ServerContext, Request> for FakeService {
-    type Response = Response;
-    type Error = Infallible;
-
-    async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+impl Answers for FakeService {
+    async fn answer(&self, req: Request) -> Response {
         let shared = &self.0;
         let (parts, body) = req.into_parts();
         let header = |name: &str| {
@@ -453,7 +450,7 @@
             .await
             .map(http_body_util::Collected::to_bytes)
         else {
-            return Ok(text(StatusCode::BAD_REQUEST, "truncated"));
+            return text(StatusCode::BAD_REQUEST, "truncated");
         };
         if path == "/v1/cancel" {
             shared.counts.cancel_calls.fetch_add(1, Ordering::Relaxed);
@@ -466,10 +463,10 @@
             if let Some(token) = token {
                 token.cancel();
             }
-            return Ok(echo(text(StatusCode::OK, "{}"), &attempt));
+            return echo(text(StatusCode::OK, "{}"), &attempt);
         }
         if path == "/v1/orders" {
-            return Ok(crate::orders::answer(shared, &body));
+            return crate::orders::answer(shared, &body);
         }
         shared.counts.arrived.fetch_add(1, Ordering::Relaxed);
         let fault = match header("x-fake-fault").as_str() {
@@ -484,18 +481,18 @@
             let mut resp = text(StatusCode::SERVICE_UNAVAILABLE, "busy");
             resp.headers_mut()
                 .insert("x-anvilloft-refused", HeaderValue::from_static("not-run"));
-            return Ok(echo(resp, &attempt));
+            return echo(resp, &attempt);
         }
         let resp = if shared.options.service.is_empty() {
             model::answer(shared, &path, &body, &attempt, priority, fault).await
         } else {
             order(shared, &key, &body, priority, fault).await
         };
-        Ok(match fault {
+        match fault {
             Fault::WrongAttempt => echo(resp, "00000000000000000000000000000000"),
             Fault::NoAttempt => resp,
             _ => echo(resp, &attempt),
-        })
+        }
     }
 }
 
--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -1,6 +1,5 @@
 //! HTTP towards callers and announcements of endpoints.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +12,6 @@
 use serde_json::json;
 use slog::Logger;
 use volo_http::body::Body;
-use volo_http::context::ServerContext;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -28,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::model_request::Kind;
 use crate::ports::CoreHandle;
+use crate::serve::Answers;
 use crate::service;
 use crate::view::Clock;
 use crate::view::SharedView;
@@ -408,14 +407,8 @@
     }
 }
 
-/// The volo service over a shared [`Api`].
-pub struct ApiService(pub Arc<Api>);
-
-impl volo::Service<ServerContext, Request> for ApiService {
-    type Response = Response;
-    type Error = Infallible;
-
-    async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
-        Ok(self.0.answer(req).await)
+impl Answers for Arc<Api> {
+    async fn answer(&self, req: Request) -> Response {
+        Api::answer(self, req).await
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -53,24 +53,54 @@
     }
 }
 
+/// A volo service whose every failure is an answer.
+pub trait HttpService:
+    volo::Service<ServerContext, Request, Response = Response, Error = Infallible>
+    + Send
+    + Sync
+    + 'static
+{
+}
+
+impl<S> HttpService for S where
+    S: volo::Service<ServerContext, Request, Response = Response, Error = Infallible>
+        + Send
+        + Sync
+        + 'static
+{
+}
+
+/// Answers requests, refusals included.
+pub trait Answers: Send + Sync + 'static {
+    /// Returns the answer to one request.
+    fn answer(&self, req: Request) -> impl Future<Output = Response> + Send;
+}
+
+/// The volo service of what answers requests.
+pub struct AnswerService<A>(pub A);
+
+impl<A: Answers> volo::Service<ServerContext, Request> for AnswerService<A> {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        Ok(self.0.answer(req).await)
+    }
+}
+
 /// Serves `service` on `listener` until the token is cancelled.
 ///
 /// Cancelling `stop` closes the listener; open connections go on as tasks of
 /// the runtime. Cancelling `finish` ends each of them after the request that it
 /// carries, and idle ones at once.
-pub async fn serve<S>(
+pub async fn serve<S: HttpService>(
     listener: TcpListener,
     service: S,
     limits: ConnectionLimits,
     metrics: Arc<Metrics>,
     stop: CancellationToken,
     finish: CancellationToken,
-) where
-    S: volo::Service<ServerContext, Request, Response = Response, Error = Infallible>
-        + Send
-        + Sync
-        + 'static,
-{
+) {
     let service = Arc::new(service);
     let permits = Arc::new(Semaphore::new(limits.max_connections));
     loop {
@@ -103,18 +133,13 @@
 }
 
 /// Serves one connection until its end.
-async fn serve_one<S>(
+async fn serve_one<S: HttpService>(
     stream: TcpStream,
     peer: SocketAddr,
     service: Arc<S>,
     header_read: Duration,
     finish: CancellationToken,
-) where
-    S: volo::Service<ServerContext, Request, Response = Response, Error = Infallible>
-        + Send
-        + Sync
-        + 'static,
-{
+) {
     let answer = service_fn(move |req: hyper::Request<Incoming>| {
         let service = Arc::clone(&service);
         async move {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -1,11 +1,11 @@
 //! A request from its header to its answer.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use anvilloft_dispatch::Outcome;
 use anvilloft_gateway::Refusal;
+use anvilloft_gateway::serve::Answers;
 use anvilloft_routes::Route;
 use anvilloft_routes::RouteTable;
 use anvilloft_routes::Team;
@@ -22,7 +22,6 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use volo_http::body::Body;
-use volo_http::context::ServerContext;
 
 use crate::attempt::Answered;
 use crate::attempt::Failed;
@@ -57,19 +56,12 @@
     header::CONTENT_LENGTH,
 ];
 
-/// The volo service of the callers' port.
+/// What answers on the callers' port.
 pub(crate) struct Callers(pub(crate) Arc<Shared>);
 
-impl volo::Service<ServerContext, Request<Body>> for Callers {
-    type Response = Response<Body>;
-    type Error = Infallible;
-
-    async fn call(
-        &self,
-        _cx: &mut ServerContext,
-        req: Request<Body>,
-    ) -> Result<Self::Response, Self::Error> {
-        Ok(answer(&self.0, req).await)
+impl Answers for Callers {
+    async fn answer(&self, req: Request<Body>) -> Response<Body> {
+        answer(&self.0, req).await
     }
 }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,6 +16,7 @@
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::Limits;
 use anvilloft_gateway::metrics::Metrics;
+use anvilloft_gateway::serve::AnswerService;
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::serve;
 use anvilloft_routes::RouteTable;
@@ -163,7 +164,7 @@
         let finish = CancellationToken::new();
         tokio::spawn(serve(
             listener,
-            Callers(Arc::clone(&cx)),
+            AnswerService(Callers(Arc::clone(&cx))),
             ConnectionLimits {
                 max_connections: cx.options.max_connections,
                 header_read: CALLER_IDLE,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,10 +10,10 @@
 use anvilloft_gateway::Clock;
 use anvilloft_gateway::CoreHandle;
 use anvilloft_gateway::View;
-use anvilloft_gateway::api::ApiService;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::Limits;
 use anvilloft_gateway::metrics::Metrics;
+use anvilloft_gateway::serve::AnswerService;
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::serve;
 use anvilloft_types::Incarnation;
@@ -232,7 +232,7 @@
             .enable_all()
             .build()?;
         let stop_accepting = CancellationToken::new();
-        let service = ApiService(Arc::clone(&api));
+        let service = AnswerService(Arc::clone(&api));
         let stop_listening = stop_accepting.clone();
         let (limits, counters) = (options.connections, Arc::clone(&metrics));
         traffic.spawn(async move {
