Split lending and one budget's state from Allotments

Change: lending.rs has what only routers that lend use, local.rs the state of one budget; each decides its amounts in a function of its own. Measured: the tests of budget pass, the schedules of the model included. Conclusion: no behaviour changes.

--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -17,6 +17,13 @@
 
 use crate::outbox::Outbox;
 
+mod lending;
+mod local;
+
+pub use lending::Reserve;
+use local::Local;
+use local::Outstanding;
+
 /// Number of a reservation, unique within one `Allotments`.
 pub type ReservationId = u64;
 /// Number of a need that waits for a grant, unique within one `Allotments`.
@@ -96,84 +103,19 @@
     pub waiting: Tokens,
 }
 
-#[derive(Debug)]
-struct Outstanding {
-    grant: Grant,
-    sent: Duration,
-}
-
-#[derive(Debug, Default)]
-struct Local {
-    idle: Tokens,
-    reserved: Tokens,
-    waiting: VecDeque<(NeedId, Tokens)>,
-    outstanding: Option<Outstanding>,
-    // Count of needs that the next grant may cover, after a grant for more of
-    // them was refused.
-    cover_limit: Option<usize>,
-    // Needs are asked for in full, and idle tokens go back first. Otherwise
-    // the recall for the rest of a need takes the part that is held, and the
-    // router asks for the parts in turn without end.
-    ask_in_full: bool,
-    // Report with the idle tokens that go back first. Control has to apply it
-    // before it decides on the grant.
-    returned_in: Option<u64>,
-    recalled_until: Duration,
-    used_at: Duration,
-    window: Duration,
-    demand: Tokens,
-    last_demand: Tokens,
-    early_after: Duration,
-}
-
-impl Local {
-    fn count_demand(&mut self, now: Duration, amount: Tokens, window: Duration) {
-        let age = now.saturating_sub(self.window);
-        if age >= window {
-            self.last_demand = if age < window * 2 { self.demand } else { 0 };
-            self.demand = 0;
-            self.window = now;
-        }
-        self.demand = self.demand.saturating_add(amount);
-        self.used_at = now;
-    }
-
-    /// Returns the demand of a window: that of the last one, or of the present
-    /// one as far as it tells.
-    fn rate(&self, now: Duration, window: Duration) -> Tokens {
-        let age = now.saturating_sub(self.window).max(window / 3);
-        let present = self.demand as f64 * window.as_secs_f64() / age.as_secs_f64();
-        self.last_demand.max(present as Tokens)
-    }
-
-    fn is_unused(&self) -> bool {
-        self.idle == 0
-            && self.reserved == 0
-            && self.waiting.is_empty()
-            && self.outstanding.is_none()
-            && self.returned_in.is_none()
-    }
-}
-
 #[derive(Debug)]
 struct Reservation {
     budget: BudgetId,
     amount: Tokens,
 }
 
-/// How a lending router builds up idle tokens for a partition from control.
-///
-/// Tokens at a router are lost to their team when the router dies, so a reserve
-/// grows slowly: a router that has just come back from a partition, or has just
-/// started, holds little.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Reserve {
-    /// Time between two grants for the reserve of one budget.
-    pub every: Duration,
-    /// Demand that the whole reserve lasts for.
-    pub lasts: Duration,
-    /// Demand by which it grows with each grant, beyond what is used meanwhile.
-    pub step: Duration,
+impl Reservation {
+    fn new(budget: &str, amount: Tokens) -> Self {
+        Self {
+            budget: budget.into(),
+            amount,
+        }
+    }
 }
 
 /// Allotments, reservations and unreported settlements of one router
@@ -237,41 +179,6 @@
         self.demand_window = window;
     }
 
-    /// Lets routers lend tokens to each other with
-    /// [`reserve_up_to`](Self::reserve_up_to), and builds up a reserve of each
-    /// budget in use.
-    pub fn set_lending(&mut self, reserve: Reserve) {
-        self.lending = Some(reserve);
-    }
-
-    /// Reserves what is idle of a budget, at most `most`. Returns `None` when
-    /// nothing is. Unlike [`reserve`](Self::reserve) it asks for no grant.
-    pub fn reserve_up_to(
-        &mut self,
-        now: Duration,
-        budget: &str,
-        most: Tokens,
-    ) -> Option<(ReservationId, Tokens)> {
-        let local = self.budgets.get_mut(budget)?;
-        let amount = local.idle.min(most);
-        if amount == 0 || self.draining {
-            return None;
-        }
-        local.idle -= amount;
-        local.reserved += amount;
-        local.used_at = now;
-        let id = self.next_id;
-        self.next_id += 1;
-        self.reservations.insert(
-            id,
-            Reservation {
-                budget: budget.into(),
-                amount,
-            },
-        );
-        Some((id, amount))
-    }
-
     /// Sets how long a settlement waits for others of the same report. Without
     /// a pace the first leaves at once and others follow at the round trip.
     pub fn set_report_pace(&mut self, pace: Duration) {
@@ -294,8 +201,7 @@
         let local = self.budgets.entry(budget.into()).or_default();
         local.count_demand(now, amount, self.demand_window);
         if amount <= local.idle {
-            local.idle -= amount;
-            local.reserved += amount;
+            local.take(amount);
             // Asks early, so that the next requests need not wait for a reply.
             let low = match self.lending {
                 // Grants for the reserve are due by time.
@@ -305,13 +211,8 @@
             if !self.draining && local.outstanding.is_none() && now >= local.early_after && low {
                 self.due.push_back(budget.into());
             }
-            self.reservations.insert(
-                id,
-                Reservation {
-                    budget: budget.into(),
-                    amount,
-                },
-            );
+            self.reservations
+                .insert(id, Reservation::new(budget, amount));
             return Ok(id);
         }
         local.waiting.push_back((id, amount));
@@ -386,27 +287,6 @@
         None
     }
 
-    /// Looks for reserves that are due to grow.
-    fn scan_reserves(&mut self, now: Duration) {
-        let Some(reserve) = self.lending else {
-            return;
-        };
-        if self.draining || now < self.reserves_at {
-            return;
-        }
-        self.reserves_at = now + reserve.every / 4;
-        let window = self.demand_window;
-        for (budget, local) in &mut self.budgets {
-            if now.saturating_sub(local.window) >= window * 2 {
-                local.demand = 0;
-                local.last_demand = 0;
-            }
-            if now >= local.early_after && local.outstanding.is_none() {
-                self.due.push_back(budget.clone());
-            }
-        }
-    }
-
     fn make_grant(&mut self, now: Duration, budget: &str) -> Option<Grant> {
         let local = self.budgets.get(budget)?;
         if local.ask_in_full && local.outstanding.is_none() && local.idle > 0 {
@@ -428,45 +308,11 @@
             .iter()
             .take(covers)
             .fold(0, |s: Tokens, (_, t)| s.saturating_add(*t));
-        let window = self.demand_window;
-        let rate = match self.lending {
-            Some(_) => local.rate(now, window),
-            None => local.last_demand.max(local.demand),
-        };
-        let demand_of =
-            |time: Duration| (rate as f64 * time.as_secs_f64() / window.as_secs_f64()) as Tokens;
-        let (need, want) = if let Some(reserve) = self.lending {
-            let need = match covers {
-                0 => 0,
-                _ => sum.saturating_sub(local.idle).max(1),
-            };
-            let most = demand_of(reserve.lasts).saturating_sub(local.idle);
-            let due = now >= local.early_after && most > 0 && !self.draining;
-            if need == 0 && !due {
-                return None;
-            }
-            let step = match due {
-                true => demand_of(reserve.every + reserve.step).min(most),
-                false => 0,
-            };
-            if due {
-                local.early_after = now + reserve.every;
-            }
-            // A reserve is worth having in any size.
-            (need.max(1), need.saturating_add(step))
-        } else if covers > 0 {
-            let need = sum.saturating_sub(local.idle).max(1);
-            let want = if self.draining {
-                need
-            } else {
-                need.saturating_add(rate.saturating_mul(2))
-            };
-            (need, want)
-        } else if !self.draining && now >= local.early_after && local.idle < local.last_demand / 2 {
-            ((rate / 4).max(1), rate.saturating_mul(2))
-        } else {
-            return None;
-        };
+        let covered = (covers > 0).then(|| sum.saturating_sub(local.idle).max(1));
+        let (need, want) = match &self.lending {
+            Some(r) => r.amounts(now, local, covered, self.demand_window, self.draining),
+            None => local.amounts(now, covered, self.draining),
+        }?;
         let grant = Grant {
             router: self.router.clone(),
             incarnation: self.incarnation,
@@ -561,17 +407,11 @@
             && amount <= local.idle
         {
             local.waiting.pop_front();
-            local.idle -= amount;
-            local.reserved += amount;
+            local.take(amount);
             local.used_at = now;
             // A reservation keeps the number under which it waited.
-            self.reservations.insert(
-                need,
-                Reservation {
-                    budget: budget.into(),
-                    amount,
-                },
-            );
+            self.reservations
+                .insert(need, Reservation::new(budget, amount));
             results.push(GrantResult {
                 need,
                 outcome: Ok(need),
