Join pieces of a body in one place

Cause: two loops of the client joined pieces without copying a single one, and two callers spelled out the failure of a request that could not be made. Change: pieces.rs joins, Failure::not_made names the failure.

--- a/crates/gateway/src/chat.rs
+++ b/crates/gateway/src/chat.rs
@@ -91,6 +91,16 @@
 }
 
 impl Failure {
+    /// A request to the endpoint could not be made, so nothing was sent.
+    pub(crate) fn not_made() -> Self {
+        Self {
+            end: AttemptEnd::Failed,
+            run: RunState::No,
+            retry: false,
+            refusal: None,
+        }
+    }
+
     pub(crate) fn of(error: &ClientError, written: bool) -> Self {
         let end = match error {
             ClientError::Connect(_) => AttemptEnd::Unreachable,
@@ -245,12 +255,7 @@
         .header(http::header::CONTENT_TYPE, "application/json")
         .header(PRIORITY_HEADER, ticket.priority)
         .body(Full::new(req.body.clone()))
-        .map_err(|_| Failure {
-            end: AttemptEnd::Failed,
-            run: RunState::No,
-            retry: false,
-            refusal: None,
-        })?;
+        .map_err(|_| Failure::not_made())?;
     let mut cancel = CancelOnDrop::new(&api.client, ticket.address, ticket.attempt);
     let first_byte = api.client.limits().first_byte;
     let sent = api
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -21,7 +21,6 @@
 use anvilloft_types::AttemptId;
 use anvilloft_types::lock;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures::FutureExt;
 use http::HeaderMap;
 use http::HeaderName;
@@ -39,6 +38,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::pieces::Pieces;
+
 /// Header with the attempt id, echoed by the endpoint.
 pub const ATTEMPT_HEADER: &str = "x-anvilloft-attempt";
 /// Header with the level of the rank, 0 first.
@@ -466,8 +467,7 @@
     }
 
     fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, ClientError>> {
-        let mut first: Option<Bytes> = None;
-        let mut more = BytesMut::new();
+        let mut pieces = Pieces::default();
         while let (Some(body), Some(conn)) = (self.body.as_mut(), self.conn.as_mut()) {
             let was_done = conn.driver_done;
             let mut polled = Pin::new(&mut *body).poll_frame(cx);
@@ -480,22 +480,14 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    match &first {
-                        None => first = Some(data),
-                        Some(head) => {
-                            if more.is_empty() {
-                                more.extend_from_slice(head);
-                            }
-                            more.extend_from_slice(&data);
-                            if more.len() >= COALESCE_BYTES {
-                                break;
-                            }
-                        }
+                    pieces.push(data);
+                    if pieces.joined_len() >= COALESCE_BYTES {
+                        break;
                     }
                 }
                 Poll::Ready(Some(Err(e))) => {
                     self.conn = None;
-                    if first.is_some() {
+                    if !pieces.is_empty() {
                         // What came before is handed on; the next call fails.
                         break;
                     }
@@ -512,7 +504,7 @@
                     }
                 }
                 Poll::Pending => {
-                    if first.is_some() {
+                    if !pieces.is_empty() {
                         break;
                     }
                     if was_done {
@@ -526,14 +518,10 @@
                 }
             }
         }
-        if more.is_empty() {
-            match first {
-                Some(data) => Poll::Ready(Ok(Some(data))),
-                None if self.body.is_none() => Poll::Ready(Ok(None)),
-                None => Poll::Ready(Err(ClientError::Broken("closed".into()))),
-            }
-        } else {
-            Poll::Ready(Ok(Some(more.freeze())))
+        match pieces.join() {
+            Some(data) => Poll::Ready(Ok(Some(data))),
+            None if self.body.is_none() => Poll::Ready(Ok(None)),
+            None => Poll::Ready(Err(ClientError::Broken("closed".into()))),
         }
     }
 
@@ -576,26 +564,13 @@
     /// Fails when the connection is reset or silent before the end.
     pub async fn read_to_end(mut self, gap: Duration) -> Result<Bytes, ClientError> {
         let max = self.client.max_answer_bytes;
-        let mut whole: Option<Bytes> = None;
-        let mut more = BytesMut::new();
+        let mut pieces = Pieces::default();
         while let Some(data) = self.next(gap).await? {
-            match &whole {
-                None => whole = Some(data),
-                Some(head) => {
-                    if more.is_empty() {
-                        more.extend_from_slice(head);
-                    }
-                    more.extend_from_slice(&data);
-                }
-            }
-            if more.len() > max || whole.as_ref().is_some_and(|w| w.len() > max) {
+            pieces.push(data);
+            if pieces.len() > max {
                 return Err(ClientError::TooLong);
             }
         }
-        if more.is_empty() {
-            Ok(whole.unwrap_or_default())
-        } else {
-            Ok(more.freeze())
-        }
+        Ok(pieces.join().unwrap_or_default())
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod metrics;
 mod model_request;
+mod pieces;
 pub mod ports;
 mod running;
 pub mod serve;
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -33,7 +33,6 @@
 use crate::client::REFUSED_HEADER;
 use crate::error::Refusal;
 use crate::ports::Admit;
-use crate::ports::AttemptEnd;
 use crate::ports::CoreMsg;
 use crate::ports::Target;
 use crate::ports::Ticket;
@@ -353,12 +352,7 @@
     }
     let request = builder
         .body(Full::new(call.body.clone()))
-        .map_err(|_| Failure {
-            end: AttemptEnd::Failed,
-            run: RunState::No,
-            retry: false,
-            refusal: None,
-        })?;
+        .map_err(|_| Failure::not_made())?;
     let mut cancel = CancelOnDrop::new(&api.client, ticket.address, ticket.attempt);
     if order {
         // A cancelled order would be in an unknown state for no gain.
