--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod reads;
 mod recalls;
+mod replies;
 mod shadow;
 mod status;
 #[cfg(test)]
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -20,15 +20,10 @@
 use anvilloft_types::prelude::*;
 use anvilloft_types::unix_ms;
 use anvilloft_wire::Command;
-use anvilloft_wire::CommandReply;
-use anvilloft_wire::ControlReply;
-use anvilloft_wire::command;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Expire;
 use anvilloft_wire::command::Grant;
 use anvilloft_wire::command::OpenIncarnation;
-use anvilloft_wire::command::Refused;
-use anvilloft_wire::command::Reply;
 use anvilloft_wire::command::RouterState;
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::Request;
@@ -36,7 +31,6 @@
 use prost::Message as _;
 use slog::Logger;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -47,6 +41,10 @@
 use super::placement::Placement;
 use super::reads::Read;
 use super::recalls::Recalls;
+use super::replies::ReplyTo;
+use super::replies::answer;
+use super::replies::done;
+use super::replies::refused;
 use super::shadow::Shadow;
 use super::status::DriverStats;
 use super::status::Status;
@@ -69,8 +67,6 @@
 const CHECK_EVERY: Duration = Duration::from_millis(200);
 /// Interval between `Expire` commands.
 const EXPIRE_EVERY: Duration = Duration::from_secs(10);
-pub(super) type ReplyTo = oneshot::Sender<ControlReply>;
-
 /// A command that waits to be committed.
 struct Waiter {
     term: u64,
@@ -113,11 +109,6 @@
     last_ms: u64,
 }
 
-pub(super) fn answer(reply: ReplyTo, answer: Answer) {
-    // The asker may have stopped waiting.
-    let _ = reply.send(answer.into());
-}
-
 impl Core {
     pub(super) fn new(
         start: Instant,
@@ -588,20 +579,3 @@
         });
     }
 }
-
-/// Returns the reply of a command or change that needs no other.
-pub(super) fn done() -> CommandReply {
-    CommandReply {
-        reply: Some(Reply::Ok(command::Ok {})),
-    }
-}
-
-/// Returns the answer to a command or change that breaks a rule.
-pub(super) fn refused(code: &str, message: String) -> Answer {
-    Answer::Applied(CommandReply {
-        reply: Some(Reply::Refused(Refused {
-            code: code.to_owned(),
-            message,
-        })),
-    })
-}
--- a/crates/control/src/driver/group.rs
+++ b/crates/control/src/driver/group.rs
@@ -11,11 +11,11 @@
 use serde_json::json;
 
 use super::core::Core;
-use super::core::ReplyTo;
-use super::core::answer;
-use super::core::done;
-use super::core::refused;
 use super::reads::Read;
+use super::replies::ReplyTo;
+use super::replies::answer;
+use super::replies::done;
+use super::replies::refused;
 
 /// Time without a sign of life after which a member counts as silent. A silent
 /// member whose address a new identity has taken over is removed.
--- a/crates/control/src/driver/reads.rs
+++ b/crates/control/src/driver/reads.rs
@@ -9,9 +9,9 @@
 use anvilloft_wire::control::RenewLease;
 
 use super::core::Core;
-use super::core::ReplyTo;
-use super::core::answer;
 use super::placement::ENDPOINTS_QUERY;
+use super::replies::ReplyTo;
+use super::replies::answer;
 
 /// A read that waits for its confirmation.
 pub(super) enum Read {
