--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod charge;
 mod control;
+mod convert;
 mod dialect;
 mod events;
 mod forward;
