Bound the bytes of request bodies in one step

A body added its bytes to a gauge and compared afterwards, and gave them back only when its request ended; two bodies that arrived together saw each other's bytes. Relays had no bound on all bodies together at all.

Ruled out: the join of pieces (the failure shows with and without it).

Change: `BodyMemory` counts and compares in one step, and a body that finds no room gives back what it holds in that step. Router and relay read bodies through the same function. Constructors of two refusals in one place each.

Conclusion: one of two bodies is served. Relays refuse past 28 MiB.

--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -23,6 +23,7 @@
 use crate::chat;
 use crate::client::Client;
 use crate::error::Refusal;
+use crate::memory::BodyMemory;
 use crate::metrics::Metrics;
 use crate::model_request::Kind;
 use crate::ports::CoreHandle;
@@ -90,6 +91,8 @@
     pub core: CoreHandle,
     /// Connections to endpoints.
     pub client: Arc<Client>,
+    /// Bytes of request bodies in memory.
+    pub bodies: BodyMemory,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Log.
@@ -143,7 +146,7 @@
         ReadLimits {
             bytes,
             gap: self.options.body_gap,
-            buffered: (&self.metrics.body_bytes, self.options.max_buffered_bytes),
+            memory: &self.bodies,
         }
     }
 
@@ -287,7 +290,7 @@
     async fn announce(&self, asked: Asked) -> Result<Response, Refusal> {
         self.check_endpoint(&asked.headers)?;
         let limits = self.read_limits(announce::MAX_ANNOUNCE_BYTES);
-        let (body, _buffered) = body::read(asked.body, &limits).await?;
+        let (body, _held) = body::read(asked.body, &limits).await?;
         let update: EndpointUpdate = announce::parse(&body)?;
         let id = update.id.clone();
         self.core
--- a/crates/gateway/src/auth.rs
+++ b/crates/gateway/src/auth.rs
@@ -21,14 +21,6 @@
     pub(crate) default_rank: String,
 }
 
-fn unauthorized() -> Refusal {
-    Refusal::new(
-        StatusCode::UNAUTHORIZED,
-        "invalid_key",
-        "the bearer key is missing or unknown",
-    )
-}
-
 /// Returns the bearer token of the `Authorization` header.
 fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
     let value = headers.get(http::header::AUTHORIZATION)?.as_bytes();
@@ -43,13 +35,13 @@
 /// The secret is hashed before the look-up, so the time of the look-up tells
 /// nothing about a secret; the hash found is compared in constant time.
 pub(crate) fn caller(config: &Config, headers: &HeaderMap) -> Result<Caller, Refusal> {
-    let token = bearer(headers).ok_or_else(unauthorized)?;
+    let token = bearer(headers).ok_or_else(Refusal::invalid_key)?;
     let hash: [u8; 32] = Sha256::digest(token).into();
-    let key: &Key = config.key_by_hash(&hash).ok_or_else(unauthorized)?;
+    let key: &Key = config.key_by_hash(&hash).ok_or_else(Refusal::invalid_key)?;
     if !bool::from(key.hash.as_slice().ct_eq(&hash)) {
-        return Err(unauthorized());
+        return Err(Refusal::invalid_key());
     }
-    let team = config.team(&key.team).ok_or_else(unauthorized)?;
+    let team = config.team(&key.team).ok_or_else(Refusal::invalid_key)?;
     if team.disabled {
         return Err(Refusal::new(
             StatusCode::FORBIDDEN,
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::StatusCode;
 use http_body::Frame;
 use http_body::SizeHint;
@@ -17,56 +16,37 @@
 use volo_http::body::Body;
 
 use crate::error::Refusal;
-
-fn too_large(limit: usize) -> Refusal {
-    Refusal::new(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        "body_too_large",
-        format!("the body is longer than {limit} bytes"),
-    )
-}
+use crate::memory::BodyMemory;
+use crate::memory::Held;
+use crate::pieces::Pieces;
 
 /// Bounds for reading a body.
-pub(crate) struct ReadLimits<'a> {
+pub struct ReadLimits<'a> {
     /// Bytes of this body.
-    pub(crate) bytes: usize,
+    pub bytes: usize,
     /// Longest pause while it arrives.
-    pub(crate) gap: Duration,
-    /// Bytes of all bodies in memory, and their bound.
-    pub(crate) buffered: (&'a IntGauge, usize),
-}
-
-/// Bytes of a body that count as in memory until this is dropped.
-pub(crate) struct Buffered {
-    gauge: IntGauge,
-    bytes: i64,
+    pub gap: Duration,
+    /// The bound on all bodies in memory.
+    pub memory: &'a BodyMemory,
 }
 
-impl Drop for Buffered {
-    fn drop(&mut self) {
-        self.gauge.sub(self.bytes);
-    }
-}
-
-/// Reads a request body.
+/// Reads a request body. Its bytes count as in memory until the second value is
+/// dropped.
 ///
 /// Memory is taken only for bytes that arrived, never for a claimed length.
-pub(crate) async fn read(
-    body: Body,
-    limits: &ReadLimits<'_>,
-) -> Result<(Bytes, Buffered), Refusal> {
+///
+/// # Errors
+///
+/// When the body is too long, stops arriving or breaks off, and at once when
+/// bodies of other requests leave no room for it.
+pub async fn read(body: Body, limits: &ReadLimits<'_>) -> Result<(Bytes, Held), Refusal> {
     let (limit, gap) = (limits.bytes, limits.gap);
-    let (gauge, most) = limits.buffered;
-    let mut buffered = Buffered {
-        gauge: gauge.clone(),
-        bytes: 0,
-    };
+    let mut held = limits.memory.hold();
     if http_body::Body::size_hint(&body).lower() > limit as u64 {
-        return Err(too_large(limit));
+        return Err(Refusal::body_too_large(limit));
     }
     let mut body = std::pin::pin!(body);
-    let mut whole: Option<Bytes> = None;
-    let mut more = BytesMut::new();
+    let mut pieces = Pieces::default();
     loop {
         let frame = match tokio::time::timeout(gap, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
@@ -85,29 +65,13 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if more.len() + whole.as_ref().map_or(0, Bytes::len) + data.len() > limit {
-            return Err(too_large(limit));
-        }
-        let len = i64::try_from(data.len()).unwrap_or(i64::MAX);
-        buffered.bytes += len;
-        gauge.add(len);
-        if usize::try_from(gauge.get()).is_ok_and(|sum| sum > most) {
-            return Err(Refusal::unavailable(
-                "overloaded",
-                "too many bytes of requests are in memory",
-            )
-            .retry_after(Duration::from_secs(1)));
-        }
-        match whole.take() {
-            None if more.is_empty() => whole = Some(data),
-            None => more.extend_from_slice(&data),
-            Some(head) => {
-                more.extend_from_slice(&head);
-                more.extend_from_slice(&data);
-            }
+        if pieces.len() + data.len() > limit {
+            return Err(Refusal::body_too_large(limit));
         }
+        held.add(data.len())?;
+        pieces.push(data);
     }
-    Ok((whole.unwrap_or_else(|| more.freeze()), buffered))
+    Ok((pieces.join().unwrap_or_default(), held))
 }
 
 /// Counts an answer that its connection has not taken as a whole.
--- a/crates/gateway/src/chat.rs
+++ b/crates/gateway/src/chat.rs
@@ -146,7 +146,7 @@
     };
     let key = idempotency_key(&asked.headers)?.map(str::to_owned);
     let limits = api.read_limits(api.options.max_body_bytes);
-    let (body, _buffered) = body::read(asked.body, &limits).await?;
+    let (body, _held) = body::read(asked.body, &limits).await?;
     let req = model_request::parse(&api.view.load().config, kind, &body)?;
     let fingerprint = hash16(&[caller.team.as_bytes(), &body]);
     let key = key.map(|key| hash16(&[caller.team.as_bytes(), key.as_bytes(), &body]));
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -49,6 +49,24 @@
         refusal
     }
 
+    /// No team has the caller's key.
+    pub fn invalid_key() -> Self {
+        Self::new(
+            StatusCode::UNAUTHORIZED,
+            "invalid_key",
+            "the bearer key is missing or unknown",
+        )
+    }
+
+    /// A body of more than `limit` bytes.
+    pub fn body_too_large(limit: usize) -> Self {
+        Self::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+            format!("the body is longer than {limit} bytes"),
+        )
+    }
+
     /// The router can't serve now; others may.
     pub fn unavailable(code: &'static str, message: impl Into<String>) -> Self {
         Self::new(StatusCode::SERVICE_UNAVAILABLE, code, message)
--- a/crates/gateway/src/pieces.rs
+++ b/crates/gateway/src/pieces.rs
@@ -7,30 +7,29 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pieces {
     first: Option<Bytes>,
-    // All of them, from the second on.
+    // All of them, from the second on; `first` is empty then.
     joined: BytesMut,
 }
 
 impl Pieces {
     pub(crate) fn push(&mut self, piece: Bytes) {
-        let Some(first) = &self.first else {
-            self.first = Some(piece);
-            return;
-        };
-        if self.joined.is_empty() {
-            self.joined.extend_from_slice(first);
+        match self.first.take() {
+            None if self.joined.is_empty() => self.first = Some(piece),
+            None => self.joined.extend_from_slice(&piece),
+            Some(first) => {
+                self.joined.extend_from_slice(&first);
+                self.joined.extend_from_slice(&piece);
+            }
         }
-        self.joined.extend_from_slice(&piece);
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.first.is_none()
+        self.first.is_none() && self.joined.is_empty()
     }
 
     /// Returns the length of all pieces, in bytes.
     pub(crate) fn len(&self) -> usize {
-        let first = self.first.as_ref().map_or(0, Bytes::len);
-        self.joined.len().max(first)
+        self.joined.len() + self.first.as_ref().map_or(0, Bytes::len)
     }
 
     /// Returns the bytes that were copied to join pieces.
@@ -40,9 +39,7 @@
 
     /// Returns all pieces as one, or `None` when there was none.
     pub(crate) fn join(self) -> Option<Bytes> {
-        match self.joined.is_empty() {
-            true => self.first,
-            false => Some(self.joined.freeze()),
-        }
+        let joined = (!self.joined.is_empty()).then(|| self.joined.freeze());
+        self.first.or(joined)
     }
 }
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -23,7 +23,6 @@
 use crate::api::Api;
 use crate::api::Asked;
 use crate::body;
-use crate::body::Buffered;
 use crate::chat::Failure;
 use crate::chat::hash16;
 use crate::chat::idempotency_key;
@@ -32,6 +31,7 @@
 use crate::client::PRIORITY_HEADER;
 use crate::client::REFUSED_HEADER;
 use crate::error::Refusal;
+use crate::memory::Held;
 use crate::ports::Admit;
 use crate::ports::CoreMsg;
 use crate::ports::Target;
@@ -57,7 +57,7 @@
     path: String,
     headers: HeaderMap,
     body: Bytes,
-    _buffered: Buffered,
+    _held: Held,
 }
 
 /// An endpoint's answer.
@@ -135,7 +135,7 @@
         ));
     }
     let limits = api.read_limits(api.options.max_body_bytes);
-    let (body, buffered) = body::read(asked.body, &limits).await?;
+    let (body, held) = body::read(asked.body, &limits).await?;
     let fingerprint = hash16(&[
         caller.team.as_bytes(),
         name.as_bytes(),
@@ -151,7 +151,7 @@
         path,
         headers: asked.headers,
         body,
-        _buffered: buffered,
+        _held: held,
     };
     let mut admit = Admit {
         no: 0,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,6 +9,7 @@
 use anvilloft_dispatch::Pick;
 use anvilloft_gateway::client::Answer;
 use anvilloft_gateway::client::ClientError;
+use anvilloft_gateway::memory::Held;
 use anvilloft_routes::Kind;
 use anvilloft_types::prelude::*;
 use bytes::Bytes;
@@ -46,6 +47,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Counts the body as in memory as long as it may be sent again.
+    pub(crate) _held: Held,
     pub(crate) prompt: Vec<Part>,
     pub(crate) team: Option<TeamId>,
     pub(crate) urgency: u8,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -5,6 +5,9 @@
 
 use anvilloft_dispatch::Outcome;
 use anvilloft_gateway::Refusal;
+use anvilloft_gateway::body;
+use anvilloft_gateway::body::ReadLimits;
+use anvilloft_gateway::memory::Held;
 use anvilloft_gateway::serve::Answers;
 use anvilloft_routes::Route;
 use anvilloft_routes::RouteTable;
@@ -18,9 +21,6 @@
 use http::StatusCode;
 use http::header;
 use http_body::Body as _;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use volo_http::body::Body;
 
 use crate::attempt::Answered;
@@ -160,11 +160,7 @@
 ) -> Result<Option<&'a Team>, Refusal> {
     let team = key.and_then(|key| table.team_of_key(key));
     if team.is_none() && !route.anonymous && !table.teams().is_empty() {
-        return Err(Refusal::new(
-            StatusCode::UNAUTHORIZED,
-            "invalid_key",
-            "the bearer key is missing or unknown",
-        ));
+        return Err(Refusal::invalid_key());
     }
     Ok(team)
 }
@@ -205,7 +201,7 @@
     lock(&cx.repeats).of(&service.name).request(started);
 
     let (parts, body) = req.into_parts();
-    let body = read_body(cx, body, &table, end).await?;
+    let (body, held) = read_body(cx, body, &table, end).await?;
     let charge = reserve(cx, id, service, team, facts.tokens, end).await?;
     let mut headers = parts.headers;
     strip(&mut headers);
@@ -221,6 +217,7 @@
         uri: parts.uri,
         headers,
         body,
+        _held: held,
         prompt: facts.prompt,
         team: team.map(|t| t.name.clone()),
         urgency: urgency(team, route),
@@ -236,26 +233,21 @@
     body: Body,
     table: &RouteTable,
     end: Duration,
-) -> Result<Bytes, Refusal> {
-    let most = table.limits().body_bytes;
+) -> Result<(Bytes, Held), Refusal> {
     let left = end.saturating_sub(cx.now());
-    match tokio::time::timeout(left, Limited::new(body, most).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
-            format!("the body is longer than {most} bytes"),
-        )),
-        Ok(Err(err)) => Err(Refusal::bad_request(
-            "",
-            format!("the body can't be read: {err}"),
-        )),
-        Err(_) => Err(Refusal::new(
+    let limits = ReadLimits {
+        bytes: table.limits().body_bytes,
+        gap: left,
+        memory: &cx.bodies,
+    };
+    let read = tokio::time::timeout(left, body::read(body, &limits)).await;
+    read.unwrap_or_else(|_| {
+        Err(Refusal::new(
             StatusCode::REQUEST_TIMEOUT,
-            "body_too_slow",
-            "the body did not arrive in time",
-        )),
-    }
+            "body_timeout",
+            "the body did not arrive before the deadline",
+        ))
+    })
 }
 
 fn busy(late: Duration) -> Refusal {
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -4,6 +4,10 @@
 
 use anvilloft_types::prelude::*;
 
+/// Usual bound on request bodies in memory, in bytes: a third of the smallest
+/// host that a relay is made for, which has 88 MB.
+const MAX_BUFFERED_BYTES: usize = 28 * 1024 * 1024;
+
 /// Properties of one relay.
 #[derive(Clone, Debug)]
 pub struct RelayOptions {
@@ -15,6 +19,8 @@
     pub listen: SocketAddr,
     /// Open connections of callers, at most.
     pub max_connections: usize,
+    /// Bytes of all request bodies in memory, at most.
+    pub max_buffered_bytes: usize,
     /// Repeats of requests to a service, fleet-wide: window, share of the
     /// requests, and count beyond the share.
     pub repeat_window: Duration,
@@ -44,6 +50,7 @@
             data_centre: data_centre.into(),
             listen,
             max_connections: 2_048,
+            max_buffered_bytes: MAX_BUFFERED_BYTES,
             repeat_window: Duration::from_secs(10),
             repeat_ratio: 0.1,
             repeat_extra: 30.0,
@@ -66,6 +73,13 @@
         self
     }
 
+    /// Sets the most bytes of request bodies in memory.
+    #[must_use]
+    pub fn max_buffered_bytes(mut self, bytes: usize) -> Self {
+        self.0.max_buffered_bytes = bytes;
+        self
+    }
+
     /// Sets the limit of repeats: window, share of the requests, and count
     /// beyond the share, for the whole fleet.
     #[must_use]
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
 
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::DispatcherConfig;
+use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::Clock;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::Limits;
@@ -137,6 +138,7 @@
             purse: Purse::new(&options.name, identity.incarnation),
             peers: OnceLock::new(),
             client: Client::new(limits, MAX_ANSWER_BYTES),
+            bodies: BodyMemory::new(options.max_buffered_bytes, metrics.body_bytes.clone()),
             metrics: Arc::clone(&metrics),
             log: log.clone(),
             in_touch: AtomicBool::new(false),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,6 +11,7 @@
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::RepeatBudget;
 use anvilloft_dispatch::Shedder;
+use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::Clock;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::metrics::Metrics;
@@ -89,6 +90,7 @@
     /// Sessions with peers, once the control thread has made them.
     pub(crate) peers: OnceLock<Arc<FleetPeers>>,
     pub(crate) client: Arc<Client>,
+    pub(crate) bodies: BodyMemory,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log: Logger,
     /// Whether the lease was renewed lately.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use anvilloft_relay::HandOff;
 use anvilloft_relay::Relay;
 use anvilloft_relay::RelayOptions;
+use anvilloft_relay::RelayOptionsBuilder;
 use anvilloft_relay::TokenCounts;
 use anvilloft_relay::Verdict;
 use anvilloft_routes::Engine;
@@ -173,6 +174,14 @@
 impl Fleet {
     /// Starts one control member and relays that have no table yet.
     pub(crate) async fn start(relays: usize) -> Self {
+        Self::start_with(relays, |builder| builder).await
+    }
+
+    /// Starts a fleet whose relays have changed options.
+    pub(crate) async fn start_with(
+        relays: usize,
+        change: impl Fn(RelayOptionsBuilder) -> RelayOptionsBuilder,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let peer = free_address();
         let settings = ControlSettings::builder()
@@ -197,8 +206,8 @@
             let name = format!("r{n}");
             let listen = SocketAddr::from(([127, 0, 0, 1], 0));
             let options = RelayOptions::builder(&name, "a", listen)
-                .drain(Duration::from_millis(100), Duration::from_secs(5))
-                .build();
+                .drain(Duration::from_millis(100), Duration::from_secs(5));
+            let options = change(options).build();
             let mut identity = Identity::new(&name, "router", "a", fleet_key());
             identity.incarnation = 1;
             let relay = Relay::start(
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -286,3 +286,32 @@
     assert_eq!(reply.text(), event(1) + &event(2));
     assert!(drained.await.unwrap(), "everything was given back");
 }
+
+/// Guards against the memory that bodies of many requests take together, and
+/// against room that is not given back.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_are_bounded_together() {
+    let fleet = Fleet::start_with(1, |o| o.max_buffered_bytes(150_000)).await;
+    fleet.publish(1, 1_000).await;
+    let endpoint = RawEndpoint::start(|s| {
+        let wait = Step::Wait(Duration::from_millis(300));
+        vec![wait, send(whole_answer(&s.attempt, "done"))]
+    });
+    let endpoint = endpoint.await.unwrap();
+    fleet.announce("e", endpoint.addr, "plain");
+    assert_eq!(fleet.send(0, "/any/x", "a1").await.status, 200);
+    let large = async |id: &str| {
+        let call = anvilloft_fakes::http::Call::post("/any/x", "x".repeat(100_000))
+            .header("x-key", "k")
+            .header("x-anvilloft-attempt", id);
+        let reply = call.send(fleet.relays[0].address(), common::WAIT).await;
+        reply.unwrap()
+    };
+    let (a, b) = tokio::join!(large("a2"), large("a3"));
+    let mut statuses = [a.status, b.status];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 503], "{} {}", a.text(), b.text());
+    let bytes = fleet.relays[0].metrics().body_bytes.clone();
+    common::eventually("room comes back", || bytes.get() == 0).await;
+    assert_eq!(large("a4").await.status, 200);
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,6 +7,7 @@
 
 use anvilloft_gateway::Api;
 use anvilloft_gateway::ApiOptions;
+use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::Clock;
 use anvilloft_gateway::CoreHandle;
 use anvilloft_gateway::View;
@@ -174,12 +175,14 @@
         let metrics = Arc::new(Metrics::new()?);
         let client = Client::new(options.client, options.max_answer_bytes);
         let log = log.new(slog::o!("router" => options.name.clone()));
+        let bodies = BodyMemory::new(options.api.max_buffered_bytes, metrics.body_bytes.clone());
         let api = Arc::new(Api {
             options: options.api,
             clock,
             view: Arc::clone(&view),
             core: handle,
             client: Arc::clone(&client),
+            bodies,
             metrics: Arc::clone(&metrics),
             log: log.clone(),
         });
