Keep a permit that is asked for before the first strike

The ledger does not know the fingerprint then, answers "run" and keeps no permit, so that the second death does not count as one under a permit and a third endpoint is risked.

Change: the permit of an unknown fingerprint is kept, unless another suspect runs at the endpoint (then it was most likely cleared, as before).

Measured: the new ledger test failed before.

Tried and reverted: sending copies to the first endpoint of the pair unless it exceeds the second by a quarter of its slots.

What remains is that both endpoints of a pair take copies in the same moment and die without a permit.

--- a/crates/bench/src/traffic/ledger.rs
+++ b/crates/bench/src/traffic/ledger.rs
@@ -58,13 +58,15 @@
     }
 
     pub(crate) fn begin(&mut self, fingerprint: u64, ep: usize) -> Permit {
-        let Some(s) = self.suspects.get_mut(&fingerprint) else {
+        let busy = self.endpoints.contains(&ep);
+        if busy && !self.suspects.contains_key(&fingerprint) {
             return Permit::Run;
-        };
+        }
+        let s = self.suspects.entry(fingerprint).or_default();
         if s.condemned {
             return Permit::Condemned;
         }
-        if s.permit.is_some() || self.endpoints.contains(&ep) {
+        if s.permit.is_some() || busy {
             return Permit::Wait;
         }
         s.permit = Some(ep);
--- a/crates/ledger/src/suspects.rs
+++ b/crates/ledger/src/suspects.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::btree_map::Entry;
 
 use anvilloft_types::Fingerprint;
 use anvilloft_types::Incarnation;
@@ -68,6 +69,24 @@
         self.by_fingerprint.insert(fingerprint, suspect);
     }
 
+    /// Returns the suspect with a fingerprint, which is added if it is new.
+    fn suspect(&mut self, f: Fingerprint, now_ms: u64) -> Result<&mut Suspect, Reply> {
+        let full = self.by_fingerprint.len() >= MAX_SUSPECTS;
+        match self.by_fingerprint.entry(f) {
+            Entry::Occupied(e) => Ok(e.into_mut()),
+            Entry::Vacant(_) if full => Err(refused(
+                code::TABLE_FULL,
+                format!("at most {MAX_SUSPECTS} suspect requests are kept"),
+            )),
+            Entry::Vacant(e) => Ok(e.insert(Suspect {
+                fingerprint: f.to_vec(),
+                at_ms: now_ms,
+                until_ms: 0,
+                permit: None,
+            })),
+        }
+    }
+
     fn release(&mut self, fingerprint: &Fingerprint) {
         if let Some(s) = self.by_fingerprint.get_mut(fingerprint)
             && let Some(p) = s.permit.take()
@@ -142,22 +161,10 @@
             }
             return Reply::Ok(OkReply {});
         }
-        if self.suspects.by_fingerprint.len() >= MAX_SUSPECTS {
-            return refused(
-                code::TABLE_FULL,
-                format!("at most {MAX_SUSPECTS} suspect requests are kept"),
-            );
+        match self.suspects.suspect(f, now_ms) {
+            Ok(_) => Reply::Ok(OkReply {}),
+            Err(reply) => reply,
         }
-        self.suspects.insert(
-            f,
-            Suspect {
-                fingerprint: c.fingerprint.clone(),
-                at_ms: now_ms,
-                until_ms: 0,
-                permit: None,
-            },
-        );
-        Reply::Ok(OkReply {})
     }
 
     pub(crate) fn suspect_begin(&mut self, c: &SuspectBegin) -> Reply {
@@ -187,9 +194,16 @@
             incarnation: c.incarnation,
             endpoint: c.endpoint.clone(),
         };
-        let Some(s) = self.suspects.by_fingerprint.get_mut(&f) else {
-            // Cleared meanwhile; no permit is needed.
+        let busy = self.suspects.endpoints.contains_key(&c.endpoint);
+        if busy && !self.suspects.by_fingerprint.contains_key(&f) {
+            // Most likely cleared meanwhile; it does not wait for a suspect.
             return run;
+        }
+        // A router may also ask before its own strike is applied. The permit is
+        // kept, so that a death under it counts and others don't run the request.
+        let s = match self.suspects.suspect(f, now_ms) {
+            Ok(s) => s,
+            Err(reply) => return reply,
         };
         if s.until_ms > now_ms {
             return Reply::Suspect(SuspectReply {
@@ -202,7 +216,7 @@
             // A resent command; a router asks for one request at a time.
             return if *held == permit { run } else { wait };
         }
-        if self.suspects.endpoints.contains_key(&c.endpoint) {
+        if busy {
             return wait;
         }
         if s.until_ms > 0 {
--- a/crates/ledger/tests/work.rs
+++ b/crates/ledger/tests/work.rs
@@ -274,6 +274,20 @@
     );
 }
 
+/// Guards against a third death when a router asks for a permit before the
+/// strike of the first death is applied: the second death must count as one
+/// under a permit, and no other router may run the request meanwhile.
+#[test]
+fn a_permit_holds_before_the_first_strike() {
+    let mut ledger = ledger();
+    assert!(ask(&mut ledger, 1, "r1", "e2").run);
+    apply(&mut ledger, strike(1, "e1"));
+    assert!(!ask(&mut ledger, 1, "r2", "e3").run, "one permit at a time");
+    apply(&mut ledger, strike(1, "e2"));
+    let reply = ask(&mut ledger, 1, "r2", "e3");
+    assert!(!reply.run && reply.condemned_until_ms > 0, "quarantined");
+}
+
 /// Guards against a strike that is lost because a permit's run never reached
 /// its endpoint.
 #[test]
