Hand out route tables from any control member

Routers got tables in answers of the leader alone, and dialled a member again after up to 2 s of a lost connection attempt and a pause of up to 1.5 s.

Change: every member answers a new request for the table that it holds, and tells a router its version when a session opens. A router asks the member that told it, after its first lease; the lease still brings tables as well. A dial waits 800 ms for a connection, and the pause is 500 ms at most (0.75 s with jitter).

Ruled out: serving from a table before the first lease; tried, and a planned stop's test failed with `tokens_short`, as such a router can't get tokens yet.

A test of the wire crate failed once (`errors_say_truly...`, "nowhere" took a call): the port it had let go was another test's server, the only way to an authenticated session there.

Measured: the new test has a member without leader or majority hand out the table; before, there was no request for it.

--- a/crates/control/src/admin/error.rs
+++ b/crates/control/src/admin/error.rs
@@ -125,9 +125,11 @@
             Answer::NotLeader(_) => Self::Unavailable("no leader is known".to_owned()),
             Answer::Unavailable(reason) => Self::Unavailable(reason),
             Answer::Unknown(reason) => Self::Unknown(reason),
-            Answer::Applied(_) | Answer::Lease(_) | Answer::QueryResult(_) | Answer::Lent(_) => {
-                Self::Internal("the reply is of another kind".to_owned())
-            }
+            Answer::Applied(_)
+            | Answer::Lease(_)
+            | Answer::QueryResult(_)
+            | Answer::Lent(_)
+            | Answer::Table(_) => Self::Internal("the reply is of another kind".to_owned()),
         }
     }
 }
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -226,6 +226,13 @@
         if reply.is_closed() {
             return;
         }
+        if let Some(Request::Table(ask)) = &req.request {
+            // What is applied is committed, so a member that is behind hands out
+            // an older table, but never one that was not published.
+            let newer = self.ledger.publication_since(ask.held);
+            answer(reply, Answer::Table(newer.unwrap_or_default()));
+            return;
+        }
         if self.node.role() != Role::Leader {
             answer(reply, Answer::NotLeader(self.leader_address()));
             return;
@@ -241,7 +248,9 @@
                     Answer::Unavailable("only routers lend tokens".into()),
                 );
             }
-            None => answer(reply, Answer::Unavailable("empty request".into())),
+            Some(Request::Table(_)) | None => {
+                answer(reply, Answer::Unavailable("empty request".into()));
+            }
         }
     }
 
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -243,8 +243,10 @@
         let Ok(_permit) = self.calls.try_acquire() else {
             return unavailable("too many calls run");
         };
-        if hops >= HOPS_BY_CONTROL {
-            // The caller knows more members than this one does.
+        let table = matches!(req.request, Some(Request::Table(_)));
+        if table || hops >= HOPS_BY_CONTROL {
+            // A table is not the leader's alone, and a caller that passed
+            // through a member knows more members than this one does.
             let result = handle.call(req, limit).await;
             return result.unwrap_or_else(ControlReply::from);
         }
@@ -327,6 +329,10 @@
             if !all.updates.is_empty() {
                 let _ = session.send(Payload::EndpointBatch(all));
             }
+            let table = self.0.handle.get().map(|h| h.status().borrow().publication);
+            if let Some(version) = table.filter(|version| *version > 0) {
+                let _ = session.send(Payload::PublicationPush(version));
+            }
         }
     }
 
--- a/crates/control/tests/group/hosts.rs
+++ b/crates/control/tests/group/hosts.rs
@@ -15,6 +15,10 @@
 use anvilloft_settings::GroupStart;
 use anvilloft_settings::Secret;
 use anvilloft_telemetry::Metrics;
+use anvilloft_wire::session::Fleet;
+use anvilloft_wire::session::FleetOptions;
+use anvilloft_wire::session::Identity;
+use anvilloft_wire::session::join_fleet;
 use serde_json::Value;
 use serde_json::json;
 use slog::Discard;
@@ -28,6 +32,7 @@
 use tokio::time::timeout;
 
 pub(crate) const ROOT: &str = "root-secret";
+const FLEET_KEY: &str = "0123456789abcdef0123456789abcdef";
 
 pub(crate) struct Host {
     pub(crate) peer: SocketAddr,
@@ -101,7 +106,7 @@
             .group_wait(Duration::from_secs(2))
             .peers(peers)
             .stop_limit(Duration::from_secs(2))
-            .fleet_key(Secret::new("0123456789abcdef0123456789abcdef"))
+            .fleet_key(Secret::new(FLEET_KEY))
             .operator_hash_file(self.dir.path().join("operator.hash"))
             .build()
             .unwrap();
@@ -136,6 +141,15 @@
         format!("{:016x}", self.daemon(i).member())
     }
 
+    /// Starts the sessions of a router that knows one of the hosts.
+    pub(crate) fn router(&self, name: &str, at: usize) -> Fleet {
+        let identity = Identity::new(name, "router", "dc0", Secret::new(FLEET_KEY));
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut options = FleetOptions::new(identity, listener);
+        options.control = vec![self.hosts[at].peer];
+        join_fleet(options, &Logger::root(Discard, o!())).unwrap()
+    }
+
     /// Ends a host without notice.
     pub(crate) async fn kill(&mut self, i: usize) {
         self.hosts[i].daemon.take().unwrap().kill().await.unwrap();
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -11,6 +11,12 @@
 
 use anvilloft_control::DaemonError;
 use anvilloft_settings::GroupStart;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Publish;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::Control;
+use anvilloft_wire::control::TableRequest;
+use anvilloft_wire::frame::Payload;
 use futures::future::join_all;
 use hosts::Hosts;
 use hosts::send_only;
@@ -240,3 +246,62 @@
     let err = second.start(0, GroupStart::Join).await.unwrap_err();
     assert!(err.to_string().contains("another process"), "{err}");
 }
+
+/// Guards against routers that keep an old route table after a cut because no
+/// member leads, while a member that they reach holds the new one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_member_without_a_leader_hands_out_its_route_table() {
+    let mut hosts = Hosts::group(3).await;
+    let publish = Publish {
+        version: 4,
+        source: b"table".to_vec(),
+        prepaid: Vec::new(),
+    };
+    let leader = hosts.leader().await;
+    let peers = hosts.daemon(leader).peers();
+    peers
+        .call(Body::Publish(publish).into(), Duration::from_secs(5))
+        .await
+        .unwrap();
+    let follower = (leader + 1) % 3;
+    let held = || {
+        let handle = hosts.daemon(follower).handle();
+        handle.status().borrow().publication
+    };
+    let end = Instant::now() + Duration::from_secs(5);
+    while held() < 4 {
+        assert!(Instant::now() < end, "the follower has no table");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    hosts.kill(leader).await;
+    hosts.kill((leader + 2) % 3).await;
+
+    let mut fleet = hosts.router("r", follower);
+    let told = async {
+        loop {
+            let frame = fleet.inbox.recv().await.unwrap();
+            if let Payload::PublicationPush(version) = frame.payload {
+                return (frame.node, version);
+            }
+        }
+    };
+    let (node, version) = tokio::time::timeout(Duration::from_secs(3), told)
+        .await
+        .unwrap();
+    assert_eq!(version, 4);
+    let session = loop {
+        // The link takes up the session a moment after its first frames.
+        match fleet.control.session_of(&node) {
+            Some(session) => break session,
+            None => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    };
+    for (held, expected) in [(0, 4), (3, 4), (4, 0), (5, 0)] {
+        let req = TableRequest { held }.into();
+        let reply = session.call(req, Duration::from_secs(1), 0).await.unwrap();
+        let Some(Answer::Table(table)) = reply.answer else {
+            panic!("another reply: {:?}", reply.answer);
+        };
+        assert_eq!(table.version, expected, "asked with {held}");
+    }
+}
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -352,6 +352,10 @@
                         Err(e) => return Err(CallError::Unavailable(e.to_string())),
                     }
                 }
+                Some(Request::Table(ask)) => {
+                    let newer = self.control.with_ledger(|l| l.publication_since(ask.held));
+                    Answer::Table(newer.unwrap_or_default()).into()
+                }
                 Some(Request::Group(_) | Request::Borrow(_)) | None => {
                     return Err(CallError::Unavailable("not offered here".into()));
                 }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -23,6 +23,7 @@
 use anvilloft_wire::control::Publication;
 use anvilloft_wire::control::RenewLease;
 use anvilloft_wire::control::Request;
+use anvilloft_wire::control::TableRequest;
 use anvilloft_wire::frame::EndpointUpdate;
 use anvilloft_wire::frame::Payload;
 use anvilloft_wire::frame::RouterLoad;
@@ -62,6 +63,8 @@
 /// Time between two messages to peers about the work at engines. An engine
 /// reads 13,000 prompt tokens meanwhile, one long prompt.
 const LOAD_EVERY: Duration = Duration::from_millis(250);
+/// Longest wait for a route table; the largest takes 0.2 s at 10 Mbit/s.
+const FETCH: Duration = Duration::from_secs(1);
 /// Sessions with peers that a router dials, at most. All routers of the smaller
 /// deployments know each other.
 const MOST_PEERS: usize = 10;
@@ -108,6 +111,7 @@
     Granted(u64, Outcome),
     Reported(u64, Outcome),
     Closed(Outcome),
+    Fetched(Outcome),
 }
 
 /// What the control thread is made of.
@@ -132,11 +136,15 @@
     calls: FuturesUnordered<BoxFuture<'static, Done>>,
     opening: bool,
     renewing: bool,
+    fetching: bool,
     closing: bool,
     renew_at: Instant,
     renewed: Option<Duration>,
-    /// Version that control says is published.
+    /// Version that control says is published, and the member that said so.
     published: u64,
+    publisher: String,
+    /// When that member is asked again for a table that did not come.
+    fetch_at: Instant,
     directory_version: u64,
     load_at: Instant,
 }
@@ -180,10 +188,13 @@
         calls: FuturesUnordered::new(),
         opening: false,
         renewing: false,
+        fetching: false,
         closing: false,
         renew_at: Instant::now(),
         renewed: None,
         published: 0,
+        publisher: String::new(),
+        fetch_at: Instant::now(),
         directory_version: 0,
         load_at: Instant::now(),
     };
@@ -264,6 +275,7 @@
             Done::Granted(seq, Err(e)) | Done::Reported(seq, Err(e)) => {
                 slog::debug!(self.cx.log, "no reply of control"; "seq" => seq, "error" => %e);
             }
+            Done::Fetched(result) => self.on_fetched(result),
             Done::Closed(result) => {
                 self.closing = false;
                 if let Ok(Some(Answer::Applied(_))) = result.map(|r| r.answer) {
@@ -333,6 +345,42 @@
         }
     }
 
+    /// Asks a member that has a newer route table for it. It need not lead: a
+    /// router that comes back from a cut must not wait for an election.
+    fn fetch(&mut self) {
+        let held = self.cx.table.load().version();
+        if self.fetching || self.published <= held {
+            return;
+        }
+        self.fetch_at = Instant::now() + AGAIN;
+        if self.renewed.is_none() {
+            // The first table comes with the first lease: a router that serves
+            // before it can get tokens would refuse teams that have some.
+            return self.renew();
+        }
+        let Some(session) = self.client.session_of(&self.publisher) else {
+            return self.renew();
+        };
+        self.fetching = true;
+        self.calls.push(Box::pin(async move {
+            Done::Fetched(session.call(TableRequest { held }.into(), FETCH, 0).await)
+        }));
+    }
+
+    fn on_fetched(&mut self, result: Outcome) {
+        self.fetching = false;
+        match result.map(|r| r.answer) {
+            Ok(Some(Answer::Table(table))) => self.adopt(&table),
+            Ok(answer) => {
+                slog::warn!(self.cx.log, "no route table in the reply"; "reply" => ?answer);
+            }
+            Err(e) => slog::debug!(self.cx.log, "no route table"; "error" => %e),
+        }
+        if self.published > self.cx.table.load().version() {
+            self.renew();
+        }
+    }
+
     fn on_lease(&mut self, grant: LeaseGrant) {
         if grant.valid_ms == 0 {
             // Lost or closed; registering again tells which.
@@ -433,11 +481,10 @@
                     self.on_update(update);
                 }
             }
-            Payload::PublicationPush(version) => {
-                self.published = self.published.max(version);
-                if version > self.cx.table.load().version() {
-                    self.renew();
-                }
+            Payload::PublicationPush(version) if version >= self.published => {
+                self.published = version;
+                self.publisher = frame.node;
+                self.fetch();
             }
             Payload::Recall(budget) => self.cx.purse.recall(self.cx.now(), &budget),
             _ => {}
@@ -468,6 +515,9 @@
             .renewed
             .is_some_and(|at| now.saturating_sub(at) < self.cx.options.touch);
         self.set_touch(touch);
+        if Instant::now() >= self.fetch_at {
+            self.fetch();
+        }
         let gone = self.cx.dispatcher().expire(now, touch);
         for endpoint in gone {
             slog::info!(self.cx.log, "endpoint silent, forgotten"; "endpoint" => endpoint);
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ControlRequest {
     /// The request itself.
-    #[prost(oneof = "Request", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Request", tags = "1, 2, 3, 4, 5, 6")]
     pub request: Option<Request>,
 }
 
@@ -38,6 +38,18 @@
     /// Asks a peer router for tokens that it holds. Answered with `Lent`.
     #[prost(message, tag = "5")]
     Borrow(Borrow),
+    /// Asks for the route table that the member itself holds. Any member
+    /// answers it, with `Table`.
+    #[prost(message, tag = "6")]
+    Table(TableRequest),
+}
+
+/// Asks a control member for the published route table.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct TableRequest {
+    /// Version that the asker has. Only a newer one is of use.
+    #[prost(uint64, tag = "1")]
+    pub held: u64,
 }
 
 /// Asks a peer router to reserve tokens of its allotment for a request at the
@@ -239,7 +251,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ControlReply {
     /// The reply itself.
-    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub answer: Option<Answer>,
 }
 
@@ -267,6 +279,10 @@
     /// Tokens that a peer router reserved.
     #[prost(message, tag = "7")]
     Lent(Lent),
+    /// The route table that the member holds; version 0 when it has none that
+    /// is newer than the asker's.
+    #[prost(message, tag = "8")]
+    Table(Publication),
 }
 
 quick_error! {
@@ -317,6 +333,14 @@
     }
 }
 
+impl From<TableRequest> for ControlRequest {
+    fn from(req: TableRequest) -> Self {
+        Self {
+            request: Some(Request::Table(req)),
+        }
+    }
+}
+
 impl From<RenewLease> for ControlRequest {
     fn from(req: RenewLease) -> Self {
         Self {
--- a/crates/wire/src/session/client.rs
+++ b/crates/wire/src/session/client.rs
@@ -104,6 +104,12 @@
         links.iter().filter_map(|link| link.session()).collect()
     }
 
+    /// Returns the open session to the member with a name.
+    pub fn session_of(&self, node: &str) -> Option<Arc<Session>> {
+        let mut sessions = self.sessions().into_iter();
+        sessions.find(|session| session.peer().node == node)
+    }
+
     /// Like [`Control::call`], but without router peers: for calls that a
     /// router peer passed on.
     ///
--- a/crates/wire/src/session/link.rs
+++ b/crates/wire/src/session/link.rs
@@ -13,7 +13,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use super::HANDSHAKE;
 use super::Handler;
 use super::Identity;
 use super::Session;
@@ -25,7 +24,10 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(50);
 /// Longest pause before a new attempt; within it a returned peer is found
 /// again well before a 3 s lease ends.
-const BACKOFF_MAX: Duration = Duration::from_secs(1);
+const BACKOFF_MAX: Duration = Duration::from_millis(500);
+/// Longest wait for a connection. A segment lost in a cut is sent again by the
+/// kernel after 1 s; a new attempt after the cut comes sooner.
+const CONNECT: Duration = Duration::from_millis(800);
 /// A session that lasted this long resets the pause.
 const STABLE: Duration = Duration::from_secs(5);
 
@@ -91,7 +93,7 @@
     identity: &Identity,
     handler: Arc<dyn Handler>,
 ) -> Result<Arc<Session>, SessionError> {
-    let stream = timeout(HANDSHAKE, TcpStream::connect(address))
+    let stream = timeout(CONNECT, TcpStream::connect(address))
         .await
         .unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
     // Small frames such as votes must not wait for a full segment.
--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -194,9 +194,11 @@
 #[tokio::test]
 async fn errors_say_truly_whether_a_proposal_may_have_run() {
     let limit = Duration::from_millis(300);
-    let absent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    // Bound but not listening: connections are refused, and no server of
+    // another test can take the port.
+    let absent = tokio::net::TcpSocket::new_v4().unwrap();
+    absent.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let nowhere = absent.local_addr().unwrap();
-    drop(absent);
     let err = client(&[nowhere]).call(proposal(), limit).await;
     assert!(matches!(err, Err(CallError::Unavailable(_))), "{err:?}");
 
