--- a/crates/control/tests/pages.rs
+++ b/crates/control/tests/pages.rs
@@ -34,5 +34,5 @@
         })
         .collect();
     let table = rows.join("\n");
-    assert!(page("operations.md").contains(&table), "\n{table}");
+    assert!(page("OPERATIONS.md").contains(&table), "\n{table}");
 }
--- a/crates/settings/tests/page.rs
+++ b/crates/settings/tests/page.rs
@@ -32,7 +32,7 @@
 
 #[test]
 fn the_page_lists_every_setting_with_unit_default_and_range() {
-    let page = fs::read_to_string(format!("{DOCS}/operations.md")).unwrap();
+    let page = fs::read_to_string(format!("{DOCS}/OPERATIONS.md")).unwrap();
     for (daemon, specs) in [
         ("anvilloft-control", ControlSettings::specs()),
         ("anvilloft-router", RouterSettings::specs()),
@@ -41,7 +41,7 @@
         let table = rows.join("\n");
         assert!(
             page.contains(&table),
-            "{daemon} in docs/operations.md:\n{table}"
+            "{daemon} in docs/OPERATIONS.md:\n{table}"
         );
     }
 }
--- a/crates/wire/tests/pack.rs
+++ b/crates/wire/tests/pack.rs
@@ -10,8 +10,8 @@
 fn a_table_of_many_routes_packs_to_a_tenth() {
     let route = |n: u32| {
         format!(
-            "{{\"name\":\"r-{n}\",\"host\":\"h.example\",\"pathPrefix\":\"/p{n}/\",\
-             \"kind\":\"safe\",\"timeoutMs\":1000,\"service\":\"s\",\"maxAttempts\":2}}"
+            "{{\"name\":\"r-{n}\",\"host\":\"h.example\",\"prefix\":\"/p{n}/\",\
+             \"kind\":\"idempotent\",\"timeout_ms\":1000,\"service\":\"s\",\"max_endpoints\":2}}"
         )
     };
     let source: String = (0..600).map(route).collect();
