Explain a request from its id: `anvilloft explain`

Change: `telemetry::Story` reads the lines of one request from the logs of any number of processes, what its host believed before, the cause of its end, and which part is missing; `anvilloft explain ID FILE...` prints it. Three tests play a refusal at a router that is cut off, a stream that its endpoint breaks off, and an order with an unknown outcome, and follow the id to the cause.

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -11,6 +11,7 @@
 mod emulate;
 mod endpoint;
 mod exception;
+mod explain;
 mod history;
 mod items;
 mod key;
@@ -69,7 +70,7 @@
 /// Every subcommand by name, in the order of the help.
 const TABLE: &[Entry] = administration![
     status, team, key, budget, rank, model, service, default, exception, router, endpoint, member,
-    history, apply, bench, check, settings, bootstrap,
+    history, apply, bench, check, explain, settings, bootstrap,
 ];
 
 /// Prints the error and returns the documented exit code.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -106,7 +106,7 @@
                 }
                 Err(error) => {
                     if let Err(why) = self.resume(&error).await {
-                        return Some(Err(why));
+                        return self.fail(why, Outcome::Broken);
                     }
                 }
             }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -10,6 +10,8 @@
 use anvilloft_dispatch::Part;
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::Reply;
+use anvilloft_fakes::raw::Seen;
+use anvilloft_fakes::raw::Step;
 use anvilloft_relay::Dialect;
 use anvilloft_relay::Facts;
 use anvilloft_relay::HandOff;
@@ -177,10 +179,23 @@
         Self::start_with(relays, |builder| builder).await
     }
 
+    /// Starts a fleet whose relays write to a log.
+    pub(crate) async fn start_logging(relays: usize, log: &Logger) -> Self {
+        Self::build(relays, |builder| builder, log).await
+    }
+
     /// Starts a fleet whose relays have changed options.
     pub(crate) async fn start_with(
         relays: usize,
         change: impl Fn(RelayOptionsBuilder) -> RelayOptionsBuilder,
+    ) -> Self {
+        Self::build(relays, change, &log()).await
+    }
+
+    async fn build(
+        relays: usize,
+        change: impl Fn(RelayOptionsBuilder) -> RelayOptionsBuilder,
+        logger: &Logger,
     ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let peer = free_address();
@@ -216,7 +231,7 @@
                 identity,
                 vec![peer],
                 free_address(),
-                log(),
+                logger.new(o!("host" => name)),
             );
             fleet.relays.push(relay.await.unwrap());
         }
@@ -289,3 +304,36 @@
     }
     panic!("not in time: {what}");
 }
+
+pub(crate) fn send(text: impl Into<Vec<u8>>) -> Step {
+    Step::Send(text.into())
+}
+
+pub(crate) fn stream_head(attempt: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+         x-anvilloft-attempt: {attempt}\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+pub(crate) fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+pub(crate) fn event(id: u32) -> String {
+    format!("id: {id}\ndata: t{id}\n\n")
+}
+
+/// Answers a stream with the events of a range, from the one after the
+/// caller's last.
+pub(crate) fn whole_stream(seen: &Seen, last: u32) -> Vec<Step> {
+    let after = seen
+        .head
+        .lines()
+        .find_map(|l| l.strip_prefix("last-event-id: "));
+    let first = after
+        .and_then(|id| id.trim().parse().ok())
+        .map_or(1, |id: u32| id + 1);
+    let events: String = (first..=last).map(|id| chunk(&event(id))).collect();
+    vec![send(stream_head(&seen.attempt) + &events + "0\r\n\r\n")]
+}
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -1,53 +1,20 @@
 //! Requests through a relay, from callers to scripted endpoints.
 
-#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
-
-mod common;
-
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::common::COUNTS;
+use crate::common::Fleet;
+use crate::common::chunk;
+use crate::common::event;
+use crate::common::send;
+use crate::common::stream_head;
+use crate::common::whole_stream;
 use anvilloft_fakes::raw::RawEndpoint;
-use anvilloft_fakes::raw::Seen;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
-use common::COUNTS;
-use common::Fleet;
-
-fn send(text: impl Into<Vec<u8>>) -> Step {
-    Step::Send(text.into())
-}
-
-fn stream_head(attempt: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-         x-anvilloft-attempt: {attempt}\r\ntransfer-encoding: chunked\r\n\r\n"
-    )
-}
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-fn event(id: u32) -> String {
-    format!("id: {id}\ndata: t{id}\n\n")
-}
-
-/// Answers a stream with the events of a range, from the one after the
-/// caller's last.
-fn whole_stream(seen: &Seen, last: u32) -> Vec<Step> {
-    let after = seen
-        .head
-        .lines()
-        .find_map(|l| l.strip_prefix("last-event-id: "));
-    let first = after
-        .and_then(|id| id.trim().parse().ok())
-        .map_or(1, |id: u32| id + 1);
-    let events: String = (first..=last).map(|id| chunk(&event(id))).collect();
-    vec![send(stream_head(&seen.attempt) + &events + "0\r\n\r\n")]
-}
 
 /// Guards against requests that are served without a table, a route or a key,
 /// and against a key that reaches an endpoint.
@@ -72,7 +39,7 @@
         .header("x-key", "wrong")
         .header("x-anvilloft-attempt", "a4");
     let reply = call
-        .send(fleet.relays[0].address(), common::WAIT)
+        .send(fleet.relays[0].address(), crate::common::WAIT)
         .await
         .unwrap();
     assert_eq!(reply.status, 401);
@@ -276,7 +243,7 @@
     let call = anvilloft_fakes::http::Call::post("/stream/x", "body")
         .header("x-key", "k")
         .header("x-anvilloft-attempt", "last");
-    let answer = tokio::spawn(async move { call.send(address, common::WAIT).await });
+    let answer = tokio::spawn(async move { call.send(address, crate::common::WAIT).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert!(ready());
     let drained = tokio::spawn(relay.drain());
@@ -304,7 +271,9 @@
         let call = anvilloft_fakes::http::Call::post("/any/x", "x".repeat(100_000))
             .header("x-key", "k")
             .header("x-anvilloft-attempt", id);
-        let reply = call.send(fleet.relays[0].address(), common::WAIT).await;
+        let reply = call
+            .send(fleet.relays[0].address(), crate::common::WAIT)
+            .await;
         reply.unwrap()
     };
     let (a, b) = tokio::join!(large("a2"), large("a3"));
@@ -312,6 +281,6 @@
     statuses.sort_unstable();
     assert_eq!(statuses, [200, 503], "{} {}", a.text(), b.text());
     let bytes = fleet.relays[0].metrics().body_bytes.clone();
-    common::eventually("room comes back", || bytes.get() == 0).await;
+    crate::common::eventually("room comes back", || bytes.get() == 0).await;
     assert_eq!(large("a4").await.status, 200);
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,10 +1,12 @@
 //! Logs and metrics of the daemons.
 //!
 //! `log` sets up slog, `metrics` the prometheus registry. [`decision!`] writes
-//! the line of one routing, admission or placement decision.
+//! the line of one routing, admission or placement decision. `story` reads the
+//! lines of one request back.
 
 mod log;
 mod metrics;
+mod story;
 
 pub use log::LogGuard;
 pub use log::LogOptions;
@@ -12,6 +14,8 @@
 pub use log::start_to;
 pub use metrics::Metrics;
 pub use metrics::MetricsError;
+pub use story::Line;
+pub use story::Story;
 
 #[doc(hidden)]
 pub use slog;
