Measure control's limits by the clock that counts suspensions

Cause: control measured routers' silence, elections and the age of announcements by CLOCK_MONOTONIC, which stands still while a host is suspended. A member that woke up took routers for alive that had lost contact.

Change: `Clock` (CLOCK_BOOTTIME) moves from the gateway to the types crate, one copy for routers, relays and control; `DriverConfig` takes a clock, so that a test can stand in for the host's.

Measured: `a_suspension_counts_as_silence` failed with the old clock.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -28,7 +28,6 @@
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
-use std::time::Instant;
 
 use anvilloft_consensus::Effects;
 use anvilloft_consensus::Member;
@@ -41,6 +40,7 @@
 use anvilloft_storage::Disk;
 use anvilloft_storage::StorageError;
 use anvilloft_storage::Store;
+use anvilloft_types::Clock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::frame::ConsensusFrame;
 use quick_error::quick_error;
@@ -135,6 +135,8 @@
     pub log: Logger,
     /// Seed of the election timeouts; a random number.
     pub seed: u64,
+    /// Time, by which routers' silence and elections are measured.
+    pub clock: Clock,
     /// Entries after which a snapshot is taken.
     pub snapshot_every: u64,
     /// Bytes of log after which a snapshot is taken, whatever the count of
@@ -161,6 +163,7 @@
             transport,
             log,
             seed,
+            clock: Clock::start(),
             snapshot_every: 4_096,
             snapshot_log_bytes: 64 * 1024 * 1024,
         }
@@ -181,7 +184,7 @@
     /// Fails when the disk can't be read, when synced data is damaged, and
     /// when no thread can be started.
     pub fn start(cfg: DriverConfig) -> Result<Self, DriverError> {
-        let start = Instant::now();
+        let (clock, began) = (cfg.clock, cfg.clock.now());
         let group = cfg.node.group;
         let (mut store, mut restored) = Store::open(cfg.disk, group)?;
         let is_new = restored.snapshot.is_none()
@@ -217,7 +220,7 @@
             "member" => cfg.node.id, "term" => restored.hard_state.term,
             "snapshot" => restored.snapshot.as_ref().map_or(0, |s| s.index),
             "entries" => restored.entries.len(),
-            "ms" => u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX));
+            "ms" => u64::try_from((clock.now() - began).as_millis()).unwrap_or(u64::MAX));
         let shadow = Shadow::start(restored.snapshot.clone())?;
         let (calls_tx, calls) = mpsc::channel(QUEUE_CALLS);
         let (messages_tx, messages) = mpsc::channel(QUEUE_MESSAGES);
@@ -237,9 +240,9 @@
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
-                let node = Node::new(cfg.node, restored, start.elapsed(), cfg.seed);
+                let node = Node::new(cfg.node, restored, clock.now(), cfg.seed);
                 let mut core =
-                    Core::new(start, node, store, ledger, shadow, cfg.transport, cfg.log);
+                    Core::new(clock, node, store, ledger, shadow, cfg.transport, cfg.log);
                 core.stats = stats;
                 core.status = status_tx;
                 core.snapshot_every = cfg.snapshot_every;
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -17,6 +17,7 @@
 use anvilloft_consensus::Snapshot;
 use anvilloft_ledger::Ledger;
 use anvilloft_storage::Store;
+use anvilloft_types::Clock;
 use anvilloft_types::prelude::*;
 use anvilloft_types::unix_ms;
 use anvilloft_wire::Command;
@@ -78,7 +79,7 @@
 
 /// The state of the control thread.
 pub(super) struct Core {
-    start: Instant,
+    clock: Clock,
     pub(super) node: Node,
     store: Store,
     pub(super) ledger: Ledger,
@@ -111,7 +112,7 @@
 
 impl Core {
     pub(super) fn new(
-        start: Instant,
+        clock: Clock,
         node: Node,
         store: Store,
         ledger: Ledger,
@@ -121,7 +122,7 @@
     ) -> Self {
         let applied = node.commit_index();
         Self {
-            start,
+            clock,
             node,
             store,
             ledger,
@@ -151,7 +152,7 @@
     }
 
     pub(super) fn now(&self) -> Duration {
-        self.start.elapsed()
+        self.clock.now()
     }
 
     /// Runs until told to stop or until the disk fails.
@@ -166,13 +167,13 @@
                 break Err(e);
             }
             self.publish("");
-            let due = time::Instant::from_std(self.start + self.deadline());
+            let wait = self.deadline().saturating_sub(self.now());
             tokio::select! {
                 biased;
                 _ = stop.wait_for(|stop| *stop) => break Ok(()),
                 Some(frame) = messages.recv() => self.on_frame(frame),
                 Some(call) = calls.recv() => self.on_call(call),
-                () = time::sleep_until(due) => {}
+                () = time::sleep(wait) => {}
             }
             // Takes in what arrived during the last sync before time passes,
             // so that a slow disk looks no longer than it is.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use anvilloft_types::BoxFuture;
+use anvilloft_types::Clock;
 use anvilloft_types::Incarnation;
 use anvilloft_types::MemberId;
 use anvilloft_types::Revision;
@@ -77,7 +78,7 @@
     forwarded: AtomicU64,
     orders: OrderSender,
     registry: Registry,
-    started: Instant,
+    clock: Clock,
     log: Logger,
 }
 
@@ -109,7 +110,7 @@
             forwarded: AtomicU64::new(0),
             orders: OrderSender::new(log.clone()),
             registry: Registry::default(),
-            started: Instant::now(),
+            clock: Clock::start(),
             log,
         })
     }
@@ -173,7 +174,7 @@
     /// Takes an endpoint's announcement. What changes where requests may go is
     /// passed on to the routers before this returns.
     pub fn announce(&self, update: EndpointUpdate) -> Heard {
-        let now = self.started.elapsed();
+        let now = self.clock.now();
         let id = update.id.clone();
         let heard = self.registry.announce(now, update);
         if heard == Heard::Changed
@@ -194,7 +195,7 @@
     pub(crate) async fn pass_on_renewals(self: Arc<Self>) {
         loop {
             tokio::time::sleep(BATCH_EVERY).await;
-            if let Some(batch) = self.registry.take_batch(self.started.elapsed()) {
+            if let Some(batch) = self.registry.take_batch(self.clock.now()) {
                 self.to_routers(batch);
             }
         }
@@ -325,7 +326,7 @@
             sessions.push(session.clone());
         } else {
             lock(&self.0.routers).push(session.clone());
-            let all = self.0.registry.all(self.0.started.elapsed());
+            let all = self.0.registry.all(self.0.clock.now());
             if !all.updates.is_empty() {
                 let _ = session.send(Payload::EndpointBatch(all));
             }
--- a/crates/control/tests/driver/fleet.rs
+++ b/crates/control/tests/driver/fleet.rs
@@ -14,6 +14,7 @@
 use anvilloft_control::driver::Transport;
 use anvilloft_storage::Disk;
 use anvilloft_storage::MemDisk;
+use anvilloft_types::Clock;
 use anvilloft_wire::Control;
 use anvilloft_wire::command;
 use anvilloft_wire::command::Body;
@@ -101,6 +102,7 @@
     drivers: Arc<Mutex<HashMap<u64, Driver>>>,
     disks: HashMap<u64, MemDisk>,
     pub(crate) snapshot_every: u64,
+    pub(crate) clock: Clock,
 }
 
 impl Default for Fleet {
@@ -110,6 +112,7 @@
             drivers: Arc::default(),
             disks: HashMap::new(),
             snapshot_every: 16,
+            clock: Clock::start(),
         }
     }
 }
@@ -140,6 +143,7 @@
         let mut cfg = DriverConfig::new(id, disk, transport, log, id);
         cfg.found = found.then(|| format!("address-{id}"));
         cfg.snapshot_every = self.snapshot_every;
+        cfg.clock = self.clock;
         // Short, so that a member that is behind gets a snapshot.
         cfg.node.trailing = 4;
         let driver = Driver::start(cfg).unwrap();
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -6,11 +6,16 @@
 mod fleet;
 mod placement;
 
+use std::sync::LazyLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use anvilloft_control::driver::Status;
 use anvilloft_storage::MemDisk;
 use anvilloft_storage::RealDisk;
+use anvilloft_types::Clock;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
 use anvilloft_wire::command::Body;
@@ -297,3 +302,41 @@
     let lease = fleet.lease(1, &renew("silent")).await.unwrap();
     assert_eq!(lease.valid_ms, 0, "a lost incarnation gets no lease");
 }
+
+/// How long the host of the next test was suspended, in milliseconds.
+static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
+static BOOT: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+fn host_time() -> Duration {
+    BOOT.elapsed() + ms(SUSPENDED_MS.load(Ordering::Relaxed))
+}
+
+/// Guards against a member that, after a suspension of its host, still takes
+/// routers for alive that had no contact with control for longer than their
+/// limits.
+#[tokio::test]
+async fn a_suspension_counts_as_silence() {
+    let mut fleet = Fleet::default();
+    fleet.clock = Clock::of_source(host_time);
+    fleet.launch(1, Box::new(MemDisk::new()), true);
+    fleet.wait(|s| s.leads).await;
+    assert_eq!(fleet.propose(open("r1", 1)).await, Reply::Ok);
+    assert_eq!(fleet.propose(open("r2", 1)).await, Reply::Ok);
+    let renew = |router: &str| RenewLease {
+        router: router.into(),
+        incarnation: 1,
+        ..RenewLease::default()
+    };
+    assert!(
+        fleet
+            .lease(1, &renew("r1"))
+            .await
+            .unwrap()
+            .silent
+            .is_empty()
+    );
+    SUSPENDED_MS.fetch_add(10_000, Ordering::Relaxed);
+    // Longer than the built-in lease of 3 s.
+    let lease = fleet.lease(1, &renew("r2")).await.unwrap();
+    assert_eq!(lease.silent, ["r1"]);
+}
--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilloft_types::Clock;
 use anvilloft_types::RunState;
 use anvilloft_wire::frame::EndpointUpdate;
 use http::HeaderMap;
@@ -29,7 +30,6 @@
 use crate::ports::CoreHandle;
 use crate::serve::Answers;
 use crate::service;
-use crate::view::Clock;
 use crate::view::SharedView;
 use crate::view::View;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,5 +30,4 @@
 pub use memory::BodyMemory;
 pub use ports::CoreHandle;
 pub use ports::CoreMsg;
-pub use view::Clock;
 pub use view::View;
--- a/crates/gateway/tests/clock.rs
+++ b/crates/gateway/tests/clock.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anvilloft_gateway::Clock;
 use anvilloft_gateway::View;
+use anvilloft_types::Clock;
 
 static HOST_MS: AtomicU64 = AtomicU64::new(90_000);
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,8 +8,11 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+mod clock;
 pub mod prelude;
 
+pub use clock::Clock;
+
 /// Name of a team, as chosen by the operator.
 pub type TeamId = String;
 /// Name of a prepaid budget. A team may own several.
