--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -5,16 +5,19 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::Step;
+use anvilloft_fakes::raw::whole_answer;
+
 use crate::common::COUNTS;
 use crate::common::Fleet;
+use crate::common::WAIT;
 use crate::common::chunk;
 use crate::common::event;
+use crate::common::eventually;
 use crate::common::send;
 use crate::common::stream_head;
 use crate::common::whole_stream;
-use anvilloft_fakes::raw::RawEndpoint;
-use anvilloft_fakes::raw::Step;
-use anvilloft_fakes::raw::whole_answer;
 
 /// Guards against requests that are served without a table, a route or a key,
 /// and against a key that reaches an endpoint.
@@ -38,10 +41,7 @@
     let call = anvilloft_fakes::http::Call::post("/any/x", "")
         .header("x-key", "wrong")
         .header("x-anvilloft-attempt", "a4");
-    let reply = call
-        .send(fleet.relays[0].address(), crate::common::WAIT)
-        .await
-        .unwrap();
+    let reply = call.send(fleet.relays[0].address(), WAIT).await.unwrap();
     assert_eq!(reply.status, 401);
     let heads = heads.lock().unwrap();
     assert_eq!(
@@ -243,7 +243,7 @@
     let call = anvilloft_fakes::http::Call::post("/stream/x", "body")
         .header("x-key", "k")
         .header("x-anvilloft-attempt", "last");
-    let answer = tokio::spawn(async move { call.send(address, crate::common::WAIT).await });
+    let answer = tokio::spawn(async move { call.send(address, WAIT).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert!(ready());
     let drained = tokio::spawn(relay.drain());
@@ -271,9 +271,7 @@
         let call = anvilloft_fakes::http::Call::post("/any/x", "x".repeat(100_000))
             .header("x-key", "k")
             .header("x-anvilloft-attempt", id);
-        let reply = call
-            .send(fleet.relays[0].address(), crate::common::WAIT)
-            .await;
+        let reply = call.send(fleet.relays[0].address(), WAIT).await;
         reply.unwrap()
     };
     let (a, b) = tokio::join!(large("a2"), large("a3"));
@@ -281,6 +279,6 @@
     statuses.sort_unstable();
     assert_eq!(statuses, [200, 503], "{} {}", a.text(), b.text());
     let bytes = fleet.relays[0].metrics().body_bytes.clone();
-    crate::common::eventually("room comes back", || bytes.get() == 0).await;
+    eventually("room comes back", || bytes.get() == 0).await;
     assert_eq!(large("a4").await.status, 200);
 }
--- a/crates/relay/tests/relay/stories.rs
+++ b/crates/relay/tests/relay/stories.rs
@@ -6,12 +6,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use crate::common::Fleet;
-use crate::common::chunk;
-use crate::common::event;
-use crate::common::send;
-use crate::common::stream_head;
-use crate::common::whole_stream;
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_settings::LogFormat;
@@ -20,6 +14,15 @@
 use anvilloft_telemetry::Story;
 use prometheus::IntCounter;
 
+use crate::common::Fleet;
+use crate::common::WAIT;
+use crate::common::chunk;
+use crate::common::event;
+use crate::common::eventually;
+use crate::common::send;
+use crate::common::stream_head;
+use crate::common::whole_stream;
+
 /// Keeps what is logged.
 #[derive(Clone, Default)]
 struct Log(Arc<Mutex<Vec<u8>>>);
@@ -42,7 +45,7 @@
             let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
             Story::read(id, text.lines())
         };
-        crate::common::eventually("the end is written", || !read().cause.is_empty()).await;
+        eventually("the end is written", || !read().cause.is_empty()).await;
         read()
     }
 }
@@ -77,9 +80,7 @@
         let call = anvilloft_fakes::http::Call::post("/stream/x", "body")
             .header("x-key", "k")
             .header("x-anvilloft-attempt", id);
-        let reply = call
-            .send(fleet.relays[0].address(), crate::common::WAIT)
-            .await;
+        let reply = call.send(fleet.relays[0].address(), WAIT).await;
         reply.unwrap().status
     };
     // The router counts as cut off after 3 s.
--- a/crates/telemetry/src/story.rs
+++ b/crates/telemetry/src/story.rs
@@ -119,6 +119,7 @@
     }
 }
 
+/// Says what is missing of a request without an end.
 fn no_end(own: &[Line], beliefs: &[Line]) -> String {
     let Some(last) = own.last() else {
         return String::new();
@@ -134,7 +135,11 @@
     )
 }
 
+/// Names the cause of a request's end. `own` are its lines, `control` is what its
+/// host said last about its contact with control before the request came.
 fn cause(end: &Line, own: &[Line], control: Option<&Line>) -> String {
+    // An attempt of which nothing was written can't have run.
+    let own: Vec<&Line> = own.iter().filter(|l| !l.says("written", false)).collect();
     let last = |names: &[&str]| own.iter().rfind(|l| names.contains(&l.msg.as_str()));
     match end.msg.as_str() {
         "answered" => format!("answered with status {}", end.field("status")),
@@ -162,8 +167,8 @@
         }
         _ if end.field("run") == "unknown" => match last(&["attempt failed", "answer broke off"]) {
             Some(l) => format!(
-                "endpoint {} failed after it got the request ({}), and only its own \
-                     records tell whether it ran",
+                "endpoint {} failed after it got the request ({}); whether it ran is in its \
+                 records alone",
                 l.field("endpoint"),
                 l.field("error")
             ),
