Find free addresses for tests in one place

Cause: five test programs had a `free_address` of their own: three with the same loop over other ports, two that let a port of the system's own range go, where a connection of another test can take it before it is used.

Change: `anvilloft_fakes::free_address`, the loop of the three, serves all. Assertions are untouched; `settings` of router/tests/sessions.rs no longer waits for anything.

--- a/crates/control/tests/group/hosts.rs
+++ b/crates/control/tests/group/hosts.rs
@@ -4,13 +4,12 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_control::ControlDaemon;
 use anvilloft_control::DaemonError;
 use anvilloft_control::admin::hash_secret;
+use anvilloft_fakes::free_address;
 use anvilloft_settings::ControlSettings;
 use anvilloft_settings::GroupStart;
 use anvilloft_settings::Secret;
@@ -47,22 +46,6 @@
     dir: TempDir,
 }
 
-/// Returns a loopback address that nothing listens on. The port is below the
-/// range from which the system takes the ports of outgoing connections, so
-/// that a connection of another test can't take it before it is used.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let spread = std::process::id() % 1_000 * 10;
-    loop {
-        let n = spread + NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 20_000 + u16::try_from(n % 10_000).unwrap();
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Hosts {
     /// Prepares hosts without starting them.
     pub(crate) fn new(count: usize) -> Self {
--- a/crates/control/tests/join.rs
+++ b/crates/control/tests/join.rs
@@ -4,11 +4,10 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_control::ControlDaemon;
+use anvilloft_fakes::free_address;
 use anvilloft_settings::ControlSettings;
 use anvilloft_settings::GroupStart;
 use anvilloft_settings::Secret;
@@ -20,19 +19,6 @@
 use slog::Logger;
 use slog::o;
 
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let spread = std::process::id() % 1_000 * 2;
-    loop {
-        let n = spread + NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 30_000 + u16::try_from(n % 2_000).unwrap();
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 async fn start(
     name: &str,
     folder: &Path,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! `engine` is a model engine or a plain service with faults, `http` a small
 //! caller that shows what came over the connection, `raw` an endpoint that
-//! answers with scripted bytes, and `control` the replicated ledger within one
-//! process.
+//! answers with scripted bytes, `control` the replicated ledger within one
+//! process, and `address` finds addresses to listen on.
 
+mod address;
 pub mod control;
 pub mod engine;
 pub mod http;
@@ -13,6 +14,7 @@
 pub mod raw;
 mod slots;
 
+pub use address::free_address;
 pub use control::LocalControl;
 pub use control::LocalLink;
 pub use engine::Fake;
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -2,12 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_control::ControlDaemon;
 use anvilloft_dispatch::Part;
+use anvilloft_fakes::free_address;
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::Reply;
 use anvilloft_fakes::raw::Seen;
@@ -153,20 +152,6 @@
     Logger::root(Discard, o!())
 }
 
-/// Returns a loopback address that nothing listens on.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let spread = std::process::id() % 1_000 * 10;
-    loop {
-        let n = spread + NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 10_000 + u16::try_from(n % 9_000).unwrap();
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 pub(crate) struct Fleet {
     pub(crate) control: ControlDaemon,
     pub(crate) relays: Vec<Relay>,
--- a/crates/router/tests/group.rs
+++ b/crates/router/tests/group.rs
@@ -14,6 +14,7 @@
 use anvilloft_control::ControlDaemon;
 use anvilloft_fakes::Fake;
 use anvilloft_fakes::FakeOptions;
+use anvilloft_fakes::free_address;
 use anvilloft_fakes::http::Call;
 use anvilloft_ledger::set_op;
 use anvilloft_router::Router;
@@ -43,11 +44,6 @@
 const FLEET_KEY: &[u8] = b"0123456789abcdef0123456789abcdef";
 const TOKENS: i64 = 200_000;
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Calls a member until it gives an answer of the wanted kind.
 async fn ask(member: &ControlDaemon, req: ControlRequest) -> Answer {
     let until = Instant::now() + LIMIT;
--- a/crates/router/tests/sessions.rs
+++ b/crates/router/tests/sessions.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilloft_fakes::free_address;
 use anvilloft_router::Router;
 use anvilloft_router::daemon;
 use anvilloft_settings::RouterSettings;
@@ -49,17 +50,12 @@
     }
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
-
-async fn settings(name: &str, control: SocketAddr, routers: Vec<SocketAddr>) -> RouterSettings {
+fn settings(name: &str, control: SocketAddr, routers: Vec<SocketAddr>) -> RouterSettings {
     RouterSettings::builder()
         .name(name)
         .data_centre("dc1")
-        .caller_listen(free_address().await)
-        .peer_listen(free_address().await)
+        .caller_listen(free_address())
+        .peer_listen(free_address())
         .control(vec![control])
         .routers(routers)
         .fleet_key(Secret::new(FLEET_KEY))
@@ -88,14 +84,14 @@
         logger(),
     ));
 
-    let first = settings("r0", control, Vec::new()).await;
+    let first = settings("r0", control, Vec::new());
     let first_peer = first.peer_listen;
     fleet
         .routers
         .push(daemon::start(&first, &logger()).unwrap());
     // This one has no way to control but through its peer.
-    let nowhere = free_address().await;
-    let second = settings("r1", nowhere, vec![first_peer]).await;
+    let nowhere = free_address();
+    let second = settings("r1", nowhere, vec![first_peer]);
     fleet
         .routers
         .push(daemon::start(&second, &logger()).unwrap());
