Drop dead code and second copies from dispatch, control and answers

- control: requests for a table are one arm of the match that follows the role, without an arm that could not be reached.
- dispatch: `usable`, `forget_failures` and `Health::forget` had no callers; one look-up by name; the weights and ranges of the choice have names.
- relay: one check whether a newer table is known.

No behaviour changes.

--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -227,18 +227,16 @@
         if reply.is_closed() {
             return;
         }
-        if let Some(Request::Table(ask)) = &req.request {
-            // What is applied is committed, so a member that is behind hands out
-            // an older table, but never one that was not published.
-            let newer = self.ledger.publication_since(ask.held);
-            answer(reply, Answer::Table(newer.unwrap_or_default()));
-            return;
-        }
-        if self.node.role() != Role::Leader {
-            answer(reply, Answer::NotLeader(self.leader_address()));
-            return;
-        }
         match req.request {
+            Some(Request::Table(ask)) => {
+                // What is applied is committed, so a member that is behind hands
+                // out an older table, but never one that was not published.
+                let newer = self.ledger.publication_since(ask.held);
+                answer(reply, Answer::Table(newer.unwrap_or_default()));
+            }
+            _ if self.node.role() != Role::Leader => {
+                answer(reply, Answer::NotLeader(self.leader_address()));
+            }
             Some(Request::Propose(cmd)) => self.on_command(now, cmd, reply),
             Some(Request::Renew(req)) => self.read(now, Read::Renew(req), reply),
             Some(Request::Query(q)) => self.read(now, Read::Query(q), reply),
@@ -249,9 +247,7 @@
                     Answer::Unavailable("only routers lend tokens".into()),
                 );
             }
-            Some(Request::Table(_)) | None => {
-                answer(reply, Answer::Unavailable("empty request".into()));
-            }
+            None => answer(reply, Answer::Unavailable("empty request".into())),
         }
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -46,6 +46,17 @@
 /// Predicted time, in seconds, that an engine with all slots taken needs longer
 /// than an empty one to a first event.
 const CROWD_COST: f64 = 0.2;
+/// Share of the slots for which an endpoint of another data centre counts as
+/// busier. Below 1, so that a free slot elsewhere goes before a wait here.
+const REMOTE_LOAD: f64 = 0.3;
+/// The same for an endpoint that still warms up.
+const COLD_LOAD: f64 = 0.5;
+/// Range of loads that count as equal, as a share of the slots: less than one
+/// request of 64 slots.
+const LOAD_TIE: f64 = 0.01;
+/// Range of predicted times that count as equal, in seconds: less than a way
+/// to another data centre.
+const COST_TIE: f64 = 0.002;
 
 /// Fixed properties of a dispatcher.
 #[derive(Clone, Debug)]
@@ -166,18 +177,19 @@
         }
     }
 
-    fn find(&mut self, id: &str) -> Option<&mut Endpoint> {
-        let at = self
-            .endpoints
+    fn place(&self, id: &str) -> Result<usize, usize> {
+        self.endpoints
             .binary_search_by(|e| e.said.id.as_str().cmp(id))
-            .ok()?;
+    }
+
+    fn find(&mut self, id: &str) -> Option<&mut Endpoint> {
+        let at = self.place(id).ok()?;
         self.endpoints.get_mut(at)
     }
 
     /// Takes an announcement, in any order and any number of times.
     pub fn announce(&mut self, now: Duration, said: Announcement) -> Change {
-        let found = self.endpoints.binary_search_by(|e| e.said.id.cmp(&said.id));
-        let at = match found {
+        let at = match self.place(&said.id) {
             Ok(at) => at,
             Err(at) => {
                 if self.endpoints.len() >= MAX_ENDPOINTS {
@@ -254,14 +266,6 @@
         gone
     }
 
-    /// Returns how many endpoints of a service take work.
-    pub fn usable(&self, service: &str) -> usize {
-        let of_service = self.endpoints.iter().filter(|e| e.said.service == service);
-        of_service
-            .filter(|e| !e.said.leaving && !e.said.left)
-            .count()
-    }
-
     /// Returns the count of known endpoints.
     pub fn len(&self) -> usize {
         self.endpoints.len()
@@ -352,9 +356,8 @@
             let slots = f64::from(ep.said.slots.max(1));
             let remote = f64::from(u8::from(ep.said.data_centre != self.cfg.data_centre));
             let cold = f64::from(u8::from(now < ep.warm_at));
-            // A free slot elsewhere goes before a wait in the own data centre.
-            let load = busy / slots + 0.3 * remote + 0.5 * cold;
-            let load = load + self.rng.random_range(0.0..0.01);
+            let load = busy / slots + REMOTE_LOAD * remote + COLD_LOAD * cold;
+            let load = load + self.rng.random_range(0.0..LOAD_TIE);
             if load < least {
                 least = load;
                 best = *at;
@@ -416,7 +419,7 @@
             };
             let cost =
                 read + away + ep.wait(now, rank(ask.level)) + remote + ep.crowd() * CROWD_COST;
-            let cost = cost + self.rng.random_range(0.0..0.002);
+            let cost = cost + self.rng.random_range(0.0..COST_TIE);
             if cost < least {
                 least = cost;
                 best = match missing < 1.0 && !shared.is_empty() {
@@ -497,12 +500,10 @@
     /// Notes that a request was sent to an endpoint.
     pub fn started(&mut self, now: Duration, endpoint: &str, no: RequestNo, ask: &Ask<'_>) {
         let rate = self.cfg.prefill_rate;
-        let found = self
-            .endpoints
-            .binary_search_by(|e| e.said.id.as_str().cmp(endpoint));
-        let Some(ep) = found.ok().and_then(|at| self.endpoints.get_mut(at)) else {
+        let Ok(at) = self.place(endpoint) else {
             return;
         };
+        let ep = &mut self.endpoints[at];
         let mut prefill = Duration::ZERO;
         if let Some(memory) = ask.engine_memory {
             let all: Tokens = ask.prompt.iter().map(|p| p.tokens).sum();
@@ -566,12 +567,4 @@
             Outcome::Cancelled => {}
         }
     }
-
-    /// Makes every endpoint eligible again, for example after the router was
-    /// suspended and its failures told nothing about the endpoints.
-    pub fn forget_failures(&mut self) {
-        for ep in &mut self.endpoints {
-            ep.health.forget();
-        }
-    }
 }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -57,11 +57,6 @@
         self.answered = Some(now);
     }
 
-    /// Makes an endpoint eligible again as if nothing was known.
-    pub(crate) fn forget(&mut self) {
-        *self = Self::default();
-    }
-
     fn sample(&mut self, failed: f64) {
         self.failures += (failed - self.failures) * GAIN;
         self.samples = self.samples.saturating_add(1);
--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -108,8 +108,8 @@
     pub(crate) body: Body,
 }
 
-/// Answers with JSON text.
-pub(crate) fn json_response(text: impl Into<Body>) -> Response {
+/// Answers with JSON text, with status 200.
+pub fn json_response(text: impl Into<Body>) -> Response {
     let mut resp = Response::new(text.into());
     resp.headers_mut().insert(
         http::header::CONTENT_TYPE,
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -6,9 +6,10 @@
 use http::HeaderValue;
 use http::StatusCode;
 use serde_json::json;
-use volo_http::body::Body;
 use volo_http::response::Response;
 
+use crate::api::json_response;
+
 /// A refusal or failure as told to the caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Refusal {
@@ -116,15 +117,11 @@
 
     /// Returns the error as an HTTP answer.
     pub fn into_response(self) -> Response {
-        let mut resp = Response::new(Body::from(self.json().to_string()));
+        let mut resp = json_response(self.json().to_string());
         *resp.status_mut() = self.status;
-        let headers = resp.headers_mut();
-        headers.insert(
-            http::header::CONTENT_TYPE,
-            HeaderValue::from_static("application/json"),
-        );
         if let Some(after) = self.retry_after {
             let seconds = after.as_millis().div_ceil(1000) as u64;
+            let headers = resp.headers_mut();
             headers.insert(http::header::RETRY_AFTER, HeaderValue::from(seconds));
         }
         resp
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -340,7 +340,15 @@
             Ok(_) => {}
             Err(e) => slog::debug!(self.cx.log, "no lease"; "error" => %e),
         }
-        if self.published > self.cx.table.load().version() {
+        self.renew_when_behind();
+    }
+
+    fn is_behind(&self) -> bool {
+        self.published > self.cx.table.load().version()
+    }
+
+    fn renew_when_behind(&mut self) {
+        if self.is_behind() {
             self.renew();
         }
     }
@@ -348,8 +356,7 @@
     /// Asks a member that has a newer route table for it. It need not lead: a
     /// router that comes back from a cut must not wait for an election.
     fn fetch(&mut self) {
-        let held = self.cx.table.load().version();
-        if self.fetching || self.published <= held {
+        if self.fetching || !self.is_behind() {
             return;
         }
         self.fetch_at = Instant::now() + AGAIN;
@@ -362,6 +369,7 @@
             return self.renew();
         };
         self.fetching = true;
+        let held = self.cx.table.load().version();
         self.calls.push(Box::pin(async move {
             Done::Fetched(session.call(TableRequest { held }.into(), FETCH, 0).await)
         }));
@@ -376,9 +384,7 @@
             }
             Err(e) => slog::debug!(self.cx.log, "no route table"; "error" => %e),
         }
-        if self.published > self.cx.table.load().version() {
-            self.renew();
-        }
+        self.renew_when_behind();
     }
 
     fn on_lease(&mut self, grant: LeaseGrant) {
