Test resumed streams whichever endpoint is chosen first

The test sent its first request to an endpoint that breaks off and then waited for the choice to fall on it once more. The choice goes by measured delays of first events: the first answer's delay, longer on a busy machine, fades over seconds and keeps the endpoint behind the other one for all 50 tries. The relay is not at fault: no request was torn.

Change: both endpoints break off what begins there, so each request has to go on at the other one. Ten streams in place of one have to be whole, and none may go on where it broke off.

--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -55,39 +55,64 @@
 
 /// Guards against an event that is missing, doubled or torn when an endpoint
 /// breaks off in the middle of one and another goes on.
+///
+/// Both endpoints break off whatever begins there, so that the test doesn't
+/// depend on which of them is chosen first.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_stream_goes_on_elsewhere_after_the_last_whole_event() {
     let fleet = Fleet::start(1).await;
     fleet.publish(1, 100_000).await;
-    let broken = RawEndpoint::start(|s| {
-        let torn = chunk(&event(1)) + &chunk(&event(2)) + &chunk("id: 3\nda");
-        vec![
-            send(stream_head(&s.attempt) + &torn),
-            Step::Wait(Duration::from_millis(50)),
-            Step::Close,
-        ]
-    });
-    let broken = broken.await.unwrap();
-    fleet.announce("e1", broken.addr, "engines");
-    // The broken endpoint is known first, so the request begins there.
-    let whole = RawEndpoint::start(|s| whole_stream(&s, 5)).await.unwrap();
+    // Endpoint and attempt of each request, and whether it went on from an event.
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let mut endpoints = Vec::new();
+    for name in ["e1", "e2"] {
+        let seen = Arc::clone(&seen);
+        let endpoint = RawEndpoint::start(move |s| {
+            let resumes = s.head.contains("last-event-id: ");
+            let entry = (name, s.attempt.clone(), resumes);
+            seen.lock().unwrap().push(entry);
+            if resumes {
+                return whole_stream(&s, 5);
+            }
+            let torn = chunk(&event(1)) + &chunk(&event(2)) + &chunk("id: 3\nda");
+            vec![
+                send(stream_head(&s.attempt) + &torn),
+                Step::Wait(Duration::from_millis(50)),
+                Step::Close,
+            ]
+        });
+        let endpoint = endpoint.await.unwrap();
+        fleet.announce(name, endpoint.addr, "engines");
+        endpoints.push(endpoint);
+    }
+    let expected: String = (1..=5).map(event).collect();
+    // The first stream that goes on shows that the relay knows both endpoints;
+    // from then on, each one has to.
+    let mut whole = 0;
     for n in 0..50 {
         let id = format!("b{n}");
-        let before = broken.seen.load(Ordering::Relaxed);
-        if n == 1 {
-            fleet.announce("e2", whole.addr, "engines");
-            tokio::time::sleep(Duration::from_millis(300)).await;
-        }
         let reply = fleet.send(0, "/stream/x", &id).await;
-        if n >= 1 && broken.seen.load(Ordering::Relaxed) > before {
-            let expected: String = (1..=5).map(event).collect();
+        if reply.complete {
             assert_eq!(reply.text(), expected);
             assert_eq!(reply.header("x-anvilloft-attempt"), Some(id.as_str()));
-            return;
+            whole += 1;
+        } else {
+            assert_eq!(whole, 0, "{id} ended early: {:?}", reply.text());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        if whole == 10 {
+            break;
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    panic!("no request began at the endpoint that breaks off");
+    assert_eq!(whole, 10, "streams that went on");
+    let seen = seen.lock().unwrap();
+    for (endpoint, attempt, _) in seen.iter().filter(|(_, _, resumes)| *resumes) {
+        let began = (*endpoint, attempt.clone(), false);
+        assert!(
+            !seen.contains(&began),
+            "{attempt} went on where it broke off"
+        );
+    }
 }
 
 /// Guards against a non-idempotent request that runs twice, and against a
