Let lending routers hold three quarters of what is left of a budget

Ruled out: uneven reserves (peers had none to lend either) and the pause after a recall (none was made).

--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -29,9 +29,6 @@
 /// Largest total of top-ups of one budget, in tokens. Sums of parts of a
 /// budget then never overflow.
 const MAX_TOPPED_UP: Tokens = i64::MAX as Tokens;
-/// Part of what is left of a budget that lending routers may hold beyond the
-/// needs of requests: one in so many.
-const RESERVE_SHARE: Tokens = 2;
 /// Largest count of top-up ids kept for resends.
 const MAX_TOP_UP_IDS: usize = 4_194_304;
 /// Largest count of billed request keys. At the bound the oldest is dropped
@@ -389,7 +386,10 @@
             0
         } else if c.lending {
             // Tokens at routers are lost to the team when the routers die.
-            let reserve = (amounts.unspent + amounts.allotted) / RESERVE_SHARE;
+            let percent = self.config.value("lending_reserve_percent", &team);
+            let left = amounts.unspent + amounts.allotted;
+            let reserve = u128::from(left) * u128::from(percent.min(100)) / 100;
+            let reserve = Tokens::try_from(reserve).unwrap_or(left);
             let room = reserve.saturating_sub(amounts.allotted);
             let more = c.want.saturating_sub(need).min(room);
             need + more.min(amounts.unspent - need)
