--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -66,8 +66,13 @@
     /// Time without an announcement after which an endpoint is used only while
     /// it answers requests.
     pub silence: Duration,
-    /// Engines among which prompts with the same first shared part are divided.
-    pub spread: usize,
+    /// Engines among which prompts with the same first shared part are divided,
+    /// at least.
+    pub spread_least: usize,
+    /// Share of the engines among which they are divided, as one in so many. As
+    /// few first parts are in use, a few engines would get the prompts of a
+    /// large pool.
+    pub spread_share: usize,
     /// Prompt tokens that an engine reads in a second, until measured.
     pub prefill_rate: f64,
     /// Predicted time that is given up to stay in the own data centre.
@@ -89,7 +94,8 @@
         Self {
             data_centre: data_centre.into(),
             silence: Duration::from_millis(4_500),
-            spread: 3,
+            spread_least: 3,
+            spread_share: 4,
             prefill_rate: 51_000.0,
             remote_cost: Duration::from_millis(4),
             likely_hit: 0.9,
@@ -381,7 +387,8 @@
             ranked.sort_by_cached_key(by(first.id));
         }
         if let [_, .., last] = shared {
-            let spread = self.cfg.spread.min(ranked.len());
+            let spread = ranked.len().div_ceil(self.cfg.spread_share.max(1));
+            let spread = spread.max(self.cfg.spread_least).min(ranked.len());
             ranked[..spread].sort_by_cached_key(by(last.id));
         }
         ranked
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -244,6 +244,57 @@
     }
 }
 
+/// The load: prompts that begin with one of 4 parts that many have in common,
+/// then with one of 733 that few do, at a large pool and at a small one. Guards
+/// against a few engines that get the prompts of the whole pool.
+#[test]
+fn common_first_parts_leave_no_engine_idle() {
+    /// Share of the prompts at one engine, over an even share, when a quarter of
+    /// the engines gets them all.
+    const MOST: f64 = 4.0;
+    struct Case {
+        engines: u64,
+        /// Engines that get any prompt, at least.
+        used: usize,
+    }
+    let cases = [
+        Case {
+            engines: 12,
+            used: 8,
+        },
+        Case {
+            engines: 140,
+            used: 90,
+        },
+    ];
+    for c in cases {
+        let mut counts = vec![0_u64; c.engines as usize];
+        let prompts = 4_000;
+        let mut d = Dispatcher::new(DispatcherConfig::new("a"), 1);
+        // Other routers exist, of which nothing is known.
+        d.set_routers(75);
+        for n in 0..c.engines {
+            d.announce(Duration::ZERO, said(&format!("e{n}"), "a"));
+        }
+        for n in 0..prompts {
+            let part = |id, tokens| Part { id, tokens };
+            let last = n * 7_919 % 733;
+            let parts = [
+                part(1 + last % 4, 2_520),
+                part(100 + last, 3_780),
+                part(10_000 + n, 2_890),
+            ];
+            let pick = d.choose(SECOND, &engine(&parts, 1)).unwrap();
+            let at: usize = pick.endpoint[1..].parse().unwrap();
+            counts[at] += 1;
+        }
+        let most = *counts.iter().max().unwrap() as f64 * c.engines as f64 / prompts as f64;
+        let used = counts.iter().filter(|n| **n > 0).count();
+        assert!(most <= MOST, "{} engines: {most:.1}", c.engines);
+        assert!(used >= c.used, "{} engines: {used} used", c.engines);
+    }
+}
+
 /// Guards against urgent prompts that leave the engine which has read their
 /// shared part because a less urgent request waits there.
 #[test]
