Seal reserves of lending routers, and return them after a kill

Cause: what a router held counts as used once its process has died, as it may have served while it was cut off. Ruled out: routers that live and hold them (no recall brought any back).

Change: a router holds 2.2 s of demand for use and the rest of its reserve sealed. It breaks the seals after 2.5 s without a reply of control, and says so with its next command. Grants unseal before they draw on the budget. Each command says when the router last had a reply, by the clock of its host that counts suspensions; the next process says when it had the address. If less than 2.5 s lie between, by the same clock of the same boot, the seals were whole and what they covered goes back to the budget. No other host's clock takes part.

Ruled out as evidence: the ledger's time, as the time of day jumps on control hosts.

--- a/crates/bench/tests/history.rs
+++ b/crates/bench/tests/history.rs
@@ -487,6 +487,7 @@
             need: *need,
             want: *need,
             lending: false,
+            ..Grant::default()
         }),
         BudgetCall::Report(router, seq, settled, returned) => Body::Report(Report {
             router: router.clone(),
@@ -498,6 +499,7 @@
                 returned: *returned,
                 request_key: Vec::new(),
             }],
+            ..Report::default()
         }),
         BudgetCall::Read => return None,
     })
--- a/crates/budget/src/allotments/local.rs
+++ b/crates/budget/src/allotments/local.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Local {
     pub(super) idle: Tokens,
+    /// Held, but not for use while control answers.
+    pub(super) sealed: Tokens,
     pub(super) reserved: Tokens,
     pub(super) waiting: VecDeque<(NeedId, Tokens)>,
     pub(super) outstanding: Option<Outstanding>,
@@ -87,6 +89,7 @@
 
     pub(super) fn is_unused(&self) -> bool {
         self.idle == 0
+            && self.sealed == 0
             && self.reserved == 0
             && self.waiting.is_empty()
             && self.outstanding.is_none()
--- a/crates/budget/src/outbox.rs
+++ b/crates/budget/src/outbox.rs
@@ -137,6 +137,7 @@
                 incarnation: self.incarnation,
                 seq: self.next_seq,
                 entries,
+                ..Report::default()
             });
             self.next_seq += 1;
             let rest = self.merged.len() + self.keyed.len();
@@ -179,6 +180,7 @@
             incarnation: self.incarnation,
             seq: self.sealed.front().map_or(self.next_seq, |r| r.seq) - 1,
             entries: Vec::new(),
+            ..Report::default()
         }
     }
 
--- a/crates/budget/tests/allotments.rs
+++ b/crates/budget/tests/allotments.rs
@@ -24,7 +24,10 @@
 
 fn granted(amount: u64) -> CommandReply {
     CommandReply {
-        reply: Some(Reply::Granted(Granted { amount })),
+        reply: Some(Reply::Granted(Granted {
+            amount,
+            ..Granted::default()
+        })),
     }
 }
 
--- a/crates/control/src/driver/recalls.rs
+++ b/crates/control/src/driver/recalls.rs
@@ -184,7 +184,7 @@
             return true;
         };
         let taken = self.in_flight.get(&grant.budget).map_or(0, |f| f.amount);
-        amounts.unspent.saturating_sub(taken) >= grant.need.max(1)
+        amounts.unspent.saturating_sub(taken) >= ledger.lacking(grant)
     }
 }
 
@@ -195,6 +195,7 @@
     if unspent < config.value("small_budget_tokens", team) {
         grant.need.max(1)
     } else {
-        grant.want.max(grant.need).max(1)
+        let want = grant.want.max(grant.need).max(1);
+        want.saturating_add(grant.reserve)
     }
 }
--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -37,6 +37,7 @@
             peer_address: "r:2".into(),
             data_centre: "a".into(),
             state: RouterState::Alive.into(),
+            ..OpenIncarnation::default()
         }));
     }
 
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -189,6 +189,7 @@
             need,
             want: need,
             lending: false,
+            ..Grant::default()
         })
     };
     assert_eq!(
@@ -223,6 +224,7 @@
             returned: 600,
             ..ReportEntry::default()
         }],
+        ..Report::default()
     });
     assert_eq!(fleet.propose(report).await, Reply::Ok);
     assert_eq!(waiting.await.unwrap(), Reply::Granted(500));
--- a/crates/ledger/tests/amounts.rs
+++ b/crates/ledger/tests/amounts.rs
@@ -24,7 +24,10 @@
 }
 
 fn granted(amount: u64) -> Reply {
-    Reply::Granted(Granted { amount })
+    Reply::Granted(Granted {
+        amount,
+        ..Granted::default()
+    })
 }
 
 /// Guards against a top-up that is applied twice after a lost answer, and a
--- a/crates/ledger/tests/publication.rs
+++ b/crates/ledger/tests/publication.rs
@@ -72,6 +72,7 @@
         need,
         want,
         lending: true,
+        ..Grant::default()
     })
 }
 
@@ -85,6 +86,7 @@
             returned,
             ..ReportEntry::default()
         }],
+        ..Report::default()
     })
 }
 
@@ -120,7 +122,10 @@
     apply(&mut ledger, open_router(1, RouterState::Alive));
     assert_eq!(
         apply(&mut ledger, lend(1, 80, 80)),
-        Reply::Granted(Granted { amount: 80 })
+        Reply::Granted(Granted {
+            amount: 80,
+            ..Granted::default()
+        })
     );
     apply(&mut ledger, publish(2, "", 50));
     assert_eq!(
@@ -187,7 +192,10 @@
         let reply = apply(&mut ledger, lend(seq, c.need, c.want));
         assert_eq!(
             reply,
-            Reply::Granted(Granted { amount: c.granted }),
+            Reply::Granted(Granted {
+                amount: c.granted,
+                ..Granted::default()
+            }),
             "grant {seq}"
         );
     }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -8,6 +8,7 @@
 use anvilloft_dispatch::Change;
 use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
+use anvilloft_types::unix_ms;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
 use anvilloft_wire::ControlClient;
@@ -149,10 +150,16 @@
     load_at: Instant,
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Runs until everything is settled after a planned stop.
 pub(crate) async fn run(parts: Parts) {
     let mut wanted = parts.wanted;
     let peer_address = parts.peer_listener.local_addr();
+    // The peer address is bound, so the process before this one has ended.
+    let host_now = parts.cx.clock.started() + parts.cx.now();
     let open = OpenIncarnation {
         router: parts.cx.options.name.clone(),
         incarnation: parts.identity.incarnation,
@@ -160,6 +167,8 @@
         peer_address: peer_address.map_or_else(|_| String::new(), |a| a.to_string()),
         data_centre: parts.cx.options.data_centre.clone(),
         state: RouterState::Alive.into(),
+        host_ms: millis(host_now),
+        boot_unix_ms: unix_ms().saturating_sub(millis(host_now)),
     };
     let mut options = FleetOptions::new(parts.identity, parts.peer_listener);
     options.control.clone_from(&parts.members);
--- a/crates/relay/src/purse.rs
+++ b/crates/relay/src/purse.rs
@@ -29,6 +29,8 @@
 const RESERVE: Reserve = Reserve {
     every: Duration::from_millis(1_000),
     lasts: Duration::from_secs(10),
+    // A router uses it until its seals break.
+    open: Duration::from_millis(2_200),
     step: Duration::from_millis(2_500),
 };
 /// Time between two reports of settlements. Each is an entry of the replicated
@@ -56,18 +58,21 @@
 /// Allotments with the requests that wait for them.
 pub(crate) struct Purse {
     inner: Mutex<Inner>,
+    /// Time of the host's clock at which the relay's clock began.
+    host_start: Duration,
     /// Wakes the control thread: a grant or a report may be due.
     pub(crate) changed: Notify,
 }
 
 impl Purse {
-    pub(crate) fn new(router: &str, incarnation: Incarnation) -> Self {
+    pub(crate) fn new(router: &str, incarnation: Incarnation, host_start: Duration) -> Self {
         Self {
             inner: Mutex::new(Inner {
-                allotments: allotments(router, incarnation),
+                allotments: allotments(router, incarnation, host_start),
                 loans: Loans::default(),
                 waiting: HashMap::new(),
             }),
+            host_start,
             changed: Notify::new(),
         }
     }
@@ -78,7 +83,7 @@
 
     /// Starts over under another incarnation, before any grant was made.
     pub(crate) fn restart(&self, router: &str, incarnation: Incarnation) {
-        self.lock().allotments = allotments(router, incarnation);
+        self.lock().allotments = allotments(router, incarnation, self.host_start);
     }
 
     pub(crate) fn reserve(
@@ -206,10 +211,10 @@
     }
 }
 
-fn allotments(router: &str, incarnation: Incarnation) -> Allotments {
+fn allotments(router: &str, incarnation: Incarnation, host_start: Duration) -> Allotments {
     let mut allotments = Allotments::new(router.to_owned(), incarnation);
     allotments.set_demand_window(DEMAND_WINDOW);
     allotments.set_report_pace(REPORT_PACE);
-    allotments.set_lending(RESERVE);
+    allotments.set_lending(RESERVE, host_start);
     allotments
 }
