--- a/crates/budget/src/allotments/lending.rs
+++ b/crates/budget/src/allotments/lending.rs
@@ -88,6 +88,11 @@
         self.seals.host_start = host_start;
     }
 
+    /// Returns how often sealed tokens were made usable for want of a reply.
+    pub fn seals_broken(&self) -> u64 {
+        self.seals.broken
+    }
+
     /// Makes sealed tokens usable after [`SEAL`] without a reply of control.
     pub(super) fn break_seals(&mut self, now: Duration) {
         let sealed = |l: &Local| l.sealed > 0;
--- a/crates/ledger/src/routers.rs
+++ b/crates/ledger/src/routers.rs
@@ -161,6 +161,14 @@
             .collect()
     }
 
+    /// Returns the tokens of all budgets that all incarnations of a router hold.
+    pub fn held_by(&self, router: &str) -> Tokens {
+        let known = self.routers.by_name.get(router);
+        let all = known.into_iter().flat_map(BTreeMap::values);
+        let amounts = all.flat_map(|i| i.held.values()).map(|h| h.amount);
+        amounts.fold(0, Tokens::saturating_add)
+    }
+
     /// Whether an incarnation is neither closed nor lost.
     pub fn incarnation_open(&self, router: &str, incarnation: Incarnation) -> bool {
         self.routers.is_open(router, incarnation)
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -148,6 +148,8 @@
     fetch_at: Instant,
     directory_version: u64,
     load_at: Instant,
+    /// How often sealed tokens were made usable, as logged last.
+    seals_broken: u64,
 }
 
 fn millis(time: Duration) -> u64 {
@@ -206,6 +208,7 @@
         fetch_at: Instant::now(),
         directory_version: 0,
         load_at: Instant::now(),
+        seals_broken: 0,
     };
     thread.open();
     let mut tick = Instant::now() + TICK;
@@ -543,6 +546,11 @@
         if Instant::now() >= self.load_at {
             self.tell_load(now);
         }
+        let broken = self.cx.purse.seals_broken();
+        if broken != self.seals_broken {
+            self.seals_broken = broken;
+            slog::info!(self.cx.log, "seals broken"; "times" => broken, "in_touch" => touch);
+        }
         let overdue = self.cx.purse.close_loans(now);
         if overdue > 0 {
             slog::warn!(self.cx.log, "loans never ended count as used up"; "count" => overdue);
--- a/crates/relay/src/purse.rs
+++ b/crates/relay/src/purse.rs
@@ -200,6 +200,11 @@
         self.lock().allotments.recall(now, budget);
     }
 
+    /// Returns how often sealed tokens were made usable for want of a reply.
+    pub(crate) fn seals_broken(&self) -> u64 {
+        self.lock().allotments.seals_broken()
+    }
+
     /// Gives everything unreserved back, now and as requests end.
     pub(crate) fn drain(&self, now: Duration) {
         self.lock().allotments.drain(now);
