--- a/crates/budget/src/allotments/lending.rs
+++ b/crates/budget/src/allotments/lending.rs
@@ -46,13 +46,14 @@
         let most = demand_of(self.lasts).saturating_sub(held);
         let open = demand_of(self.open).saturating_sub(local.idle);
         let due = now >= local.early_after && (most > 0 || open > 0) && !draining;
-        if covered.is_none() && !due {
+        let unseal = std::mem::take(&mut local.unseal).min(local.sealed);
+        if covered.is_none() && !due && unseal == 0 {
             return None;
         }
-        let (mut usable, mut sealed) = (0, 0);
+        let (mut usable, mut sealed) = (unseal, 0);
         if due {
             let step = demand_of(self.every + self.step).min(most);
-            usable = open.min(step.saturating_add(local.sealed));
+            usable = open.min(step.saturating_add(local.sealed)).max(unseal);
             sealed = step.saturating_sub(usable.saturating_sub(local.sealed));
             local.early_after = now + self.every;
         }
@@ -88,6 +89,20 @@
         self.seals.host_start = host_start;
     }
 
+    /// Asks control to unseal tokens of a budget, at most `most`. Returns how many
+    /// may become usable with the reply.
+    pub fn ask_unseal(&mut self, budget: &str, most: Tokens) -> Tokens {
+        let Some(local) = self.budgets.get_mut(budget) else {
+            return 0;
+        };
+        let amount = local.sealed.min(most);
+        if amount > 0 && !self.draining {
+            local.unseal = local.unseal.saturating_add(amount);
+            self.due.push_back(budget.into());
+        }
+        amount
+    }
+
     /// Returns how often sealed tokens were made usable for want of a reply.
     pub fn seals_broken(&self) -> u64 {
         self.seals.broken
--- a/crates/budget/src/allotments/local.rs
+++ b/crates/budget/src/allotments/local.rs
@@ -21,6 +21,8 @@
     pub(super) idle: Tokens,
     /// Held, but not for use while control answers.
     pub(super) sealed: Tokens,
+    /// Sealed tokens that peers or requests lack.
+    pub(super) unseal: Tokens,
     pub(super) reserved: Tokens,
     pub(super) waiting: VecDeque<(NeedId, Tokens)>,
     pub(super) outstanding: Option<Outstanding>,
--- a/crates/relay/src/purse.rs
+++ b/crates/relay/src/purse.rs
@@ -135,17 +135,36 @@
         self.lock().allotments.reserve_up_to(now, budget, most)
     }
 
-    /// Lends what is idle to a peer, at most `most`.
+    /// Lends what is idle to a peer, at most `most`, and asks control to unseal
+    /// what is missing.
     pub(crate) fn lend(&self, now: Duration, peer: &str, budget: &str, most: Tokens) -> Lent {
         let mut inner = self.lock();
         if !inner.loans.has_room() {
             return Lent::default();
         }
-        let Some((loan, amount)) = inner.allotments.reserve_up_to(now, budget, most) else {
-            return Lent::default();
-        };
-        inner.loans.add(now, loan, peer, amount);
-        Lent { loan, amount }
+        let (loan, amount) = inner
+            .allotments
+            .reserve_up_to(now, budget, most)
+            .unwrap_or_default();
+        if amount > 0 {
+            inner.loans.add(now, loan, peer, amount);
+        }
+        drop(inner);
+        Lent {
+            loan,
+            amount,
+            sealed: self.ask_unseal(budget, most - amount),
+        }
+    }
+
+    /// Asks control to unseal tokens of a budget, at most `most`. Returns how many
+    /// may become usable.
+    pub(crate) fn ask_unseal(&self, budget: &str, most: Tokens) -> Tokens {
+        let amount = self.lock().allotments.ask_unseal(budget, most);
+        if amount > 0 {
+            self.changed.notify_one();
+        }
+        amount
     }
 
     /// Ends a loan to a peer.
