Free what control does not count as sealed

A grant that control applies before it is told of broken seals, and whose reply comes after, left tokens sealed at the router that control counts as usable: nothing would unseal them before the next cut.

Change: replies to grants say what control counts as sealed; the router uses what it holds beyond that. It can only be less at control than at the router, so nothing comes back that was used.

--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -364,12 +364,14 @@
                 local.sealed = (local.sealed - unsealed).saturating_add(sealed);
                 let usable = unsealed.saturating_add(g.amount - sealed);
                 local.idle = local.idle.saturating_add(usable);
+                local.follow_seals(g.held_sealed);
                 local.cover_limit = None;
                 if g.amount == need && need < want && self.lending.is_none() {
                     local.early_after = now + EARLY_PAUSE;
                 }
             }
             Some(Reply::Insufficient(i)) => {
+                local.follow_seals(i.held_sealed);
                 local.early_after = now + EARLY_PAUSE;
                 // Control has waited for recalled tokens, so a need that
                 // exceeds what there is now can't be met; the others may fit
--- a/crates/budget/src/allotments/local.rs
+++ b/crates/budget/src/allotments/local.rs
@@ -70,6 +70,14 @@
         self.reserved += amount;
     }
 
+    /// Makes usable what control does not count as sealed: it was told of broken
+    /// seals while a grant was on its way.
+    pub(super) fn follow_seals(&mut self, held_sealed: Tokens) {
+        let excess = self.sealed.saturating_sub(held_sealed);
+        self.sealed -= excess;
+        self.idle = self.idle.saturating_add(excess);
+    }
+
     /// Returns the least and the wanted amount of a grant without lending, if
     /// one is due. `covered` is what the needs lack that it shall cover.
     pub(super) fn amounts(
--- a/crates/budget/tests/allotments.rs
+++ b/crates/budget/tests/allotments.rs
@@ -34,7 +34,11 @@
 fn insufficient(unspent: u64) -> CommandReply {
     let allotted = 7;
     CommandReply {
-        reply: Some(Reply::Insufficient(Insufficient { unspent, allotted })),
+        reply: Some(Reply::Insufficient(Insufficient {
+            unspent,
+            allotted,
+            ..Insufficient::default()
+        })),
     }
 }
 
--- a/crates/budget/tests/seals.rs
+++ b/crates/budget/tests/seals.rs
@@ -212,13 +212,12 @@
         let mut control = Control::new();
         let mut used = 0;
         let begin = Duration::from_secs(100);
-        let mut boots = [Duration::ZERO; 3];
         let mut routers: Vec<Router> = (0..3)
-            .map(|n| Router::start(&format!("r{n}"), 1, begin, boots[n]))
+            .map(|n| Router::start(&format!("r{n}"), 1, begin, Duration::ZERO))
             .collect();
         for step in 0..1_200_u32 {
             let now = begin + STEP * step;
-            for (router, boot) in routers.iter_mut().zip(&mut boots) {
+            for router in &mut routers {
                 if now < router.start {
                     continue;
                 }
@@ -233,11 +232,12 @@
                 }
                 if rng.random_bool(0.004) {
                     let back = now + STEP * rng.random_range(0..80);
-                    if rng.random_bool(0.3) {
-                        *boot = back - STEP;
-                    }
+                    let boot = match rng.random_bool(0.3) {
+                        true => back - STEP,
+                        false => router.boot,
+                    };
                     let cut_until = router.cut_until;
-                    *router = Router::start(&router.name, router.incarnation + 1, back, *boot);
+                    *router = Router::start(&router.name, router.incarnation + 1, back, boot);
                     router.cut_until = cut_until;
                 }
             }
@@ -365,6 +365,44 @@
     assert_eq!(unsealed, asked);
 }
 
+/// Guards against tokens that stay sealed at a router although control counts them
+/// as usable: it granted them before it was told of broken seals, and the reply came
+/// after that.
+#[test]
+fn a_reply_that_crosses_broken_seals_leaves_nothing_sealed() {
+    let mut router = Router::start("r", 1, Duration::from_secs(100), Duration::ZERO);
+    let mut control = Control::new();
+    let (mut here, _) = grow_reserve(&mut router, &mut control);
+    let budget = prepaid_budget("t");
+    // More demand, for which a grant leaves.
+    here += Duration::from_secs(1);
+    let id = router.allotments.reserve(here, &budget, 150).unwrap();
+    let grant = router.allotments.next_grant(here).unwrap();
+    assert!(grant.reserve > 0, "{grant:?}");
+    let reply = control.apply(router.start + here, Body::Grant(grant.clone()));
+    here += SEAL;
+    router.allotments.settle(here, id, 150, None);
+    router
+        .allotments
+        .reserve_up_to(here, &budget, u64::MAX)
+        .unwrap();
+    assert_eq!(router.allotments.seals_broken(), 1);
+    let report = router.allotments.next_report(here).unwrap();
+    control.apply(router.start + here, Body::Report(report.clone()));
+    router.allotments.on_report_ack(here, report.seq);
+    router.allotments.on_grant(here, grant.seq, &reply);
+    // The next reply says what control counts as sealed.
+    let reserved = router.allotments.reserve(here, &budget, PREPAID);
+    router.ask_grants(here, &mut control);
+    assert!(reserved.is_err());
+    let held = router.allotments.holding(&budget).idle;
+    let (_, usable) = router
+        .allotments
+        .reserve_up_to(here, &budget, u64::MAX)
+        .unwrap();
+    assert_eq!(usable, held);
+}
+
 /// Guards against a router that uses what is sealed while control answers, and
 /// against one that can't use it when it is cut off.
 #[test]
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -573,11 +573,13 @@
                 amount: self.granted,
                 sealed: self.granted_sealed,
                 unsealed: self.unsealed,
+                held_sealed: self.sealed,
             })
         } else {
             Reply::Insufficient(Insufficient {
                 unspent: self.unspent,
                 allotted: self.allotted,
+                held_sealed: self.sealed,
             })
         }
     }
--- a/crates/ledger/src/routers.rs
+++ b/crates/ledger/src/routers.rs
@@ -41,8 +41,8 @@
     Closed,
 }
 
-/// Difference between two measurements of when a host booted. The time of day
-/// is set in steps smaller than the outage of a host that boots.
+/// Largest difference between two measurements of when a host booted that counts
+/// as one boot: below [`SEAL`], as a router that broke its seals was up for longer.
 const BOOT_TOLERANCE: Duration = Duration::from_secs(2);
 
 /// Tokens of one budget at one incarnation, and the last grant's answer.
--- a/crates/ledger/tests/amounts.rs
+++ b/crates/ledger/tests/amounts.rs
@@ -93,6 +93,7 @@
             Reply::Insufficient(Insufficient {
                 unspent: 800_000,
                 allotted: 200_000,
+                ..Insufficient::default()
             }),
         ),
     ];
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -491,6 +491,10 @@
     /// Amount that the router held sealed and may use from now on.
     #[prost(uint64, tag = "3")]
     pub unsealed: u64,
+    /// What control then counts as sealed. The router may use whatever it holds
+    /// sealed beyond that.
+    #[prost(uint64, tag = "4")]
+    pub held_sealed: u64,
 }
 
 /// The budget can't cover the need.
@@ -502,6 +506,9 @@
     /// Tokens allotted to routers, part of which a recall may bring back.
     #[prost(uint64, tag = "2")]
     pub allotted: u64,
+    /// See `Granted::held_sealed`.
+    #[prost(uint64, tag = "3")]
+    pub held_sealed: u64,
 }
 
 /// State of an order.
