Let lending routers hold half of what is left again

Fronts that stop while they are cut off lose their reserves.

Conclusion: kept at half; giving tokens to a peer at a stop is open.

--- a/crates/ledger/src/defaults.rs
+++ b/crates/ledger/src/defaults.rs
@@ -117,12 +117,12 @@
         3 * SECOND,
         "Interval at which a router renews its configuration lease.",
     ),
-    // What routers hold is lost to the team when they die, and what control
-    // keeps is of no use to those that are cut off. Three quarters carry an even
-    // demand through a cut of 8 s until 11 s before the budget is used up.
+    // What routers hold is lost to the team when they stop or lose power while they
+    // are cut off, and what control keeps is of no use to those that are cut off:
+    // half each, as neither is the more likely.
     team(
         "lending_reserve_percent",
-        75,
+        50,
         0,
         100,
         "Largest part of what is left of a budget that lending routers hold in reserve.",
