--- a/crates/bench/src/budgets/fleet.rs
+++ b/crates/bench/src/budgets/fleet.rs
@@ -219,7 +219,6 @@
                 peer_address: format!("127.0.0.{i}:81"),
                 data_centre: format!("dc-{}", i % 3),
                 state: 0,
-                ..OpenIncarnation::default()
             }));
         }
         self.push(POLL, Event::Poll);
--- a/crates/bench/src/budgets/slopes.rs
+++ b/crates/bench/src/budgets/slopes.rs
@@ -212,7 +212,6 @@
                 need: 1_000,
                 want: 100_000,
                 lending: false,
-                ..Grant::default()
             };
             apply(ledger, Body::Grant(grant));
         }
@@ -232,7 +231,6 @@
         incarnation: 1,
         seq,
         entries: (0..entries).map(entry).collect(),
-        ..Report::default()
     }
 }
 
--- a/crates/bench/src/commits.rs
+++ b/crates/bench/src/commits.rs
@@ -294,7 +294,6 @@
             peer_address: format!("127.0.1.1:{n}"),
             data_centre: "a".into(),
             state: 0,
-            ..OpenIncarnation::default()
         };
         propose(&leader, Body::OpenIncarnation(open)).await?;
     }
@@ -323,7 +322,6 @@
                     need: 1_000,
                     want: 4_000,
                     lending: false,
-                    ..Grant::default()
                 };
                 match propose(&leader, Body::Grant(grant)).await? {
                     Reply::Granted(_) => times.push(began.elapsed()),
--- a/crates/bench/tests/history.rs
+++ b/crates/bench/tests/history.rs
@@ -487,7 +487,6 @@
             need: *need,
             want: *need,
             lending: false,
-            ..Grant::default()
         }),
         BudgetCall::Report(router, seq, settled, returned) => Body::Report(Report {
             router: router.clone(),
@@ -499,7 +498,6 @@
                 returned: *returned,
                 request_key: Vec::new(),
             }],
-            ..Report::default()
         }),
         BudgetCall::Read => return None,
     })
--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -21,7 +21,6 @@
 mod local;
 
 pub use lending::Reserve;
-use lending::Seals;
 use local::Local;
 use local::Outstanding;
 
@@ -96,7 +95,7 @@
 /// Tokens of one budget at this router.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Holding {
-    /// Held and not reserved, sealed tokens included.
+    /// Held and not reserved.
     pub idle: Tokens,
     /// Reserved for requests in flight.
     pub reserved: Tokens,
@@ -140,7 +139,6 @@
     idle: Duration,
     demand_window: Duration,
     lending: Option<Reserve>,
-    seals: Seals,
     scanned: Duration,
     reserves_at: Duration,
     draining: bool,
@@ -163,7 +161,6 @@
             idle: IDLE,
             demand_window: WINDOW,
             lending: None,
-            seals: Seals::default(),
             scanned: Duration::ZERO,
             reserves_at: Duration::ZERO,
             draining: false,
@@ -199,7 +196,6 @@
         budget: &str,
         amount: Tokens,
     ) -> Result<ReservationId, NeedGrant> {
-        self.break_seals(now);
         let id = self.next_id;
         self.next_id += 1;
         let local = self.budgets.entry(budget.into()).or_default();
@@ -293,8 +289,7 @@
 
     fn make_grant(&mut self, now: Duration, budget: &str) -> Option<Grant> {
         let local = self.budgets.get(budget)?;
-        let idle = local.idle + local.sealed;
-        if local.ask_in_full && local.outstanding.is_none() && idle > 0 {
+        if local.ask_in_full && local.outstanding.is_none() && local.idle > 0 {
             self.give_back(now, budget);
             let seq = self.outbox.seal_all(now);
             self.budgets.get_mut(budget)?.returned_in = Some(seq);
@@ -314,12 +309,9 @@
             .take(covers)
             .fold(0, |s: Tokens, (_, t)| s.saturating_add(*t));
         let covered = (covers > 0).then(|| sum.saturating_sub(local.idle).max(1));
-        let (need, want, reserve) = match &self.lending {
+        let (need, want) = match &self.lending {
             Some(r) => r.amounts(now, local, covered, self.demand_window, self.draining),
-            None => {
-                let amounts = local.amounts(now, covered, self.draining);
-                amounts.map(|(need, want)| (need, want, 0))
-            }
+            None => local.amounts(now, covered, self.draining),
         }?;
         let grant = Grant {
             router: self.router.clone(),
@@ -329,9 +321,6 @@
             need,
             want,
             lending: self.lending.is_some(),
-            reserve,
-            seals_broken: self.seals.broken,
-            heard_ms: self.seals.heard_ms(),
         };
         self.next_seq += 1;
         local.outstanding = Some(Outstanding {
@@ -358,20 +347,13 @@
         let mut results = Vec::new();
         match &reply.reply {
             Some(Reply::Granted(g)) => {
-                // Seals that were broken meanwhile leave nothing to unseal.
-                let unsealed = g.unsealed.min(local.sealed);
-                let sealed = g.sealed.min(g.amount);
-                local.sealed = (local.sealed - unsealed).saturating_add(sealed);
-                let usable = unsealed.saturating_add(g.amount - sealed);
-                local.idle = local.idle.saturating_add(usable);
-                local.follow_seals(g.held_sealed);
+                local.idle = local.idle.saturating_add(g.amount);
                 local.cover_limit = None;
                 if g.amount == need && need < want && self.lending.is_none() {
                     local.early_after = now + EARLY_PAUSE;
                 }
             }
             Some(Reply::Insufficient(i)) => {
-                local.follow_seals(i.held_sealed);
                 local.early_after = now + EARLY_PAUSE;
                 // Control has waited for recalled tokens, so a need that
                 // exceeds what there is now can't be met; the others may fit
@@ -413,7 +395,6 @@
         }
         local.outstanding = None;
         self.outstanding.remove(&seq);
-        self.seals.heard = self.seals.heard.max(now);
         self.serve_waiting(now, &budget, &mut results);
         results
     }
@@ -461,7 +442,7 @@
         let Some(local) = self.budgets.get_mut(budget) else {
             return;
         };
-        let amount = std::mem::take(&mut local.idle) + std::mem::take(&mut local.sealed);
+        let amount = std::mem::take(&mut local.idle);
         if amount > 0 {
             self.outbox.returned(now, budget, amount);
             self.outbox.hurry();
@@ -473,12 +454,7 @@
     /// the last 20 ms may still wait for others.
     pub fn next_report(&mut self, now: Duration) -> Option<Report> {
         self.return_idle(now);
-        let mut report = self.outbox.next_report(now)?;
-        if self.lending.is_some() {
-            report.seals_broken = self.seals.broken;
-            report.heard_ms = self.seals.heard_ms();
-        }
-        Some(report)
+        self.outbox.next_report(now)
     }
 
     fn return_idle(&mut self, now: Duration) {
@@ -490,8 +466,7 @@
         let outbox = &mut self.outbox;
         self.budgets.retain(|budget, local| {
             if now.saturating_sub(local.used_at) >= idle && local.outstanding.is_none() {
-                let amount = std::mem::take(&mut local.idle) + std::mem::take(&mut local.sealed);
-                outbox.returned(now, budget, amount);
+                outbox.returned(now, budget, std::mem::take(&mut local.idle));
                 return !local.is_unused();
             }
             true
@@ -506,8 +481,7 @@
     }
 
     /// Takes control's acknowledgement of every report up to `seq`.
-    pub fn on_report_ack(&mut self, now: Duration, seq: u64) {
-        self.seals.heard = self.seals.heard.max(now);
+    pub fn on_report_ack(&mut self, _now: Duration, seq: u64) {
         self.outbox.acknowledge(seq);
         self.returning.retain(|budget| {
             let Some(local) = self.budgets.get_mut(budget) else {
@@ -554,7 +528,7 @@
         self.budgets
             .get(budget)
             .map_or_else(Holding::default, |l| Holding {
-                idle: l.idle + l.sealed,
+                idle: l.idle,
                 reserved: l.reserved,
                 waiting: l.waiting.iter().fold(0, |s, (_, t)| s.saturating_add(*t)),
             })
@@ -581,6 +555,6 @@
         self.outbox.is_empty()
             && self.reservations.is_empty()
             && self.outstanding.is_empty()
-            && self.budgets.values().all(|l| l.idle + l.sealed == 0)
+            && self.budgets.values().all(|l| l.idle == 0)
     }
 }
--- a/crates/budget/src/allotments/local.rs
+++ b/crates/budget/src/allotments/local.rs
@@ -19,10 +19,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Local {
     pub(super) idle: Tokens,
-    /// Held, but not for use while control answers.
-    pub(super) sealed: Tokens,
-    /// Sealed tokens that peers or requests lack.
-    pub(super) unseal: Tokens,
     pub(super) reserved: Tokens,
     pub(super) waiting: VecDeque<(NeedId, Tokens)>,
     pub(super) outstanding: Option<Outstanding>,
@@ -70,14 +66,6 @@
         self.reserved += amount;
     }
 
-    /// Makes usable what control does not count as sealed: it was told of broken
-    /// seals while a grant was on its way.
-    pub(super) fn follow_seals(&mut self, held_sealed: Tokens) {
-        let excess = self.sealed.saturating_sub(held_sealed);
-        self.sealed -= excess;
-        self.idle = self.idle.saturating_add(excess);
-    }
-
     /// Returns the least and the wanted amount of a grant without lending, if
     /// one is due. `covered` is what the needs lack that it shall cover.
     pub(super) fn amounts(
@@ -99,7 +87,6 @@
 
     pub(super) fn is_unused(&self) -> bool {
         self.idle == 0
-            && self.sealed == 0
             && self.reserved == 0
             && self.waiting.is_empty()
             && self.outstanding.is_none()
--- a/crates/budget/src/outbox.rs
+++ b/crates/budget/src/outbox.rs
@@ -137,7 +137,6 @@
                 incarnation: self.incarnation,
                 seq: self.next_seq,
                 entries,
-                ..Report::default()
             });
             self.next_seq += 1;
             let rest = self.merged.len() + self.keyed.len();
@@ -180,7 +179,6 @@
             incarnation: self.incarnation,
             seq: self.sealed.front().map_or(self.next_seq, |r| r.seq) - 1,
             entries: Vec::new(),
-            ..Report::default()
         }
     }
 
--- a/crates/budget/tests/allotments.rs
+++ b/crates/budget/tests/allotments.rs
@@ -24,21 +24,14 @@
 
 fn granted(amount: u64) -> CommandReply {
     CommandReply {
-        reply: Some(Reply::Granted(Granted {
-            amount,
-            ..Granted::default()
-        })),
+        reply: Some(Reply::Granted(Granted { amount })),
     }
 }
 
 fn insufficient(unspent: u64) -> CommandReply {
     let allotted = 7;
     CommandReply {
-        reply: Some(Reply::Insufficient(Insufficient {
-            unspent,
-            allotted,
-            ..Insufficient::default()
-        })),
+        reply: Some(Reply::Insufficient(Insufficient { unspent, allotted })),
     }
 }
 
--- a/crates/budget/tests/lending.rs
+++ b/crates/budget/tests/lending.rs
@@ -10,25 +10,15 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Time of the host's clock at which the tests begin.
-const HOST_START: Duration = Duration::from_secs(40);
-
 fn lending() -> Allotments {
-    lending_with(10 * SECOND)
-}
-
-/// Lending allotments of which the demand of `open` is not sealed.
-fn lending_with(open: Duration) -> Allotments {
     let mut allotments = Allotments::new("r".into(), 1);
     allotments.set_demand_window(5 * SECOND);
     allotments.set_report_pace(Duration::from_millis(300));
-    let reserve = Reserve {
+    allotments.set_lending(Reserve {
         every: SECOND,
         lasts: 10 * SECOND,
-        open,
         step: SECOND,
-    };
-    allotments.set_lending(reserve, HOST_START);
+    });
     allotments
 }
 
@@ -39,10 +29,7 @@
         assert!(grant.lending, "control must know that peers lend");
         sum += grant.want;
         let reply = CommandReply {
-            reply: Some(Reply::Granted(Granted {
-                amount: grant.want,
-                ..Granted::default()
-            })),
+            reply: Some(Reply::Granted(Granted { amount: grant.want })),
         };
         allotments.on_grant(now, grant.seq, &reply);
     }
--- a/crates/budget/tests/schedules/process.rs
+++ b/crates/budget/tests/schedules/process.rs
@@ -62,7 +62,6 @@
                 peer_address: format!("127.0.0.{address}:81"),
                 data_centre: "a".into(),
                 state: RouterState::Alive.into(),
-                ..OpenIncarnation::default()
             },
             opened: false,
             closed: false,
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -21,7 +21,6 @@
 use anvilloft_types::prelude::*;
 use anvilloft_types::unix_ms;
 use anvilloft_wire::Command;
-use anvilloft_wire::CommandReply;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Expire;
 use anvilloft_wire::command::Grant;
@@ -514,28 +513,13 @@
         Ok(())
     }
 
-    fn apply_command(&mut self, cmd: &Command) -> CommandReply {
-        let Some(Body::OpenIncarnation(open)) = &cmd.body else {
-            return self.ledger.apply(cmd);
-        };
-        let before = self.ledger.held_by(&open.router);
-        let reply = self.ledger.apply(cmd);
-        let held = self.ledger.held_by(&open.router);
-        if held < before {
-            slog::info!(self.log, "sealed tokens returned"; "router" => &open.router,
-                "incarnation" => open.incarnation, "returned" => before - held,
-                "still_held" => held);
-        }
-        reply
-    }
-
     fn apply_entry(&mut self, e: Entry) {
         self.applied = e.index;
         self.bytes_since_snapshot += e.data.len();
         let waiter = self.waiters.remove(&e.index);
         let reply = match e.kind() {
             EntryKind::Command => match Command::decode(e.data.as_slice()) {
-                Ok(cmd) => Some(self.apply_command(&cmd)),
+                Ok(cmd) => Some(self.ledger.apply(&cmd)),
                 Err(err) => {
                     slog::error!(self.log, "a committed command can't be decoded";
                         "index" => e.index, "error" => %err);
--- a/crates/control/src/driver/recalls.rs
+++ b/crates/control/src/driver/recalls.rs
@@ -184,7 +184,7 @@
             return true;
         };
         let taken = self.in_flight.get(&grant.budget).map_or(0, |f| f.amount);
-        amounts.unspent.saturating_sub(taken) >= ledger.lacking(grant)
+        amounts.unspent.saturating_sub(taken) >= grant.need.max(1)
     }
 }
 
@@ -195,7 +195,6 @@
     if unspent < config.value("small_budget_tokens", team) {
         grant.need.max(1)
     } else {
-        let want = grant.want.max(grant.need).max(1);
-        want.saturating_add(grant.reserve)
+        grant.want.max(grant.need).max(1)
     }
 }
--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -37,7 +37,6 @@
             peer_address: "r:2".into(),
             data_centre: "a".into(),
             state: RouterState::Alive.into(),
-            ..OpenIncarnation::default()
         }));
     }
 
--- a/crates/control/tests/admin.rs
+++ b/crates/control/tests/admin.rs
@@ -140,7 +140,6 @@
         peer_address: "127.0.0.1:8001".into(),
         data_centre: "dc1".into(),
         state: RouterState::Draining as i32,
-        ..OpenIncarnation::default()
     }
 }
 
--- a/crates/control/tests/driver/fleet.rs
+++ b/crates/control/tests/driver/fleet.rs
@@ -351,6 +351,5 @@
         peer_address: format!("{router}:2"),
         data_centre: "a".into(),
         state: 0,
-        ..OpenIncarnation::default()
     })
 }
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -189,7 +189,6 @@
             need,
             want: need,
             lending: false,
-            ..Grant::default()
         })
     };
     assert_eq!(
@@ -224,7 +223,6 @@
             returned: 600,
             ..ReportEntry::default()
         }],
-        ..Report::default()
     });
     assert_eq!(fleet.propose(report).await, Reply::Ok);
     assert_eq!(waiting.await.unwrap(), Reply::Granted(500));
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -185,7 +185,6 @@
             peer_address: String::new(),
             data_centre: ["a", "b", "c"][n % 3].into(),
             state: RouterState::Alive as i32,
-            ..OpenIncarnation::default()
         })
         .collect()
 }
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -29,6 +29,9 @@
 /// Largest total of top-ups of one budget, in tokens. Sums of parts of a
 /// budget then never overflow.
 const MAX_TOPPED_UP: Tokens = i64::MAX as Tokens;
+/// Part of what is left of a budget that lending routers may hold beyond the
+/// needs of requests: one in so many.
+const RESERVE_SHARE: Tokens = 2;
 /// Largest count of top-up ids kept for resends.
 const MAX_TOP_UP_IDS: usize = 4_194_304;
 /// Largest count of billed request keys. At the bound the oldest is dropped
@@ -331,19 +334,6 @@
         Reply::Ok(OkReply {})
     }
 
-    /// Returns what a grant needs beyond what its router holds sealed.
-    pub fn lacking(&self, c: &Grant) -> Tokens {
-        let inc = self.routers.get(&c.router, c.incarnation);
-        let held = inc.and_then(|i| i.held.get(c.budget.as_str()));
-        let sealed = match held {
-            Some(held) if c.lending && c.seals_broken <= inc.map_or(0, |i| i.seals_broken) => {
-                held.sealed
-            }
-            _ => 0,
-        };
-        c.need.max(1).saturating_sub(sealed)
-    }
-
     pub(crate) fn grant(&mut self, c: &Grant) -> Reply {
         let now_ms = self.now_ms;
         let team = self.budget_team(&c.budget);
@@ -386,7 +376,6 @@
             inc.grant_floor = inc.grant_floor.max(c.seq);
             return unknown_budget(&c.budget);
         };
-        inc.heard(c.heard_ms, c.seals_broken);
         let need = c.need.max(1);
         let amounts = &mut account.amounts;
         let small = self.config.value("small_budget_tokens", &team);
@@ -396,27 +385,14 @@
             .iter()
             .filter(|(r, n)| (r.as_ref(), *n) != asker)
             .count() as u64;
-        let known = inc.held.get(c.budget.as_str());
-        let own = known.map_or(0, |h| h.sealed);
-        let own = if c.lending { own } else { 0 };
-        // What the router holds sealed goes before what is unspent.
-        let unsealed = c.want.max(need).min(own);
-        let lacks = need.saturating_sub(unsealed);
-        let mut granted_sealed = 0;
-        let granted = if amounts.unspent < lacks {
+        let granted = if amounts.unspent < need {
             0
         } else if c.lending {
             // Tokens at routers are lost to the team when the routers die.
-            let percent = self.config.value("lending_reserve_percent", &team);
-            let left = amounts.unspent + amounts.allotted;
-            let reserve = u128::from(left) * u128::from(percent.min(100)) / 100;
-            let reserve = Tokens::try_from(reserve).unwrap_or(left);
+            let reserve = (amounts.unspent + amounts.allotted) / RESERVE_SHARE;
             let room = reserve.saturating_sub(amounts.allotted);
-            let usable = c.want.max(need) - unsealed;
-            let more = (usable - lacks).saturating_add(c.reserve).min(room);
-            let granted = lacks + more.min(amounts.unspent - lacks);
-            granted_sealed = granted.saturating_sub(usable);
-            granted
+            let more = c.want.saturating_sub(need).min(room);
+            need + more.min(amounts.unspent - need)
         } else if amounts.unspent < small {
             need
         } else {
@@ -427,9 +403,6 @@
         held.seq = c.seq;
         held.at_ms = now_ms;
         held.granted = granted;
-        held.granted_sealed = granted_sealed;
-        held.unsealed = if granted < lacks { 0 } else { unsealed };
-        held.sealed = held.sealed - held.unsealed + granted_sealed;
         held.unspent = amounts.unspent;
         held.allotted = amounts.allotted;
         if granted > 0 {
@@ -471,7 +444,6 @@
             return refused(code::MALFORMED, "a request key has 16 bytes or none");
         }
         inc.reports = c.seq;
-        inc.heard(c.heard_ms, c.seals_broken);
         for e in &c.entries {
             self.report_entry(&c.router, c.incarnation, e);
         }
@@ -510,9 +482,6 @@
         let back = returned.min(held.amount - from_held);
         if amounts.settle(from_held).is_some() && amounts.give_back(back).is_some() {
             held.amount -= from_held + back;
-            // A router returns what it holds idle, sealed or not; to count it as
-            // sealed frees too little rather than too much.
-            held.sealed = held.sealed.saturating_sub(back).min(held.amount);
         }
         if held.amount == 0 {
             account.remove_holder(router, incarnation);
@@ -568,18 +537,14 @@
 
 impl Held {
     fn answer(&self) -> Reply {
-        if self.granted + self.unsealed > 0 {
+        if self.granted > 0 {
             Reply::Granted(Granted {
                 amount: self.granted,
-                sealed: self.granted_sealed,
-                unsealed: self.unsealed,
-                held_sealed: self.sealed,
             })
         } else {
             Reply::Insufficient(Insufficient {
                 unspent: self.unspent,
                 allotted: self.allotted,
-                held_sealed: self.sealed,
             })
         }
     }
--- a/crates/ledger/src/defaults.rs
+++ b/crates/ledger/src/defaults.rs
@@ -117,16 +117,6 @@
         3 * SECOND,
         "Interval at which a router renews its configuration lease.",
     ),
-    // What routers hold is lost to the team when they stop or lose power while they
-    // are cut off, and what control keeps is of no use to those that are cut off:
-    // half each, as neither is the more likely.
-    team(
-        "lending_reserve_percent",
-        50,
-        0,
-        100,
-        "Largest part of what is left of a budget that lending routers hold in reserve.",
-    ),
     fleet(
         "order_keep_ms",
         7 * DAY,
--- a/crates/ledger/src/routers.rs
+++ b/crates/ledger/src/routers.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use anvilloft_types::Incarnation;
 use anvilloft_types::RouterId;
@@ -13,7 +12,6 @@
 use anvilloft_wire::command::OpenIncarnation;
 use anvilloft_wire::command::Reply;
 use anvilloft_wire::command::RouterState;
-use anvilloft_wire::command::SEAL;
 
 use crate::code;
 use crate::code::refused;
@@ -41,21 +39,13 @@
     Closed,
 }
 
-/// Largest difference between two measurements of when a host booted that counts
-/// as one boot: below [`SEAL`], as a router that broke its seals was up for longer.
-const BOOT_TOLERANCE: Duration = Duration::from_secs(2);
-
 /// Tokens of one budget at one incarnation, and the last grant's answer.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Held {
     pub(crate) amount: Tokens,
-    /// Part of `amount` that the router does not use while control answers it.
-    pub(crate) sealed: Tokens,
     pub(crate) seq: u64,
     pub(crate) at_ms: u64,
     pub(crate) granted: Tokens,
-    pub(crate) granted_sealed: Tokens,
-    pub(crate) unsealed: Tokens,
     pub(crate) unspent: Tokens,
     pub(crate) allotted: Tokens,
 }
@@ -73,10 +63,6 @@
     pub(crate) reports: u64,
     /// Grants up to this number are stale unless `held` has their answer.
     pub(crate) grant_floor: u64,
-    /// Newest time, by the clock of its host, at which the router is known to
-    /// have had a reply.
-    pub(crate) heard_ms: u64,
-    pub(crate) seals_broken: u64,
     pub(crate) held: HashMap<Arc<str>, Held>,
 }
 
@@ -86,18 +72,6 @@
     }
 }
 
-impl RouterIncarnation {
-    /// Takes what a command says of the router's seals: when it last had a reply,
-    /// and how often it has broken them.
-    pub(crate) fn heard(&mut self, heard_ms: u64, seals_broken: u64) {
-        self.heard_ms = self.heard_ms.max(heard_ms);
-        if seals_broken > self.seals_broken {
-            self.seals_broken = seals_broken;
-            self.held.values_mut().for_each(|h| h.sealed = 0);
-        }
-    }
-}
-
 /// A lost incarnation whose allotments are frozen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LostIncarnation {
@@ -161,14 +135,6 @@
             .collect()
     }
 
-    /// Returns the tokens of all budgets that all incarnations of a router hold.
-    pub fn held_by(&self, router: &str) -> Tokens {
-        let known = self.routers.by_name.get(router);
-        let all = known.into_iter().flat_map(BTreeMap::values);
-        let amounts = all.flat_map(|i| i.held.values()).map(|h| h.amount);
-        amounts.fold(0, Tokens::saturating_add)
-    }
-
     /// Whether an incarnation is neither closed nor lost.
     pub fn incarnation_open(&self, router: &str, incarnation: Incarnation) -> bool {
         self.routers.is_open(router, incarnation)
@@ -257,7 +223,6 @@
                 old.open.state = RouterState::Lost.into();
                 old.since_ms = self.now_ms;
                 self.release_work(&c.router, incarnation);
-                self.return_sealed(incarnation, c);
             }
         }
         let name: Arc<str> = match self.routers.by_name.get_key_value(c.router.as_str()) {
@@ -278,8 +243,6 @@
                     since_ms: self.now_ms,
                     reports: 0,
                     grant_floor: 0,
-                    heard_ms: 0,
-                    seals_broken: 0,
                     held: HashMap::new(),
                 },
             );
@@ -381,44 +344,6 @@
         Reply::Ok(OkReply {})
     }
 
-    // Returns what a router held sealed when its process ended, if its next
-    // process shows that the seals were whole: they break after `SEAL` without a
-    // reply, and the new process began sooner after the last one. Both times are
-    // of the host's own clock.
-    fn return_sealed(&mut self, incarnation: Incarnation, next: &OpenIncarnation) {
-        let Some(old) = self.routers.get_mut(&next.router, incarnation) else {
-            return;
-        };
-        let same_boot =
-            next.boot_unix_ms.abs_diff(old.open.boot_unix_ms) <= BOOT_TOLERANCE.as_millis() as u64;
-        let alone = next.host_ms.checked_sub(old.heard_ms);
-        let whole = alone.is_some_and(|ms| ms < SEAL.as_millis() as u64);
-        if old.heard_ms == 0 || !same_boot || !whole {
-            return;
-        }
-        let mut emptied = Vec::new();
-        for (budget, held) in &mut old.held {
-            let sealed = std::mem::take(&mut held.sealed);
-            if sealed == 0 {
-                continue;
-            }
-            held.amount = held.amount.saturating_sub(sealed);
-            if let Some(account) = self.accounts.by_name.get_mut(budget) {
-                let moved = account.amounts.give_back(sealed);
-                debug_assert!(moved.is_some());
-                account.follow_total();
-            }
-            if held.amount == 0 {
-                emptied.push(Arc::clone(budget));
-            }
-        }
-        for budget in emptied {
-            if let Some(account) = self.accounts.by_name.get_mut(&budget) {
-                account.remove_holder(&next.router, incarnation);
-            }
-        }
-    }
-
     // Ends orders and suspect permits of an incarnation that can't finish them.
     fn release_work(&mut self, router: &str, incarnation: Incarnation) {
         let now_ms = self.now_ms;
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -140,10 +140,6 @@
     grant_floor: u64,
     #[prost(message, repeated, tag = "7")]
     held: Vec<HeldState>,
-    #[prost(uint64, tag = "8")]
-    heard_ms: u64,
-    #[prost(uint64, tag = "9")]
-    seals_broken: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -162,12 +158,6 @@
     unspent: u64,
     #[prost(uint64, tag = "7")]
     allotted: u64,
-    #[prost(uint64, tag = "8")]
-    sealed: u64,
-    #[prost(uint64, tag = "9")]
-    granted_sealed: u64,
-    #[prost(uint64, tag = "10")]
-    unsealed: u64,
 }
 
 fn corrupt(reason: impl std::fmt::Display) -> LedgerError {
@@ -386,9 +376,6 @@
                     granted: h.granted,
                     unspent: h.unspent,
                     allotted: h.allotted,
-                    sealed: h.sealed,
-                    granted_sealed: h.granted_sealed,
-                    unsealed: h.unsealed,
                 },
             );
         }
@@ -412,8 +399,6 @@
                     since_ms: state.since_ms,
                     reports: state.reports,
                     grant_floor: state.grant_floor,
-                    heard_ms: state.heard_ms,
-                    seals_broken: state.seals_broken,
                     held,
                 },
             );
@@ -434,9 +419,6 @@
             granted: h.granted,
             unspent: h.unspent,
             allotted: h.allotted,
-            sealed: h.sealed,
-            granted_sealed: h.granted_sealed,
-            unsealed: h.unsealed,
         })
         .collect();
     held.sort_unstable_by(|a, b| a.budget.cmp(&b.budget));
@@ -450,8 +432,6 @@
         superseded: i.superseded,
         since_ms: i.since_ms,
         reports: i.reports,
-        heard_ms: i.heard_ms,
-        seals_broken: i.seals_broken,
         grant_floor: i.grant_floor,
         held,
     }
--- a/crates/ledger/tests/amounts.rs
+++ b/crates/ledger/tests/amounts.rs
@@ -24,10 +24,7 @@
 }
 
 fn granted(amount: u64) -> Reply {
-    Reply::Granted(Granted {
-        amount,
-        ..Granted::default()
-    })
+    Reply::Granted(Granted { amount })
 }
 
 /// Guards against a top-up that is applied twice after a lost answer, and a
@@ -93,7 +90,6 @@
             Reply::Insufficient(Insufficient {
                 unspent: 800_000,
                 allotted: 200_000,
-                ..Insufficient::default()
             }),
         ),
     ];
--- a/crates/ledger/tests/publication.rs
+++ b/crates/ledger/tests/publication.rs
@@ -72,7 +72,6 @@
         need,
         want,
         lending: true,
-        ..Grant::default()
     })
 }
 
@@ -86,7 +85,6 @@
             returned,
             ..ReportEntry::default()
         }],
-        ..Report::default()
     })
 }
 
@@ -122,10 +120,7 @@
     apply(&mut ledger, open_router(1, RouterState::Alive));
     assert_eq!(
         apply(&mut ledger, lend(1, 80, 80)),
-        Reply::Granted(Granted {
-            amount: 80,
-            ..Granted::default()
-        })
+        Reply::Granted(Granted { amount: 80 })
     );
     apply(&mut ledger, publish(2, "", 50));
     assert_eq!(
@@ -192,10 +187,7 @@
         let reply = apply(&mut ledger, lend(seq, c.need, c.want));
         assert_eq!(
             reply,
-            Reply::Granted(Granted {
-                amount: c.granted,
-                ..Granted::default()
-            }),
+            Reply::Granted(Granted { amount: c.granted }),
             "grant {seq}"
         );
     }
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -119,7 +119,6 @@
         peer_address: format!("{address}:81"),
         data_centre: "a".into(),
         state: state.into(),
-        ..OpenIncarnation::default()
     })
 }
 
@@ -147,7 +146,6 @@
         need,
         want,
         lending: false,
-        ..Grant::default()
     })
 }
 
@@ -165,7 +163,6 @@
                 request_key: key.map_or_else(Vec::new, |k| vec![k; 16]),
             })
             .collect(),
-        ..Report::default()
     })
 }
 
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -8,7 +8,6 @@
 use anvilloft_dispatch::Change;
 use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
-use anvilloft_types::unix_ms;
 use anvilloft_wire::CallError;
 use anvilloft_wire::Control;
 use anvilloft_wire::ControlClient;
@@ -148,20 +147,12 @@
     fetch_at: Instant,
     directory_version: u64,
     load_at: Instant,
-    /// How often sealed tokens were made usable, as logged last.
-    seals_broken: u64,
-}
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Runs until everything is settled after a planned stop.
 pub(crate) async fn run(parts: Parts) {
     let mut wanted = parts.wanted;
     let peer_address = parts.peer_listener.local_addr();
-    // The peer address is bound, so the process before this one has ended.
-    let host_now = parts.cx.clock.started() + parts.cx.now();
     let open = OpenIncarnation {
         router: parts.cx.options.name.clone(),
         incarnation: parts.identity.incarnation,
@@ -169,8 +160,6 @@
         peer_address: peer_address.map_or_else(|_| String::new(), |a| a.to_string()),
         data_centre: parts.cx.options.data_centre.clone(),
         state: RouterState::Alive.into(),
-        host_ms: millis(host_now),
-        boot_unix_ms: unix_ms().saturating_sub(millis(host_now)),
     };
     let mut options = FleetOptions::new(parts.identity, parts.peer_listener);
     options.control.clone_from(&parts.members);
@@ -208,7 +197,6 @@
         fetch_at: Instant::now(),
         directory_version: 0,
         load_at: Instant::now(),
-        seals_broken: 0,
     };
     thread.open();
     let mut tick = Instant::now() + TICK;
@@ -546,11 +534,6 @@
         if Instant::now() >= self.load_at {
             self.tell_load(now);
         }
-        let broken = self.cx.purse.seals_broken();
-        if broken != self.seals_broken {
-            self.seals_broken = broken;
-            slog::info!(self.cx.log, "seals broken"; "times" => broken, "in_touch" => touch);
-        }
         let overdue = self.cx.purse.close_loans(now);
         if overdue > 0 {
             slog::warn!(self.cx.log, "loans never ended count as used up"; "count" => overdue);
--- a/crates/relay/src/loans.rs
+++ b/crates/relay/src/loans.rs
@@ -9,7 +9,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use anvilloft_budget::ReservationId;
 use anvilloft_types::prelude::*;
@@ -23,9 +22,6 @@
 
 /// Longest wait for a peer's answer. Ten round trips within a city.
 const ASK: Duration = Duration::from_millis(60);
-/// Time for control to unseal tokens at a peer: a commit and two ways within a
-/// city, several times over.
-const UNSEAL: Duration = Duration::from_millis(80);
 /// Peers that are asked for one request, at most.
 const MAX_PEERS: usize = 12;
 /// Time after which a loan that was not ended counts as used up. Longer than
@@ -103,58 +99,36 @@
 }
 
 /// Gathers tokens of a budget from this router and its peers, until there are
-/// `amount` or no peer has any. Where tokens are sealed, control is asked for
-/// them, and peers are asked once more after its reply.
+/// `amount` or no peer has any.
 pub(crate) async fn gather<'a>(cx: &'a Shared, budget: &str, amount: Tokens) -> Gathered<'a> {
     let mut gathered = Gathered {
         cx,
         sources: Vec::new(),
     };
-    let sealed = gathered.add(budget, amount).await;
-    if sealed > 0 && gathered.amount() < amount && cx.in_touch.load(Ordering::Relaxed) {
-        tokio::time::sleep(UNSEAL).await;
-        gathered.add(budget, amount).await;
+    if let Some((id, part)) = cx.purse.reserve_up_to(cx.now(), budget, amount) {
+        gathered.push(Source::Own(id, part));
     }
-    gathered
-}
-
-impl Gathered<'_> {
-    /// Adds what is idle here and at peers. Returns what is sealed there of the
-    /// tokens that are still missing.
-    async fn add(&mut self, budget: &str, amount: Tokens) -> Tokens {
-        let cx = self.cx;
-        let missing = amount.saturating_sub(self.amount());
-        if let Some((id, part)) = cx.purse.reserve_up_to(cx.now(), budget, missing) {
-            self.push(Source::Own(id, part));
+    let mut peers = cx.peers.get().map(|p| p.routers()).unwrap_or_default();
+    // Different routers begin with different peers.
+    let first = rand::random_range(0..peers.len().max(1)).min(peers.len());
+    peers.rotate_left(first);
+    for session in peers.into_iter().take(MAX_PEERS) {
+        let missing = amount.saturating_sub(gathered.amount());
+        if missing == 0 {
+            break;
         }
-        let missing = amount.saturating_sub(self.amount());
-        let mut sealed = cx.purse.ask_unseal(budget, missing);
-        let mut peers = cx.peers.get().map(|p| p.routers()).unwrap_or_default();
-        // Different routers begin with different peers.
-        let first = rand::random_range(0..peers.len().max(1)).min(peers.len());
-        peers.rotate_left(first);
-        for session in peers.into_iter().take(MAX_PEERS) {
-            let missing = amount.saturating_sub(self.amount());
-            if missing == 0 {
-                break;
-            }
-            let ask = Borrow {
-                budget: budget.to_owned(),
-                most: missing,
-            };
-            let Ok(reply) = session.call(ask.into(), ASK, 0).await else {
-                continue;
-            };
-            let Some(Answer::Lent(lent)) = reply.answer else {
-                continue;
-            };
-            sealed = sealed.saturating_add(lent.sealed);
-            if lent.amount > 0 {
-                self.push(Source::Peer(session, lent.loan, lent.amount));
-            }
+        let ask = Borrow {
+            budget: budget.to_owned(),
+            most: missing,
+        };
+        if let Ok(reply) = session.call(ask.into(), ASK, 0).await
+            && let Some(Answer::Lent(lent)) = reply.answer
+            && lent.amount > 0
+        {
+            gathered.push(Source::Peer(session, lent.loan, lent.amount));
         }
-        sealed
     }
+    gathered
 }
 
 struct Loan {
--- a/crates/relay/src/purse.rs
+++ b/crates/relay/src/purse.rs
@@ -29,8 +29,6 @@
 const RESERVE: Reserve = Reserve {
     every: Duration::from_millis(1_000),
     lasts: Duration::from_secs(10),
-    // A router uses it until its seals break.
-    open: Duration::from_millis(2_200),
     step: Duration::from_millis(2_500),
 };
 /// Time between two reports of settlements. Each is an entry of the replicated
@@ -58,21 +56,18 @@
 /// Allotments with the requests that wait for them.
 pub(crate) struct Purse {
     inner: Mutex<Inner>,
-    /// Time of the host's clock at which the relay's clock began.
-    host_start: Duration,
     /// Wakes the control thread: a grant or a report may be due.
     pub(crate) changed: Notify,
 }
 
 impl Purse {
-    pub(crate) fn new(router: &str, incarnation: Incarnation, host_start: Duration) -> Self {
+    pub(crate) fn new(router: &str, incarnation: Incarnation) -> Self {
         Self {
             inner: Mutex::new(Inner {
-                allotments: allotments(router, incarnation, host_start),
+                allotments: allotments(router, incarnation),
                 loans: Loans::default(),
                 waiting: HashMap::new(),
             }),
-            host_start,
             changed: Notify::new(),
         }
     }
@@ -83,7 +78,7 @@
 
     /// Starts over under another incarnation, before any grant was made.
     pub(crate) fn restart(&self, router: &str, incarnation: Incarnation) {
-        self.lock().allotments = allotments(router, incarnation, self.host_start);
+        self.lock().allotments = allotments(router, incarnation);
     }
 
     pub(crate) fn reserve(
@@ -135,36 +130,17 @@
         self.lock().allotments.reserve_up_to(now, budget, most)
     }
 
-    /// Lends what is idle to a peer, at most `most`, and asks control to unseal
-    /// what is missing.
+    /// Lends what is idle to a peer, at most `most`.
     pub(crate) fn lend(&self, now: Duration, peer: &str, budget: &str, most: Tokens) -> Lent {
         let mut inner = self.lock();
         if !inner.loans.has_room() {
             return Lent::default();
         }
-        let (loan, amount) = inner
-            .allotments
-            .reserve_up_to(now, budget, most)
-            .unwrap_or_default();
-        if amount > 0 {
-            inner.loans.add(now, loan, peer, amount);
-        }
-        drop(inner);
-        Lent {
-            loan,
-            amount,
-            sealed: self.ask_unseal(budget, most - amount),
-        }
-    }
-
-    /// Asks control to unseal tokens of a budget, at most `most`. Returns how many
-    /// may become usable.
-    pub(crate) fn ask_unseal(&self, budget: &str, most: Tokens) -> Tokens {
-        let amount = self.lock().allotments.ask_unseal(budget, most);
-        if amount > 0 {
-            self.changed.notify_one();
-        }
-        amount
+        let Some((loan, amount)) = inner.allotments.reserve_up_to(now, budget, most) else {
+            return Lent::default();
+        };
+        inner.loans.add(now, loan, peer, amount);
+        Lent { loan, amount }
     }
 
     /// Ends a loan to a peer.
@@ -219,11 +195,6 @@
         self.lock().allotments.recall(now, budget);
     }
 
-    /// Returns how often sealed tokens were made usable for want of a reply.
-    pub(crate) fn seals_broken(&self) -> u64 {
-        self.lock().allotments.seals_broken()
-    }
-
     /// Gives everything unreserved back, now and as requests end.
     pub(crate) fn drain(&self, now: Duration) {
         self.lock().allotments.drain(now);
@@ -235,10 +206,10 @@
     }
 }
 
-fn allotments(router: &str, incarnation: Incarnation, host_start: Duration) -> Allotments {
+fn allotments(router: &str, incarnation: Incarnation) -> Allotments {
     let mut allotments = Allotments::new(router.to_owned(), incarnation);
     allotments.set_demand_window(DEMAND_WINDOW);
     allotments.set_report_pace(REPORT_PACE);
-    allotments.set_lending(RESERVE, host_start);
+    allotments.set_lending(RESERVE);
     allotments
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -127,16 +127,15 @@
             idle: IDLE,
             ..Limits::default()
         };
-        let clock = Clock::start();
         let dispatcher = DispatcherConfig::new(options.data_centre.clone());
         let cx = Arc::new(Shared {
             dialect,
-            clock,
+            clock: Clock::start(),
             table: ArcSwap::from_pointee(RouteTable::default()),
             dispatcher: Mutex::new(Dispatcher::new(dispatcher, rand::random())),
             repeats: Mutex::new(Repeats::new(&options)),
             shedder: Mutex::default(),
-            purse: Purse::new(&options.name, identity.incarnation, clock.started()),
+            purse: Purse::new(&options.name, identity.incarnation),
             peers: OnceLock::new(),
             client: Client::new(limits, MAX_ANSWER_BYTES),
             bodies: BodyMemory::new(options.max_buffered_bytes, metrics.body_bytes.clone()),
--- a/crates/router/src/core/lease.rs
+++ b/crates/router/src/core/lease.rs
@@ -32,9 +32,6 @@
             peer_address: self.id.peer_address.clone(),
             data_centre: self.id.data_centre.clone(),
             state: state as i32,
-            // Routers of this kind seal nothing.
-            host_ms: 0,
-            boot_unix_ms: 0,
         })
     }
 
--- a/crates/router/tests/copies.rs
+++ b/crates/router/tests/copies.rs
@@ -26,7 +26,6 @@
         peer_address: "127.0.0.1:2".into(),
         data_centre: "dc2".into(),
         state: state.into(),
-        ..OpenIncarnation::default()
     }));
 }
 
@@ -41,7 +40,6 @@
             returned: 0,
             request_key: Vec::new(),
         }],
-        ..Report::default()
     }
 }
 
@@ -57,7 +55,6 @@
         need: 10_000,
         want: 10_000,
         lending: false,
-        ..Grant::default()
     }));
     let link = fleet.control.join("gone");
     let view = &fleet.routers[0].api().view;
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -27,12 +27,6 @@
         }
     }
 
-    /// Returns the time of the source at the start. That of the host's clock is
-    /// comparable between processes of one host until it boots anew.
-    pub fn started(&self) -> Duration {
-        self.start
-    }
-
     /// Returns the time since the start.
     pub fn now(&self) -> Duration {
         (self.source)().saturating_sub(self.start)
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -3,8 +3,6 @@
 //! Applying the same commands in the same order gives the same state on every
 //! control member. Times are stamped by the leader.
 
-use std::time::Duration;
-
 use crate::config::ConfigOp;
 
 /// A command of the replicated ledger.
@@ -166,14 +164,6 @@
     /// Alive, draining, or lost when the leader proposes it.
     #[prost(enumeration = "RouterState", tag = "6")]
     pub state: i32,
-    /// When the process had its peer address, by the clock of its host, in
-    /// milliseconds since the host booted; 0 when not told. Any earlier process
-    /// at that address had ended.
-    #[prost(uint64, tag = "7")]
-    pub host_ms: u64,
-    /// When the host booted, in Unix milliseconds, by its time of day.
-    #[prost(uint64, tag = "8")]
-    pub boot_unix_ms: u64,
 }
 
 /// Ends a router incarnation and returns what it holds.
@@ -213,25 +203,8 @@
     /// among them to the end, and nothing is recalled for this grant.
     #[prost(bool, tag = "7")]
     pub lending: bool,
-    /// Amount beyond `want` that the router would like to hold sealed: for use
-    /// only after [`SEAL`] without a reply of control.
-    #[prost(uint64, tag = "8")]
-    pub reserve: u64,
-    /// How often the router has broken its seals. What it held sealed before
-    /// counts as in use from then on.
-    #[prost(uint64, tag = "9")]
-    pub seals_broken: u64,
-    /// When the router last had a reply to a grant or a report, by the clock of
-    /// its host, in milliseconds.
-    #[prost(uint64, tag = "10")]
-    pub heard_ms: u64,
 }
 
-/// Time without a reply of control after which a router breaks its seals. Replies
-/// are a second apart at most, and a process is started again within another, so
-/// what was sealed when it died is known to be unused.
-pub const SEAL: Duration = Duration::from_millis(2_500);
-
 /// Settles and returns allotted tokens, in order of `seq`, each once.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Report {
@@ -247,12 +220,6 @@
     /// Entries of the report.
     #[prost(message, repeated, tag = "4")]
     pub entries: Vec<ReportEntry>,
-    /// See `Grant::seals_broken`.
-    #[prost(uint64, tag = "5")]
-    pub seals_broken: u64,
-    /// See `Grant::heard_ms`; 0 when the router seals nothing.
-    #[prost(uint64, tag = "6")]
-    pub heard_ms: u64,
 }
 
 /// One settlement or return.
@@ -481,20 +448,9 @@
 /// Tokens were allotted.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct Granted {
-    /// Amount that is new at the router. With what is unsealed, at least the
-    /// need.
+    /// Amount, at least the need.
     #[prost(uint64, tag = "1")]
     pub amount: u64,
-    /// Part of the amount that is sealed.
-    #[prost(uint64, tag = "2")]
-    pub sealed: u64,
-    /// Amount that the router held sealed and may use from now on.
-    #[prost(uint64, tag = "3")]
-    pub unsealed: u64,
-    /// What control then counts as sealed. The router may use whatever it holds
-    /// sealed beyond that.
-    #[prost(uint64, tag = "4")]
-    pub held_sealed: u64,
 }
 
 /// The budget can't cover the need.
@@ -506,9 +462,6 @@
     /// Tokens allotted to routers, part of which a recall may bring back.
     #[prost(uint64, tag = "2")]
     pub allotted: u64,
-    /// See `Granted::held_sealed`.
-    #[prost(uint64, tag = "3")]
-    pub held_sealed: u64,
 }
 
 /// State of an order.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -73,10 +73,6 @@
     /// Tokens, 0 when the lender has none idle.
     #[prost(uint64, tag = "2")]
     pub amount: u64,
-    /// Tokens beyond these that the lender holds sealed and has asked control
-    /// for.
-    #[prost(uint64, tag = "3")]
-    pub sealed: u64,
 }
 
 /// Reads or changes the membership of the control group.
