Find the home engine without ordering all engines; one call of the relay's tests

Cause: on reading the change again. For each prompt the dispatcher ordered all engines by hash, although only the first place counts: the others were only gone through. The relay's tests built the same call in four places and the same logged fleet in three.

Change: `home` returns the one engine that `rank_all` put first, for one shared part without a sort; the loop goes through the candidates as they are. `Lender` moves to `loans`. `call` and `start` serve the tests, whose assertions are untouched.

Ruled out: a shared log writer for the tests of telemetry and relay; it would make the fakes depend on telemetry for ten lines.

--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -68,6 +68,7 @@
 const CHECK_EVERY: Duration = Duration::from_millis(200);
 /// Interval between `Expire` commands.
 const EXPIRE_EVERY: Duration = Duration::from_secs(10);
+
 /// A command that waits to be committed.
 struct Waiter {
     term: u64,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -377,21 +377,21 @@
         xxh3_64_with_seed(id.as_bytes(), key)
     }
 
-    /// Orders engines for a prompt by the hash of its shared parts.
-    fn rank_all(&self, shared: &[Part], of: &[usize]) -> Vec<usize> {
-        let mut ranked = of.to_vec();
+    /// Returns the engine that ranks first for a prompt by the hash of its shared
+    /// parts.
+    fn home(&self, shared: &[Part], of: &[usize]) -> Option<usize> {
         let eps = &self.endpoints;
-        let by =
-            |key: u64| move |at: &usize| std::cmp::Reverse(Self::order(key, &eps[*at].said.id));
-        if let Some(first) = shared.first() {
-            ranked.sort_by_cached_key(by(first.id));
-        }
-        if let [_, .., last] = shared {
-            let spread = ranked.len().div_ceil(self.cfg.spread_share.max(1));
-            let spread = spread.max(self.cfg.spread_least).min(ranked.len());
-            ranked[..spread].sort_by_cached_key(by(last.id));
-        }
-        ranked
+        let order = |part: &Part, at: &usize| Self::order(part.id, &eps[*at].said.id);
+        let [first, .., last] = shared else {
+            let first = shared.first()?;
+            return of.iter().copied().max_by_key(|at| order(first, at));
+        };
+        let spread = of.len().div_ceil(self.cfg.spread_share.max(1));
+        let spread = spread.max(self.cfg.spread_least).min(of.len());
+        let mut near = of.to_vec();
+        near.sort_by_cached_key(|at| std::cmp::Reverse(order(first, at)));
+        near.truncate(spread);
+        near.into_iter().max_by_key(|at| order(last, at))
     }
 
     fn choose_engine(&mut self, now: Duration, ask: &Ask<'_>, of: &[usize]) -> (usize, Reason) {
@@ -399,24 +399,24 @@
         let shared = &ask.prompt[..shared];
         let shared_tokens: Tokens = shared.iter().map(|p| p.tokens).sum();
         let own_tokens = ask.prompt.last().map_or(0, |p| p.tokens);
-        let ranked = self.rank_all(shared, of);
+        let home = self.home(shared, of);
         let unknown = 1.0 - self.peers.len() as f64 / (self.routers.max(2) - 1) as f64;
         let likely = self.cfg.likely_hit * unknown.clamp(0.0, 1.0);
         let is_read = of
             .iter()
             .any(|at| self.endpoints[*at].cache.hit(shared) == shared_tokens);
-        let mut best = (ranked[0], Reason::Predicted);
+        let mut best = (of[0], Reason::Predicted);
         let mut least = f64::INFINITY;
-        for (place, at) in ranked.iter().enumerate() {
+        for at in of {
             let ep = &self.endpoints[*at];
-            let home = place == 0 && !shared.is_empty();
+            let is_home = home == Some(*at);
             let mut missing = (shared_tokens - ep.cache.hit(shared)) as f64;
-            if home {
+            if is_home {
                 missing *= 1.0 - likely;
             }
             let read = missing * self.cfg.reread_weight + own_tokens as f64;
             let read = read / self.cfg.prefill_rate;
-            let away = match home || is_read {
+            let away = match is_home || is_read {
                 true => 0.0,
                 false => self.cfg.home.as_secs_f64(),
             };
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -22,7 +22,6 @@
 use anvilloft_wire::control::LeaseGrant;
 use anvilloft_wire::control::Publication;
 use anvilloft_wire::control::RenewLease;
-use anvilloft_wire::control::Request;
 use anvilloft_wire::control::TableRequest;
 use anvilloft_wire::frame::EndpointUpdate;
 use anvilloft_wire::frame::Payload;
@@ -33,8 +32,6 @@
 use anvilloft_wire::session::FleetOptions;
 use anvilloft_wire::session::FleetPeers;
 use anvilloft_wire::session::Identity;
-use anvilloft_wire::session::PeerCalls;
-use anvilloft_wire::session::Session;
 use anvilloft_wire::session::join_fleet;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -47,6 +44,7 @@
 use crate::convert::wire_read;
 use crate::convert::wire_work;
 use crate::convert::work;
+use crate::loans::Lender;
 use crate::shared::Shared;
 
 /// Time between two renewals. The table is asked for at once when control
@@ -87,22 +85,6 @@
     Closed,
 }
 
-/// Lends tokens to peers.
-struct Lender(Arc<Shared>);
-
-impl PeerCalls for Lender {
-    fn answer(&self, session: &Arc<Session>, req: &ControlRequest) -> Option<ControlReply> {
-        let Some(Request::Borrow(ask)) = &req.request else {
-            return None;
-        };
-        let (now, peer) = (self.0.now(), &session.peer().node);
-        let lent = self.0.purse.lend(now, peer, &ask.budget, ask.most);
-        slog::debug!(self.0.log, "lent"; "peer" => peer, "budget" => &ask.budget,
-            "asked" => ask.most, "amount" => lent.amount);
-        Some(Answer::Lent(lent).into())
-    }
-}
-
 type Outcome = Result<ControlReply, CallError>;
 
 enum Done {
--- a/crates/relay/src/loans.rs
+++ b/crates/relay/src/loans.rs
@@ -12,10 +12,14 @@
 
 use anvilloft_budget::ReservationId;
 use anvilloft_types::prelude::*;
+use anvilloft_wire::ControlReply;
+use anvilloft_wire::ControlRequest;
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::Borrow;
+use anvilloft_wire::control::Request;
 use anvilloft_wire::frame::LoanEnd;
 use anvilloft_wire::frame::Payload;
+use anvilloft_wire::session::PeerCalls;
 use anvilloft_wire::session::Session;
 
 use crate::shared::Shared;
@@ -131,6 +135,22 @@
     gathered
 }
 
+/// Lends tokens to peers.
+pub(crate) struct Lender(pub(crate) Arc<Shared>);
+
+impl PeerCalls for Lender {
+    fn answer(&self, session: &Arc<Session>, req: &ControlRequest) -> Option<ControlReply> {
+        let Some(Request::Borrow(ask)) = &req.request else {
+            return None;
+        };
+        let (now, peer) = (self.0.now(), &session.peer().node);
+        let lent = self.0.purse.lend(now, peer, &ask.budget, ask.most);
+        slog::debug!(self.0.log, "lent"; "peer" => peer, "budget" => &ask.budget,
+            "asked" => ask.most, "amount" => lent.amount);
+        Some(Answer::Lent(lent).into())
+    }
+}
+
 struct Loan {
     borrower: RouterId,
     amount: Tokens,
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -272,13 +272,18 @@
     }
 
     pub(crate) async fn try_send(&self, relay: usize, path: &str, id: &str) -> Reply {
-        let call = Call::post(path, "body")
-            .header("x-key", "k")
-            .header("x-anvilloft-attempt", id);
+        let call = call(path, "body", id);
         call.send(self.relays[relay].address(), WAIT).await.unwrap()
     }
 }
 
+/// Makes a call of the team of the tests' table.
+pub(crate) fn call(path: &str, body: &str, id: &str) -> Call {
+    Call::post(path, body)
+        .header("x-key", "k")
+        .header("x-anvilloft-attempt", id)
+}
+
 /// Waits for a condition.
 pub(crate) async fn eventually(what: &str, condition: impl Fn() -> bool) {
     for _ in 0..500 {
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -12,6 +12,7 @@
 use crate::common::COUNTS;
 use crate::common::Fleet;
 use crate::common::WAIT;
+use crate::common::call;
 use crate::common::chunk;
 use crate::common::event;
 use crate::common::eventually;
@@ -265,9 +266,7 @@
     fleet.send(0, "/stream/x", "warm").await;
     let relay = fleet.relays.remove(0);
     let (address, ready) = (relay.address(), relay.readiness());
-    let call = anvilloft_fakes::http::Call::post("/stream/x", "body")
-        .header("x-key", "k")
-        .header("x-anvilloft-attempt", "last");
+    let call = call("/stream/x", "body", "last");
     let answer = tokio::spawn(async move { call.send(address, WAIT).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert!(ready());
@@ -293,9 +292,7 @@
     fleet.announce("e", endpoint.addr, "plain");
     assert_eq!(fleet.send(0, "/any/x", "a1").await.status, 200);
     let large = async |id: &str| {
-        let call = anvilloft_fakes::http::Call::post("/any/x", "x".repeat(100_000))
-            .header("x-key", "k")
-            .header("x-anvilloft-attempt", id);
+        let call = call("/any/x", &"x".repeat(100_000), id);
         let reply = call.send(fleet.relays[0].address(), WAIT).await;
         reply.unwrap()
     };
--- a/crates/relay/tests/relay/stories.rs
+++ b/crates/relay/tests/relay/stories.rs
@@ -10,12 +10,14 @@
 use anvilloft_fakes::raw::Step;
 use anvilloft_settings::LogFormat;
 use anvilloft_settings::LogLevel;
+use anvilloft_telemetry::LogGuard;
 use anvilloft_telemetry::LogOptions;
 use anvilloft_telemetry::Story;
 use prometheus::IntCounter;
 
 use crate::common::Fleet;
 use crate::common::WAIT;
+use crate::common::call;
 use crate::common::chunk;
 use crate::common::event;
 use crate::common::eventually;
@@ -58,37 +60,35 @@
     }
 }
 
-fn start(log: &Log) -> (slog::Logger, anvilloft_telemetry::LogGuard) {
+/// Starts a relay that writes to a log, with a table in which the team has paid
+/// for `prepaid` tokens.
+async fn start(prepaid: u64) -> (Log, LogGuard, Fleet) {
+    let log = Log::default();
     let dropped = IntCounter::new("dropped", "dropped").unwrap();
-    anvilloft_telemetry::start_to(options(), dropped, log.clone())
+    let (logger, guard) = anvilloft_telemetry::start_to(options(), dropped, log.clone());
+    let fleet = Fleet::start_logging(1, &logger).await;
+    fleet.publish(1, prepaid).await;
+    (log, guard, fleet)
 }
 
 /// Guards against a refusal whose lines don't lead to the lost contact with
 /// control.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_leads_to_the_cut_from_control() {
-    let log = Log::default();
-    let (logger, _guard) = start(&log);
-    let fleet = Fleet::start_logging(1, &logger).await;
-    fleet.publish(1, 300).await;
+    let (log, _guard, fleet) = start(300).await;
     let engine = RawEndpoint::start(|s| whole_stream(&s, 1));
     let engine = engine.await.unwrap();
     fleet.announce("e", engine.addr, "engines");
     assert_eq!(fleet.send(0, "/stream/x", "warm").await.status, 200);
     fleet.control.kill().await.unwrap();
-    let call = async |id: &str| {
-        let call = anvilloft_fakes::http::Call::post("/stream/x", "body")
-            .header("x-key", "k")
-            .header("x-anvilloft-attempt", id);
-        let reply = call.send(fleet.relays[0].address(), WAIT).await;
-        reply.unwrap().status
-    };
     // The router counts as cut off after 3 s.
     tokio::time::sleep(Duration::from_millis(3_500)).await;
     let mut id = String::new();
     for n in 0..8 {
         id = format!("cut-{n}");
-        if call(&id).await != 200 {
+        let call = call("/stream/x", "body", &id);
+        let reply = call.send(fleet.relays[0].address(), WAIT).await;
+        if reply.unwrap().status != 200 {
             break;
         }
     }
@@ -102,10 +102,7 @@
 /// Guards against a broken stream whose lines don't name the endpoint.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_stream_leads_to_its_endpoint() {
-    let log = Log::default();
-    let (logger, _guard) = start(&log);
-    let fleet = Fleet::start_logging(1, &logger).await;
-    fleet.publish(1, 100_000).await;
+    let (log, _guard, fleet) = start(100_000).await;
     let broken = RawEndpoint::start(|s| {
         vec![
             send(stream_head(&s.attempt) + &chunk(&event(1))),
@@ -125,10 +122,7 @@
 /// Guards against an unknown outcome whose lines don't say who may know it.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unknown_outcome_leads_to_the_endpoint_that_may_have_run_it() {
-    let log = Log::default();
-    let (logger, _guard) = start(&log);
-    let fleet = Fleet::start_logging(1, &logger).await;
-    fleet.publish(1, 0).await;
+    let (log, _guard, fleet) = start(0).await;
     let broken = RawEndpoint::start(|_| vec![Step::Close]).await.unwrap();
     fleet.announce("shop", broken.addr, "plain");
     let reply = fleet.send(0, "/once/x", "order-1").await;
