Keep pairs of one prefix within the load bound

A request goes to the home of its prefix or to one other endpoint by its fingerprint. When the home is at its bound, the other one takes it however full it is, so fingerprints that meet by chance fill one endpoint while others have two requests.

Ruled out: a fault of the test.

Change: a request leaves its pair once both are one request beyond the load bound, unless it is suspect. The affinity bound is computed in one place.

--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -268,6 +268,12 @@
         self.attempts.len() as f64 + self.others
     }
 
+    /// Returns the load with one more request, as a share of the usable slots;
+    /// `add` corrects it by requests.
+    pub(crate) fn next_load(&self, add: f64) -> f64 {
+        (self.load() + 1.0 + add) / f64::from(self.usable().max(1))
+    }
+
     pub(crate) fn own(&self) -> u32 {
         self.attempts.len() as u32
     }
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -103,6 +103,11 @@
 /// to stay within the pair of its fingerprint.
 const LOOSE: f64 = 0.8;
 
+/// Requests beyond the load bound up to which a request stays within its pair.
+/// Two endpoints that share the prefix's requests differ by as many by chance;
+/// leaving the pair earlier would spread copies of a crashing request.
+const PAIR_IMBALANCE: f64 = 1.0;
+
 /// A candidate with the tier that it is used in; a lower tier goes first.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -223,17 +228,35 @@
         Ok(())
     }
 
+    /// Returns the share of its slots up to which an endpoint may be filled by
+    /// requests that prefer it: the mean of the candidates with one request
+    /// more each, times the affinity bound.
+    fn load_bound(&self) -> f64 {
+        let (mut load, mut slots) = (0.0, 0.0);
+        for c in &self.candidates {
+            let ep = &self.endpoints[c.at];
+            load += ep.load() + 1.0;
+            slots += f64::from(ep.usable().max(1));
+        }
+        self.cfg.affinity_bound * load / slots
+    }
+
     /// Narrows the candidates by the method.
     ///
     /// # Errors
     ///
     /// Returns [`NoRoute::Full`] for a suspect whose pair has no room.
-    fn narrow(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<(), NoRoute> {
+    fn narrow(
+        &mut self,
+        now: Duration,
+        req: &RouteRequest<'_>,
+        bound: f64,
+    ) -> Result<(), NoRoute> {
         if matches!(
             self.cfg.method,
             Method::FingerprintPair | Method::PrefixPair
         ) {
-            if self.narrow_to_copies(now, req)? || self.narrow_to_pair(now, req) {
+            if self.narrow_to_copies(now, req)? || self.narrow_to_pair(now, req, bound) {
                 return Ok(());
             }
             if req.suspect && self.pair_is_open(now, req) {
@@ -284,8 +307,9 @@
     }
 
     /// Narrows the candidates to the pair of the fingerprint, if one of it has
-    /// room. Returns whether it has.
-    fn narrow_to_pair(&mut self, now: Duration, req: &RouteRequest<'_>) -> bool {
+    /// room within the load bound. Returns whether it has. Beyond the bound,
+    /// pairs that meet by chance would fill one endpoint while others are idle.
+    fn narrow_to_pair(&mut self, now: Duration, req: &RouteRequest<'_>, bound: f64) -> bool {
         let key = key_of(&req.fingerprint);
         let pair = self.pair(now, req, key);
         let endpoints = &self.endpoints;
@@ -295,7 +319,8 @@
             // Urgent work keeps to the pair only where a slot is surely free.
             let own = c.tier < 2 && (loose || req.level > 0);
             let tier = own || (c.tier < UNHEALTHY && (loose || req.suspect));
-            pair.contains(&Some(c.at)) && tier
+            let even = req.suspect || ep.next_load(-PAIR_IMBALANCE) <= bound;
+            pair.contains(&Some(c.at)) && tier && even
         };
         if !self.candidates.iter().any(fits) {
             return false;
@@ -346,9 +371,9 @@
         prefix: u64,
         top: Option<usize>,
         at: usize,
-        mean: f64,
+        bound: f64,
     ) -> f64 {
-        if (ep.load() + 1.0) / f64::from(ep.usable().max(1)) > mean {
+        if ep.next_load(0.0) > bound {
             return 0.0;
         }
         let known = ep.cached(now, prefix);
@@ -422,27 +447,21 @@
         self.collect(now, req)?;
         let count = self.candidates.len();
         let prefix = req.prefix.filter(|_| self.cfg.affinity);
-        let mut mean = 0.0;
+        let mut bound = f64::INFINITY;
         let mut top = None;
         if let Some(prefix) = prefix {
-            let (mut load, mut slots) = (0.0, 0.0);
-            for c in &self.candidates {
-                let ep = &self.endpoints[c.at];
-                load += ep.load() + 1.0;
-                slots += f64::from(ep.usable().max(1));
-            }
-            mean = self.cfg.affinity_bound * load / slots;
+            bound = self.load_bound();
             top = self
                 .candidates
                 .iter()
                 .max_by_key(|c| share::weight_of(prefix, self.endpoints[c.at].hash))
                 .map(|c| c.at);
         }
-        self.narrow(now, req)?;
+        self.narrow(now, req, bound)?;
         let mut best: Option<(usize, Prediction, f64)> = None;
         for c in &self.candidates {
             let ep = &self.endpoints[c.at];
-            let hit = prefix.map_or(0.0, |p| self.hit(now, ep, p, top, c.at, mean));
+            let hit = prefix.map_or(0.0, |p| self.hit(now, ep, p, top, c.at, bound));
             let mut p = score::predict(&self.cfg, now, ep, req, hit);
             if self.cfg.method == Method::LeastInFlight {
                 p.score = f64::from(ep.own()) / f64::from(ep.usable().max(1));
--- a/crates/routing/tests/select.rs
+++ b/crates/routing/tests/select.rs
@@ -120,22 +120,44 @@
     /// Guards against a popular prefix that makes a hot spot.
     #[test]
     fn one_prefix_makes_no_hot_spot(seed in 0u64..1000, requests in 20u32..200) {
-        let mut s = selector(0, 1, 8, 64);
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let mut load: HashMap<String, u32> = HashMap::new();
-        for id in 0..requests {
-            let req = RouteRequest { prefix: Some(7), ..request(rng.random()) };
-            let c = s.choose(secs(1), &req).expect("there is room");
-            s.started(secs(1), &c.endpoint, u128::from(id), 10);
-            *load.entry(c.endpoint).or_default() += 1;
-        }
-        let most = load.values().copied().max().unwrap_or(0);
-        // 1.25 times the mean, one request, and two for the pair's imbalance.
-        let bound = 1.25 * f64::from(requests) / 8.0 + 3.0;
-        prop_assert!(f64::from(most) <= bound, "{most} of {requests}: {load:?}");
+        let (most, bound) = busiest_of_one_prefix(seed, requests);
+        prop_assert!(f64::from(most) <= bound, "{most} of {requests}");
     }
 }
 
+/// Returns the requests at the busiest of 8 endpoints after requests with one
+/// prefix, and their bound: 1.25 times the mean, one request, and two for the
+/// pair's imbalance.
+fn busiest_of_one_prefix(seed: u64, requests: u32) -> (u32, f64) {
+    let mut s = selector(0, 1, 8, 64);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut load: HashMap<String, u32> = HashMap::new();
+    for id in 0..requests {
+        let req = RouteRequest {
+            prefix: Some(7),
+            ..request(rng.random())
+        };
+        let c = s.choose(secs(1), &req).expect("there is room");
+        s.started(secs(1), &c.endpoint, u128::from(id), 10);
+        *load.entry(c.endpoint).or_default() += 1;
+    }
+    let most = load.values().copied().max().unwrap_or(0);
+    (most, 1.25 * f64::from(requests) / 8.0 + 3.0)
+}
+
+/// Guards against pairs that meet at one endpoint by chance and fill it beyond
+/// the bound. Seed 399 with 51 requests failed in CI.
+#[test]
+fn pairs_of_one_prefix_fill_no_endpoint() {
+    let over: Vec<_> = (0..1000)
+        .filter(|seed| {
+            let (most, bound) = busiest_of_one_prefix(*seed, 51);
+            f64::from(most) > bound
+        })
+        .collect();
+    assert_eq!(over, [0u64; 0]);
+}
+
 /// Guards against requests that go where they can't be served.
 #[rstest]
 #[case("model", RouteRequest { model: "other", ..request(1) }, false)]
