Elect early after a start, and wait less for the first connection of a session

Routers listen at 34.7 s and serve at 35.6: the members elect after a whole election timeout (leader at 35.49 s), and each router's first dial, to a host that has no power yet, waits 0.8 s.

A member that has a leader refuses the pre-vote. A session waits 0.2 s for its first connection, doubled up to 0.8 s, and pauses 0.2 s at most between attempts.

Ruled out: the election alone.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -19,6 +19,14 @@
         self.election_due = now + self.rng.random_range(min..=max);
     }
 
+    /// Sets the election timeout after a start. When all members start at once,
+    /// the group is without a leader until the first of these timeouts ends.
+    pub(crate) fn first_election_timer(&mut self, now: Duration) {
+        let min = self.cfg.first_election;
+        let spread = self.cfg.election_max.saturating_sub(self.cfg.election_min) / 2;
+        self.election_due = now + self.rng.random_range(min..=min + spread);
+    }
+
     /// Returns whether a leader is known to be at work: this member, or one
     /// heard from within the shortest election timeout.
     pub(crate) fn hears_leader(&self, now: Duration) -> bool {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -108,7 +108,7 @@
             hard_dirty: false,
             out: Effects::default(),
         };
-        node.reset_election_timer(now);
+        node.first_election_timer(now);
         if node.log.membership().voters().eq([node.cfg.id]) {
             // No other member can lead, so there is nobody to wait for.
             node.election_due = now;
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -28,6 +28,9 @@
     /// Longest election timeout. A leader that hears from no majority for
     /// this long steps down.
     pub election_max: Duration,
+    /// Shortest election timeout after a start of this member. It may be shorter
+    /// than the others: members that hear from a leader refuse the pre-vote.
+    pub first_election: Duration,
     /// Longest entry, in bytes.
     pub max_entry_bytes: usize,
     /// Soft limit of one append or snapshot message, in bytes. An append holds
@@ -52,6 +55,7 @@
             heartbeat: Duration::from_millis(50),
             election_min: Duration::from_millis(300),
             election_max: Duration::from_millis(600),
+            first_election: Duration::from_millis(300),
             max_entry_bytes: 1024 * 1024,
             max_message_bytes: 1024 * 1024,
             max_uncommitted: 16_384,
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -379,6 +379,39 @@
     assert_eq!(membership.voters().count(), 3);
 }
 
+/// Guards against a group that waits for whole election timeouts after all its
+/// members have started at once: nobody can have heard of a leader.
+#[test]
+fn a_group_that_starts_at_once_elects_early() {
+    for seed in 0..50 {
+        let mut cluster = Cluster::new(seed, 5);
+        elected(&mut cluster);
+        (1..=5).for_each(|id| cluster.crash(id));
+        (1..=5).for_each(|id| cluster.start(id));
+        // The first timeout, half of its spread and a sync for each vote.
+        let elected = cluster.run_while_not(ms(430), |c| c.leader().is_some());
+        assert!(elected, "seed {seed}");
+    }
+}
+
+/// Guards against a member that deposes a leader because its own first timeout
+/// is short.
+#[test]
+fn a_member_that_starts_alone_keeps_the_leader() {
+    for seed in 0..50 {
+        let mut cluster = Cluster::new(seed, 5);
+        let leader = elected(&mut cluster);
+        let term = cluster.node(leader).unwrap().term();
+        let other = leader % 5 + 1;
+        cluster.crash(other);
+        cluster.run_for(ms(500));
+        cluster.start(other);
+        cluster.run_for(ms(2_000));
+        assert_eq!(cluster.leader(), Some(leader), "seed {seed}");
+        assert_eq!(cluster.node(leader).unwrap().term(), term, "seed {seed}");
+    }
+}
+
 /// Guards against a sole voter that waits for others at each start, and
 /// against members of a group that don't.
 #[test]
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -177,6 +177,7 @@
         cfg.node.heartbeat = settings.heartbeat;
         cfg.node.election_min = settings.election_min;
         cfg.node.election_max = settings.election_max;
+        cfg.node.first_election = settings.first_election;
         cfg.node.trailing = settings.trailing_entries;
         cfg.snapshot_log_bytes = usize::try_from(settings.snapshot_log_bytes).unwrap_or(usize::MAX);
         if settings.group == GroupStart::New && is_blank(cfg.disk.as_ref())? {
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -246,12 +246,7 @@
     /// # Errors
     ///
     /// Returns [`NoRoute::Full`] for a suspect whose pair has no room.
-    fn narrow(
-        &mut self,
-        now: Duration,
-        req: &RouteRequest<'_>,
-        bound: f64,
-    ) -> Result<(), NoRoute> {
+    fn narrow(&mut self, now: Duration, req: &RouteRequest<'_>, bound: f64) -> Result<(), NoRoute> {
         if matches!(
             self.cfg.method,
             Method::FingerprintPair | Method::PrefixPair
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -46,6 +46,9 @@
         election_min: Duration = ["consensus", "election_min_ms", "ms", Some("300"), 20, 60_000],
         /// Longest time without a leader before an election.
         election_max: Duration = ["consensus", "election_max_ms", "ms", Some("600"), 20, 120_000],
+        /// Shortest time without a leader before an election after a start of this member. It may
+        /// be shorter than election_min_ms: members that hear from a leader refuse the election.
+        first_election: Duration = ["consensus", "first_election_ms", "ms", Some("300"), 20, 60_000],
         /// Bytes of log after which a snapshot is taken.
         snapshot_log_bytes: u64 = ["consensus", "snapshot_log_bytes", "bytes", Some("67108864"), 65_536, 1_073_741_824],
         /// Log entries below a snapshot that stay in memory for members that are a little behind.
--- a/crates/wire/src/session/link.rs
+++ b/crates/wire/src/session/link.rs
@@ -22,12 +22,15 @@
 
 /// First pause before a new attempt.
 const BACKOFF_MIN: Duration = Duration::from_millis(50);
-/// Longest pause before a new attempt; within it a returned peer is found
-/// again well before a 3 s lease ends.
-const BACKOFF_MAX: Duration = Duration::from_millis(500);
+/// Longest pause before a new attempt. Until a control member is found again
+/// after an outage, a router has no tokens and hears of no endpoint.
+const BACKOFF_MAX: Duration = Duration::from_millis(200);
+/// Wait for a connection at the first attempt, doubled at each further one. A
+/// host without power doesn't answer, and may be back right after the attempt.
+const CONNECT_MIN: Duration = Duration::from_millis(200);
 /// Longest wait for a connection. A segment lost in a cut is sent again by the
 /// kernel after 1 s; a new attempt after the cut comes sooner.
-const CONNECT: Duration = Duration::from_millis(800);
+const CONNECT_MAX: Duration = Duration::from_millis(800);
 /// A session that lasted this long resets the pause.
 const STABLE: Duration = Duration::from_secs(5);
 
@@ -92,8 +95,9 @@
     address: SocketAddr,
     identity: &Identity,
     handler: Arc<dyn Handler>,
+    wait: Duration,
 ) -> Result<Arc<Session>, SessionError> {
-    let stream = timeout(CONNECT, TcpStream::connect(address))
+    let stream = timeout(wait, TcpStream::connect(address))
         .await
         .unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
     // Small frames such as votes must not wait for a full segment.
@@ -110,11 +114,13 @@
     tx: watch::Sender<Option<Arc<Session>>>,
 ) {
     let mut backoff = BACKOFF_MIN;
+    let mut wait = CONNECT_MIN;
     loop {
-        match dial(address, &identity, handler.clone()).await {
+        match dial(address, &identity, handler.clone(), wait).await {
             Ok(session) => {
                 info!(log, "peer session open"; "address" => %address, "peer" => &session.peer().node);
                 let opened = tokio::time::Instant::now();
+                wait = CONNECT_MIN;
                 tx.send_replace(Some(session.clone()));
                 session.ended().await;
                 tx.send_replace(None);
@@ -125,6 +131,7 @@
             }
             Err(err) => {
                 debug!(log, "can't open a peer session"; "address" => %address, "error" => %err);
+                wait = (wait * 2).min(CONNECT_MAX);
             }
         }
         // Without jitter all routers would dial a returned member at once.
