Tell a full link of the router from dead endpoints; spread unseen work evenly

And a router hears the work of 10 of 74 others and scaled it up sevenfold: one prompt of a peer looked like a queue of two seconds.

Change: the shortest time in which a connection opened within 100 ms is the delay of the link. From 100 ms on, a connection that does not open counts against no endpoint. The work of routers that are no peers counts as spread evenly over the engines.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -473,7 +473,8 @@
     }
 
     /// Takes the work that a peer has at engines. Where only some routers are
-    /// peers, they stand for the others.
+    /// peers, the work of the others counts as spread evenly over the engines of
+    /// a service: scaled up, a single prompt of a peer would look like a queue.
     pub fn peer_work(&mut self, now: Duration, peer: &str, work: Vec<Work>) {
         self.peers
             .retain(|(name, at, _)| name != peer && now.saturating_sub(*at) < PEER_AGE);
@@ -485,7 +486,6 @@
             };
         }
         let peers = std::mem::take(&mut self.peers);
-        let scale = (self.routers.saturating_sub(1)).max(peers.len()) as f64 / peers.len() as f64;
         for (_, at, work) in &peers {
             let age = now.saturating_sub(*at).as_secs_f64();
             for w in work {
@@ -494,14 +494,44 @@
                 };
                 for r in 0..RANKS {
                     let backlog = w.backlog[r].as_secs_f64() - age;
-                    ep.others.backlog[r] += backlog.max(0.0) * scale;
+                    ep.others.backlog[r] += backlog.max(0.0);
                     let delay = w.delay[r].as_secs_f64() - age;
                     ep.others.delay[r] = ep.others.delay[r].max(delay);
                 }
-                ep.others.running += f64::from(w.running) * scale;
+                ep.others.running += f64::from(w.running);
             }
         }
+        let unseen = self.routers.saturating_sub(1).saturating_sub(peers.len());
+        let unseen = unseen as f64 / peers.len() as f64;
         self.peers = peers;
+        if unseen > 0.0 {
+            self.spread_unseen(unseen);
+        }
+    }
+
+    /// Adds the work of routers that are no peers, `unseen` times that of peers.
+    fn spread_unseen(&mut self, unseen: f64) {
+        // Sorted by service.
+        let mut sums: Vec<(ServiceName, f64, Others)> = Vec::new();
+        for ep in &self.endpoints {
+            let service = &ep.said.service;
+            let at = match sums.binary_search_by(|(s, ..)| s.cmp(service)) {
+                Ok(at) => at,
+                Err(at) => {
+                    sums.insert(at, (service.clone(), 0.0, Others::default()));
+                    at
+                }
+            };
+            let (_, engines, sum) = &mut sums[at];
+            *engines += 1.0;
+            sum.add(&ep.others, 1.0);
+        }
+        for ep in &mut self.endpoints {
+            let found = sums.binary_search_by(|(s, ..)| s.cmp(&ep.said.service));
+            if let Some((_, engines, sum)) = found.ok().and_then(|at| sums.get(at)) {
+                ep.others.add(sum, unseen / engines);
+            }
+        }
     }
 
     /// Notes that a request was sent to an endpoint.
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -141,6 +141,16 @@
     pub(crate) at: Duration,
 }
 
+impl Others {
+    /// Adds a share of other work. Delays are no sums and stay as they are.
+    pub(crate) fn add(&mut self, work: &Self, share: f64) {
+        for (own, more) in self.backlog.iter_mut().zip(work.backlog) {
+            *own += more * share;
+        }
+        self.running += work.running * share;
+    }
+}
+
 impl Endpoint {
     pub(crate) fn new(now: Duration, said: Announcement) -> Self {
         Self {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,12 +3,15 @@
 //! `endpoint` holds what a router knows about one endpoint, `health` judges it
 //! by the outcomes of its requests, `cache` estimates which prompt parts its
 //! memory holds, `dispatcher` chooses, `retry` limits repeats to a share of the
-//! requests, and `shed` says what a busy router refuses. Nothing here reads a clock or does input or output.
+//! requests, `shed` says what a busy router refuses, and `link` tells a full link
+//! of the router from dead endpoints. Nothing here reads a clock or does input or
+//! output.
 
 mod cache;
 mod dispatcher;
 mod endpoint;
 mod health;
+mod link;
 mod retry;
 mod shed;
 
@@ -25,5 +28,7 @@
 pub use endpoint::PromptRead;
 pub use endpoint::RANKS;
 pub use endpoint::Work;
+pub use link::LINK_EVERY;
+pub use link::LinkDelay;
 pub use retry::RepeatBudget;
 pub use shed::Shedder;
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -188,10 +188,21 @@
     max_idle: Duration,
 }
 
+/// Takes note of connections that a client opens.
+pub trait ConnectObserver: Send + Sync {
+    /// One was open, or given up, after a time.
+    fn opened(&self, took: Duration);
+}
+
 impl Conn {
-    async fn open(addr: SocketAddr, limits: &Limits) -> Result<Self, ClientError> {
-        let connect = tokio::time::timeout(limits.connect, TcpStream::connect(addr));
-        let stream = match connect.await {
+    async fn open(addr: SocketAddr, client: &Client) -> Result<Self, ClientError> {
+        let limits = &client.limits;
+        let started = Instant::now();
+        let connect = tokio::time::timeout(limits.connect, TcpStream::connect(addr)).await;
+        if let Some(observer) = &client.observer {
+            observer.opened(started.elapsed());
+        }
+        let stream = match connect {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(ClientError::Connect(e.to_string())),
             Err(_) => return Err(ClientError::Connect("timed out".into())),
@@ -248,15 +259,34 @@
     idle: Mutex<HashMap<SocketAddr, Vec<Conn>>>,
     limits: Limits,
     max_answer_bytes: usize,
+    observer: Option<Arc<dyn ConnectObserver>>,
 }
 
 impl Client {
     /// Makes a client. Whole answers longer than `max_answer_bytes` fail.
     pub fn new(limits: Limits, max_answer_bytes: usize) -> Arc<Self> {
+        Self::make(limits, max_answer_bytes, None)
+    }
+
+    /// Makes a client that tells how long its connections take to open.
+    pub fn observed(
+        limits: Limits,
+        max_answer_bytes: usize,
+        observer: Arc<dyn ConnectObserver>,
+    ) -> Arc<Self> {
+        Self::make(limits, max_answer_bytes, Some(observer))
+    }
+
+    fn make(
+        limits: Limits,
+        max_answer_bytes: usize,
+        observer: Option<Arc<dyn ConnectObserver>>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             idle: Mutex::new(HashMap::new()),
             limits,
             max_answer_bytes,
+            observer,
         })
     }
 
@@ -346,12 +376,10 @@
         let pooled = if fresh { None } else { self.take_idle(addr) };
         let mut conn = match pooled {
             Some(conn) => conn,
-            None => Conn::open(addr, &self.limits)
-                .await
-                .map_err(|error| SendError {
-                    error,
-                    written: false,
-                })?,
+            None => Conn::open(addr, self).await.map_err(|error| SendError {
+                error,
+                written: false,
+            })?,
         };
         let before = conn.written.load(Ordering::Relaxed);
         let mut response = Box::pin(conn.sender.send_request(req));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -276,6 +276,8 @@
             let outcome = match (&e.error, e.written) {
                 (ClientError::Silent(_), true) if wait < plan.stall() => Outcome::Cancelled,
                 (_, true) => Outcome::Broken,
+                // The router's own link keeps all connections waiting.
+                (_, false) if cx.link.state().is_full() => Outcome::Cancelled,
                 (_, false) => Outcome::Unreachable,
             };
             running.end(outcome);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
 
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::DispatcherConfig;
+use anvilloft_dispatch::LINK_EVERY;
 use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::Limits;
@@ -40,6 +41,7 @@
 use crate::forward::Callers;
 use crate::options::RelayOptions;
 use crate::purse::Purse;
+use crate::shared::Link;
 use crate::shared::Repeats;
 use crate::shared::Shared;
 
@@ -128,6 +130,7 @@
             ..Limits::default()
         };
         let dispatcher = DispatcherConfig::new(options.data_centre.clone());
+        let link = Arc::new(Link::default());
         let cx = Arc::new(Shared {
             dialect,
             clock: Clock::start(),
@@ -137,7 +140,8 @@
             shedder: Mutex::default(),
             purse: Purse::new(&options.name, identity.incarnation),
             peers: OnceLock::new(),
-            client: Client::new(limits, MAX_ANSWER_BYTES),
+            client: Client::observed(limits, MAX_ANSWER_BYTES, link.clone()),
+            link,
             bodies: BodyMemory::new(options.max_buffered_bytes, metrics.body_bytes.clone()),
             metrics: Arc::clone(&metrics),
             log: log.clone(),
@@ -177,6 +181,7 @@
         ));
         tokio::spawn(close_idle(Arc::clone(&cx.client)));
         tokio::spawn(measure_lateness(Arc::clone(&cx)));
+        tokio::spawn(measure_link(Arc::clone(&cx)));
         info!(log, "serves callers"; "address" => %address);
         Ok(Self {
             cx,
@@ -246,6 +251,20 @@
     }
 }
 
+/// Measures the delay of the router's link.
+async fn measure_link(cx: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(LINK_EVERY).await;
+        let before = cx.link.state();
+        cx.link.end_interval();
+        let after = cx.link.state();
+        if before.is_full() != after.is_full() {
+            info!(cx.log, "link"; "full" => after.is_full(),
+                "delay_ms" => after.delay().as_millis() as u64);
+        }
+    }
+}
+
 async fn close_idle(client: Arc<Client>) {
     loop {
         tokio::time::sleep(IDLE_EVERY).await;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -9,10 +9,12 @@
 use std::sync::atomic::Ordering;
 
 use anvilloft_dispatch::Dispatcher;
+use anvilloft_dispatch::LinkDelay;
 use anvilloft_dispatch::RepeatBudget;
 use anvilloft_dispatch::Shedder;
 use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::client::Client;
+use anvilloft_gateway::client::ConnectObserver;
 use anvilloft_gateway::metrics::Metrics;
 use anvilloft_routes::RouteTable;
 use anvilloft_types::Clock;
@@ -77,6 +79,28 @@
     }
 }
 
+/// The router's own link, as its connections to endpoints show it.
+#[derive(Default)]
+pub(crate) struct Link(Mutex<LinkDelay>);
+
+impl Link {
+    /// Returns the state of the last interval.
+    pub(crate) fn state(&self) -> LinkDelay {
+        *lock(&self.0)
+    }
+
+    /// Ends an interval.
+    pub(crate) fn end_interval(&self) {
+        lock(&self.0).end_interval();
+    }
+}
+
+impl ConnectObserver for Link {
+    fn opened(&self, took: Duration) {
+        lock(&self.0).opened(took);
+    }
+}
+
 /// What all requests share.
 pub(crate) struct Shared {
     pub(crate) options: RelayOptions,
@@ -86,6 +110,7 @@
     pub(crate) dispatcher: Mutex<Dispatcher>,
     pub(crate) repeats: Mutex<Repeats>,
     pub(crate) shedder: Mutex<Shedder>,
+    pub(crate) link: Arc<Link>,
     pub(crate) purse: Purse,
     /// Sessions with peers, once the control thread has made them.
     pub(crate) peers: OnceLock<Arc<FleetPeers>>,
