--- a/crates/cli/tests/workdir/mod.rs
+++ b/crates/cli/tests/workdir/mod.rs
@@ -78,6 +78,16 @@
             for host in controls.chain((0..routers).map(|n| format!("r{n}"))) {
                 work.put_proxy(&host, net);
             }
+            for n in 0..routers {
+                let listener = free_listener();
+                let front = listener.local_addr().unwrap();
+                net.carry_callers(
+                    &format!("r{n}"),
+                    listener,
+                    work.addr(&format!("r{n}-caller")),
+                );
+                work.ports.insert(format!("r{n}-front"), front);
+            }
         }
         for n in 0..controls {
             work.write_control(n, controls, n == 0);
@@ -226,11 +236,32 @@
         Command::new("kill").args(["-KILL", &id]).status().unwrap();
     }
 
+    /// Sends a signal, such as `STOP`, to a process that runs.
+    pub(crate) fn signal(&self, name: &str, signal: &str) {
+        let id = self.processes[name].id().to_string();
+        let signal = format!("-{signal}");
+        Command::new("kill").args([&signal, &id]).status().unwrap();
+    }
+
+    /// Returns the exit code of a process that has ended by itself.
+    pub(crate) fn ended(&mut self, name: &str) -> Option<Option<i32>> {
+        let status = self.processes.get_mut(name)?.try_wait().unwrap()?;
+        self.processes.remove(name);
+        Some(status.code())
+    }
+
+    /// Returns what the administration API of all control members needs: their
+    /// addresses and the operator's key.
+    pub(crate) fn admin(&self, controls: usize) -> (Vec<SocketAddr>, String) {
+        let addrs = (0..controls).map(|n| self.addr(&format!("c{n}-admin")));
+        let key = fs::read_to_string(self.path("op.key")).unwrap();
+        (addrs.collect(), key.trim().to_owned())
+    }
+
     /// Sends SIGTERM and returns the exit code.
     pub(crate) fn terminate(&mut self, name: &str) -> Option<i32> {
+        self.signal(name, "TERM");
         let mut child = self.processes.remove(name).unwrap();
-        let id = child.id().to_string();
-        Command::new("kill").args(["-TERM", &id]).status().unwrap();
         let start = Instant::now();
         while start.elapsed() < LIMIT * 2 {
             if let Some(status) = child.try_wait().unwrap() {
@@ -248,6 +279,19 @@
         fs::read_to_string(self.path(&format!("{name}.log"))).unwrap()
     }
 
+    /// Copies the logs of all processes to `target/NAME`, for a later look.
+    pub(crate) fn keep_logs(&self, name: &str) {
+        let to = Self::binary("anvilloft").with_file_name("..").join(name);
+        fs::create_dir_all(&to).unwrap();
+        for entry in fs::read_dir(self.dir.path()).unwrap().flatten() {
+            let from = entry.path();
+            if from.extension().is_some_and(|e| e == "log") {
+                fs::copy(&from, to.join(entry.file_name())).unwrap();
+            }
+        }
+        eprintln!("logs are in {}", to.display());
+    }
+
     /// Prints the last lines of each process, for the report of a failure.
     fn print_logs(&self) {
         for entry in fs::read_dir(self.dir.path())
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -80,6 +80,8 @@
     path: String,
     headers: Vec<(String, String)>,
     body: Vec<u8>,
+    /// Whether the connection is used again.
+    kept: bool,
 }
 
 impl Call {
@@ -99,9 +101,17 @@
             path: path.into(),
             headers: vec![("content-type".into(), "application/json".into())],
             body: body.into(),
+            kept: false,
         }
     }
 
+    /// Asks the other side to keep the connection after the answer.
+    #[must_use]
+    pub fn kept(mut self) -> Self {
+        self.kept = true;
+        self
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
@@ -117,11 +127,14 @@
 
     fn encode(&self, addr: SocketAddr) -> Vec<u8> {
         let mut head = format!(
-            "{} {} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\ncontent-length: {}\r\n",
+            "{} {} HTTP/1.1\r\nhost: {addr}\r\ncontent-length: {}\r\n",
             self.method,
             self.path,
             self.body.len()
         );
+        if !self.kept {
+            head.push_str("connection: close\r\n");
+        }
         for (name, value) in &self.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -214,6 +227,35 @@
         }
     }
 
+    /// Sends another request on the connection, after a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection has ended.
+    pub async fn again(&mut self, call: &Call) -> io::Result<()> {
+        self.raw.clear();
+        let addr = self.stream.peer_addr()?;
+        self.stream.write_all(&call.encode(addr)).await
+    }
+
+    /// Reads until the answer is whole, the connection ends or `limit` passes.
+    pub async fn read_answer(&mut self, limit: Duration) -> Reply {
+        let until = tokio::time::Instant::now() + limit;
+        let mut buf = vec![0; 65536];
+        loop {
+            let reply = self.reply();
+            if reply.status != 0 && reply.complete {
+                return reply;
+            }
+            match tokio::time::timeout_at(until, self.stream.read(&mut buf)).await {
+                Ok(Ok(n)) if n > 0 && self.raw.len() < MAX_ANSWER => {
+                    self.raw.extend_from_slice(&buf[..n]);
+                }
+                _ => return self.reply(),
+            }
+        }
+    }
+
     /// Returns what came so far.
     pub fn reply(&self) -> Reply {
         parse(&self.raw)
