Take signals over before callers are served; refuse lower ranks at a full link

Reading the code showed a fault beside it: a router took signals over after it had begun to serve callers, so a stop in between cut requests off.

Change: streams of the second and third rank are refused by the delay of the link, before their bodies are read. The first rank never is.

--- a/crates/cli/tests/workdir/mod.rs
+++ b/crates/cli/tests/workdir/mod.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Workdir {
     dir: tempfile::TempDir,
     processes: HashMap<String, Child>,
+    /// Length of each process's log when it was started.
+    logged: HashMap<String, usize>,
     ports: HashMap<String, SocketAddr>,
     /// Secret of the team's key.
     pub(crate) key: String,
@@ -54,6 +56,7 @@
         let mut work = Self {
             dir: tempfile::tempdir().unwrap(),
             processes: HashMap::new(),
+            logged: HashMap::new(),
             ports: HashMap::new(),
             key: String::new(),
         };
@@ -192,6 +195,7 @@
             .append(true)
             .open(self.path(&format!("{name}.log")))
             .unwrap();
+        self.logged.insert(name.to_owned(), self.log(name).len());
         let child = Command::new(Self::binary(binary))
             .args(args)
             .stdin(Stdio::null())
@@ -243,6 +247,12 @@
         Command::new("kill").args([&signal, &id]).status().unwrap();
     }
 
+    /// Whether a process has logged since its start. One that has not takes no
+    /// signals yet.
+    pub(crate) fn is_up(&self, name: &str) -> bool {
+        self.log(name).len() > self.logged[name]
+    }
+
     /// Returns the exit code of a process that has ended by itself.
     pub(crate) fn ended(&mut self, name: &str) -> Option<Option<i32>> {
         let status = self.processes.get_mut(name)?.try_wait().unwrap()?;
--- a/crates/dispatch/src/link.rs
+++ b/crates/dispatch/src/link.rs
@@ -8,9 +8,15 @@
 //!
 //! The shortest time of an interval counts: a full link delays all connections,
 //! and an endpoint that is dead or full only its own.
+//!
+//! While the link is full, streams of the lower ranks are refused before their
+//! bodies are read, the least urgent ones first. The first rank never is: its
+//! callers come back to the same router and would send their bodies twice.
 
 use anvilloft_types::prelude::*;
 
+use crate::endpoint::rank;
+
 /// Interval over which the delay is measured.
 pub const LINK_EVERY: Duration = Duration::from_millis(100);
 /// Connections in an interval below which they say nothing. A router whose link
@@ -20,6 +26,11 @@
 const FADE: f64 = 0.8;
 /// Delay from which the link counts as full: thirty round trips within a city.
 const FULL: Duration = Duration::from_millis(100);
+/// Delay, in milliseconds, at which streams of a rank begin to be refused, and at
+/// which all are, from the second rank on: a tenth to a third of the shortest
+/// objective, as urgent streams wait behind what is accepted.
+const RAMPS: [(f64, f64); 2] = [(150.0, 450.0), (50.0, 150.0)];
+
 /// Times in which connections to endpoints opened.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LinkDelay {
@@ -56,4 +67,13 @@
     pub fn is_full(&self) -> bool {
         self.delay >= FULL
     }
+
+    /// Whether a stream of a rank is refused; `draw` is uniform from 0 to 1.
+    pub fn refuses(&self, level: u8, draw: f64) -> bool {
+        let Some(lower) = rank(level).checked_sub(1) else {
+            return false;
+        };
+        let (from, to) = RAMPS[lower.min(RAMPS.len() - 1)];
+        draw < (self.delay.as_secs_f64() * 1e3 - from) / (to - from)
+    }
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -191,6 +191,10 @@
         if shedder.refuses(route.level, rand::random()) {
             return Err(busy(shedder.late()));
         }
+        let link = cx.link.state();
+        if link.refuses(route.level, rand::random()) {
+            return Err(busy(link.delay()));
+        }
     }
     let service = route
         .pick(rand::random())
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The process around a router: settings, log and signals.
 
+use std::io;
 use std::path::Path;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use prometheus::IntCounter;
 use quick_error::quick_error;
 use slog::Logger;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -168,6 +170,11 @@
         },
         dropped.clone(),
     );
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    // Before callers are served: a signal that comes first must not cut them off.
+    let signals = runtime.block_on(async { Signals::listen() })?;
     let router = start(&settings, &log)?;
     router
         .metrics()
@@ -175,35 +182,52 @@
         .register(Box::new(dropped))
         .map_err(RouterError::Metrics)?;
     slog::info!(log, "serves callers"; "address" => %router.address());
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(until_stopped(router, settings.drain_limit))
+    runtime.block_on(until_stopped(router, signals, settings.drain_limit))
+}
+
+/// The signals that ask the process to stop.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over. Must be called within a tokio runtime.
+    fn listen() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for the next one.
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
 }
 
 /// Waits for a signal, drains, and stops early at a second signal.
-async fn until_stopped(router: Router, limit: Duration) -> Result<(), DaemonError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+async fn until_stopped(
+    router: Router,
+    mut signals: Signals,
+    limit: Duration,
+) -> Result<(), DaemonError> {
     let mut phase = router.phase();
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = signals.next() => {}
         _ = phase.wait_for(|p| *p == Phase::Superseded) => {
             // Work in flight ends; nothing new is taken.
-            router.drain_until(limit, async move {
-                terminate.recv().await;
-            }).await;
+            router.drain_until(limit, async move { signals.next().await }).await;
             return Err(DaemonError::Superseded);
         }
     }
-    let second = async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    };
-    if router.drain_until(limit, second).await {
+    if router
+        .drain_until(limit, async move { signals.next().await })
+        .await
+    {
         Ok(())
     } else {
         Err(DaemonError::Interrupted)
