--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -4,8 +4,8 @@
 //! both by proxies, and stops, freezes, kills and restarts processes by signals;
 //! faults come in series and overlap. Callers send chats and orders over
 //! connections that they keep until a router closes them, and an operator tops
-//! the budget up. What callers and the operator see is
-//! checked while it runs, and sums once everything is mended.
+//! the budget up. What they see is checked while it runs, and sums once everything
+//! is mended.
 //!
 //! `ANVILLOFT_SOAK_SEEDS` (such as `1,7` or `100-149`) and `ANVILLOFT_SOAK_MS`
 //! replace the seeds and the time of the faults.
@@ -37,8 +37,7 @@
 const ROUTERS: usize = 3;
 const CLIENTS: usize = 6;
 /// Seeds of each run in CI: one of no history, and those that ever failed.
-/// 114, 142 and 146: SIGTERM right after a start ended the process, whose
-/// handlers were not there yet; a router's came after it had begun to serve.
+/// 114, 142 and 146: SIGTERM came before a process had installed its handlers.
 const SEEDS: [u64; 4] = [1, 114, 142, 146];
 /// Usual time of the faults of a seed.
 const FAULTS_MS: u64 = 8_000;
@@ -382,7 +381,7 @@
 }
 
 /// Returns what does not hold once everything is mended.
-async fn faults_at_rest(work: &Workdir, seen: &Seen) -> Vec<String> {
+async fn broken_at_rest(work: &Workdir, seen: &Seen) -> Vec<String> {
     let mut broken = Vec::new();
     for n in 0..ROUTERS {
         let router = format!("r{n}-caller");
@@ -468,7 +467,7 @@
     }
     let mut seen = std::mem::take(&mut *seen.lock().unwrap());
     seen.broken.extend(broken);
-    let broken = faults_at_rest(&work, &seen).await;
+    let broken = broken_at_rest(&work, &seen).await;
     seen.broken.extend(broken);
     if !seen.broken.is_empty() {
         work.keep_logs(&format!("soak-{seed}"));
--- a/crates/ledger/src/suspects.rs
+++ b/crates/ledger/src/suspects.rs
@@ -57,7 +57,8 @@
 }
 
 impl Suspect {
-    /// Takes a strike. Returns whether it is the death of a second endpoint.
+    /// Takes a strike. Returns whether the request is to be quarantined: a second
+    /// endpoint died, or one that ran it under its permit.
     fn strike(&mut self, c: &Strike, now_ms: u64) -> bool {
         if self.until_ms > 0 {
             return false;
@@ -180,8 +181,8 @@
             .suspect(f, now_ms)
             .map(|s| s.strike(c, now_ms))
         {
-            Ok(second) => {
-                if second {
+            Ok(quarantine) => {
+                if quarantine {
                     self.suspects.quarantine(&f, now_ms, condemn_ms);
                 }
                 Reply::Ok(OkReply {})
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -268,10 +268,10 @@
         self.attempts.len() as f64 + self.others
     }
 
-    /// Returns the load with one more request, as a share of the usable slots;
-    /// `add` corrects it by requests.
-    pub(crate) fn next_load(&self, add: f64) -> f64 {
-        (self.load() + 1.0 + add) / f64::from(self.usable().max(1))
+    /// Whether one more request keeps the load within `bound`, a share of the
+    /// usable slots, and `extra` requests beyond it.
+    pub(crate) fn keeps_within(&self, bound: f64, extra: f64) -> bool {
+        (self.load() + 1.0 - extra) / f64::from(self.usable().max(1)) <= bound
     }
 
     pub(crate) fn own(&self) -> u32 {
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -314,7 +314,7 @@
             // Urgent work keeps to the pair only where a slot is surely free.
             let own = c.tier < 2 && (loose || req.level > 0);
             let tier = own || (c.tier < UNHEALTHY && (loose || req.suspect));
-            let even = req.suspect || ep.next_load(-PAIR_IMBALANCE) <= bound;
+            let even = req.suspect || ep.keeps_within(bound, PAIR_IMBALANCE);
             pair.contains(&Some(c.at)) && tier && even
         };
         if !self.candidates.iter().any(fits) {
@@ -368,7 +368,7 @@
         at: usize,
         bound: f64,
     ) -> f64 {
-        if ep.next_load(0.0) > bound {
+        if !ep.keeps_within(bound, 0.0) {
             return 0.0;
         }
         let known = ep.cached(now, prefix);
