Wait for the end of a request's story in the relay's tests

Its story, printed by the failure, ends with the choice of the endpoint: the test read the log, which a queue writes, once any refusal of the request was there. The request had been refused before, as it is sent until the relay knows an endpoint.

Change: a test waits for the cause that it expects; its checks are as they were.

Ruled out: a fault of the relay: the caller had its 502, and the line comes later.

--- a/crates/relay/tests/relay/stories.rs
+++ b/crates/relay/tests/relay/stories.rs
@@ -41,13 +41,15 @@
 }
 
 impl Log {
-    /// Returns the story of a request once its end is written.
-    async fn story(&self, id: &str) -> Story {
+    /// Returns the story of a request once its end is written, which begins with
+    /// `cause`. An earlier refusal of the same request is no end: it is sent until
+    /// the relay knows an endpoint.
+    async fn story(&self, id: &str, cause: &str) -> Story {
         let read = || {
             let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
             Story::read(id, text.lines())
         };
-        eventually("the end is written", || !read().cause.is_empty()).await;
+        eventually("the end is written", || read().cause.starts_with(cause)).await;
         read()
     }
 }
@@ -92,7 +94,7 @@
             break;
         }
     }
-    let story = log.story(&id).await;
+    let story = log.story(&id, "host r0 was cut off from control").await;
     let cut = story.lines.iter().find(|l| l.msg == "control").unwrap();
     let expected = format!("host r0 was cut off from control since {}: ", cut.ts);
     assert!(story.cause.starts_with(&expected), "{story:?}");
@@ -114,8 +116,8 @@
     fleet.announce("e", broken.addr, "engines");
     let reply = fleet.send(0, "/stream/x", "s-1").await;
     assert!(!reply.complete);
-    let story = log.story("s-1").await;
     let expected = "endpoint e broke off after 1 events";
+    let story = log.story("s-1", expected).await;
     assert!(story.cause.starts_with(expected), "{story:?}");
 }
 
@@ -127,7 +129,7 @@
     fleet.announce("shop", broken.addr, "plain");
     let reply = fleet.send(0, "/once/x", "order-1").await;
     assert_eq!(reply.status, 502, "{}", reply.text());
-    let story = log.story("order-1").await;
     let expected = "endpoint shop failed after it got the request";
+    let story = log.story("order-1", expected).await;
     assert!(story.cause.starts_with(expected), "{story:?}");
 }
