Find out in the ledger what crashes endpoints, and quarantine it

Cause: a request that crashes each endpoint that begins to answer it was sent to one endpoint after the other. When a shared part of its prompt is the reason, no two such requests are alike, so strikes against single requests see nothing.

Change: a command reports a crashed endpoint with the requests that waited there for an answer to begin, each with its fingerprint and those of its shared parts. The ledger counts, for each of these traits, the endpoints that crashed, and quarantines the one that explains the crashes best after 3 of them, or after 6 if a request with it was ever answered. Endpoints that fail within 100 ms count once. Explained crashes speak against nothing else, so parts that sound requests share stay free. Copies of one request say nothing about its parts.

Evidence: crates/ledger/tests/crashes.rs, 11 cases of crashes and the bounds.

--- /dev/null
+++ b/crates/ledger/src/crashes.rs
@@ -0,0 +1,373 @@
+//! Finds out which requests crash endpoints, and quarantines them.
+//!
+//! A request that crashes an endpoint takes others down with it, so one crash says
+//! little about any of them. What they have in common with the requests of other
+//! crashes says more: a part of the prompt, or the whole request if its caller sends
+//! it again. Such a trait is quarantined once enough endpoints crashed while requests
+//! with it waited for their answers to begin. Then the crashes are explained, and the
+//! other traits that were seen there are cleared of them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use anvilloft_types::EndpointId;
+use anvilloft_types::Fingerprint;
+use anvilloft_types::Incarnation;
+use anvilloft_wire::command::Crash as CrashReport;
+use anvilloft_wire::command::Quarantined;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::command::ReportCrashes;
+use anvilloft_wire::command::RequestTrait;
+
+use crate::code;
+use crate::code::refused;
+use crate::ledger::Ledger;
+use crate::ledger::has_elapsed;
+use crate::validate::check_name;
+
+/// Time for which a crash counts, in milliseconds.
+const CRASH_RETENTION_MS: u64 = 600_000;
+/// Maximum number of crashes that are kept; the oldest are dropped first.
+const MAX_CRASHES: usize = 64;
+/// Maximum number of traits that are kept of one crash. Further ones stay unsuspected.
+const MAX_TRAITS: usize = 256;
+/// Maximum number of crashes in one report.
+const MAX_REPORTED: usize = 64;
+/// Maximum number of quarantined traits. The longest quarantined are released first.
+const MAX_QUARANTINED: usize = 1_024;
+/// Crashes after which a trait is quarantined if no request with it was answered.
+const MIN_CRASHES: usize = 3;
+/// The same if some request with it was answered, so that it's harmless as far as is
+/// known: many requests share it, so it's present at most crashes.
+const MIN_CRASHES_ANSWERED: usize = 6;
+/// Different requests with a part that must have waited at crashed endpoints before
+/// the part is quarantined. Copies of one request say nothing about its parts.
+const MIN_REQUESTS: usize = 2;
+/// Time within which crashes count as one, in milliseconds. Endpoints that fail
+/// together, such as those of one rack, fail for a reason that they share.
+const SAME_CAUSE_MS: u64 = 100;
+
+/// A trait of the requests that waited at an endpoint when it crashed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Suspect {
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) fingerprint: Vec<u8>,
+    #[prost(bool, tag = "2")]
+    pub(crate) answered: bool,
+    /// Place of a part in the prompt; those that more requests share are first.
+    #[prost(uint32, tag = "3")]
+    pub(crate) place: u32,
+    /// Fingerprints of some requests with a part, at most [`MIN_REQUESTS`]. Empty for
+    /// a whole request.
+    #[prost(bytes = "vec", repeated, tag = "4")]
+    pub(crate) requests: Vec<Vec<u8>>,
+}
+
+impl Suspect {
+    fn is_part(&self) -> bool {
+        !self.requests.is_empty()
+    }
+}
+
+/// What is known to have crashed an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum Explanation {
+    /// Nothing.
+    None = 0,
+    /// A request. A part of its prompt may be the deeper cause.
+    Request = 1,
+    /// A part of a prompt.
+    Part = 2,
+}
+
+/// An endpoint that crashed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Crash {
+    #[prost(uint64, tag = "1")]
+    pub(crate) at_ms: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) endpoint: EndpointId,
+    #[prost(uint64, tag = "3")]
+    pub(crate) incarnation: Incarnation,
+    /// Sorted by fingerprint, without those that the explanation clears.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) suspects: Vec<Suspect>,
+    #[prost(enumeration = "Explanation", tag = "5")]
+    pub(crate) explanation: i32,
+}
+
+impl Crash {
+    fn suspect(&self, f: &[u8]) -> Option<&Suspect> {
+        let found = self
+            .suspects
+            .binary_search_by(|s| s.fingerprint.as_slice().cmp(f));
+        found.ok().and_then(|at| self.suspects.get(at))
+    }
+
+    /// Adds a trait of a request, unless the crash is explained without it.
+    fn add(&mut self, t: &RequestTrait, place: u32, part_of: Option<&[u8]>) {
+        let is_cleared = match self.explanation() {
+            Explanation::None => false,
+            Explanation::Request => part_of.is_none(),
+            Explanation::Part => true,
+        };
+        if is_cleared || Fingerprint::try_from(t.fingerprint.as_slice()).is_err() {
+            return;
+        }
+        let found = self
+            .suspects
+            .binary_search_by(|s| s.fingerprint.cmp(&t.fingerprint));
+        let at = match found {
+            Ok(at) => at,
+            Err(_) if self.suspects.len() >= MAX_TRAITS => return,
+            Err(at) => {
+                let suspect = Suspect {
+                    fingerprint: t.fingerprint.clone(),
+                    ..Suspect::default()
+                };
+                self.suspects.insert(at, suspect);
+                at
+            }
+        };
+        let Some(suspect) = self.suspects.get_mut(at) else {
+            return;
+        };
+        suspect.answered |= t.answered;
+        suspect.place = suspect.place.max(place);
+        if let Some(request) = part_of
+            && suspect.requests.len() < MIN_REQUESTS
+            && !suspect.requests.iter().any(|r| r == request)
+        {
+            suspect.requests.push(request.to_vec());
+        }
+    }
+
+    /// Takes a suspect as the cause, which clears the others. A request doesn't clear
+    /// the parts of its prompt.
+    fn explain(&mut self, f: &Fingerprint) {
+        match self.suspect(f).map(Suspect::is_part) {
+            None => {}
+            Some(true) => {
+                self.suspects.clear();
+                self.set_explanation(Explanation::Part);
+            }
+            Some(false) => {
+                self.suspects.retain(Suspect::is_part);
+                self.set_explanation(Explanation::Request);
+            }
+        }
+    }
+}
+
+/// A trait whose requests are or were refused.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Quarantine {
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) fingerprint: Vec<u8>,
+    /// Ledger time from which requests with the trait may run again. One more crash
+    /// quarantines it again.
+    #[prost(uint64, tag = "2")]
+    pub(crate) until_ms: u64,
+}
+
+/// How strongly crashes speak against a trait.
+#[derive(Clone, Debug, Default)]
+struct Evidence<'a> {
+    crashes: usize,
+    last_at_ms: u64,
+    answered: bool,
+    place: u32,
+    /// Different requests with a part. Empty for a whole request.
+    requests: Vec<&'a [u8]>,
+}
+
+impl<'a> Evidence<'a> {
+    fn add(&mut self, crash: &Crash, s: &'a Suspect) {
+        self.answered |= s.answered;
+        self.place = self.place.max(s.place);
+        for request in &s.requests {
+            if !self.requests.contains(&request.as_slice()) {
+                self.requests.push(request);
+            }
+        }
+        let since_last = crash.at_ms.saturating_sub(self.last_at_ms);
+        if self.crashes == 0 || since_last >= SAME_CAUSE_MS {
+            self.crashes += 1;
+            self.last_at_ms = crash.at_ms;
+        }
+    }
+
+    fn is_sufficient(&self) -> bool {
+        let min_crashes = match self.answered {
+            true => MIN_CRASHES_ANSWERED,
+            false => MIN_CRASHES,
+        };
+        let is_copies_of_one = !self.requests.is_empty() && self.requests.len() < MIN_REQUESTS;
+        self.crashes >= min_crashes && !is_copies_of_one
+    }
+
+    /// Orders traits: the one that explains the crashes best is the largest.
+    fn rank(&self) -> (bool, usize, bool, u32) {
+        let is_part = !self.requests.is_empty();
+        (!self.answered, self.crashes, is_part, self.place)
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Crashes {
+    /// In the order in which they were reported first.
+    pub(crate) crashes: VecDeque<Crash>,
+    pub(crate) quarantines: BTreeMap<Fingerprint, Quarantine>,
+}
+
+impl Crashes {
+    /// Returns the traits whose requests are refused.
+    pub(crate) fn quarantined(&self, now_ms: u64) -> Vec<Fingerprint> {
+        self.quarantines
+            .iter()
+            .filter(|(_, q)| now_ms < q.until_ms)
+            .map(|(f, _)| *f)
+            .collect()
+    }
+
+    /// Records what one router saw of a crash.
+    fn record(&mut self, report: &CrashReport, now_ms: u64) {
+        let known = self.crashes.iter().position(|c| {
+            c.endpoint == report.endpoint && c.incarnation == report.endpoint_incarnation
+        });
+        let at = known.unwrap_or_else(|| {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.pop_front();
+            }
+            self.crashes.push_back(Crash {
+                at_ms: now_ms,
+                endpoint: report.endpoint.clone(),
+                incarnation: report.endpoint_incarnation,
+                suspects: Vec::new(),
+                explanation: Explanation::None.into(),
+            });
+            self.crashes.len() - 1
+        });
+        let Some(crash) = self.crashes.get_mut(at) else {
+            return;
+        };
+        for request in &report.requests {
+            let Some(whole) = &request.whole else {
+                continue;
+            };
+            crash.add(whole, 0, None);
+            for (place, part) in (0..).zip(&request.parts) {
+                crash.add(part, place, Some(&whole.fingerprint));
+            }
+        }
+    }
+
+    fn evidence(&self, f: &Fingerprint) -> Evidence<'_> {
+        let mut evidence = Evidence::default();
+        for crash in &self.crashes {
+            if let Some(s) = crash.suspect(f) {
+                evidence.add(crash, s);
+            }
+        }
+        evidence
+    }
+
+    /// Returns the one of some traits that explains the crashes best, if the evidence
+    /// suffices.
+    fn culprit(&self, traits: &BTreeSet<Fingerprint>) -> Option<Fingerprint> {
+        traits
+            .iter()
+            .map(|f| (f, self.evidence(f)))
+            .filter(|(_, e)| e.is_sufficient())
+            .max_by_key(|(_, e)| e.rank())
+            .map(|(f, _)| *f)
+    }
+
+    /// Quarantines a trait, and takes the crashes at which it was seen as explained.
+    fn quarantine(&mut self, f: Fingerprint, until_ms: u64) {
+        if self.quarantines.len() >= MAX_QUARANTINED
+            && !self.quarantines.contains_key(&f)
+            && let Some(first) = self
+                .quarantines
+                .iter()
+                .min_by_key(|(_, q)| q.until_ms)
+                .map(|(f, _)| *f)
+        {
+            self.quarantines.remove(&first);
+        }
+        let quarantine = Quarantine {
+            fingerprint: f.to_vec(),
+            until_ms,
+        };
+        self.quarantines.insert(f, quarantine);
+        self.explain(&f);
+    }
+
+    fn explain(&mut self, f: &Fingerprint) {
+        for crash in &mut self.crashes {
+            crash.explain(f);
+        }
+    }
+
+    /// Quarantines those of the reported traits for which the evidence now suffices.
+    fn judge(&mut self, reported: &BTreeSet<Fingerprint>, now_ms: u64, quarantine_ms: u64) {
+        let until_ms = now_ms.saturating_add(quarantine_ms);
+        for f in reported {
+            match self.quarantines.get(f).map(|q| q.until_ms <= now_ms) {
+                None => {}
+                Some(true) => self.quarantine(*f, until_ms),
+                // The request was sent before its quarantine was known.
+                Some(false) => self.explain(f),
+            }
+        }
+        while let Some(f) = self.culprit(reported) {
+            self.quarantine(f, until_ms);
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now_ms: u64, quarantine_ms: u64) {
+        self.crashes
+            .retain(|c| !has_elapsed(now_ms, c.at_ms, CRASH_RETENTION_MS));
+        self.quarantines
+            .retain(|_, q| !has_elapsed(now_ms, q.until_ms, quarantine_ms));
+    }
+}
+
+impl Ledger {
+    pub(crate) fn report_crashes(&mut self, c: &ReportCrashes) -> Reply {
+        if c.crashes.len() > MAX_REPORTED {
+            return refused(
+                code::OUT_OF_RANGE,
+                format!("a report has at most {MAX_REPORTED} crashes"),
+            );
+        }
+        let now_ms = self.now_ms;
+        let quarantine_ms = self.config.value("condemn_ms", "");
+        for crash in &c.crashes {
+            if let Err((code, message)) = check_name(&crash.endpoint) {
+                return refused(code, message);
+            }
+        }
+        for crash in &c.crashes {
+            self.crashes.record(crash, now_ms);
+        }
+        self.crashes.expire(now_ms, quarantine_ms);
+        let requests = c.crashes.iter().flat_map(|c| &c.requests);
+        let reported = requests
+            .flat_map(|r| r.whole.iter().chain(&r.parts))
+            .filter_map(|t| Fingerprint::try_from(t.fingerprint.as_slice()).ok())
+            .collect();
+        self.crashes.judge(&reported, now_ms, quarantine_ms);
+        let fingerprints = self.quarantined_fingerprints();
+        Reply::Quarantined(Quarantined {
+            fingerprints: fingerprints.iter().map(|f| f.to_vec()).collect(),
+        })
+    }
+
+    /// Returns the fingerprints of the traits whose requests are refused.
+    pub fn quarantined_fingerprints(&self) -> Vec<Fingerprint> {
+        self.crashes.quarantined(self.now_ms)
+    }
+}
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -17,6 +17,7 @@
 use crate::code;
 use crate::code::refused;
 use crate::config::Config;
+use crate::crashes::Crashes;
 use crate::orders::Orders;
 use crate::publication::RouteTable;
 use crate::publication::prepaid_team;
@@ -60,6 +61,7 @@
     pub(crate) routers: Routers,
     pub(crate) orders: Orders,
     pub(crate) suspects: Suspects,
+    pub(crate) crashes: Crashes,
     pub(crate) route_table: RouteTable,
 }
 
@@ -82,6 +84,7 @@
             routers: Routers::default(),
             orders: Orders::default(),
             suspects: Suspects::default(),
+            crashes: Crashes::default(),
             route_table: RouteTable::default(),
         }
     }
@@ -121,6 +124,7 @@
             Some(Body::Expire(_)) => self.expire(),
             Some(Body::Publish(c)) => self.publish(c),
             Some(Body::RestoreReserve(c)) => self.restore_reserve(c),
+            Some(Body::ReportCrashes(c)) => self.report_crashes(c),
             None => refused(code::MALFORMED, "the command has no body"),
         };
         CommandReply { reply: Some(reply) }
@@ -195,6 +199,8 @@
             .expire(self.now_ms, self.config.value("order_keep_ms", ""));
         self.suspects
             .expire(self.now_ms, self.config.value("condemn_ms", ""));
+        self.crashes
+            .expire(self.now_ms, self.config.value("condemn_ms", ""));
         Reply::Ok(OkReply {})
     }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 mod changes;
 pub mod code;
 mod config;
+mod crashes;
 mod defaults;
 mod items;
 mod ledger;
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -18,6 +18,8 @@
 use crate::changes::ChangeRecord;
 use crate::changes::ChangeReply;
 use crate::config::Config;
+use crate::crashes::Crash;
+use crate::crashes::Quarantine;
 use crate::ledger::Ledger;
 use crate::ledger::LedgerError;
 use crate::orders::Order;
@@ -80,6 +82,10 @@
     reply_queue: Vec<QueuedReply>,
     #[prost(message, optional, tag = "18")]
     route_table: Option<Publication>,
+    #[prost(message, repeated, tag = "19")]
+    crashes: Vec<Crash>,
+    #[prost(message, repeated, tag = "20")]
+    quarantines: Vec<Quarantine>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -274,6 +280,8 @@
                 .collect(),
             suspects: self.suspects.by_fingerprint.values().cloned().collect(),
             route_table: self.publication_since(0),
+            crashes: self.crashes.crashes.iter().cloned().collect(),
+            quarantines: self.crashes.quarantines.values().cloned().collect(),
         }
     }
 
@@ -349,6 +357,11 @@
             let f = s.fingerprint.as_slice().try_into().map_err(corrupt)?;
             ledger.suspects.insert(f, s);
         }
+        ledger.crashes.crashes = c.crashes.into();
+        for q in c.quarantines {
+            let f = q.fingerprint.as_slice().try_into().map_err(corrupt)?;
+            ledger.crashes.quarantines.insert(f, q);
+        }
         if let Some(t) = c.route_table {
             ledger.route_table = RouteTable {
                 version: t.version,
--- /dev/null
+++ b/crates/ledger/tests/crashes.rs
@@ -0,0 +1,242 @@
+//! Attribution of endpoint crashes to requests and to parts of their prompts.
+
+#![expect(clippy::expect_used, reason = "a failed expectation fails the test")]
+
+mod support;
+
+use anvilloft_ledger::Ledger;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Crash;
+use anvilloft_wire::command::CrashedRequest;
+use anvilloft_wire::command::Expire;
+use anvilloft_wire::command::Reply;
+use anvilloft_wire::command::ReportCrashes;
+use anvilloft_wire::command::RequestTrait;
+use support::apply_at;
+use support::test_ledger;
+
+/// Time between two crashes with causes of their own, in milliseconds.
+const APART_MS: u64 = 1_000;
+
+/// A request at a crashed endpoint: its number, its parts, and those of them that were
+/// answered before.
+struct Seen {
+    whole: u8,
+    parts: &'static [u8],
+    answered: &'static [u8],
+}
+
+fn seen(whole: u8, parts: &'static [u8], answered: &'static [u8]) -> Seen {
+    Seen {
+        whole,
+        parts,
+        answered,
+    }
+}
+
+fn to_trait(n: u8, answered: &[u8]) -> RequestTrait {
+    RequestTrait {
+        fingerprint: vec![n; 16],
+        answered: answered.contains(&n),
+    }
+}
+
+fn crash(endpoint: usize, requests: &[Seen]) -> Body {
+    let requests = requests.iter().map(|r| CrashedRequest {
+        whole: Some(to_trait(r.whole, r.answered)),
+        parts: r.parts.iter().map(|p| to_trait(*p, r.answered)).collect(),
+    });
+    Body::ReportCrashes(ReportCrashes {
+        crashes: vec![Crash {
+            endpoint: format!("e{endpoint}"),
+            endpoint_incarnation: 1,
+            requests: requests.collect(),
+        }],
+    })
+}
+
+fn report(ledger: &mut Ledger, at_ms: u64, body: Body) -> Vec<u8> {
+    match apply_at(ledger, at_ms, body) {
+        Reply::Quarantined(q) => q.fingerprints.iter().map(|f| f[0]).collect(),
+        other => panic!("not a reply to a report: {other:?}"),
+    }
+}
+
+struct Case {
+    name: &'static str,
+    /// Requests seen at each crash.
+    crashes: Vec<Vec<Seen>>,
+    /// Time between two crashes, in milliseconds.
+    apart_ms: u64,
+    /// What is quarantined after the last crash.
+    want: &'static [u8],
+}
+
+/// Guards against a part that crashes one endpoint after the other, and against sound
+/// requests that are refused in its place.
+#[test]
+fn what_crashes_have_in_common_is_quarantined() {
+    // Part 1 is shared by sound requests, part 9 crashes endpoints.
+    let deadly = |whole| seen(whole, &[1, 9], &[1]);
+    let cases = [
+        Case {
+            name: "two crashes are too few",
+            crashes: vec![vec![deadly(101)], vec![deadly(102)]],
+            apart_ms: APART_MS,
+            want: &[],
+        },
+        Case {
+            name: "a part in different requests",
+            crashes: vec![vec![deadly(101)], vec![deadly(102)], vec![deadly(103)]],
+            apart_ms: APART_MS,
+            want: &[9],
+        },
+        Case {
+            name: "a first part that no router saw answered clears nothing",
+            crashes: (101..104).map(|w| vec![seen(w, &[1, 9], &[])]).collect(),
+            apart_ms: APART_MS,
+            want: &[9],
+        },
+        Case {
+            name: "a part among bystanders",
+            crashes: (0..3)
+                .map(|n| {
+                    vec![
+                        deadly(101 + n),
+                        seen(111 + n, &[1, 2], &[1]),
+                        seen(121 + n, &[3], &[3]),
+                    ]
+                })
+                .collect(),
+            apart_ms: APART_MS,
+            want: &[9],
+        },
+        Case {
+            name: "copies of one request",
+            crashes: (0..3).map(|_| vec![deadly(101)]).collect(),
+            apart_ms: APART_MS,
+            want: &[101],
+        },
+        Case {
+            name: "a request without a prompt",
+            crashes: (0..3).map(|_| vec![seen(101, &[], &[])]).collect(),
+            apart_ms: APART_MS,
+            want: &[101],
+        },
+        Case {
+            name: "copies of one request, then others with its part",
+            crashes: vec![
+                vec![deadly(101)],
+                vec![deadly(101)],
+                vec![deadly(101)],
+                vec![deadly(102)],
+            ],
+            apart_ms: APART_MS,
+            want: &[9, 101],
+        },
+        Case {
+            name: "endpoints that fail together",
+            crashes: (101..109).map(|w| vec![seen(w, &[2], &[])]).collect(),
+            apart_ms: 10,
+            want: &[],
+        },
+        Case {
+            name: "crashes without anything in common",
+            crashes: (0..20)
+                .map(|n| vec![seen(100 + n, &[1], &[1])])
+                .take(5)
+                .collect(),
+            apart_ms: APART_MS,
+            want: &[],
+        },
+        Case {
+            name: "a part that was sound before",
+            crashes: (101..107).map(|w| vec![seen(w, &[1], &[1])]).collect(),
+            apart_ms: APART_MS,
+            want: &[1],
+        },
+        Case {
+            name: "two parts",
+            crashes: vec![
+                vec![seen(101, &[1, 8], &[1])],
+                vec![seen(102, &[1, 9], &[1])],
+                vec![seen(103, &[1, 8], &[1])],
+                vec![seen(104, &[1, 9], &[1])],
+                vec![seen(105, &[1, 8], &[1])],
+                vec![seen(106, &[1, 9], &[1])],
+            ],
+            apart_ms: APART_MS,
+            want: &[8, 9],
+        },
+    ];
+    for case in cases {
+        let mut ledger = test_ledger();
+        let mut quarantined = Vec::new();
+        for (n, requests) in case.crashes.iter().enumerate() {
+            let at_ms = (n as u64 + 1) * case.apart_ms;
+            quarantined = report(&mut ledger, at_ms, crash(n, requests));
+            ledger = Ledger::decode(&ledger.encode()).expect("an intact snapshot");
+        }
+        assert_eq!(quarantined, case.want, "{}", case.name);
+    }
+}
+
+/// Guards against one crash that counts several times because several routers saw it.
+#[test]
+fn reports_of_one_crash_are_merged() {
+    let mut ledger = test_ledger();
+    for n in 0..5 {
+        let got = report(
+            &mut ledger,
+            n * APART_MS,
+            crash(0, &[seen(100 + n as u8, &[9], &[])]),
+        );
+        assert!(got.is_empty(), "report {n}");
+    }
+}
+
+/// Guards against a deadly part that is free again for as many crashes as at first.
+#[test]
+fn one_crash_after_the_quarantine_renews_it() {
+    let mut ledger = test_ledger();
+    let quarantine_ms = ledger.config().value("condemn_ms", "");
+    let deadly = |n: u8| crash(usize::from(n), &[seen(100 + n, &[1, 9], &[1])]);
+    for n in 0..3 {
+        report(&mut ledger, u64::from(n) * APART_MS, deadly(n));
+    }
+    let end_ms = 2 * APART_MS + quarantine_ms;
+    let late = report(&mut ledger, end_ms - 1, deadly(3));
+    assert_eq!(late, [9], "a request that was sent before it was known");
+    apply_at(&mut ledger, end_ms, Body::Expire(Expire {}));
+    assert!(ledger.quarantined_fingerprints().is_empty(), "released");
+    assert_eq!(report(&mut ledger, end_ms + 1, deadly(4)), [9], "renewed");
+}
+
+/// Guards against memory that grows with every crash and every request.
+#[test]
+fn records_of_crashes_are_bounded() {
+    let mut ledger = test_ledger();
+    for n in 0..200_usize {
+        let fingerprint = |kind: u64, k: u64| {
+            let id = (n as u64) << 32 | k << 4 | kind;
+            RequestTrait {
+                fingerprint: [id.to_be_bytes(), id.to_be_bytes()].concat(),
+                answered: false,
+            }
+        };
+        let requests = (0..200).map(|k| CrashedRequest {
+            whole: Some(fingerprint(0, k)),
+            parts: vec![fingerprint(1, k)],
+        });
+        let body = Body::ReportCrashes(ReportCrashes {
+            crashes: vec![Crash {
+                endpoint: format!("e{n}"),
+                endpoint_incarnation: 1,
+                requests: requests.collect(),
+            }],
+        });
+        apply_at(&mut ledger, n as u64, body);
+    }
+    let bytes = ledger.encode().len();
+    assert!(bytes < 2 * 1024 * 1024, "the snapshot has {bytes} bytes");
+}
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -5,6 +5,14 @@
 
 use crate::config::ConfigOp;
 
+mod crashes;
+
+pub use crashes::Crash;
+pub use crashes::CrashedRequest;
+pub use crashes::Quarantined;
+pub use crashes::ReportCrashes;
+pub use crashes::RequestTrait;
+
 /// A command of the replicated ledger.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Command {
@@ -15,7 +23,7 @@
     /// The command itself.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
     )]
     pub body: Option<Body>,
 }
@@ -65,6 +73,10 @@
     /// Returns the tokens that a dead router incarnation can't have used.
     #[prost(message, tag = "15")]
     RestoreReserve(RestoreReserve),
+    /// Records endpoints that crashed, with what the requests there may have in
+    /// common with other requests that crash endpoints.
+    #[prost(message, tag = "16")]
+    ReportCrashes(ReportCrashes),
 }
 
 /// Publishes a whole route table. The highest version is in force; one that is
@@ -451,7 +463,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CommandReply {
     /// The reply itself.
-    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub reply: Option<Reply>,
 }
 
@@ -485,6 +497,9 @@
     /// Reply to `Publish`.
     #[prost(message, tag = "9")]
     Published(Published),
+    /// Reply to `ReportCrashes`.
+    #[prost(message, tag = "10")]
+    Quarantined(Quarantined),
 }
 
 /// Reply to `Publish`.
--- /dev/null
+++ b/crates/wire/src/command/crashes.rs
@@ -0,0 +1,55 @@
+//! Reports of endpoints that crashed, and the quarantine that follows from them.
+
+/// Records endpoints that crashed. Reports of several routers about the same crash
+/// are merged.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct ReportCrashes {
+    /// The crashes.
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: Vec<Crash>,
+}
+
+/// One endpoint that crashed, as seen by one router.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Crash {
+    /// Endpoint that crashed.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Incarnation of the endpoint that crashed.
+    #[prost(uint64, tag = "2")]
+    pub endpoint_incarnation: u64,
+    /// The router's requests that waited there for an answer to begin.
+    #[prost(message, repeated, tag = "3")]
+    pub requests: Vec<CrashedRequest>,
+}
+
+/// A request that waited for an answer at an endpoint when it crashed.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct CrashedRequest {
+    /// The request as a whole, the same when its caller sends it again.
+    #[prost(message, optional, tag = "1")]
+    pub whole: Option<RequestTrait>,
+    /// The parts of its prompt that other requests may share, in order.
+    #[prost(message, repeated, tag = "2")]
+    pub parts: Vec<RequestTrait>,
+}
+
+/// A property that a crashing request may share with others.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct RequestTrait {
+    /// Fingerprint, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Whether the router has seen an endpoint begin an answer to a request with
+    /// this trait.
+    #[prost(bool, tag = "2")]
+    pub answered: bool,
+}
+
+/// Traits of requests that are refused because such requests crashed endpoints.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Quarantined {
+    /// Fingerprints of the traits, 16 bytes each.
+    #[prost(bytes = "vec", repeated, tag = "1")]
+    pub fingerprints: Vec<Vec<u8>>,
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -233,6 +233,10 @@
     /// Peer addresses of the control members, `ip:port`.
     #[prost(string, repeated, tag = "9")]
     pub members: Vec<String>,
+    /// Fingerprints of the traits of requests that are refused because such
+    /// requests crashed endpoints, 16 bytes each.
+    #[prost(bytes = "vec", repeated, tag = "10")]
+    pub quarantined: Vec<Vec<u8>>,
 }
 
 /// Reads state. The result is JSON, because people and scripts read it.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -46,7 +46,7 @@
     /// The frame itself.
     #[prost(
         oneof = "Payload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
     )]
     pub payload: Option<Payload>,
 }
@@ -98,6 +98,10 @@
     /// Load that the sending router puts on model engines.
     #[prost(message, tag = "14")]
     RouterLoad(RouterLoad),
+    /// Traits of requests that control members quarantined. It arrives before the
+    /// list in the next lease.
+    #[prost(message, tag = "15")]
+    Quarantined(crate::command::Quarantined),
 }
 
 /// Ends a loan and tells the lender how many of its tokens were used.
