Notice which requests waited at an endpoint that crashed

Cause: a router didn't tell a crashed endpoint from a broken connection, and remembered nothing of the requests that went down with it.

Change: CrashWatch, pure, keeps the requests that broke off before their answers began until their endpoint has been checked, and leaves out traits that were answered within the last 2 s: most prompts share them. It also holds the quarantined traits.

Evidence: crates/dispatch/tests/crashes.rs.

--- /dev/null
+++ b/crates/dispatch/src/crashes.rs
@@ -0,0 +1,287 @@
+//! Requests that may have crashed an endpoint, as one router sees them.
+//!
+//! When a connection breaks off before the answer has begun, the router checks whether
+//! the endpoint has crashed. If so, it reports the requests that waited there to
+//! control, which finds out what crashes of the whole fleet have in common and
+//! quarantines it. Requests with a quarantined trait are refused.
+
+use anvilloft_types::prelude::*;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::cache::PromptPart;
+
+/// Time for which a broken request waits for the check of its endpoint, and for which
+/// a crash is known.
+const RETENTION: Duration = Duration::from_secs(5);
+/// Maximum number of broken requests that wait for the check of their endpoint.
+/// Further ones are not reported.
+const MAX_BROKEN: usize = 1_024;
+/// Maximum number of traits of which an answer is remembered. The one that was answered
+/// least recently is forgotten first.
+const MAX_ANSWERED: usize = 4_096;
+/// A trait whose last answer began less than this before a crash is not reported, so
+/// that the crash of a busy endpoint isn't blamed on the parts that most prompts share.
+const RECENT_ANSWER: Duration = Duration::from_secs(2);
+/// Maximum number of quarantined traits that are kept.
+const MAX_QUARANTINED: usize = 4_096;
+
+/// Identity of a request in the search for what crashes endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestTraits {
+    /// Fingerprint of the request as a whole. The same when its caller repeats it.
+    pub whole: Fingerprint,
+    /// Fingerprints of the parts of the prompt that other requests may share, in order.
+    pub parts: Vec<Fingerprint>,
+}
+
+impl RequestTraits {
+    /// Returns the traits of a request. `fields` identify it as a whole. The last part
+    /// of a prompt belongs to one request or session.
+    pub fn new(fields: &[&[u8]], prompt: &[PromptPart]) -> Self {
+        let shared = prompt.len().saturating_sub(1);
+        Self {
+            whole: fingerprint(b"request", fields),
+            parts: prompt[..shared]
+                .iter()
+                .map(|p| fingerprint(b"part", &[&p.id.to_be_bytes()]))
+                .collect(),
+        }
+    }
+
+    fn all(&self) -> impl Iterator<Item = &Fingerprint> {
+        self.parts.iter().chain([&self.whole])
+    }
+}
+
+/// Returns the hash of a list of fields. `domain` separates kinds of lists.
+fn fingerprint(domain: &[u8], fields: &[&[u8]]) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    for field in [domain].iter().chain(fields) {
+        hash.update(&(field.len() as u64).to_be_bytes());
+        hash.update(field);
+    }
+    hash.digest128().to_be_bytes()
+}
+
+/// A trait of a request that waited at a crashed endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedTrait {
+    /// The trait.
+    pub fingerprint: Fingerprint,
+    /// Whether this router has seen an answer to a request with it begin.
+    pub answered: bool,
+}
+
+/// A request that waited at a crashed endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportedRequest {
+    /// The request as a whole.
+    pub whole: ReportedTrait,
+    /// The parts that other requests may share, in order.
+    pub parts: Vec<ReportedTrait>,
+}
+
+/// A crash to report to control.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashedEndpoint {
+    /// Name of the endpoint.
+    pub endpoint: EndpointId,
+    /// Incarnation that crashed.
+    pub incarnation: Incarnation,
+    /// The requests that waited there for their answers to begin.
+    pub requests: Vec<ReportedRequest>,
+}
+
+#[derive(Clone, Debug)]
+struct Broken {
+    endpoint: EndpointId,
+    incarnation: Incarnation,
+    at: Duration,
+    traits: RequestTraits,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Check {
+    Running,
+    Crashed,
+}
+
+/// The requests that broke off lately, and the quarantined traits.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    broken: Vec<Broken>,
+    /// Endpoints that are being checked or have crashed, and since when.
+    checks: Vec<(EndpointId, Incarnation, Duration, Check)>,
+    /// When an answer last began, by trait. Sorted by trait.
+    answered: Vec<(Fingerprint, Duration)>,
+    // Sorted.
+    quarantined: Vec<Fingerprint>,
+}
+
+impl CrashWatch {
+    /// Returns whether a request has a quarantined trait.
+    pub fn is_quarantined(&self, traits: &RequestTraits) -> bool {
+        !self.quarantined.is_empty()
+            && traits
+                .all()
+                .any(|f| self.quarantined.binary_search(f).is_ok())
+    }
+
+    /// Replaces the quarantined traits. Returns whether they changed.
+    pub fn set_quarantined(&mut self, mut list: Vec<Fingerprint>) -> bool {
+        list.sort_unstable();
+        list.dedup();
+        list.truncate(MAX_QUARANTINED);
+        let changed = list != self.quarantined;
+        self.quarantined = list;
+        changed
+    }
+
+    /// Adds quarantined traits, until the list is replaced.
+    pub fn add_quarantined(&mut self, more: Vec<Fingerprint>) -> bool {
+        let mut list = self.quarantined.clone();
+        list.extend(more);
+        self.set_quarantined(list)
+    }
+
+    /// Returns the number of quarantined traits.
+    pub fn quarantined_count(&self) -> usize {
+        self.quarantined.len()
+    }
+
+    /// Records that an endpoint began to answer a request.
+    pub fn record_answer(&mut self, now: Duration, traits: &RequestTraits) {
+        for f in traits.all() {
+            match self.answered.binary_search_by_key(f, |(f, _)| *f) {
+                Ok(at) => {
+                    if let Some((_, answered_at)) = self.answered.get_mut(at) {
+                        *answered_at = now;
+                    }
+                }
+                Err(at) => self.answered.insert(at, (*f, now)),
+            }
+        }
+        if self.answered.len() > MAX_ANSWERED {
+            self.forget_oldest_answers();
+        }
+    }
+
+    /// Forgets the older half of the answers.
+    fn forget_oldest_answers(&mut self) {
+        let mut times: Vec<Duration> = self.answered.iter().map(|(_, at)| *at).collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.answered.retain(|(_, at)| *at > median);
+    }
+
+    /// Records that the connection of a request broke off before the answer began.
+    /// Returns whether the endpoint must be checked now.
+    pub fn record_broken(
+        &mut self,
+        now: Duration,
+        endpoint: &str,
+        incarnation: Incarnation,
+        traits: RequestTraits,
+    ) -> bool {
+        self.expire(now);
+        if self.broken.len() >= MAX_BROKEN {
+            return false;
+        }
+        self.broken.push(Broken {
+            endpoint: endpoint.to_owned(),
+            incarnation,
+            at: now,
+            traits,
+        });
+        let is_known = self
+            .checks
+            .iter()
+            .any(|(e, i, ..)| e == endpoint && *i == incarnation);
+        if !is_known {
+            let check = (endpoint.to_owned(), incarnation, now, Check::Running);
+            self.checks.push(check);
+        }
+        !is_known
+    }
+
+    /// Records the result of the check of an endpoint.
+    pub fn record_check(
+        &mut self,
+        now: Duration,
+        endpoint: &str,
+        incarnation: Incarnation,
+        crashed: bool,
+    ) {
+        let is_same = |e: &str, i: Incarnation| e == endpoint && i == incarnation;
+        if crashed {
+            for check in &mut self.checks {
+                if is_same(&check.0, check.1) {
+                    check.2 = now;
+                    check.3 = Check::Crashed;
+                }
+            }
+        } else {
+            self.checks.retain(|(e, i, ..)| !is_same(e, *i));
+            self.broken.retain(|b| !is_same(&b.endpoint, b.incarnation));
+        }
+    }
+
+    /// Returns the crashes to report, with the requests that broke off there since the
+    /// last call.
+    pub fn take_reports(&mut self, now: Duration) -> Vec<CrashedEndpoint> {
+        let mut reports: Vec<CrashedEndpoint> = Vec::new();
+        let (crashed, waiting): (Vec<Broken>, Vec<Broken>) =
+            std::mem::take(&mut self.broken).into_iter().partition(|b| {
+                self.checks.iter().any(|(e, i, _, check)| {
+                    *check == Check::Crashed && *e == b.endpoint && *i == b.incarnation
+                })
+            });
+        self.broken = waiting;
+        for b in crashed {
+            let Some(request) = self.report_of(&b) else {
+                continue;
+            };
+            let known = reports
+                .iter_mut()
+                .find(|r| r.endpoint == b.endpoint && r.incarnation == b.incarnation);
+            match known {
+                Some(report) => report.requests.push(request),
+                None => reports.push(CrashedEndpoint {
+                    endpoint: b.endpoint,
+                    incarnation: b.incarnation,
+                    requests: vec![request],
+                }),
+            }
+        }
+        self.expire(now);
+        reports
+    }
+
+    /// Returns what speaks against a request, or `None` if it's known to be harmless.
+    fn report_of(&self, b: &Broken) -> Option<ReportedRequest> {
+        let reported = |f: &Fingerprint| {
+            let answered_at = self
+                .answered
+                .binary_search_by_key(f, |(f, _)| *f)
+                .ok()
+                .and_then(|at| self.answered.get(at))
+                .map(|(_, at)| *at);
+            let is_recent = answered_at.is_some_and(|at| at + RECENT_ANSWER > b.at);
+            (!is_recent).then_some(ReportedTrait {
+                fingerprint: *f,
+                answered: answered_at.is_some(),
+            })
+        };
+        Some(ReportedRequest {
+            whole: reported(&b.traits.whole)?,
+            parts: b.traits.parts.iter().filter_map(reported).collect(),
+        })
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let is_recent = |at: Duration| now.saturating_sub(at) < RETENTION;
+        self.broken.retain(|b| is_recent(b.at));
+        self.checks.retain(|(_, _, at, _)| is_recent(*at));
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! - `endpoint`: state of one endpoint, as seen by this router.
 //! - `health`: tracks an endpoint's failures and decides when to avoid it.
 //! - `cache`: estimates which prompt parts an engine has cached.
+//! - `crashes`: requests that may have crashed an endpoint, and those in quarantine.
 //! - `config`: configuration of a dispatcher.
 //! - `dispatcher`: chooses an endpoint; `peers` in it takes other routers' reports.
 //! - `retry`: limits retries to a share of the requests.
@@ -14,6 +15,7 @@
 
 mod cache;
 mod config;
+mod crashes;
 mod dispatcher;
 mod endpoint;
 mod health;
@@ -23,6 +25,11 @@
 
 pub use cache::PromptPart;
 pub use config::DispatcherConfig;
+pub use crashes::CrashWatch;
+pub use crashes::CrashedEndpoint;
+pub use crashes::ReportedRequest;
+pub use crashes::ReportedTrait;
+pub use crashes::RequestTraits;
 pub use dispatcher::DispatchRequest;
 pub use dispatcher::Dispatcher;
 pub use dispatcher::NoEndpoint;
--- /dev/null
+++ b/crates/dispatch/tests/crashes.rs
@@ -0,0 +1,158 @@
+//! What one router reports of crashed endpoints.
+
+use std::time::Duration;
+
+use anvilloft_dispatch::CrashWatch;
+use anvilloft_dispatch::CrashedEndpoint;
+use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::RequestTraits;
+
+const START: Duration = Duration::from_secs(100);
+
+fn traits(body: &str, parts: &[u64]) -> RequestTraits {
+    let prompt: Vec<PromptPart> = parts
+        .iter()
+        .chain([&99])
+        .map(|id| PromptPart {
+            id: *id,
+            tokens: 10,
+        })
+        .collect();
+    RequestTraits::new(&[body.as_bytes()], &prompt)
+}
+
+struct Case {
+    name: &'static str,
+    /// Time from an answer with part 1 to the crash; `None` without an answer.
+    answered_before: Option<Duration>,
+    /// Result of the check of the endpoint.
+    crashed: bool,
+    /// Reported parts, and whether each was answered before.
+    want: Option<&'static [(u64, bool)]>,
+}
+
+/// Guards against reports that blame parts which endpoints answer all the time, or
+/// endpoints that only broke a connection.
+#[test]
+fn only_requests_that_may_have_crashed_an_endpoint_are_reported() {
+    let cases = [
+        Case {
+            name: "nothing answered",
+            answered_before: None,
+            crashed: true,
+            want: Some(&[(1, false), (9, false)]),
+        },
+        Case {
+            name: "the first part was answered just before",
+            answered_before: Some(Duration::from_millis(500)),
+            crashed: true,
+            want: Some(&[(9, false)]),
+        },
+        Case {
+            name: "the first part was answered long before",
+            answered_before: Some(Duration::from_secs(10)),
+            crashed: true,
+            want: Some(&[(1, true), (9, false)]),
+        },
+        Case {
+            name: "the endpoint is alive",
+            answered_before: None,
+            crashed: false,
+            want: None,
+        },
+    ];
+    for case in cases {
+        let mut watch = CrashWatch::default();
+        if let Some(before) = case.answered_before {
+            watch.record_answer(START - before, &traits("sound", &[1]));
+        }
+        let broken = traits("deadly", &[1, 9]);
+        assert!(watch.record_broken(START, "e1", 7, broken.clone()));
+        assert!(
+            !watch.record_broken(START, "e1", 7, broken.clone()),
+            "{}: one check at a time",
+            case.name
+        );
+        assert!(watch.take_reports(START).is_empty(), "{}", case.name);
+        watch.record_check(START, "e1", 7, case.crashed);
+        let reports = watch.take_reports(START);
+        let part = |id: &u64| traits("", &[*id]).parts[0];
+        let got: Option<Vec<_>> = reports.first().map(|r| {
+            assert_eq!((r.endpoint.as_str(), r.incarnation), ("e1", 7));
+            assert_eq!(r.requests.len(), 2, "{}", case.name);
+            assert_eq!(r.requests[0].whole.fingerprint, broken.whole);
+            r.requests[0]
+                .parts
+                .iter()
+                .map(|p| (p.fingerprint, p.answered))
+                .collect()
+        });
+        let want: Option<Vec<_>> = case.want.map(|w| {
+            w.iter()
+                .map(|(id, answered)| (part(id), *answered))
+                .collect()
+        });
+        assert_eq!(got, want, "{}", case.name);
+        assert!(watch.take_reports(START).is_empty(), "reported once");
+    }
+}
+
+/// Guards against a request that is missing in the report because its connection broke
+/// after the crash was known.
+#[test]
+fn a_request_that_breaks_after_the_check_is_reported() {
+    let mut watch = CrashWatch::default();
+    watch.record_broken(START, "e1", 7, traits("a", &[1]));
+    watch.record_check(START, "e1", 7, true);
+    watch.take_reports(START);
+    assert!(!watch.record_broken(START, "e1", 7, traits("b", &[2])));
+    let reports: Vec<CrashedEndpoint> = watch.take_reports(START);
+    assert_eq!(reports.len(), 1);
+    assert_eq!(
+        reports[0].requests[0].whole.fingerprint,
+        traits("b", &[2]).whole
+    );
+}
+
+/// Guards against sound requests that are refused for the last part of a prompt, which
+/// is their own, or for another part.
+#[test]
+fn only_requests_with_a_quarantined_trait_are_refused() {
+    let mut watch = CrashWatch::default();
+    let deadly = traits("a", &[1, 9]);
+    watch.set_quarantined(vec![deadly.parts[1], traits("copy", &[]).whole]);
+    for (name, request, want) in [
+        ("the part", traits("b", &[2, 9]), true),
+        ("the whole request", traits("copy", &[]), true),
+        ("another part", traits("c", &[1, 2]), false),
+        ("the same last part", traits("d", &[1]), false),
+    ] {
+        assert_eq!(watch.is_quarantined(&request), want, "{name}");
+    }
+    assert!(watch.set_quarantined(Vec::new()));
+    assert!(!watch.is_quarantined(&deadly), "released");
+}
+
+/// Guards against memory that grows with every request.
+#[test]
+fn answers_that_are_remembered_are_bounded() {
+    let mut watch = CrashWatch::default();
+    for n in 0..20_000_u64 {
+        let now = START + Duration::from_millis(n);
+        watch.record_answer(now, &traits(&n.to_string(), &[n]));
+    }
+    let now = START + Duration::from_secs(20);
+    watch.record_broken(now, "e1", 7, traits("x", &[1, 19_999]));
+    watch.record_check(now, "e1", 7, true);
+    let reports = watch.take_reports(now);
+    let answered: Vec<bool> = reports[0].requests[0]
+        .parts
+        .iter()
+        .map(|p| p.answered)
+        .collect();
+    assert_eq!(
+        answered,
+        [false],
+        "the newest is remembered, the oldest not"
+    );
+}
