Tell the routers what is quarantined, at once and with each lease

Cause: the routers must stop sending requests with a quarantined trait before they crash more endpoints, also routers that were started since.

Change: every member sends the list to its routers when it changes, and the leader with each lease.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -95,6 +95,10 @@
     /// member, because a router may have lost its session with the leader.
     fn push_publication_version(&self, _version: u64) {}
 
+    /// Sends the routers the traits of requests that are quarantined. Called on every
+    /// member after a change.
+    fn push_quarantined(&self, _fingerprints: &[Fingerprint]) {}
+
     /// Sends a placement order to an endpoint, or drops it if it can't arrive
     /// in time. Called on the leader only.
     fn send_order(&self, _order: EndpointOrder) {}
--- a/crates/control/src/driver/reads.rs
+++ b/crates/control/src/driver/reads.rs
@@ -102,6 +102,11 @@
             silent_routers: self.timers.silent_routers(now, ledger),
             publication: ledger.publication_since(req.publication_version),
             members: self.member_addresses(),
+            quarantined: ledger
+                .quarantined_fingerprints()
+                .iter()
+                .map(|f| f.to_vec())
+                .collect(),
         }
     }
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -16,6 +16,7 @@
 
 use anvilloft_types::BoxFuture;
 use anvilloft_types::Clock;
+use anvilloft_types::Fingerprint;
 use anvilloft_types::Incarnation;
 use anvilloft_types::MemberId;
 use anvilloft_types::Revision;
@@ -25,6 +26,7 @@
 use anvilloft_wire::Control;
 use anvilloft_wire::ControlReply;
 use anvilloft_wire::ControlRequest;
+use anvilloft_wire::command::Quarantined;
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::Request;
 use anvilloft_wire::frame::Call;
@@ -414,6 +416,16 @@
         }
     }
 
+    fn push_quarantined(&self, fingerprints: &[Fingerprint]) {
+        let quarantined = Quarantined {
+            fingerprints: fingerprints.iter().map(|f| f.to_vec()).collect(),
+        };
+        for session in lock(&self.routers).iter() {
+            // The next lease has the list, too.
+            let _ = session.send(Payload::Quarantined(quarantined.clone()));
+        }
+    }
+
     fn send_order(&self, order: EndpointOrder) {
         let handle = self.handle.get().cloned();
         self.orders.send(&self.runtime, order, move |counter| {
