Log who ended an attempt and why no other endpoint took over

Cause: "endpoint broke off" and "attempt failed" were logged alike for an endpoint that reset its connection and for one that this router gave up after a silence, and the reason for no further attempt was not logged.

Change: by (endpoint or router), silent_ms, "not sent again" with its reason, "endpoint did not resume" with the status. One line a decision. The checks before a further attempt move to dispatch (SentState), with a table of cases.

--- /dev/null
+++ b/crates/dispatch/src/handover.rs
@@ -0,0 +1,111 @@
+//! Decides when a request that waits for a silent endpoint may move to another one.
+//!
+//! A silent endpoint may be sound and go on, so it is given up only once another
+//! endpoint has the request.
+
+use anvilloft_types::prelude::*;
+
+/// Why a request is sent to no other endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeepReason {
+    /// The request may have run and must not run twice.
+    NotRepeatable,
+    /// The route's limit of endpoints is reached.
+    EndpointLimit,
+    /// No endpoint that the request wasn't sent to is usable.
+    NoneUsable,
+    /// The retry budget of the service is used up.
+    RetryBudget,
+}
+
+impl KeepReason {
+    /// Returns the reason for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRepeatable => "not_repeatable",
+            Self::EndpointLimit => "endpoint_limit",
+            Self::NoneUsable => "none_usable",
+            Self::RetryBudget => "retry_budget",
+        }
+    }
+}
+
+/// Where a request has been so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentState {
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Whether an endpoint may have run it.
+    pub may_have_run: bool,
+    /// Number of endpoints that received it.
+    pub sent: u32,
+    /// The route's limit of endpoints.
+    pub max_endpoints: u32,
+}
+
+impl SentState {
+    /// Checks whether the request may be sent to one more endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may not.
+    pub fn may_send_again(&self) -> Result<(), KeepReason> {
+        if self.sent == 0 {
+            return Ok(());
+        }
+        if self.may_have_run && !self.repeatable {
+            return Err(KeepReason::NotRepeatable);
+        }
+        if self.sent >= self.max_endpoints {
+            return Err(KeepReason::EndpointLimit);
+        }
+        Ok(())
+    }
+}
+
+/// Says when to ask for another endpoint because the current one is silent: first
+/// after `limit`, then every `interval`.
+#[derive(Clone, Copy, Debug)]
+pub struct SilenceTimer {
+    limit: Duration,
+    interval: Duration,
+    heard_at: Duration,
+    asked_at: Option<Duration>,
+}
+
+impl SilenceTimer {
+    /// Creates a timer for an endpoint that was heard at `now`.
+    pub fn new(limit: Duration, interval: Duration, now: Duration) -> Self {
+        Self {
+            limit,
+            interval,
+            heard_at: now,
+            asked_at: None,
+        }
+    }
+
+    /// Records that the endpoint was heard.
+    pub fn heard(&mut self, now: Duration) {
+        self.heard_at = now;
+        self.asked_at = None;
+    }
+
+    /// Records that another endpoint was asked for.
+    pub fn asked(&mut self, now: Duration) {
+        self.asked_at = Some(now);
+    }
+
+    /// Returns for how long the endpoint has been silent.
+    pub fn silent_for(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.heard_at)
+    }
+
+    /// Returns the time until another endpoint is to be asked for.
+    pub fn until_ask(&self, now: Duration) -> Duration {
+        let due_at = match self.asked_at {
+            Some(at) => at.saturating_add(self.interval),
+            None => self.heard_at.saturating_add(self.limit),
+        };
+        due_at.saturating_sub(now)
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `dispatcher`: chooses an endpoint; `peers` in it takes other routers' reports.
 //! - `retry`: limits retries to a share of the requests.
 //! - `shed`: load shedding when the router's processor is overloaded.
+//! - `handover`: decides when a request leaves a silent endpoint.
 //! - `link`: detects a saturated network link of the router, and sheds load
 //!   while it lasts.
 //!
@@ -16,6 +17,7 @@
 mod config;
 mod dispatcher;
 mod endpoint;
+mod handover;
 mod health;
 mod link;
 mod retry;
@@ -34,6 +36,9 @@
 pub use endpoint::Outcome;
 pub use endpoint::RANKS;
 pub use endpoint::SentPrompt;
+pub use handover::KeepReason;
+pub use handover::SentState;
+pub use handover::SilenceTimer;
 pub use link::LINK_INTERVAL;
 pub use link::LinkDelay;
 pub use retry::RetryBudget;
--- /dev/null
+++ b/crates/dispatch/tests/handover.rs
@@ -0,0 +1,84 @@
+//! Tests of the decision to leave a silent endpoint.
+
+use std::time::Duration;
+
+use anvilloft_dispatch::KeepReason;
+use anvilloft_dispatch::SentState;
+use anvilloft_dispatch::SilenceTimer;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Guards against a request that runs twice though it must not, and against one that
+/// runs at more endpoints than its route allows.
+#[test]
+fn a_request_is_sent_again_only_as_its_route_allows() {
+    struct Case {
+        repeatable: bool,
+        may_have_run: bool,
+        sent: u32,
+        expected: Result<(), KeepReason>,
+    }
+    let case = |repeatable, may_have_run, sent, expected| Case {
+        repeatable,
+        may_have_run,
+        sent,
+        expected,
+    };
+    let cases = [
+        case(false, false, 0, Ok(())),
+        case(true, true, 1, Ok(())),
+        case(false, false, 1, Ok(())),
+        case(false, true, 1, Err(KeepReason::NotRepeatable)),
+        case(true, false, 2, Err(KeepReason::EndpointLimit)),
+        case(false, true, 2, Err(KeepReason::NotRepeatable)),
+    ];
+    for c in cases {
+        let state = SentState {
+            repeatable: c.repeatable,
+            may_have_run: c.may_have_run,
+            sent: c.sent,
+            max_endpoints: 2,
+        };
+        assert_eq!(state.may_send_again(), c.expected, "{state:?}");
+    }
+}
+
+/// Guards against endpoints that are asked for without a pause while one is silent, and
+/// against limits that overflow.
+#[test]
+fn another_endpoint_is_asked_for_at_intervals() {
+    struct Case {
+        limit: Duration,
+        heard_at: Option<Duration>,
+        asked_at: Option<Duration>,
+        now: Duration,
+        expected: Duration,
+    }
+    let case = |limit, heard_at, asked_at, now, expected| Case {
+        limit,
+        heard_at,
+        asked_at,
+        now,
+        expected,
+    };
+    let cases = [
+        case(ms(900), None, None, ms(1_000), ms(900)),
+        case(ms(900), None, None, ms(1_950), Duration::ZERO),
+        case(ms(900), None, Some(ms(1_900)), ms(1_950), ms(250)),
+        case(ms(900), Some(ms(2_000)), None, ms(2_100), ms(800)),
+        case(Duration::MAX, None, None, ms(0), Duration::MAX),
+    ];
+    for c in cases {
+        let mut timer = SilenceTimer::new(c.limit, ms(300), ms(1_000));
+        if let Some(at) = c.asked_at {
+            timer.asked(at);
+        }
+        if let Some(at) = c.heard_at {
+            timer.asked(at);
+            timer.heard(at);
+        }
+        assert_eq!(timer.until_ask(c.now), c.expected);
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use anvilloft_dispatch::DispatchRequest;
+use anvilloft_dispatch::KeepReason;
 use anvilloft_dispatch::NoEndpoint;
 use anvilloft_dispatch::Outcome;
 use anvilloft_dispatch::Pick;
 use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::SentState;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::EndpointResponse;
 use anvilloft_gateway::memory::BodyMemoryGuard;
@@ -141,6 +143,25 @@
     pub(crate) may_have_run: bool,
 }
 
+impl Progress {
+    fn state(&self, outbound: &OutboundRequest) -> SentState {
+        SentState {
+            repeatable: outbound.kind.is_retryable(),
+            may_have_run: self.may_have_run,
+            sent: self.sent_count,
+            max_endpoints: outbound.max_endpoints,
+        }
+    }
+}
+
+/// Returns which side ended an attempt, for logs.
+pub(crate) fn ended_by(error: &ClientError) -> &'static str {
+    match error {
+        ClientError::Timeout(_) => "router",
+        _ => "endpoint",
+    }
+}
+
 /// An endpoint's answer, of which the header was read.
 pub(crate) struct EndpointAnswer {
     pub(crate) in_flight: InFlightRequest,
@@ -178,11 +199,14 @@
             return Err(SendFailure::DeadlineExceeded);
         }
         if progress.sent_count > 0 {
-            let can_retry = outbound.kind.is_retryable() || !progress.may_have_run;
-            if !can_retry
-                || progress.sent_count >= outbound.max_endpoints
-                || !cx.try_retry(&outbound.service)
-            {
+            let allowed = progress.state(outbound).may_send_again();
+            let allowed = allowed.and_then(|()| match cx.try_retry(&outbound.service) {
+                true => Ok(()),
+                false => Err(KeepReason::RetryBudget),
+            });
+            if let Err(reason) = allowed {
+                slog::info!(cx.log, "not sent again"; "request" => &outbound.id,
+                    "reason" => reason.as_str(), "sent" => progress.sent_count);
                 return Err(last_failure);
             }
         }
@@ -295,6 +319,7 @@
     };
     let id_header = cx.adapter.request_id_header();
     let address = in_flight.pick.address;
+    let started_at = cx.now();
     let sent = cx
         .client
         .exchange(address, req, &id_header, wait, false)
@@ -304,7 +329,8 @@
         Err(e) => {
             slog::info!(cx.log, "attempt failed"; "request" => &outbound.id,
                 "endpoint" => &in_flight.pick.endpoint, "written" => e.written,
-                "error" => %e.error);
+                "error" => %e.error, "by" => ended_by(&e.error),
+                "silent_ms" => cx.now().saturating_sub(started_at).as_millis() as u64);
             let outcome = match (&e.error, e.written) {
                 (ClientError::Timeout(_), true) if wait < outbound.stall_timeout() => {
                     Outcome::Cancelled
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -28,6 +28,7 @@
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
 use crate::attempt::SendFailure;
+use crate::attempt::ended_by;
 use crate::attempt::send_request;
 use crate::charge::Charge;
 use crate::charge::reserve;
@@ -368,7 +369,8 @@
             }
             Ok(Err(e)) => {
                 slog::info!(cx.log, "answer broke off"; "request" => &outbound.id,
-                    "endpoint" => &in_flight.pick.endpoint, "error" => %e);
+                    "endpoint" => &in_flight.pick.endpoint, "error" => %e,
+                    "by" => ended_by(&e));
                 progress.may_have_run = true;
                 in_flight.end(Outcome::Broken);
             }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::attempt::InFlightRequest;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
+use crate::attempt::ended_by;
 use crate::attempt::send_request;
 use crate::charge::Charge;
 use crate::events::EventSplitter;
@@ -149,7 +150,9 @@
             in_flight.end(outcome);
         }
         slog::info!(self.cx.log, "stream broken off"; "request" => &self.outbound.id,
-            "reason" => %err, "events" => self.splitter.event_count());
+            "reason" => %err, "events" => self.splitter.event_count(),
+            "endpoints" => self.progress.sent_count,
+            "table" => self.cx.table.load().version());
         Some(Err(err))
     }
 
@@ -160,7 +163,8 @@
         };
         slog::info!(self.cx.log, "endpoint broke off"; "request" => &self.outbound.id,
             "endpoint" => &in_flight.pick.endpoint, "error" => %error,
-            "events" => self.splitter.event_count());
+            "by" => ended_by(error), "events" => self.splitter.event_count(),
+            "silent_ms" => self.cx.now().saturating_sub(self.progress_at).as_millis() as u64);
         // Closes the old connection first, so that two runs never overlap.
         drop(answer);
         in_flight.end(Outcome::Broken);
@@ -182,7 +186,9 @@
                 self.progress_at = self.cx.now();
                 Ok(())
             }
-            Ok(EndpointAnswer { in_flight, .. }) => {
+            Ok(EndpointAnswer { in_flight, answer }) => {
+                slog::info!(self.cx.log, "endpoint did not resume"; "request" => &self.outbound.id,
+                    "endpoint" => &in_flight.pick.endpoint, "status" => answer.status.as_u16());
                 in_flight.end(Outcome::Failed);
                 Err(StreamError::EndpointFailed)
             }
@@ -218,7 +224,7 @@
             splitter: EventSplitter::default(),
             first_event_at: None,
             last_events_at: Duration::ZERO,
-            progress_at: Duration::ZERO,
+            progress_at: cx.now(),
             longest_gap: Duration::ZERO,
         };
         let events = futures::stream::unfold(Some(source), |source| async move {
