Give up a silent endpoint only once another one has the request

Cause: a resumable stream was closed at its endpoint after three pauses of silence, and a request that may run again was cancelled after 1.5 to 2 times its objective. Only then were the retry budget, the route's limit and another endpoint asked for. If one of them was missing, or the other endpoint refused or failed, the router itself had broken off a sound request.

What callers saw: a stream that broke off in the middle, or 502 endpoint_failed, though the endpoint's answer was about to come.

Change: the connection to the silent endpoint stays open. With one, both are listened to, and the first that is heard goes on. What the first sends after that is discarded, and so is its incomplete event. A request that must not run twice is never offered to another endpoint.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -308,6 +308,13 @@
         })
     }
 
+    /// Chooses an endpoint like [`choose`](Self::choose), but none that is avoided, full
+    /// or silent.
+    pub fn choose_usable(&mut self, now: Duration, req: &DispatchRequest<'_>) -> Option<Pick> {
+        let pick = self.choose(now, req).ok()?;
+        (pick.reason != Reason::LastResort).then_some(pick)
+    }
+
     fn median_failure_rate(&self, of_service: &[usize]) -> f64 {
         let mut rates: Vec<f64> = of_service
             .iter()
--- a/crates/dispatch/src/handover.rs
+++ b/crates/dispatch/src/handover.rs
@@ -16,6 +16,8 @@
     NoneUsable,
     /// The retry budget of the service is used up.
     RetryBudget,
+    /// The deadline of the request has passed.
+    Deadline,
 }
 
 impl KeepReason {
@@ -26,6 +28,7 @@
             Self::EndpointLimit => "endpoint_limit",
             Self::NoneUsable => "none_usable",
             Self::RetryBudget => "retry_budget",
+            Self::Deadline => "deadline",
         }
     }
 }
@@ -100,6 +103,11 @@
         now.saturating_sub(self.heard_at)
     }
 
+    /// Whether the endpoint has been silent for the whole limit.
+    pub fn is_over(&self, now: Duration) -> bool {
+        self.silent_for(now) >= self.limit
+    }
+
     /// Returns the time until another endpoint is to be asked for.
     pub fn until_ask(&self, now: Duration) -> Duration {
         let due_at = match self.asked_at {
--- a/crates/dispatch/tests/handover.rs
+++ b/crates/dispatch/tests/handover.rs
@@ -80,5 +80,10 @@
             timer.heard(at);
         }
         assert_eq!(timer.until_ask(c.now), c.expected);
+        let heard_at = c.heard_at.unwrap_or(ms(1_000));
+        assert_eq!(
+            timer.is_over(c.now),
+            c.now >= heard_at.saturating_add(c.limit)
+        );
     }
 }
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -329,6 +329,33 @@
         echo_header: &HeaderName,
         first_byte: Duration,
         new_connection: bool,
+    ) -> Result<EndpointResponse, SendError> {
+        let connected = || {};
+        self.exchange_observed(
+            addr,
+            req,
+            echo_header,
+            first_byte,
+            new_connection,
+            connected,
+        )
+        .await
+    }
+
+    /// Same as [`exchange`](Self::exchange). Calls `connected` once there is a connection
+    /// for the request, before any byte of it is sent.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`send`](Self::send).
+    pub async fn exchange_observed(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        echo_header: &HeaderName,
+        first_byte: Duration,
+        new_connection: bool,
+        connected: impl FnOnce(),
     ) -> Result<EndpointResponse, SendError> {
         let id = req.headers().get(echo_header).cloned();
         let pooled = if new_connection {
@@ -343,6 +370,7 @@
                 written: false,
             })?,
         };
+        connected();
         let written_before = conn.written.load(Ordering::Relaxed);
         let mut response = Box::pin(conn.sender.send_request(req));
         let wait = std::future::poll_fn(|cx| {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,6 +1,10 @@
 //! Sending of a request to endpoints, with retries.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use anvilloft_dispatch::DispatchRequest;
 use anvilloft_dispatch::KeepReason;
@@ -9,8 +13,10 @@
 use anvilloft_dispatch::Pick;
 use anvilloft_dispatch::PromptPart;
 use anvilloft_dispatch::SentState;
+use anvilloft_dispatch::SilenceTimer;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::EndpointResponse;
+use anvilloft_gateway::client::SendError;
 use anvilloft_gateway::memory::BodyMemoryGuard;
 use anvilloft_routes::RouteKind;
 use anvilloft_types::prelude::*;
@@ -23,13 +29,15 @@
 
 use crate::adapter::ExecutionStatus;
 use crate::adapter::ForwardContext;
+use crate::handover::ASK_INTERVAL;
+use crate::handover::wait_for_answer;
 use crate::state::RelayState;
 
 /// Maximum number of failed connects for one request. An endpoint that can't be
 /// reached has not received the request, so it doesn't count towards the
 /// route's `max_endpoints`.
 const MAX_UNREACHABLE: u32 = 3;
-/// Time after which a retryable request without an answer is sent to another
+/// Time after which a retryable request without an answer is offered to another
 /// endpoint, as a multiple of the route's latency objective.
 const STALL_FACTOR_PLAIN: f64 = 2.0;
 /// The same for a stream, whose objective is for its first event.
@@ -144,7 +152,22 @@
 }
 
 impl Progress {
-    fn state(&self, outbound: &OutboundRequest) -> SentState {
+    /// Records the result of an attempt.
+    pub(crate) fn record(&mut self, result: &AttemptResult) {
+        match result {
+            AttemptResult::Answered(_) | AttemptResult::NotRun(_) => self.sent_count += 1,
+            AttemptResult::Unreachable => self.unreachable_count += 1,
+            AttemptResult::Unknown => self.record_given_up(),
+        }
+    }
+
+    /// Records an attempt that was given up, or whose answer is of no use.
+    pub(crate) fn record_given_up(&mut self) {
+        self.sent_count += 1;
+        self.may_have_run = true;
+    }
+
+    pub(crate) fn state(&self, outbound: &OutboundRequest) -> SentState {
         SentState {
             repeatable: outbound.kind.is_retryable(),
             may_have_run: self.may_have_run,
@@ -168,6 +191,53 @@
     pub(crate) answer: EndpointResponse,
 }
 
+impl EndpointAnswer {
+    /// Whether the endpoint reports a failure of its own.
+    pub(crate) fn is_failure(&self) -> bool {
+        self.answer.status.is_server_error()
+    }
+
+    /// Discards the answer, as another endpoint still has the request.
+    pub(crate) fn discard(self, cx: &RelayState, outbound: &OutboundRequest) {
+        slog::info!(cx.log, "answer discarded"; "request" => &outbound.id,
+            "endpoint" => &self.in_flight.pick.endpoint, "status" => self.answer.status.as_u16());
+        let outcome = match self.is_failure() {
+            true => Outcome::Failed,
+            false => Outcome::Ok,
+        };
+        self.in_flight.end(outcome);
+    }
+}
+
+/// Result of sending a request, up to the header of the answer.
+pub(crate) type SendResult = Result<EndpointResponse, SendError>;
+
+/// A request that was sent to an endpoint and waits for the header of the answer.
+/// Dropping it closes the connection.
+pub(crate) struct Attempt {
+    pub(crate) in_flight: InFlightRequest,
+    pub(crate) sent: Pin<Box<dyn Future<Output = SendResult> + Send>>,
+    started_at: Duration,
+    is_connected: Arc<AtomicBool>,
+}
+
+impl Attempt {
+    /// Whether there is a connection to the endpoint.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.is_connected.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn silence_timer(&self, outbound: &OutboundRequest) -> SilenceTimer {
+        SilenceTimer::new(outbound.stall_timeout(), ASK_INTERVAL, self.started_at)
+    }
+
+    /// Closes the connection, as another endpoint has the request.
+    pub(crate) fn give_up(self) {
+        drop(self.sent);
+        self.in_flight.end(Outcome::Broken);
+    }
+}
+
 /// Why no endpoint answered a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendFailure {
@@ -184,82 +254,118 @@
 /// Sends a request to endpoints until one answers, as far as its kind, the
 /// route and the retry budget allow.
 ///
-/// `last_event` is the id of the event after which a stream is resumed.
+/// `last_event` is the id of the event after which a stream is resumed. `running` is an
+/// attempt that was started already.
 pub(crate) async fn send_request(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
     progress: &mut Progress,
     last_event: Option<&str>,
+    mut running: Option<Attempt>,
 ) -> Result<EndpointAnswer, SendFailure> {
     let mut last_failure = SendFailure::NoEndpoint;
     loop {
-        let now = cx.now();
-        let left = outbound.deadline.saturating_sub(now);
+        let left = outbound.deadline.saturating_sub(cx.now());
         if left.is_zero() {
             return Err(SendFailure::DeadlineExceeded);
         }
-        if progress.sent_count > 0 {
-            let allowed = progress.state(outbound).may_send_again();
-            let allowed = allowed.and_then(|()| match cx.try_retry(&outbound.service) {
-                true => Ok(()),
-                false => Err(KeepReason::RetryBudget),
-            });
-            if let Err(reason) = allowed {
-                slog::info!(cx.log, "not sent again"; "request" => &outbound.id,
-                    "reason" => reason.as_str(), "sent" => progress.sent_count);
-                return Err(last_failure);
+        let attempt = match running.take() {
+            Some(attempt) => attempt,
+            None => {
+                let in_flight = next_endpoint(cx, outbound, progress, last_failure)?;
+                let attempt = start_attempt(cx, outbound, in_flight, left, last_event);
+                attempt.ok_or(SendFailure::ConnectionFailed)?
             }
-        }
-        let pick = choose_endpoint(cx, outbound, progress);
-        let pick = match pick {
-            Ok(pick) => pick,
-            Err(NoEndpoint::None) => return Err(last_failure),
-            Err(NoEndpoint::Tried)
-                if progress.sent_count == 0 && progress.unreachable_count > 0 =>
-            {
-                return Err(SendFailure::ConnectionFailed);
-            }
-            Err(NoEndpoint::Tried) => return Err(last_failure),
-        };
-        let in_flight = InFlightRequest {
-            cx: Arc::clone(cx),
-            pick,
-            request_no: outbound.request_no,
-            ended: false,
-        };
-        progress.tried.push(in_flight.pick.endpoint.clone());
-        let may_retry =
-            outbound.kind.is_retryable() && progress.sent_count + 1 < outbound.max_endpoints;
-        let wait = if may_retry {
-            left.min(outbound.stall_timeout())
-        } else {
-            left
         };
-        match attempt_endpoint(cx, outbound, in_flight, left, wait, last_event).await {
+        let (result, other) = wait_for_answer(cx, outbound, progress, attempt, last_event).await;
+        running = other;
+        progress.record(&result);
+        match result {
+            AttemptResult::Answered(answered) if running.is_some() && answered.is_failure() => {
+                answered.discard(cx, outbound);
+                progress.may_have_run = true;
+                last_failure = SendFailure::ConnectionFailed;
+            }
             AttemptResult::Answered(answered) => {
-                progress.sent_count += 1;
+                if running.is_some() {
+                    progress.record_given_up();
+                }
                 return Ok(*answered);
             }
-            AttemptResult::NotRun(failure) => {
-                progress.sent_count += 1;
-                last_failure = failure;
-            }
+            AttemptResult::NotRun(failure) => last_failure = failure,
             AttemptResult::Unreachable => {
-                progress.unreachable_count += 1;
                 last_failure = SendFailure::ConnectionFailed;
-                if progress.unreachable_count >= MAX_UNREACHABLE {
+                if running.is_none() && progress.unreachable_count >= MAX_UNREACHABLE {
                     return Err(last_failure);
                 }
             }
-            AttemptResult::Unknown => {
-                progress.sent_count += 1;
-                progress.may_have_run = true;
-                last_failure = SendFailure::ConnectionFailed;
-            }
+            AttemptResult::Unknown => last_failure = SendFailure::ConnectionFailed,
         }
     }
 }
 
+/// Chooses the next endpoint of a request that no endpoint has.
+fn next_endpoint(
+    cx: &Arc<RelayState>,
+    outbound: &OutboundRequest,
+    progress: &mut Progress,
+    last_failure: SendFailure,
+) -> Result<InFlightRequest, SendFailure> {
+    if progress.sent_count > 0 {
+        let allowed = progress.state(outbound).may_send_again();
+        let allowed = allowed.and_then(|()| match cx.try_retry(&outbound.service) {
+            true => Ok(()),
+            false => Err(KeepReason::RetryBudget),
+        });
+        if let Err(reason) = allowed {
+            slog::info!(cx.log, "not sent again"; "request" => &outbound.id,
+                "reason" => reason.as_str(), "sent" => progress.sent_count);
+            return Err(last_failure);
+        }
+    }
+    match choose_endpoint(cx, outbound, progress) {
+        Ok(pick) => Ok(take_endpoint(cx, outbound, progress, pick)),
+        Err(NoEndpoint::Tried) if progress.sent_count == 0 && progress.unreachable_count > 0 => {
+            Err(SendFailure::ConnectionFailed)
+        }
+        Err(NoEndpoint::None | NoEndpoint::Tried) => Err(last_failure),
+    }
+}
+
+fn take_endpoint(
+    cx: &Arc<RelayState>,
+    outbound: &OutboundRequest,
+    progress: &mut Progress,
+    pick: Pick,
+) -> InFlightRequest {
+    progress.tried.push(pick.endpoint.clone());
+    InFlightRequest {
+        cx: Arc::clone(cx),
+        pick,
+        request_no: outbound.request_no,
+        ended: false,
+    }
+}
+
+/// Chooses a usable endpoint for a request that another endpoint still has, and takes a
+/// retry from the budget.
+pub(crate) fn reserve_endpoint(
+    cx: &Arc<RelayState>,
+    outbound: &OutboundRequest,
+    progress: &mut Progress,
+) -> Result<InFlightRequest, KeepReason> {
+    let now = cx.now();
+    let dispatch_req = outbound.dispatch_request(&progress.tried);
+    let pick = cx.dispatcher().choose_usable(now, &dispatch_req);
+    let pick = pick.ok_or(KeepReason::NoneUsable)?;
+    if !cx.try_retry(&outbound.service) {
+        return Err(KeepReason::RetryBudget);
+    }
+    cx.dispatcher()
+        .started(now, &pick.endpoint, outbound.request_no, &dispatch_req);
+    Ok(take_endpoint(cx, outbound, progress, pick))
+}
+
 fn choose_endpoint(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
@@ -292,7 +398,7 @@
 }
 
 /// Result of sending a request to one endpoint.
-enum AttemptResult {
+pub(crate) enum AttemptResult {
     Answered(Box<EndpointAnswer>),
     /// The endpoint did not run the request.
     NotRun(SendFailure),
@@ -302,37 +408,64 @@
     Unknown,
 }
 
-/// Sends a request to the endpoint that was chosen for it.
-async fn attempt_endpoint(
+/// Sends a request to the endpoint that was chosen for it. Returns `None` when the
+/// request can't be built.
+pub(crate) fn start_attempt(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
     in_flight: InFlightRequest,
     left: Duration,
-    wait: Duration,
     last_event: Option<&str>,
-) -> AttemptResult {
+) -> Option<Attempt> {
     let Some(req) = build_request(cx, outbound, &in_flight, left, last_event) else {
         // The caller's header was accepted, so this can't happen with a correct
         // adapter. Nothing was sent.
         slog::error!(cx.log, "can't build the request to an endpoint"; "request" => &outbound.id);
-        return AttemptResult::Unreachable;
+        return None;
     };
     let id_header = cx.adapter.request_id_header();
     let address = in_flight.pick.address;
-    let started_at = cx.now();
-    let sent = cx
-        .client
-        .exchange(address, req, &id_header, wait, false)
-        .await;
+    let client = Arc::clone(&cx.client);
+    let is_connected = Arc::new(AtomicBool::new(false));
+    let connected = {
+        let is_connected = Arc::clone(&is_connected);
+        move || is_connected.store(true, Ordering::Relaxed)
+    };
+    let sent = async move {
+        client
+            .exchange_observed(address, req, &id_header, left, false, connected)
+            .await
+    };
+    Some(Attempt {
+        in_flight,
+        is_connected,
+        sent: Box::pin(sent),
+        started_at: cx.now(),
+    })
+}
+
+/// Returns the result of an attempt, and records it at the endpoint.
+pub(crate) async fn judge(
+    cx: &Arc<RelayState>,
+    outbound: &OutboundRequest,
+    attempt: Attempt,
+    sent: SendResult,
+) -> AttemptResult {
+    let Attempt {
+        in_flight,
+        started_at,
+        ..
+    } = attempt;
     let answer = match sent {
         Ok(answer) => answer,
         Err(e) => {
+            let waited = cx.now().saturating_sub(started_at);
             slog::info!(cx.log, "attempt failed"; "request" => &outbound.id,
                 "endpoint" => &in_flight.pick.endpoint, "written" => e.written,
                 "error" => %e.error, "by" => ended_by(&e.error),
-                "silent_ms" => cx.now().saturating_sub(started_at).as_millis() as u64);
+                "silent_ms" => waited.as_millis() as u64);
             let outcome = match (&e.error, e.written) {
-                (ClientError::Timeout(_), true) if wait < outbound.stall_timeout() => {
+                (ClientError::Timeout(_), true) if waited < outbound.stall_timeout() => {
                     Outcome::Cancelled
                 }
                 (_, true) => Outcome::Broken,
@@ -361,11 +494,12 @@
             };
             in_flight.end(outcome);
             // Reads the body so that the connection can be reused.
-            drop(answer.read_to_end(wait.min(REFUSAL_BODY_TIMEOUT)).await);
-            match status {
-                ExecutionStatus::Misdirected => AttemptResult::NotRun(SendFailure::NoEndpoint),
-                _ => AttemptResult::NotRun(SendFailure::Full),
-            }
+            drop(answer.read_to_end(REFUSAL_BODY_TIMEOUT).await);
+            let failure = match status {
+                ExecutionStatus::Misdirected => SendFailure::NoEndpoint,
+                _ => SendFailure::Full,
+            };
+            AttemptResult::NotRun(failure)
         }
     }
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -322,7 +322,7 @@
     let mut progress = Progress::default();
     let mut endpoint_failure: Option<Response<Body>> = None;
     loop {
-        let result = send_request(cx, &outbound, &mut progress, None).await;
+        let result = send_request(cx, &outbound, &mut progress, None, None).await;
         if let Some(charge) = &mut charge {
             charge.has_run |= matches!(&result, Ok(a) if a.answer.status.is_success());
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod convert;
 mod events;
 mod forward;
+mod handover;
 mod loans;
 mod options;
 mod relay;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -12,29 +12,41 @@
 use std::task::Context;
 use std::task::Poll;
 
+use anvilloft_dispatch::KeepReason;
 use anvilloft_dispatch::Outcome;
+use anvilloft_dispatch::SilenceTimer;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::EndpointResponse;
+use anvilloft_gateway::sse::MAX_EVENT_BYTES;
 use anvilloft_routes::RouteKind;
 use anvilloft_types::prelude::*;
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures::Stream;
 use http_body::Frame;
 use quick_error::quick_error;
 
+use crate::attempt::Attempt;
+use crate::attempt::AttemptResult;
 use crate::attempt::EndpointAnswer;
 use crate::attempt::InFlightRequest;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
 use crate::attempt::ended_by;
+use crate::attempt::judge;
 use crate::attempt::send_request;
 use crate::charge::Charge;
 use crate::events::EventSplitter;
+use crate::handover::ASK_INTERVAL;
+use crate::handover::First;
+use crate::handover::log_silence;
+use crate::handover::start_handover;
+use crate::handover::wait_for_either;
 use crate::state::RelayState;
 
-/// Pause between events after which a resumable stream goes on at another endpoint, as
-/// a multiple of the route's `max_gap`. The answer is late by then, and callers give up
-/// at eight times `max_gap`. Any other stream is never cut for a pause: nobody else
+/// Pause between events after which a resumable stream is offered to another endpoint,
+/// as a multiple of the route's `max_gap`. The answer is late by then, and callers give
+/// up at eight times `max_gap`. Any other stream is never cut for a pause: nobody else
 /// could go on with it.
 const FAILED_AFTER_GAPS: u32 = 3;
 
@@ -53,6 +65,21 @@
     }
 }
 
+/// What was read from the current endpoint.
+enum Read {
+    /// Whole events, of which one has data or an id.
+    Events(Bytes),
+    End,
+    /// The endpoint broke the stream.
+    Broken(ClientError),
+    /// An event was too long.
+    TooLong,
+    /// Nothing that the caller gets, or the stream goes on elsewhere.
+    Nothing,
+    /// No endpoint goes on with the stream.
+    Failed(StreamError),
+}
+
 /// The events of a streamed answer, which may come from several endpoints.
 struct ResumingStream {
     cx: Arc<RelayState>,
@@ -62,88 +89,148 @@
     /// Current endpoint and its answer; `None` after the end of the stream.
     current: Option<(InFlightRequest, EndpointResponse)>,
     splitter: EventSplitter,
+    /// Events without data or an id that the caller has not got yet.
+    comments: BytesMut,
     /// When the first event arrived.
     first_event_at: Option<Duration>,
     /// When the last events arrived.
     last_events_at: Duration,
-    /// When the current endpoint made progress, or was asked to go on.
-    progress_at: Duration,
+    /// Silence of the current endpoint, since it was last asked or made progress.
+    silence: SilenceTimer,
+    /// Why the silent endpoint was kept.
+    kept_for: Option<KeepReason>,
     /// Longest time between two arrivals of events.
     longest_gap: Duration,
 }
 
+/// Reads from an endpoint until an event with data or an id is whole. Other events are
+/// added to `comments`. Dropping the future loses nothing.
+async fn read_events(
+    answer: &mut EndpointResponse,
+    splitter: &mut EventSplitter,
+    comments: &mut BytesMut,
+    left: Duration,
+) -> Read {
+    loop {
+        match answer.next(left).await {
+            Ok(Some(bytes)) => {
+                let read = push(splitter, comments, &bytes);
+                if !matches!(read, Read::Nothing) {
+                    return read;
+                }
+            }
+            Ok(None) => return Read::End,
+            Err(e) => return Read::Broken(e),
+        }
+    }
+}
+
+fn push(splitter: &mut EventSplitter, comments: &mut BytesMut, bytes: &[u8]) -> Read {
+    let count_before = splitter.event_count();
+    let Some(events) = splitter.push(bytes) else {
+        return Read::TooLong;
+    };
+    if splitter.event_count() > count_before {
+        return Read::Events(events);
+    }
+    comments.extend_from_slice(&events);
+    match comments.len() > MAX_EVENT_BYTES {
+        true => Read::TooLong,
+        false => Read::Nothing,
+    }
+}
+
 impl ResumingStream {
     /// Returns the next whole events, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         loop {
-            let (in_flight, answer) = self.current.as_mut()?;
-            let left = self.outbound.deadline.saturating_sub(self.cx.now());
+            if !self.comments.is_empty() {
+                return Some(Ok(self.comments.split().freeze()));
+            }
+            let (_, answer) = self.current.as_mut()?;
+            let now = self.cx.now();
+            let left = self.outbound.deadline.saturating_sub(now);
             if left.is_zero() {
-                return self.fail(StreamError::DeadlineExceeded, Outcome::Cancelled);
+                let outcome = match self.silence.is_over(now) {
+                    true => Outcome::Broken,
+                    false => Outcome::Cancelled,
+                };
+                return self.fail(StreamError::DeadlineExceeded, outcome);
             }
+            // Without an id, another endpoint would begin with the first event.
+            let can_move = self.splitter.last_id().is_some() && self.outbound.kind.is_retryable();
             // Bytes that complete no event with data or an id are no progress.
-            let wait = match self.outbound.kind {
-                RouteKind::Stream {
-                    max_gap,
-                    resumable: true,
-                } if self.first_event_at.is_some() => {
-                    let silent_for = self.cx.now().saturating_sub(self.progress_at);
-                    (max_gap * FAILED_AFTER_GAPS).saturating_sub(silent_for)
-                }
-                _ => left,
+            let wait = match can_move {
+                true => self.silence.until_ask(now).min(left),
+                false => left,
             };
-            match answer.next(wait.min(left)).await {
-                Ok(Some(bytes)) => {
-                    let count_before = self.splitter.event_count();
-                    let Some(events) = self.splitter.push(&bytes) else {
-                        return self.fail(StreamError::EndpointFailed, Outcome::Broken);
-                    };
-                    if events.is_empty() {
-                        continue;
-                    }
-                    if self.splitter.event_count() == count_before {
+            let read = match answer.next(wait).await {
+                Ok(Some(bytes)) => push(&mut self.splitter, &mut self.comments, &bytes),
+                Ok(None) => Read::End,
+                Err(ClientError::Timeout(_)) if can_move => self.hand_over().await?,
+                Err(ClientError::Timeout(_)) => Read::Nothing,
+                Err(e) => Read::Broken(e),
+            };
+            match read {
+                Read::Events(events) => {
+                    self.record_events();
+                    if self.comments.is_empty() {
                         return Some(Ok(events));
                     }
-                    let now = self.cx.now();
-                    if self.first_event_at.is_none() {
-                        self.first_event_at = Some(now);
-                        in_flight.record_first_event();
-                    } else {
-                        let gap = now.saturating_sub(self.last_events_at);
-                        self.longest_gap = self.longest_gap.max(gap);
-                    }
-                    self.last_events_at = now;
-                    self.progress_at = now;
-                    if let Some(charge) = &mut self.charge {
-                        charge.events = self.splitter.event_count();
-                    }
-                    return Some(Ok(events));
-                }
-                Ok(None) => {
-                    let (in_flight, _) = self.current.take()?;
-                    let first_event_at = self.first_event_at.unwrap_or_default();
-                    slog::info!(self.cx.log, "stream ended"; "request" => &self.outbound.id,
-                        "endpoint" => &in_flight.pick.endpoint,
-                        "first_ms" => first_event_at
-                            .saturating_sub(self.outbound.received_at)
-                            .as_millis() as u64,
-                        "gap_ms" => self.longest_gap.as_millis() as u64,
-                        "rank" => self.outbound.level,
-                        "events" => self.splitter.event_count(),
-                        "endpoints" => self.progress.sent_count);
-                    in_flight.end(Outcome::Ok);
-                    let rest = self.splitter.take_remainder();
-                    return (!rest.is_empty()).then_some(Ok(rest));
+                    self.comments.extend_from_slice(&events);
                 }
-                Err(error) => {
-                    if let Err(err) = self.resume(&error).await {
+                Read::End => return self.end(),
+                Read::Broken(e) => {
+                    if let Err(err) = self.resume(&e).await {
                         return self.fail(err, Outcome::Broken);
                     }
                 }
+                Read::TooLong => return self.fail(StreamError::EndpointFailed, Outcome::Broken),
+                Read::Nothing => {}
+                Read::Failed(err) => return self.fail(err, Outcome::Broken),
+            }
+        }
+    }
+
+    fn record_events(&mut self) {
+        let now = self.cx.now();
+        if self.first_event_at.is_none() {
+            self.first_event_at = Some(now);
+            if let Some((in_flight, _)) = &self.current {
+                in_flight.record_first_event();
             }
+        } else {
+            let gap = now.saturating_sub(self.last_events_at);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.last_events_at = now;
+        self.silence.heard(now);
+        self.kept_for = None;
+        if let Some(charge) = &mut self.charge {
+            charge.events = self.splitter.event_count();
         }
     }
 
+    /// Ends the stream after its last event.
+    fn end(&mut self) -> Option<Result<Bytes, StreamError>> {
+        let (in_flight, _) = self.current.take()?;
+        let first_event_at = self.first_event_at.unwrap_or_default();
+        slog::info!(self.cx.log, "stream ended"; "request" => &self.outbound.id,
+            "endpoint" => &in_flight.pick.endpoint,
+            "first_ms" => first_event_at
+                .saturating_sub(self.outbound.received_at)
+                .as_millis() as u64,
+            "gap_ms" => self.longest_gap.as_millis() as u64,
+            "rank" => self.outbound.level,
+            "events" => self.splitter.event_count(),
+            "endpoints" => self.progress.sent_count);
+        in_flight.end(Outcome::Ok);
+        self.comments
+            .extend_from_slice(&self.splitter.take_remainder());
+        let rest = self.comments.split().freeze();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
     /// Ends the stream with an error.
     fn fail(&mut self, err: StreamError, outcome: Outcome) -> Option<Result<Bytes, StreamError>> {
         if let Some((in_flight, _)) = self.current.take() {
@@ -156,43 +243,130 @@
         Some(Err(err))
     }
 
-    /// Resumes the stream at another endpoint after the last whole event.
-    async fn resume(&mut self, error: &ClientError) -> Result<(), StreamError> {
+    /// Asks another endpoint to go on with the stream, as the current one is silent. The
+    /// current one is kept until the other has the request: the first that is heard goes
+    /// on.
+    async fn hand_over(&mut self) -> Option<Read> {
+        let now = self.cx.now();
+        self.silence.asked(now);
+        let silent_for = self.silence.silent_for(now);
+        let last_event = self.splitter.last_id().map(str::to_owned);
+        let (in_flight, answer) = self.current.as_mut()?;
+        let endpoint = &in_flight.pick.endpoint;
+        let sent_count = self.progress.sent_count;
+        let other = start_handover(
+            &self.cx,
+            &self.outbound,
+            &mut self.progress,
+            sent_count,
+            last_event.as_deref(),
+        );
+        let mut other = match other {
+            Ok(other) => other,
+            Err(reason) => {
+                if self.kept_for.replace(reason) != Some(reason) {
+                    log_silence(&self.cx, &self.outbound, endpoint, silent_for, Err(reason));
+                }
+                return Some(Read::Nothing);
+            }
+        };
+        let asked = Ok(other.in_flight.pick.endpoint.as_str());
+        log_silence(&self.cx, &self.outbound, endpoint, silent_for, asked);
+        let left = self.outbound.deadline.saturating_sub(now);
+        let read = read_events(answer, &mut self.splitter, &mut self.comments, left);
+        match wait_for_either(read, &mut other).await {
+            First::Current(Read::Broken(e)) => {
+                self.close_current(ended_by(&e), &e.to_string());
+                Some(self.resume_at(Some(other)).await)
+            }
+            First::Current(read) => {
+                self.progress.record_given_up();
+                Some(read)
+            }
+            First::Other(sent) => {
+                let result = judge(&self.cx, &self.outbound, other, *sent).await;
+                self.progress.record(&result);
+                match result {
+                    AttemptResult::Answered(answered) if answered.answer.status.is_success() => {
+                        self.close_current(
+                            "router",
+                            "silent while another endpoint has the request",
+                        );
+                        self.go_on_with(*answered);
+                    }
+                    AttemptResult::Answered(answered) => {
+                        answered.discard(&self.cx, &self.outbound);
+                    }
+                    _ => {}
+                }
+                Some(Read::Nothing)
+            }
+            First::Nobody => {
+                self.close_current("router", "silent while another endpoint has the request");
+                Some(self.resume_at(Some(other)).await)
+            }
+        }
+    }
+
+    /// Closes the connection to the current endpoint, so that its run ends.
+    fn close_current(&mut self, by: &str, error: &str) {
         let Some((in_flight, answer)) = self.current.take() else {
-            return Err(StreamError::EndpointFailed);
+            return;
         };
-        slog::info!(self.cx.log, "endpoint broke off"; "request" => &self.outbound.id,
-            "endpoint" => &in_flight.pick.endpoint, "error" => %error,
-            "by" => ended_by(error), "events" => self.splitter.event_count(),
-            "silent_ms" => self.cx.now().saturating_sub(self.progress_at).as_millis() as u64);
-        // Closes the old connection first, so that two runs never overlap.
         drop(answer);
+        let silent_for = self.silence.silent_for(self.cx.now());
+        slog::info!(self.cx.log, "endpoint broke off"; "request" => &self.outbound.id,
+            "endpoint" => &in_flight.pick.endpoint, "error" => error,
+            "by" => by, "events" => self.splitter.event_count(),
+            "silent_ms" => silent_for.as_millis() as u64);
         in_flight.end(Outcome::Broken);
         self.progress.may_have_run = true;
         self.splitter.discard_partial();
+    }
+
+    fn go_on_with(&mut self, answered: EndpointAnswer) {
+        let EndpointAnswer { in_flight, answer } = answered;
+        slog::info!(self.cx.log, "stream resumed"; "request" => &self.outbound.id,
+            "endpoint" => &in_flight.pick.endpoint, "after" => self.splitter.last_id());
+        self.current = Some((in_flight, answer));
+        self.silence.heard(self.cx.now());
+        self.kept_for = None;
+    }
+
+    /// Resumes the stream at another endpoint after the last whole event.
+    async fn resume(&mut self, error: &ClientError) -> Result<(), StreamError> {
+        self.close_current(ended_by(error), &error.to_string());
+        match self.resume_at(None).await {
+            Read::Failed(err) => Err(err),
+            _ => Ok(()),
+        }
+    }
+
+    /// Resumes the stream at the endpoint of a running attempt, or at any other.
+    async fn resume_at(&mut self, running: Option<Attempt>) -> Read {
         let last_event = self.splitter.last_id().map(str::to_owned);
         let sent = send_request(
             &self.cx,
             &self.outbound,
             &mut self.progress,
             last_event.as_deref(),
+            running,
         )
         .await;
         match sent {
-            Ok(EndpointAnswer { in_flight, answer }) if answer.status.is_success() => {
-                slog::info!(self.cx.log, "stream resumed"; "request" => &self.outbound.id,
-                    "endpoint" => &in_flight.pick.endpoint, "after" => last_event);
-                self.current = Some((in_flight, answer));
-                self.progress_at = self.cx.now();
-                Ok(())
+            Ok(answered) if answered.answer.status.is_success() => {
+                self.go_on_with(answered);
+                Read::Nothing
             }
             Ok(EndpointAnswer { in_flight, answer }) => {
-                slog::info!(self.cx.log, "endpoint did not resume"; "request" => &self.outbound.id,
-                    "endpoint" => &in_flight.pick.endpoint, "status" => answer.status.as_u16());
+                slog::info!(self.cx.log, "endpoint did not resume";
+                    "request" => &self.outbound.id,
+                    "endpoint" => &in_flight.pick.endpoint,
+                    "status" => answer.status.as_u16());
                 in_flight.end(Outcome::Failed);
-                Err(StreamError::EndpointFailed)
+                Read::Failed(StreamError::EndpointFailed)
             }
-            Err(_) => Err(StreamError::EndpointFailed),
+            Err(_) => Read::Failed(StreamError::EndpointFailed),
         }
     }
 }
@@ -215,6 +389,10 @@
         in_flight: InFlightRequest,
         answer: EndpointResponse,
     ) -> Self {
+        let max_silence = match outbound.kind {
+            RouteKind::Stream { max_gap, .. } => max_gap.saturating_mul(FAILED_AFTER_GAPS),
+            _ => Duration::MAX,
+        };
         let source = ResumingStream {
             cx: Arc::clone(cx),
             outbound,
@@ -222,9 +400,11 @@
             charge,
             current: Some((in_flight, answer)),
             splitter: EventSplitter::default(),
+            comments: BytesMut::new(),
             first_event_at: None,
             last_events_at: Duration::ZERO,
-            progress_at: cx.now(),
+            silence: SilenceTimer::new(max_silence, ASK_INTERVAL, cx.now()),
+            kept_for: None,
             longest_gap: Duration::ZERO,
         };
         let events = futures::stream::unfold(Some(source), |source| async move {
--- /dev/null
+++ b/crates/relay/tests/relay/silence.rs
@@ -0,0 +1,279 @@
+//! Sound endpoints that fall silent for a while and go on.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use anvilloft_fakes::http::Reply;
+use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::ReceivedRequest;
+use anvilloft_fakes::raw::Step;
+use anvilloft_fakes::raw::whole_answer;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+use crate::common::Fleet;
+use crate::common::chunk;
+use crate::common::event;
+use crate::common::send;
+use crate::common::stream_head;
+use crate::common::whole_stream;
+
+/// Id of the request that meets the silence.
+const ID: &str = "silent";
+
+/// What an endpoint does with the request once another one has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Other {
+    /// There is no other endpoint.
+    None,
+    /// It refuses as full.
+    Full,
+    /// It answers with a failure.
+    Fails,
+    /// It answers at once.
+    Answers,
+    /// It sends its header after a while.
+    AnswersLate(Duration),
+}
+
+#[derive(Clone, Copy)]
+struct Case {
+    path: &'static str,
+    silence: Duration,
+    other: Other,
+    /// Retries in excess of the ratio, which is 0.
+    retries: f64,
+    /// Requests that may reach an endpoint after the first.
+    max_moves: u64,
+}
+
+/// Maximum time for which two endpoints may work on one stream.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+const CASE: Case = Case {
+    path: "/stream/x",
+    silence: Duration::from_secs(2),
+    other: Other::None,
+    retries: 10.0,
+    max_moves: 1,
+};
+
+fn refusal(attempt: &str) -> Vec<Step> {
+    vec![send(format!(
+        "HTTP/1.1 503 Full\r\nx-anvilloft-refused: not-run\r\nx-anvilloft-attempt: {attempt}\r\n\
+         content-length: 0\r\n\r\n"
+    ))]
+}
+
+fn failure(attempt: &str) -> Vec<Step> {
+    vec![send(format!(
+        "HTTP/1.1 500 Failed\r\nx-anvilloft-attempt: {attempt}\r\ncontent-length: 0\r\n\r\n"
+    ))]
+}
+
+fn is_plain(req: &ReceivedRequest) -> bool {
+    req.head.starts_with("post /any/") || req.head.starts_with("post /once/")
+}
+
+fn answer(req: &ReceivedRequest) -> Vec<Step> {
+    match is_plain(req) {
+        true => vec![send(whole_answer(&req.attempt, "done"))],
+        false => whole_stream(req, 3),
+    }
+}
+
+/// Returns the answer of an endpoint that is silent midway, or before the header of a
+/// plain answer.
+fn silent_answer(req: &ReceivedRequest, silence: Duration) -> Vec<Step> {
+    if is_plain(req) {
+        return vec![
+            Step::Wait(silence),
+            send(whole_answer(&req.attempt, "done")),
+        ];
+    }
+    vec![
+        send(stream_head(&req.attempt) + &chunk(&event(1)) + &chunk("id: 2\nda")),
+        Step::Wait(silence),
+        send(chunk("ta: t2\n\n") + &chunk(&event(3)) + "0\r\n\r\n"),
+    ]
+}
+
+/// Sends a request, and repeats it while it was not run for want of tokens.
+async fn send_request(fleet: &Fleet, path: &str, id: &str) -> Reply {
+    loop {
+        let reply = fleet.send(0, path, id).await;
+        if reply.status != 429 {
+            return reply;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Plays a case, with a change of the configuration while the endpoint is silent.
+/// Returns the reply and the number of requests after the first.
+async fn play(case: Case, publish: bool) -> (Reply, u64) {
+    let configure = |o: anvilloft_relay::RelayOptionsBuilder| {
+        o.retries(Duration::from_secs(10), 0.0, case.retries)
+    };
+    let fleet = Fleet::start_with(1, configure).await;
+    fleet.publish(1, 1_000_000).await;
+    let count = Arc::new(AtomicU64::new(0));
+    // Both endpoints behave alike, so that it doesn't matter which of them is first.
+    let names: &[&str] = match case.other {
+        Other::None => &["e1"],
+        _ => &["e1", "e2"],
+    };
+    for name in names {
+        let count = Arc::clone(&count);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return answer(&req);
+            }
+            if count.fetch_add(1, Ordering::Relaxed) == 0 {
+                return silent_answer(&req, case.silence);
+            }
+            match case.other {
+                Other::None | Other::Full => refusal(&req.attempt),
+                Other::Fails => failure(&req.attempt),
+                Other::Answers => answer(&req),
+                Other::AnswersLate(wait) => {
+                    let mut steps = vec![Step::Wait(wait)];
+                    steps.extend(answer(&req));
+                    steps
+                }
+            }
+        });
+        let endpoint = endpoint.await.unwrap();
+        for service in ["plain", "engines"] {
+            fleet.announce(&format!("{name}-{service}"), endpoint.addr, service);
+        }
+    }
+    let warm = send_request(&fleet, case.path, "warm").await;
+    assert_eq!(warm.status, 200);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (reply, ()) = tokio::join!(send_request(&fleet, case.path, ID), async {
+        if publish {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            fleet.publish(2, 1_000_000).await;
+        }
+    });
+    (reply, count.load(Ordering::Relaxed).saturating_sub(1))
+}
+
+/// Guards against a request that the router breaks off because a sound endpoint is
+/// silent for a while, although no other endpoint takes it over.
+#[rstest::rstest]
+#[case::stream_alone(Case { max_moves: 0, ..CASE })]
+#[case::stream_other_full(Case { other: Other::Full, ..CASE })]
+#[case::stream_other_fails(Case { other: Other::Fails, ..CASE })]
+#[case::stream_endpoint_limit(Case { path: "/single/x", other: Other::Answers, max_moves: 0, ..CASE })]
+#[case::stream_no_retries(Case { other: Other::Answers, retries: 0.0, max_moves: 0, ..CASE })]
+#[case::fragile(Case { path: "/fragile/x", other: Other::Answers, max_moves: 0, ..CASE })]
+#[case::plain_alone(Case { path: "/any/x", max_moves: 0, ..CASE })]
+#[case::plain_other_full(Case { path: "/any/x", other: Other::Full, ..CASE })]
+#[case::plain_other_fails(Case { path: "/any/x", other: Other::Fails, ..CASE })]
+#[case::plain_no_retries(Case {
+    path: "/any/x", other: Other::Answers, retries: 0.0, max_moves: 0, ..CASE
+})]
+#[case::once(Case { path: "/once/x", other: Other::Answers, max_moves: 0, ..CASE })]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_endpoint_is_not_given_up_before_another_takes_over(
+    #[case] case: Case,
+    #[values(false, true)] publish: bool,
+) {
+    check(case, publish).await;
+}
+
+/// Guards against a piece that is missing or comes twice while two endpoints have the
+/// same request.
+#[rstest::rstest]
+#[case::at_once(Case { other: Other::Answers, ..CASE })]
+#[case::before_the_hand_over(Case {
+    other: Other::AnswersLate(Duration::from_millis(100)), ..CASE
+})]
+#[case::after_the_hand_over(Case {
+    other: Other::AnswersLate(Duration::from_millis(500)), ..CASE
+})]
+#[case::the_first_goes_on(Case {
+    silence: Duration::from_millis(980),
+    other: Other::AnswersLate(Duration::from_millis(600)),
+    ..CASE
+})]
+#[case::plain(Case { path: "/any/x", other: Other::Answers, ..CASE })]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_move_to_another_endpoint_keeps_the_answer_whole(#[case] case: Case) {
+    check(case, false).await;
+}
+
+async fn check(case: Case, publish: bool) {
+    let (reply, moves) = play(case, publish).await;
+    let text = match case.path {
+        "/any/x" | "/once/x" => "done".to_owned(),
+        _ => event(1) + &event(2) + &event(3),
+    };
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(reply.text(), text);
+    assert!(moves <= case.max_moves, "moved {moves} times");
+}
+
+/// Serves requests with an answer that never goes on, and returns when the connection of
+/// the request `ID` was closed.
+async fn serve_silently(listener: TcpListener) -> Instant {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\nbody") {
+            if stream.read_buf(&mut head).await.unwrap() == 0 {
+                break;
+            }
+        }
+        let head = String::from_utf8(head).unwrap();
+        if head.contains(ID) {
+            let begun = stream_head(ID) + &chunk(&event(1));
+            stream.write_all(begun.as_bytes()).await.unwrap();
+            let mut rest = Vec::new();
+            stream.read_to_end(&mut rest).await.ok();
+            return Instant::now();
+        }
+    }
+}
+
+/// Guards against two endpoints that work on one stream for long: the silent one is
+/// told to stop once another one has the request.
+#[rstest::rstest]
+#[case::answers(Duration::ZERO)]
+#[case::accepts(Duration::from_millis(700))]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_endpoints_do_not_work_on_a_stream_for_long(#[case] header_after: Duration) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let resumed_at = Arc::new(Mutex::new(None));
+    let closed_at = tokio::spawn(serve_silently(listener));
+    fleet.announce("e1", address, "engines");
+    let seen = Arc::clone(&resumed_at);
+    let other = RawEndpoint::start(move |req| {
+        *seen.lock().unwrap() = Some(Instant::now());
+        let mut steps = vec![Step::Wait(header_after)];
+        steps.extend(answer(&req));
+        steps
+    });
+    let other = other.await.unwrap();
+    let (reply, ()) = tokio::join!(send_request(&fleet, "/stream/x", ID), async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fleet.announce("e2", other.addr, "engines");
+    });
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    let closed_at = closed_at.await.unwrap();
+    let resumed_at = resumed_at.lock().unwrap().unwrap();
+    let overlap = closed_at.saturating_duration_since(resumed_at);
+    assert!(overlap < MAX_OVERLAP, "overlap of {overlap:?}");
+}
--- a/crates/relay/tests/relay/traces.rs
+++ b/crates/relay/tests/relay/traces.rs
@@ -141,3 +141,34 @@
     let trace = log.trace("order-1", expected).await;
     assert!(trace.cause.starts_with(expected), "{trace:?}");
 }
+
+/// Guards against log lines that don't tell an endpoint that broke off from one that
+/// this router gave up for its silence.
+#[rstest::rstest]
+#[case::endpoint(Step::Close, "endpoint")]
+#[case::router(Step::Wait(Duration::from_secs(3)), "router")]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_who_ended_an_attempt(#[case] last: Step, #[case] by: &'static str) {
+    let (log, _guard, fleet) = start(100_000).await;
+    for name in ["e1", "e2"] {
+        let last = last.clone();
+        let endpoint = RawEndpoint::start(move |s| {
+            if s.attempt != "s-1" || s.head.contains("last-event-id: ") {
+                return whole_stream(&s, 3);
+            }
+            let begun = send(stream_head(&s.attempt) + &chunk(&event(1)));
+            vec![begun, Step::Wait(Duration::from_millis(50)), last.clone()]
+        });
+        let endpoint = endpoint.await.unwrap();
+        fleet.announce(name, endpoint.addr, "engines");
+    }
+    fleet.send(0, "/stream/x", "warm").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", "s-1").await;
+    assert!(reply.complete, "{}", reply.text());
+    let trace = log.trace("s-1", "the stream ended").await;
+    let count = |msg: &str| trace.lines.iter().filter(|l| l.msg == msg).count();
+    let ended = trace.lines.iter().find(|l| l.msg == "endpoint broke off");
+    assert_eq!(ended.unwrap().field("by"), by, "{trace:?}");
+    assert_eq!(count("endpoint silent"), usize::from(by == "router"));
+}
