Offer a broken stream again to endpoints that were full for a moment

Cause: when an endpoint broke off a resumable stream and the next one refused as full, that refusal counted towards the route's limit of endpoints, and the stream ended.

What callers saw: a stream that broke off, though its time and the limits allowed another try.

Endpoints that refused did not run the request, so they don't count for its limit. The same holds for endpoints that refused it during an earlier silence.

Evidence: a_broken_stream_outlasts_a_refusal_of_the_next_endpoint failed before ("broken off after id: 1 data: t1").

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -147,6 +147,8 @@
     /// Number of endpoints that received the request.
     pub(crate) sent_count: u32,
     unreachable_count: u32,
+    /// Endpoints that refused the request as full.
+    refused: Vec<EndpointId>,
     /// Whether an endpoint may have run the request.
     pub(crate) may_have_run: bool,
 }
@@ -155,7 +157,13 @@
     /// Records the result of an attempt.
     pub(crate) fn record(&mut self, result: &AttemptResult) {
         match result {
-            AttemptResult::Answered(_) | AttemptResult::NotRun(_) => self.sent_count += 1,
+            AttemptResult::Answered(_) => self.sent_count += 1,
+            AttemptResult::NotRun(failure, endpoint) => {
+                self.sent_count += 1;
+                if *failure == SendFailure::Full {
+                    self.refused.push(endpoint.clone());
+                }
+            }
             AttemptResult::Unreachable => self.unreachable_count += 1,
             AttemptResult::Unknown => self.record_given_up(),
         }
@@ -167,6 +175,14 @@
         self.may_have_run = true;
     }
 
+    /// Lets endpoints that refused the request as full be asked again.
+    pub(crate) fn forget_refusals(&mut self) {
+        for id in self.refused.drain(..) {
+            self.tried.retain(|t| *t != id);
+            self.sent_count = self.sent_count.saturating_sub(1);
+        }
+    }
+
     pub(crate) fn state(&self, outbound: &OutboundRequest) -> SentState {
         SentState {
             repeatable: outbound.kind.is_retryable(),
@@ -292,7 +308,7 @@
                 }
                 return Ok(*answered);
             }
-            AttemptResult::NotRun(failure) => last_failure = failure,
+            AttemptResult::NotRun(failure, _) => last_failure = failure,
             AttemptResult::Unreachable => {
                 last_failure = SendFailure::ConnectionFailed;
                 if running.is_none() && progress.unreachable_count >= MAX_UNREACHABLE {
@@ -401,7 +417,7 @@
 pub(crate) enum AttemptResult {
     Answered(Box<EndpointAnswer>),
     /// The endpoint did not run the request.
-    NotRun(SendFailure),
+    NotRun(SendFailure, EndpointId),
     /// Nothing was sent, as no connection could be opened.
     Unreachable,
     /// The connection failed after part of the request was sent.
@@ -492,6 +508,7 @@
                 ExecutionStatus::Misdirected => Outcome::Misdirected,
                 _ => Outcome::Full,
             };
+            let endpoint = in_flight.pick.endpoint.clone();
             in_flight.end(outcome);
             // Reads the body so that the connection can be reused.
             drop(answer.read_to_end(REFUSAL_BODY_TIMEOUT).await);
@@ -499,7 +516,7 @@
                 ExecutionStatus::Misdirected => SendFailure::NoEndpoint,
                 _ => SendFailure::Full,
             };
-            AttemptResult::NotRun(failure)
+            AttemptResult::NotRun(failure, endpoint)
         }
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,6 +32,7 @@
 use crate::attempt::InFlightRequest;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
+use crate::attempt::SendFailure;
 use crate::attempt::ended_by;
 use crate::attempt::judge;
 use crate::attempt::send_request;
@@ -49,6 +50,8 @@
 /// up at eight times `max_gap`. Any other stream is never cut for a pause: nobody else
 /// could go on with it.
 const FAILED_AFTER_GAPS: u32 = 3;
+/// Maximum number of times that a broken stream is offered to endpoints that were full.
+const MAX_RESUMPTIONS: u32 = 5;
 
 quick_error! {
     /// Why a stream ended before its last event. The caller sees a broken connection.
@@ -343,31 +346,40 @@
     }
 
     /// Resumes the stream at the endpoint of a running attempt, or at any other.
-    async fn resume_at(&mut self, running: Option<Attempt>) -> Read {
+    async fn resume_at(&mut self, mut running: Option<Attempt>) -> Read {
         let last_event = self.splitter.last_id().map(str::to_owned);
-        let sent = send_request(
-            &self.cx,
-            &self.outbound,
-            &mut self.progress,
-            last_event.as_deref(),
-            running,
-        )
-        .await;
-        match sent {
-            Ok(answered) if answered.answer.status.is_success() => {
-                self.go_on_with(answered);
-                Read::Nothing
-            }
-            Ok(EndpointAnswer { in_flight, answer }) => {
-                slog::info!(self.cx.log, "endpoint did not resume";
-                    "request" => &self.outbound.id,
-                    "endpoint" => &in_flight.pick.endpoint,
-                    "status" => answer.status.as_u16());
-                in_flight.end(Outcome::Failed);
-                Read::Failed(StreamError::EndpointFailed)
+        // An endpoint that was full a while ago may have room now.
+        self.progress.forget_refusals();
+        for _ in 0..MAX_RESUMPTIONS {
+            let sent = send_request(
+                &self.cx,
+                &self.outbound,
+                &mut self.progress,
+                last_event.as_deref(),
+                running.take(),
+            )
+            .await;
+            match sent {
+                Ok(answered) if answered.answer.status.is_success() => {
+                    self.go_on_with(answered);
+                    return Read::Nothing;
+                }
+                Ok(EndpointAnswer { in_flight, answer }) => {
+                    slog::info!(self.cx.log, "endpoint did not resume";
+                        "request" => &self.outbound.id,
+                        "endpoint" => &in_flight.pick.endpoint,
+                        "status" => answer.status.as_u16());
+                    in_flight.end(Outcome::Failed);
+                    return Read::Failed(StreamError::EndpointFailed);
+                }
+                Err(SendFailure::Full) => {
+                    tokio::time::sleep(ASK_INTERVAL).await;
+                    self.progress.forget_refusals();
+                }
+                Err(_) => return Read::Failed(StreamError::EndpointFailed),
             }
-            Err(_) => Read::Failed(StreamError::EndpointFailed),
         }
+        Read::Failed(StreamError::EndpointFailed)
     }
 }
 
--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -222,6 +222,36 @@
     assert!(moves <= case.max_moves, "moved {moves} times");
 }
 
+/// Guards against a stream that ends because the next endpoint is full for a moment
+/// when its own one breaks off.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_outlasts_a_refusal_of_the_next_endpoint() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let count = Arc::new(AtomicU64::new(0));
+    for name in ["e1", "e2"] {
+        let count = Arc::clone(&count);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return answer(&req);
+            }
+            let begun = send(stream_head(&req.attempt) + &chunk(&event(1)));
+            match count.fetch_add(1, Ordering::Relaxed) {
+                0 => vec![begun, Step::Wait(Duration::from_millis(50)), Step::Close],
+                1 | 2 => refusal(&req.attempt),
+                _ => answer(&req),
+            }
+        });
+        let endpoint = endpoint.await.unwrap();
+        fleet.announce(name, endpoint.addr, "engines");
+    }
+    send_request(&fleet, "/stream/x", "warm").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = send_request(&fleet, "/stream/x", ID).await;
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+}
+
 /// Serves requests with an answer that never goes on, and returns when the connection of
 /// the request `ID` was closed.
 async fn serve_silently(listener: TcpListener) -> Instant {
