Log and count the ends of connections, and answer after a panic

Cause: the server dropped hyper's error, and a panic in a handler or in a streamed body ended the connection's task without a trace. The number of open connections was then one too high for ever, so that a planned stop waited for its whole limit. The timeout of hyper for a header began with the end of the answer before, so that a request whose first half arrived late in the idle time was closed on.

What callers saw: a closed connection instead of an answer.

Change: each connection that ends while a request on it has no complete answer has one log line (`connection ended early` with its cause, the id of the request and hyper's error) and counts in anvilloft_connection_ends_total{cause}. A panic is caught at the border: logged with the id, counted in anvilloft_panics_total, and answered with 500 and an unknown run state; in a body it breaks the answer off. The timeouts of idle connections and of headers are the server's own: the idle time ends with the first byte of a header, and bytes that have arrived are read before a timeout is checked. A header has 2 s beyond its limit, for packets that are sent again.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -20,7 +20,7 @@
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::Handler;
 use anvilloft_gateway::serve::HandlerService;
-use anvilloft_gateway::serve::serve;
+use anvilloft_gateway::serve::Server;
 use anvilloft_types::lock;
 use http::HeaderValue;
 use http::StatusCode;
@@ -403,14 +403,8 @@
     let limits = ConnectionLimits::default();
     let stop = CancellationToken::new();
     let finish = CancellationToken::new();
-    tokio::spawn(serve(
-        listener,
-        service,
-        limits,
-        Arc::new(metrics),
-        stop,
-        finish,
-    ));
+    let server = Server::new(limits, Arc::new(metrics));
+    tokio::spawn(server.serve(listener, service, stop, finish));
     let announcer = Arc::clone(&shared);
     tokio::spawn(async move {
         let mut announced_leaving = false;
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -104,6 +104,21 @@
     }
 }
 
+quick_error! {
+    /// Failure of an answer after its header was sent.
+    #[derive(Debug)]
+    pub enum AnswerError {
+        /// The source of the body failed.
+        Body(err: Box<dyn std::error::Error + Send + Sync>) {
+            display("{}", err)
+        }
+        /// The source of the body panicked.
+        Panicked {
+            display("the code that produces the answer panicked")
+        }
+    }
+}
+
 /// A chunk of a streamed response.
 pub(crate) enum StreamChunk {
     /// More chunks follow.
--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,366 @@
+//! What is known about one connection of a caller: the request that is being served,
+//! bytes that were read or not yet written, and how the connection ended.
+
+use std::io;
+use std::io::IoSlice;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use anvilloft_types::lock;
+use bytes::Bytes;
+use http_body::Body as _;
+use http_body::Frame;
+use http_body::SizeHint;
+use slog::Logger;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use volo_http::body::Body;
+
+use crate::body::AnswerError;
+use crate::metrics::Metrics;
+
+/// Time that a header may take beyond its limit, for packets that are sent again.
+const HEADER_GRACE: Duration = Duration::from_secs(2);
+
+/// Timeouts of a connection. They may change while the connection is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Timeout for reading the header of a request.
+    pub header: Duration,
+    /// Time after which an idle connection is closed.
+    pub idle: Duration,
+}
+
+impl Timeouts {
+    /// Returns the longer of each timeout.
+    #[must_use]
+    pub fn longest(self, other: Self) -> Self {
+        Self {
+            header: self.header.max(other.header),
+            idle: self.idle.max(other.idle),
+        }
+    }
+}
+
+/// Why a connection ended while a request had no complete answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndCause {
+    /// The caller closed or reset the connection.
+    CallerLeft,
+    /// The caller sent something that is no request.
+    ProtocolError,
+    /// The header of a request stopped arriving.
+    HeaderTimeout,
+    /// The caller stopped reading its answer.
+    AnswerStalled,
+    /// The answer failed after its header was sent.
+    AnswerFailed,
+    /// The code that produces the answer panicked after its header was sent.
+    Panicked,
+    /// The process stopped.
+    Stopped,
+}
+
+impl EndCause {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::CallerLeft => "caller_left",
+            Self::ProtocolError => "protocol_error",
+            Self::HeaderTimeout => "header_timeout",
+            Self::AnswerStalled => "answer_stalled",
+            Self::AnswerFailed => "answer_failed",
+            Self::Panicked => "panicked",
+            Self::Stopped => "stopped",
+        }
+    }
+}
+
+struct Progress {
+    /// Id of the newest request.
+    id: String,
+    /// Whether the newest request has no complete answer yet.
+    open: bool,
+    /// Number of requests so far.
+    count: u64,
+    /// When the first bytes of a header arrived that is not complete.
+    header_since: Option<Instant>,
+    /// End of the last answer, or of the last write.
+    active_at: Instant,
+    /// Whether bytes of an answer wait for the caller to read.
+    unwritten: bool,
+    failure: Option<EndCause>,
+}
+
+/// Progress of one connection.
+pub(crate) struct ConnectionState(Mutex<Progress>);
+
+impl ConnectionState {
+    pub(crate) fn new() -> Self {
+        Self(Mutex::new(Progress {
+            id: String::new(),
+            open: false,
+            count: 0,
+            header_since: None,
+            active_at: Instant::now(),
+            unwritten: false,
+            failure: None,
+        }))
+    }
+
+    /// Records that the header of a request is complete.
+    pub(crate) fn begin(&self, id: String) {
+        let mut p = lock(&self.0);
+        (p.id, p.open) = (id, true);
+        p.count += 1;
+        p.header_since = None;
+    }
+
+    /// Records that the answer was passed to the connection completely.
+    fn answer_ended(&self) {
+        let mut p = lock(&self.0);
+        p.open = false;
+        p.active_at = Instant::now();
+    }
+
+    fn answer_failed(&self, cause: EndCause) {
+        lock(&self.0).failure.get_or_insert(cause);
+    }
+
+    fn id(&self) -> String {
+        lock(&self.0).id.clone()
+    }
+
+    pub(crate) fn request_count(&self) -> u64 {
+        lock(&self.0).count
+    }
+
+    /// Returns when the connection is closed if nothing happens until then, and why.
+    /// Returns `None` while a request is served.
+    pub(crate) fn deadline(&self, timeouts: Timeouts) -> Option<(Instant, Option<EndCause>)> {
+        let p = lock(&self.0);
+        if p.open {
+            return None;
+        }
+        let (since, timeout, cause) = match p.header_since {
+            Some(since) => {
+                let timeout = timeouts.header.saturating_add(HEADER_GRACE);
+                (since, timeout, Some(EndCause::HeaderTimeout))
+            }
+            None => {
+                let stalled = p.unwritten.then_some(EndCause::AnswerStalled);
+                (p.active_at, timeouts.idle, stalled)
+            }
+        };
+        Some((since.checked_add(timeout)?, cause))
+    }
+
+    /// Returns the id of the request without a complete answer, if there is one; it is
+    /// empty if its header isn't complete. The second value is the recorded cause.
+    pub(crate) fn unfinished(&self) -> Option<(String, Option<EndCause>)> {
+        let p = lock(&self.0);
+        let id = match p.open || p.unwritten {
+            true => p.id.clone(),
+            false if p.header_since.is_some() => String::new(),
+            false => return None,
+        };
+        Some((id, p.failure))
+    }
+
+    fn record_read(&self, len: usize) {
+        let mut p = lock(&self.0);
+        if len > 0 && !p.open && p.header_since.is_none() {
+            p.header_since = Some(Instant::now());
+        }
+    }
+
+    fn record_write(&self, len: usize, result: &Poll<io::Result<usize>>) {
+        let mut p = lock(&self.0);
+        p.unwritten = !matches!(result, Poll::Ready(Ok(n)) if *n == len);
+        if matches!(result, Poll::Ready(Ok(n)) if *n > 0) {
+            p.active_at = Instant::now();
+        }
+    }
+}
+
+/// Logs and counts what goes wrong on connections.
+pub(crate) struct Observer {
+    pub(crate) log: Logger,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl Observer {
+    pub(crate) fn record_panic(&self, id: &str) {
+        self.metrics.panics.inc();
+        slog::error!(self.log, "a request's code panicked"; "request" => id);
+    }
+
+    /// Records that a connection ended while a request had no complete answer.
+    pub(crate) fn record_end(&self, cause: EndCause, end: &ConnectionEnd<'_>) {
+        let cause = cause.as_str();
+        self.metrics
+            .connection_ends
+            .with_label_values(&[cause])
+            .inc();
+        slog::info!(self.log, "connection ended early"; "cause" => cause,
+            "request" => end.id, "peer" => %end.peer, "requests" => end.count,
+            "error" => end.error);
+    }
+}
+
+/// End of a connection.
+pub(crate) struct ConnectionEnd<'a> {
+    /// Id of the request; empty if its header isn't complete.
+    pub(crate) id: &'a str,
+    pub(crate) peer: SocketAddr,
+    /// Number of requests on the connection.
+    pub(crate) count: u64,
+    pub(crate) error: Option<&'a str>,
+}
+
+/// A caller's socket that records its progress.
+pub(crate) struct TrackedStream {
+    stream: TcpStream,
+    state: Arc<ConnectionState>,
+}
+
+impl TrackedStream {
+    pub(crate) fn new(stream: TcpStream, state: Arc<ConnectionState>) -> Self {
+        Self { stream, state }
+    }
+}
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.state.record_read(buf.filled().len() - before);
+        result
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.state.record_write(buf.len(), &result);
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let len = bufs.iter().map(|b| b.len()).sum();
+        self.state.record_write(len, &result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// Body of an answer. Records whether the connection has taken all of it, and turns a
+/// panic into an error, which breaks the answer off.
+pub(crate) struct AnswerBody {
+    body: Body,
+    /// Number of bytes that are due, if known.
+    left: Option<u64>,
+    ended: bool,
+    observer: Arc<Observer>,
+    state: Arc<ConnectionState>,
+}
+
+impl AnswerBody {
+    /// Wraps a body. `is_bodiless` tells that no body is sent, as the request is `HEAD`.
+    pub(crate) fn new(
+        body: Body,
+        is_bodiless: bool,
+        observer: &Arc<Observer>,
+        state: &Arc<ConnectionState>,
+    ) -> Self {
+        let left = body.size_hint().exact();
+        let mut answer = Self {
+            body,
+            left,
+            ended: false,
+            observer: Arc::clone(observer),
+            state: Arc::clone(state),
+        };
+        if is_bodiless || left == Some(0) {
+            answer.end();
+        }
+        answer
+    }
+
+    fn end(&mut self) {
+        if !std::mem::replace(&mut self.ended, true) {
+            self.state.answer_ended();
+        }
+    }
+}
+
+impl http_body::Body for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let polled = catch_unwind(AssertUnwindSafe(|| Pin::new(&mut self.body).poll_frame(cx)));
+        let Ok(polled) = polled else {
+            self.observer.record_panic(&self.state.id());
+            self.state.answer_failed(EndCause::Panicked);
+            return Poll::Ready(Some(Err(AnswerError::Panicked)));
+        };
+        match &polled {
+            Poll::Ready(None) => self.end(),
+            Poll::Ready(Some(Ok(frame))) => {
+                let len = frame.data_ref().map_or(0, Bytes::len) as u64;
+                self.left = self.left.map(|left| left.saturating_sub(len));
+                if self.left == Some(0) {
+                    self.end();
+                }
+            }
+            Poll::Ready(Some(Err(_))) => self.state.answer_failed(EndCause::AnswerFailed),
+            Poll::Pending => {}
+        }
+        polled.map(|item| item.map(|result| result.map_err(AnswerError::Body)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod chunk_buffer;
 pub mod client;
 mod completions;
+mod connection;
 pub mod core_handle;
 mod counting_stream;
 pub mod error;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,10 @@
     pub connections: IntGauge,
     /// Connections of callers refused at the connection limit.
     pub connections_refused: IntCounter,
+    /// Connections of callers that ended while a request had no complete answer, by cause.
+    pub connection_ends: IntCounterVec,
+    /// Requests whose code panicked.
+    pub panics: IntCounter,
     /// Responses not yet passed completely to their connections.
     pub open_answers: IntGauge,
     /// Messages queued for the control thread.
@@ -58,6 +62,14 @@
             "anvilloft_connections_refused_total",
             "Connections of callers refused at the connection limit",
         )?;
+        let connection_ends = IntCounterVec::new(
+            Opts::new(
+                "anvilloft_connection_ends_total",
+                "Connections of callers that ended before a complete answer",
+            ),
+            &["cause"],
+        )?;
+        let panics = IntCounter::new("anvilloft_panics_total", "Requests whose code panicked")?;
         let open_answers = IntGauge::new(
             "anvilloft_open_answers",
             "Responses not yet completely sent to callers",
@@ -85,6 +97,8 @@
         registry.register(Box::new(body_bytes.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         registry.register(Box::new(connections_refused.clone()))?;
+        registry.register(Box::new(connection_ends.clone()))?;
+        registry.register(Box::new(panics.clone()))?;
         registry.register(Box::new(open_answers.clone()))?;
         registry.register(Box::new(core_queue.clone()))?;
         registry.register(Box::new(idle_connections.clone()))?;
@@ -96,6 +110,8 @@
             in_flight,
             connections,
             connections_refused,
+            connection_ends,
+            panics,
             body_bytes,
             open_answers,
             core_queue,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,17 +8,25 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilloft_types::RunState;
+use futures::FutureExt;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use volo::net::Address;
 use volo_http::body::Body;
@@ -26,6 +34,14 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use crate::client::ATTEMPT_HEADER;
+use crate::connection::AnswerBody;
+use crate::connection::ConnectionEnd;
+use crate::connection::ConnectionState;
+use crate::connection::EndCause;
+use crate::connection::Observer;
+pub use crate::connection::Timeouts;
+use crate::connection::TrackedStream;
 use crate::error::Refusal;
 use crate::metrics::Metrics;
 
@@ -33,6 +49,14 @@
 pub const MAX_HEADERS: usize = 100;
 /// Delay after a failed `accept`, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Range of the time after which an idle connection is closed.
+const MIN_IDLE: Duration = Duration::from_secs(1);
+const MAX_IDLE: Duration = Duration::from_secs(24 * 3600);
+/// Interval at which the timeouts of a connection are checked.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Returns the current timeouts of connections.
+pub type TimeoutSource = Arc<dyn Fn() -> Timeouts + Send + Sync>;
 
 /// Limits on incoming connections.
 #[derive(Clone, Copy, Debug)]
@@ -88,78 +112,240 @@
     }
 }
 
-/// Serves `service` on `listener` until `stop_accepting` is cancelled.
-///
-/// Cancelling `stop_accepting` closes the listener; open connections continue as
-/// tasks of the runtime. Cancelling `shutdown` closes each of them after its
-/// current request, and idle ones immediately.
-pub async fn serve<S: HttpService>(
-    listener: TcpListener,
-    service: S,
-    limits: ConnectionLimits,
-    metrics: Arc<Metrics>,
-    stop_accepting: CancellationToken,
-    shutdown: CancellationToken,
-) {
-    let service = Arc::new(service);
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop_accepting.cancelled() => return,
+/// Server of callers' connections.
+pub struct Server {
+    max_connections: usize,
+    timeouts: TimeoutSource,
+    id_header: HeaderName,
+    observer: Observer,
+}
+
+impl Server {
+    /// Returns a server with these limits, without a log.
+    pub fn new(limits: ConnectionLimits, metrics: Arc<Metrics>) -> Self {
+        let log = Logger::root(slog::Discard, slog::o!());
+        let timeouts = Timeouts {
+            header: limits.header_timeout,
+            idle: limits.header_timeout,
         };
-        let Ok((stream, peer)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        Self {
+            max_connections: limits.max_connections,
+            timeouts: Arc::new(move || timeouts),
+            id_header: HeaderName::from_static(ATTEMPT_HEADER),
+            observer: Observer { log, metrics },
+        }
+    }
+
+    /// Sets the log.
+    #[must_use]
+    pub fn log(mut self, log: Logger) -> Self {
+        self.observer.log = log;
+        self
+    }
+
+    /// Sets where the timeouts come from. An open connection uses the longest that it
+    /// has seen.
+    #[must_use]
+    pub fn timeouts(mut self, source: TimeoutSource) -> Self {
+        self.timeouts = source;
+        self
+    }
+
+    /// Sets the header that holds the id of a request, for logs.
+    #[must_use]
+    pub fn id_header(mut self, name: HeaderName) -> Self {
+        self.id_header = name;
+        self
+    }
+
+    /// Serves `service` on `listener` until `stop_accepting` is cancelled.
+    ///
+    /// Cancelling `stop_accepting` closes the listener; open connections continue as
+    /// tasks of the runtime. Cancelling `shutdown` closes each of them after its
+    /// current request, and idle ones immediately.
+    pub async fn serve<S: HttpService>(
+        self,
+        listener: TcpListener,
+        service: S,
+        stop_accepting: CancellationToken,
+        shutdown: CancellationToken,
+    ) {
+        let permits = Arc::new(Semaphore::new(self.max_connections));
+        let border = Arc::new(Border {
+            service,
+            timeouts: self.timeouts,
+            id_header: self.id_header,
+            observer: Arc::new(self.observer),
+        });
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = stop_accepting.cancelled() => return,
+            };
+            let Ok((stream, peer)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            // Without this, a small event waits for the acknowledgement of the
+            // previous one (Nagle's algorithm).
+            stream.set_nodelay(true).ok();
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                border.observer.metrics.connections_refused.inc();
+                reject_connection(&stream).ok();
+                continue;
+            };
+            let guard = ConnectionGuard::new(&border.observer, peer);
+            let (border, shutdown) = (Arc::clone(&border), shutdown.clone());
+            tokio::spawn(async move {
+                serve_connection(stream, border, guard, shutdown).await;
+                drop(permit);
+            });
+        }
+    }
+}
+
+/// The border between connections and the service.
+struct Border<S> {
+    service: S,
+    timeouts: TimeoutSource,
+    id_header: HeaderName,
+    observer: Arc<Observer>,
+}
+
+impl<S: HttpService> Border<S> {
+    fn timeouts(&self) -> Timeouts {
+        let timeouts = (self.timeouts)();
+        Timeouts {
+            header: timeouts.header.min(MAX_IDLE),
+            idle: timeouts.idle.clamp(MIN_IDLE, MAX_IDLE),
+        }
+    }
+
+    /// Handles one request. A panic of the service becomes an answer.
+    async fn handle(
+        &self,
+        state: &Arc<ConnectionState>,
+        peer: SocketAddr,
+        req: hyper::Request<Incoming>,
+    ) -> hyper::Response<AnswerBody> {
+        let id = req.headers().get(&self.id_header);
+        let id = String::from_utf8_lossy(id.map_or(&[], HeaderValue::as_bytes)).into_owned();
+        state.begin(id.clone());
+        let is_head = req.method() == Method::HEAD;
+        let req = req.map(Body::from_incoming);
+        let mut cx = ServerContext::new(Address::from(peer));
+        let answered = AssertUnwindSafe(self.service.call(&mut cx, req)).catch_unwind();
+        let resp = match answered.await {
+            Ok(Ok(resp)) => resp,
+            Ok(Err(never)) => match never {},
+            Err(_) => {
+                self.observer.record_panic(&id);
+                Refusal::new(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "internal_error",
+                    "this router failed while it had the request",
+                )
+                .with_run_state(RunState::Unknown)
+                .into_response()
+            }
         };
-        // Without this, a small event waits for the acknowledgement of the
-        // previous one (Nagle's algorithm).
-        stream.set_nodelay(true).ok();
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            metrics.connections_refused.inc();
-            reject_connection(&stream).ok();
-            continue;
+        resp.map(|body| AnswerBody::new(body, is_head, &self.observer, state))
+    }
+}
+
+/// Counts a connection as open, and records how it ended.
+struct ConnectionGuard {
+    state: Arc<ConnectionState>,
+    observer: Arc<Observer>,
+    peer: SocketAddr,
+    /// Why the connection ended; the process stops if the guard is dropped without it.
+    cause: EndCause,
+    error: Option<String>,
+}
+
+impl ConnectionGuard {
+    fn new(observer: &Arc<Observer>, peer: SocketAddr) -> Self {
+        observer.metrics.connections.inc();
+        Self {
+            state: Arc::new(ConnectionState::new()),
+            observer: Arc::clone(observer),
+            peer,
+            cause: EndCause::Stopped,
+            error: None,
+        }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.observer.metrics.connections.dec();
+        let unfinished = self.state.unfinished();
+        if unfinished.is_none() && self.cause != EndCause::ProtocolError {
+            return;
+        }
+        let (id, failure) = unfinished.unwrap_or_default();
+        let end = ConnectionEnd {
+            id: &id,
+            peer: self.peer,
+            count: self.state.request_count(),
+            error: self.error.as_deref(),
         };
-        let service = Arc::clone(&service);
-        let metrics = Arc::clone(&metrics);
-        let shutdown = shutdown.clone();
-        tokio::spawn(async move {
-            metrics.connections.inc();
-            serve_connection(stream, peer, service, limits.header_timeout, shutdown).await;
-            metrics.connections.dec();
-            drop(permit);
-        });
+        self.observer
+            .record_end(failure.unwrap_or(self.cause), &end);
     }
 }
 
 /// Serves one connection until its end.
 async fn serve_connection<S: HttpService>(
     stream: TcpStream,
-    peer: SocketAddr,
-    service: Arc<S>,
-    header_timeout: Duration,
+    border: Arc<Border<S>>,
+    mut guard: ConnectionGuard,
     shutdown: CancellationToken,
 ) {
-    let handler = service_fn(move |req: hyper::Request<Incoming>| {
-        let service = Arc::clone(&service);
-        async move {
-            let mut cx = ServerContext::new(Address::from(peer));
-            service.call(&mut cx, req.map(Body::from_incoming)).await
-        }
-    });
-    // An error means that the caller disconnected or violated the protocol, which
-    // hyper has reported to it where possible.
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(header_timeout)
+    let (state, peer) = (Arc::clone(&guard.state), guard.peer);
+    let mut timeouts = border.timeouts();
+    let handler = {
+        let (border, state) = (Arc::clone(&border), Arc::clone(&state));
+        service_fn(move |req: hyper::Request<Incoming>| {
+            let (border, state) = (Arc::clone(&border), Arc::clone(&state));
+            async move { Ok::<_, Infallible>(border.handle(&state, peer, req).await) }
+        })
+    };
+    // Without a timer, hyper has no timeouts of its own.
+    let stream = TrackedStream::new(stream, Arc::clone(&state));
+    let mut connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), handler);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        res = connection.as_mut() => return drop(res),
-        () = shutdown.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    connection.await.ok();
+    let mut check = std::pin::pin!(tokio::time::sleep(CHECK_INTERVAL));
+    let mut is_stopping = false;
+    let cause = loop {
+        tokio::select! {
+            // What has arrived is read before a timeout is checked.
+            biased;
+            res = Pin::new(&mut connection) => {
+                let is_parse = res.as_ref().is_err_and(hyper::Error::is_parse);
+                guard.error = res.err().map(|err| err.to_string());
+                break match is_parse {
+                    true => EndCause::ProtocolError,
+                    false => EndCause::CallerLeft,
+                };
+            }
+            () = shutdown.cancelled(), if !is_stopping => {
+                is_stopping = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            () = check.as_mut() => {
+                timeouts = timeouts.longest(border.timeouts());
+                let now = Instant::now();
+                match state.deadline(timeouts) {
+                    Some((at, cause)) if at <= now => break cause.unwrap_or(EndCause::CallerLeft),
+                    Some((at, _)) => check.as_mut().reset(at.min(now + CHECK_INTERVAL)),
+                    None => check.as_mut().reset(now + CHECK_INTERVAL),
+                }
+            }
+        }
+    };
+    guard.cause = cause;
 }
 
 /// Sends a refusal on a connection beyond the limit. It is written without
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -19,7 +19,7 @@
 use anvilloft_gateway::metrics::Metrics;
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::HandlerService;
-use anvilloft_gateway::serve::serve;
+use anvilloft_gateway::serve::Server;
 use anvilloft_routes::RouteTable;
 use anvilloft_types::Clock;
 use anvilloft_types::lock;
@@ -173,14 +173,16 @@
             .spawn(move || runtime.block_on(control::run(args)))?;
         let stop = CancellationToken::new();
         let finish = CancellationToken::new();
-        tokio::spawn(serve(
+        let limits = ConnectionLimits {
+            max_connections: cx.options.max_connections,
+            header_timeout: CALLER_IDLE_TIMEOUT,
+        };
+        let server = Server::new(limits, metrics)
+            .log(log.clone())
+            .id_header(cx.adapter.request_id_header());
+        tokio::spawn(server.serve(
             listener,
             HandlerService(CallerHandler(Arc::clone(&cx))),
-            ConnectionLimits {
-                max_connections: cx.options.max_connections,
-                header_timeout: CALLER_IDLE_TIMEOUT,
-            },
-            metrics,
             stop.clone(),
             finish.clone(),
         ));
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,7 +15,7 @@
 use anvilloft_gateway::metrics::Metrics;
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::HandlerService;
-use anvilloft_gateway::serve::serve;
+use anvilloft_gateway::serve::Server;
 use anvilloft_types::Clock;
 use anvilloft_types::Incarnation;
 use anvilloft_types::unix_ms;
@@ -179,6 +179,7 @@
         let metrics = Arc::new(Metrics::new()?);
         let client = Client::new(options.client, options.max_answer_bytes);
         let log = log.new(slog::o!("router" => options.name.clone()));
+        let server_log = log.clone();
         let body_memory =
             BodyMemory::new(options.api.max_buffered_bytes, metrics.body_bytes.clone());
         let api = Arc::new(Api {
@@ -242,7 +243,7 @@
         let stop_accepting = CancellationToken::new();
         let service = HandlerService(Arc::clone(&api));
         let stop_listening = stop_accepting.clone();
-        let (limits, counters) = (options.connections, Arc::clone(&metrics));
+        let server = Server::new(options.connections, Arc::clone(&metrics)).log(server_log);
         traffic.spawn(async move {
             loop {
                 tokio::time::sleep(IDLE_SWEEP_INTERVAL).await;
@@ -257,7 +258,9 @@
                     // Never cancelled: connections that are still open end
                     // when the runtime shuts down.
                     let finish = CancellationToken::new();
-                    serve(listener, service, limits, counters, stop_listening, finish).await;
+                    server
+                        .serve(listener, service, stop_listening, finish)
+                        .await;
                 }
                 Err(e) => {
                     started.send(Err(e)).ok();
