Count a request as in flight only until its caller leaves

Cause: the gauge was raised and lowered by hand in `handle`. When the caller leaves, the handler's future is dropped before the second step.

What was seen: anvilloft_in_flight, which a planned stop logs, grew by one with each caller that left. Nothing else depends on it.

Change: a guard lowers the gauge when it is dropped.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -21,6 +21,7 @@
 use http::StatusCode;
 use http::header;
 use http_body::Body as _;
+use prometheus::IntGauge;
 use volo_http::body::Body;
 
 use crate::adapter::RequestHead;
@@ -81,9 +82,25 @@
     }
 }
 
+/// Counts a request as in flight, also when its caller leaves.
+struct OpenRequest<'a>(&'a IntGauge);
+
+impl<'a> OpenRequest<'a> {
+    fn new(gauge: &'a IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 async fn handle(cx: &Arc<RelayState>, req: Request<Body>) -> Response<Body> {
     let received_at = cx.now();
-    cx.metrics.in_flight.inc();
+    let open = OpenRequest::new(&cx.metrics.in_flight);
     let (id, result) = match cx.adapter.parse_head(req.headers()) {
         Err(field) => {
             let message = format!("header \"{field}\" is missing or can't be read");
@@ -95,7 +112,7 @@
             (id, result)
         }
     };
-    cx.metrics.in_flight.dec();
+    drop(open);
     let now = cx.now();
     let ms = now.saturating_sub(received_at).as_millis() as u64;
     match result {
