Close idle connections of callers by the published limits

Cause: the idle limit was 15 s, whatever the limits of the published table.

What callers saw: with a published limit above 18.75 s, a caller that reuses a connection after four fifths of it finds it closed, or its request crosses the close. With a shorter limit, connections stayed open too long, and a header could take 15 s.

An open connection uses the longest limits that it has seen.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -20,6 +20,7 @@
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::HandlerService;
 use anvilloft_gateway::serve::Server;
+use anvilloft_gateway::serve::Timeouts;
 use anvilloft_routes::RouteTable;
 use anvilloft_types::Clock;
 use anvilloft_types::lock;
@@ -52,9 +53,6 @@
 const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// Idle timeout of a caller's connection, used until a route table sets one. It
-/// is the usual value, because open connections keep the limit they started with.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Interval at which idle connections to endpoints are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of the timer whose lateness is measured.
@@ -175,11 +173,20 @@
         let finish = CancellationToken::new();
         let limits = ConnectionLimits {
             max_connections: cx.options.max_connections,
-            header_timeout: CALLER_IDLE_TIMEOUT,
+            ..ConnectionLimits::default()
         };
+        let table_of = Arc::clone(&cx);
         let server = Server::new(limits, metrics)
             .log(log.clone())
-            .id_header(cx.adapter.request_id_header());
+            .id_header(cx.adapter.request_id_header())
+            .timeouts(Arc::new(move || {
+                let table = table_of.table.load();
+                let limits = table.limits();
+                Timeouts {
+                    header: limits.header_timeout,
+                    idle: limits.idle_timeout,
+                }
+            }));
         tokio::spawn(server.serve(
             listener,
             HandlerService(CallerHandler(Arc::clone(&cx))),
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -19,6 +19,7 @@
 use anvilloft_relay::RelayOptionsBuilder;
 use anvilloft_relay::RequestHead;
 use anvilloft_relay::TokenCounts;
+use anvilloft_routes::CallerLimits;
 use anvilloft_routes::EngineSpec;
 use anvilloft_routes::Route;
 use anvilloft_routes::RouteKind;
@@ -54,7 +55,8 @@
 };
 
 /// Adapter for the headers of these tests. A published table consists of its
-/// version and the prepaid tokens of team `small`.
+/// version, the prepaid tokens of team `small` and optionally the idle limit of callers'
+/// connections in milliseconds.
 struct TestAdapter;
 
 impl ProtocolAdapter for TestAdapter {
@@ -107,6 +109,11 @@
         let (version, prepaid) = text
             .split_once(' ')
             .ok_or("expected a version and a number of prepaid tokens")?;
+        let (prepaid, idle_ms) = prepaid.split_once(' ').unwrap_or((prepaid, "15000"));
+        let limits = CallerLimits {
+            idle_timeout: Duration::from_millis(idle_ms.parse().unwrap()),
+            ..CallerLimits::default()
+        };
         let stream = RouteKind::Stream {
             resumable: true,
             max_gap: Duration::from_millis(300),
@@ -125,6 +132,7 @@
                 .build()
         };
         RouteTable::builder()
+            .limits(limits)
             .version(version.parse().map_err(|_| "the version is no number")?)
             .route(route("stream", stream, "engines"))
             .route(route("fragile", fragile, "engines"))
@@ -236,9 +244,20 @@
 
     /// Publishes a route table, and waits until every relay has one.
     pub(crate) async fn publish(&self, version: u64, prepaid: u64) {
+        self.publish_source(version, prepaid, &format!("{version} {prepaid}"))
+            .await;
+    }
+
+    /// Publishes a route table with an idle limit of callers' connections.
+    pub(crate) async fn publish_idle_limit(&self, version: u64, idle_ms: u64) {
+        self.publish_source(version, 1_000, &format!("{version} 1000 {idle_ms}"))
+            .await;
+    }
+
+    async fn publish_source(&self, version: u64, prepaid: u64, source: &str) {
         let publish = Publish {
             version,
-            source: compress(format!("{version} {prepaid}").as_bytes()).unwrap(),
+            source: compress(source.as_bytes()).unwrap(),
             prepaid: vec![Prepaid {
                 team: "small".into(),
                 tokens: prepaid,
--- a/crates/relay/tests/relay/connections.rs
+++ b/crates/relay/tests/relay/connections.rs
@@ -100,6 +100,68 @@
     .await;
 }
 
+/// Guards against connections that are closed before the published idle limit, also
+/// after a change of the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_lives_as_long_as_the_published_limit() {
+    struct Case {
+        name: &'static str,
+        limits_ms: &'static [u64],
+        /// Idle time after which the connection must still serve.
+        open_ms: u64,
+        /// Idle time by which the connection must be closed.
+        closed_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "shorter than the default",
+            limits_ms: &[2_000],
+            open_ms: 1_600,
+            closed_ms: 5_000,
+        },
+        Case {
+            name: "shorter after a change",
+            limits_ms: &[4_000, 2_000],
+            open_ms: 3_600,
+            closed_ms: 7_000,
+        },
+        Case {
+            name: "longer after a change",
+            limits_ms: &[2_000, 4_000],
+            open_ms: 3_600,
+            closed_ms: 7_000,
+        },
+    ];
+    let run = cases.map(|c| async move {
+        let fleet = Fleet::start(1).await;
+        fleet.publish_idle_limit(1, c.limits_ms[0]).await;
+        let address = fleet.relays[0].address();
+        let mut callers = Vec::new();
+        for _ in 0..2 {
+            let mut caller = TcpStream::connect(address).await.unwrap();
+            let first = get(&mut caller, "/none/x", "a").await;
+            assert_eq!(first, End::Answered(404, false), "{}", c.name);
+            callers.push(caller);
+        }
+        for (n, ms) in c.limits_ms.iter().enumerate().skip(1) {
+            fleet.publish_idle_limit(n as u64 + 1, *ms).await;
+        }
+        let [mut used, mut unused]: [TcpStream; 2] = callers.try_into().unwrap();
+        let closed = async {
+            let limit = Duration::from_millis(c.closed_ms);
+            let end = tokio::time::timeout(limit, unused.read(&mut [0; 8])).await;
+            assert!(matches!(end, Ok(Ok(0))), "{}: {end:?}", c.name);
+        };
+        let open = async {
+            tokio::time::sleep(Duration::from_millis(c.open_ms)).await;
+            let last = get(&mut used, "/none/x", "b").await;
+            assert_eq!(last, End::Answered(404, false), "{}", c.name);
+        };
+        tokio::join!(closed, open);
+    });
+    futures::future::join_all(run).await;
+}
+
 /// Guards against a request that was sent before a planned stop, or beside changes of the
 /// table, and gets neither an answer nor a refusal.
 #[tokio::test(flavor = "multi_thread")]
