Keep a refusal when the request's body still arrives

Cause: a refusal that is decided before the body was read (401, 404, 413, draining, router_busy, no_endpoint) drops the body. hyper then closes the connection right after the answer, without `connection: close`; unread bytes turn the close into a reset. A connection beyond the limit was closed in the same way.

What callers saw: the body can't be sent (broken pipe). A caller that sends all of a request before it reads has neither an answer nor a refusal, and one that reads meanwhile finds a kept connection closed without notice.

Change, in the server that relay and product share: the rest of a body that its handler dropped is read and discarded, up to 4 MiB and 5 s; the refusal goes out meanwhile, and the connection stays usable. If the rest has no known length or is longer, or the caller waits for 100 Continue, the answer carries `connection: close`. A connection that is closed while its caller may be sending is shut down for writing and read on for up to 2 s. The same holds for connections beyond the limit, at most 256 at a time.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -18,17 +18,30 @@
 use http_body::Body as _;
 use http_body::Frame;
 use http_body::SizeHint;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use slog::Logger;
 use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::runtime::Handle;
 use tokio::time::Instant;
 use volo_http::body::Body;
 
 use crate::body::AnswerError;
 use crate::metrics::Metrics;
 
+/// Maximum number of bytes that are read and discarded of a body that nobody reads.
+const DISCARD_BYTES: u64 = 4 * 1024 * 1024;
+/// Maximum time to read and discard the rest of such a body.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
+/// Maximum time to read from a closed connection, until the caller closes its side.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Size of the reads from a closed connection, in bytes.
+const LINGER_READ_BYTES: usize = 16 * 1024;
 /// Time that a header may take beyond its limit, for packets that are sent again.
 const HEADER_GRACE: Duration = Duration::from_secs(2);
 
@@ -98,6 +111,12 @@
     active_at: Instant,
     /// Whether bytes of an answer wait for the caller to read.
     unwritten: bool,
+    /// Whether more bytes of a request's body may arrive.
+    body_open: bool,
+    /// Whether a body was not read to its end.
+    body_cut: bool,
+    /// Whether the connection must close, as a body can't be discarded.
+    must_close: bool,
     failure: Option<EndCause>,
 }
 
@@ -113,6 +132,9 @@
             header_since: None,
             active_at: Instant::now(),
             unwritten: false,
+            body_open: false,
+            body_cut: false,
+            must_close: false,
             failure: None,
         }))
     }
@@ -136,10 +158,32 @@
         lock(&self.0).failure.get_or_insert(cause);
     }
 
+    fn body_began(&self) {
+        lock(&self.0).body_open = true;
+    }
+
+    fn body_ended(&self, cut: bool) {
+        let mut p = lock(&self.0);
+        p.body_open = false;
+        p.body_cut |= cut;
+        p.active_at = Instant::now();
+    }
+
     fn id(&self) -> String {
         lock(&self.0).id.clone()
     }
 
+    /// Whether the answer must tell the caller that the connection closes.
+    pub(crate) fn must_close(&self) -> bool {
+        lock(&self.0).must_close
+    }
+
+    /// Whether the caller may be sending bytes that nobody will read.
+    pub(crate) fn has_unread(&self) -> bool {
+        let p = lock(&self.0);
+        p.body_open || p.body_cut
+    }
+
     pub(crate) fn request_count(&self) -> u64 {
         lock(&self.0).count
     }
@@ -148,7 +192,7 @@
     /// Returns `None` while a request is served.
     pub(crate) fn deadline(&self, timeouts: Timeouts) -> Option<(Instant, Option<EndCause>)> {
         let p = lock(&self.0);
-        if p.open {
+        if p.open || p.body_open {
             return None;
         }
         let (since, timeout, cause) = match p.header_since {
@@ -178,7 +222,7 @@
 
     fn record_read(&self, len: usize) {
         let mut p = lock(&self.0);
-        if len > 0 && !p.open && p.header_since.is_none() {
+        if len > 0 && !p.open && !p.body_open && p.header_since.is_none() {
             p.header_since = Some(Instant::now());
         }
     }
@@ -237,6 +281,10 @@
     pub(crate) fn new(stream: TcpStream, state: Arc<ConnectionState>) -> Self {
         Self { stream, state }
     }
+
+    pub(crate) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
 }
 
 impl AsyncRead for TrackedStream {
@@ -287,6 +335,122 @@
     }
 }
 
+/// Body of a request. The rest of a body that its handler doesn't read is read and
+/// discarded, so that the answer isn't lost with the connection.
+pub(crate) struct RequestBody {
+    /// `None` after the end of the body.
+    incoming: Option<Incoming>,
+    /// Whether the caller may wait for leave to send the body.
+    waits: bool,
+    state: Arc<ConnectionState>,
+}
+
+impl RequestBody {
+    pub(crate) fn body(incoming: Incoming, waits: bool, state: &Arc<ConnectionState>) -> Body {
+        if incoming.is_end_stream() {
+            return Body::from_incoming(incoming);
+        }
+        state.body_began();
+        Body::from_body(Self {
+            incoming: Some(incoming),
+            waits,
+            state: Arc::clone(state),
+        })
+    }
+}
+
+impl http_body::Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let Some(incoming) = &mut self.incoming else {
+            return Poll::Ready(None);
+        };
+        let frame = Pin::new(&mut *incoming).poll_frame(cx);
+        let ended = match &frame {
+            Poll::Ready(None | Some(Err(_))) => true,
+            Poll::Ready(Some(Ok(_))) => incoming.is_end_stream(),
+            Poll::Pending => false,
+        };
+        if ended {
+            self.incoming = None;
+            self.state.body_ended(false);
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.as_ref().is_none_or(|b| b.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.incoming {
+            Some(incoming) => incoming.size_hint(),
+            None => SizeHint::with_exact(0),
+        }
+    }
+}
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        let Some(incoming) = self.incoming.take() else {
+            return;
+        };
+        let is_short = matches!(incoming.size_hint().upper(), Some(n) if n <= DISCARD_BYTES);
+        lock(&self.state.0).must_close |= self.waits || !is_short;
+        let state = Arc::clone(&self.state);
+        match Handle::try_current() {
+            Ok(runtime) => drop(runtime.spawn(discard(incoming, state))),
+            Err(_) => state.body_ended(true),
+        }
+    }
+}
+
+/// Reads and discards the rest of a body, within bounds.
+async fn discard(mut body: Incoming, state: Arc<ConnectionState>) {
+    let read = async {
+        let mut left = DISCARD_BYTES;
+        loop {
+            match body.frame().await {
+                None => return true,
+                Some(Err(_)) => return false,
+                Some(Ok(frame)) => {
+                    let len = frame.data_ref().map_or(0, Bytes::len);
+                    let Some(rest) = left.checked_sub(len as u64) else {
+                        return false;
+                    };
+                    left = rest;
+                }
+            }
+        }
+    };
+    let whole = tokio::time::timeout(DISCARD_TIME, read).await;
+    state.body_ended(whole != Ok(true));
+}
+
+/// Closes a connection whose caller may still be sending. A socket that is closed with
+/// unread bytes is reset, and the caller may lose the answer.
+pub(crate) async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut buf = vec![0; LINGER_READ_BYTES];
+    let read = async {
+        let mut left = DISCARD_BYTES;
+        while let Ok(len @ 1..) = stream.read(&mut buf).await {
+            let Some(rest) = left.checked_sub(len as u64) else {
+                return;
+            };
+            left = rest;
+        }
+    };
+    tokio::time::timeout(LINGER_TIME, read).await.ok();
+}
+
 /// Body of an answer. Records whether the connection has taken all of it, and turns a
 /// panic into an error, which breaks the answer off.
 pub(crate) struct AnswerBody {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,7 +6,6 @@
 //! the same volo-http service.
 
 use std::convert::Infallible;
-use std::io;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
@@ -18,6 +17,7 @@
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
+use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,11 +25,11 @@
 use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use volo::net::Address;
-use volo_http::body::Body;
 use volo_http::context::ServerContext;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -40,8 +40,10 @@
 use crate::connection::ConnectionState;
 use crate::connection::EndCause;
 use crate::connection::Observer;
+use crate::connection::RequestBody;
 pub use crate::connection::Timeouts;
 use crate::connection::TrackedStream;
+use crate::connection::linger;
 use crate::error::Refusal;
 use crate::metrics::Metrics;
 
@@ -49,6 +51,8 @@
 pub const MAX_HEADERS: usize = 100;
 /// Delay after a failed `accept`, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Maximum number of connections beyond the limit that are being refused.
+const MAX_REFUSED: usize = 256;
 /// Range of the time after which an idle connection is closed.
 const MIN_IDLE: Duration = Duration::from_secs(1);
 const MAX_IDLE: Duration = Duration::from_secs(24 * 3600);
@@ -171,6 +175,7 @@
         shutdown: CancellationToken,
     ) {
         let permits = Arc::new(Semaphore::new(self.max_connections));
+        let refusals = Arc::new(Semaphore::new(MAX_REFUSED));
         let border = Arc::new(Border {
             service,
             timeouts: self.timeouts,
@@ -191,13 +196,15 @@
             stream.set_nodelay(true).ok();
             let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
                 border.observer.metrics.connections_refused.inc();
-                reject_connection(&stream).ok();
+                reject_connection(stream, &refusals);
                 continue;
             };
             let guard = ConnectionGuard::new(&border.observer, peer);
             let (border, shutdown) = (Arc::clone(&border), shutdown.clone());
             tokio::spawn(async move {
-                serve_connection(stream, border, guard, shutdown).await;
+                if let Some(stream) = serve_connection(stream, border, guard, shutdown).await {
+                    linger(stream).await;
+                }
                 drop(permit);
             });
         }
@@ -232,10 +239,11 @@
         let id = String::from_utf8_lossy(id.map_or(&[], HeaderValue::as_bytes)).into_owned();
         state.begin(id.clone());
         let is_head = req.method() == Method::HEAD;
-        let req = req.map(Body::from_incoming);
+        let waits = req.headers().contains_key(header::EXPECT);
+        let req = req.map(|incoming| RequestBody::body(incoming, waits, state));
         let mut cx = ServerContext::new(Address::from(peer));
         let answered = AssertUnwindSafe(self.service.call(&mut cx, req)).catch_unwind();
-        let resp = match answered.await {
+        let mut resp = match answered.await {
             Ok(Ok(resp)) => resp,
             Ok(Err(never)) => match never {},
             Err(_) => {
@@ -249,6 +257,10 @@
                 .into_response()
             }
         };
+        if state.must_close() {
+            let close = HeaderValue::from_static("close");
+            resp.headers_mut().insert(header::CONNECTION, close);
+        }
         resp.map(|body| AnswerBody::new(body, is_head, &self.observer, state))
     }
 }
@@ -295,13 +307,14 @@
     }
 }
 
-/// Serves one connection until its end.
+/// Serves one connection until its end. Returns its socket if the caller may still be
+/// sending.
 async fn serve_connection<S: HttpService>(
     stream: TcpStream,
     border: Arc<Border<S>>,
     mut guard: ConnectionGuard,
     shutdown: CancellationToken,
-) {
+) -> Option<TcpStream> {
     let (state, peer) = (Arc::clone(&guard.state), guard.peer);
     let mut timeouts = border.timeouts();
     let handler = {
@@ -346,11 +359,16 @@
         }
     };
     guard.cause = cause;
+    let lingers = state.has_unread() || cause == EndCause::ProtocolError;
+    let stream = connection.into_parts().io.into_inner().into_inner();
+    drop(guard);
+    lingers.then_some(stream)
 }
 
-/// Sends a refusal on a connection beyond the limit. It is written without
-/// waiting, and truncated if the socket doesn't take all of it immediately.
-fn reject_connection(stream: &TcpStream) -> io::Result<usize> {
+/// Sends a refusal on a connection beyond the limit, and closes it without losing the
+/// refusal. The refusal is written without waiting, and truncated if the socket doesn't
+/// take all of it immediately.
+fn reject_connection(stream: TcpStream, refusals: &Arc<Semaphore>) {
     let refusal = Refusal::unavailable(
         "too_many_connections",
         "this router has reached its limit of open connections",
@@ -362,5 +380,11 @@
          retry-after: 1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
-    stream.try_write(response.as_bytes())
+    let permit: Result<OwnedSemaphorePermit, _> = Arc::clone(refusals).try_acquire_owned();
+    if let (Ok(_), Ok(permit)) = (stream.try_write(response.as_bytes()), permit) {
+        tokio::spawn(async move {
+            linger(stream).await;
+            drop(permit);
+        });
+    }
 }
--- a/crates/gateway/tests/connections/main.rs
+++ b/crates/gateway/tests/connections/main.rs
@@ -8,3 +8,4 @@
 
 mod common;
 mod ends;
+mod refusals;
