Read on a header that has begun to arrive when a stop begins

Cause: at a planned stop, hyper closes a kept connection even if a part of the next request's header was read. On a new connection it reads on.

What callers saw: a closed connection, after a part of the request was read.

Change: such a connection is closed once its request is answered or the header's timeout has passed. Answers that are sent during the stop carry `connection: close`.

Evidence: a_stop_answers_a_request_whose_header_it_has_begun_to_read failed before on the kept connection (closed after 0 bytes) and passes now.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -184,6 +184,11 @@
         p.body_open || p.body_cut
     }
 
+    /// Whether a part of a header was read.
+    pub(crate) fn is_reading_header(&self) -> bool {
+        lock(&self.0).header_since.is_some()
+    }
+
     pub(crate) fn request_count(&self) -> u64 {
         lock(&self.0).count
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -58,6 +58,8 @@
 const MAX_IDLE: Duration = Duration::from_secs(24 * 3600);
 /// Interval at which the timeouts of a connection are checked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which a planned stop checks whether a header has arrived.
+const HEADER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Returns the current timeouts of connections.
 pub type TimeoutSource = Arc<dyn Fn() -> Timeouts + Send + Sync>;
@@ -181,6 +183,7 @@
             timeouts: self.timeouts,
             id_header: self.id_header,
             observer: Arc::new(self.observer),
+            shutdown,
         });
         loop {
             let accepted = tokio::select! {
@@ -200,9 +203,9 @@
                 continue;
             };
             let guard = ConnectionGuard::new(&border.observer, peer);
-            let (border, shutdown) = (Arc::clone(&border), shutdown.clone());
+            let border = Arc::clone(&border);
             tokio::spawn(async move {
-                if let Some(stream) = serve_connection(stream, border, guard, shutdown).await {
+                if let Some(stream) = serve_connection(stream, border, guard).await {
                     linger(stream).await;
                 }
                 drop(permit);
@@ -217,6 +220,8 @@
     timeouts: TimeoutSource,
     id_header: HeaderName,
     observer: Arc<Observer>,
+    /// Closes each connection after its current request.
+    shutdown: CancellationToken,
 }
 
 impl<S: HttpService> Border<S> {
@@ -257,7 +262,7 @@
                 .into_response()
             }
         };
-        if state.must_close() {
+        if state.must_close() || self.shutdown.is_cancelled() {
             let close = HeaderValue::from_static("close");
             resp.headers_mut().insert(header::CONNECTION, close);
         }
@@ -313,7 +318,6 @@
     stream: TcpStream,
     border: Arc<Border<S>>,
     mut guard: ConnectionGuard,
-    shutdown: CancellationToken,
 ) -> Option<TcpStream> {
     let (state, peer) = (Arc::clone(&guard.state), guard.peer);
     let mut timeouts = border.timeouts();
@@ -330,7 +334,7 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), handler);
     let mut check = std::pin::pin!(tokio::time::sleep(CHECK_INTERVAL));
-    let mut is_stopping = false;
+    let (mut is_stopping, mut is_closing) = (false, false);
     let cause = loop {
         tokio::select! {
             // What has arrived is read before a timeout is checked.
@@ -343,17 +347,26 @@
                     false => EndCause::CallerLeft,
                 };
             }
-            () = shutdown.cancelled(), if !is_stopping => {
+            () = border.shutdown.cancelled(), if !is_stopping => {
                 is_stopping = true;
-                Pin::new(&mut connection).graceful_shutdown();
+                check.as_mut().reset(Instant::now());
             }
             () = check.as_mut() => {
                 timeouts = timeouts.longest(border.timeouts());
                 let now = Instant::now();
+                // hyper would close a kept connection within a header.
+                if is_stopping && !is_closing && !state.is_reading_header() {
+                    is_closing = true;
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
+                let interval = match is_stopping && !is_closing {
+                    true => HEADER_POLL_INTERVAL,
+                    false => CHECK_INTERVAL,
+                };
                 match state.deadline(timeouts) {
                     Some((at, cause)) if at <= now => break cause.unwrap_or(EndCause::CallerLeft),
-                    Some((at, _)) => check.as_mut().reset(at.min(now + CHECK_INTERVAL)),
-                    None => check.as_mut().reset(now + CHECK_INTERVAL),
+                    Some((at, _)) => check.as_mut().reset(at.min(now + interval)),
+                    None => check.as_mut().reset(now + interval),
                 }
             }
         }
--- a/crates/gateway/tests/connections/ends.rs
+++ b/crates/gateway/tests/connections/ends.rs
@@ -190,3 +190,30 @@
     late.write(second).await.unwrap();
     assert_eq!(late.read().await.map(|a| a.status), Ok(200));
 }
+
+/// Guards against a planned stop that closes a connection within the header of a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_answers_a_request_whose_header_it_has_begun_to_read() {
+    for is_kept in [false, true] {
+        let server = Server::start(ConnectionLimits::default()).await;
+        let mut caller = server.connect().await;
+        if is_kept {
+            assert_eq!(caller.get("/first").await.unwrap().status, 200);
+        }
+        let request = head("/next", "");
+        let (first, second) = request.split_at(request.len() / 2);
+        caller.write(first).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        server.stop.cancel();
+        server.finish.cancel();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        caller.write(second).await.unwrap();
+        let answer = caller.read().await;
+        assert_eq!(
+            answer.map(|a| (a.status, a.close)),
+            Ok((200, true)),
+            "{is_kept}"
+        );
+        caller.closed().await;
+    }
+}
