--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -42,8 +42,6 @@
 const LINGER_TIME: Duration = Duration::from_secs(2);
 /// Size of the reads from a closed connection, in bytes.
 const LINGER_READ_BYTES: usize = 16 * 1024;
-/// Time that a header may take beyond its limit, for packets that are sent again.
-const HEADER_GRACE: Duration = Duration::from_secs(2);
 
 /// Timeouts of a connection. They may change while the connection is open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -201,10 +199,7 @@
             return None;
         }
         let (since, timeout, cause) = match p.header_since {
-            Some(since) => {
-                let timeout = timeouts.header.saturating_add(HEADER_GRACE);
-                (since, timeout, Some(EndCause::HeaderTimeout))
-            }
+            Some(since) => (since, timeouts.header, Some(EndCause::HeaderTimeout)),
             None => {
                 let stalled = p.unwritten.then_some(EndCause::AnswerStalled);
                 (p.active_at, timeouts.idle, stalled)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -53,12 +53,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of connections beyond the limit that are being refused.
 const MAX_REFUSED: usize = 256;
-/// Range of the time after which an idle connection is closed.
-const MIN_IDLE: Duration = Duration::from_secs(1);
-const MAX_IDLE: Duration = Duration::from_secs(24 * 3600);
-/// Interval at which the timeouts of a connection are checked.
+/// Maximum interval at which the timeouts of a connection are checked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval at which a planned stop checks whether a header has arrived.
+/// Minimum interval, at which a planned stop checks whether a header has arrived.
 const HEADER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Returns the current timeouts of connections.
@@ -225,14 +222,6 @@
 }
 
 impl<S: HttpService> Border<S> {
-    fn timeouts(&self) -> Timeouts {
-        let timeouts = (self.timeouts)();
-        Timeouts {
-            header: timeouts.header.min(MAX_IDLE),
-            idle: timeouts.idle.clamp(MIN_IDLE, MAX_IDLE),
-        }
-    }
-
     /// Handles one request. A panic of the service becomes an answer.
     async fn handle(
         &self,
@@ -312,6 +301,11 @@
     }
 }
 
+fn check_interval(timeouts: Timeouts) -> Duration {
+    let shortest = timeouts.header.min(timeouts.idle);
+    shortest.clamp(HEADER_POLL_INTERVAL, CHECK_INTERVAL)
+}
+
 /// Serves one connection until its end. Returns its socket if the caller may still be
 /// sending.
 async fn serve_connection<S: HttpService>(
@@ -320,7 +314,7 @@
     mut guard: ConnectionGuard,
 ) -> Option<TcpStream> {
     let (state, peer) = (Arc::clone(&guard.state), guard.peer);
-    let mut timeouts = border.timeouts();
+    let mut timeouts = (border.timeouts)();
     let handler = {
         let (border, state) = (Arc::clone(&border), Arc::clone(&state));
         service_fn(move |req: hyper::Request<Incoming>| {
@@ -333,7 +327,7 @@
     let mut connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), handler);
-    let mut check = std::pin::pin!(tokio::time::sleep(CHECK_INTERVAL));
+    let mut check = std::pin::pin!(tokio::time::sleep(check_interval(timeouts)));
     let (mut is_stopping, mut is_closing) = (false, false);
     let cause = loop {
         tokio::select! {
@@ -352,7 +346,7 @@
                 check.as_mut().reset(Instant::now());
             }
             () = check.as_mut() => {
-                timeouts = timeouts.longest(border.timeouts());
+                timeouts = timeouts.longest((border.timeouts)());
                 let now = Instant::now();
                 // hyper would close a kept connection within a header.
                 if is_stopping && !is_closing && !state.is_reading_header() {
@@ -361,7 +355,7 @@
                 }
                 let interval = match is_stopping && !is_closing {
                     true => HEADER_POLL_INTERVAL,
-                    false => CHECK_INTERVAL,
+                    false => check_interval(timeouts),
                 };
                 match state.deadline(timeouts) {
                     Some((at, cause)) if at <= now => break cause.unwrap_or(EndCause::CallerLeft),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -53,6 +53,10 @@
 const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Time that a caller's header may take beyond its limit, for packets that are sent again.
+const HEADER_GRACE: Duration = Duration::from_secs(2);
+/// Minimum idle time after which a caller's connection is closed.
+const MIN_CALLER_IDLE: Duration = Duration::from_secs(1);
 /// Interval at which idle connections to endpoints are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of the timer whose lateness is measured.
@@ -183,8 +187,8 @@
                 let table = table_of.table.load();
                 let limits = table.limits();
                 Timeouts {
-                    header: limits.header_timeout,
-                    idle: limits.idle_timeout,
+                    header: limits.header_timeout.saturating_add(HEADER_GRACE),
+                    idle: limits.idle_timeout.max(MIN_CALLER_IDLE),
                 }
             }));
         tokio::spawn(server.serve(
