--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! requests to endpoints through `client` and ask the control thread for
 //! admission and endpoints through `core_handle`. `sse` parses event streams.
 //! `view` is the snapshot of configuration and routers that traffic threads
-//! read. `serve` runs a volo-http service on a listener.
+//! read. `serve` runs a volo-http service on a listener; `connection` records
+//! what is known about one connection.
 
 pub mod announce;
 pub mod api;
