--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -19,7 +19,8 @@
 use anvilloft_gateway::metrics::Metrics;
 use anvilloft_gateway::serve::ConnectionLimits;
 use anvilloft_gateway::serve::HandlerService;
-use anvilloft_gateway::serve::serve;
+use anvilloft_gateway::serve::Server;
+use anvilloft_gateway::serve::Timeouts;
 use anvilloft_routes::RouteTable;
 use anvilloft_types::Clock;
 use anvilloft_types::lock;
@@ -52,9 +53,10 @@
 const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// Idle timeout of a caller's connection, used until a route table sets one. It
-/// is the usual value, because open connections keep the limit they started with.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time that a caller's header may take beyond its limit, for packets that are sent again.
+const HEADER_GRACE: Duration = Duration::from_secs(2);
+/// Minimum idle time after which a caller's connection is closed.
+const MIN_CALLER_IDLE: Duration = Duration::from_secs(1);
 /// Interval at which idle connections to endpoints are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of the timer whose lateness is measured.
@@ -173,14 +175,25 @@
             .spawn(move || runtime.block_on(control::run(args)))?;
         let stop = CancellationToken::new();
         let finish = CancellationToken::new();
-        tokio::spawn(serve(
+        let limits = ConnectionLimits {
+            max_connections: cx.options.max_connections,
+            ..ConnectionLimits::default()
+        };
+        let table_of = Arc::clone(&cx);
+        let server = Server::new(limits, metrics)
+            .log(log.clone())
+            .id_header(cx.adapter.request_id_header())
+            .timeouts(Arc::new(move || {
+                let table = table_of.table.load();
+                let limits = table.limits();
+                Timeouts {
+                    header: limits.header_timeout.saturating_add(HEADER_GRACE),
+                    idle: limits.idle_timeout.max(MIN_CALLER_IDLE),
+                }
+            }));
+        tokio::spawn(server.serve(
             listener,
             HandlerService(CallerHandler(Arc::clone(&cx))),
-            ConnectionLimits {
-                max_connections: cx.options.max_connections,
-                header_timeout: CALLER_IDLE_TIMEOUT,
-            },
-            metrics,
             stop.clone(),
             finish.clone(),
         ));
