Answer requests that cross the end of a drain

Cause: a drain waited for the answers that it knew of, and then dropped the runtime with all its connections. It didn't know of a request whose body was still arriving, of refusals, and, after an interrupted drain or a lost incarnation, of any answer.

Callers saw: a connection that closed without an answer, although the whole request was read.

Change: at its end a drain closes idle connections, lets the others end after their current request (their answers say so), and waits for them, at most for the time that a slow caller gets. An interrupted drain leaves time to send the refusals of requests that waited.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -146,6 +146,19 @@
     metrics: Arc<Metrics>,
     api: Arc<Api>,
     stop_accepting: CancellationToken,
+    /// Closes each open connection after its current request.
+    finish: CancellationToken,
+}
+
+/// How the wait for the end of a drain ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DrainEnd {
+    /// Everything is settled and the incarnation is closed.
+    Closed,
+    /// Control has ended the incarnation, and no request is in flight.
+    Superseded,
+    /// The control thread failed, the time ran out, or the drain was interrupted.
+    Interrupted,
 }
 
 impl Router {
@@ -240,8 +253,9 @@
             .enable_all()
             .build()?;
         let stop_accepting = CancellationToken::new();
+        let finish = CancellationToken::new();
         let service = HandlerService(Arc::clone(&api));
-        let stop_listening = stop_accepting.clone();
+        let (stop_listening, finish_open) = (stop_accepting.clone(), finish.clone());
         let (limits, counters) = (options.connections, Arc::clone(&metrics));
         traffic.spawn(async move {
             loop {
@@ -254,10 +268,15 @@
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => {
                     started.send(Ok(())).ok();
-                    // Never cancelled: connections that are still open end
-                    // when the runtime shuts down.
-                    let finish = CancellationToken::new();
-                    serve(listener, service, limits, counters, stop_listening, finish).await;
+                    serve(
+                        listener,
+                        service,
+                        limits,
+                        counters,
+                        stop_listening,
+                        finish_open,
+                    )
+                    .await;
                 }
                 Err(e) => {
                     started.send(Err(e)).ok();
@@ -277,6 +296,7 @@
             metrics,
             api,
             stop_accepting,
+            finish,
         })
     }
 
@@ -334,7 +354,7 @@
     ///
     /// Returns whether the drain finished within `timeout` and before
     /// `interrupt` completed. Otherwise, requests in flight are interrupted and
-    /// logged.
+    /// logged. Requests that wait for an endpoint are refused then.
     pub async fn drain_until(
         mut self,
         timeout: Duration,
@@ -343,7 +363,7 @@
         self.start_drain();
         let mut phase = self.phase.clone();
         let in_flight = self.metrics.in_flight.clone();
-        let closed = tokio::select! {
+        let end = tokio::select! {
             // An incarnation that control has ended can't be closed, but requests
             // in flight still finish.
             () = async {
@@ -351,31 +371,39 @@
                 while in_flight.get() > 0 {
                     tokio::time::sleep(FLUSH_DELAY).await;
                 }
-            } => false,
-            closed = phase.wait_for(|p| *p == Phase::Closed) => {
-                closed.is_ok()
-            }
-            () = tokio::time::sleep(timeout) => false,
-            () = interrupt => false,
+            } => DrainEnd::Superseded,
+            closed = phase.wait_for(|p| *p == Phase::Closed) => match closed {
+                Ok(_) => DrainEnd::Closed,
+                Err(_) => DrainEnd::Interrupted,
+            },
+            () = tokio::time::sleep(timeout) => DrainEnd::Interrupted,
+            () = interrupt => DrainEnd::Interrupted,
         };
         self.stop_accepting.cancel();
-        if closed {
-            // Settled answers may still be in transit to slow callers. They get at
-            // most `write_timeout`, as a chunk of a stream does.
-            let open = self.metrics.open_answers.clone();
-            let deadline = tokio::time::Instant::now() + self.api.options.write_timeout;
-            while open.get() > 0 && tokio::time::Instant::now() < deadline {
-                tokio::time::sleep(FLUSH_DELAY).await;
-            }
-            tokio::time::sleep(FLUSH_DELAY).await;
-        } else {
+        if end != DrainEnd::Closed {
             self.stop.send_replace(StopRequest::Immediate);
             if let Some(core) = self.core.take() {
                 core.join().ok();
             }
         }
+        self.finish.cancel();
+        // Answers may still be in transit to slow callers, and requests may still
+        // arrive on open connections. They get at most `write_timeout`, as a chunk of
+        // a stream does.
+        let limit = match end {
+            DrainEnd::Interrupted => FLUSH_DELAY,
+            DrainEnd::Closed | DrainEnd::Superseded => self.api.options.write_timeout,
+        };
+        let connections = self.metrics.connections.clone();
+        let deadline = tokio::time::Instant::now() + limit;
+        loop {
+            tokio::time::sleep(FLUSH_DELAY).await;
+            if connections.get() == 0 || tokio::time::Instant::now() >= deadline {
+                break;
+            }
+        }
         self.shut_down();
-        closed
+        end == DrainEnd::Closed
     }
 
     /// Drains for at most `timeout`; see [`Router::drain_until`].
