Refuse waiting requests of a draining router without a lease

Cause: once a drain accepts no more requests, or control has ended the incarnation, nothing refused the requests that wait for tokens or a place when the lease had expired. With control out of reach, they waited until the drain ran out of time.

Callers saw: no answer for as long as the drain lasts, then a closed connection.

Change: the refusal no longer depends on the phase.

Evidence: a_waiting_request_is_refused_when_a_stopping_router_loses_control failed before (no answer within 10 s); the refusal now says that the request has not run.

--- a/crates/router/src/core/queues.rs
+++ b/crates/router/src/core/queues.rs
@@ -18,7 +18,6 @@
 use super::Core;
 use super::Lane;
 use super::LaneKey;
-use super::Phase;
 use super::requests::Req;
 use super::requests::Stage;
 
@@ -225,10 +224,7 @@
     }
 
     pub(crate) fn poll_lanes(&mut self, now: Duration) {
-        if now >= self.lease_until
-            && self.current_phase() <= Phase::Leaving
-            && self.requests.values().any(|r| r.reply.is_some())
-        {
+        if now >= self.lease_until && self.requests.values().any(|r| r.reply.is_some()) {
             self.refuse_waiting(now);
         }
         let keys: Vec<LaneKey> = self.lanes.keys().cloned().collect();
--- a/crates/router/tests/drain.rs
+++ b/crates/router/tests/drain.rs
@@ -109,6 +109,30 @@
     drop((kept, fake));
 }
 
+/// Guards against a request that waits for tokens until the end of a planned stop, as
+/// nothing refused it once the lease had expired.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_waiting_request_is_refused_when_a_stopping_router_loses_control() {
+    let mut fleet = start().await;
+    let fake = fleet.fake(engine("e1")).await;
+    let addr = fleet.addr(0);
+    let router = fleet.routers.remove(0);
+    router.start_drain();
+    wait_for(&router, Phase::Leaving).await;
+    // By then control has recorded the drain.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.control_cut_off[0].store(true, Ordering::Relaxed);
+    let call = tokio::spawn(async move { chat("x", false).send(addr, TIMEOUT).await });
+    wait_for(&router, Phase::Finishing).await;
+    let drain = tokio::spawn(router.drain(TIMEOUT));
+    let reply = call.await.unwrap().expect("no answer");
+    assert_eq!(reply.status, 503, "{}", reply.text());
+    assert_eq!(error(&reply), ("no".into(), "draining".into()));
+    fleet.control_cut_off[0].store(false, Ordering::Relaxed);
+    assert!(drain.await.unwrap(), "not drained");
+    drop(fake);
+}
+
 /// Guards against a stop that cuts off a waiting request instead of refusing it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_waiting_request_is_refused_when_a_drain_is_interrupted() {
