Return loans of tokens that arrive too late

Cause: a request asks its peers for tokens and waits 60 ms for each. When a peer granted a loan later than that, or the caller left meanwhile, nobody took the grant. The lender kept it open and, after a minute, counted it as fully used.

Change: the answer to a loan request is awaited in a task of its own for 2 s. A loan for which nobody waits any more is returned unused.

Evidence: a_loan_that_arrives_too_late_is_returned failed before (no end of the loan within 3 s).

--- a/crates/relay/src/loans.rs
+++ b/crates/relay/src/loans.rs
@@ -22,11 +22,15 @@
 use anvilloft_wire::frame::Payload;
 use anvilloft_wire::session::PeerCallHandler;
 use anvilloft_wire::session::Session;
+use tokio::sync::oneshot;
 
 use crate::state::RelayState;
 
 /// Timeout of a loan request to a peer: ten round trips within a city.
 const LOAN_REQUEST_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time after which a lender's answer is no longer expected. An answer that arrives
+/// after [`LOAN_REQUEST_TIMEOUT`] and before it returns the loan.
+const LATE_LOAN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of peers that are asked for one request.
 const MAX_PEERS: usize = 12;
 /// Time after which a loan whose end was not reported counts as fully used.
@@ -107,10 +111,56 @@
     }
 }
 
+/// A loan on its way to the request that asked for it. It is returned on drop, when
+/// the request has stopped waiting.
+struct ArrivingLoan {
+    cx: Arc<RelayState>,
+    source: Option<TokenSource>,
+}
+
+impl Drop for ArrivingLoan {
+    fn drop(&mut self) {
+        if let Some(source) = self.source.take() {
+            source.settle(&self.cx, 0);
+        }
+    }
+}
+
+/// Borrows at most `max` tokens from a peer, within `max_wait`.
+async fn borrow_tokens(
+    cx: &Arc<RelayState>,
+    session: Arc<Session>,
+    budget: &str,
+    max: Tokens,
+    max_wait: Duration,
+) -> Option<TokenSource> {
+    let req = LoanRequest {
+        budget: budget.to_owned(),
+        max_tokens: max,
+    };
+    let (tx, rx) = oneshot::channel();
+    let cx = Arc::clone(cx);
+    // Runs in its own task, so that a loan whose request has stopped waiting is still
+    // returned.
+    tokio::spawn(async move {
+        let reply = session.call(req.into(), LATE_LOAN_TIMEOUT, 0).await;
+        if let Ok(reply) = reply
+            && let Some(Answer::Lent(grant)) = reply.answer
+            && grant.amount > 0
+        {
+            let source = TokenSource::Peer(session, grant.loan_id, grant.amount);
+            let source = Some(source);
+            drop(tx.send(ArrivingLoan { cx, source }));
+        }
+    });
+    let arrived = tokio::time::timeout(max_wait, rx).await;
+    arrived.ok()?.ok()?.source.take()
+}
+
 /// Collects tokens of a budget from this router and then from its peers, until
 /// there are `amount` or enough peers were asked.
 pub(crate) async fn gather_tokens<'a>(
-    cx: &'a RelayState,
+    cx: &'a Arc<RelayState>,
     budget: &str,
     amount: Tokens,
 ) -> GatheredTokens<'a> {
@@ -134,15 +184,9 @@
         if missing == 0 {
             break;
         }
-        let req = LoanRequest {
-            budget: budget.to_owned(),
-            max_tokens: missing,
-        };
-        if let Ok(reply) = session.call(req.into(), LOAN_REQUEST_TIMEOUT, 0).await
-            && let Some(Answer::Lent(grant)) = reply.answer
-            && grant.amount > 0
-        {
-            gathered.push(TokenSource::Peer(session, grant.loan_id, grant.amount));
+        let max_wait = LOAN_REQUEST_TIMEOUT;
+        if let Some(source) = borrow_tokens(cx, session, budget, missing, max_wait).await {
+            gathered.push(source);
         }
     }
     gathered
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -155,7 +155,7 @@
     }
 }
 
-fn fleet_key() -> Secret {
+pub(crate) fn fleet_key() -> Secret {
     Secret::new([7; 32])
 }
 
--- /dev/null
+++ b/crates/relay/tests/relay/loans.rs
@@ -0,0 +1,119 @@
+//! Loans of peers that answer late.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_wire::Control;
+use anvilloft_wire::ControlReply;
+use anvilloft_wire::ControlRequest;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::OpenIncarnation;
+use anvilloft_wire::command::RouterState;
+use anvilloft_wire::control::Answer;
+use anvilloft_wire::control::LoanGrant;
+use anvilloft_wire::control::Request;
+use anvilloft_wire::frame::LoanEnd;
+use anvilloft_wire::frame::Payload;
+use anvilloft_wire::session::Fleet as Sessions;
+use anvilloft_wire::session::FleetOptions;
+use anvilloft_wire::session::Identity;
+use anvilloft_wire::session::PeerCallHandler;
+use anvilloft_wire::session::Session;
+use anvilloft_wire::session::join_fleet;
+
+use crate::common::CALL_TIMEOUT;
+use crate::common::Fleet;
+use crate::common::fleet_key;
+use crate::common::log;
+
+/// Time that a slow lender takes to answer; longer than a relay waits for it.
+const LENDER_DELAY: Duration = Duration::from_millis(150);
+
+/// A peer that lends `tokens` to everyone, and answers late.
+struct SlowLender {
+    tokens: u64,
+    asked: Arc<AtomicUsize>,
+}
+
+impl PeerCallHandler for SlowLender {
+    fn answer(&self, _: &Arc<Session>, req: &ControlRequest) -> Option<ControlReply> {
+        let Some(Request::Loan(_)) = &req.request else {
+            return None;
+        };
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        std::thread::sleep(LENDER_DELAY);
+        let grant = LoanGrant {
+            loan_id: 7,
+            amount: self.tokens,
+        };
+        Some(Answer::Lent(grant).into())
+    }
+}
+
+/// Starts lenders and an endpoint, and waits until the relay has sessions with all
+/// lenders: until each was asked.
+async fn start_lenders(fleet: &Fleet, count: usize, tokens: u64) -> Vec<Sessions> {
+    let mut lenders = Vec::new();
+    let mut asked = Vec::new();
+    for n in 0..count {
+        let name = format!("z{n}");
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let peer_address = listener.local_addr().unwrap().to_string();
+        let mut identity = Identity::new(&name, "router", "a", fleet_key());
+        identity.incarnation = 1;
+        let count = Arc::new(AtomicUsize::new(0));
+        let mut options = FleetOptions::new(identity, listener);
+        options.call_handler = Arc::new(SlowLender {
+            tokens,
+            asked: Arc::clone(&count),
+        });
+        lenders.push(join_fleet(options, &log()).unwrap());
+        asked.push(count);
+        let open = OpenIncarnation {
+            router: name,
+            incarnation: 1,
+            caller_address: "127.0.0.1:1".into(),
+            peer_address,
+            data_centre: "a".into(),
+            state: RouterState::Alive.into(),
+        };
+        let peers = fleet.control.peers();
+        let body = Body::OpenIncarnation(open).into();
+        peers.call(body, CALL_TIMEOUT).await.unwrap();
+    }
+    for n in 0..200 {
+        if asked.iter().all(|a| a.load(Ordering::Relaxed) > 0) {
+            return lenders;
+        }
+        fleet.try_send(0, "/stream/x", &format!("warm{n}")).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("a lender was never asked");
+}
+
+/// Guards against tokens that count as used up although no request used them, because
+/// the lender granted them after the borrower had stopped waiting.
+#[tokio::test(flavor = "multi_thread", worker_threads = 8)]
+async fn a_loan_that_arrives_too_late_is_returned() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1).await;
+    let mut lenders = start_lenders(&fleet, 1, 500).await;
+    let inbox = &mut lenders[0].inbox;
+    let returned = async {
+        loop {
+            let frame = inbox.recv().await.expect("the session ended");
+            if let Payload::LoanEnd(end) = frame.payload {
+                return end;
+            }
+        }
+    };
+    let end = tokio::time::timeout(Duration::from_secs(3), returned).await;
+    let expected = LoanEnd {
+        loan_id: 7,
+        used: 0,
+    };
+    assert_eq!(end.expect("the loan was not returned"), expected);
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -3,5 +3,6 @@
 #![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
 mod common;
+mod loans;
 mod requests;
 mod traces;
