Ask for loans no longer than a request may wait

Cause: the search for loans of tokens asks up to 12 peers one after another, 60 ms each, and didn't know of the request's deadline.

Callers saw: a refusal up to 0.7 s after the route's timeout, beside cut or slow links.

Change: the search ends at the deadline.

Evidence: silent_lenders_do_not_hold_a_request_past_its_deadline failed before (answered after 793 ms, with 10 silent peers and a deadline of 300 ms) and passes with a limit of 500 ms.

--- a/crates/relay/src/charge.rs
+++ b/crates/relay/src/charge.rs
@@ -194,7 +194,7 @@
     if let GrantFailure::Refused(refusal @ GrantRefusal::Refused(..)) = &failure {
         return Err(refusal_of_grant(refusal, amount));
     }
-    let mut gathered = gather_tokens(cx, budget, amount).await;
+    let mut gathered = gather_tokens(cx, budget, amount, deadline).await;
     let missing = amount.saturating_sub(gathered.amount());
     if missing == 0 {
         return Ok(gathered.into_sources());
--- a/crates/relay/src/loans.rs
+++ b/crates/relay/src/loans.rs
@@ -158,11 +158,12 @@
 }
 
 /// Collects tokens of a budget from this router and then from its peers, until
-/// there are `amount` or enough peers were asked.
+/// there are `amount`, enough peers were asked or the deadline has passed.
 pub(crate) async fn gather_tokens<'a>(
     cx: &'a Arc<RelayState>,
     budget: &str,
     amount: Tokens,
+    deadline: Duration,
 ) -> GatheredTokens<'a> {
     let mut gathered = GatheredTokens {
         cx,
@@ -181,10 +182,11 @@
     peers.rotate_left(start);
     for session in peers.into_iter().take(MAX_PEERS) {
         let missing = amount.saturating_sub(gathered.amount());
-        if missing == 0 {
+        let left = deadline.saturating_sub(cx.now());
+        if missing == 0 || left.is_zero() {
             break;
         }
-        let max_wait = LOAN_REQUEST_TIMEOUT;
+        let max_wait = LOAN_REQUEST_TIMEOUT.min(left);
         if let Some(source) = borrow_tokens(cx, session, budget, missing, max_wait).await {
             gathered.push(source);
         }
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -65,7 +65,11 @@
                 .get("x-anvilloft-attempt")
                 .cloned()
                 .ok_or("x-anvilloft-attempt")?,
-            max_wait: Some(Duration::from_secs(5)),
+            max_wait: Some(
+                header("x-wait-ms")
+                    .and_then(|ms| ms.parse().ok())
+                    .map_or(Duration::from_secs(5), Duration::from_millis),
+            ),
             key: header("x-key").map(str::to_owned),
             prompt: vec![
                 PromptPart { id: 1, tokens: 60 },
--- a/crates/relay/tests/relay/loans.rs
+++ b/crates/relay/tests/relay/loans.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
+use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_wire::Control;
 use anvilloft_wire::ControlReply;
 use anvilloft_wire::ControlRequest;
@@ -26,8 +28,10 @@
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
+use crate::common::call;
 use crate::common::fleet_key;
 use crate::common::log;
+use crate::common::whole_stream;
 
 /// Time that a slow lender takes to answer; longer than a relay waits for it.
 const LENDER_DELAY: Duration = Duration::from_millis(150);
@@ -117,3 +121,24 @@
     };
     assert_eq!(end.expect("the loan was not returned"), expected);
 }
+
+/// Guards against a request that is answered long after its deadline, because many
+/// peers that don't answer are asked for tokens one after another.
+#[tokio::test(flavor = "multi_thread", worker_threads = 16)]
+async fn silent_lenders_do_not_hold_a_request_past_its_deadline() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1).await;
+    let endpoint = RawEndpoint::start(|s| whole_stream(&s, 3)).await.unwrap();
+    fleet.announce("e", endpoint.addr, "engines");
+    let lenders = start_lenders(&fleet, 10, 0).await;
+    let started = Instant::now();
+    let reply = call("/stream/x", "body", "late")
+        .header("x-wait-ms", "300")
+        .send(fleet.relays[0].address(), CALL_TIMEOUT)
+        .await
+        .unwrap();
+    let elapsed = started.elapsed();
+    assert!((400..600).contains(&reply.status), "{}", reply.status);
+    assert!(elapsed < Duration::from_millis(500), "{elapsed:?}");
+    drop(lenders);
+}
