Treat an encoded answer of a service as a failure

Cause: the answer of a plain service was passed on with its content type alone. A body in a content encoding, which is never requested, lost the header that names it.

Callers saw: a success with a body that they could not read.

Change: such an answer counts as a failed attempt whose outcome is unknown.

Evidence: an_encoded_answer_of_a_service_is_a_failure failed before (200 with the encoded body).

--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -32,6 +32,7 @@
 use crate::completions::idempotency_key;
 use crate::completions::read_error_response;
 use crate::core_handle::Admit;
+use crate::core_handle::AttemptEnd;
 use crate::core_handle::CoreMsg;
 use crate::core_handle::Target;
 use crate::core_handle::Ticket;
@@ -393,6 +394,19 @@
         api.metrics.attempts.with_label_values(&["refused"]).inc();
         return Err(read_error_response(response, timeout).await);
     }
+    if response
+        .headers
+        .contains_key(http::header::CONTENT_ENCODING)
+    {
+        // No encoding is requested from services, so this body is not their own.
+        api.metrics.attempts.with_label_values(&["failed"]).inc();
+        return Err(AttemptFailure {
+            end: AttemptEnd::Failed,
+            run: RunState::Unknown,
+            retry: true,
+            refusal: None,
+        });
+    }
     let status = response.status;
     let content_type = response
         .headers
