Keep less of a short planned stop for returning tokens

Cause: a planned stop always kept its last second for returning tokens, also when it had only a few seconds in all.

Callers saw: with 3 s for the stop, answers cut off after 2 s, while their endpoints were at work.

Change: at most a ninth of the time is kept.

Evidence: a_short_planned_stop_waits_for_answers_for_most_of_its_time failed before (the stop ended after 2.0 s of 3 s, without the answer that came at 2.4 s).

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -61,8 +61,10 @@
 const LATENESS_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which a planned stop checks whether all connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Part of a planned stop's time that is kept for returning tokens.
+/// Longest part of a planned stop's time that is kept for returning tokens.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
+/// The same as a divisor of a planned stop's time, for short stops.
+const SETTLE_DIVISOR: u32 = 9;
 
 quick_error! {
     /// Error when starting a relay.
@@ -228,7 +230,8 @@
         self.cx.draining.store(true, Ordering::Relaxed);
         self.stop.cancel();
         self.finish.cancel();
-        let requests_end = end.checked_sub(SETTLE_TIME).unwrap_or(end);
+        let settle_time = SETTLE_TIME.min(options.drain_limit / SETTLE_DIVISOR);
+        let requests_end = end.checked_sub(settle_time).unwrap_or(end);
         while self.cx.metrics.connections.get() > 0 && tokio::time::Instant::now() < requests_end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
--- /dev/null
+++ b/crates/relay/tests/relay/drain.rs
@@ -0,0 +1,51 @@
+//! Planned stops of a relay.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::Step;
+use anvilloft_fakes::raw::whole_answer;
+
+use crate::common::CALL_TIMEOUT;
+use crate::common::Fleet;
+use crate::common::call;
+use crate::common::eventually;
+use crate::common::send;
+
+/// Guards against a short planned stop that cuts off an answer long before its end, to
+/// keep time for returning tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_planned_stop_waits_for_answers_for_most_of_its_time() {
+    const LIMIT: Duration = Duration::from_secs(3);
+    let mut fleet = Fleet::start_with(1, |o| o.drain(Duration::from_millis(100), LIMIT)).await;
+    fleet.publish(1, 100_000).await;
+    let slow = RawEndpoint::start(|s| {
+        let wait = match s.attempt.as_str() {
+            "slow" => LIMIT * 4 / 5,
+            _ => Duration::ZERO,
+        };
+        vec![Step::Wait(wait), send(whole_answer(&s.attempt, "done"))]
+    });
+    let slow = slow.await.unwrap();
+    fleet.announce("e", slow.addr, "plain");
+    fleet.send(0, "/once/x", "warm").await;
+    let relay = fleet.relays.remove(0);
+    let address = relay.address();
+    let call = call("/once/x", "body", "slow");
+    let answer = tokio::spawn(async move { call.send(address, CALL_TIMEOUT).await });
+    let count = Arc::clone(&slow.request_count);
+    eventually("the endpoint has the request", || {
+        count.load(Ordering::Relaxed) == 2
+    })
+    .await;
+    let started = Instant::now();
+    let drained = relay.drain().await;
+    // The process would end now, and with it the connection.
+    let elapsed = started.elapsed();
+    assert!(elapsed > LIMIT * 3 / 4, "no answer yet: {elapsed:?}");
+    assert!(drained && elapsed < LIMIT, "not settled: {elapsed:?}");
+    assert_eq!(answer.await.unwrap().unwrap().text(), "done");
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
 mod common;
+mod drain;
 mod loans;
 mod requests;
 mod traces;
