Test unusual forms of requests and answers at a relay

Interim answers, 204, 304, HEAD, Expect, trailers, pipelined requests and an answer before the end of a long request each reach the caller whole.

--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -7,3 +7,4 @@
 mod loans;
 mod requests;
 mod traces;
+mod ways;
