Show two requests that fail for want of a fix

Red on purpose, for the owners of the code: a_connection_that_closed_while_the_runtime_was_busy_is_not_used (gateway, client.rs): a request goes out on a pooled connection that its endpoint has closed, as take_idle sees a close only after the runtime has read the events of its sockets. a_switch_of_protocols_is_no_answer (relay, forward.rs): an endpoint's 101 is passed on, and no final answer follows.

--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -144,3 +144,34 @@
     }
     assert_eq!(endpoint.request_count.load(Ordering::Relaxed), 6);
 }
+
+/// Guards against a request that fails on a pooled connection that its endpoint had
+/// closed long before, as the runtime was too busy to notice it.
+#[tokio::test]
+async fn a_connection_that_closed_while_the_runtime_was_busy_is_not_used() {
+    let client = Client::new(ClientTimeouts::default(), 1 << 20);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (closed, was_closed) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut buf = [0; 4096];
+            let len = std::io::Read::read(&mut stream, &mut buf).unwrap();
+            let head = String::from_utf8_lossy(&buf[..len]).to_ascii_lowercase();
+            let id = head.split("x-anvilloft-attempt: ").nth(1).unwrap();
+            let answer = whole_answer(id.lines().next().unwrap(), "ok");
+            std::io::Write::write_all(&mut stream, &answer).unwrap();
+            std::thread::sleep(Duration::from_millis(50));
+            drop(stream);
+            closed.send(()).ok();
+        }
+    });
+    for attempt in 1..=3 {
+        let answer = send_and_collect(&client, addr, attempt).await;
+        assert_eq!(answer, Ok(Bytes::from_static(b"ok")), "attempt {attempt}");
+        assert_eq!(client.idle_count(), 1, "the connection is kept");
+        // Blocks the only thread of the runtime until the endpoint has closed.
+        was_closed.recv().unwrap();
+    }
+}
--- a/crates/relay/tests/relay/ways.rs
+++ b/crates/relay/tests/relay/ways.rs
@@ -185,3 +185,27 @@
     assert!(failed.is_empty(), "{failed:?}");
     early.abort();
 }
+
+/// Guards against a request whose only answer is an interim one, as an endpoint switched
+/// protocols though nobody had asked for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_switch_of_protocols_is_no_answer() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 100_000).await;
+    let endpoint = RawEndpoint::start(|s| {
+        let head = "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x";
+        vec![send(format!(
+            "{head}\r\nx-anvilloft-attempt: {}\r\n\r\n",
+            s.attempt
+        ))]
+    });
+    let endpoint = endpoint.await.unwrap();
+    fleet.announce("e", endpoint.addr, "plain");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let got = raw(
+        &fleet,
+        &request("GET", "/once/x", "s1", "connection: close\r\n"),
+    )
+    .await;
+    assert!(got.starts_with("HTTP/1.1 502 "), "{got:?}");
+}
