--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -4,6 +4,9 @@
 
 mod common;
 mod connections;
+mod drain;
+mod loans;
 mod requests;
 mod silence;
 mod traces;
+mod ways;
