Use no connection that closed while the runtime was busy

Cause: a pooled connection was taken for open as long as the runtime had not read the events of its socket. A router that was busy for a moment sent a request on a connection that its endpoint had closed long ago.

What callers saw: 502 for a request that no endpoint ran, and a retry spent.

Change: the client lets the runtime read its events before it uses a pooled connection, and checks the connection again.

Evidence: a_connection_that_closed_while_the_runtime_was_busy_is_not_used failed before (Broken, written).

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -263,6 +263,19 @@
         None
     }
 
+    /// Returns a pooled connection. A close that has arrived while the runtime was busy
+    /// counts.
+    async fn take_idle_checked(&self, addr: SocketAddr) -> Option<Conn> {
+        while let Some(mut conn) = self.take_idle(addr) {
+            // Lets the runtime read the events of its sockets.
+            tokio::task::yield_now().await;
+            if conn.is_usable() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
     fn put_idle(&self, addr: SocketAddr, mut conn: Conn) {
         if conn.driver_done || !conn.sender.is_ready() {
             return;
@@ -361,7 +374,7 @@
         let pooled = if new_connection {
             None
         } else {
-            self.take_idle(addr)
+            self.take_idle_checked(addr).await
         };
         let mut conn = match pooled {
             Some(conn) => conn,
