Take an endpoint's switch of protocols for a failure

Cause: an endpoint's unasked 101 was passed on like an answer. Nothing follows it on the caller's connection.

What callers saw: a request without a final answer.

Change: an informational status that ends the exchange counts as a broken answer, as an answer with a content encoding does.

Evidence: a_switch_of_protocols_is_no_answer failed before.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -351,9 +351,9 @@
                 return endpoint_failure.ok_or_else(|| refusal_of_failure(failure, &progress));
             }
         };
-        if answer.headers.contains_key(header::CONTENT_ENCODING) {
-            // Callers request no content encoding, so this body is not what the endpoint
-            // sent.
+        if answer.status.is_informational() || answer.headers.contains_key(header::CONTENT_ENCODING)
+        {
+            // Callers request neither another protocol nor a content encoding.
             progress.may_have_run = true;
             in_flight.end(Outcome::Broken);
             continue;
