Join only the following events to a broken stream

Cause: the relay joined any 2xx answer to a broken stream: another media type, an encoded body, no event at all, or events from another place. An answer without length that ended within an event counted as whole. A failure status ended the stream though the route allowed another endpoint. A stream whose events have no ids was begun again in the same answer. Callers saw: an error's text or head within their stream, events twice or missing, or a stream that ended as if complete. Change: resume.rs asks further endpoints until one answers 200 with a plain stream of events; the splitter accepts only the event that follows; a continuation without events, and an end within an event without a length, are breaks. Streams without ids are broken off.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod options;
 mod relay;
 mod reservations;
+mod resume;
 mod state;
 mod stream;
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -26,9 +26,11 @@
 use crate::attempt::InFlightRequest;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
-use crate::attempt::send_request;
 use crate::charge::Charge;
 use crate::events::EventSplitter;
+use crate::resume::find_continuation;
+use crate::resume::is_cut_off;
+use crate::resume::is_event_stream;
 use crate::state::RelayState;
 
 /// Pause between events after which a resumable stream goes on at another endpoint, as
@@ -95,7 +97,11 @@
                 Ok(Some(bytes)) => {
                     let count_before = self.splitter.event_count();
                     let Some(events) = self.splitter.push(&bytes) else {
-                        return self.fail(StreamError::EndpointFailed, Outcome::Broken);
+                        let error = ClientError::Broken("an event that can't follow".into());
+                        if let Err(err) = self.resume(&error).await {
+                            return self.fail(err, Outcome::Broken);
+                        }
+                        continue;
                     };
                     if events.is_empty() {
                         continue;
@@ -118,6 +124,12 @@
                     }
                     return Some(Ok(events));
                 }
+                Ok(None) if is_cut_off(&self.splitter, answer) => {
+                    let error = ClientError::Broken("the end before the last event".into());
+                    if let Err(err) = self.resume(&error).await {
+                        return self.fail(err, Outcome::Broken);
+                    }
+                }
                 Ok(None) => {
                     let (in_flight, _) = self.current.take()?;
                     let first_event_at = self.first_event_at.unwrap_or_default();
@@ -161,13 +173,17 @@
         slog::info!(self.cx.log, "endpoint broke off"; "request" => &self.outbound.id,
             "endpoint" => &in_flight.pick.endpoint, "error" => %error,
             "events" => self.splitter.event_count());
+        let can_resume = is_event_stream(&answer) && self.splitter.can_resume();
         // Closes the old connection first, so that two runs never overlap.
         drop(answer);
         in_flight.end(Outcome::Broken);
         self.progress.may_have_run = true;
-        self.splitter.discard_partial();
+        if !can_resume {
+            return Err(StreamError::EndpointFailed);
+        }
+        self.splitter.resume();
         let last_event = self.splitter.last_id().map(str::to_owned);
-        let sent = send_request(
+        let sent = find_continuation(
             &self.cx,
             &self.outbound,
             &mut self.progress,
@@ -175,17 +191,13 @@
         )
         .await;
         match sent {
-            Ok(EndpointAnswer { in_flight, answer }) if answer.status.is_success() => {
+            Ok(EndpointAnswer { in_flight, answer }) => {
                 slog::info!(self.cx.log, "stream resumed"; "request" => &self.outbound.id,
                     "endpoint" => &in_flight.pick.endpoint, "after" => last_event);
                 self.current = Some((in_flight, answer));
                 self.progress_at = self.cx.now();
                 Ok(())
             }
-            Ok(EndpointAnswer { in_flight, .. }) => {
-                in_flight.end(Outcome::Failed);
-                Err(StreamError::EndpointFailed)
-            }
             Err(_) => Err(StreamError::EndpointFailed),
         }
     }
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -34,3 +34,53 @@
         prop_assert_eq!(last_id.as_deref(), Some("3"));
     }
 }
+
+/// Guards against joining the events of an endpoint that goes on at another place.
+#[test]
+fn only_the_following_event_is_joined() {
+    struct Case {
+        before: &'static str,
+        after: &'static str,
+        joined: bool,
+    }
+    let case = |before, after, joined| Case {
+        before,
+        after,
+        joined,
+    };
+    let cases = [
+        case("id: 1\n\nid: 2\n\n", "id: 3\n\n", true),
+        case("id: 1\n\nid: 2\n\n", ": c\n\nid: 3\n\n", true),
+        case("id: 1\n\nid: 2\n\n", "id: 4\n\n", false),
+        case("id: 1\n\nid: 2\n\n", "id: 2\n\n", false),
+        case("id: 1\n\nid: 2\n\n", "id: x\n\n", false),
+        case("id: 1\n\nid: 2\n\n", "data: c\n\n", false),
+        case("id: 1\n\n", "id: 3\n\n", false),
+        // A stream that began after an event that the caller had.
+        case("id: 7\n\nid: 8\n\n", "id: 10\n\n", false),
+        case("id: 7\n\n", "id: 9\n\n", true),
+        // Ids with steps.
+        case("id: 4\n\nid: 8\n\nid: 12\n\n", "id: 14\n\n", true),
+        case("id: 4\n\nid: 8\n\nid: 12\n\n", "id: 12\n\n", false),
+        case("id: a\n\nid: b\n\n", "id: c\n\n", true),
+        case("id: a\n\nid: b\n\n", "id: b\n\n", false),
+        case("", "id: 7\n\n", true),
+        case("", "data: a\n\n", true),
+        case("", "HTTP/1.1 500 Error\r\nx: y\r\n\r\n", false),
+        case("id: 1\n\n", "HTTP/1.1 500 Error\r\nx: y\r\n\r\n", false),
+        case(
+            "id: 18446744073709551614\n\nid: 18446744073709551615\n\n",
+            "id: 0\n\n",
+            false,
+        ),
+    ];
+    for c in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.push(c.before.as_bytes()).unwrap_or_default();
+        splitter.push(b"id: 3\nda").unwrap_or_default();
+        splitter.resume();
+        let events = splitter.push(c.after.as_bytes());
+        let joined = c.joined.then_some(c.after.as_bytes());
+        assert_eq!(events.as_deref(), joined, "{:?} {:?}", c.before, c.after);
+    }
+}
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -127,6 +127,15 @@
         RouteTable::builder()
             .version(version.parse().map_err(|_| "the version is no number")?)
             .route(route("stream", stream, "engines"))
+            .route(
+                Route::builder("patient", "127.0.0.1", "/patient/")
+                    .kind(stream)
+                    .timeout(Duration::from_secs(4))
+                    .objective(Duration::from_millis(400))
+                    .target("engines", 1)
+                    .max_endpoints(3)
+                    .build(),
+            )
             .route(route("fragile", fragile, "engines"))
             .route(route("once", RouteKind::AtMostOnce, "plain"))
             .route(route("any", RouteKind::Idempotent, "plain"))
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -4,4 +4,5 @@
 
 mod common;
 mod requests;
+mod resumes;
 mod traces;
