Apply a leave notice to the incarnation that it names

Cause: a control member marked the known incarnation of an endpoint as left whatever incarnation the notice named. Callers saw: a late notice of an earlier incarnation took out the endpoint that had started again under its id, for as long as it ran. A notice of an incarnation whose announcements reached other members only was sent to routers with the older number, and they ignored it. Change: an earlier incarnation's notice is stale; a later one's is kept and forwarded with its own number; one without a number applies as before. Evidence: a_leave_notice_applies_to_its_incarnation failed before for the notice of incarnation 4 (Changed instead of Stale).

--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -82,10 +82,16 @@
         let old = &entry.update;
         if update.left {
             // A leave notice lacks the endpoint's address, pool and load, so the
-            // entry keeps its own.
-            if old.left {
+            // entry keeps its own. Without an incarnation it applies to the known one.
+            let incarnation = match update.incarnation {
+                0 => old.incarnation,
+                named => named,
+            };
+            if incarnation < old.incarnation || (old.left && incarnation == old.incarnation) {
                 return AnnounceOutcome::Stale;
             }
+            // This member may not know the newest incarnation, though routers do.
+            entry.update.incarnation = incarnation;
             entry.update.left = true;
             entry.update.leaving = true;
             entry.announced_at = now;
--- a/crates/control/tests/registry.rs
+++ b/crates/control/tests/registry.rs
@@ -64,6 +64,36 @@
     assert_eq!(known, Some((6, false, false)));
 }
 
+/// Guards against a leave notice of an earlier incarnation that removes the present
+/// one, and against one of a later incarnation that routers take for an earlier one's.
+#[test]
+fn a_leave_notice_applies_to_its_incarnation() {
+    struct Case {
+        notice: u64,
+        outcome: AnnounceOutcome,
+        known: (u64, bool),
+    }
+    let case = |notice, outcome, known| Case {
+        notice,
+        outcome,
+        known,
+    };
+    let cases = [
+        case(0, AnnounceOutcome::Changed, (5, true)),
+        case(4, AnnounceOutcome::Stale, (5, false)),
+        case(5, AnnounceOutcome::Changed, (5, true)),
+        case(6, AnnounceOutcome::Changed, (6, true)),
+    ];
+    for c in cases {
+        let registry = Registry::default();
+        registry.announce(SECOND, update(5, 1));
+        let outcome = registry.announce(SECOND, left(c.notice));
+        assert_eq!(outcome, c.outcome, "notice of {}", c.notice);
+        let known = registry.get(SECOND, "e").map(|u| (u.incarnation, u.left));
+        assert_eq!(known, Some(c.known), "notice of {}", c.notice);
+    }
+}
+
 /// Guards against renewals that are forwarded one by one, or without the time
 /// that they waited for the batch.
 #[test]
