Send a request again to the same address on a new connection

Cause: a request keeps its id over its attempts. When two endpoint ids have one address, the second attempt went over the connection on which the first was refused. A late second copy of that refusal has the expected id. Callers saw: 503 (not run) for a request that the endpoint ran. Change: an attempt at an address that had the request before takes a new connection.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Sending of a request to endpoints, with retries.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anvilloft_dispatch::DispatchRequest;
@@ -134,6 +135,8 @@
 #[derive(Default)]
 pub(crate) struct Progress {
     pub(crate) tried: Vec<EndpointId>,
+    /// Addresses of the tried endpoints.
+    addresses: Vec<SocketAddr>,
     /// Number of endpoints that received the request.
     pub(crate) sent_count: u32,
     unreachable_count: u32,
@@ -204,6 +207,10 @@
             ended: false,
         };
         progress.tried.push(in_flight.pick.endpoint.clone());
+        // On a kept connection, a second copy of the answer to the earlier attempt would
+        // have the expected id.
+        let new_connection = progress.addresses.contains(&in_flight.pick.address);
+        progress.addresses.push(in_flight.pick.address);
         let may_retry =
             outbound.kind.is_retryable() && progress.sent_count + 1 < outbound.max_endpoints;
         let wait = if may_retry {
@@ -211,7 +218,12 @@
         } else {
             left
         };
-        match attempt_endpoint(cx, outbound, in_flight, left, wait, last_event).await {
+        let limits = AttemptLimits {
+            left,
+            wait,
+            new_connection,
+        };
+        match attempt_endpoint(cx, outbound, in_flight, limits, last_event).await {
             AttemptResult::Answered(answered) => {
                 progress.sent_count += 1;
                 return Ok(*answered);
@@ -278,15 +290,29 @@
     Unknown,
 }
 
+/// Limits of one attempt.
+struct AttemptLimits {
+    /// Time until the request's deadline.
+    left: Duration,
+    /// Maximum time to wait for the header of the answer.
+    wait: Duration,
+    /// Whether no pooled connection may be used.
+    new_connection: bool,
+}
+
 /// Sends a request to the endpoint that was chosen for it.
 async fn attempt_endpoint(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
     in_flight: InFlightRequest,
-    left: Duration,
-    wait: Duration,
+    limits: AttemptLimits,
     last_event: Option<&str>,
 ) -> AttemptResult {
+    let AttemptLimits {
+        left,
+        wait,
+        new_connection,
+    } = limits;
     let Some(req) = build_request(cx, outbound, &in_flight, left, last_event) else {
         // The caller's header was accepted, so this can't happen with a correct
         // adapter. Nothing was sent.
@@ -297,7 +323,7 @@
     let address = in_flight.pick.address;
     let sent = cx
         .client
-        .exchange(address, req, &id_header, wait, false)
+        .exchange(address, req, &id_header, wait, new_connection)
         .await;
     let answer = match sent {
         Ok(answer) => answer,
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
 mod common;
+mod refusals;
 mod requests;
 mod resumes;
 mod traces;
