Answer 502 when an endpoint refuses without the mark

Cause: an endpoint's own 408, 421, 429 or 503 was passed on unchanged. To a caller these promise that the request was not run; without the mark the endpoint states no such thing. Callers saw: 'not run, try again' for a request that an endpoint may have run; its repetition runs a second time. Change: for requests that may run once at most the caller gets 502, without the endpoint's headers. Other requests get the status as before. Evidence: an_unmarked_refusal_promises_nothing failed before for all four statuses.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -36,7 +36,7 @@
 
 /// Maximum time to read the body of an endpoint's refusal. Without its end, the
 /// connection is closed.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+pub(crate) const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A caller's request, ready to be sent to any endpoint of its service.
 pub(crate) struct OutboundRequest {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -27,6 +27,7 @@
 use crate::attempt::EndpointAnswer;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
+use crate::attempt::REFUSAL_BODY_TIMEOUT;
 use crate::attempt::SendFailure;
 use crate::attempt::send_request;
 use crate::charge::Charge;
@@ -312,6 +313,18 @@
     }
 }
 
+/// Returns whether a status tells the caller that its request was not run and never will
+/// be.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Sends a request to endpoints and returns the answer for the caller.
 async fn exchange(
     cx: &Arc<RelayState>,
@@ -340,6 +353,16 @@
             in_flight.end(Outcome::Broken);
             continue;
         }
+        if promises_not_run(answer.status) && !outbound.kind.is_retryable() {
+            // Without a mark, the endpoint does not state that it didn't run the request.
+            slog::info!(cx.log, "attempt failed"; "request" => &outbound.id,
+                "endpoint" => &in_flight.pick.endpoint, "written" => true,
+                "error" => format_args!("status {} without a mark", answer.status.as_u16()));
+            progress.may_have_run = true;
+            in_flight.end(Outcome::Failed);
+            drop(answer.read_to_end(REFUSAL_BODY_TIMEOUT).await);
+            return Err(refusal_of_failure(SendFailure::ConnectionFailed, &progress));
+        }
         let mut resp = Response::new(Body::empty());
         *resp.status_mut() = answer.status;
         *resp.headers_mut() = answer.headers.clone();
--- a/crates/relay/tests/relay/refusals.rs
+++ b/crates/relay/tests/relay/refusals.rs
@@ -192,3 +192,30 @@
     }
     assert!(repeated_count > 0, "no request was sent again");
 }
+
+/// Guards against an endpoint's status that states nothing and is passed on as the
+/// promise that the request was not run.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unmarked_refusal_promises_nothing(#[values(408, 421, 429, 503)] status: u16) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 100_000).await;
+    for (id, service) in [("e1", "plain"), ("e2", "engines")] {
+        let endpoint = RawEndpoint::start(move |req| {
+            vec![send(format!(
+                "HTTP/1.1 {status} No\r\nx-anvilloft-attempt: {}\r\nx-seal: own\r\n\
+                 content-length: 2\r\n\r\nno",
+                req.attempt
+            ))]
+        });
+        fleet.announce(id, endpoint.await.unwrap().addr, service);
+    }
+    for path in ["/once/x", "/fragile/x"] {
+        let reply = fleet.send(0, path, &format!("u{}", path.len())).await;
+        assert_eq!(reply.status, 502, "{path}");
+        assert_eq!(reply.header("x-seal"), None, "{path}");
+    }
+    // Callers repeat an idempotent request after any failure.
+    let reply = fleet.send(0, "/any/x", "u-any").await;
+    assert_eq!(reply.status, status);
+}
