Report 'run: no' only for refusals with the mark

Cause: the router took an engine's 429 or 503 without the header x-anvilloft-refused for a statement that the request was not run. Change: without the mark the run state is unknown. The request still goes to another engine, and the engine still counts as busy.

--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -310,7 +310,8 @@
         || status == StatusCode::TOO_MANY_REQUESTS
         || status == StatusCode::SERVICE_UNAVAILABLE;
     let body = response.collect(gap).await.unwrap_or_default();
-    let run = if not_run || busy {
+    // Only the mark states that the request was not run.
+    let run = if not_run {
         RunState::No
     } else {
         RunState::Unknown
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -117,13 +117,7 @@
     assert!(open.read_until(" t3", TIMEOUT).await);
     drop(open);
     wait_until(|| fake.running() == 0).await;
-    wait_until(|| {
-        fake.counts()
-            .cancel_calls
-            .load(std::sync::atomic::Ordering::Relaxed)
-            == 1
-    })
-    .await;
+    wait_until(|| fake.counts().cancel_calls.load(Ordering::Relaxed) == 1).await;
     let settled = fleet.settled().await;
     assert!((4..100).contains(&settled), "settled {settled}");
 }
@@ -227,6 +221,44 @@
     assert_eq!(fleet.settled().await, 0);
 }
 
+/// Guards against an engine's 429 or 503 that doesn't say that the request was not run,
+/// after which the caller is told so.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unmarked_refusal_of_an_engine_is_no_promise() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let raw = RawEndpoint::start(|req| {
+        let status = if req.body.contains("busy-429") {
+            429
+        } else {
+            503
+        };
+        let mark = match req.body.contains("marked") {
+            true => "x-anvilloft-refused: not-run\r\n",
+            false => "",
+        };
+        let answer = format!(
+            "HTTP/1.1 {status} No\r\nx-anvilloft-attempt: {}\r\n{mark}content-length: 0\r\n\r\n",
+            req.attempt
+        );
+        vec![Step::Send(answer.into_bytes())]
+    });
+    let raw = raw.await.unwrap();
+    let cases = [
+        ("busy-429", "unknown"),
+        ("busy-503", "unknown"),
+        ("marked busy-429", "no"),
+        ("marked busy-503", "no"),
+    ];
+    for (seq, (prompt, run)) in (1..).zip(cases) {
+        raw.announce(fleet.addr(0), ENDPOINT_KEY, "raw", "m", seq)
+            .await;
+        let reply = chat(prompt, false).send(fleet.addr(0), TIMEOUT).await;
+        let reply = reply.unwrap();
+        assert_eq!(error(&reply).0, run, "{prompt}: {}", reply.text());
+    }
+    assert_eq!(fleet.settled().await, 0);
+}
+
 /// Guards against requests that hang at a silent endpoint while others work.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_leave_silent_endpoints_within_the_timeouts() {
