Keep an earlier unknown outcome when a later engine refuses

Cause: the run state of the last attempt replaced that of the earlier ones. Change: a refusal doesn't replace the state of an earlier attempt. Evidence: a_later_refusal_does_not_hide_an_earlier_run failed before ('no' instead of 'unknown').

--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -430,7 +430,7 @@
         now: Duration,
         no: RequestNo,
         end: AttemptEnd,
-        failed: FailedAttempt,
+        mut failed: FailedAttempt,
     ) {
         let Some(req) = self.requests.get_mut(&no) else {
             let refusal =
@@ -453,6 +453,10 @@
         slog::info!(self.log, "attempt failed"; "request" => &req.admit.request_id,
             "endpoint" => &attempt.endpoint, "reason" => ?failure,
             "run" => failed.run.as_str());
+        // A refusal says nothing about an earlier attempt.
+        if let (RunState::No, Some((earlier, _))) = (failed.run, req.last_failure) {
+            failed.run = earlier;
+        }
         req.last_failure = Some((failed.run, failed.used));
         req.stage = Stage::CheckingEndpoint {
             failed: Some(failed),
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_fakes::Fault;
@@ -259,6 +262,40 @@
     assert_eq!(fleet.settled().await, 0);
 }
 
+/// Guards against a refusal of the second engine that hides that the first one may have
+/// run the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_later_refusal_does_not_hide_an_earlier_run() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let first = AtomicBool::new(true);
+    let first = Arc::new(first);
+    let mut engines = Vec::new();
+    for id in ["e1", "e2"] {
+        let first = Arc::clone(&first);
+        let raw = RawEndpoint::start(move |req| {
+            let mark = match first.swap(false, Ordering::Relaxed) {
+                true => "",
+                false => "x-anvilloft-refused: not-run\r\n",
+            };
+            let answer = format!(
+                "HTTP/1.1 503 No\r\nx-anvilloft-attempt: {}\r\n{mark}content-length: 0\r\n\r\n",
+                req.attempt
+            );
+            vec![Step::Send(answer.into_bytes())]
+        });
+        let raw = raw.await.unwrap();
+        raw.announce(fleet.addr(0), ENDPOINT_KEY, id, "m", 1).await;
+        engines.push(raw);
+    }
+    let reply = chat("x", false).send(fleet.addr(0), TIMEOUT).await.unwrap();
+    let sent: u64 = engines
+        .iter()
+        .map(|e| e.request_count.load(Ordering::Relaxed))
+        .sum();
+    assert!(sent >= 2, "sent {sent} times");
+    assert_eq!(error(&reply).0, "unknown", "{}", reply.text());
+}
+
 /// Guards against requests that hang at a silent endpoint while others work.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_leave_silent_endpoints_within_the_timeouts() {
