Refuse announcements of addresses at which nothing can listen

Cause: on the product's path an announced address only had to parse. Callers saw: requests tried at port 0, or at an unspecified, multicast or broadcast address. Evidence: four new cases of invalid_announcements_are_refused failed without the check (Added instead of Invalid). Result: they pass.

--- a/crates/directory/src/endpoints.rs
+++ b/crates/directory/src/endpoints.rs
@@ -1,6 +1,9 @@
 //! Endpoint leases, kept as soft state from announcements.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use anvilloft_types::EndpointId;
@@ -210,6 +213,15 @@
     }
 }
 
+/// Returns whether an endpoint can listen at an address.
+pub fn can_listen_at(address: SocketAddr) -> bool {
+    let ip = address.ip();
+    address.port() != 0
+        && !ip.is_unspecified()
+        && !ip.is_multicast()
+        && ip != IpAddr::V4(Ipv4Addr::BROADCAST)
+}
+
 fn validate(update: &EndpointUpdate) -> Result<(), DirectoryError> {
     let check_name = |s: &str, field| {
         if s.is_empty() || s.len() > MAX_NAME_BYTES {
@@ -221,7 +233,8 @@
     check_name(&update.id, "id")?;
     check_name(&update.pool, "pool")?;
     check_name(&update.data_centre, "data_centre")?;
-    if update.address.parse::<std::net::SocketAddr>().is_err() {
+    let address = update.address.parse::<SocketAddr>();
+    if !address.is_ok_and(can_listen_at) {
         return Err(DirectoryError::Invalid("address"));
     }
     if update.slots == 0 {
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -11,6 +11,7 @@
 pub use endpoints::DirectoryError;
 pub use endpoints::EndpointLease;
 pub use endpoints::EndpointTable;
+pub use endpoints::can_listen_at;
 pub use routers::RouterDirectory;
 pub use routers::entry_router_count;
 pub use routers::routers_for_callers;
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -145,10 +145,14 @@
 fn invalid_announcements_are_refused() {
     let mut endpoints = EndpointTable::new();
     type Corrupt = fn(&mut EndpointUpdate);
-    let cases: [(&str, Corrupt); 6] = [
+    let cases: [(&str, Corrupt); 10] = [
         ("id", |u| u.id.clear()),
         ("id", |u| u.id = "x".repeat(300)),
         ("address", |u| u.address = "nowhere".into()),
+        ("address", |u| u.address = "10.0.0.9:0".into()),
+        ("address", |u| u.address = "0.0.0.0:80".into()),
+        ("address", |u| u.address = "224.0.0.1:80".into()),
+        ("address", |u| u.address = "255.255.255.255:80".into()),
         ("slots", |u| u.slots = 0),
         ("prefixes", |u| u.prefixes = vec![0; 5000]),
         ("load", |u| {
