--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sending of a request to endpoints, with retries.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -45,7 +46,7 @@
 
 /// Maximum time to read the body of an endpoint's refusal. Without its end, the
 /// connection is closed.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+pub(crate) const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A caller's request, ready to be sent to any endpoint of its service.
 pub(crate) struct OutboundRequest {
@@ -106,6 +107,8 @@
     cx: Arc<RelayState>,
     pub(crate) pick: Pick,
     request_no: RequestNo,
+    /// Whether no pooled connection may be used.
+    new_connection: bool,
     ended: bool,
 }
 
@@ -144,6 +147,8 @@
 #[derive(Default)]
 pub(crate) struct Progress {
     pub(crate) tried: Vec<EndpointId>,
+    /// Addresses of the tried endpoints.
+    addresses: Vec<SocketAddr>,
     /// Number of endpoints that received the request.
     pub(crate) sent_count: u32,
     unreachable_count: u32,
@@ -355,10 +360,15 @@
     pick: Pick,
 ) -> InFlightRequest {
     progress.tried.push(pick.endpoint.clone());
+    // On a kept connection, a second copy of the answer to the earlier attempt would
+    // have the expected id.
+    let new_connection = progress.addresses.contains(&pick.address);
+    progress.addresses.push(pick.address);
     InFlightRequest {
         cx: Arc::clone(cx),
         pick,
         request_no: outbound.request_no,
+        new_connection,
         ended: false,
     }
 }
@@ -440,7 +450,7 @@
         return None;
     };
     let id_header = cx.adapter.request_id_header();
-    let address = in_flight.pick.address;
+    let (address, new_connection) = (in_flight.pick.address, in_flight.new_connection);
     let client = Arc::clone(&cx.client);
     let is_connected = Arc::new(AtomicBool::new(false));
     let connected = {
@@ -449,7 +459,7 @@
     };
     let sent = async move {
         client
-            .exchange_observed(address, req, &id_header, left, false, connected)
+            .exchange_observed(address, req, &id_header, left, new_connection, connected)
             .await
     };
     Some(Attempt {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -35,7 +35,6 @@
 use crate::attempt::SendFailure;
 use crate::attempt::ended_by;
 use crate::attempt::judge;
-use crate::attempt::send_request;
 use crate::charge::Charge;
 use crate::events::EventSplitter;
 use crate::handover::ASK_INTERVAL;
@@ -43,6 +42,10 @@
 use crate::handover::log_silence;
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
+use crate::resume::can_continue;
+use crate::resume::find_continuation;
+use crate::resume::is_cut_off;
+use crate::resume::is_event_stream;
 use crate::state::RelayState;
 
 /// Pause between events after which a resumable stream is offered to another endpoint,
@@ -75,8 +78,6 @@
     End,
     /// The endpoint broke the stream.
     Broken(ClientError),
-    /// An event was too long.
-    TooLong,
     /// Nothing that the caller gets, or the stream goes on elsewhere.
     Nothing,
     /// No endpoint goes on with the stream.
@@ -131,18 +132,23 @@
 fn push(splitter: &mut EventSplitter, comments: &mut BytesMut, bytes: &[u8]) -> Read {
     let count_before = splitter.event_count();
     let Some(events) = splitter.push(bytes) else {
-        return Read::TooLong;
+        return Read::Broken(ClientError::Broken("an event that can't follow".into()));
     };
     if splitter.event_count() > count_before {
         return Read::Events(events);
     }
     comments.extend_from_slice(&events);
     match comments.len() > MAX_EVENT_BYTES {
-        true => Read::TooLong,
+        true => Read::Broken(ClientError::Broken("comments without end".into())),
         false => Read::Nothing,
     }
 }
 
+/// Whether another endpoint can go on with an endpoint's answer.
+fn is_resumable(answer: &EndpointResponse, splitter: &EventSplitter) -> bool {
+    is_event_stream(answer) && splitter.can_resume()
+}
+
 impl ResumingStream {
     /// Returns the next whole events, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
@@ -161,7 +167,9 @@
                 return self.fail(StreamError::DeadlineExceeded, outcome);
             }
             // Without an id, another endpoint would begin with the first event.
-            let can_move = self.splitter.last_id().is_some() && self.outbound.kind.is_retryable();
+            let can_move = self.splitter.last_id().is_some()
+                && self.outbound.kind.is_retryable()
+                && is_resumable(answer, &self.splitter);
             // Bytes that complete no event with data or an id are no progress.
             let wait = match can_move {
                 true => self.silence.until_ask(now).min(left),
@@ -182,13 +190,18 @@
                     }
                     self.comments.extend_from_slice(&events);
                 }
-                Read::End => return self.end(),
+                Read::End if !self.is_cut_off() => return self.end(),
+                Read::End => {
+                    let e = ClientError::Broken("the end before the last event".into());
+                    if let Err(err) = self.resume(&e).await {
+                        return self.fail(err, Outcome::Broken);
+                    }
+                }
                 Read::Broken(e) => {
                     if let Err(err) = self.resume(&e).await {
                         return self.fail(err, Outcome::Broken);
                     }
                 }
-                Read::TooLong => return self.fail(StreamError::EndpointFailed, Outcome::Broken),
                 Read::Nothing => {}
                 Read::Failed(err) => return self.fail(err, Outcome::Broken),
             }
@@ -214,6 +227,12 @@
         }
     }
 
+    /// Whether the current endpoint's answer has ended before its last event.
+    fn is_cut_off(&self) -> bool {
+        let answer = self.current.as_ref().map(|(_, answer)| answer);
+        answer.is_some_and(|answer| is_cut_off(&self.splitter, answer))
+    }
+
     /// Ends the stream after its last event.
     fn end(&mut self) -> Option<Result<Bytes, StreamError>> {
         let (in_flight, _) = self.current.take()?;
@@ -290,7 +309,7 @@
                 let result = judge(&self.cx, &self.outbound, other, *sent).await;
                 self.progress.record(&result);
                 match result {
-                    AttemptResult::Answered(answered) if answered.answer.status.is_success() => {
+                    AttemptResult::Answered(answered) if can_continue(&answered.answer) => {
                         self.close_current(
                             "router",
                             "silent while another endpoint has the request",
@@ -311,11 +330,13 @@
         }
     }
 
-    /// Closes the connection to the current endpoint, so that its run ends.
-    fn close_current(&mut self, by: &str, error: &str) {
+    /// Closes the connection to the current endpoint, so that its run ends. Returns
+    /// whether another endpoint can go on with the stream.
+    fn close_current(&mut self, by: &str, error: &str) -> bool {
         let Some((in_flight, answer)) = self.current.take() else {
-            return;
+            return false;
         };
+        let can_resume = is_resumable(&answer, &self.splitter);
         drop(answer);
         let silent_for = self.silence.silent_for(self.cx.now());
         slog::info!(self.cx.log, "endpoint broke off"; "request" => &self.outbound.id,
@@ -324,7 +345,8 @@
             "silent_ms" => silent_for.as_millis() as u64);
         in_flight.end(Outcome::Broken);
         self.progress.may_have_run = true;
-        self.splitter.discard_partial();
+        self.splitter.resume();
+        can_resume
     }
 
     fn go_on_with(&mut self, answered: EndpointAnswer) {
@@ -338,7 +360,9 @@
 
     /// Resumes the stream at another endpoint after the last whole event.
     async fn resume(&mut self, error: &ClientError) -> Result<(), StreamError> {
-        self.close_current(ended_by(error), &error.to_string());
+        if !self.close_current(ended_by(error), &error.to_string()) {
+            return Err(StreamError::EndpointFailed);
+        }
         match self.resume_at(None).await {
             Read::Failed(err) => Err(err),
             _ => Ok(()),
@@ -351,7 +375,7 @@
         // An endpoint that was full a while ago may have room now.
         self.progress.forget_refusals();
         for _ in 0..MAX_RESUMPTIONS {
-            let sent = send_request(
+            let found = find_continuation(
                 &self.cx,
                 &self.outbound,
                 &mut self.progress,
@@ -359,19 +383,11 @@
                 running.take(),
             )
             .await;
-            match sent {
-                Ok(answered) if answered.answer.status.is_success() => {
+            match found {
+                Ok(answered) => {
                     self.go_on_with(answered);
                     return Read::Nothing;
                 }
-                Ok(EndpointAnswer { in_flight, answer }) => {
-                    slog::info!(self.cx.log, "endpoint did not resume";
-                        "request" => &self.outbound.id,
-                        "endpoint" => &in_flight.pick.endpoint,
-                        "status" => answer.status.as_u16());
-                    in_flight.end(Outcome::Failed);
-                    return Read::Failed(StreamError::EndpointFailed);
-                }
                 Err(SendFailure::Full) => {
                     tokio::time::sleep(ASK_INTERVAL).await;
                     self.progress.forget_refusals();
