--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -263,6 +263,19 @@
         None
     }
 
+    /// Returns a pooled connection. A close that has arrived while the runtime was busy
+    /// counts.
+    async fn take_idle_checked(&self, addr: SocketAddr) -> Option<Conn> {
+        while let Some(mut conn) = self.take_idle(addr) {
+            // Lets the runtime read the events of its sockets.
+            tokio::task::yield_now().await;
+            if conn.is_usable() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
     fn put_idle(&self, addr: SocketAddr, mut conn: Conn) {
         if conn.driver_done || !conn.sender.is_ready() {
             return;
@@ -329,12 +342,39 @@
         echo_header: &HeaderName,
         first_byte: Duration,
         new_connection: bool,
+    ) -> Result<EndpointResponse, SendError> {
+        let connected = || {};
+        self.exchange_observed(
+            addr,
+            req,
+            echo_header,
+            first_byte,
+            new_connection,
+            connected,
+        )
+        .await
+    }
+
+    /// Same as [`exchange`](Self::exchange). Calls `connected` once there is a connection
+    /// for the request, before any byte of it is sent.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`send`](Self::send).
+    pub async fn exchange_observed(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        echo_header: &HeaderName,
+        first_byte: Duration,
+        new_connection: bool,
+        connected: impl FnOnce(),
     ) -> Result<EndpointResponse, SendError> {
         let id = req.headers().get(echo_header).cloned();
         let pooled = if new_connection {
             None
         } else {
-            self.take_idle(addr)
+            self.take_idle_checked(addr).await
         };
         let mut conn = match pooled {
             Some(conn) => conn,
@@ -343,6 +383,7 @@
                 written: false,
             })?,
         };
+        connected();
         let written_before = conn.written.load(Ordering::Relaxed);
         let mut response = Box::pin(conn.sender.send_request(req));
         let wait = std::future::poll_fn(|cx| {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -21,13 +21,16 @@
 use http::StatusCode;
 use http::header;
 use http_body::Body as _;
+use prometheus::IntGauge;
 use volo_http::body::Body;
 
 use crate::adapter::RequestHead;
 use crate::attempt::EndpointAnswer;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
+use crate::attempt::REFUSAL_BODY_TIMEOUT;
 use crate::attempt::SendFailure;
+use crate::attempt::ended_by;
 use crate::attempt::send_request;
 use crate::charge::Charge;
 use crate::charge::reserve;
@@ -81,9 +84,25 @@
     }
 }
 
+/// Counts a request as in flight, also when its caller leaves.
+struct OpenRequest<'a>(&'a IntGauge);
+
+impl<'a> OpenRequest<'a> {
+    fn new(gauge: &'a IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 async fn handle(cx: &Arc<RelayState>, req: Request<Body>) -> Response<Body> {
     let received_at = cx.now();
-    cx.metrics.in_flight.inc();
+    let open = OpenRequest::new(&cx.metrics.in_flight);
     let (id, result) = match cx.adapter.parse_head(req.headers()) {
         Err(field) => {
             let message = format!("header \"{field}\" is missing or can't be read");
@@ -95,7 +114,7 @@
             (id, result)
         }
     };
-    cx.metrics.in_flight.dec();
+    drop(open);
     let now = cx.now();
     let ms = now.saturating_sub(received_at).as_millis() as u64;
     match result {
@@ -312,6 +331,18 @@
     }
 }
 
+/// Returns whether a status tells the caller that its request was not run and never will
+/// be.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Sends a request to endpoints and returns the answer for the caller.
 async fn exchange(
     cx: &Arc<RelayState>,
@@ -321,7 +352,7 @@
     let mut progress = Progress::default();
     let mut endpoint_failure: Option<Response<Body>> = None;
     loop {
-        let result = send_request(cx, &outbound, &mut progress, None).await;
+        let result = send_request(cx, &outbound, &mut progress, None, None).await;
         if let Some(charge) = &mut charge {
             charge.has_run |= matches!(&result, Ok(a) if a.answer.status.is_success());
         }
@@ -333,13 +364,23 @@
                 return endpoint_failure.ok_or_else(|| refusal_of_failure(failure, &progress));
             }
         };
-        if answer.headers.contains_key(header::CONTENT_ENCODING) {
-            // Callers request no content encoding, so this body is not what the endpoint
-            // sent.
+        if answer.status.is_informational() || answer.headers.contains_key(header::CONTENT_ENCODING)
+        {
+            // Callers request neither another protocol nor a content encoding.
             progress.may_have_run = true;
             in_flight.end(Outcome::Broken);
             continue;
         }
+        if promises_not_run(answer.status) && !outbound.kind.is_retryable() {
+            // Without a mark, the endpoint does not state that it didn't run the request.
+            slog::info!(cx.log, "attempt failed"; "request" => &outbound.id,
+                "endpoint" => &in_flight.pick.endpoint, "written" => true,
+                "error" => format_args!("status {} without a mark", answer.status.as_u16()));
+            progress.may_have_run = true;
+            in_flight.end(Outcome::Failed);
+            drop(answer.read_to_end(REFUSAL_BODY_TIMEOUT).await);
+            return Err(refusal_of_failure(SendFailure::ConnectionFailed, &progress));
+        }
         let mut resp = Response::new(Body::empty());
         *resp.status_mut() = answer.status;
         *resp.headers_mut() = answer.headers.clone();
@@ -368,7 +409,8 @@
             }
             Ok(Err(e)) => {
                 slog::info!(cx.log, "answer broke off"; "request" => &outbound.id,
-                    "endpoint" => &in_flight.pick.endpoint, "error" => %e);
+                    "endpoint" => &in_flight.pick.endpoint, "error" => %e,
+                    "by" => ended_by(&e));
                 progress.may_have_run = true;
                 in_flight.end(Outcome::Broken);
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,10 +19,12 @@
 mod convert;
 mod events;
 mod forward;
+mod handover;
 mod loans;
 mod options;
 mod relay;
 mod reservations;
+mod resume;
 mod state;
 mod stream;
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -3,5 +3,12 @@
 #![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
 mod common;
+mod connections;
+mod drain;
+mod loans;
+mod refusals;
 mod requests;
+mod resumes;
+mod silence;
 mod traces;
+mod ways;
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_fakes::Fault;
@@ -117,13 +120,7 @@
     assert!(open.read_until(" t3", TIMEOUT).await);
     drop(open);
     wait_until(|| fake.running() == 0).await;
-    wait_until(|| {
-        fake.counts()
-            .cancel_calls
-            .load(std::sync::atomic::Ordering::Relaxed)
-            == 1
-    })
-    .await;
+    wait_until(|| fake.counts().cancel_calls.load(Ordering::Relaxed) == 1).await;
     let settled = fleet.settled().await;
     assert!((4..100).contains(&settled), "settled {settled}");
 }
@@ -227,6 +224,78 @@
     assert_eq!(fleet.settled().await, 0);
 }
 
+/// Guards against an engine's 429 or 503 that doesn't say that the request was not run,
+/// after which the caller is told so.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unmarked_refusal_of_an_engine_is_no_promise() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let raw = RawEndpoint::start(|req| {
+        let status = if req.body.contains("busy-429") {
+            429
+        } else {
+            503
+        };
+        let mark = match req.body.contains("marked") {
+            true => "x-anvilloft-refused: not-run\r\n",
+            false => "",
+        };
+        let answer = format!(
+            "HTTP/1.1 {status} No\r\nx-anvilloft-attempt: {}\r\n{mark}content-length: 0\r\n\r\n",
+            req.attempt
+        );
+        vec![Step::Send(answer.into_bytes())]
+    });
+    let raw = raw.await.unwrap();
+    let cases = [
+        ("busy-429", "unknown"),
+        ("busy-503", "unknown"),
+        ("marked busy-429", "no"),
+        ("marked busy-503", "no"),
+    ];
+    for (seq, (prompt, run)) in (1..).zip(cases) {
+        raw.announce(fleet.addr(0), ENDPOINT_KEY, "raw", "m", seq)
+            .await;
+        let reply = chat(prompt, false).send(fleet.addr(0), TIMEOUT).await;
+        let reply = reply.unwrap();
+        assert_eq!(error(&reply).0, run, "{prompt}: {}", reply.text());
+    }
+    assert_eq!(fleet.settled().await, 0);
+}
+
+/// Guards against a refusal of the second engine that hides that the first one may have
+/// run the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_later_refusal_does_not_hide_an_earlier_run() {
+    let fleet = Fleet::start(1, 1_000_000).await;
+    let first = AtomicBool::new(true);
+    let first = Arc::new(first);
+    let mut engines = Vec::new();
+    for id in ["e1", "e2"] {
+        let first = Arc::clone(&first);
+        let raw = RawEndpoint::start(move |req| {
+            let mark = match first.swap(false, Ordering::Relaxed) {
+                true => "",
+                false => "x-anvilloft-refused: not-run\r\n",
+            };
+            let answer = format!(
+                "HTTP/1.1 503 No\r\nx-anvilloft-attempt: {}\r\n{mark}content-length: 0\r\n\r\n",
+                req.attempt
+            );
+            vec![Step::Send(answer.into_bytes())]
+        });
+        let raw = raw.await.unwrap();
+        raw.announce(fleet.addr(0), ENDPOINT_KEY, id, "m", 1).await;
+        engines.push(raw);
+    }
+    let reply = chat("x", false).send(fleet.addr(0), TIMEOUT).await.unwrap();
+    let sent: u64 = engines
+        .iter()
+        .map(|e| e.request_count.load(Ordering::Relaxed))
+        .sum();
+    assert!(sent >= 2, "sent {sent} times");
+    assert_eq!(error(&reply).0, "unknown", "{}", reply.text());
+}
+
 /// Guards against requests that hang at a silent endpoint while others work.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_leave_silent_endpoints_within_the_timeouts() {
