Refuse requests that crash the endpoints that begin to answer them

Cause: requests were tracked by nothing on the routed path, so those with a part that crashes endpoints took down one endpoint after the other, with everything that ran there. Class of fault: a poison request; the retry budget and health checks spread it.

Change: a router that loses a connection before an answer has begun connects to the endpoint again; a refused connect shows that it crashed. The requests that waited there are reported to control, which finds the trait that the crashes share. All routers refuse requests with it at once with 503, also after a restart, and send none of them again.

Evidence: crates/relay/tests/relay/crashes.rs over real sockets, three routers and twelve endpoints.

--- a/crates/dispatch/src/handover.rs
+++ b/crates/dispatch/src/handover.rs
@@ -18,6 +18,8 @@
     RetryBudget,
     /// The deadline of the request has passed.
     Deadline,
+    /// Requests like this one crash endpoints.
+    Quarantined,
 }
 
 impl KeepReason {
@@ -29,6 +31,7 @@
             Self::NoneUsable => "none_usable",
             Self::RetryBudget => "retry_budget",
             Self::Deadline => "deadline",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/fakes/src/raw.rs
+++ b/crates/fakes/src/raw.rs
@@ -12,6 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::http::Call;
 
@@ -40,6 +41,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Closes the listener and all connections, as the death of a process does.
+    Crash,
 }
 
 /// Builds the bytes of a complete JSON response.
@@ -82,12 +85,26 @@
         let request_count = Arc::new(AtomicU64::new(0));
         let counter = Arc::clone(&request_count);
         let script = Arc::new(script);
+        let (crash, crashed) = watch::channel(false);
+        let crash = Arc::new(crash);
+        let mut listener_crashed = crashed.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = listener_crashed.changed() => return,
+                };
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
                 let script = Arc::clone(&script);
                 let counter = Arc::clone(&counter);
+                let (crash, mut crashed) = (Arc::clone(&crash), crashed.clone());
                 tokio::spawn(async move {
-                    serve(stream, &counter, &*script).await.ok();
+                    tokio::select! {
+                        _ = serve(stream, &counter, &*script, &crash) => {}
+                        _ = crashed.changed() => {}
+                    }
                 });
             }
         });
@@ -116,6 +133,7 @@
     mut stream: TcpStream,
     counter: &AtomicU64,
     script: &(dyn Fn(ReceivedRequest) -> Vec<Step> + Send + Sync),
+    crash: &watch::Sender<bool>,
 ) -> io::Result<()> {
     let mut buf = Vec::new();
     loop {
@@ -161,6 +179,10 @@
                 },
                 Step::Wait(time) => tokio::time::sleep(time).await,
                 Step::Close => return Ok(()),
+                Step::Crash => {
+                    crash.send_replace(true);
+                    return Ok(());
+                }
             }
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,10 @@
     pub core_queue: IntGauge,
     /// Idle connections to endpoints.
     pub idle_connections: IntGauge,
+    /// Endpoints that crashed while requests of this router waited there.
+    pub endpoint_crashes: IntCounter,
+    /// Quarantined traits of requests, as this router knows them.
+    pub quarantined_traits: IntGauge,
     /// Seconds from a request's arrival to the first byte of the response.
     pub first_byte: Histogram,
 }
@@ -84,6 +88,14 @@
             "anvilloft_idle_connections",
             "Idle connections to endpoints",
         )?;
+        let endpoint_crashes = IntCounter::new(
+            "anvilloft_endpoint_crashes_total",
+            "Endpoints that crashed while requests waited there",
+        )?;
+        let quarantined_traits = IntGauge::new(
+            "anvilloft_quarantined_traits",
+            "Traits of requests that are refused because they crash endpoints",
+        )?;
         let first_byte = Histogram::with_opts(
             HistogramOpts::new(
                 "anvilloft_first_byte_seconds",
@@ -102,6 +114,8 @@
         registry.register(Box::new(open_answers.clone()))?;
         registry.register(Box::new(core_queue.clone()))?;
         registry.register(Box::new(idle_connections.clone()))?;
+        registry.register(Box::new(endpoint_crashes.clone()))?;
+        registry.register(Box::new(quarantined_traits.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
         Ok(Self {
             registry,
@@ -116,6 +130,8 @@
             open_answers,
             core_queue,
             idle_connections,
+            endpoint_crashes,
+            quarantined_traits,
             first_byte,
         })
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,6 +13,7 @@
 use anvilloft_dispatch::Outcome;
 use anvilloft_dispatch::Pick;
 use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::RequestTraits;
 use anvilloft_dispatch::SentState;
 use anvilloft_dispatch::SilenceTimer;
 use anvilloft_gateway::client::ClientError;
@@ -20,6 +21,7 @@
 use anvilloft_gateway::client::SendError;
 use anvilloft_gateway::memory::BodyMemoryGuard;
 use anvilloft_routes::RouteKind;
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -30,6 +32,7 @@
 
 use crate::adapter::ExecutionStatus;
 use crate::adapter::ForwardContext;
+use crate::crashes;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::wait_for_answer;
 use crate::state::RelayState;
@@ -65,6 +68,7 @@
     /// Keeps the body counted against the memory limit while it may be sent again.
     pub(crate) _body_memory: BodyMemoryGuard,
     pub(crate) prompt: Vec<PromptPart>,
+    pub(crate) traits: RequestTraits,
     pub(crate) team: Option<TeamId>,
     pub(crate) urgency: u8,
     /// Level of the route, 0 most urgent.
@@ -325,6 +329,18 @@
     }
 }
 
+/// Checks whether a request may be sent to one more endpoint.
+pub(crate) fn may_send_again(
+    cx: &RelayState,
+    outbound: &OutboundRequest,
+    state: &SentState,
+) -> Result<(), KeepReason> {
+    match lock(&cx.crashes).is_quarantined(&outbound.traits) {
+        true => Err(KeepReason::Quarantined),
+        false => state.may_send_again(),
+    }
+}
+
 /// Chooses the next endpoint of a request that no endpoint has.
 fn next_endpoint(
     cx: &Arc<RelayState>,
@@ -333,7 +349,7 @@
     last_failure: SendFailure,
 ) -> Result<InFlightRequest, SendFailure> {
     if progress.sent_count > 0 {
-        let allowed = progress.state(outbound).may_send_again();
+        let allowed = may_send_again(cx, outbound, &progress.state(outbound));
         let allowed = allowed.and_then(|()| match cx.try_retry(&outbound.service) {
             true => Ok(()),
             false => Err(KeepReason::RetryBudget),
@@ -500,6 +516,9 @@
                 (_, false) if cx.link.state().is_saturated() => Outcome::Cancelled,
                 (_, false) => Outcome::Unreachable,
             };
+            if e.written && e.error.is_connection_failure() {
+                crashes::record_broken(cx, &in_flight.pick, &outbound.traits);
+            }
             in_flight.end(outcome);
             return match e.written {
                 true => AttemptResult::Unknown,
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -18,6 +18,7 @@
 use anvilloft_wire::command::CloseIncarnation;
 use anvilloft_wire::command::OpenIncarnation;
 use anvilloft_wire::command::Reply;
+use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RouterState;
 use anvilloft_wire::compression::decompress;
 use anvilloft_wire::control::Answer;
@@ -45,6 +46,7 @@
 use crate::convert::engine_load_to_wire;
 use crate::convert::sent_prompt_from_wire;
 use crate::convert::sent_prompt_to_wire;
+use crate::crashes;
 use crate::loans::LoanHandler;
 use crate::state::RelayState;
 
@@ -67,6 +69,8 @@
 /// Maximum number of peers that a router connects to. In small deployments this
 /// connects all routers with each other.
 const MAX_PEERS: usize = 10;
+/// Maximum number of reports of crashes in flight. Further crashes are not reported.
+const MAX_CRASH_REPORTS: usize = 16;
 /// Increment of an incarnation that control refuses because it is older than the
 /// last one, as happens when the host's clock was set back.
 const INCARNATION_STEP_MS: u64 = 60_000;
@@ -94,6 +98,7 @@
     Renewed(CallResult),
     Granted(u64, CallResult),
     Reported(u64, CallResult),
+    CrashesReported(ReportCrashes, CallResult),
     Closed(CallResult),
     TableFetched(CallResult),
 }
@@ -125,6 +130,8 @@
     renewing: bool,
     fetching: bool,
     closing: bool,
+    /// Number of reports of crashes in flight.
+    crash_reports: usize,
     next_renewal: Instant,
     /// Time of the last renewal of the lease.
     last_renewal: Option<Duration>,
@@ -178,6 +185,7 @@
         renewing: false,
         fetching: false,
         closing: false,
+        crash_reports: 0,
         next_renewal: Instant::now(),
         last_renewal: None,
         published_version: 0,
@@ -268,6 +276,9 @@
             CompletedCall::Granted(seq, Err(e)) | CompletedCall::Reported(seq, Err(e)) => {
                 slog::debug!(self.cx.log, "no reply from control"; "seq" => seq, "error" => %e);
             }
+            CompletedCall::CrashesReported(report, result) => {
+                self.on_crashes_reported(report, result);
+            }
             CompletedCall::TableFetched(result) => self.on_table_fetched(result),
             CompletedCall::Closed(result) => {
                 self.closing = false;
@@ -310,6 +321,34 @@
         }
     }
 
+    /// Reports crashed endpoints to control.
+    fn report_crashes(&mut self, report: ReportCrashes) {
+        if self.crash_reports >= MAX_CRASH_REPORTS {
+            slog::warn!(self.cx.log, "crashes not reported"; "endpoints" => report.crashes.len());
+            return;
+        }
+        self.crash_reports += 1;
+        slog::info!(self.cx.log, "crashes reported"; "endpoints" => report.crashes.len(),
+            "requests" => report.crashes.iter().map(|c| c.requests.len()).sum::<usize>());
+        self.call(Body::ReportCrashes(report.clone()), move |r| {
+            CompletedCall::CrashesReported(report, r)
+        });
+    }
+
+    fn on_crashes_reported(&mut self, report: ReportCrashes, result: CallResult) {
+        self.crash_reports -= 1;
+        match result.map(|r| r.answer) {
+            Ok(Some(Answer::Applied(reply))) => match reply.reply {
+                Some(Reply::Quarantined(q)) => crashes::add_quarantined(&self.cx, &q),
+                reply => {
+                    slog::error!(self.cx.log, "report of crashes refused"; "reply" => ?reply);
+                }
+            },
+            // A report has the same effect when it's applied twice.
+            _ => self.report_crashes(report),
+        }
+    }
+
     /// Requests a renewal of the lease.
     fn renew(&mut self) {
         if self.renewing || *self.phase.borrow() == Phase::Registering {
@@ -399,6 +438,7 @@
         }
         self.last_renewal = Some(self.cx.now());
         self.set_control_reachable(true);
+        crashes::set_quarantined(&self.cx, &grant.quarantined);
         if let Some(publication) = &grant.publication {
             self.adopt_publication(publication);
         }
@@ -509,6 +549,7 @@
                 self.publisher = frame.node;
                 self.fetch_table();
             }
+            Payload::Quarantined(q) => crashes::add_quarantined(&self.cx, &q),
             Payload::Recall(budget) => self.cx.reservations.recall(self.cx.now(), &budget),
             _ => {}
         }
@@ -545,6 +586,9 @@
         for endpoint in expired {
             slog::info!(self.cx.log, "endpoint expired"; "endpoint" => endpoint);
         }
+        if let Some(report) = crashes::next_report(&self.cx) {
+            self.report_crashes(report);
+        }
         if Instant::now() >= self.next_renewal {
             self.renew();
         }
--- /dev/null
+++ b/crates/relay/src/crashes.rs
@@ -0,0 +1,164 @@
+//! Detection of crashed endpoints, and refusal of the requests that crash them.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anvilloft_dispatch::CrashWatch;
+use anvilloft_dispatch::CrashedEndpoint;
+use anvilloft_dispatch::Pick;
+use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::ReportedTrait;
+use anvilloft_dispatch::RequestTraits;
+use anvilloft_gateway::Refusal;
+use anvilloft_routes::Team;
+use anvilloft_types::lock;
+use anvilloft_types::prelude::*;
+use anvilloft_wire::command::Crash;
+use anvilloft_wire::command::CrashedRequest;
+use anvilloft_wire::command::Quarantined;
+use anvilloft_wire::command::ReportCrashes;
+use anvilloft_wire::command::RequestTrait;
+use http::request::Parts;
+use tokio::net::TcpStream;
+
+use crate::state::RelayState;
+
+/// Timeout of one attempt to connect to an endpoint that may have crashed. The host of
+/// a dead process refuses the connection at once; a timeout proves nothing.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of attempts. A dying process closes its listener slightly after its
+/// connections, so the first may be too early.
+const MAX_PROBES: u32 = 4;
+/// Pause between two attempts.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// `Retry-After` of refusals of quarantined requests. A quarantine lasts much longer
+/// than a caller waits.
+const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(60);
+
+/// Records that the connection of a request broke off before its answer began, and
+/// checks whether the endpoint has crashed.
+pub(crate) fn record_broken(cx: &Arc<RelayState>, pick: &Pick, traits: &RequestTraits) {
+    let (endpoint, incarnation) = (pick.endpoint.clone(), pick.incarnation);
+    let must_check =
+        lock(&cx.crashes).record_broken(cx.now(), &endpoint, incarnation, traits.clone());
+    if !must_check {
+        return;
+    }
+    let (cx, address) = (Arc::clone(cx), pick.address);
+    tokio::spawn(async move {
+        let crashed = is_refusing(address).await;
+        if crashed {
+            cx.metrics.endpoint_crashes.inc();
+            slog::warn!(cx.log, "endpoint crashed"; "endpoint" => &endpoint,
+                "incarnation" => incarnation);
+        }
+        lock(&cx.crashes).record_check(cx.now(), &endpoint, incarnation, crashed);
+    });
+}
+
+/// Records that an endpoint began to answer a request.
+pub(crate) fn record_answer(cx: &RelayState, traits: &RequestTraits) {
+    lock(&cx.crashes).record_answer(cx.now(), traits);
+}
+
+/// Returns whether nobody listens at an address.
+async fn is_refusing(address: SocketAddr) -> bool {
+    for n in 0..MAX_PROBES {
+        if n > 0 {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+        let connect = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address));
+        if let Ok(Err(err)) = connect.await
+            && err.kind() == ErrorKind::ConnectionRefused
+        {
+            return true;
+        }
+    }
+    false
+}
+
+/// Returns the traits of a caller's request.
+pub(crate) fn request_traits(
+    head: &Parts,
+    team: Option<&Team>,
+    body: &[u8],
+    prompt: &[PromptPart],
+) -> RequestTraits {
+    let path = head.uri.path_and_query().map_or("", |p| p.as_str());
+    let team = team.map_or("", |t| t.name.as_str());
+    let fields = [head.method.as_str(), path, team].map(str::as_bytes);
+    let [method, path, team] = fields;
+    RequestTraits::new(&[method, path, team, body], prompt)
+}
+
+/// Refuses a request that has a quarantined trait.
+pub(crate) fn check_quarantine(cx: &RelayState, traits: &RequestTraits) -> Result<(), Refusal> {
+    if !lock(&cx.crashes).is_quarantined(traits) {
+        return Ok(());
+    }
+    Err(Refusal::unavailable(
+        "quarantined",
+        "endpoints crashed while running such requests, which are refused for some time",
+    )
+    .retry_after(RETRY_AFTER_QUARANTINED))
+}
+
+/// Returns the fingerprints of a list from control, without those of a wrong length.
+pub(crate) fn fingerprints_from_wire(list: &[Vec<u8>]) -> Vec<Fingerprint> {
+    list.iter()
+        .filter_map(|f| Fingerprint::try_from(f.as_slice()).ok())
+        .collect()
+}
+
+/// Adds the quarantined traits that a control member told.
+pub(crate) fn add_quarantined(cx: &RelayState, quarantined: &Quarantined) {
+    let list = fingerprints_from_wire(&quarantined.fingerprints);
+    let mut watch = lock(&cx.crashes);
+    if watch.add_quarantined(list) {
+        record_quarantine(cx, &watch);
+    }
+}
+
+/// Replaces the quarantined traits by those in a lease.
+pub(crate) fn set_quarantined(cx: &RelayState, list: &[Vec<u8>]) {
+    let mut watch = lock(&cx.crashes);
+    if watch.set_quarantined(fingerprints_from_wire(list)) {
+        record_quarantine(cx, &watch);
+    }
+}
+
+fn record_quarantine(cx: &RelayState, watch: &CrashWatch) {
+    let count = watch.quarantined_count();
+    cx.metrics
+        .quarantined_traits
+        .set(i64::try_from(count).unwrap_or(i64::MAX));
+    slog::info!(cx.log, "quarantine"; "traits" => count);
+}
+
+/// Returns the command that reports the crashes noticed since the last one.
+pub(crate) fn next_report(cx: &RelayState) -> Option<ReportCrashes> {
+    let crashes = lock(&cx.crashes).take_reports(cx.now());
+    (!crashes.is_empty()).then(|| ReportCrashes {
+        crashes: crashes.into_iter().map(crash_to_wire).collect(),
+    })
+}
+
+fn crash_to_wire(crash: CrashedEndpoint) -> Crash {
+    let requests = crash.requests.into_iter().map(|r| CrashedRequest {
+        whole: Some(trait_to_wire(r.whole)),
+        parts: r.parts.into_iter().map(trait_to_wire).collect(),
+    });
+    Crash {
+        endpoint: crash.endpoint,
+        endpoint_incarnation: crash.incarnation,
+        requests: requests.collect(),
+    }
+}
+
+fn trait_to_wire(t: ReportedTrait) -> RequestTrait {
+    RequestTrait {
+        fingerprint: t.fingerprint.to_vec(),
+        answered: t.answered,
+    }
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -34,6 +34,7 @@
 use crate::attempt::send_request;
 use crate::charge::Charge;
 use crate::charge::reserve;
+use crate::crashes;
 use crate::state::RelayState;
 use crate::stream::EventBody;
 
@@ -230,6 +231,8 @@
 
     let (parts, body) = req.into_parts();
     let (body, body_memory) = read_body(cx, body, &table, deadline).await?;
+    let traits = crashes::request_traits(&parts, team, &body, &head.prompt);
+    crashes::check_quarantine(cx, &traits)?;
     let charge = reserve(cx, id, service, team, head.tokens, deadline).await?;
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
@@ -247,6 +250,7 @@
         body,
         _body_memory: body_memory,
         prompt: head.prompt,
+        traits,
         team: team.map(|t| t.name.clone()),
         urgency: urgency(team, route),
         level: route.level,
@@ -390,6 +394,7 @@
             *resp.body_mut() = Body::from_body(body);
             return Ok(resp);
         }
+        crashes::record_answer(cx, &outbound.traits);
         let left = outbound.deadline.saturating_sub(cx.now());
         let status = answer.status;
         match tokio::time::timeout(left, answer.read_to_end(left)).await {
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -17,6 +17,7 @@
 use crate::attempt::Progress;
 use crate::attempt::SendResult;
 use crate::attempt::judge;
+use crate::attempt::may_send_again;
 use crate::attempt::reserve_endpoint;
 use crate::attempt::start_attempt;
 use crate::state::RelayState;
@@ -77,7 +78,7 @@
     let mut state = progress.state(outbound);
     state.sent = sent;
     state.may_have_run = true;
-    state.may_send_again()?;
+    may_send_again(cx, outbound, &state)?;
     let in_flight = reserve_endpoint(cx, outbound, progress)?;
     start_attempt(cx, outbound, in_flight, left, last_event).ok_or(KeepReason::NoneUsable)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //!   this router's tokens, and `loans` lends tokens between routers.
 //! - `control` maintains the lease and the sessions with the control group and
 //!   with peers, and `convert` translates their messages.
+//! - `crashes` detects crashed endpoints and refuses the requests that crash them.
 //! - `adapter` is the interface to a deployment's headers and to its format of
 //!   the route table.
 
@@ -17,6 +18,7 @@
 mod charge;
 mod control;
 mod convert;
+mod crashes;
 mod events;
 mod forward;
 mod handover;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -147,6 +147,7 @@
             dispatcher: Mutex::new(Dispatcher::new(dispatcher_cfg, rand::random())),
             retry_budgets: Mutex::new(RetryBudgets::new(&options)),
             shedder: Mutex::default(),
+            crashes: Mutex::default(),
             reservations: TokenReservations::new(&options.name, identity.incarnation),
             peers: OnceLock::new(),
             client: Client::with_observer(timeouts, MAX_ANSWER_BYTES, link.clone()),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use anvilloft_dispatch::CrashWatch;
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::LinkDelay;
 use anvilloft_dispatch::LoadShedder;
@@ -112,6 +113,7 @@
     pub(crate) dispatcher: Mutex<Dispatcher>,
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
     pub(crate) shedder: Mutex<LoadShedder>,
+    pub(crate) crashes: Mutex<CrashWatch>,
     pub(crate) link: Arc<LinkMonitor>,
     pub(crate) reservations: TokenReservations,
     /// Sessions with peers; set once by the control thread.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -36,6 +36,7 @@
 use crate::attempt::ended_by;
 use crate::attempt::judge;
 use crate::charge::Charge;
+use crate::crashes;
 use crate::events::EventSplitter;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
@@ -215,6 +216,7 @@
             if let Some((in_flight, _)) = &self.current {
                 in_flight.record_first_event();
             }
+            crashes::record_answer(&self.cx, &self.outbound.traits);
         } else {
             let gap = now.saturating_sub(self.last_events_at);
             self.longest_gap = self.longest_gap.max(gap);
@@ -360,6 +362,12 @@
 
     /// Resumes the stream at another endpoint after the last whole event.
     async fn resume(&mut self, error: &ClientError) -> Result<(), StreamError> {
+        if let Some((in_flight, _)) = &self.current
+            && self.first_event_at.is_none()
+            && error.is_connection_failure()
+        {
+            crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
+        }
         if !self.close_current(ended_by(error), &error.to_string()) {
             return Err(StreamError::EndpointFailed);
         }
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -73,10 +73,12 @@
                     .map_or(Duration::from_secs(5), Duration::from_millis),
             ),
             key: header("x-key").map(str::to_owned),
-            prompt: vec![
-                PromptPart { id: 1, tokens: 60 },
-                PromptPart { id: 2, tokens: 40 },
-            ],
+            prompt: header("x-parts")
+                .unwrap_or("1,2")
+                .split(',')
+                .filter_map(|id| id.parse().ok())
+                .map(|id| PromptPart { id, tokens: 50 })
+                .collect(),
             tokens: Some(COUNTS),
         })
     }
--- /dev/null
+++ b/crates/relay/tests/relay/crashes.rs
@@ -0,0 +1,149 @@
+//! Requests that crash the endpoints that begin to answer them.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvilloft_fakes::http::Call;
+use anvilloft_fakes::http::Reply;
+use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::Step;
+use anvilloft_fakes::raw::whole_answer;
+
+use crate::common::CALL_TIMEOUT;
+use crate::common::Fleet;
+use crate::common::call;
+use crate::common::eventually;
+use crate::common::whole_stream;
+
+const ENDPOINTS: u32 = 12;
+/// Five crashes that show the cause, and three requests that were on their way.
+const MAX_CRASHES: u64 = 8;
+/// Time after a crash within which all routers know of it, with room for the machine.
+const SETTLE_TIME: Duration = Duration::from_millis(400);
+
+struct CrashingFleet {
+    fleet: Fleet,
+    /// Number of requests that crashed an endpoint.
+    crashes: Arc<AtomicU64>,
+}
+
+impl CrashingFleet {
+    /// Starts routers and endpoints, which crash on requests whose head or body holds
+    /// `deadly`.
+    async fn start(service: &str, deadly: &'static str) -> Self {
+        let fleet = Fleet::start(3).await;
+        fleet.publish(1, 1_000_000).await;
+        let crashes = Arc::new(AtomicU64::new(0));
+        let is_engine = service == "engines";
+        for n in 0..ENDPOINTS {
+            let crashes = Arc::clone(&crashes);
+            let endpoint = RawEndpoint::start(move |req| {
+                if req.head.contains(deadly) || req.body.contains(deadly) {
+                    crashes.fetch_add(1, Ordering::Relaxed);
+                    vec![Step::Wait(Duration::from_millis(20)), Step::Crash]
+                } else if is_engine {
+                    whole_stream(&req, 2)
+                } else {
+                    vec![Step::Send(whole_answer(&req.attempt, "{}"))]
+                }
+            });
+            let address = endpoint.await.unwrap().addr;
+            fleet.announce(&format!("e{n}"), address, service);
+        }
+        Self { fleet, crashes }
+    }
+
+    fn crashes(&self) -> u64 {
+        self.crashes.load(Ordering::Relaxed)
+    }
+
+    async fn send(&self, n: usize, call: Call) -> Reply {
+        let relay = &self.fleet.relays[n % self.fleet.relays.len()];
+        call.send(relay.address(), CALL_TIMEOUT).await.unwrap()
+    }
+}
+
+fn prompt(n: usize, parts: &str) -> Call {
+    let body = format!("body {n}");
+    call("/stream/x", &body, &format!("{n:032x}")).header("x-parts", &format!("{parts},{n}"))
+}
+
+/// Guards against endpoints that crash one after the other of requests that have
+/// nothing in common but a part of their prompts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_crashes_endpoints_is_refused_and_sound_requests_are_served() {
+    let f = CrashingFleet::start("engines", "x-parts: 1,9,").await;
+    let mut served = 0;
+    for n in 0..200 {
+        let reply = f.send(n, prompt(1_000 + n, "1")).await;
+        served += u32::from(reply.status == 200);
+        if n % 5 == 0 {
+            f.send(n, prompt(2_000 + n, "1,9")).await;
+            tokio::time::sleep(SETTLE_TIME / 4).await;
+        }
+    }
+    assert!(
+        f.crashes() <= MAX_CRASHES,
+        "{} requests crashed endpoints",
+        f.crashes()
+    );
+    assert!(served >= 190, "{served} of 200 sound requests were served");
+    tokio::time::sleep(SETTLE_TIME).await;
+    let crashes = f.crashes();
+    for n in 0..3 {
+        let reply = f.send(n, prompt(3_000 + n, "1,9")).await;
+        assert_eq!(reply.status, 503, "router {n}: {}", reply.text());
+        assert!(reply.text().contains("\"code\":\"quarantined\""));
+        assert!(reply.text().contains("\"run\":\"no\""));
+        let sound = f.send(n, prompt(4_000 + n, "1,8")).await;
+        assert_eq!(sound.status, 200, "router {n}");
+    }
+    assert_eq!(f.crashes(), crashes, "a refused request was sent");
+}
+
+/// Guards against one request that its caller sends again and again, at any router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_endpoints_is_refused_when_it_is_sent_again() {
+    for (service, path) in [("plain", "/any/x"), ("plain", "/once/x")] {
+        let f = CrashingFleet::start(service, "deadly").await;
+        for n in 0..30 {
+            let id = format!("{n:032x}");
+            f.send(n, call(path, "deadly", &id)).await;
+            tokio::time::sleep(SETTLE_TIME / 4).await;
+        }
+        assert!(
+            f.crashes() <= MAX_CRASHES,
+            "{path}: {} requests crashed endpoints",
+            f.crashes()
+        );
+        let sound = f.send(0, call(path, "sound", "00ff")).await;
+        assert_eq!(sound.status, 200, "{path}");
+    }
+}
+
+/// Guards against sound requests that are refused because all endpoints failed at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_that_fail_together_quarantine_nothing() {
+    let f = CrashingFleet::start("engines", "x-never").await;
+    let endpoints: Vec<_> = (0..3)
+        .map(|_| RawEndpoint::start(|_| vec![Step::Wait(Duration::from_millis(300)), Step::Crash]))
+        .collect();
+    for (n, endpoint) in endpoints.into_iter().enumerate() {
+        let address = endpoint.await.unwrap().addr;
+        f.fleet.announce(&format!("f{n}"), address, "engines");
+    }
+    let sent = (0..40).map(|n| f.send(n, prompt(n, "7,8")));
+    futures::future::join_all(sent).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    for n in 0..3 {
+        let reply = f.send(n, prompt(100 + n, "7,8")).await;
+        assert_eq!(reply.status, 200, "router {n}: {}", reply.text());
+    }
+    eventually("nothing is in quarantine", || {
+        let metrics = f.fleet.relays[0].metrics().text();
+        metrics.contains("anvilloft_quarantined_traits 0")
+    })
+    .await;
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -4,6 +4,7 @@
 
 mod common;
 mod connections;
+mod crashes;
 mod drain;
 mod loans;
 mod refusals;
