--- a/crates/ledger/src/defaults.rs
+++ b/crates/ledger/src/defaults.rs
@@ -81,7 +81,7 @@
         HOUR,
         MINUTE,
         7 * DAY,
-        "How long a request that crashed two endpoints is refused.",
+        "How long a request that crashed two endpoints, or a part of prompts that crashed several, is refused.",
     ),
     // The maximum keeps the total delay of a configuration change under 4 s.
     fleet_default(
