Hand a silent request over on a new connection only

Cause: a handover used an idle connection of the pool. It counted as the other endpoint having the request, also when that endpoint was gone, so the silent and sound endpoint was given up after 200 ms.

What callers saw: a resumable stream that was broken off, or 504 for a plain request, while the first endpoint would have answered.

Change: the endpoint of a handover gets a new connection. Without one, the current endpoint keeps the request.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -389,7 +389,10 @@
     }
     cx.dispatcher()
         .started(now, &pick.endpoint, outbound.request_no, &dispatch_req);
-    Ok(take_endpoint(cx, outbound, progress, pick))
+    let mut in_flight = take_endpoint(cx, outbound, progress, pick);
+    // An idle connection doesn't show that the endpoint can still be reached.
+    in_flight.new_connection = true;
+    Ok(in_flight)
 }
 
 fn choose_endpoint(
--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -15,6 +15,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::common::Fleet;
 use crate::common::chunk;
@@ -307,3 +309,95 @@
     let overlap = closed_at.saturating_duration_since(resumed_at);
     assert!(overlap < MAX_OVERLAP, "overlap of {overlap:?}");
 }
+
+/// Serves requests until another endpoint has the request `ID`, then accepts no more
+/// connections and answers nothing. The endpoint that has it is silent for a while.
+async fn serve_until_unreachable(
+    listener: TcpListener,
+    me: usize,
+    holder: Arc<watch::Sender<Option<usize>>>,
+) {
+    let mut held = holder.subscribe();
+    loop {
+        tokio::select! {
+            _ = held.wait_for(|at| at.is_some_and(|at| at != me)) => return,
+            accepted = listener.accept() => {
+                let (stream, _) = accepted.unwrap();
+                tokio::spawn(serve_connection(stream, me, Arc::clone(&holder)));
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    mut stream: TcpStream,
+    me: usize,
+    holder: Arc<watch::Sender<Option<usize>>>,
+) {
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\nbody") {
+            if stream.read_buf(&mut head).await.unwrap_or(0) == 0 {
+                return;
+            }
+        }
+        let head = String::from_utf8(head).unwrap().to_lowercase();
+        let mut attempts = head.lines().filter_map(|l| l.split_once("attempt: "));
+        let attempt = attempts.next().unwrap().1.trim().to_owned();
+        let req = ReceivedRequest {
+            attempt,
+            head: head.clone(),
+            ..ReceivedRequest::default()
+        };
+        let steps = match req.attempt == ID {
+            true if holder.send_if_modified(|at| at.replace(me).is_none()) => {
+                silent_answer(&req, CASE.silence)
+            }
+            true => return std::future::pending().await,
+            false => vec![
+                Step::Wait(Duration::from_millis(100)),
+                answer(&req).remove(0),
+            ],
+        };
+        for step in steps {
+            match step {
+                Step::Send(bytes) => stream.write_all(&bytes).await.unwrap(),
+                Step::Wait(time) => tokio::time::sleep(time).await,
+                Step::Repeat(..) | Step::Close => return,
+            }
+        }
+    }
+}
+
+/// Guards against a silent endpoint that is given up for one that can't be reached any
+/// more, because the router has an idle connection to it.
+#[rstest::rstest]
+#[case::stream("/stream/x")]
+#[case::plain("/any/x")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_to_a_lost_endpoint_takes_over_no_request(#[case] path: &str) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let holder = Arc::new(watch::Sender::new(None));
+    for me in 0..2 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(serve_until_unreachable(listener, me, Arc::clone(&holder)));
+        for service in ["plain", "engines"] {
+            fleet.announce(&format!("e{me}-{service}"), address, service);
+        }
+    }
+    send_request(&fleet, "/any/x", "first").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // Requests at the same time leave an idle connection to each endpoint.
+    let warm = (0..6).map(|_| send_request(&fleet, "/any/x", "warm"));
+    futures::future::join_all(warm).await;
+    let reply = send_request(&fleet, path, ID).await;
+    let text = match path {
+        "/any/x" => "done".to_owned(),
+        _ => event(1) + &event(2) + &event(3),
+    };
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(reply.text(), text);
+}
