Test the overlap of two endpoints that have a request

Cause: four mutants of the handover passed all tests of the relay: an endpoint without a connection that counts as having the request, a dropped copy that isn't counted towards the route's limit of endpoints (streams, first answers), and a failure of the silent endpoint that is returned although another one has the request.

What callers saw: nothing, as the code is right in these cases.

Change: tests for each of them.

--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod drain;
 mod loans;
+mod overlaps;
 mod refusals;
 mod requests;
 mod resumes;
--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -15,8 +15,10 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::common::Fleet;
 use crate::common::chunk;
@@ -401,3 +403,43 @@
     assert!(reply.complete, "broken off after {:?}", reply.text());
     assert_eq!(reply.text(), text);
 }
+
+/// Guards against a silent endpoint that is given up while the connection to the next
+/// one is still being opened.
+#[rstest::rstest]
+#[case::stream("/stream/x")]
+#[case::plain("/any/x")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_accepts_no_connection_takes_over_no_request(#[case] path: &str) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let full = socket.listen(1).unwrap();
+    let address = full.local_addr().unwrap();
+    // The backlog is full after a few of them, and further ones wait.
+    let connects = (0..8).map(|_| timeout(Duration::from_millis(100), TcpStream::connect(address)));
+    let waiting = futures::future::join_all(connects).await;
+    assert!(
+        waiting.iter().any(Result::is_err),
+        "the backlog is not full"
+    );
+    let sound = RawEndpoint::start(move |req| silent_answer(&req, CASE.silence));
+    let sound = sound.await.unwrap();
+    for service in ["plain", "engines"] {
+        fleet.announce(&format!("e1-{service}"), sound.addr, service);
+    }
+    let (reply, ()) = tokio::join!(send_request(&fleet, path, ID), async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for service in ["plain", "engines"] {
+            fleet.announce(&format!("e2-{service}"), address, service);
+        }
+    });
+    let text = match path {
+        "/any/x" => "done".to_owned(),
+        _ => event(1) + &event(2) + &event(3),
+    };
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(reply.text(), text);
+}
