Let the failure rate of an avoided endpoint decay

Cause: an endpoint whose failure rate exceeds the median by 0.35 is avoided, an avoided endpoint gets no requests, and without requests its rate never changed. Two streams in a row that were given up for a silence are enough.

What callers saw: a sound endpoint that a router didn't use any more until its process was replaced, so the others were full sooner.

Change: the rate decays with a half-life of five seconds without outcomes.

Evidence: an_endpoint_that_broke_off_a_few_times_is_used_again failed before: after two broken answers the endpoint got 0 of 600 requests in the next minute.

Result: it gets 100 to 300 of them, and at most 60 if it goes on failing.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -275,7 +275,7 @@
         if of_service.is_empty() {
             return Err(NoEndpoint::None);
         }
-        let baseline = self.median_failure_rate(&of_service);
+        let baseline = self.median_failure_rate(now, &of_service);
         let untried: Vec<usize> = of_service
             .iter()
             .copied()
@@ -315,10 +315,10 @@
         (pick.reason != Reason::LastResort).then_some(pick)
     }
 
-    fn median_failure_rate(&self, of_service: &[usize]) -> f64 {
+    fn median_failure_rate(&self, now: Duration, of_service: &[usize]) -> f64 {
         let mut rates: Vec<f64> = of_service
             .iter()
-            .filter_map(|at| self.endpoints[*at].health.failure_rate())
+            .filter_map(|at| self.endpoints[*at].health.failure_rate(now))
             .collect();
         rates.sort_by(f64::total_cmp);
         // The lower median, so that failing endpoints stand out even when half of
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -12,6 +12,9 @@
 /// An endpoint is avoided if its failure rate exceeds the service's median by more
 /// than this. Four outcomes in a row rarely exceed it by chance alone.
 const MAX_EXCESS_FAILURE_RATE: f64 = 0.35;
+/// Half-life of the failure rate without new outcomes, in seconds. An endpoint that is
+/// avoided has none, and may be sound again.
+const FAILURE_HALF_LIFE_S: f64 = 5.0;
 /// Initial backoff for an unreachable endpoint; doubles with each failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(500);
 /// Maximum backoff before an unreachable endpoint is tried again.
@@ -24,6 +27,8 @@
 pub(crate) struct Health {
     /// Moving average of outcomes: 0 for a success, 1 for a failure.
     failure_rate: f64,
+    /// When `failure_rate` was updated.
+    updated_at: Duration,
     samples: u32,
     backoff: Duration,
     avoid_until: Duration,
@@ -36,7 +41,7 @@
 impl Health {
     /// Records a successful answer.
     pub(crate) fn on_success(&mut self, now: Duration) {
-        self.record(0.0);
+        self.record(now, 0.0);
         self.backoff = Duration::ZERO;
         self.avoid_until = Duration::ZERO;
         self.last_answer = Some(now);
@@ -44,14 +49,14 @@
 
     /// Records an answer that reports a failure.
     pub(crate) fn on_failure(&mut self, now: Duration) {
-        self.record(1.0);
+        self.record(now, 1.0);
         self.last_answer = Some(now);
     }
 
     /// Records a connection that could not be opened, or that broke before the
     /// answer was complete.
     pub(crate) fn on_unreachable(&mut self, now: Duration) {
-        self.record(1.0);
+        self.record(now, 1.0);
         self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
         self.avoid_until = now + self.backoff;
     }
@@ -62,14 +67,21 @@
         self.last_answer = Some(now);
     }
 
-    fn record(&mut self, failure: f64) {
-        self.failure_rate += (failure - self.failure_rate) * FAILURE_WEIGHT;
+    fn record(&mut self, now: Duration, failure: f64) {
+        let rate = self.decayed_rate(now);
+        self.failure_rate = rate + (failure - rate) * FAILURE_WEIGHT;
+        self.updated_at = now;
         self.samples = self.samples.saturating_add(1);
     }
 
+    fn decayed_rate(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE_S)
+    }
+
     /// Returns the failure rate, or `None` after too few outcomes.
-    pub(crate) fn failure_rate(&self) -> Option<f64> {
-        (self.samples >= MIN_SAMPLES).then_some(self.failure_rate)
+    pub(crate) fn failure_rate(&self, now: Duration) -> Option<f64> {
+        (self.samples >= MIN_SAMPLES).then(|| self.decayed_rate(now))
     }
 
     /// Whether the endpoint refused a request a moment ago because it was full.
@@ -82,7 +94,7 @@
     pub(crate) fn is_avoided(&self, now: Duration, baseline: f64) -> bool {
         now < self.avoid_until
             || self
-                .failure_rate()
+                .failure_rate(now)
                 .is_some_and(|rate| rate > baseline + MAX_EXCESS_FAILURE_RATE)
     }
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Rules for the choice of an endpoint.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use anvilloft_dispatch::Announcement;
@@ -345,3 +346,65 @@
     assert!(!budget.try_take(5 * SECOND));
     assert!(budget.try_take(30 * SECOND), "the window has passed");
 }
+
+/// Guards against a sound endpoint that is never used again after it was given up for
+/// its silence a few times.
+#[test]
+fn an_endpoint_that_broke_off_a_few_times_is_used_again() {
+    struct Case {
+        broken: u64,
+        outcome_later: Outcome,
+        /// Requests of 600 that the endpoint gets in the next minute.
+        expected: RangeInclusive<u32>,
+    }
+    let case = |broken, outcome_later, expected| Case {
+        broken,
+        outcome_later,
+        expected,
+    };
+    let cases = [
+        case(1, Outcome::Ok, 100..=300),
+        case(2, Outcome::Ok, 100..=300),
+        case(4, Outcome::Ok, 100..=300),
+        case(50, Outcome::Ok, 100..=300),
+        case(4, Outcome::Failed, 1..=60),
+        case(4, Outcome::Broken, 1..=60),
+    ];
+    let ids = [("e1", "a"), ("e2", "a"), ("e3", "a")];
+    for c in cases {
+        let mut d = dispatcher(&ids);
+        let play = |d: &mut Dispatcher, now, id: &str, no, outcome| {
+            d.started(now, id, no, &plain(&[]));
+            d.finished(now, id, 1, no, outcome);
+        };
+        for no in 0..10 {
+            for (id, _) in ids {
+                play(&mut d, SECOND, id, no, Outcome::Ok);
+            }
+        }
+        for no in 0..c.broken {
+            play(&mut d, SECOND, "e1", no, Outcome::Broken);
+        }
+        let mut uses = 0;
+        for n in 0..600 {
+            let now = SECOND * 2 + SECOND / 10 * n;
+            for (id, _) in ids {
+                let announcement = Announcement {
+                    seq: u64::from(n) + 2,
+                    ..announcement(id, "a")
+                };
+                d.announce(now, announcement);
+            }
+            let pick = d.choose(now, &plain(&[])).unwrap();
+            let is_first = pick.endpoint == "e1";
+            uses += u32::from(is_first);
+            let outcome = match is_first {
+                true => c.outcome_later,
+                false => Outcome::Ok,
+            };
+            play(&mut d, now, &pick.endpoint, u64::from(n), outcome);
+        }
+        let (broken, later) = (c.broken, c.outcome_later);
+        assert!(c.expected.contains(&uses), "{broken}, {later:?}: {uses}");
+    }
+}
