--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod drain;
 mod loans;
+mod overlaps;
 mod refusals;
 mod requests;
 mod resumes;
