--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -365,7 +365,7 @@
             match step {
                 Step::Send(bytes) => stream.write_all(&bytes).await.unwrap(),
                 Step::Wait(time) => tokio::time::sleep(time).await,
-                Step::Repeat(..) | Step::Close => return,
+                Step::Repeat(..) | Step::Close | Step::Crash => return,
             }
         }
     }
