Refuse a stream that fails before its first event

Cause: the header of an endpoint's success was handed to the caller before any event was there. When the stream failed on its first poll, hyper had not written the header yet and closed the connection.

What callers saw: a closed connection without an answer (status 0), or a 200 without events that is cut off, where no endpoint had sent anything of use.

Change: the answer begins with the first whole events. Until then, a failure becomes 502 (endpoint_failed) or 504 (endpoint_late) with the run unknown; it is counted and logged as a refusal, without the line "stream broken off". A stream that begins anew at another endpoint has the header of that one, and nothing of the first. Comments before the first event are held, up to 64 KiB; more of them count as a broken answer. The wait for a full endpoint ends at the deadline. Tokens are charged as before: the prompt counts once an endpoint answered with success.

--- a/crates/relay/src/charge.rs
+++ b/crates/relay/src/charge.rs
@@ -38,8 +38,8 @@
     sources: Vec<TokenSource>,
     counts: TokenCounts,
     tokens_per_event: Tokens,
-    /// Whether an endpoint began to answer. A request of which the caller received
-    /// nothing is not charged.
+    /// Whether an endpoint began to answer. If none did, the request is not
+    /// charged.
     pub(crate) has_run: bool,
     /// Number of events that were sent to the caller.
     pub(crate) events: u64,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -36,6 +36,8 @@
 use crate::charge::reserve;
 use crate::state::RelayState;
 use crate::stream::EventBody;
+use crate::stream::StreamError;
+use crate::stream::response_head;
 
 /// `Retry-After` of refusals because endpoints or this router are at capacity.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(600);
@@ -295,22 +297,27 @@
     .retry_after(RETRY_AFTER_UNAVAILABLE)
 }
 
+/// Returns the refusal for a request that an endpoint may have run.
+fn refusal_of_unknown(is_late: bool) -> Refusal {
+    match is_late {
+        true => Refusal::new(
+            StatusCode::GATEWAY_TIMEOUT,
+            "endpoint_late",
+            "the endpoint did not answer before the deadline",
+        )
+        .with_run_state(RunState::Unknown),
+        false => Refusal::bad_gateway(
+            "endpoint_failed",
+            "the endpoint failed while it had the request",
+            RunState::Unknown,
+        ),
+    }
+}
+
 /// Returns the refusal for a request that no endpoint answered.
 fn refusal_of_failure(failure: SendFailure, progress: &Progress) -> Refusal {
     if progress.may_have_run {
-        return match failure {
-            SendFailure::DeadlineExceeded => Refusal::new(
-                StatusCode::GATEWAY_TIMEOUT,
-                "endpoint_late",
-                "the endpoint did not answer before the deadline",
-            )
-            .with_run_state(RunState::Unknown),
-            _ => Refusal::bad_gateway(
-                "endpoint_failed",
-                "the endpoint failed while it had the request",
-                RunState::Unknown,
-            ),
-        };
+        return refusal_of_unknown(failure == SendFailure::DeadlineExceeded);
     }
     match failure {
         SendFailure::NoEndpoint => no_endpoint(),
@@ -381,15 +388,14 @@
             drop(answer.read_to_end(REFUSAL_BODY_TIMEOUT).await);
             return Err(refusal_of_failure(SendFailure::ConnectionFailed, &progress));
         }
-        let mut resp = Response::new(Body::empty());
-        *resp.status_mut() = answer.status;
-        *resp.headers_mut() = answer.headers.clone();
-        remove_connection_headers(resp.headers_mut());
         if answer.status.is_success() && outbound.kind.is_stream() {
-            let body = EventBody::new(cx, outbound, progress, charge, in_flight, answer);
-            *resp.body_mut() = Body::from_body(body);
-            return Ok(resp);
+            let begun = EventBody::begin(cx, outbound, progress, charge, in_flight, answer).await;
+            return begun.or_else(|err| {
+                let is_late = err == StreamError::DeadlineExceeded;
+                endpoint_failure.ok_or_else(|| refusal_of_unknown(is_late))
+            });
         }
+        let mut resp = Response::from_parts(response_head(&answer), Body::empty());
         let left = outbound.deadline.saturating_sub(cx.now());
         let status = answer.status;
         match tokio::time::timeout(left, answer.read_to_end(left)).await {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,6 +1,8 @@
 //! Forwarding of a streamed answer to the caller.
 //!
-//! Whole events are forwarded as they arrive. When an endpoint fails or stops
+//! Whole events are forwarded as they arrive. The answer to the caller begins with the
+//! first of them: a stream that fails earlier is refused, or begins at another endpoint,
+//! whose header the answer then has. When an endpoint fails or stops
 //! sending, a resumable stream is resumed at another endpoint after the last
 //! whole event, so that the caller sees a single answer. Any other stream is
 //! aborted, so that the caller can tell it from a complete one.
@@ -23,8 +25,10 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures::Stream;
+use futures::StreamExt;
 use http_body::Frame;
 use quick_error::quick_error;
+use volo_http::body::Body;
 
 use crate::attempt::Attempt;
 use crate::attempt::AttemptResult;
@@ -37,6 +41,7 @@
 use crate::attempt::judge;
 use crate::charge::Charge;
 use crate::events::EventSplitter;
+use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
 use crate::handover::log_silence;
@@ -53,6 +58,8 @@
 /// up at eight times `max_gap`. Any other stream is never cut for a pause: nobody else
 /// could go on with it.
 const FAILED_AFTER_GAPS: u32 = 3;
+/// Maximum length of what precedes the first event with data or an id, in bytes.
+const MAX_PREFACE_BYTES: usize = 64 * 1024;
 /// Maximum number of times that a broken stream is offered to endpoints that were full.
 const MAX_RESUMPTIONS: u32 = 5;
 
@@ -93,6 +100,8 @@
     /// Current endpoint and its answer; `None` after the end of the stream.
     current: Option<(InFlightRequest, EndpointResponse)>,
     splitter: EventSplitter,
+    /// Status and headers of the current answer, until the first event.
+    head: http::response::Parts,
     /// Events without data or an id that the caller has not got yet.
     comments: BytesMut,
     /// When the first event arrived.
@@ -153,7 +162,7 @@
     /// Returns the next whole events, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         loop {
-            if !self.comments.is_empty() {
+            if self.has_begun() && !self.comments.is_empty() {
                 return Some(Ok(self.comments.split().freeze()));
             }
             let (_, answer) = self.current.as_mut()?;
@@ -202,12 +211,23 @@
                         return self.fail(err, Outcome::Broken);
                     }
                 }
+                Read::Nothing if !self.has_begun() && self.comments.len() > MAX_PREFACE_BYTES => {
+                    let e = ClientError::Broken("comments without end".into());
+                    if let Err(err) = self.resume(&e).await {
+                        return self.fail(err, Outcome::Broken);
+                    }
+                }
                 Read::Nothing => {}
                 Read::Failed(err) => return self.fail(err, Outcome::Broken),
             }
         }
     }
 
+    /// Whether the first event has arrived.
+    fn has_begun(&self) -> bool {
+        self.first_event_at.is_some()
+    }
+
     fn record_events(&mut self) {
         let now = self.cx.now();
         if self.first_event_at.is_none() {
@@ -258,6 +278,10 @@
         if let Some((in_flight, _)) = self.current.take() {
             in_flight.end(outcome);
         }
+        // Without an event, the request is refused.
+        if !self.has_begun() {
+            return Some(Err(err));
+        }
         slog::info!(self.cx.log, "stream broken off"; "request" => &self.outbound.id,
             "reason" => %err, "events" => self.splitter.event_count(),
             "endpoints" => self.progress.sent_count,
@@ -345,7 +369,13 @@
             "silent_ms" => silent_for.as_millis() as u64);
         in_flight.end(Outcome::Broken);
         self.progress.may_have_run = true;
-        self.splitter.resume();
+        if self.has_begun() {
+            self.splitter.resume();
+        } else {
+            // The caller has nothing of this answer.
+            self.splitter = EventSplitter::default();
+            self.comments.clear();
+        }
         can_resume
     }
 
@@ -353,6 +383,9 @@
         let EndpointAnswer { in_flight, answer } = answered;
         slog::info!(self.cx.log, "stream resumed"; "request" => &self.outbound.id,
             "endpoint" => &in_flight.pick.endpoint, "after" => self.splitter.last_id());
+        if !self.has_begun() {
+            self.head = response_head(&answer);
+        }
         self.current = Some((in_flight, answer));
         self.silence.heard(self.cx.now());
         self.kept_for = None;
@@ -389,9 +422,13 @@
                     return Read::Nothing;
                 }
                 Err(SendFailure::Full) => {
-                    tokio::time::sleep(ASK_INTERVAL).await;
+                    let left = self.outbound.deadline.saturating_sub(self.cx.now());
+                    tokio::time::sleep(ASK_INTERVAL.min(left)).await;
                     self.progress.forget_refusals();
                 }
+                Err(SendFailure::DeadlineExceeded) => {
+                    return Read::Failed(StreamError::DeadlineExceeded);
+                }
                 Err(_) => return Read::Failed(StreamError::EndpointFailed),
             }
         }
@@ -399,6 +436,15 @@
     }
 }
 
+/// Returns the status and the headers that the caller gets with an answer.
+pub(crate) fn response_head(answer: &EndpointResponse) -> http::response::Parts {
+    let mut head = http::Response::new(()).into_parts().0;
+    head.status = answer.status;
+    head.headers = answer.headers.clone();
+    remove_connection_headers(&mut head.headers);
+    head
+}
+
 type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, StreamError>> + Send>>;
 
 /// Body of a streamed answer. Dropping it cancels the request at the endpoint.
@@ -409,23 +455,31 @@
 }
 
 impl EventBody {
-    pub(crate) fn new(
+    /// Waits for the first events of an answer. Returns the answer for the caller, which
+    /// has the header of the endpoint that sent them.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream failed before its first event. An endpoint may have run the
+    /// request.
+    pub(crate) async fn begin(
         cx: &Arc<RelayState>,
         outbound: OutboundRequest,
         progress: Progress,
         charge: Option<Charge>,
         in_flight: InFlightRequest,
         answer: EndpointResponse,
-    ) -> Self {
+    ) -> Result<http::Response<Body>, StreamError> {
         let max_silence = match outbound.kind {
             RouteKind::Stream { max_gap, .. } => max_gap.saturating_mul(FAILED_AFTER_GAPS),
             _ => Duration::MAX,
         };
-        let source = ResumingStream {
+        let mut source = ResumingStream {
             cx: Arc::clone(cx),
             outbound,
             progress,
             charge,
+            head: response_head(&answer),
             current: Some((in_flight, answer)),
             splitter: EventSplitter::default(),
             comments: BytesMut::new(),
@@ -435,15 +489,19 @@
             kept_for: None,
             longest_gap: Duration::ZERO,
         };
-        let events = futures::stream::unfold(Some(source), |source| async move {
+        let first = source.next().await.transpose()?;
+        let head = std::mem::replace(&mut source.head, http::Response::new(()).into_parts().0);
+        let rest = futures::stream::unfold(Some(source), |source| async move {
             let mut source = source?;
             let result = source.next().await?;
             let next = result.is_ok().then_some(source);
             Some((result, next))
         });
-        Self {
+        let events = futures::stream::iter(first.map(Ok)).chain(rest);
+        let body = Self {
             events: Mutex::new(Box::pin(events)),
-        }
+        };
+        Ok(http::Response::from_parts(head, Body::from_body(body)))
     }
 }
 
--- a/crates/relay/tests/endless/main.rs
+++ b/crates/relay/tests/endless/main.rs
@@ -137,16 +137,14 @@
         path: "/stream/x",
         head: stream_of_comments,
         bytes: "8\r\n: hello\n\r\n",
-        statuses: &[200],
+        statuses: &[502, 504],
     },
     Case {
         name: "an event without end",
         path: "/stream/x",
         head: open_event,
         bytes: "8\r\ndatadata\r\n",
-        // The connection may be closed before the header was flushed, which promises
-        // nothing.
-        statuses: &[200, 0],
+        statuses: &[502, 504],
     },
 ];
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
+mod beginnings;
 mod common;
 mod connections;
 mod drain;
