Write what precedes the failure of an answer

Cause: hyper drops what it has not written yet when a body fails. A body that fails at the poll after its first frame loses the header and the frame.

What callers saw: a closed connection without an answer, though the first event had arrived.

Change: AnswerBody, through which all bodies of the server pass, returns a failure one poll later. hyper writes what it has while the body is pending.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,6 +11,7 @@
 use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
 use std::time::Duration;
 
 use anvilloft_types::lock;
@@ -452,12 +453,14 @@
 }
 
 /// Body of an answer. Records whether the connection has taken all of it, and turns a
-/// panic into an error, which breaks the answer off.
+/// panic into an error, which breaks the answer off after what was sent before it.
 pub(crate) struct AnswerBody {
     body: Body,
     /// Number of bytes that are due, if known.
     left: Option<u64>,
     ended: bool,
+    /// Error that is returned next.
+    error: Option<AnswerError>,
     observer: Arc<Observer>,
     state: Arc<ConnectionState>,
 }
@@ -475,6 +478,7 @@
             body,
             left,
             ended: false,
+            error: None,
             observer: Arc::clone(observer),
             state: Arc::clone(state),
         };
@@ -489,35 +493,51 @@
             self.state.answer_ended();
         }
     }
+
+    /// Keeps an error for the next poll. On an error, hyper drops what it hasn't written
+    /// yet, which may be the header; it writes it while the body is pending.
+    fn fail_later(&mut self, error: AnswerError, waker: &Waker) -> AnswerPoll {
+        self.error = Some(error);
+        waker.wake_by_ref();
+        Poll::Pending
+    }
 }
 
+type AnswerPoll = Poll<Option<Result<Frame<Bytes>, AnswerError>>>;
+
 impl http_body::Body for AnswerBody {
     type Data = Bytes;
     type Error = AnswerError;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> AnswerPoll {
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
         let polled = catch_unwind(AssertUnwindSafe(|| Pin::new(&mut self.body).poll_frame(cx)));
         let Ok(polled) = polled else {
             self.observer.record_panic(&self.state.id());
             self.state.answer_failed(EndCause::Panicked);
-            return Poll::Ready(Some(Err(AnswerError::Panicked)));
+            return self.fail_later(AnswerError::Panicked, cx.waker());
         };
-        match &polled {
-            Poll::Ready(None) => self.end(),
+        match polled {
+            Poll::Ready(Some(Err(err))) => {
+                self.state.answer_failed(EndCause::AnswerFailed);
+                self.fail_later(AnswerError::Body(err), cx.waker())
+            }
+            Poll::Ready(None) => {
+                self.end();
+                Poll::Ready(None)
+            }
             Poll::Ready(Some(Ok(frame))) => {
                 let len = frame.data_ref().map_or(0, Bytes::len) as u64;
                 self.left = self.left.map(|left| left.saturating_sub(len));
                 if self.left == Some(0) {
                     self.end();
                 }
+                Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(_))) => self.state.answer_failed(EndCause::AnswerFailed),
-            Poll::Pending => {}
+            Poll::Pending => Poll::Pending,
         }
-        polled.map(|item| item.map(|result| result.map_err(AnswerError::Body)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/relay/tests/relay/beginnings.rs
+++ b/crates/relay/tests/relay/beginnings.rs
@@ -246,6 +246,27 @@
     }
 }
 
+/// Guards against events that are lost, or a connection that is closed without a header,
+/// when an endpoint breaks off right after its first event.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_arrived_before_a_break_is_sent() {
+    let fleet = start_fleet(&["e1"], |req, _| {
+        vec![
+            send(stream_head(&req.attempt) + &chunk(&event(1))),
+            Step::Close,
+        ]
+    })
+    .await;
+    let mut faults = Vec::new();
+    for n in 0..20 {
+        let (reply, _) = send_within(&fleet, "/fragile/x", 4_000).await;
+        if reply.status != 200 || reply.complete || reply.text() != event(1) {
+            faults.push(format!("{n}: status {}, {:?}", reply.status, reply.text()));
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
 /// Guards against a run that goes on after its caller has left before the first event.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_who_leaves_before_the_first_event_ends_the_run() {
