Trace a refusal to the stream that failed before its first event

Cause: the trace of a request with an unknown outcome looked only for failures before the header and in plain answers.

Evidence: before, a_stream_refused_before_its_first_event_is_traced_to_its_endpoint found no cause with the endpoint.

--- a/crates/relay/tests/relay/traces.rs
+++ b/crates/relay/tests/relay/traces.rs
@@ -142,6 +142,20 @@
     assert!(trace.cause.starts_with(expected), "{trace:?}");
 }
 
+/// Guards against a stream that fails before its first event whose log lines don't name
+/// the endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_refused_before_its_first_event_is_traced_to_its_endpoint() {
+    let (log, _guard, fleet) = start(100_000).await;
+    let broken = RawEndpoint::start(|s| vec![send(stream_head(&s.attempt)), Step::Close]);
+    fleet.announce("e", broken.await.unwrap().addr, "engines");
+    let reply = fleet.send(0, "/stream/x", "s-1").await;
+    assert_eq!(reply.status, 502, "{}", reply.text());
+    let expected = "endpoint e failed after it got the request";
+    let trace = log.trace("s-1", expected).await;
+    assert!(trace.cause.starts_with(expected), "{trace:?}");
+}
+
 /// Guards against log lines that don't tell an endpoint that broke off from one that
 /// this router gave up for its silence.
 #[rstest::rstest]
--- a/crates/telemetry/src/request_trace.rs
+++ b/crates/telemetry/src/request_trace.rs
@@ -182,15 +182,17 @@
                 end.field("reason")
             )
         }
-        _ if end.field("run") == "unknown" => match last(&["attempt failed", "answer broke off"]) {
-            Some(l) => format!(
-                "endpoint {} failed after it got the request ({}); only its own records \
+        _ if end.field("run") == "unknown" => {
+            match last(&["attempt failed", "answer broke off", "endpoint broke off"]) {
+                Some(l) => format!(
+                    "endpoint {} failed after it got the request ({}); only its own records \
                  show whether it ran",
-                l.field("endpoint"),
-                l.field("error")
-            ),
-            None => end.field("reason"),
-        },
+                    l.field("endpoint"),
+                    l.field("error")
+                ),
+                None => end.field("reason"),
+            }
+        }
         _ => end.field("reason"),
     }
 }
