Open a new connection if a pooled one breaks before the first byte

Cause: a pooled connection that its endpoint resets between the check and the first write fails with nothing written. The client reported this like a failed connect.

Seen by callers: the endpoint counted as unreachable and as tried; with no other endpoint the request got 503.

Change: the request is sent on a new connection to the same endpoint, within the same time. Nothing was written, so nothing can have run.

Evidence: a_reset_before_the_first_byte_leads_to_a_new_connection resets 3,000 connections at different times.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -197,6 +197,43 @@
         }
     }
 
+    /// Sends a request and waits for the headers of the response.
+    async fn request(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        first_byte: Duration,
+    ) -> Result<http::Response<Incoming>, SendError> {
+        let written_before = self.written.load(Ordering::Relaxed);
+        let mut response = Box::pin(self.sender.send_request(req));
+        let wait = std::future::poll_fn(|cx| {
+            loop {
+                if let Poll::Ready(res) = response.as_mut().poll(cx) {
+                    return Poll::Ready(res.map_err(|e| ClientError::Broken(e.to_string())));
+                }
+                let was_done = self.driver_done;
+                match self.drive(cx) {
+                    // The response may have arrived together with the close.
+                    Some(_) if !was_done => continue,
+                    Some(e) => return Poll::Ready(Err(e)),
+                    None => {}
+                }
+                return response
+                    .as_mut()
+                    .poll(cx)
+                    .map_err(|e| ClientError::Broken(e.to_string()));
+            }
+        });
+        let res = match tokio::time::timeout(first_byte, wait).await {
+            Ok(res) => res,
+            Err(_) => Err(ClientError::Timeout("response headers")),
+        };
+        drop(response);
+        res.map_err(|error| SendError {
+            error,
+            written: self.written.load(Ordering::Relaxed) > written_before,
+        })
+    }
+
     /// Returns whether the connection can carry a request: it is open, received no
     /// unexpected data and has not exceeded its idle time.
     fn is_usable(&mut self) -> bool {
@@ -276,6 +313,14 @@
         None
     }
 
+    /// Opens a connection for a request.
+    async fn connect(&self, addr: SocketAddr) -> Result<Conn, SendError> {
+        Conn::open(addr, self).await.map_err(|error| SendError {
+            error,
+            written: false,
+        })
+    }
+
     fn put_idle(&self, addr: SocketAddr, mut conn: Conn) {
         if conn.driver_done || !conn.sender.is_ready() {
             return;
@@ -376,47 +421,23 @@
         } else {
             self.take_idle_checked(addr).await
         };
-        let mut conn = match pooled {
-            Some(conn) => conn,
-            None => Conn::open(addr, self).await.map_err(|error| SendError {
-                error,
-                written: false,
-            })?,
+        let (mut conn, spare) = match pooled {
+            Some(conn) => (conn, Some(req.clone())),
+            None => (self.connect(addr).await?, None),
         };
         connected();
-        let written_before = conn.written.load(Ordering::Relaxed);
-        let mut response = Box::pin(conn.sender.send_request(req));
-        let wait = std::future::poll_fn(|cx| {
-            loop {
-                if let Poll::Ready(res) = response.as_mut().poll(cx) {
-                    return Poll::Ready(res.map_err(|e| ClientError::Broken(e.to_string())));
-                }
-                let was_done = conn.driver_done;
-                match conn.drive(cx) {
-                    // The response may have arrived together with the close.
-                    Some(_) if !was_done => continue,
-                    Some(e) => return Poll::Ready(Err(e)),
-                    None => {}
-                }
-                return response
-                    .as_mut()
-                    .poll(cx)
-                    .map_err(|e| ClientError::Broken(e.to_string()));
-            }
-        });
-        let res = match tokio::time::timeout(first_byte, wait).await {
-            Ok(res) => res,
-            Err(_) => Err(ClientError::Timeout("response headers")),
-        };
-        drop(response);
-        let send_error = |error, conn: &Conn| SendError {
-            error,
-            written: conn.written.load(Ordering::Relaxed) > written_before,
-        };
-        let response = match res {
-            Ok(response) => response,
-            Err(e) => return Err(send_error(e, &conn)),
-        };
+        let started = Instant::now();
+        let mut sent = conn.request(req, first_byte).await;
+        if let (Err(e), Some(req)) = (&sent, spare)
+            && !e.written
+            && matches!(e.error, ClientError::Broken(_))
+        {
+            // A close of a pooled connection says nothing about the endpoint.
+            conn = self.connect(addr).await?;
+            let left = first_byte.saturating_sub(started.elapsed());
+            sent = conn.request(req, left).await;
+        }
+        let response = sent?;
         let (parts, body) = response.into_parts();
         if parts.headers.get(echo_header) != id.as_ref() {
             return Err(SendError {
--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -5,10 +5,13 @@
     reason = "a failed set-up fails the test that uses it"
 )]
 
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
@@ -23,6 +26,27 @@
 
 const GAP: Duration = Duration::from_millis(200);
 
+/// Number of connections that are reset at different times.
+const RESETS: u128 = 3_000;
+
+/// Answers one request, and resets the connection a little later each time.
+fn reset_after_answer(mut stream: std::net::TcpStream, number: usize) {
+    let mut buf = [0; 1024];
+    let len = stream.read(&mut buf).unwrap_or(0);
+    let head = String::from_utf8_lossy(&buf[..len]).into_owned();
+    let id = head
+        .split_once("x-anvilloft-attempt: ")
+        .and_then(|(_, rest)| rest.split_once("\r\n"))
+        .map_or("", |(id, _)| id);
+    let _ = stream.write_all(&whole_answer(id, "x"));
+    let start = Instant::now();
+    let pause = Duration::from_nanos(100 * (number as u64 % 1_000));
+    while start.elapsed() < pause {}
+    stream.set_nonblocking(true).unwrap();
+    let stream = tokio::net::TcpStream::from_std(stream).unwrap();
+    stream.set_zero_linger().unwrap();
+}
+
 async fn send_and_collect(
     client: &Arc<Client>,
     addr: SocketAddr,
@@ -175,3 +199,28 @@
         was_closed.recv().unwrap();
     }
 }
+
+/// Guards against an endpoint that counts as unreachable because a pooled connection was
+/// reset before anything was written on it.
+#[tokio::test]
+async fn a_reset_before_the_first_byte_leads_to_a_new_connection() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Handle::current();
+    std::thread::spawn(move || {
+        let _guard = runtime.enter();
+        for (number, stream) in listener.incoming().enumerate() {
+            reset_after_answer(stream.unwrap(), number);
+        }
+    });
+    let client = Client::new(ClientTimeouts::default(), 1024);
+    let mut failures = Vec::new();
+    for n in 0..RESETS {
+        if let Err(e) = send_and_collect(&client, addr, n).await
+            && !e.written
+        {
+            failures.push(e.error);
+        }
+    }
+    assert!(failures.is_empty(), "{} {failures:?}", failures.len());
+}
