Wait for room when a control member's disk is full

Cause: a write to a full disk failed the store for good, so the member ended and was started again by the platform, until there was room.

Change: the store undoes an append that had no room and reports Full, after which the same effects may be saved again. Failed syncs stay final. Until then it sends nothing that depends on them and handles no consensus message, as with a slow disk; it refuses calls, but passes on heartbeats and published tables. A leader that waits no longer calls itself one.

Evidence: a_member_waits_while_its_disk_is_full (leader, follower, all three of a group).

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -11,6 +11,7 @@
 //! - `timers`: timeouts of router incarnations
 //! - `recalls`: grants that wait until routers return allotments
 //! - `placement`: router reports and the placement planner
+//! - `full_disk`: waiting for room on the disk
 //! - `snapshot_worker`: encodes snapshots on a second thread
 //!
 //! Input that is queued while a sync runs is handled together before the next
@@ -18,6 +19,7 @@
 
 mod contacts;
 mod core;
+mod full_disk;
 mod handle;
 mod membership;
 mod placement;
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -16,6 +16,7 @@
 use anvilloft_consensus::Role;
 use anvilloft_consensus::Snapshot;
 use anvilloft_ledger::Ledger;
+use anvilloft_storage::StorageError;
 use anvilloft_storage::Store;
 use anvilloft_types::Clock;
 use anvilloft_types::prelude::*;
@@ -39,6 +40,7 @@
 use super::Transport;
 use super::contacts::Contacts;
 use super::contacts::OwnCopies;
+use super::full_disk::Unsaved;
 use super::handle::Call;
 use super::placement::Placement;
 use super::reads::PendingRead;
@@ -84,7 +86,8 @@
 pub(super) struct Core {
     clock: Clock,
     pub(super) node: Node,
-    store: Store,
+    pub(super) store: Store,
+    pub(super) unsaved: Unsaved,
     pub(super) ledger: Ledger,
     pub(super) transport: Arc<dyn Transport>,
     pub(super) log: Logger,
@@ -132,6 +135,7 @@
             clock,
             node,
             store,
+            unsaved: Unsaved::default(),
             ledger,
             transport,
             log,
@@ -177,6 +181,15 @@
                 break Err(e);
             }
             self.publish_status("");
+            if self.unsaved.is_waiting() {
+                match self
+                    .wait_for_room(&mut calls, &mut messages, &mut stop)
+                    .await
+                {
+                    true => break Ok(()),
+                    false => continue,
+                }
+            }
             let wait = self.deadline().saturating_sub(self.now());
             tokio::select! {
                 biased;
@@ -246,7 +259,7 @@
         }
     }
 
-    fn on_call(&mut self, call: Call) {
+    pub(super) fn on_call(&mut self, call: Call) {
         let now = self.now();
         self.update_leadership(now);
         let Call { req, reply } = call;
@@ -440,14 +453,21 @@
     fn flush(&mut self) -> Result<(), DriverError> {
         loop {
             let now = self.now();
-            let fx = self.node.take_effects(now);
+            let unsaved = self.unsaved.take();
+            let was_waiting = unsaved.is_some();
+            let mut fx = unsaved.unwrap_or_else(|| self.node.take_effects(now));
             if fx.is_empty() {
                 return Ok(());
             }
-            self.send(now, &fx.messages_before_sync);
+            if !was_waiting {
+                self.send(now, &fx.messages_before_sync);
+            }
             if fx.must_sync() {
                 let start = Instant::now();
-                self.store.save(&fx)?;
+                match self.save(fx, was_waiting)? {
+                    Some(saved) => fx = saved,
+                    None => return Ok(()),
+                }
                 let us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
                 self.stats.syncs.fetch_add(1, Ordering::Relaxed);
                 self.stats.sync_us.fetch_add(us, Ordering::Relaxed);
@@ -548,14 +568,29 @@
             slog::info!(self.log, "snapshot"; "index" => index, "bytes" => state.len());
             self.staging = self.node.build_snapshot(index, state);
         }
-        if let Some(s) = &self.staging
-            && self.store.stage_snapshot(s, STAGE_CHUNK_BYTES)?
-        {
-            self.stats.snapshots.fetch_add(1, Ordering::Relaxed);
-            self.node.compact_to(Arc::clone(s));
-            self.staging = None;
+        let now = self.now();
+        let Some(s) = self
+            .staging
+            .as_ref()
+            .filter(|_| self.unsaved.allows_snapshot(now))
+        else {
+            return Ok(());
+        };
+        match self.store.stage_snapshot(s, STAGE_CHUNK_BYTES) {
+            Ok(true) => {
+                self.stats.snapshots.fetch_add(1, Ordering::Relaxed);
+                self.node.compact_to(Arc::clone(s));
+                self.staging = None;
+                Ok(())
+            }
+            Ok(false) => Ok(()),
+            Err(StorageError::Full(err)) => {
+                slog::warn!(self.log, "no room for a snapshot"; "error" => %err);
+                self.unsaved.delay_snapshot(now);
+                Ok(())
+            }
+            Err(err) => Err(err.into()),
         }
-        Ok(())
     }
 
     fn apply_entry(&mut self, e: Entry) {
@@ -613,11 +648,13 @@
         let set = |gauge: &AtomicU64, len: usize| gauge.store(len as u64, Ordering::Relaxed);
         set(&self.stats.pending_commands, self.pending_commands.len());
         set(&self.stats.held_grants, self.recalls.len());
+        let (leader, disk_full) = (self.node.leader(), self.unsaved.is_waiting());
         let status = Status {
             id: self.node.id(),
-            is_leader: self.node.is_leader_ready(),
+            is_leader: self.node.is_leader_ready() && !disk_full,
             term: self.node.term(),
-            leader: self.node.leader(),
+            // A leader that waits is about to be replaced.
+            leader: leader.filter(|id| !disk_full || *id != self.node.id()),
             leader_address: self.leader_address(),
             membership: self.node.membership().clone(),
             membership_changing: self.node.has_uncommitted_membership(),
@@ -626,6 +663,7 @@
             revision: self.ledger.config().revision(),
             publication_version: self.ledger.publication_version(),
             routers: Arc::clone(&self.cached_directory.1),
+            disk_full,
             failure: failure.to_owned(),
         };
         self.status.send_if_modified(|old| {
--- a/crates/control/src/driver/status.rs
+++ b/crates/control/src/driver/status.rs
@@ -34,6 +34,8 @@
     pub publication_version: u64,
     /// Open router incarnations in this member's ledger, sorted by name.
     pub routers: Arc<[OpenIncarnation]>,
+    /// Whether this member waits for room on its disk.
+    pub disk_full: bool,
     /// Reason why the control thread stopped, or empty while it runs.
     pub failure: String,
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -256,6 +256,14 @@
             let result = handle.call(req, timeout).await;
             return result.unwrap_or_else(ControlReply::from);
         }
+        let must_wait = {
+            let status = handle.status();
+            let status = status.borrow();
+            status.disk_full && status.leader.is_none()
+        };
+        if must_wait {
+            return unavailable("the disk of this member is full");
+        }
         let changes_state = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
         let deadline = Instant::now() + timeout;
         // Kept once it is set: a later refusal says nothing about the outcome
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -32,6 +32,7 @@
 use group::ms;
 use group::open_incarnation;
 use group::top_up;
+use rstest::rstest;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -268,6 +269,41 @@
     assert!(group.status(1).failure.contains("injected"));
 }
 
+/// Guards against a member that ends when its disk is full, acknowledges what it can't
+/// store, or does not go on once there is room.
+#[rstest]
+#[case::leader(|leader, id| id == leader)]
+#[case::follower(|leader, id| id == leader % 3 + 1)]
+#[case::all(|_, _| true)]
+#[tokio::test]
+async fn a_member_waits_while_its_disk_is_full(#[case] is_full: fn(u64, u64) -> bool) {
+    let group = Group::start(3).await;
+    let leader = group.leader().await;
+    let full: Vec<u64> = (1..=3).filter(|id| is_full(leader, *id)).collect();
+    for id in &full {
+        group.disk(*id).set_room(Some(10));
+    }
+    let handle = group.handle(leader);
+    let call = handle.call(lease_change(0, 2_000).into(), ms(1_500)).await;
+    let is_applied = matches!(&call, Ok(reply) if matches!(reply.answer, Some(Answer::Applied(_))));
+    assert_eq!(is_applied, full.len() == 1 && full[0] != leader);
+    if full.len() == 1 {
+        group.propose(lease_change(0, 2_000)).await;
+        group
+            .propose(group::default_change(1, "stream_limit_ms", 9_000))
+            .await;
+    }
+    for id in &full {
+        let status = group.status(*id);
+        assert_eq!((status.failure.as_str(), status.disk_full), ("", true));
+        group.disk(*id).set_room(None);
+    }
+    group.propose(open_incarnation("r1", 1)).await;
+    group
+        .wait_for_all(|s| s.routers.len() == 1 && !s.disk_full && s.failure.is_empty())
+        .await;
+}
+
 /// Guards against entries that count as durable before they are: a member whose
 /// sync fails must not have acknowledged them.
 #[tokio::test]
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -29,6 +29,8 @@
     /// Name changes since the last sync of the folder, in order.
     unsynced_changes: Vec<NameChange>,
     fail_syncs: u32,
+    /// Number of bytes that still fit, if the disk has a limit.
+    room: Option<usize>,
     /// Number of write operations that still succeed before the simulated power
     /// failure.
     ops_until_power_failure: Option<u32>,
@@ -136,6 +138,12 @@
         self.state().ops_until_power_failure = Some(count);
     }
 
+    /// Sets the number of bytes that can still be appended, or no limit. What is
+    /// removed makes no room.
+    pub fn set_room(&self, room: Option<usize>) {
+        self.state().room = room;
+    }
+
     /// Returns the number of file syncs that succeeded.
     pub fn sync_count(&self) -> u64 {
         self.state().sync_count
@@ -194,9 +202,14 @@
                 id
             }
         };
+        let len = state.room.map_or(data.len(), |room| room.min(data.len()));
+        state.room = state.room.map(|room| room - len);
         let file = state.files.entry(id).or_default();
-        file.data.extend_from_slice(data);
-        Ok(())
+        file.data.extend_from_slice(&data[..len]);
+        match len < data.len() {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => Ok(()),
+        }
     }
 
     fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -45,6 +45,12 @@
             source(err)
             from()
         }
+        /// The disk has no room. What was to be written isn't durable, and may be
+        /// written again.
+        Full(err: io::Error) {
+            display("the disk is full: {}", err)
+            source(err)
+        }
         /// Synced data is corrupt. It is left unchanged on disk.
         Corrupt(file: String, offset: u64) {
             display("file {} is corrupt at byte {}: synced data was lost", file, offset)
@@ -139,17 +145,25 @@
     }
 }
 
+/// Appends to a file. After `Full`, the file may hold a part of the data.
+fn append(disk: &mut dyn Disk, name: &str, data: &[u8]) -> Result<(), StorageError> {
+    disk.append(name, data).map_err(|err| match err.kind() {
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => StorageError::Full(err),
+        _ => err.into(),
+    })
+}
+
 /// Atomically replaces a file with one record: after a crash it has either the
-/// old or the new content.
-fn replace_file(disk: &mut dyn Disk, name: &str, payload: &[u8]) -> io::Result<()> {
+/// old or the new content. After `Full` it has the old one.
+fn replace_file(disk: &mut dyn Disk, name: &str, payload: &[u8]) -> Result<(), StorageError> {
     let tmp = format!("{name}.tmp");
     remove_if_exists(disk, &tmp)?;
     let mut buf = Vec::with_capacity(payload.len() + 8);
     record::put_record(&mut buf, payload);
-    disk.append(&tmp, &buf)?;
+    append(disk, &tmp, &buf)?;
     disk.sync(&tmp)?;
     disk.rename(&tmp, name)?;
-    disk.sync_folder()
+    Ok(disk.sync_folder()?)
 }
 
 fn remove_if_exists(disk: &mut dyn Disk, name: &str) -> io::Result<()> {
@@ -325,13 +339,14 @@
     ///
     /// # Errors
     ///
-    /// After an error, the member must stop: its messages must not be sent.
+    /// After `Full`, nothing may follow but another `save` of the same effects, before
+    /// which the messages must not be sent. After another error, the member must stop.
     pub fn save(&mut self, fx: &Effects) -> Result<(), StorageError> {
         if self.failed {
             return Err(StorageError::Failed);
         }
         let result = self.try_save(fx);
-        self.failed = result.is_err();
+        self.record_failure(&result);
         result
     }
 
@@ -355,7 +370,8 @@
     ///
     /// # Errors
     ///
-    /// Same as [`save`](Self::save).
+    /// After `Full`, the file is removed and may be staged anew. After another error,
+    /// the member must stop.
     pub fn stage_snapshot(
         &mut self,
         snapshot: &Snapshot,
@@ -369,10 +385,14 @@
             _ => self.first_segment_above(snapshot.index),
         };
         let result = self.stage_part(snapshot, first_segment, max_bytes);
-        self.failed = result.is_err();
+        self.record_failure(&result);
         result
     }
 
+    fn record_failure<T>(&mut self, result: &Result<T, StorageError>) {
+        self.failed = matches!(result, Err(err) if !matches!(err, StorageError::Full(_)));
+    }
+
     fn stage_part(
         &mut self,
         snapshot: &Snapshot,
@@ -417,17 +437,21 @@
         let part = &remaining[..remaining.len().min(max_bytes)];
         staged.crc.update(part);
         let done = part.len() == remaining.len();
-        if !buf.is_empty() {
-            self.disk.append(&tmp, &buf)?;
-        }
-        if !part.is_empty() {
-            self.disk.append(&tmp, part)?;
-        }
+        let mut tail = Vec::new();
         if done {
             let crc = staged.crc.clone().finalize().to_le_bytes();
-            let mut tail = Vec::new();
             record::put_record(&mut tail, &crc);
-            self.disk.append(&tmp, &tail)?;
+        }
+        for data in [buf.as_slice(), part, tail.as_slice()] {
+            if data.is_empty() {
+                continue;
+            }
+            if let Err(err) = append(&mut *self.disk, &tmp, data) {
+                // Its room is needed by the log.
+                self.staged = None;
+                remove_if_exists(&mut *self.disk, &tmp)?;
+                return Err(err);
+            }
         }
         self.disk.sync(&tmp)?;
         staged.written += part.len();
@@ -481,35 +505,44 @@
     fn save_entries(&mut self, entries: &[Entry]) -> Result<(), StorageError> {
         let is_full = self.segment_len >= self.segment_bytes;
         let is_new = is_full || self.segments.is_empty();
-        if is_new {
-            self.segments.push(Segment {
-                number: self.next_segment,
-                last_index: 0,
-            });
-            self.next_segment += 1;
-            self.segment_len = 0;
-        }
-        let Some(segment) = self.segments.last_mut() else {
-            return Err(StorageError::Failed);
+        let (number, start) = match self.segments.last() {
+            Some(segment) if !is_new => (segment.number, self.segment_len),
+            _ => (self.next_segment, 0),
         };
-        let name = segment_name(self.group, segment.number);
+        let name = segment_name(self.group, number);
         let mut buf = Vec::new();
         let time = WriteTime {
             written_ms: unix_ms(),
         };
         let time = time.encode_to_vec();
+        let mut last_index = 0;
         for e in entries {
-            segment.last_index = segment.last_index.max(e.index);
+            last_index = e.index.max(last_index);
             let mut payload = e.encode_to_vec();
             payload.extend_from_slice(&time);
-            record::put_log_record(&mut buf, self.segment_len, self.segment_len, &payload);
+            record::put_log_record(&mut buf, start, start, &payload);
+        }
+        if let Err(err) = append(&mut *self.disk, &name, &buf) {
+            // A part of the records may have been written.
+            match is_new {
+                true => remove_if_exists(&mut *self.disk, &name)?,
+                false => self.disk.truncate(&name, start)?,
+            }
+            return Err(err);
         }
-        self.disk.append(&name, &buf)?;
         self.disk.sync(&name)?;
         if is_new {
             self.disk.sync_folder()?;
+            self.segments.push(Segment {
+                number,
+                last_index: 0,
+            });
+            self.next_segment += 1;
+        }
+        if let Some(segment) = self.segments.last_mut() {
+            segment.last_index = segment.last_index.max(last_index);
         }
-        self.segment_len += buf.len() as u64;
+        self.segment_len = start + buf.len() as u64;
         self.log_bytes_written += buf.len() as u64;
         Ok(())
     }
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -57,9 +57,12 @@
 }
 
 /// Guards against loss of data that `save` acknowledged, with power failures at
-/// random points of many random histories.
-#[test]
-fn saved_data_survives_power_failures() {
+/// random points of many random histories, and against a store that stops when its
+/// disk is full for a while. `full_share` is the share of saves with a full disk.
+#[rstest]
+#[case::never_full(0.0)]
+#[case::sometimes_full(0.3)]
+fn saved_data_survives_power_failures(#[case] full_share: f64) {
     for seed in 0..300 {
         let mut rng = StdRng::seed_from_u64(seed);
         let disk = MemDisk::new();
@@ -117,7 +120,29 @@
                     }
                 }
             }
-            let save_result = store.save(&fx);
+            let is_full = rng.random_bool(full_share);
+            let mut save_result = Err(StorageError::Failed);
+            let mut tries = if is_full { rng.random_range(1..4) } else { 0 };
+            while tries > 0 {
+                disk.set_room(Some(rng.random_range(0..200)));
+                save_result = store.save(&fx);
+                let waits = matches!(save_result, Ok(()) | Err(StorageError::Full(_)));
+                assert!(waits || inject_failure, "seed {seed}: {save_result:?}");
+                tries = match save_result {
+                    Err(StorageError::Full(_)) => tries - 1,
+                    _ => 0,
+                };
+            }
+            disk.set_room(None);
+            // A member may also be stopped while its disk is full.
+            let is_waiting = matches!(save_result, Err(StorageError::Full(_)));
+            if !is_full || (is_waiting && rng.random_bool(0.7)) {
+                save_result = store.save(&fx);
+                assert!(
+                    save_result.is_ok() || inject_failure,
+                    "seed {seed}: {save_result:?}"
+                );
+            }
             if save_result.is_ok() {
                 (log, base) = (log_after, base_after);
                 hard_state = fx.hard_state.unwrap_or(hard_state);
