--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -75,7 +75,7 @@
 const MAX_QUEUED_MESSAGES: usize = 4_096;
 /// Maximum size of a command, in bytes. Together with the message size limit of
 /// the consensus crate, it keeps every frame below the 4 MiB of a peer session.
-const MAX_COMMAND_BYTES: usize = 2 * 1024 * 1024;
+pub const MAX_COMMAND_BYTES: usize = 2 * 1024 * 1024;
 
 /// Sends messages to other processes.
 ///
