--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -29,6 +29,7 @@
 use arc_swap::ArcSwap;
 use quick_error::quick_error;
 use slog::Logger;
+use slog::error;
 use slog::info;
 use slog::warn;
 use tokio::net::TcpListener;
@@ -225,10 +226,26 @@
     }
 
     /// Returns a function that returns whether callers should be sent here: a
-    /// route table is known and no planned stop has begun.
+    /// route table is known, the control thread runs, and no planned stop has begun.
     pub fn readiness(&self) -> impl Fn() -> bool + Clone + Send + Sync + 'static {
         let (cx, target_phase) = (Arc::clone(&self.cx), self.target_phase.subscribe());
-        move || cx.table.load().version() > 0 && *target_phase.borrow() < Phase::Leaving
+        let phase = self.phase.clone();
+        move || {
+            // The channel is closed when the thread has ended.
+            let has_control = phase.has_changed().is_ok();
+            has_control && cx.table.load().version() > 0 && *target_phase.borrow() < Phase::Leaving
+        }
+    }
+
+    /// Waits until the control thread ends by itself. Without it the relay gets no
+    /// tokens, endpoints or tables.
+    pub async fn wait_for_failure(&self) {
+        let mut phase = self.phase.clone();
+        if phase.wait_for(|p| *p == Phase::Closed).await.is_ok() {
+            std::future::pending::<()>().await;
+        }
+        error!(self.cx.log, "the control thread ended";
+            "table" => self.cx.table.load().version());
     }
 
     /// Performs a planned stop: leaves the directory for callers at once, accepts
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -269,6 +269,15 @@
     }
 
     async fn publish_source(&self, version: u64, prepaid: u64, source: &str) {
+        self.put_source(version, prepaid, source).await;
+        for relay in &self.relays {
+            let ready = relay.readiness();
+            eventually("the relay has a table", ready).await;
+        }
+    }
+
+    /// Publishes a route table, which the relays may be unable to read.
+    pub(crate) async fn put_source(&self, version: u64, prepaid: u64, source: &str) {
         let publish = Publish {
             version,
             source: compress(source.as_bytes()).unwrap(),
@@ -282,10 +291,6 @@
             .call(Body::Publish(publish).into(), CALL_TIMEOUT)
             .await
             .unwrap();
-        for relay in &self.relays {
-            let ready = relay.readiness();
-            eventually("the relay has a table", ready).await;
-        }
     }
 
     /// Announces an endpoint of a service.
--- a/crates/relay/tests/relay/drain.rs
+++ b/crates/relay/tests/relay/drain.rs
@@ -49,3 +49,20 @@
     assert!(drained && elapsed < LIMIT, "not settled: {elapsed:?}");
     assert_eq!(answer.await.unwrap().unwrap().text(), "done");
 }
+
+/// Guards against a relay whose control thread has ended by a panic, and that stays ready
+/// with an old table.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_without_its_control_thread_is_not_ready() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000).await;
+    let relay = &fleet.relays[0];
+    let is_running = tokio::time::timeout(CALL_TIMEOUT / 50, relay.wait_for_failure());
+    assert!(is_running.await.is_err(), "the control thread runs");
+    // The adapter of these tests panics at this idle limit.
+    fleet.put_source(2, 1_000, "2 1000 x").await;
+    let is_ready = relay.readiness();
+    eventually("the relay isn't ready", || !is_ready()).await;
+    let failed = tokio::time::timeout(CALL_TIMEOUT, relay.wait_for_failure());
+    assert!(failed.await.is_ok(), "the failure is reported");
+}
