--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -11,6 +11,7 @@
 //! - `timers`: timeouts of router incarnations
 //! - `recalls`: grants that wait until routers return allotments
 //! - `placement`: router reports and the placement planner
+//! - `full_disk`: waiting for room on the disk
 //! - `snapshot_worker`: encodes snapshots on a second thread
 //!
 //! Input that is queued while a sync runs is handled together before the next
@@ -18,6 +19,7 @@
 
 mod contacts;
 mod core;
+mod full_disk;
 mod handle;
 mod membership;
 mod placement;
@@ -73,7 +75,7 @@
 const MAX_QUEUED_MESSAGES: usize = 4_096;
 /// Maximum size of a command, in bytes. Together with the message size limit of
 /// the consensus crate, it keeps every frame below the 4 MiB of a peer session.
-const MAX_COMMAND_BYTES: usize = 2 * 1024 * 1024;
+pub const MAX_COMMAND_BYTES: usize = 2 * 1024 * 1024;
 
 /// Sends messages to other processes.
 ///
