Count a resumed stream as begun at the endpoint that goes on with it

Cause: only the first event of an answer was recorded, so a stream that was resumed elsewhere counted as waiting for its first event there until its end. The endpoint's delay seemed to grow by a second each second, and peers were told so.

What callers saw: prompts kept away from an engine that was sound.

Change: the first event from each endpoint is recorded.

The tests of the relay pass.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -113,6 +113,8 @@
     request_no: RequestNo,
     /// Whether no pooled connection may be used.
     new_connection: bool,
+    /// Whether an event of a stream has arrived.
+    has_event: bool,
     ended: bool,
 }
 
@@ -132,8 +134,11 @@
         }
     }
 
-    /// Records the arrival of the first event of a stream.
-    pub(crate) fn record_first_event(&self) {
+    /// Records the arrival of events of a stream from this endpoint.
+    pub(crate) fn record_event(&mut self) {
+        if std::mem::replace(&mut self.has_event, true) {
+            return;
+        }
         let now = self.cx.now();
         self.cx
             .dispatcher()
@@ -385,6 +390,7 @@
         pick,
         request_no: outbound.request_no,
         new_connection,
+        has_event: false,
         ended: false,
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -233,15 +233,15 @@
         let now = self.cx.now();
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
-            if let Some((in_flight, _)) = &self.current {
-                in_flight.record_first_event();
-            }
             crashes::record_answer(&self.cx, &self.outbound.traits);
         } else {
             let gap = now.saturating_sub(self.last_events_at);
             self.longest_gap = self.longest_gap.max(gap);
         }
         self.last_events_at = now;
+        if let Some((in_flight, _)) = &mut self.current {
+            in_flight.record_event();
+        }
         self.silence.heard(now);
         self.kept_for = None;
         if let Some(charge) = &mut self.charge {
