Keep the endpoint that was just asked when the silent one ends within an event

Cause: during a handover, an end without a length within an event was taken for the regular end of the current endpoint's answer, so the attempt at the other endpoint was dropped. The route's limit of endpoints then ended the stream.

What callers saw: a stream that broke off although an endpoint was about to go on.

Change: such an end counts as broken, as it does outside of a handover.

Evidence: an_end_within_an_event_leaves_the_stream_to_the_endpoint_that_was_asked failed before (broken off after event 1).

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -322,7 +322,14 @@
         log_silence(&self.cx, &self.outbound, endpoint, silent_for, asked);
         let left = self.outbound.deadline.saturating_sub(now);
         let read = read_events(answer, &mut self.splitter, &mut self.comments, left);
-        match wait_for_either(read, &mut other).await {
+        let first = match wait_for_either(read, &mut other).await {
+            First::Current(Read::End) if self.is_cut_off() => {
+                let e = ClientError::Broken("the end before the last event".into());
+                First::Current(Read::Broken(e))
+            }
+            first => first,
+        };
+        match first {
             First::Current(Read::Broken(e)) => {
                 self.close_current(ended_by(&e), &e.to_string());
                 Some(self.resume_at(Some(other)).await)
--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -443,3 +443,44 @@
     assert!(reply.complete, "broken off after {:?}", reply.text());
     assert_eq!(reply.text(), text);
 }
+
+/// Guards against an end within an event that cancels the endpoint that was just asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_within_an_event_leaves_the_stream_to_the_endpoint_that_was_asked() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let count = Arc::new(AtomicU64::new(0));
+    for name in ["e1", "e2", "e3"] {
+        let count = Arc::clone(&count);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return answer(&req);
+            }
+            if count.fetch_add(1, Ordering::Relaxed) == 0 {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                     x-anvilloft-attempt: {}\r\n\r\n",
+                    req.attempt
+                );
+                return vec![
+                    send(head + &event(1) + "id: 2\nda"),
+                    Step::Wait(Duration::from_secs(1)),
+                    Step::Close,
+                ];
+            }
+            let mut steps = vec![Step::Wait(Duration::from_millis(400))];
+            steps.extend(answer(&req));
+            steps
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    send_request(&fleet, "/stream/x", "warm").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = send_request(&fleet, "/stream/x", ID).await;
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(
+        count.load(Ordering::Relaxed),
+        2,
+        "endpoints that were asked"
+    );
+}
