Print the refusal that a test of endless answers did not expect

Cause: a 503 beside load can't be told apart by its status alone.

Change: the message of bytes_without_end_end_the_request has the text of the answer. What is checked is unchanged.

--- a/crates/relay/tests/endless/main.rs
+++ b/crates/relay/tests/endless/main.rs
@@ -216,9 +216,10 @@
         let (case, reply, elapsed) = task.await.unwrap();
         assert!(
             case.statuses.contains(&reply.status),
-            "{}: status {}",
+            "{}: status {}, {:.200}",
             case.name,
-            reply.status
+            reply.status,
+            reply.text()
         );
         assert!(
             reply.status != 200 || !reply.complete,
