--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -73,10 +73,12 @@
                     .map_or(Duration::from_secs(5), Duration::from_millis),
             ),
             key: header("x-key").map(str::to_owned),
-            prompt: vec![
-                PromptPart { id: 1, tokens: 60 },
-                PromptPart { id: 2, tokens: 40 },
-            ],
+            prompt: header("x-parts")
+                .unwrap_or("1,2")
+                .split(',')
+                .filter_map(|id| id.parse().ok())
+                .map(|id| PromptPart { id, tokens: 50 })
+                .collect(),
             tokens: Some(COUNTS),
         })
     }
@@ -269,6 +271,15 @@
     }
 
     async fn publish_source(&self, version: u64, prepaid: u64, source: &str) {
+        self.put_source(version, prepaid, source).await;
+        for relay in &self.relays {
+            let ready = relay.readiness();
+            eventually("the relay has a table", ready).await;
+        }
+    }
+
+    /// Publishes a route table, which the relays may be unable to read.
+    pub(crate) async fn put_source(&self, version: u64, prepaid: u64, source: &str) {
         let publish = Publish {
             version,
             source: compress(source.as_bytes()).unwrap(),
@@ -282,10 +293,6 @@
             .call(Body::Publish(publish).into(), CALL_TIMEOUT)
             .await
             .unwrap();
-        for relay in &self.relays {
-            let ready = relay.readiness();
-            eventually("the relay has a table", ready).await;
-        }
     }
 
     /// Announces an endpoint of a service.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -2,10 +2,13 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
+mod beginnings;
 mod common;
 mod connections;
+mod crashes;
 mod drain;
 mod loans;
+mod overlaps;
 mod refusals;
 mod requests;
 mod resumes;
