Measure the memory of endless answers with nothing beside it

Change: the test locks the process for its time, and repeats a request that was sent to no endpoint, as it did for want of tokens. Bounds and cases are the same.

--- a/crates/relay/tests/endless/main.rs
+++ b/crates/relay/tests/endless/main.rs
@@ -16,6 +16,7 @@
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
+use tokio::sync::RwLock;
 
 use crate::common::Fleet;
 use crate::common::chunk;
@@ -148,6 +149,9 @@
     },
 ];
 
+/// The test that measures the memory of the process locks it alone, the others share it.
+static MEASUREMENT: RwLock<()> = RwLock::const_new(());
+
 /// Returns the resident memory of this process, in bytes.
 fn resident_bytes() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
@@ -156,12 +160,13 @@
     kb.unwrap_or(0) * 1024
 }
 
-/// Sends a request, and repeats it while it was not run for want of tokens: the first
-/// grant may be late on a busy machine.
+/// Sends a request, and repeats it while it was not run for want of tokens or of a
+/// connection to the endpoint: both may be late on a busy machine.
 async fn send_request(fleet: &Fleet, path: &str, id: &str) -> Reply {
     loop {
         let reply = fleet.send(0, path, id).await;
-        if reply.status != 429 {
+        let was_sent = reply.status != 429 && !reply.text().contains("endpoints_unreachable");
+        if was_sent {
             return reply;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
@@ -174,6 +179,7 @@
 #[rstest::rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_without_end_end_the_request(#[values(Duration::ZERO, SLOWLY)] pause: Duration) {
+    let _alone = MEASUREMENT.write().await;
     let fleet = Arc::new(Fleet::start(1).await);
     fleet.publish(1, 1_000_000).await;
     let ok = RawEndpoint::start(|s| vec![send(whole_answer(&s.attempt, "done"))]).await;
@@ -236,6 +242,7 @@
 /// endpoint sends a second copy of an answer on a connection that is used again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_copy_of_an_answer_reaches_nobody() {
+    let _shared = MEASUREMENT.read().await;
     for delay_ms in [0, 1, 5, 20, 60] {
         let fleet = Fleet::start(1).await;
         fleet.publish(1, 1_000_000).await;
@@ -267,6 +274,7 @@
 #[rstest::rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_stream_is_not_cut(#[values("/fragile/x", "/stream/x")] path: &str) {
+    let _shared = MEASUREMENT.read().await;
     let fleet = Fleet::start(1).await;
     fleet.publish(1, 1_000_000).await;
     let requests = Arc::new(Mutex::new(0));
@@ -301,6 +309,7 @@
 /// and then: it must go on elsewhere before callers give up.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stalled_stream_goes_on_elsewhere() {
+    let _shared = MEASUREMENT.read().await;
     let fleet = Fleet::start(1).await;
     fleet.publish(1, 1_000_000).await;
     for name in ["e1", "e2"] {
