Refuse heartbeats of an earlier start than the known one

Cause: a heartbeat whose start is earlier than the known one was acknowledged and ignored. An endpoint whose clock was set back before it started again got 200 for 30 s, also for draining, and nothing followed it.

Leave notices stay as they are. The endpoint still isn't used until the later entry expires.

--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -33,6 +33,8 @@
     Renewed,
     /// A newer announcement was received before.
     Stale,
+    /// A later start of the endpoint is known, so the announcement is not followed.
+    Superseded,
     /// The table is full.
     Full,
 }
@@ -97,6 +99,9 @@
             entry.announced_at = now;
             return AnnounceOutcome::Changed;
         }
+        if update.incarnation < old.incarnation {
+            return AnnounceOutcome::Superseded;
+        }
         if (update.incarnation, update.seq) <= (old.incarnation, old.seq) {
             return AnnounceOutcome::Stale;
         }
