Keep a silent endpoint that answers other requests

Cause: during a handover the silent endpoint was closed after 200 ms as soon as the other one had a connection. In an overload the other endpoint only queues the request, while the silent one is sound and busy.

Change: an endpoint that has ended an answer to another request since it fell silent is slow, not dead. It's kept unless the other one answers at once; the other is cancelled then.

Evidence: an_endpoint_that_answers_other_requests_is_kept fails without the check (the stream breaks off).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -315,6 +315,15 @@
         (pick.reason != Reason::LastResort).then_some(pick)
     }
 
+    /// Whether an endpoint has ended an answer, even a failure or a refusal, since a
+    /// time. One that has is slow rather than dead.
+    pub fn has_answered_since(&self, endpoint: &str, since: Duration) -> bool {
+        let found = self.position(endpoint).ok();
+        found
+            .and_then(|at| self.endpoints.get(at)?.health.last_answer)
+            .is_some_and(|at| at >= since)
+    }
+
     fn median_failure_rate(&self, now: Duration, of_service: &[usize]) -> f64 {
         let mut rates: Vec<f64> = of_service
             .iter()
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -83,6 +83,14 @@
     start_attempt(cx, outbound, in_flight, left, last_event).ok_or(KeepReason::NoneUsable)
 }
 
+/// Returns whether a silent endpoint has answered other requests since it was heard.
+/// It's kept then unless another endpoint answers at once: the other may only have
+/// queued the request.
+pub(crate) fn is_alive(cx: &RelayState, endpoint: &str, silent_for: Duration) -> bool {
+    let heard_at = cx.now().saturating_sub(silent_for);
+    cx.dispatcher().has_answered_since(endpoint, heard_at)
+}
+
 /// Logs what is done about a silent endpoint, once for each decision.
 pub(crate) fn log_silence(
     cx: &RelayState,
@@ -104,6 +112,12 @@
     }
 }
 
+/// Logs that a silent endpoint is kept because it answers other requests.
+pub(crate) fn log_kept(cx: &RelayState, outbound: &OutboundRequest, endpoint: &str) {
+    slog::info!(cx.log, "endpoint silent"; "request" => &outbound.id, "endpoint" => endpoint,
+        "reason" => "answers_others");
+}
+
 /// Waits for an answer to an attempt. Returns the result of one attempt, and another
 /// one that still runs.
 ///
@@ -160,6 +174,11 @@
                 }
                 result => progress.record(&result),
             },
+            First::Nobody if is_alive(cx, &endpoint, timer.silent_for(cx.now())) => {
+                log_kept(cx, outbound, &endpoint);
+                drop(other);
+                progress.record_given_up();
+            }
             First::Nobody => {
                 attempt.give_up();
                 return (AttemptResult::Unknown, Some(other));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -45,6 +45,8 @@
 use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
+use crate::handover::is_alive;
+use crate::handover::log_kept;
 use crate::handover::log_silence;
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
@@ -300,7 +302,7 @@
         let silent_for = self.silence.silent_for(now);
         let last_event = self.splitter.last_id().map(str::to_owned);
         let (in_flight, answer) = self.current.as_mut()?;
-        let endpoint = &in_flight.pick.endpoint;
+        let endpoint = in_flight.pick.endpoint.clone();
         let sent_count = self.progress.sent_count;
         let other = start_handover(
             &self.cx,
@@ -313,13 +315,13 @@
             Ok(other) => other,
             Err(reason) => {
                 if self.kept_for.replace(reason) != Some(reason) {
-                    log_silence(&self.cx, &self.outbound, endpoint, silent_for, Err(reason));
+                    log_silence(&self.cx, &self.outbound, &endpoint, silent_for, Err(reason));
                 }
                 return Some(Read::Nothing);
             }
         };
         let asked = Ok(other.in_flight.pick.endpoint.as_str());
-        log_silence(&self.cx, &self.outbound, endpoint, silent_for, asked);
+        log_silence(&self.cx, &self.outbound, &endpoint, silent_for, asked);
         let left = self.outbound.deadline.saturating_sub(now);
         let read = read_events(answer, &mut self.splitter, &mut self.comments, left);
         let first = match wait_for_either(read, &mut other).await {
@@ -356,6 +358,14 @@
                 }
                 Some(Read::Nothing)
             }
+            First::Nobody
+                if is_alive(&self.cx, &endpoint, self.silence.silent_for(self.cx.now())) =>
+            {
+                log_kept(&self.cx, &self.outbound, &endpoint);
+                drop(other);
+                self.progress.record_given_up();
+                Some(Read::Nothing)
+            }
             First::Nobody => {
                 self.close_current("router", "silent while another endpoint has the request");
                 Some(self.resume_at(Some(other)).await)
--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -484,3 +484,39 @@
         "endpoints that were asked"
     );
 }
+
+/// Guards against a slow endpoint that is given up for one that only accepts requests,
+/// although it answers others.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_answers_other_requests_is_kept() {
+    let fleet = Arc::new(Fleet::start(1).await);
+    fleet.publish(1, 1_000_000).await;
+    let slow = RawEndpoint::start(|req| match req.attempt.as_str() {
+        ID => silent_answer(&req, CASE.silence),
+        "early" => {
+            let mut steps = vec![send(stream_head(&req.attempt) + &chunk(&event(1)))];
+            steps.push(Step::Wait(Duration::from_millis(700)));
+            steps.push(send("0\r\n\r\n"));
+            steps
+        }
+        _ => answer(&req),
+    });
+    fleet.announce("slow", slow.await.unwrap().addr, "engines");
+    send_request(&fleet, "/stream/x", "warm").await;
+    let early = Arc::clone(&fleet);
+    let early = tokio::spawn(async move { send_request(&early, "/stream/x", "early").await });
+    let late = Arc::clone(&fleet);
+    let late = tokio::spawn(async move { send_request(&late, "/stream/x", ID).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let hung = RawEndpoint::start(|_| vec![Step::Wait(Duration::from_secs(10))]).await;
+    let hung = hung.unwrap();
+    fleet.announce("hung", hung.addr, "engines");
+    assert!(early.await.unwrap().complete);
+    let reply = late.await.unwrap();
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(
+        hung.request_count.load(Ordering::Relaxed),
+        1,
+        "it was asked"
+    );
+}
