Refuse requests that still wait for an answer when a planned stop ends

Cause: at the end of a planned stop the process ended with requests still waiting for the header of an answer, and their connections closed without any.

Change: 0.3 s before the end, each request that still waits is refused with 502, run unknown. Streams that have begun can only be cut.

Evidence: a_request_without_an_answer_is_refused_at_the_end_of_a_planned_stop failed without it (the call gets no reply).

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -113,7 +113,11 @@
         }
         Ok(head) => {
             let id = String::from_utf8_lossy(head.id.as_bytes()).into_owned();
-            let result = forward(cx, received_at, &id, head, req).await;
+            let result = tokio::select! {
+                biased;
+                result = forward(cx, received_at, &id, head, req) => result,
+                () = cx.abandon.cancelled() => Err(stopping()),
+            };
             (id, result)
         }
     };
@@ -284,6 +288,15 @@
     })
 }
 
+/// Returns the refusal of a request that an endpoint may run when the router stops.
+fn stopping() -> Refusal {
+    Refusal::bad_gateway(
+        "stopping",
+        "this router stopped before the request was answered",
+        RunState::Unknown,
+    )
+}
+
 fn router_busy(delay: Duration) -> Refusal {
     let ms = delay.as_millis();
     Refusal::unavailable(
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -69,6 +69,10 @@
 /// The same as a divisor of a planned stop's time, for short stops.
 const SETTLE_DIVISOR: u32 = 9;
 
+/// Part of a planned stop's time in which requests that still wait for an answer are
+/// refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+
 quick_error! {
     /// Error when starting a relay.
     #[derive(Debug)]
@@ -158,6 +162,7 @@
             log: log.clone(),
             control_reachable: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            abandon: CancellationToken::new(),
             request_counter: AtomicU64::new(1),
             options,
         });
@@ -267,17 +272,38 @@
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         self.target_phase.send_replace(Phase::Settling);
-        let mut phase = self.phase.clone();
-        let closed = phase.wait_for(|p| *p == Phase::Closed);
-        let closed = matches!(tokio::time::timeout_at(end, closed).await, Ok(Ok(_)));
-        if closed {
+        let refusals_begin = end.checked_sub(REFUSAL_TIME).unwrap_or(end);
+        let closed = self.wait_until_closed(refusals_begin).await;
+        self.refuse_waiting(end).await;
+        if closed || self.wait_until_closed(end).await {
             // The control thread ends after this phase, so this doesn't block.
             drop(self.control.join());
         } else {
             warn!(self.cx.log, "stopping before all tokens are settled";
                 "connections" => self.cx.metrics.connections.get());
+            return false;
+        }
+        true
+    }
+
+    /// Waits until control has closed the incarnation. Returns whether it has.
+    async fn wait_until_closed(&self, end: tokio::time::Instant) -> bool {
+        let mut phase = self.phase.clone();
+        let closed = phase.wait_for(|p| *p == Phase::Closed);
+        matches!(tokio::time::timeout_at(end, closed).await, Ok(Ok(_)))
+    }
+
+    /// Refuses the requests that still wait for an answer.
+    async fn refuse_waiting(&self, end: tokio::time::Instant) {
+        if self.cx.metrics.in_flight.get() == 0 {
+            return;
+        }
+        self.cx.abandon.cancel();
+        while self.cx.metrics.in_flight.get() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-        closed
+        // The last refusals are being written.
+        tokio::time::sleep_until(end.min(tokio::time::Instant::now() + DRAIN_POLL_INTERVAL)).await;
     }
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -24,6 +24,7 @@
 use anvilloft_wire::session::FleetPeers;
 use arc_swap::ArcSwap;
 use slog::Logger;
+use tokio_util::sync::CancellationToken;
 
 use crate::adapter::ProtocolAdapter;
 use crate::options::RelayOptions;
@@ -126,6 +127,9 @@
     pub(crate) control_reachable: AtomicBool,
     /// Whether new requests are refused because of a planned stop.
     pub(crate) draining: AtomicBool,
+    /// Cancelled at the end of a planned stop, when requests that still wait for an
+    /// answer must be refused.
+    pub(crate) abandon: CancellationToken,
     pub(crate) request_counter: AtomicU64,
 }
 
--- a/crates/relay/tests/relay/drain.rs
+++ b/crates/relay/tests/relay/drain.rs
@@ -66,3 +66,46 @@
     let failed = tokio::time::timeout(CALL_TIMEOUT, relay.wait_for_failure());
     assert!(failed.await.is_ok(), "the failure is reported");
 }
+
+/// Guards against a request whose connection is closed without an answer at the end of a
+/// planned stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_an_answer_is_refused_at_the_end_of_a_planned_stop() {
+    const LIMIT: Duration = Duration::from_millis(1_500);
+    for path in ["/once/x", "/any/x", "/stream/x"] {
+        let mut fleet = Fleet::start_with(1, |o| o.drain(Duration::from_millis(100), LIMIT)).await;
+        fleet.publish(1, 100_000).await;
+        let slow = RawEndpoint::start(|_| vec![Step::Wait(CALL_TIMEOUT)]).await;
+        let slow = slow.unwrap();
+        for service in ["plain", "engines"] {
+            fleet.announce(service, slow.addr, service);
+        }
+        let relay = fleet.relays.remove(0);
+        let address = relay.address();
+        let call = call(path, "body", "slow");
+        let answer = tokio::spawn(async move {
+            loop {
+                let reply = call.clone().send(address, CALL_TIMEOUT).await.unwrap();
+                if !reply.text().contains("no_endpoint") {
+                    return reply;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+        let count = Arc::clone(&slow.request_count);
+        eventually("the endpoint has the request", || {
+            count.load(Ordering::Relaxed) == 1
+        })
+        .await;
+        let started = Instant::now();
+        relay.drain().await;
+        let elapsed = started.elapsed();
+        assert!(
+            elapsed > LIMIT / 2 && elapsed <= LIMIT + LIMIT / 5,
+            "{path}: {elapsed:?}"
+        );
+        let reply = answer.await.unwrap();
+        assert_eq!(reply.status, 502, "{path}: {}", reply.text());
+        assert!(reply.text().contains("\"run\":\"unknown\""), "{path}");
+    }
+}
