Notice a crash during an answer that is no stream

Cause: a request counted as answered as soon as the header of its answer was read, whatever its status, and a break of the body that followed was not taken for a sign of a crash. An endpoint that crashes on a request after the header was never reported, and the header cleared the request for two seconds. What callers saw: such a request crashed one endpoint after the other. Change: an answer counts once its body is complete and its status is a success; a body that breaks off leads to a check of the endpoint.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -394,12 +394,14 @@
             *resp.body_mut() = Body::from_body(body);
             return Ok(resp);
         }
-        crashes::record_answer(cx, &outbound.traits);
         let left = outbound.deadline.saturating_sub(cx.now());
         let status = answer.status;
         match tokio::time::timeout(left, answer.read_to_end(left)).await {
             Ok(Ok(body)) => {
                 *resp.body_mut() = Body::from(body);
+                if status.is_success() {
+                    crashes::record_answer(cx, &outbound.traits);
+                }
                 if status.is_server_error() {
                     in_flight.end(Outcome::Failed);
                     progress.may_have_run = true;
@@ -417,6 +419,9 @@
                     "endpoint" => &in_flight.pick.endpoint, "error" => %e,
                     "by" => ended_by(&e));
                 progress.may_have_run = true;
+                if e.is_connection_failure() {
+                    crashes::record_broken(cx, &in_flight.pick, &outbound.traits);
+                }
                 in_flight.end(Outcome::Broken);
             }
             Err(_) => {
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -15,6 +15,7 @@
 use crate::common::Fleet;
 use crate::common::call;
 use crate::common::eventually;
+use crate::common::stream_head;
 use crate::common::whole_stream;
 
 const ENDPOINTS: u32 = 12;
@@ -33,6 +34,15 @@
     /// Starts routers and endpoints, which crash on requests whose head or body holds
     /// `deadly`.
     async fn start(service: &str, deadly: &'static str) -> Self {
+        Self::start_with(service, deadly, |_| Vec::new()).await
+    }
+
+    /// Starts them with endpoints that send `beginning` before they crash.
+    async fn start_with(
+        service: &str,
+        deadly: &'static str,
+        beginning: fn(&str) -> Vec<u8>,
+    ) -> Self {
         let fleet = Fleet::start(3).await;
         fleet.publish(1, 1_000_000).await;
         let crashes = Arc::new(AtomicU64::new(0));
@@ -42,7 +52,11 @@
             let endpoint = RawEndpoint::start(move |req| {
                 if req.head.contains(deadly) || req.body.contains(deadly) {
                     crashes.fetch_add(1, Ordering::Relaxed);
-                    vec![Step::Wait(Duration::from_millis(20)), Step::Crash]
+                    vec![
+                        Step::Send(beginning(&req.attempt)),
+                        Step::Wait(Duration::from_millis(20)),
+                        Step::Crash,
+                    ]
                 } else if is_engine {
                     whole_stream(&req, 2)
                 } else {
@@ -123,6 +137,70 @@
     }
 }
 
+/// Guards against endpoints that crash one after the other on a request of which they
+/// have sent the beginning of an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_endpoints_during_its_answer_is_refused() {
+    struct Case {
+        name: &'static str,
+        service: &'static str,
+        path: &'static str,
+        beginning: fn(&str) -> Vec<u8>,
+    }
+    let cases = [
+        Case {
+            name: "after the header",
+            service: "plain",
+            path: "/any/x",
+            beginning: |id| cut_answer(id, 0),
+        },
+        Case {
+            name: "in the body",
+            service: "plain",
+            path: "/once/x",
+            beginning: |id| cut_answer(id, 5),
+        },
+        Case {
+            name: "a stream without an event",
+            service: "engines",
+            path: "/stream/x",
+            beginning: |id| stream_head(id).into_bytes(),
+        },
+        Case {
+            name: "a stream without chunks, inside its first event",
+            service: "engines",
+            path: "/stream/x",
+            beginning: |id| {
+                let head = stream_head(id).replace("transfer-encoding: chunked\r\n", "");
+                (head + "id: 1\ndata: x").into_bytes()
+            },
+        },
+    ];
+    for case in cases {
+        let f = CrashingFleet::start_with(case.service, "deadly", case.beginning).await;
+        for n in 0..30 {
+            let call = call(case.path, "deadly", &format!("{n:032x}"));
+            let relay = &f.fleet.relays[n % f.fleet.relays.len()];
+            // The answer may be cut off.
+            let _ = call.send(relay.address(), CALL_TIMEOUT).await;
+            tokio::time::sleep(SETTLE_TIME / 4).await;
+        }
+        let crashes = f.crashes();
+        assert!(
+            crashes > 0 && crashes <= MAX_CRASHES,
+            "{}: {crashes} requests crashed endpoints",
+            case.name
+        );
+    }
+}
+
+/// Returns an answer without the end of its body, of which `sent` bytes are there.
+fn cut_answer(id: &str, sent: usize) -> Vec<u8> {
+    let mut answer = whole_answer(id, "0123456789");
+    answer.truncate(answer.len() - 10 + sent);
+    answer
+}
+
 /// Guards against sound requests that are refused because all endpoints failed at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoints_that_fail_together_quarantine_nothing() {
