Report the traits of crashed requests that were answered lately

Cause: a router left out of its report what it had answered within the last two seconds, so the ledger never learned that such a trait is harmless. Routers that had not served it (restarted, or of another data centre) reported it as never answered, and three unrelated crashes in ten minutes sufficed to refuse, for an hour, a part that all other routers were serving. What callers see then: 503 "quarantined" for sound requests. Change: such traits are reported and marked; a crash doesn't speak against a trait that some router answered just before it, and the trait counts as answered. RequestTrait has a new field 3 and the stored suspect a new field 5. Tests that expected the traits to be missing expect the mark instead. Evidence: a_part_that_another_router_served_just_before_is_not_blamed fails when the ledger ignores the mark (seen).

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -19,8 +19,8 @@
 /// Maximum number of traits of which an answer is remembered. The one that was answered
 /// least recently is forgotten first.
 const MAX_ANSWERED: usize = 4_096;
-/// A trait whose last answer began less than this before a crash is not reported, so
-/// that the crash of a busy endpoint isn't blamed on the parts that most prompts share.
+/// A trait whose last answer began less than this before a crash isn't its cause, so that
+/// the crash of a busy endpoint isn't blamed on the parts that most prompts share.
 const RECENT_ANSWER: Duration = Duration::from_secs(2);
 /// Maximum number of quarantined traits that are kept.
 const MAX_QUARANTINED: usize = 4_096;
@@ -70,6 +70,8 @@
     pub fingerprint: Fingerprint,
     /// Whether this router has seen an answer to a request with it begin.
     pub answered: bool,
+    /// Whether that was shortly before the crash.
+    pub answered_lately: bool,
 }
 
 /// A request that waited at a crashed endpoint.
@@ -239,9 +241,7 @@
             });
         self.broken = waiting;
         for b in crashed {
-            let Some(request) = self.report_of(&b) else {
-                continue;
-            };
+            let request = self.report_of(&b);
             let known = reports
                 .iter_mut()
                 .find(|r| r.endpoint == b.endpoint && r.incarnation == b.incarnation);
@@ -258,8 +258,8 @@
         reports
     }
 
-    /// Returns what speaks against a request, or `None` if it's known to be harmless.
-    fn report_of(&self, b: &Broken) -> Option<ReportedRequest> {
+    /// Returns what speaks for and against a request.
+    fn report_of(&self, b: &Broken) -> ReportedRequest {
         let reported = |f: &Fingerprint| {
             let answered_at = self
                 .answered
@@ -267,16 +267,16 @@
                 .ok()
                 .and_then(|at| self.answered.get(at))
                 .map(|(_, at)| *at);
-            let is_recent = answered_at.is_some_and(|at| at + RECENT_ANSWER > b.at);
-            (!is_recent).then_some(ReportedTrait {
+            ReportedTrait {
                 fingerprint: *f,
                 answered: answered_at.is_some(),
-            })
+                answered_lately: answered_at.is_some_and(|at| at + RECENT_ANSWER > b.at),
+            }
         };
-        Some(ReportedRequest {
-            whole: reported(&b.traits.whole)?,
-            parts: b.traits.parts.iter().filter_map(reported).collect(),
-        })
+        ReportedRequest {
+            whole: reported(&b.traits.whole),
+            parts: b.traits.parts.iter().map(reported).collect(),
+        }
     }
 
     fn expire(&mut self, now: Duration) {
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -27,8 +27,8 @@
     answered_before: Option<Duration>,
     /// Result of the check of the endpoint.
     crashed: bool,
-    /// Reported parts, and whether each was answered before.
-    want: Option<&'static [(u64, bool)]>,
+    /// Reported parts, and whether each was answered before, and shortly before.
+    want: Option<&'static [(u64, bool, bool)]>,
 }
 
 /// Guards against reports that blame parts which endpoints answer all the time, or
@@ -40,19 +40,19 @@
             name: "nothing answered",
             answered_before: None,
             crashed: true,
-            want: Some(&[(1, false), (9, false)]),
+            want: Some(&[(1, false, false), (9, false, false)]),
         },
         Case {
             name: "the first part was answered just before",
             answered_before: Some(Duration::from_millis(500)),
             crashed: true,
-            want: Some(&[(9, false)]),
+            want: Some(&[(1, true, true), (9, false, false)]),
         },
         Case {
             name: "the first part was answered long before",
             answered_before: Some(Duration::from_secs(10)),
             crashed: true,
-            want: Some(&[(1, true), (9, false)]),
+            want: Some(&[(1, true, false), (9, false, false)]),
         },
         Case {
             name: "the endpoint is alive",
@@ -84,12 +84,12 @@
             r.requests[0]
                 .parts
                 .iter()
-                .map(|p| (p.fingerprint, p.answered))
+                .map(|p| (p.fingerprint, p.answered, p.answered_lately))
                 .collect()
         });
         let want: Option<Vec<_>> = case.want.map(|w| {
             w.iter()
-                .map(|(id, answered)| (part(id), *answered))
+                .map(|(id, answered, lately)| (part(id), *answered, *lately))
                 .collect()
         });
         assert_eq!(got, want, "{}", case.name);
@@ -145,14 +145,14 @@
     watch.record_broken(now, "e1", 7, traits("x", &[1, 19_999]));
     watch.record_check(now, "e1", 7, true);
     let reports = watch.take_reports(now);
-    let answered: Vec<bool> = reports[0].requests[0]
+    let answered: Vec<(bool, bool)> = reports[0].requests[0]
         .parts
         .iter()
-        .map(|p| p.answered)
+        .map(|p| (p.answered, p.answered_lately))
         .collect();
     assert_eq!(
         answered,
-        [false],
+        [(false, false), (true, true)],
         "the newest is remembered, the oldest not"
     );
 }
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -30,7 +30,8 @@
 const CRASH_RETENTION_MS: u64 = 600_000;
 /// Maximum number of crashes that are kept; the oldest are dropped first.
 const MAX_CRASHES: usize = 64;
-/// Maximum number of traits that are kept of one crash. Further ones stay unsuspected.
+/// Maximum number of suspected traits that are kept of one crash, and of those that were
+/// answered lately. Further ones stay unsuspected.
 const MAX_TRAITS: usize = 256;
 /// Maximum number of crashes in one report.
 const MAX_REPORTED: usize = 64;
@@ -62,6 +63,10 @@
     /// a whole request.
     #[prost(bytes = "vec", repeated, tag = "4")]
     pub(crate) requests: Vec<Vec<u8>>,
+    /// Whether some router saw an answer to a request with it shortly before the crash.
+    /// The crash doesn't speak against it then, whatever other routers saw.
+    #[prost(bool, tag = "5")]
+    pub(crate) answered_lately: bool,
 }
 
 impl Suspect {
@@ -106,6 +111,13 @@
         found.ok().and_then(|at| self.suspects.get(at))
     }
 
+    fn count(&self, answered_lately: bool) -> usize {
+        self.suspects
+            .iter()
+            .filter(|s| s.answered_lately == answered_lately)
+            .count()
+    }
+
     /// Adds a trait of a request, unless the crash is explained without it.
     fn add(&mut self, t: &RequestTrait, place: u32, part_of: Option<&[u8]>) {
         let is_cleared = match self.explanation() {
@@ -121,10 +133,11 @@
             .binary_search_by(|s| s.fingerprint.cmp(&t.fingerprint));
         let at = match found {
             Ok(at) => at,
-            Err(_) if self.suspects.len() >= MAX_TRAITS => return,
+            Err(_) if self.count(t.answered_lately) >= MAX_TRAITS => return,
             Err(at) => {
                 let suspect = Suspect {
                     fingerprint: t.fingerprint.clone(),
+                    answered_lately: t.answered_lately,
                     ..Suspect::default()
                 };
                 self.suspects.insert(at, suspect);
@@ -135,6 +148,7 @@
             return;
         };
         suspect.answered |= t.answered;
+        suspect.answered_lately |= t.answered_lately;
         suspect.place = suspect.place.max(place);
         if let Some(request) = part_of
             && suspect.requests.len() < MIN_REQUESTS
@@ -186,6 +200,9 @@
 impl<'a> Evidence<'a> {
     fn add(&mut self, crash: &Crash, s: &'a Suspect) {
         self.answered |= s.answered;
+        if s.answered_lately {
+            return;
+        }
         self.place = self.place.max(s.place);
         for request in &s.requests {
             if !self.requests.contains(&request.as_slice()) {
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -38,6 +38,7 @@
     RequestTrait {
         fingerprint: vec![n; 16],
         answered: answered.contains(&n),
+        answered_lately: false,
     }
 }
 
@@ -195,6 +196,32 @@
     }
 }
 
+/// Guards against a sound part that is refused because a router that has not served it
+/// lately saw requests with it at endpoints that failed for other reasons.
+#[test]
+fn a_part_that_another_router_served_just_before_is_not_blamed() {
+    let mut ledger = test_ledger();
+    for n in 0..10_u8 {
+        let at_ms = u64::from(n) * APART_MS;
+        let mut busy = to_trait(1, &[1]);
+        busy.answered_lately = true;
+        let busy = Body::ReportCrashes(ReportCrashes {
+            crashes: vec![Crash {
+                endpoint: format!("e{n}"),
+                endpoint_incarnation: 1,
+                requests: vec![CrashedRequest {
+                    whole: Some(to_trait(100 + n, &[])),
+                    parts: vec![busy],
+                }],
+            }],
+        });
+        report(&mut ledger, at_ms, busy);
+        let idle = crash(usize::from(n), &[seen(150 + n, &[1], &[])]);
+        let got = report(&mut ledger, at_ms + 1, idle);
+        assert!(got.is_empty(), "crash {n}");
+    }
+}
+
 /// Guards against a deadly part that is free again for as many crashes as at first.
 #[test]
 fn one_crash_after_the_quarantine_renews_it() {
@@ -222,6 +249,7 @@
             RequestTrait {
                 fingerprint: [id.to_be_bytes(), id.to_be_bytes()].concat(),
                 answered: false,
+                answered_lately: false,
             }
         };
         let requests = (0..200).map(|k| CrashedRequest {
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -160,5 +160,6 @@
     RequestTrait {
         fingerprint: t.fingerprint.to_vec(),
         answered: t.answered,
+        answered_lately: t.answered_lately,
     }
 }
--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -44,6 +44,9 @@
     /// this trait.
     #[prost(bool, tag = "2")]
     pub answered: bool,
+    /// Whether that was so shortly before the crash that the trait isn't the cause.
+    #[prost(bool, tag = "3")]
+    pub answered_lately: bool,
 }
 
 /// Traits of requests that are refused because such requests crashed endpoints.
