Renew a quarantine only if nothing was answered since its release

Cause: after its release, any one crash at which a request with the trait waited renewed a quarantine, even if requests with it had been answered meanwhile. A sound part that was blamed once was refused for another hour after the next crash of any endpoint, again and again. Change: an answer since the release sets the trait back to the usual number of crashes. Routers forget the answers to a trait when it's quarantined, so that only later ones count. Evidence: one_crash_after_an_answer_does_not_renew_a_quarantine fails without the condition in the ledger (seen).

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -129,13 +129,18 @@
                 .any(|f| self.quarantined.binary_search(f).is_ok())
     }
 
-    /// Replaces the quarantined traits. Returns whether they changed.
+    /// Replaces the quarantined traits. Returns whether they changed. Answers from before
+    /// a quarantine say nothing about a trait after it.
     pub fn set_quarantined(&mut self, mut list: Vec<Fingerprint>) -> bool {
         list.sort_unstable();
         list.dedup();
         list.truncate(MAX_QUARANTINED);
         let changed = list != self.quarantined;
         self.quarantined = list;
+        if changed {
+            self.answered
+                .retain(|(f, _)| self.quarantined.binary_search(f).is_err());
+        }
         changed
     }
 
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -133,6 +133,23 @@
     assert!(!watch.is_quarantined(&deadly), "released");
 }
 
+/// Guards against a part that counts as harmless after its quarantine because of an
+/// answer from before it.
+#[test]
+fn answers_from_before_a_quarantine_are_forgotten() {
+    let mut watch = CrashWatch::default();
+    let deadly = traits("a", &[1, 9]);
+    watch.record_answer(START, &deadly);
+    watch.set_quarantined(vec![deadly.parts[1]]);
+    watch.set_quarantined(Vec::new());
+    watch.record_broken(START, "e1", 7, deadly);
+    watch.record_check(START, "e1", 7, true);
+    let reports = watch.take_reports(START);
+    let parts = &reports[0].requests[0].parts;
+    let answered: Vec<bool> = parts.iter().map(|p| p.answered).collect();
+    assert_eq!(answered, [true, false]);
+}
+
 /// Guards against memory that grows with every request.
 #[test]
 fn answers_that_are_remembered_are_bounded() {
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -181,7 +181,7 @@
     #[prost(bytes = "vec", tag = "1")]
     pub(crate) fingerprint: Vec<u8>,
     /// Ledger time from which requests with the trait may run again. One more crash
-    /// quarantines it again.
+    /// quarantines it again, unless a request with it was answered meanwhile.
     #[prost(uint64, tag = "2")]
     pub(crate) until_ms: u64,
 }
@@ -334,7 +334,12 @@
         for f in reported {
             match self.quarantines.get(f).map(|q| q.until_ms <= now_ms) {
                 None => {}
-                Some(true) => self.quarantine(*f, until_ms),
+                Some(true) => {
+                    let evidence = self.evidence(f);
+                    if evidence.crashes > 0 && !evidence.answered {
+                        self.quarantine(*f, until_ms);
+                    }
+                }
                 // The request was sent before its quarantine was known.
                 Some(false) => self.explain(f),
             }
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -239,6 +239,21 @@
     assert_eq!(report(&mut ledger, end_ms + 1, deadly(4)), [9], "renewed");
 }
 
+/// Guards against a sound part that is refused again after each crash of an endpoint,
+/// though it was answered since its release.
+#[test]
+fn one_crash_after_an_answer_does_not_renew_a_quarantine() {
+    let mut ledger = test_ledger();
+    let quarantine_ms = ledger.config().value("condemn_ms", "");
+    for n in 0..3 {
+        let body = crash(n, &[seen(100 + n as u8, &[9], &[])]);
+        report(&mut ledger, n as u64 * APART_MS, body);
+    }
+    let end_ms = 2 * APART_MS + quarantine_ms;
+    let answered = crash(4, &[seen(104, &[9], &[9])]);
+    assert!(report(&mut ledger, end_ms + 1, answered).is_empty());
+}
+
 /// Guards against memory that grows with every crash and every request.
 #[test]
 fn records_of_crashes_are_bounded() {
