Count crashes from when routers noticed them

Cause: the ledger dated a crash by the arrival of the first report. Routers report every 100 ms and check an endpoint for up to 150 ms or more before, so endpoints that failed at the same moment counted as several crashes with causes of their own, as SAME_CAUSE_MS is 100. Three of them sufficed to quarantine a part that had not been answered yet. Change: a report says how old the crash is, at most 5 s; the earliest router counts, and crashes are kept in order of time. Crash has a new field 4. The network delay of a report still counts.

--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -48,6 +48,8 @@
 /// Time within which crashes count as one, in milliseconds. Endpoints that fail
 /// together, such as those of one rack, fail for a reason that they share.
 const SAME_CAUSE_MS: u64 = 100;
+/// Maximum age of a crash when it's reported, in milliseconds. Older ones count as this old.
+const MAX_AGE_MS: u64 = 5_000;
 
 /// A trait of the requests that waited at an endpoint when it crashed.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -234,7 +236,7 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Crashes {
-    /// In the order in which they were reported first.
+    /// Sorted by time.
     pub(crate) crashes: VecDeque<Crash>,
     pub(crate) quarantines: BTreeMap<Fingerprint, Quarantine>,
 }
@@ -251,25 +253,20 @@
 
     /// Records what one router saw of a crash.
     fn record(&mut self, report: &CrashReport, now_ms: u64) {
+        let at_ms = now_ms.saturating_sub(report.age_ms.min(MAX_AGE_MS));
         let known = self.crashes.iter().position(|c| {
             c.endpoint == report.endpoint && c.incarnation == report.endpoint_incarnation
         });
-        let at = known.unwrap_or_else(|| {
-            if self.crashes.len() >= MAX_CRASHES {
-                self.crashes.pop_front();
-            }
-            self.crashes.push_back(Crash {
-                at_ms: now_ms,
-                endpoint: report.endpoint.clone(),
-                incarnation: report.endpoint_incarnation,
-                suspects: Vec::new(),
-                explanation: Explanation::None.into(),
-            });
-            self.crashes.len() - 1
+        let known = known.and_then(|at| self.crashes.remove(at));
+        let mut crash = known.unwrap_or_else(|| Crash {
+            at_ms,
+            endpoint: report.endpoint.clone(),
+            incarnation: report.endpoint_incarnation,
+            suspects: Vec::new(),
+            explanation: Explanation::None.into(),
         });
-        let Some(crash) = self.crashes.get_mut(at) else {
-            return;
-        };
+        // The router that noticed it first may report it last.
+        crash.at_ms = crash.at_ms.min(at_ms);
         for request in &report.requests {
             let Some(whole) = &request.whole else {
                 continue;
@@ -279,6 +276,11 @@
                 crash.add(part, place, Some(&whole.fingerprint));
             }
         }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        let place = self.crashes.partition_point(|c| c.at_ms <= crash.at_ms);
+        self.crashes.insert(place, crash);
     }
 
     fn evidence(&self, f: &Fingerprint) -> Evidence<'_> {
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -52,6 +52,7 @@
             endpoint: format!("e{endpoint}"),
             endpoint_incarnation: 1,
             requests: requests.collect(),
+            age_ms: 0,
         }],
     })
 }
@@ -213,6 +214,7 @@
                     whole: Some(to_trait(100 + n, &[])),
                     parts: vec![busy],
                 }],
+                age_ms: 0,
             }],
         });
         report(&mut ledger, at_ms, busy);
@@ -222,6 +224,22 @@
     }
 }
 
+/// Guards against a sound part that is refused because endpoints that failed together
+/// were reported one after the other.
+#[test]
+fn crashes_that_are_reported_late_count_from_when_they_were_noticed() {
+    let mut ledger = test_ledger();
+    for n in 0..4_u8 {
+        let mut body = crash(usize::from(n), &[seen(101 + n, &[9], &[])]);
+        let age_ms = u64::from(n) * 300;
+        if let Body::ReportCrashes(r) = &mut body {
+            r.crashes[0].age_ms = age_ms;
+        }
+        let got = report(&mut ledger, 10_000 + age_ms, body);
+        assert!(got.is_empty(), "crash {n}");
+    }
+}
+
 /// Guards against a deadly part that is free again for as many crashes as at first.
 #[test]
 fn one_crash_after_the_quarantine_renews_it() {
@@ -276,6 +294,7 @@
                 endpoint: format!("e{n}"),
                 endpoint_incarnation: 1,
                 requests: requests.collect(),
+                age_ms: 0,
             }],
         });
         apply_at(&mut ledger, n as u64, body);
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -153,6 +153,7 @@
         endpoint: crash.endpoint,
         endpoint_incarnation: crash.incarnation,
         requests: requests.collect(),
+        age_ms: crash.age.as_millis() as u64,
     }
 }
 
--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -21,6 +21,9 @@
     /// The router's requests that waited there for an answer to begin.
     #[prost(message, repeated, tag = "3")]
     pub requests: Vec<CrashedRequest>,
+    /// Time since the router noticed the crash, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 
 /// A request that waited for an answer at an endpoint when it crashed.
