Test that a router learns of a quarantine with its lease

Nothing failed when the list in the lease was not applied: the tests of the refusal were satisfied by the push and by the replies to reports. A router that starts, or reaches control, after a quarantine has only the lease.

--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -190,6 +190,7 @@
 pub(crate) struct Fleet {
     pub(crate) control: ControlDaemon,
     pub(crate) relays: Vec<Relay>,
+    control_address: SocketAddr,
     _folder: TempDir,
 }
 
@@ -235,6 +236,7 @@
         let mut fleet = Self {
             control,
             relays: Vec::new(),
+            control_address: peer,
             _folder: folder,
         };
         for n in 0..relays {
@@ -242,22 +244,28 @@
             let listen = SocketAddr::from(([127, 0, 0, 1], 0));
             let options = RelayOptions::builder(&name, "a", listen)
                 .drain(Duration::from_millis(100), Duration::from_secs(5));
-            let options = configure(options).build();
-            let mut identity = Identity::new(&name, "router", "a", fleet_key());
-            identity.incarnation = 1;
-            let relay = Relay::start(
-                options,
-                Arc::new(TestAdapter),
-                identity,
-                vec![peer],
-                free_address(),
-                logger.new(o!("host" => name)),
-            );
-            fleet.relays.push(relay.await.unwrap());
+            fleet
+                .add_relay(&name, configure(options).build(), logger)
+                .await;
         }
         fleet
     }
 
+    /// Starts one more relay.
+    pub(crate) async fn add_relay(&mut self, name: &str, options: RelayOptions, logger: &Logger) {
+        let mut identity = Identity::new(name, "router", "a", fleet_key());
+        identity.incarnation = 1;
+        let relay = Relay::start(
+            options,
+            Arc::new(TestAdapter),
+            identity,
+            vec![self.control_address],
+            free_address(),
+            logger.new(o!("host" => name.to_owned())),
+        );
+        self.relays.push(relay.await.unwrap());
+    }
+
     /// Publishes a route table, and waits until every relay has one.
     pub(crate) async fn publish(&self, version: u64, prepaid: u64) {
         self.publish_source(version, prepaid, &format!("{version} {prepaid}"))
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -1,20 +1,31 @@
 //! Requests that crash the endpoints that begin to answer them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::RequestTraits;
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::Reply;
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
+use anvilloft_relay::RelayOptions;
+use anvilloft_wire::Control;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Crash;
+use anvilloft_wire::command::CrashedRequest;
+use anvilloft_wire::command::ReportCrashes;
+use anvilloft_wire::command::RequestTrait;
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
 use crate::common::call;
 use crate::common::eventually;
+use crate::common::log;
 use crate::common::stream_head;
 use crate::common::whole_stream;
 
@@ -117,6 +128,46 @@
     assert_eq!(f.crashes(), crashes, "a refused request was sent");
 }
 
+/// Guards against a router that runs what the others refuse, because it started, or
+/// reached control, after the quarantine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_starts_after_a_quarantine_learns_of_it() {
+    let mut f = CrashingFleet::start("engines", "x-never").await;
+    let prompt_parts = [9, 0].map(|id| PromptPart { id, tokens: 50 });
+    let part = RequestTraits::new(&[], &prompt_parts).parts[0];
+    let to_trait = |fingerprint: Vec<u8>| RequestTrait {
+        fingerprint,
+        ..RequestTrait::default()
+    };
+    for n in 0..3_u8 {
+        let report = ReportCrashes {
+            crashes: vec![Crash {
+                endpoint: format!("gone{n}"),
+                endpoint_incarnation: 1,
+                requests: vec![CrashedRequest {
+                    whole: Some(to_trait(vec![n; 16])),
+                    parts: vec![to_trait(part.to_vec())],
+                }],
+                age_ms: 0,
+            }],
+        };
+        let peers = f.fleet.control.peers();
+        let call = peers.call(Body::ReportCrashes(report).into(), CALL_TIMEOUT);
+        call.await.unwrap();
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let options = RelayOptions::builder("late", "a", listen).build();
+    f.fleet.add_relay("late", options, &log()).await;
+    eventually("the late router refuses", || {
+        let text = f.fleet.relays[3].metrics().text();
+        text.contains("anvilloft_quarantined_traits 1")
+    })
+    .await;
+    let reply = f.send(3, prompt(1, "1,9")).await;
+    assert!(reply.text().contains("\"code\":\"quarantined\""));
+}
+
 /// Guards against one request that its caller sends again and again, at any router.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_endpoints_is_refused_when_it_is_sent_again() {
