--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -153,6 +153,7 @@
         endpoint: crash.endpoint,
         endpoint_incarnation: crash.incarnation,
         requests: requests.collect(),
+        age_ms: crash.age.as_millis() as u64,
     }
 }
 
@@ -160,5 +161,6 @@
     RequestTrait {
         fingerprint: t.fingerprint.to_vec(),
         answered: t.answered,
+        answered_lately: t.answered_lately,
     }
 }
