Check the quarantine again after the wait for tokens

Cause: the quarantine was checked before a request waited for tokens, up to 0.9 s, and not before it was sent. Change: it's checked again then; the reservation is returned.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -240,6 +240,8 @@
     let traits = crashes::request_traits(&parts, team, &body, &head.prompt);
     crashes::check_quarantine(cx, &traits)?;
     let charge = reserve(cx, id, service, team, head.tokens, deadline).await?;
+    // The wait for tokens may have taken a while.
+    crashes::check_quarantine(cx, &traits)?;
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     let outbound = OutboundRequest {
