--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -30,7 +30,8 @@
 const CRASH_RETENTION_MS: u64 = 600_000;
 /// Maximum number of crashes that are kept; the oldest are dropped first.
 const MAX_CRASHES: usize = 64;
-/// Maximum number of traits that are kept of one crash. Further ones stay unsuspected.
+/// Maximum number of suspected traits that are kept of one crash, and of those that were
+/// answered lately. Further ones stay unsuspected.
 const MAX_TRAITS: usize = 256;
 /// Maximum number of crashes in one report.
 const MAX_REPORTED: usize = 64;
@@ -47,6 +48,8 @@
 /// Time within which crashes count as one, in milliseconds. Endpoints that fail
 /// together, such as those of one rack, fail for a reason that they share.
 const SAME_CAUSE_MS: u64 = 100;
+/// Maximum age of a crash when it's reported, in milliseconds. Older ones count as this old.
+const MAX_AGE_MS: u64 = 5_000;
 
 /// A trait of the requests that waited at an endpoint when it crashed.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -62,6 +65,10 @@
     /// a whole request.
     #[prost(bytes = "vec", repeated, tag = "4")]
     pub(crate) requests: Vec<Vec<u8>>,
+    /// Whether some router saw an answer to a request with it shortly before the crash.
+    /// The crash doesn't speak against it then, whatever other routers saw.
+    #[prost(bool, tag = "5")]
+    pub(crate) answered_lately: bool,
 }
 
 impl Suspect {
@@ -106,6 +113,13 @@
         found.ok().and_then(|at| self.suspects.get(at))
     }
 
+    fn count(&self, answered_lately: bool) -> usize {
+        self.suspects
+            .iter()
+            .filter(|s| s.answered_lately == answered_lately)
+            .count()
+    }
+
     /// Adds a trait of a request, unless the crash is explained without it.
     fn add(&mut self, t: &RequestTrait, place: u32, part_of: Option<&[u8]>) {
         let is_cleared = match self.explanation() {
@@ -121,10 +135,11 @@
             .binary_search_by(|s| s.fingerprint.cmp(&t.fingerprint));
         let at = match found {
             Ok(at) => at,
-            Err(_) if self.suspects.len() >= MAX_TRAITS => return,
+            Err(_) if self.count(t.answered_lately) >= MAX_TRAITS => return,
             Err(at) => {
                 let suspect = Suspect {
                     fingerprint: t.fingerprint.clone(),
+                    answered_lately: t.answered_lately,
                     ..Suspect::default()
                 };
                 self.suspects.insert(at, suspect);
@@ -135,6 +150,7 @@
             return;
         };
         suspect.answered |= t.answered;
+        suspect.answered_lately |= t.answered_lately;
         suspect.place = suspect.place.max(place);
         if let Some(request) = part_of
             && suspect.requests.len() < MIN_REQUESTS
@@ -167,7 +183,7 @@
     #[prost(bytes = "vec", tag = "1")]
     pub(crate) fingerprint: Vec<u8>,
     /// Ledger time from which requests with the trait may run again. One more crash
-    /// quarantines it again.
+    /// quarantines it again, unless a request with it was answered meanwhile.
     #[prost(uint64, tag = "2")]
     pub(crate) until_ms: u64,
 }
@@ -186,6 +202,9 @@
 impl<'a> Evidence<'a> {
     fn add(&mut self, crash: &Crash, s: &'a Suspect) {
         self.answered |= s.answered;
+        if s.answered_lately {
+            return;
+        }
         self.place = self.place.max(s.place);
         for request in &s.requests {
             if !self.requests.contains(&request.as_slice()) {
@@ -217,7 +236,7 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Crashes {
-    /// In the order in which they were reported first.
+    /// Sorted by time.
     pub(crate) crashes: VecDeque<Crash>,
     pub(crate) quarantines: BTreeMap<Fingerprint, Quarantine>,
 }
@@ -234,25 +253,20 @@
 
     /// Records what one router saw of a crash.
     fn record(&mut self, report: &CrashReport, now_ms: u64) {
+        let at_ms = now_ms.saturating_sub(report.age_ms.min(MAX_AGE_MS));
         let known = self.crashes.iter().position(|c| {
             c.endpoint == report.endpoint && c.incarnation == report.endpoint_incarnation
         });
-        let at = known.unwrap_or_else(|| {
-            if self.crashes.len() >= MAX_CRASHES {
-                self.crashes.pop_front();
-            }
-            self.crashes.push_back(Crash {
-                at_ms: now_ms,
-                endpoint: report.endpoint.clone(),
-                incarnation: report.endpoint_incarnation,
-                suspects: Vec::new(),
-                explanation: Explanation::None.into(),
-            });
-            self.crashes.len() - 1
+        let known = known.and_then(|at| self.crashes.remove(at));
+        let mut crash = known.unwrap_or_else(|| Crash {
+            at_ms,
+            endpoint: report.endpoint.clone(),
+            incarnation: report.endpoint_incarnation,
+            suspects: Vec::new(),
+            explanation: Explanation::None.into(),
         });
-        let Some(crash) = self.crashes.get_mut(at) else {
-            return;
-        };
+        // The router that noticed it first may report it last.
+        crash.at_ms = crash.at_ms.min(at_ms);
         for request in &report.requests {
             let Some(whole) = &request.whole else {
                 continue;
@@ -262,6 +276,11 @@
                 crash.add(part, place, Some(&whole.fingerprint));
             }
         }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        let place = self.crashes.partition_point(|c| c.at_ms <= crash.at_ms);
+        self.crashes.insert(place, crash);
     }
 
     fn evidence(&self, f: &Fingerprint) -> Evidence<'_> {
@@ -317,7 +336,12 @@
         for f in reported {
             match self.quarantines.get(f).map(|q| q.until_ms <= now_ms) {
                 None => {}
-                Some(true) => self.quarantine(*f, until_ms),
+                Some(true) => {
+                    let evidence = self.evidence(f);
+                    if evidence.crashes > 0 && !evidence.answered {
+                        self.quarantine(*f, until_ms);
+                    }
+                }
                 // The request was sent before its quarantine was known.
                 Some(false) => self.explain(f),
             }
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -38,6 +38,7 @@
     RequestTrait {
         fingerprint: vec![n; 16],
         answered: answered.contains(&n),
+        answered_lately: false,
     }
 }
 
@@ -51,6 +52,7 @@
             endpoint: format!("e{endpoint}"),
             endpoint_incarnation: 1,
             requests: requests.collect(),
+            age_ms: 0,
         }],
     })
 }
@@ -195,6 +197,49 @@
     }
 }
 
+/// Guards against a sound part that is refused because a router that has not served it
+/// lately saw requests with it at endpoints that failed for other reasons.
+#[test]
+fn a_part_that_another_router_served_just_before_is_not_blamed() {
+    let mut ledger = test_ledger();
+    for n in 0..10_u8 {
+        let at_ms = u64::from(n) * APART_MS;
+        let mut busy = to_trait(1, &[1]);
+        busy.answered_lately = true;
+        let busy = Body::ReportCrashes(ReportCrashes {
+            crashes: vec![Crash {
+                endpoint: format!("e{n}"),
+                endpoint_incarnation: 1,
+                requests: vec![CrashedRequest {
+                    whole: Some(to_trait(100 + n, &[])),
+                    parts: vec![busy],
+                }],
+                age_ms: 0,
+            }],
+        });
+        report(&mut ledger, at_ms, busy);
+        let idle = crash(usize::from(n), &[seen(150 + n, &[1], &[])]);
+        let got = report(&mut ledger, at_ms + 1, idle);
+        assert!(got.is_empty(), "crash {n}");
+    }
+}
+
+/// Guards against a sound part that is refused because endpoints that failed together
+/// were reported one after the other.
+#[test]
+fn crashes_that_are_reported_late_count_from_when_they_were_noticed() {
+    let mut ledger = test_ledger();
+    for n in 0..4_u8 {
+        let mut body = crash(usize::from(n), &[seen(101 + n, &[9], &[])]);
+        let age_ms = u64::from(n) * 300;
+        if let Body::ReportCrashes(r) = &mut body {
+            r.crashes[0].age_ms = age_ms;
+        }
+        let got = report(&mut ledger, 10_000 + age_ms, body);
+        assert!(got.is_empty(), "crash {n}");
+    }
+}
+
 /// Guards against a deadly part that is free again for as many crashes as at first.
 #[test]
 fn one_crash_after_the_quarantine_renews_it() {
@@ -212,6 +257,21 @@
     assert_eq!(report(&mut ledger, end_ms + 1, deadly(4)), [9], "renewed");
 }
 
+/// Guards against a sound part that is refused again after each crash of an endpoint,
+/// though it was answered since its release.
+#[test]
+fn one_crash_after_an_answer_does_not_renew_a_quarantine() {
+    let mut ledger = test_ledger();
+    let quarantine_ms = ledger.config().value("condemn_ms", "");
+    for n in 0..3 {
+        let body = crash(n, &[seen(100 + n as u8, &[9], &[])]);
+        report(&mut ledger, n as u64 * APART_MS, body);
+    }
+    let end_ms = 2 * APART_MS + quarantine_ms;
+    let answered = crash(4, &[seen(104, &[9], &[9])]);
+    assert!(report(&mut ledger, end_ms + 1, answered).is_empty());
+}
+
 /// Guards against memory that grows with every crash and every request.
 #[test]
 fn records_of_crashes_are_bounded() {
@@ -222,6 +282,7 @@
             RequestTrait {
                 fingerprint: [id.to_be_bytes(), id.to_be_bytes()].concat(),
                 answered: false,
+                answered_lately: false,
             }
         };
         let requests = (0..200).map(|k| CrashedRequest {
@@ -233,6 +294,7 @@
                 endpoint: format!("e{n}"),
                 endpoint_incarnation: 1,
                 requests: requests.collect(),
+                age_ms: 0,
             }],
         });
         apply_at(&mut ledger, n as u64, body);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -113,7 +113,11 @@
         }
         Ok(head) => {
             let id = String::from_utf8_lossy(head.id.as_bytes()).into_owned();
-            let result = forward(cx, received_at, &id, head, req).await;
+            let result = tokio::select! {
+                biased;
+                result = forward(cx, received_at, &id, head, req) => result,
+                () = cx.abandon.cancelled() => Err(stopping()),
+            };
             (id, result)
         }
     };
@@ -236,6 +240,8 @@
     let traits = crashes::request_traits(&parts, team, &body, &head.prompt);
     crashes::check_quarantine(cx, &traits)?;
     let charge = reserve(cx, id, service, team, head.tokens, deadline).await?;
+    // The wait for tokens may have taken a while.
+    crashes::check_quarantine(cx, &traits)?;
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     let outbound = OutboundRequest {
@@ -284,6 +290,15 @@
     })
 }
 
+/// Returns the refusal of a request that an endpoint may run when the router stops.
+fn stopping() -> Refusal {
+    Refusal::bad_gateway(
+        "stopping",
+        "this router stopped before the request was answered",
+        RunState::Unknown,
+    )
+}
+
 fn router_busy(delay: Duration) -> Refusal {
     let ms = delay.as_millis();
     Refusal::unavailable(
@@ -399,13 +414,15 @@
                 endpoint_failure.ok_or_else(|| refusal_of_unknown(is_late))
             });
         }
-        crashes::record_answer(cx, &outbound.traits);
         let mut resp = Response::from_parts(response_head(&answer), Body::empty());
         let left = outbound.deadline.saturating_sub(cx.now());
         let status = answer.status;
         match tokio::time::timeout(left, answer.read_to_end(left)).await {
             Ok(Ok(body)) => {
                 *resp.body_mut() = Body::from(body);
+                if status.is_success() {
+                    crashes::record_answer(cx, &outbound.traits);
+                }
                 if status.is_server_error() {
                     in_flight.end(Outcome::Failed);
                     progress.may_have_run = true;
@@ -423,6 +440,9 @@
                     "endpoint" => &in_flight.pick.endpoint, "error" => %e,
                     "by" => ended_by(&e));
                 progress.may_have_run = true;
+                if e.is_connection_failure() {
+                    crashes::record_broken(cx, &in_flight.pick, &outbound.traits);
+                }
                 in_flight.end(Outcome::Broken);
             }
             Err(_) => {
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -1,20 +1,32 @@
 //! Requests that crash the endpoints that begin to answer them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::RequestTraits;
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::Reply;
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
+use anvilloft_relay::RelayOptions;
+use anvilloft_wire::Control;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Crash;
+use anvilloft_wire::command::CrashedRequest;
+use anvilloft_wire::command::ReportCrashes;
+use anvilloft_wire::command::RequestTrait;
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
 use crate::common::call;
 use crate::common::eventually;
+use crate::common::log;
+use crate::common::stream_head;
 use crate::common::whole_stream;
 
 const ENDPOINTS: u32 = 12;
@@ -33,6 +45,15 @@
     /// Starts routers and endpoints, which crash on requests whose head or body holds
     /// `deadly`.
     async fn start(service: &str, deadly: &'static str) -> Self {
+        Self::start_with(service, deadly, |_| Vec::new()).await
+    }
+
+    /// Starts them with endpoints that send `beginning` before they crash.
+    async fn start_with(
+        service: &str,
+        deadly: &'static str,
+        beginning: fn(&str) -> Vec<u8>,
+    ) -> Self {
         let fleet = Fleet::start(3).await;
         fleet.publish(1, 1_000_000).await;
         let crashes = Arc::new(AtomicU64::new(0));
@@ -42,7 +63,11 @@
             let endpoint = RawEndpoint::start(move |req| {
                 if req.head.contains(deadly) || req.body.contains(deadly) {
                     crashes.fetch_add(1, Ordering::Relaxed);
-                    vec![Step::Wait(Duration::from_millis(20)), Step::Crash]
+                    vec![
+                        Step::Send(beginning(&req.attempt)),
+                        Step::Wait(Duration::from_millis(20)),
+                        Step::Crash,
+                    ]
                 } else if is_engine {
                     whole_stream(&req, 2)
                 } else {
@@ -103,6 +128,46 @@
     assert_eq!(f.crashes(), crashes, "a refused request was sent");
 }
 
+/// Guards against a router that runs what the others refuse, because it started, or
+/// reached control, after the quarantine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_starts_after_a_quarantine_learns_of_it() {
+    let mut f = CrashingFleet::start("engines", "x-never").await;
+    let prompt_parts = [9, 0].map(|id| PromptPart { id, tokens: 50 });
+    let part = RequestTraits::new(&[], &prompt_parts).parts[0];
+    let to_trait = |fingerprint: Vec<u8>| RequestTrait {
+        fingerprint,
+        ..RequestTrait::default()
+    };
+    for n in 0..3_u8 {
+        let report = ReportCrashes {
+            crashes: vec![Crash {
+                endpoint: format!("gone{n}"),
+                endpoint_incarnation: 1,
+                requests: vec![CrashedRequest {
+                    whole: Some(to_trait(vec![n; 16])),
+                    parts: vec![to_trait(part.to_vec())],
+                }],
+                age_ms: 0,
+            }],
+        };
+        let peers = f.fleet.control.peers();
+        let call = peers.call(Body::ReportCrashes(report).into(), CALL_TIMEOUT);
+        call.await.unwrap();
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let options = RelayOptions::builder("late", "a", listen).build();
+    f.fleet.add_relay("late", options, &log()).await;
+    eventually("the late router refuses", || {
+        let text = f.fleet.relays[3].metrics().text();
+        text.contains("anvilloft_quarantined_traits 1")
+    })
+    .await;
+    let reply = f.send(3, prompt(1, "1,9")).await;
+    assert!(reply.text().contains("\"code\":\"quarantined\""));
+}
+
 /// Guards against one request that its caller sends again and again, at any router.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_endpoints_is_refused_when_it_is_sent_again() {
@@ -123,6 +188,70 @@
     }
 }
 
+/// Guards against endpoints that crash one after the other on a request of which they
+/// have sent the beginning of an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_endpoints_during_its_answer_is_refused() {
+    struct Case {
+        name: &'static str,
+        service: &'static str,
+        path: &'static str,
+        beginning: fn(&str) -> Vec<u8>,
+    }
+    let cases = [
+        Case {
+            name: "after the header",
+            service: "plain",
+            path: "/any/x",
+            beginning: |id| cut_answer(id, 0),
+        },
+        Case {
+            name: "in the body",
+            service: "plain",
+            path: "/once/x",
+            beginning: |id| cut_answer(id, 5),
+        },
+        Case {
+            name: "a stream without an event",
+            service: "engines",
+            path: "/stream/x",
+            beginning: |id| stream_head(id).into_bytes(),
+        },
+        Case {
+            name: "a stream without chunks, inside its first event",
+            service: "engines",
+            path: "/stream/x",
+            beginning: |id| {
+                let head = stream_head(id).replace("transfer-encoding: chunked\r\n", "");
+                (head + "id: 1\ndata: x").into_bytes()
+            },
+        },
+    ];
+    for case in cases {
+        let f = CrashingFleet::start_with(case.service, "deadly", case.beginning).await;
+        for n in 0..30 {
+            let call = call(case.path, "deadly", &format!("{n:032x}"));
+            let relay = &f.fleet.relays[n % f.fleet.relays.len()];
+            // The answer may be cut off.
+            let _ = call.send(relay.address(), CALL_TIMEOUT).await;
+            tokio::time::sleep(SETTLE_TIME / 4).await;
+        }
+        let crashes = f.crashes();
+        assert!(
+            crashes > 0 && crashes <= MAX_CRASHES,
+            "{}: {crashes} requests crashed endpoints",
+            case.name
+        );
+    }
+}
+
+/// Returns an answer without the end of its body, of which `sent` bytes are there.
+fn cut_answer(id: &str, sent: usize) -> Vec<u8> {
+    let mut answer = whole_answer(id, "0123456789");
+    answer.truncate(answer.len() - 10 + sent);
+    answer
+}
+
 /// Guards against sound requests that are refused because all endpoints failed at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoints_that_fail_together_quarantine_nothing() {
