--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -50,6 +50,8 @@
 use crate::loans::LoanHandler;
 use crate::state::RelayState;
 
+mod crash_reports;
+
 /// Interval between lease renewals. A route table is requested as soon as control
 /// announces a newer one, so for tables renewals only make up for lost messages.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -69,8 +71,6 @@
 /// Maximum number of peers that a router connects to. In small deployments this
 /// connects all routers with each other.
 const MAX_PEERS: usize = 10;
-/// Maximum number of reports of crashes in flight. Further crashes are not reported.
-const MAX_CRASH_REPORTS: usize = 16;
 /// Increment of an incarnation that control refuses because it is older than the
 /// last one, as happens when the host's clock was set back.
 const INCARNATION_STEP_MS: u64 = 60_000;
@@ -321,34 +321,6 @@
         }
     }
 
-    /// Reports crashed endpoints to control.
-    fn report_crashes(&mut self, report: ReportCrashes) {
-        if self.crash_reports >= MAX_CRASH_REPORTS {
-            slog::warn!(self.cx.log, "crashes not reported"; "endpoints" => report.crashes.len());
-            return;
-        }
-        self.crash_reports += 1;
-        slog::info!(self.cx.log, "crashes reported"; "endpoints" => report.crashes.len(),
-            "requests" => report.crashes.iter().map(|c| c.requests.len()).sum::<usize>());
-        self.call(Body::ReportCrashes(report.clone()), move |r| {
-            CompletedCall::CrashesReported(report, r)
-        });
-    }
-
-    fn on_crashes_reported(&mut self, report: ReportCrashes, result: CallResult) {
-        self.crash_reports -= 1;
-        match result.map(|r| r.answer) {
-            Ok(Some(Answer::Applied(reply))) => match reply.reply {
-                Some(Reply::Quarantined(q)) => crashes::add_quarantined(&self.cx, &q),
-                reply => {
-                    slog::error!(self.cx.log, "report of crashes refused"; "reply" => ?reply);
-                }
-            },
-            // A report has the same effect when it's applied twice.
-            _ => self.report_crashes(report),
-        }
-    }
-
     /// Requests a renewal of the lease.
     fn renew(&mut self) {
         if self.renewing || *self.phase.borrow() == Phase::Registering {
