Log how a connection ended before it counts as closed

Cause: the guard of a connection took it off the open ones first and logged its end then. The test reads the log as soon as no connection is open; so does a planned stop, which ends the process, so the line that says why the last request has no answer could be missing. Change: the end is logged and counted before the connection counts as closed.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -280,11 +280,9 @@
             error: None,
         }
     }
-}
 
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.observer.metrics.connections.dec();
+    /// Logs and counts the end of the connection if a request has no complete answer.
+    fn record_end(&self) {
         let unfinished = self.state.unfinished();
         if unfinished.is_none() && self.cause != EndCause::ProtocolError {
             return;
@@ -301,6 +299,14 @@
     }
 }
 
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.record_end();
+        // A planned stop exits the process once no connection is open.
+        self.observer.metrics.connections.dec();
+    }
+}
+
 fn check_interval(timeouts: Timeouts) -> Duration {
     let shortest = timeouts.header.min(timeouts.idle);
     shortest.clamp(HEADER_POLL_INTERVAL, CHECK_INTERVAL)
--- a/crates/gateway/tests/connections/common.rs
+++ b/crates/gateway/tests/connections/common.rs
@@ -118,6 +118,26 @@
     }
 }
 
+/// Values that a gauge has when lines with some message are logged.
+#[derive(Clone)]
+pub(crate) struct GaugeAtLine {
+    pub(crate) message: &'static str,
+    pub(crate) gauge: IntGauge,
+    pub(crate) values: Arc<Mutex<Vec<i64>>>,
+}
+
+impl Drain for GaugeAtLine {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
+        if record.msg().to_string() == self.message {
+            self.values.lock().unwrap().push(self.gauge.get());
+        }
+        Ok(())
+    }
+}
+
 /// A running server.
 pub(crate) struct Server {
     pub(crate) address: SocketAddr,
@@ -132,10 +152,18 @@
     }
 
     pub(crate) async fn start_logging(limits: ConnectionLimits, log: Logger) -> Self {
+        Self::start_with(limits, Arc::new(Metrics::new().unwrap()), log).await
+    }
+
+    pub(crate) async fn start_with(
+        limits: ConnectionLimits,
+        metrics: Arc<Metrics>,
+        log: Logger,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server = Self {
             address: listener.local_addr().unwrap(),
-            metrics: Arc::new(Metrics::new().unwrap()),
+            metrics,
             stop: CancellationToken::new(),
             finish: CancellationToken::new(),
         };
--- a/crates/gateway/tests/connections/ends.rs
+++ b/crates/gateway/tests/connections/ends.rs
@@ -1,11 +1,16 @@
 //! Ends of connections whose requests have no complete answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use anvilloft_gateway::metrics::Metrics;
 use anvilloft_gateway::serve::ConnectionLimits;
+use slog::Logger;
+use slog::o;
 use tokio::io::AsyncReadExt;
 
 use crate::common::CapturedLog;
+use crate::common::GaugeAtLine;
 use crate::common::LARGE_BYTES;
 use crate::common::Server;
 use crate::common::head;
@@ -143,6 +148,26 @@
     futures::future::join_all(run).await;
 }
 
+/// Guards against a planned stop that exits before the end of the last connection is
+/// logged, as it waits only for open connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_counts_as_open_until_its_end_is_logged() {
+    let metrics = Arc::new(Metrics::new().unwrap());
+    let open = GaugeAtLine {
+        message: "connection ended early",
+        gauge: metrics.connections.clone(),
+        values: Arc::default(),
+    };
+    let log = Logger::root(open.clone(), o!());
+    let server = Server::start_with(ConnectionLimits::default(), metrics, log).await;
+    let mut caller = server.connect().await;
+    caller.write(&head("/hang", "")).await.unwrap();
+    drop(caller);
+    let values = &open.values;
+    eventually("the end is logged", || !values.lock().unwrap().is_empty()).await;
+    assert_eq!(*values.lock().unwrap(), [1]);
+}
+
 /// Guards against a panic while a body is sent that makes the answer look complete, or
 /// leaves the connection counted as open.
 #[tokio::test(flavor = "multi_thread")]
