Lock reserves again soon after a partition

Cause: nothing is locked while grants take 25 ms or more on average, as a request that a lock holds up waits for one. Grants that waited through a partition of 7 s counted with up to 1 s each, so the average was at 200 ms when it ended and below 25 ms only 4 to 5 s later. A router that died meanwhile had locked nothing, and all that it held counted as used. Change: a reply that comes while control has been silent for longer than a lock holds doesn't count, and a grant's latency is measured from when the contact was regained. Why it works: what a lock costs is the latency of a grant in contact. Control that is slow, but heard, still counts as slow (nothing_is_locked_while_grants_are_slow). Test: a_reserve_is_locked_again_soon_after_a_partition failed before ("the newest report locks nothing"). Ruled out: locks that control lost (the reports carry none), few requests in reserve.

--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -48,8 +48,6 @@
 /// Default of [`Allotments::set_idle_timeout`], the same as the built-in
 /// `allotment_idle_ms`.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Weight of the newest reply in the moving average of the grants' latency.
-const GRANT_LATENCY_WEIGHT: f64 = 0.1;
 /// Refusal code after which the grant is requested again with a new sequence number.
 const STALE_GRANT: &str = "stale_grant";
 
@@ -149,8 +147,10 @@
     demand_window: Duration,
     lending: Option<ReservePolicy>,
     locks: Locks,
-    // Moving average of the time from a grant request to its reply.
+    // Moving average of the time from a grant request to its reply, in contact.
     grant_latency: Duration,
+    // When control was first heard after the contact was last lost.
+    contact_since: Duration,
     // When idle tokens were last looked for.
     last_idle_scan: Duration,
     next_reserve_scan: Duration,
@@ -176,6 +176,7 @@
             lending: None,
             locks: Locks::default(),
             grant_latency: Duration::ZERO,
+            contact_since: Duration::ZERO,
             last_idle_scan: Duration::ZERO,
             next_reserve_scan: Duration::ZERO,
             draining: false,
@@ -363,9 +364,11 @@
             return Vec::new();
         };
         let (need, want) = (o.grant.need, o.grant.want);
-        let latency = now.saturating_sub(o.sent_at);
-        self.grant_latency = self.grant_latency.mul_f64(1.0 - GRANT_LATENCY_WEIGHT)
-            + latency.mul_f64(GRANT_LATENCY_WEIGHT);
+        let sent_at = o.sent_at;
+        self.record_grant_latency(now, sent_at);
+        let Some(local) = self.budgets.get_mut(&budget) else {
+            return Vec::new();
+        };
         let mut results = Vec::new();
         match &reply.reply {
             Some(Reply::Granted(g)) => {
@@ -510,6 +513,9 @@
 
     /// Handles control's acknowledgement of every report up to `seq`.
     pub fn on_report_ack(&mut self, now: Duration, seq: u64) {
+        if self.has_lost_contact(now) {
+            self.contact_since = now;
+        }
         self.outbox.acknowledge(seq);
         self.locks.on_report_ack(now, seq);
         self.returning.retain(|budget| {
--- a/crates/budget/src/allotments/lending.rs
+++ b/crates/budget/src/allotments/lending.rs
@@ -14,6 +14,9 @@
 /// size; the tokens of further budgets stay usable.
 const MAX_LOCKED_BUDGETS: usize = 256;
 
+/// Weight of the newest reply in the moving average of the grants' latency.
+const GRANT_LATENCY_WEIGHT: f64 = 0.1;
+
 /// Minimum size of a reserve that is locked, in requests of the largest size in use.
 const MIN_LOCKED_REQUESTS: u64 = 3;
 
@@ -71,6 +74,11 @@
         Some((need.max(1), need.saturating_add(growth)))
     }
 
+    /// Returns for how long all of a lock holds without contact with control.
+    fn hold(&self) -> Duration {
+        self.unlock * 2 / 3
+    }
+
     /// Returns the number of idle tokens to lock.
     ///
     /// A reserve of a few requests is not locked: until it is unlocked, a router that is
@@ -144,6 +152,27 @@
         self.locks.usable(now, budget, idle)
     }
 
+    /// Returns whether a lending router waits for control for longer than its locks hold.
+    pub(super) fn has_lost_contact(&self, now: Duration) -> bool {
+        let silent_for = self.locks.since_ack(now);
+        self.outbox.unacknowledged() > 0
+            && self
+                .lending
+                .zip(silent_for)
+                .is_some_and(|(policy, silent_for)| silent_for >= policy.hold())
+    }
+
+    /// Records the time to the reply of a grant request. The time without contact says
+    /// nothing about how long a grant takes in contact.
+    pub(super) fn record_grant_latency(&mut self, now: Duration, sent_at: Duration) {
+        if self.has_lost_contact(now) {
+            return;
+        }
+        let latency = now.saturating_sub(sent_at.max(self.contact_since));
+        self.grant_latency = self.grant_latency.mul_f64(1.0 - GRANT_LATENCY_WEIGHT)
+            + latency.mul_f64(GRANT_LATENCY_WEIGHT);
+    }
+
     /// Seals the reports that are due. The first of them locks the idle tokens if
     /// every report before it was acknowledged.
     pub(super) fn seal_reports(&mut self, now: Duration) {
--- a/crates/budget/tests/lending.rs
+++ b/crates/budget/tests/lending.rs
@@ -142,3 +142,60 @@
         );
     }
 }
+
+/// Guards against a router that locks nothing for seconds after a partition, because the
+/// time without contact counted as slow grants; its tokens are lost if it dies then.
+#[test]
+fn a_reserve_is_locked_again_soon_after_a_partition() {
+    const BUDGETS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    const STEP: Duration = Duration::from_millis(20);
+    let mut allotments = Allotments::new("r".into(), 1);
+    allotments.set_demand_window(5 * SECOND);
+    allotments.set_report_delay(Duration::from_millis(300));
+    allotments.set_lending(ReservePolicy {
+        grant_interval: SECOND,
+        target: 10 * SECOND,
+        growth: 2 * SECOND,
+        working: SECOND,
+        unlock: 3 * SECOND,
+        max_grant_latency: Duration::from_millis(25),
+    });
+    let (cut, healed) = (10 * SECOND, 17 * SECOND);
+    // Requests that wait for their replies, with the time of the first try.
+    let mut grants = Vec::new();
+    let mut is_locked = false;
+    let mut now = Duration::ZERO;
+    while now < healed + SECOND {
+        now += STEP;
+        for budget in BUDGETS {
+            if let Ok(id) = allotments.reserve(now, budget, 10) {
+                allotments.settle(now, id, 10, None);
+            }
+        }
+        let is_cut = now > cut && now < healed;
+        if !is_cut {
+            for (seq, want) in grants.drain(..) {
+                let granted = Granted { amount: want };
+                let reply = CommandReply {
+                    reply: Some(Reply::Granted(granted)),
+                };
+                for result in allotments.on_grant(now, seq, &reply) {
+                    allotments.release(now, result.outcome.expect("a grant"));
+                }
+            }
+        }
+        while let Some(grant) = allotments.next_grant(now) {
+            if !grants.iter().any(|(seq, _)| *seq == grant.seq) {
+                grants.push((grant.seq, grant.want));
+            }
+        }
+        while let Some(report) = allotments.next_report(now) {
+            if is_cut {
+                break;
+            }
+            allotments.on_report_ack(now, report.seq);
+            is_locked = report.locked.is_some_and(|l| !l.amounts.is_empty());
+        }
+    }
+    assert!(is_locked, "the newest report locks nothing");
+}
