Begin a stream elsewhere when its endpoint is silent after the header

What callers saw: 504 endpoint_late at the deadline, although another endpoint was free and nothing of the stream had been delivered.

Cause: only a stream with a last event id was offered to another endpoint. Between its header and its first event it has none, and the wait was for the whole deadline.

Change: before the first event, a stream that may be repeated is offered to another endpoint like one that waits for its header: after 1.5 times the objective, within the retry budget and the route's limit. The caller gets the header of the endpoint whose events it gets. A first endpoint that breaks during this is reported as a possible crash, as it is outside of it.

Why it works: nothing of the first answer has been passed on, so the other endpoint begins with the first event and no piece can be missing or come twice.

Ruled out: comments as a sign of progress. A stream with comments alone is moved as it is between events.

Evidence: a_stream_that_is_silent_after_its_header_begins_at_another_endpoint failed before ("/stream/x, Nothing: endpoint_late", left: 504, right: 200). Its cases for routes with one endpoint and without repeats still end with 504 after one request. a_late_first_event_during_a_move_keeps_the_stream_whole passed before and after.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -103,6 +103,12 @@
         };
         self.objective.mul_f64(factor)
     }
+
+    /// Returns the timer of the silence of an endpoint that was heard, or got the request,
+    /// at `now`.
+    pub(crate) fn stall_timer(&self, now: Duration) -> SilenceTimer {
+        SilenceTimer::new(self.stall_timeout(), ASK_INTERVAL, now)
+    }
 }
 
 /// Counts a request as in flight at an endpoint until it ends. Dropping it
@@ -258,7 +264,7 @@
     }
 
     pub(crate) fn silence_timer(&self, outbound: &OutboundRequest) -> SilenceTimer {
-        SilenceTimer::new(outbound.stall_timeout(), ASK_INTERVAL, self.started_at)
+        outbound.stall_timer(self.started_at)
     }
 
     /// Closes the connection, as another endpoint has the request.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -58,8 +58,8 @@
 
 /// Pause between events after which a resumable stream is offered to another endpoint,
 /// as a multiple of the route's `max_gap`. The answer is late by then, and callers give
-/// up at eight times `max_gap`. Any other stream is never cut for a pause: nobody else
-/// could go on with it.
+/// up at eight times `max_gap`. Before the first event, the limit is that of an answer's
+/// header. Any other stream is never cut for a pause: nobody else could go on with it.
 const FAILED_AFTER_GAPS: u32 = 3;
 /// Maximum length of what precedes the first event with data or an id, in bytes.
 const MAX_PREFACE_BYTES: usize = 64 * 1024;
@@ -156,6 +156,15 @@
     }
 }
 
+/// Returns the timer of the silence between events.
+fn gap_timer(outbound: &OutboundRequest, now: Duration) -> SilenceTimer {
+    let limit = match outbound.kind {
+        RouteKind::Stream { max_gap, .. } => max_gap.saturating_mul(FAILED_AFTER_GAPS),
+        _ => Duration::MAX,
+    };
+    SilenceTimer::new(limit, ASK_INTERVAL, now)
+}
+
 /// Whether another endpoint can go on with an endpoint's answer.
 fn is_resumable(answer: &EndpointResponse, splitter: &EventSplitter) -> bool {
     is_event_stream(answer) && splitter.can_resume()
@@ -168,6 +177,7 @@
             if self.has_begun() && !self.comments.is_empty() {
                 return Some(Ok(self.comments.split().freeze()));
             }
+            let has_begun = self.has_begun();
             let (_, answer) = self.current.as_mut()?;
             let now = self.cx.now();
             let left = self.outbound.deadline.saturating_sub(now);
@@ -178,8 +188,9 @@
                 };
                 return self.fail(StreamError::DeadlineExceeded, outcome);
             }
-            // Without an id, another endpoint would begin with the first event.
-            let can_move = self.splitter.last_id().is_some()
+            // Without an id, another endpoint would begin with the first event, of which the
+            // caller must have nothing then.
+            let can_move = (!has_begun || self.splitter.last_id().is_some())
                 && self.outbound.kind.is_retryable()
                 && is_resumable(answer, &self.splitter);
             // Bytes that complete no event with data or an id are no progress.
@@ -235,6 +246,7 @@
         let now = self.cx.now();
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
+            self.silence = gap_timer(&self.outbound, now);
             crashes::record_answer(&self.cx, &self.outbound.traits);
         } else {
             let gap = now.saturating_sub(self.last_events_at);
@@ -333,7 +345,7 @@
         };
         match first {
             First::Current(Read::Broken(e)) => {
-                self.close_current(ended_by(&e), &e.to_string());
+                self.close_broken(&e);
                 Some(self.resume_at(Some(other)).await)
             }
             First::Current(read) => {
@@ -398,6 +410,18 @@
         can_resume
     }
 
+    /// Closes the connection to an endpoint that broke the stream. Returns whether another
+    /// endpoint can go on with it.
+    fn close_broken(&mut self, error: &ClientError) -> bool {
+        if let Some((in_flight, _)) = &self.current
+            && !self.has_begun()
+            && error.is_connection_failure()
+        {
+            crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
+        }
+        self.close_current(ended_by(error), &error.to_string())
+    }
+
     fn go_on_with(&mut self, answered: EndpointAnswer) {
         let EndpointAnswer { in_flight, answer } = answered;
         slog::info!(self.cx.log, "stream resumed"; "request" => &self.outbound.id,
@@ -412,13 +436,7 @@
 
     /// Resumes the stream at another endpoint after the last whole event.
     async fn resume(&mut self, error: &ClientError) -> Result<(), StreamError> {
-        if let Some((in_flight, _)) = &self.current
-            && self.first_event_at.is_none()
-            && error.is_connection_failure()
-        {
-            crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
-        }
-        if !self.close_current(ended_by(error), &error.to_string()) {
+        if !self.close_broken(error) {
             return Err(StreamError::EndpointFailed);
         }
         match self.resume_at(None).await {
@@ -495,10 +513,7 @@
         in_flight: InFlightRequest,
         answer: EndpointResponse,
     ) -> Result<http::Response<Body>, StreamError> {
-        let max_silence = match outbound.kind {
-            RouteKind::Stream { max_gap, .. } => max_gap.saturating_mul(FAILED_AFTER_GAPS),
-            _ => Duration::MAX,
-        };
+        let silence = outbound.stall_timer(cx.now());
         let mut source = ResumingStream {
             cx: Arc::clone(cx),
             outbound,
@@ -510,7 +525,7 @@
             comments: BytesMut::new(),
             first_event_at: None,
             last_events_at: Duration::ZERO,
-            silence: SilenceTimer::new(max_silence, ASK_INTERVAL, cx.now()),
+            silence,
             kept_for: None,
             longest_gap: Duration::ZERO,
         };
--- a/crates/relay/tests/relay/beginnings.rs
+++ b/crates/relay/tests/relay/beginnings.rs
@@ -227,6 +227,75 @@
     assert_eq!(reply.text(), format!(": second\n\n{}", event(1)));
 }
 
+/// Guards against a stream that ends with 504 because its endpoint is silent after the
+/// header, although another endpoint could begin it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_silent_after_its_header_begins_at_another_endpoint() {
+    struct Case {
+        path: &'static str,
+        start: Start,
+        status: u16,
+        /// Requests that reach an endpoint.
+        sent: u64,
+    }
+    let case = |path, start, status, sent| Case {
+        path,
+        start,
+        status,
+        sent,
+    };
+    let cases = [
+        case("/stream/x", Start::Nothing, 200, 2),
+        case("/stream/x", Start::Comments, 200, 2),
+        case("/stream/x", Start::PartOfEvent, 200, 2),
+        case("/single/x", Start::Nothing, 504, 1),
+        case("/fragile/x", Start::Nothing, 504, 1),
+    ];
+    for c in cases {
+        let sent = Arc::new(AtomicU64::new(0));
+        let (count, start) = (Arc::clone(&sent), c.start);
+        let fleet = start_fleet(&["e1", "e2"], move |req, no| {
+            count.fetch_add(1, Ordering::Relaxed);
+            match no {
+                0 => begin(&req.attempt, start),
+                _ => whole_stream(&req, 3),
+            }
+        })
+        .await;
+        let (reply, _) = send_within(&fleet, c.path, 2_000).await;
+        let what = format!("{}, {:?}: {:?}", c.path, c.start, reply.text());
+        assert_eq!(reply.status, c.status, "{what}");
+        assert_eq!(sent.load(Ordering::Relaxed), c.sent, "{what}");
+        if c.status == 200 {
+            assert!(reply.complete, "{what}");
+            assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+        }
+    }
+}
+
+/// Guards against a sound endpoint that is given up, or events of two endpoints, when the
+/// first event comes while another endpoint has the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_first_event_during_a_move_keeps_the_stream_whole() {
+    // The other one is asked 600 ms after the header.
+    const SILENCE: Duration = Duration::from_millis(680);
+    let fleet = start_fleet(&["e1", "e2"], |req, no| match no {
+        0 => vec![
+            send(stream_head(&req.attempt)),
+            Step::Wait(SILENCE),
+            send(chunk(&event(1)) + &chunk(&event(2)) + "0\r\n\r\n"),
+        ],
+        _ => vec![
+            Step::Wait(SILENCE),
+            send(stream_head(&req.attempt) + &chunk(&event(1)) + "0\r\n\r\n"),
+        ],
+    })
+    .await;
+    let (reply, _) = send_within(&fleet, "/stream/x", 4_000).await;
+    assert!(reply.complete, "{} {:?}", reply.status, reply.text());
+    assert_eq!(reply.text(), event(1) + &event(2));
+}
+
 /// Guards against a regular answer without events that is taken for a failure, and
 /// against a success that waits for an event.
 #[tokio::test(flavor = "multi_thread")]
