Count a connection as open until its caller has read the refusal

What callers saw: a reset instead of a refusal, when a router stopped while they still sent the body of the refused request.

Cause: a connection whose body is refused is shut down and then read for up to 2 s, so that the refusal isn't lost. It left the count of open connections before that. A planned stop waits for the count to be 0, so the process could end, and the kernel then resets a connection with unread bytes.

Change: the connection counts until that is over. The line "connection ended early" of such a connection is written then, too.

Why it works: both planned stops (relay and router) wait for this count, within their limits. The time is bounded by LINGER_TIME.

Open: a connection beyond the limit isn't counted while its refusal is read.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -199,12 +199,15 @@
                 reject_connection(stream, &refusals);
                 continue;
             };
-            let guard = ConnectionGuard::new(&border.observer, peer);
+            let mut guard = ConnectionGuard::new(&border.observer, peer);
             let border = Arc::clone(&border);
             tokio::spawn(async move {
-                if let Some(stream) = serve_connection(stream, border, guard).await {
+                if let Some(stream) = serve_connection(stream, border, &mut guard).await {
                     linger(stream).await;
                 }
+                // A planned stop waits for the open connections, so the caller has its
+                // answer by now.
+                drop(guard);
                 drop(permit);
             });
         }
@@ -311,7 +314,7 @@
 async fn serve_connection<S: HttpService>(
     stream: TcpStream,
     border: Arc<Border<S>>,
-    mut guard: ConnectionGuard,
+    guard: &mut ConnectionGuard,
 ) -> Option<TcpStream> {
     let (state, peer) = (Arc::clone(&guard.state), guard.peer);
     let mut timeouts = (border.timeouts)();
@@ -368,7 +371,6 @@
     guard.cause = cause;
     let lingers = state.has_unread() || cause == EndCause::ProtocolError;
     let stream = connection.into_parts().io.into_inner().into_inner();
-    drop(guard);
     lingers.then_some(stream)
 }
 
--- a/crates/gateway/tests/connections/refusals.rs
+++ b/crates/gateway/tests/connections/refusals.rs
@@ -5,8 +5,10 @@
 
 use anvilloft_gateway::serve::ConnectionLimits;
 use tokio::io::AsyncWriteExt;
+use tokio::runtime::Runtime;
 
 use crate::common::Caller;
+use crate::common::STEP_TIMEOUT;
 use crate::common::Server;
 use crate::common::head;
 use crate::common::read_answer;
@@ -163,3 +165,41 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Guards against a refusal that is lost at a planned stop, because the process ends while
+/// the caller still sends the body.
+#[test]
+fn a_refusal_is_not_lost_with_a_process_that_has_no_open_connections() {
+    let mut failures = Vec::new();
+    // More than is discarded before the connection is shut down.
+    for chunked in [false, true] {
+        let process = Runtime::new().unwrap();
+        let server = process.block_on(Server::start(ConnectionLimits::default()));
+        let callers = Runtime::new().unwrap();
+        let caller = callers.block_on(server.connect());
+        let case = Case {
+            bytes: HUGE_BYTES,
+            chunked,
+            pause: PAUSE,
+            kept: false,
+            closes: true,
+        };
+        let sent = callers.spawn(async move { send_refused(caller, &case).await.map(drop) });
+        let started = Instant::now();
+        let mut is_open = false;
+        loop {
+            let count = server.metrics.connections.get();
+            if is_open && count == 0 {
+                break;
+            }
+            is_open |= count > 0;
+            assert!(started.elapsed() < STEP_TIMEOUT, "{count} are open");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        process.shutdown_background();
+        if let Err(e) = callers.block_on(sent).unwrap() {
+            failures.push(format!("chunked {chunked}: {e}"));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
