Raise an endpoint's backoff once for requests that fail together

What callers saw: fewer endpoints. After a silence of a moment, an endpoint was avoided for up to 4 s, while the others got its requests.

Cause: each request that breaks off doubles the endpoint's backoff. Streams that are handed over from one endpoint break off within a few milliseconds, so three of them raise it from 0.5 s to 2 s and four to its maximum of 4 s.

Change: only a request that was sent after the backoff was last raised raises it again. Each failure still prolongs the time for which the endpoint is avoided.

Why it works: a request that was in flight at the first failure says nothing about the endpoint after it. Attempts one after the other double the backoff as before.

Evidence: requests_that_break_off_together_raise_the_backoff_once failed before ("[(0, 100), (0, 100)]: avoided for longer").

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -536,13 +536,14 @@
             return;
         }
         let ended = ep.in_flight.iter().find(|r| r.no == no);
+        let sent_at = ended.map_or(now, |r| r.started);
         let streamed = ended.and_then(|r| Some((r.rank, now.saturating_sub(r.first_event_at?))));
         ep.in_flight.retain(|r| r.no != no);
         match outcome {
             Outcome::Ok => ep.health.on_success(now),
             Outcome::Failed => ep.health.on_failure(now),
             Outcome::Full => ep.health.on_full(now),
-            Outcome::Unreachable | Outcome::Broken => ep.health.on_unreachable(now),
+            Outcome::Unreachable | Outcome::Broken => ep.health.on_unreachable(now, sent_at),
             Outcome::Misdirected => {
                 ep.announcement.left = true;
                 ep.announcement.leaving = true;
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -15,7 +15,8 @@
 /// Half-life of the failure rate without new outcomes, in seconds. An endpoint that is
 /// avoided has none, and may be sound again.
 const FAILURE_HALF_LIFE_S: f64 = 5.0;
-/// Initial backoff for an unreachable endpoint; doubles with each failure.
+/// Initial backoff for an unreachable endpoint; doubles with each failure of a request
+/// that was sent after the last one.
 const MIN_BACKOFF: Duration = Duration::from_millis(500);
 /// Maximum backoff before an unreachable endpoint is tried again.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
@@ -31,6 +32,8 @@
     updated_at: Duration,
     samples: u32,
     backoff: Duration,
+    /// When the backoff was last raised.
+    raised_at: Option<Duration>,
     avoid_until: Duration,
     full_until: Duration,
     /// When the endpoint last answered a request, even with a failure or a
@@ -43,6 +46,7 @@
     pub(crate) fn on_success(&mut self, now: Duration) {
         self.record(now, 0.0);
         self.backoff = Duration::ZERO;
+        self.raised_at = None;
         self.avoid_until = Duration::ZERO;
         self.last_answer = Some(now);
     }
@@ -54,10 +58,14 @@
     }
 
     /// Records a connection that could not be opened, or that broke before the
-    /// answer was complete.
-    pub(crate) fn on_unreachable(&mut self, now: Duration) {
+    /// answer was complete. `sent_at` is when its request was sent.
+    pub(crate) fn on_unreachable(&mut self, now: Duration, sent_at: Duration) {
         self.record(now, 1.0);
-        self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
+        // Requests that were in flight together often fail for the same reason.
+        if self.raised_at.is_none_or(|at| sent_at >= at) {
+            self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
+            self.raised_at = Some(now);
+        }
         self.avoid_until = now + self.backoff;
     }
 
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -408,3 +408,46 @@
         assert!(c.expected.contains(&uses), "{broken}, {later:?}: {uses}");
     }
 }
+
+/// Guards against a sound endpoint that is avoided for long because streams that were there
+/// at the same time were handed over when it was silent for a moment.
+#[test]
+fn requests_that_break_off_together_raise_the_backoff_once() {
+    struct Case {
+        /// When each request is sent and when it breaks off, in milliseconds.
+        broken: &'static [(u64, u64)],
+        /// Time for which the endpoint is avoided after the last of them.
+        expected: Duration,
+    }
+    let case = |broken, expected| Case { broken, expected };
+    let ms = Duration::from_millis;
+    let cases = [
+        case(&[(0, 100)], ms(500)),
+        case(&[(0, 100), (0, 100)], ms(500)),
+        case(&[(0, 100), (20, 110), (99, 120)], ms(500)),
+        // One after the other.
+        case(&[(0, 100), (700, 800)], ms(1_000)),
+        case(&[(0, 100), (700, 800), (790, 810)], ms(1_000)),
+        case(&[(0, 100), (700, 800), (1_900, 2_000)], ms(2_000)),
+    ];
+    for c in cases {
+        let mut d = dispatcher(&[("e1", "a"), ("e2", "a")]);
+        let mut steps: Vec<(u64, bool, u64)> = Vec::new();
+        for (no, (sent, broken)) in (0..).zip(c.broken) {
+            steps.extend([(*sent, false, no), (*broken, true, no)]);
+        }
+        steps.sort_unstable();
+        for (at, is_end, no) in steps {
+            match is_end {
+                true => d.finished(ms(at), "e1", 1, no, Outcome::Broken),
+                false => d.started(ms(at), "e1", no, &plain(&[])),
+            }
+        }
+        let (_, last) = c.broken.last().unwrap();
+        let tried = ["e2".to_owned()];
+        let mut is_usable = |after| d.choose_usable(ms(*last) + after, &plain(&tried)).is_some();
+        let what = format!("{:?}", c.broken);
+        assert!(!is_usable(c.expected - ms(1)), "{what}: not avoided");
+        assert!(is_usable(c.expected), "{what}: avoided for longer");
+    }
+}
