Keep a silent endpoint rather than wait in the queue of another one

What callers saw: 504, or a stream that broke off, although their endpoint was sound and went on 1.5 s after it fell silent.

Cause: the silent endpoint was closed 200 ms after another one had accepted the request. That one may only have queued it, and nothing was known about its queue.

Change: - An endpoint without a free slot, by the load that the routers report to each other, is asked only after twice the usual silence, and never while the silent endpoint answers other requests. - A plain request to a service without engines stays at both endpoints until one is heard. If the route allows a third one, the first is left once the second has been silent for as long as the first was.

Why it works: such a request may run more than once, so two endpoints may have it, and the first answer is passed on.

Ruled out: both engines until one is heard. If two engines run a request without a word, the overlap has no bound, and two_endpoints_do_not_work_on_a_stream_for_long would have to go. Dropping the other engine instead: on routes with two endpoints, that uses up the only move, and a stream at a dead endpoint would be lost.

Open: an engine with a free slot that is silent, too, still gets a stream after 200 ms.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -266,6 +266,15 @@
     ///
     /// `NoEndpoint` if no endpoint takes new work or all of them were tried.
     pub fn choose(&mut self, now: Duration, req: &DispatchRequest<'_>) -> Result<Pick, NoEndpoint> {
+        self.choose_among(now, req, false)
+    }
+
+    fn choose_among(
+        &mut self,
+        now: Duration,
+        req: &DispatchRequest<'_>,
+        needs_free_slot: bool,
+    ) -> Result<Pick, NoEndpoint> {
         let of_service: Vec<usize> = (0..self.endpoints.len())
             .filter(|at| {
                 let announcement = &self.endpoints[*at].announcement;
@@ -288,6 +297,7 @@
             .iter()
             .copied()
             .filter(|at| self.is_usable(now, *at, baseline))
+            .filter(|at| !needs_free_slot || self.endpoints[*at].utilization() < 1.0)
             .collect();
         let candidates = if usable.is_empty() { &untried } else { &usable };
         let (at, reason) = match req.engine_memory {
@@ -309,9 +319,14 @@
     }
 
     /// Chooses an endpoint like [`choose`](Self::choose), but none that is avoided, full
-    /// or silent.
-    pub fn choose_usable(&mut self, now: Duration, req: &DispatchRequest<'_>) -> Option<Pick> {
-        let pick = self.choose(now, req).ok()?;
+    /// or silent; only one with a free slot if `needs_free_slot`.
+    pub fn choose_usable(
+        &mut self,
+        now: Duration,
+        req: &DispatchRequest<'_>,
+        needs_free_slot: bool,
+    ) -> Option<Pick> {
+        let pick = self.choose_among(now, req, needs_free_slot).ok()?;
         (pick.reason != Reason::LastResort).then_some(pick)
     }
 
--- a/crates/dispatch/src/handover.rs
+++ b/crates/dispatch/src/handover.rs
@@ -1,10 +1,15 @@
 //! Decides when a request that waits for a silent endpoint may move to another one.
 //!
 //! A silent endpoint may be sound and go on, so it is given up only once another
-//! endpoint has the request.
+//! endpoint has the request. Another endpoint that is full would only queue it, which is
+//! no gain while the first may go on.
 
 use anvilloft_types::prelude::*;
 
+/// Silence after which an endpoint that answers nobody is left for one that may queue the
+/// request, as a multiple of the silence after which another endpoint is asked.
+const LONG_SILENCE_FACTOR: u32 = 2;
+
 /// Why a request is sent to no other endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeepReason {
@@ -12,7 +17,8 @@
     NotRepeatable,
     /// The route's limit of endpoints is reached.
     EndpointLimit,
-    /// No endpoint that the request wasn't sent to is usable.
+    /// No endpoint that the request wasn't sent to is usable, or has the free slot that it
+    /// needs.
     NoneUsable,
     /// The retry budget of the service is used up.
     RetryBudget,
@@ -111,6 +117,13 @@
         self.silent_for(now) >= self.limit
     }
 
+    /// Whether only an endpoint with a free slot may be asked. `answers_others` tells that
+    /// the silent one has answered other requests meanwhile.
+    pub fn needs_free_slot(&self, now: Duration, answers_others: bool) -> bool {
+        let long = self.limit.saturating_mul(LONG_SILENCE_FACTOR);
+        answers_others || self.silent_for(now) < long
+    }
+
     /// Returns the time until another endpoint is to be asked for.
     pub fn until_ask(&self, now: Duration) -> Duration {
         let due_at = match self.asked_at {
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -9,9 +9,11 @@
 use anvilloft_dispatch::DispatchRequest;
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::DispatcherConfig;
+use anvilloft_dispatch::EngineLoad;
 use anvilloft_dispatch::NoEndpoint;
 use anvilloft_dispatch::Outcome;
 use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::RANKS;
 use anvilloft_dispatch::Reason;
 use anvilloft_dispatch::RetryBudget;
 
@@ -445,9 +447,55 @@
         }
         let (_, last) = c.broken.last().unwrap();
         let tried = ["e2".to_owned()];
-        let mut is_usable = |after| d.choose_usable(ms(*last) + after, &plain(&tried)).is_some();
+        let mut is_usable = |after| {
+            d.choose_usable(ms(*last) + after, &plain(&tried), false)
+                .is_some()
+        };
         let what = format!("{:?}", c.broken);
         assert!(!is_usable(c.expected - ms(1)), "{what}: not avoided");
         assert!(is_usable(c.expected), "{what}: avoided for longer");
     }
 }
+
+/// Guards against a request that moves to an endpoint that would only queue it.
+#[test]
+fn an_endpoint_with_a_free_slot_is_found_for_a_move() {
+    struct Case {
+        /// Requests that this router has at the endpoint, which has four slots.
+        own: u64,
+        /// Requests that the only other router has there.
+        of_peer: u32,
+        expected: bool,
+    }
+    let case = |own, of_peer, expected| Case {
+        own,
+        of_peer,
+        expected,
+    };
+    let cases = [
+        case(0, 0, true),
+        case(3, 0, true),
+        case(4, 0, false),
+        case(0, 4, false),
+        case(2, 1, true),
+        case(2, 2, false),
+    ];
+    let tried = ["e1".to_owned()];
+    for c in cases {
+        let mut d = dispatcher(&[("e1", "a"), ("e2", "a")]);
+        d.set_router_count(2);
+        for no in 0..c.own {
+            d.started(SECOND, "e2", no, &plain(&[]));
+        }
+        let load = EngineLoad {
+            endpoint: "e2".into(),
+            backlog: [Duration::ZERO; RANKS],
+            delay: [Duration::ZERO; RANKS],
+            in_flight: c.of_peer,
+        };
+        d.update_peer_load(SECOND, "r2", vec![load]);
+        let pick = d.choose_usable(SECOND, &plain(&tried), true);
+        assert_eq!(pick.is_some(), c.expected, "{} + {}", c.own, c.of_peer);
+        assert!(d.choose_usable(SECOND, &plain(&tried), false).is_some());
+    }
+}
--- a/crates/dispatch/tests/handover.rs
+++ b/crates/dispatch/tests/handover.rs
@@ -87,3 +87,34 @@
         );
     }
 }
+
+/// Guards against a silent endpoint that is left for one that only queues the request, and
+/// against a dead one that keeps it because all others are full.
+#[test]
+fn a_full_endpoint_is_asked_only_after_a_long_silence() {
+    struct Case {
+        answers_others: bool,
+        silent_for: Duration,
+        expected: bool,
+    }
+    let case = |answers_others, silent_for, expected| Case {
+        answers_others,
+        silent_for,
+        expected,
+    };
+    let cases = [
+        case(false, ms(900), true),
+        case(false, ms(1_799), true),
+        case(false, ms(1_800), false),
+        case(true, ms(1_800), true),
+        case(true, ms(60_000), true),
+    ];
+    for c in cases {
+        let timer = SilenceTimer::new(ms(900), ms(300), ms(1_000));
+        let needs_free_slot = timer.needs_free_slot(ms(1_000) + c.silent_for, c.answers_others);
+        let what = (c.answers_others, c.silent_for);
+        assert_eq!(needs_free_slot, c.expected, "{what:?}");
+    }
+    let timer = SilenceTimer::new(Duration::MAX, ms(300), ms(0));
+    assert!(timer.needs_free_slot(ms(1_000), false));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -104,6 +104,11 @@
         self.objective.mul_f64(factor)
     }
 
+    /// Whether two endpoints may work on the request for long. Two engines may not.
+    pub(crate) fn may_overlap(&self) -> bool {
+        self.kind.is_retryable() && !self.kind.is_stream() && self.engine_memory.is_none()
+    }
+
     /// Returns the timer of the silence of an endpoint that was heard, or got the request,
     /// at `now`.
     pub(crate) fn stall_timer(&self, now: Duration) -> SilenceTimer {
@@ -401,16 +406,19 @@
     }
 }
 
-/// Chooses a usable endpoint for a request that another endpoint still has, and takes a
-/// retry from the budget.
+/// Chooses a usable endpoint for a request that another endpoint still has, with a free
+/// slot if `needs_free_slot`, and takes a retry from the budget.
 pub(crate) fn reserve_endpoint(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
     progress: &mut Progress,
+    needs_free_slot: bool,
 ) -> Result<InFlightRequest, KeepReason> {
     let now = cx.now();
     let dispatch_req = outbound.dispatch_request(&progress.tried);
-    let pick = cx.dispatcher().choose_usable(now, &dispatch_req);
+    let pick = cx
+        .dispatcher()
+        .choose_usable(now, &dispatch_req, needs_free_slot);
     let pick = pick.ok_or(KeepReason::NoneUsable)?;
     if !cx.try_retry(&outbound.service) {
         return Err(KeepReason::RetryBudget);
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -1,12 +1,14 @@
 //! Move of a request from a silent endpoint to another one.
 //!
 //! The silent endpoint may be sound, so its connection stays open until the other
-//! endpoint has the request. Both have it for [`HANDOVER_TIMEOUT`] at most.
+//! endpoint has the request. Two engines have it for [`HANDOVER_TIMEOUT`] at most; other
+//! endpoints keep it until one of them is heard.
 
 use std::future::Future;
 use std::sync::Arc;
 
 use anvilloft_dispatch::KeepReason;
+use anvilloft_dispatch::SilenceTimer;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::SendError;
 use anvilloft_types::prelude::*;
@@ -22,8 +24,8 @@
 use crate::attempt::start_attempt;
 use crate::state::RelayState;
 
-/// Maximum time for which two endpoints have the same request. An endpoint that is
-/// full says so at once.
+/// Maximum time for which two engines have the same request, and for which a connection
+/// to the other endpoint may take. An endpoint that is full says so at once.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which another endpoint is asked for again.
 pub(crate) const ASK_INTERVAL: Duration = Duration::from_millis(300);
@@ -38,16 +40,32 @@
     Nobody,
 }
 
-/// Waits for either endpoint during a handover.
+/// An endpoint that has a request and is silent.
+pub(crate) struct SilentEndpoint<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) silence: SilenceTimer,
+    /// Number of endpoints that have received the request, with this one.
+    pub(crate) sent_count: u32,
+}
+
+/// Waits for either endpoint during a handover, for [`HANDOVER_TIMEOUT`].
 pub(crate) async fn wait_for_either<T>(
     current: impl Future<Output = T>,
     other: &mut Attempt,
+) -> First<T> {
+    wait_for_either_within(current, other, HANDOVER_TIMEOUT).await
+}
+
+async fn wait_for_either_within<T>(
+    current: impl Future<Output = T>,
+    other: &mut Attempt,
+    timeout: Duration,
 ) -> First<T> {
     tokio::select! {
         biased;
         result = current => First::Current(result),
         sent = &mut other.sent => First::Other(Box::new(sent)),
-        () = tokio::time::sleep(HANDOVER_TIMEOUT) => match other.is_connected() {
+        () = tokio::time::sleep(timeout) => match other.is_connected() {
             true => First::Nobody,
             false => First::Other(Box::new(Err(SendError {
                 error: ClientError::Timeout("connection"),
@@ -59,8 +77,6 @@
 
 /// Sends the request to another endpoint while it is still at the current one.
 ///
-/// `sent` is the number of endpoints that have received the request.
-///
 /// # Errors
 ///
 /// Returns why no other endpoint may have it. Nothing was sent then.
@@ -68,21 +84,42 @@
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
     progress: &mut Progress,
-    sent: u32,
+    silent: &SilentEndpoint<'_>,
     last_event: Option<&str>,
 ) -> Result<Attempt, KeepReason> {
-    let left = outbound.deadline.saturating_sub(cx.now());
+    let now = cx.now();
+    let left = outbound.deadline.saturating_sub(now);
     if left <= HANDOVER_TIMEOUT {
         return Err(KeepReason::Deadline);
     }
     let mut state = progress.state(outbound);
-    state.sent = sent;
+    state.sent = silent.sent_count;
     state.may_have_run = true;
     may_send_again(cx, outbound, &state)?;
-    let in_flight = reserve_endpoint(cx, outbound, progress)?;
+    let is_alive = is_alive(cx, silent.id, silent.silence.silent_for(now));
+    let needs_free_slot = silent.silence.needs_free_slot(now, is_alive);
+    let in_flight = reserve_endpoint(cx, outbound, progress, needs_free_slot)?;
     start_attempt(cx, outbound, in_flight, left, last_event).ok_or(KeepReason::NoneUsable)
 }
 
+/// Returns how long two endpoints that weren't heard may both keep a request: until a
+/// third one may be asked, if that is allowed.
+fn overlap_limit(
+    cx: &RelayState,
+    outbound: &OutboundRequest,
+    progress: &Progress,
+    other: &Attempt,
+) -> Duration {
+    let now = cx.now();
+    let mut state = progress.state(outbound);
+    state.sent += 2;
+    state.may_have_run = true;
+    match may_send_again(cx, outbound, &state) {
+        Ok(()) => other.silence_timer(outbound).until_ask(now),
+        Err(_) => outbound.deadline.saturating_sub(now),
+    }
+}
+
 /// Returns whether a silent endpoint has answered other requests since it was heard.
 /// It's kept then unless another endpoint answers at once: the other may only have
 /// queued the request.
@@ -145,8 +182,12 @@
         timer.asked(now);
         let silent_for = timer.silent_for(now);
         let endpoint = attempt.in_flight.pick.endpoint.clone();
-        let sent_count = progress.sent_count + 1;
-        let mut other = match start_handover(cx, outbound, progress, sent_count, last_event) {
+        let silent = SilentEndpoint {
+            id: &endpoint,
+            silence: timer,
+            sent_count: progress.sent_count + 1,
+        };
+        let mut other = match start_handover(cx, outbound, progress, &silent, last_event) {
             Ok(other) => other,
             Err(reason) => {
                 if kept_for.replace(reason) != Some(reason) {
@@ -157,7 +198,12 @@
         };
         let asked = Ok(other.in_flight.pick.endpoint.as_str());
         log_silence(cx, outbound, &endpoint, silent_for, asked);
-        match wait_for_either(&mut attempt.sent, &mut other).await {
+        let mut first = wait_for_either(&mut attempt.sent, &mut other).await;
+        if matches!(first, First::Nobody) && outbound.may_overlap() {
+            let limit = overlap_limit(cx, outbound, progress, &other);
+            first = wait_for_either_within(&mut attempt.sent, &mut other, limit).await;
+        }
+        match first {
             First::Current(sent) => {
                 let result = judge(cx, outbound, attempt, sent).await;
                 return (result, Some(other));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -45,6 +45,7 @@
 use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
+use crate::handover::SilentEndpoint;
 use crate::handover::is_alive;
 use crate::handover::log_kept;
 use crate::handover::log_silence;
@@ -315,12 +316,16 @@
         let last_event = self.splitter.last_id().map(str::to_owned);
         let (in_flight, answer) = self.current.as_mut()?;
         let endpoint = in_flight.pick.endpoint.clone();
-        let sent_count = self.progress.sent_count;
+        let silent = SilentEndpoint {
+            id: &endpoint,
+            silence: self.silence,
+            sent_count: self.progress.sent_count,
+        };
         let other = start_handover(
             &self.cx,
             &self.outbound,
             &mut self.progress,
-            sent_count,
+            &silent,
             last_event.as_deref(),
         );
         let mut other = match other {
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -154,6 +154,15 @@
             .route(route("fragile", fragile, "engines"))
             .route(route("once", RouteKind::AtMostOnce, "plain"))
             .route(route("any", RouteKind::Idempotent, "plain"))
+            .route(
+                Route::builder("persistent", "127.0.0.1", "/persistent/")
+                    .kind(RouteKind::Idempotent)
+                    .timeout(Duration::from_secs(4))
+                    .objective(Duration::from_millis(400))
+                    .target("plain", 1)
+                    .max_endpoints(3)
+                    .build(),
+            )
             .service(Service {
                 name: "engines".into(),
                 max_connections: 16,
@@ -305,6 +314,11 @@
 
     /// Announces an endpoint of a service.
     pub(crate) fn announce(&self, id: &str, address: SocketAddr, service: &str) {
+        self.announce_slots(id, address, service, 8);
+    }
+
+    /// Announces an endpoint of a service with this number of slots.
+    pub(crate) fn announce_slots(&self, id: &str, address: SocketAddr, service: &str, slots: u32) {
         self.control.peers().announce(EndpointUpdate {
             id: id.into(),
             incarnation: 1,
@@ -312,7 +326,7 @@
             address: address.to_string(),
             data_centre: "a".into(),
             pool: service.into(),
-            slots: 8,
+            slots,
             ..EndpointUpdate::default()
         });
     }
--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -23,6 +23,7 @@
 use crate::common::Fleet;
 use crate::common::chunk;
 use crate::common::event;
+use crate::common::eventually;
 use crate::common::send;
 use crate::common::stream_head;
 use crate::common::whole_stream;
@@ -520,3 +521,102 @@
         "it was asked"
     );
 }
+
+/// Guards against a sound endpoint that is left for one that only queues the request.
+#[rstest::rstest]
+#[case::plain("/any/x", None)]
+#[case::plain_other_full("/any/x", Some("/once/x"))]
+#[case::stream_other_full("/stream/x", Some("/fragile/x"))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sound_endpoint_is_not_left_for_one_that_may_have_queued_the_request(
+    #[case] path: &'static str,
+    #[case] occupied_by: Option<&'static str>,
+) {
+    const SILENCE: Duration = Duration::from_millis(1_500);
+    let fleet = Arc::new(Fleet::start(1).await);
+    fleet.publish(1, 1_000_000).await;
+    let queueing = RawEndpoint::start(|_| vec![Step::Wait(Duration::from_secs(10))]).await;
+    let queueing = queueing.unwrap();
+    let announce = |id: &str, address| {
+        for service in ["plain", "engines"] {
+            fleet.announce_slots(&format!("{id}-{service}"), address, service, 1);
+        }
+    };
+    if let Some(path) = occupied_by {
+        announce("queueing", queueing.addr);
+        let occupier = Arc::clone(&fleet);
+        tokio::spawn(async move { send_request(&occupier, path, "occupier").await });
+        let count = Arc::clone(&queueing.request_count);
+        eventually("its slot is taken", || count.load(Ordering::Relaxed) == 1).await;
+    }
+    let sound = RawEndpoint::start(|req| silent_answer(&req, SILENCE)).await;
+    announce("sound", sound.unwrap().addr);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (reply, ()) = tokio::join!(send_request(&fleet, path, ID), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        announce("queueing", queueing.addr);
+    });
+    let text = match path {
+        "/any/x" => "done".to_owned(),
+        _ => event(1) + &event(2) + &event(3),
+    };
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(reply.text(), text);
+    // One that is full isn't asked.
+    assert_eq!(queueing.request_count.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a silent endpoint that keeps its request for ever while all others are
+/// full.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_is_silent_for_long_is_left_for_a_full_one() {
+    // The stream is offered to one with a free slot after 900 ms, to any after twice that.
+    const SILENCE: Duration = Duration::from_millis(1_800);
+    let fleet = Arc::new(Fleet::start(1).await);
+    fleet.publish(1, 1_000_000).await;
+    let full = RawEndpoint::start(|req| match req.attempt.as_str() {
+        ID => answer(&req),
+        _ => vec![Step::Wait(Duration::from_secs(10))],
+    });
+    let full = full.await.unwrap();
+    fleet.announce_slots("full", full.addr, "engines", 1);
+    let occupier = Arc::clone(&fleet);
+    tokio::spawn(async move { send_request(&occupier, "/fragile/x", "occupier").await });
+    let count = Arc::clone(&full.request_count);
+    eventually("its slot is taken", || count.load(Ordering::Relaxed) == 1).await;
+    let dead = RawEndpoint::start(|req| silent_answer(&req, Duration::from_secs(10))).await;
+    fleet.announce("dead", dead.unwrap().addr, "engines");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let started = Instant::now();
+    let reply = send_request(&fleet, "/stream/x", ID).await;
+    assert!(reply.complete, "broken off after {:?}", reply.text());
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    let elapsed = started.elapsed();
+    assert!(elapsed >= SILENCE, "left after {elapsed:?}");
+}
+
+/// Guards against a request that stays at two dead endpoints though its route allows a
+/// third one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_reaches_a_third_endpoint_when_two_stay_silent() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let count = Arc::new(AtomicU64::new(0));
+    for name in ["e1", "e2", "e3"] {
+        let count = Arc::clone(&count);
+        let endpoint = RawEndpoint::start(move |req| {
+            let answered = vec![send(whole_answer(&req.attempt, "done"))];
+            match req.attempt == ID && count.fetch_add(1, Ordering::Relaxed) < 2 {
+                true => vec![Step::Wait(Duration::from_secs(10))],
+                false => answered,
+            }
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "plain");
+    }
+    send_request(&fleet, "/persistent/x", "warm").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = send_request(&fleet, "/persistent/x", ID).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(count.load(Ordering::Relaxed), 3);
+}
