Read the end and the comments of a stream in one place

Cause: an early end, a flood of comments and a broken connection were mapped to a failed stream in three arms that did the same, and the first of them again during a handover. Two functions logged a silent endpoint.

Change: what is read from an endpoint says that it has broken the stream, so one arm is left. KeepReason has answers_others, and log_silence serves both; that line has silent_ms now, too. Before its first event, a stream's comments have the lower limit during a handover as well.

Measured: the tests of relay, dispatch and gateway pass, clippy is clean.

--- a/crates/dispatch/src/handover.rs
+++ b/crates/dispatch/src/handover.rs
@@ -10,7 +10,7 @@
 /// request, as a multiple of the silence after which another endpoint is asked.
 const LONG_SILENCE_FACTOR: u32 = 2;
 
-/// Why a request is sent to no other endpoint.
+/// Why a request isn't left to another endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeepReason {
     /// The request may have run and must not run twice.
@@ -26,6 +26,8 @@
     Deadline,
     /// Requests like this one crash endpoints.
     Quarantined,
+    /// The silent endpoint has answered other requests meanwhile.
+    AnswersOthers,
 }
 
 impl KeepReason {
@@ -38,6 +40,7 @@
             Self::RetryBudget => "retry_budget",
             Self::Deadline => "deadline",
             Self::Quarantined => "quarantined",
+            Self::AnswersOthers => "answers_others",
         }
     }
 }
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -149,12 +149,6 @@
     }
 }
 
-/// Logs that a silent endpoint is kept because it answers other requests.
-pub(crate) fn log_kept(cx: &RelayState, outbound: &OutboundRequest, endpoint: &str) {
-    slog::info!(cx.log, "endpoint silent"; "request" => &outbound.id, "endpoint" => endpoint,
-        "reason" => "answers_others");
-}
-
 /// Waits for an answer to an attempt. Returns the result of one attempt, and another
 /// one that still runs.
 ///
@@ -221,7 +215,9 @@
                 result => progress.record(&result),
             },
             First::Nobody if is_alive(cx, &endpoint, timer.silent_for(cx.now())) => {
-                log_kept(cx, outbound, &endpoint);
+                let silent_for = timer.silent_for(cx.now());
+                let reason = Err(KeepReason::AnswersOthers);
+                log_silence(cx, outbound, &endpoint, silent_for, reason);
                 drop(other);
                 progress.record_given_up();
             }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -47,7 +47,6 @@
 use crate::handover::First;
 use crate::handover::SilentEndpoint;
 use crate::handover::is_alive;
-use crate::handover::log_kept;
 use crate::handover::log_silence;
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
@@ -126,23 +125,36 @@
     answer: &mut EndpointResponse,
     splitter: &mut EventSplitter,
     comments: &mut BytesMut,
+    max_comments: usize,
     left: Duration,
 ) -> Read {
     loop {
         match answer.next(left).await {
             Ok(Some(bytes)) => {
-                let read = push(splitter, comments, &bytes);
+                let read = push(splitter, comments, max_comments, &bytes);
                 if !matches!(read, Read::Nothing) {
                     return read;
                 }
             }
-            Ok(None) => return Read::End,
+            Ok(None) => return read_end(answer, splitter),
             Err(e) => return Read::Broken(e),
         }
     }
 }
 
-fn push(splitter: &mut EventSplitter, comments: &mut BytesMut, bytes: &[u8]) -> Read {
+fn read_end(answer: &EndpointResponse, splitter: &EventSplitter) -> Read {
+    match is_cut_off(splitter, answer) {
+        true => Read::Broken(ClientError::Broken("the end before the last event".into())),
+        false => Read::End,
+    }
+}
+
+fn push(
+    splitter: &mut EventSplitter,
+    comments: &mut BytesMut,
+    max_comments: usize,
+    bytes: &[u8],
+) -> Read {
     let count_before = splitter.event_count();
     let Some(events) = splitter.push(bytes) else {
         return Read::Broken(ClientError::Broken("an event that can't follow".into()));
@@ -151,7 +163,7 @@
         return Read::Events(events);
     }
     comments.extend_from_slice(&events);
-    match comments.len() > MAX_EVENT_BYTES {
+    match comments.len() > max_comments {
         true => Read::Broken(ClientError::Broken("comments without end".into())),
         false => Read::Nothing,
     }
@@ -166,6 +178,15 @@
     SilenceTimer::new(limit, ASK_INTERVAL, now)
 }
 
+/// Returns the limit on events without data or an id that the caller has not got yet, in
+/// bytes.
+fn max_comments(has_begun: bool) -> usize {
+    match has_begun {
+        true => MAX_EVENT_BYTES,
+        false => MAX_PREFACE_BYTES,
+    }
+}
+
 /// Whether another endpoint can go on with an endpoint's answer.
 fn is_resumable(answer: &EndpointResponse, splitter: &EventSplitter) -> bool {
     is_event_stream(answer) && splitter.can_resume()
@@ -200,8 +221,13 @@
                 false => left,
             };
             let read = match answer.next(wait).await {
-                Ok(Some(bytes)) => push(&mut self.splitter, &mut self.comments, &bytes),
-                Ok(None) => Read::End,
+                Ok(Some(bytes)) => push(
+                    &mut self.splitter,
+                    &mut self.comments,
+                    max_comments(has_begun),
+                    &bytes,
+                ),
+                Ok(None) => read_end(answer, &self.splitter),
                 Err(ClientError::Timeout(_)) if can_move => self.hand_over().await?,
                 Err(ClientError::Timeout(_)) => Read::Nothing,
                 Err(e) => Read::Broken(e),
@@ -214,24 +240,12 @@
                     }
                     self.comments.extend_from_slice(&events);
                 }
-                Read::End if !self.is_cut_off() => return self.end(),
-                Read::End => {
-                    let e = ClientError::Broken("the end before the last event".into());
-                    if let Err(err) = self.resume(&e).await {
-                        return self.fail(err, Outcome::Broken);
-                    }
-                }
+                Read::End => return self.end(),
                 Read::Broken(e) => {
                     if let Err(err) = self.resume(&e).await {
                         return self.fail(err, Outcome::Broken);
                     }
                 }
-                Read::Nothing if !self.has_begun() && self.comments.len() > MAX_PREFACE_BYTES => {
-                    let e = ClientError::Broken("comments without end".into());
-                    if let Err(err) = self.resume(&e).await {
-                        return self.fail(err, Outcome::Broken);
-                    }
-                }
                 Read::Nothing => {}
                 Read::Failed(err) => return self.fail(err, Outcome::Broken),
             }
@@ -264,12 +278,6 @@
         }
     }
 
-    /// Whether the current endpoint's answer has ended before its last event.
-    fn is_cut_off(&self) -> bool {
-        let answer = self.current.as_ref().map(|(_, answer)| answer);
-        answer.is_some_and(|answer| is_cut_off(&self.splitter, answer))
-    }
-
     /// Ends the stream after its last event.
     fn end(&mut self) -> Option<Result<Bytes, StreamError>> {
         let (in_flight, _) = self.current.take()?;
@@ -314,6 +322,7 @@
         self.silence.asked(now);
         let silent_for = self.silence.silent_for(now);
         let last_event = self.splitter.last_id().map(str::to_owned);
+        let has_begun = self.has_begun();
         let (in_flight, answer) = self.current.as_mut()?;
         let endpoint = in_flight.pick.endpoint.clone();
         let silent = SilentEndpoint {
@@ -340,15 +349,14 @@
         let asked = Ok(other.in_flight.pick.endpoint.as_str());
         log_silence(&self.cx, &self.outbound, &endpoint, silent_for, asked);
         let left = self.outbound.deadline.saturating_sub(now);
-        let read = read_events(answer, &mut self.splitter, &mut self.comments, left);
-        let first = match wait_for_either(read, &mut other).await {
-            First::Current(Read::End) if self.is_cut_off() => {
-                let e = ClientError::Broken("the end before the last event".into());
-                First::Current(Read::Broken(e))
-            }
-            first => first,
-        };
-        match first {
+        let read = read_events(
+            answer,
+            &mut self.splitter,
+            &mut self.comments,
+            max_comments(has_begun),
+            left,
+        );
+        match wait_for_either(read, &mut other).await {
             First::Current(Read::Broken(e)) => {
                 self.close_broken(&e);
                 Some(self.resume_at(Some(other)).await)
@@ -378,7 +386,9 @@
             First::Nobody
                 if is_alive(&self.cx, &endpoint, self.silence.silent_for(self.cx.now())) =>
             {
-                log_kept(&self.cx, &self.outbound, &endpoint);
+                let silent_for = self.silence.silent_for(self.cx.now());
+                let reason = Err(KeepReason::AnswersOthers);
+                log_silence(&self.cx, &self.outbound, &endpoint, silent_for, reason);
                 drop(other);
                 self.progress.record_given_up();
                 Some(Read::Nothing)
