--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -9,9 +9,11 @@
 use anvilloft_dispatch::DispatchRequest;
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::DispatcherConfig;
+use anvilloft_dispatch::EngineLoad;
 use anvilloft_dispatch::NoEndpoint;
 use anvilloft_dispatch::Outcome;
 use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::RANKS;
 use anvilloft_dispatch::Reason;
 use anvilloft_dispatch::RetryBudget;
 
@@ -408,3 +410,92 @@
         assert!(c.expected.contains(&uses), "{broken}, {later:?}: {uses}");
     }
 }
+
+/// Guards against a sound endpoint that is avoided for long because streams that were there
+/// at the same time were handed over when it was silent for a moment.
+#[test]
+fn requests_that_break_off_together_raise_the_backoff_once() {
+    struct Case {
+        /// When each request is sent and when it breaks off, in milliseconds.
+        broken: &'static [(u64, u64)],
+        /// Time for which the endpoint is avoided after the last of them.
+        expected: Duration,
+    }
+    let case = |broken, expected| Case { broken, expected };
+    let ms = Duration::from_millis;
+    let cases = [
+        case(&[(0, 100)], ms(500)),
+        case(&[(0, 100), (0, 100)], ms(500)),
+        case(&[(0, 100), (20, 110), (99, 120)], ms(500)),
+        // One after the other.
+        case(&[(0, 100), (700, 800)], ms(1_000)),
+        case(&[(0, 100), (700, 800), (790, 810)], ms(1_000)),
+        case(&[(0, 100), (700, 800), (1_900, 2_000)], ms(2_000)),
+    ];
+    for c in cases {
+        let mut d = dispatcher(&[("e1", "a"), ("e2", "a")]);
+        let mut steps: Vec<(u64, bool, u64)> = Vec::new();
+        for (no, (sent, broken)) in (0..).zip(c.broken) {
+            steps.extend([(*sent, false, no), (*broken, true, no)]);
+        }
+        steps.sort_unstable();
+        for (at, is_end, no) in steps {
+            match is_end {
+                true => d.finished(ms(at), "e1", 1, no, Outcome::Broken),
+                false => d.started(ms(at), "e1", no, &plain(&[])),
+            }
+        }
+        let (_, last) = c.broken.last().unwrap();
+        let tried = ["e2".to_owned()];
+        let mut is_usable = |after| {
+            d.choose_usable(ms(*last) + after, &plain(&tried), false)
+                .is_some()
+        };
+        let what = format!("{:?}", c.broken);
+        assert!(!is_usable(c.expected - ms(1)), "{what}: not avoided");
+        assert!(is_usable(c.expected), "{what}: avoided for longer");
+    }
+}
+
+/// Guards against a request that moves to an endpoint that would only queue it.
+#[test]
+fn an_endpoint_with_a_free_slot_is_found_for_a_move() {
+    struct Case {
+        /// Requests that this router has at the endpoint, which has four slots.
+        own: u64,
+        /// Requests that the only other router has there.
+        of_peer: u32,
+        expected: bool,
+    }
+    let case = |own, of_peer, expected| Case {
+        own,
+        of_peer,
+        expected,
+    };
+    let cases = [
+        case(0, 0, true),
+        case(3, 0, true),
+        case(4, 0, false),
+        case(0, 4, false),
+        case(2, 1, true),
+        case(2, 2, false),
+    ];
+    let tried = ["e1".to_owned()];
+    for c in cases {
+        let mut d = dispatcher(&[("e1", "a"), ("e2", "a")]);
+        d.set_router_count(2);
+        for no in 0..c.own {
+            d.started(SECOND, "e2", no, &plain(&[]));
+        }
+        let load = EngineLoad {
+            endpoint: "e2".into(),
+            backlog: [Duration::ZERO; RANKS],
+            delay: [Duration::ZERO; RANKS],
+            in_flight: c.of_peer,
+        };
+        d.update_peer_load(SECOND, "r2", vec![load]);
+        let pick = d.choose_usable(SECOND, &plain(&tried), true);
+        assert_eq!(pick.is_some(), c.expected, "{} + {}", c.own, c.of_peer);
+        assert!(d.choose_usable(SECOND, &plain(&tried), false).is_some());
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -45,8 +45,8 @@
 use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
+use crate::handover::SilentEndpoint;
 use crate::handover::is_alive;
-use crate::handover::log_kept;
 use crate::handover::log_silence;
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
@@ -58,8 +58,8 @@
 
 /// Pause between events after which a resumable stream is offered to another endpoint,
 /// as a multiple of the route's `max_gap`. The answer is late by then, and callers give
-/// up at eight times `max_gap`. Any other stream is never cut for a pause: nobody else
-/// could go on with it.
+/// up at eight times `max_gap`. Before the first event, the limit is that of an answer's
+/// header. Any other stream is never cut for a pause: nobody else could go on with it.
 const FAILED_AFTER_GAPS: u32 = 3;
 /// Maximum length of what precedes the first event with data or an id, in bytes.
 const MAX_PREFACE_BYTES: usize = 64 * 1024;
@@ -125,23 +125,36 @@
     answer: &mut EndpointResponse,
     splitter: &mut EventSplitter,
     comments: &mut BytesMut,
+    max_comments: usize,
     left: Duration,
 ) -> Read {
     loop {
         match answer.next(left).await {
             Ok(Some(bytes)) => {
-                let read = push(splitter, comments, &bytes);
+                let read = push(splitter, comments, max_comments, &bytes);
                 if !matches!(read, Read::Nothing) {
                     return read;
                 }
             }
-            Ok(None) => return Read::End,
+            Ok(None) => return read_end(answer, splitter),
             Err(e) => return Read::Broken(e),
         }
     }
 }
 
-fn push(splitter: &mut EventSplitter, comments: &mut BytesMut, bytes: &[u8]) -> Read {
+fn read_end(answer: &EndpointResponse, splitter: &EventSplitter) -> Read {
+    match is_cut_off(splitter, answer) {
+        true => Read::Broken(ClientError::Broken("the end before the last event".into())),
+        false => Read::End,
+    }
+}
+
+fn push(
+    splitter: &mut EventSplitter,
+    comments: &mut BytesMut,
+    max_comments: usize,
+    bytes: &[u8],
+) -> Read {
     let count_before = splitter.event_count();
     let Some(events) = splitter.push(bytes) else {
         return Read::Broken(ClientError::Broken("an event that can't follow".into()));
@@ -150,12 +163,30 @@
         return Read::Events(events);
     }
     comments.extend_from_slice(&events);
-    match comments.len() > MAX_EVENT_BYTES {
+    match comments.len() > max_comments {
         true => Read::Broken(ClientError::Broken("comments without end".into())),
         false => Read::Nothing,
     }
 }
 
+/// Returns the timer of the silence between events.
+fn gap_timer(outbound: &OutboundRequest, now: Duration) -> SilenceTimer {
+    let limit = match outbound.kind {
+        RouteKind::Stream { max_gap, .. } => max_gap.saturating_mul(FAILED_AFTER_GAPS),
+        _ => Duration::MAX,
+    };
+    SilenceTimer::new(limit, ASK_INTERVAL, now)
+}
+
+/// Returns the limit on events without data or an id that the caller has not got yet, in
+/// bytes.
+fn max_comments(has_begun: bool) -> usize {
+    match has_begun {
+        true => MAX_EVENT_BYTES,
+        false => MAX_PREFACE_BYTES,
+    }
+}
+
 /// Whether another endpoint can go on with an endpoint's answer.
 fn is_resumable(answer: &EndpointResponse, splitter: &EventSplitter) -> bool {
     is_event_stream(answer) && splitter.can_resume()
@@ -168,6 +199,7 @@
             if self.has_begun() && !self.comments.is_empty() {
                 return Some(Ok(self.comments.split().freeze()));
             }
+            let has_begun = self.has_begun();
             let (_, answer) = self.current.as_mut()?;
             let now = self.cx.now();
             let left = self.outbound.deadline.saturating_sub(now);
@@ -178,8 +210,9 @@
                 };
                 return self.fail(StreamError::DeadlineExceeded, outcome);
             }
-            // Without an id, another endpoint would begin with the first event.
-            let can_move = self.splitter.last_id().is_some()
+            // Without an id, another endpoint would begin with the first event, of which the
+            // caller must have nothing then.
+            let can_move = (!has_begun || self.splitter.last_id().is_some())
                 && self.outbound.kind.is_retryable()
                 && is_resumable(answer, &self.splitter);
             // Bytes that complete no event with data or an id are no progress.
@@ -188,8 +221,13 @@
                 false => left,
             };
             let read = match answer.next(wait).await {
-                Ok(Some(bytes)) => push(&mut self.splitter, &mut self.comments, &bytes),
-                Ok(None) => Read::End,
+                Ok(Some(bytes)) => push(
+                    &mut self.splitter,
+                    &mut self.comments,
+                    max_comments(has_begun),
+                    &bytes,
+                ),
+                Ok(None) => read_end(answer, &self.splitter),
                 Err(ClientError::Timeout(_)) if can_move => self.hand_over().await?,
                 Err(ClientError::Timeout(_)) => Read::Nothing,
                 Err(e) => Read::Broken(e),
@@ -202,24 +240,12 @@
                     }
                     self.comments.extend_from_slice(&events);
                 }
-                Read::End if !self.is_cut_off() => return self.end(),
-                Read::End => {
-                    let e = ClientError::Broken("the end before the last event".into());
-                    if let Err(err) = self.resume(&e).await {
-                        return self.fail(err, Outcome::Broken);
-                    }
-                }
+                Read::End => return self.end(),
                 Read::Broken(e) => {
                     if let Err(err) = self.resume(&e).await {
                         return self.fail(err, Outcome::Broken);
                     }
                 }
-                Read::Nothing if !self.has_begun() && self.comments.len() > MAX_PREFACE_BYTES => {
-                    let e = ClientError::Broken("comments without end".into());
-                    if let Err(err) = self.resume(&e).await {
-                        return self.fail(err, Outcome::Broken);
-                    }
-                }
                 Read::Nothing => {}
                 Read::Failed(err) => return self.fail(err, Outcome::Broken),
             }
@@ -235,6 +261,7 @@
         let now = self.cx.now();
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
+            self.silence = gap_timer(&self.outbound, now);
             crashes::record_answer(&self.cx, &self.outbound.traits);
         } else {
             let gap = now.saturating_sub(self.last_events_at);
@@ -251,12 +278,6 @@
         }
     }
 
-    /// Whether the current endpoint's answer has ended before its last event.
-    fn is_cut_off(&self) -> bool {
-        let answer = self.current.as_ref().map(|(_, answer)| answer);
-        answer.is_some_and(|answer| is_cut_off(&self.splitter, answer))
-    }
-
     /// Ends the stream after its last event.
     fn end(&mut self) -> Option<Result<Bytes, StreamError>> {
         let (in_flight, _) = self.current.take()?;
@@ -301,14 +322,19 @@
         self.silence.asked(now);
         let silent_for = self.silence.silent_for(now);
         let last_event = self.splitter.last_id().map(str::to_owned);
+        let has_begun = self.has_begun();
         let (in_flight, answer) = self.current.as_mut()?;
         let endpoint = in_flight.pick.endpoint.clone();
-        let sent_count = self.progress.sent_count;
+        let silent = SilentEndpoint {
+            id: &endpoint,
+            silence: self.silence,
+            sent_count: self.progress.sent_count,
+        };
         let other = start_handover(
             &self.cx,
             &self.outbound,
             &mut self.progress,
-            sent_count,
+            &silent,
             last_event.as_deref(),
         );
         let mut other = match other {
@@ -323,17 +349,16 @@
         let asked = Ok(other.in_flight.pick.endpoint.as_str());
         log_silence(&self.cx, &self.outbound, &endpoint, silent_for, asked);
         let left = self.outbound.deadline.saturating_sub(now);
-        let read = read_events(answer, &mut self.splitter, &mut self.comments, left);
-        let first = match wait_for_either(read, &mut other).await {
-            First::Current(Read::End) if self.is_cut_off() => {
-                let e = ClientError::Broken("the end before the last event".into());
-                First::Current(Read::Broken(e))
-            }
-            first => first,
-        };
-        match first {
+        let read = read_events(
+            answer,
+            &mut self.splitter,
+            &mut self.comments,
+            max_comments(has_begun),
+            left,
+        );
+        match wait_for_either(read, &mut other).await {
             First::Current(Read::Broken(e)) => {
-                self.close_current(ended_by(&e), &e.to_string());
+                self.close_broken(&e);
                 Some(self.resume_at(Some(other)).await)
             }
             First::Current(read) => {
@@ -361,7 +386,9 @@
             First::Nobody
                 if is_alive(&self.cx, &endpoint, self.silence.silent_for(self.cx.now())) =>
             {
-                log_kept(&self.cx, &self.outbound, &endpoint);
+                let silent_for = self.silence.silent_for(self.cx.now());
+                let reason = Err(KeepReason::AnswersOthers);
+                log_silence(&self.cx, &self.outbound, &endpoint, silent_for, reason);
                 drop(other);
                 self.progress.record_given_up();
                 Some(Read::Nothing)
@@ -398,6 +425,18 @@
         can_resume
     }
 
+    /// Closes the connection to an endpoint that broke the stream. Returns whether another
+    /// endpoint can go on with it.
+    fn close_broken(&mut self, error: &ClientError) -> bool {
+        if let Some((in_flight, _)) = &self.current
+            && !self.has_begun()
+            && error.is_connection_failure()
+        {
+            crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
+        }
+        self.close_current(ended_by(error), &error.to_string())
+    }
+
     fn go_on_with(&mut self, answered: EndpointAnswer) {
         let EndpointAnswer { in_flight, answer } = answered;
         slog::info!(self.cx.log, "stream resumed"; "request" => &self.outbound.id,
@@ -412,13 +451,7 @@
 
     /// Resumes the stream at another endpoint after the last whole event.
     async fn resume(&mut self, error: &ClientError) -> Result<(), StreamError> {
-        if let Some((in_flight, _)) = &self.current
-            && self.first_event_at.is_none()
-            && error.is_connection_failure()
-        {
-            crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
-        }
-        if !self.close_current(ended_by(error), &error.to_string()) {
+        if !self.close_broken(error) {
             return Err(StreamError::EndpointFailed);
         }
         match self.resume_at(None).await {
@@ -495,10 +528,7 @@
         in_flight: InFlightRequest,
         answer: EndpointResponse,
     ) -> Result<http::Response<Body>, StreamError> {
-        let max_silence = match outbound.kind {
-            RouteKind::Stream { max_gap, .. } => max_gap.saturating_mul(FAILED_AFTER_GAPS),
-            _ => Duration::MAX,
-        };
+        let silence = outbound.stall_timer(cx.now());
         let mut source = ResumingStream {
             cx: Arc::clone(cx),
             outbound,
@@ -510,7 +540,7 @@
             comments: BytesMut::new(),
             first_event_at: None,
             last_events_at: Duration::ZERO,
-            silence: SilenceTimer::new(max_silence, ASK_INTERVAL, cx.now()),
+            silence,
             kept_for: None,
             longest_gap: Duration::ZERO,
         };
