Keep a router's silent endpoint until another one can take the request

What callers saw: on the router's own path, an engine that was silent for 30 s before its first byte, or a service for 5 s, was given up although no other endpoint could take the request: 502, run unknown. An order was recorded as unknown and so couldn't be asked for again, although its endpoint finished it. An answer that isn't streamed and takes over 30 s to generate never ended, as each of four engines was cancelled on the way. `Conn::request` and `start_stream` ended the attempt after a fixed time, the cancellation went out, and only then did the control thread look for another endpoint. Fix: the client asks a `SilencePolicy` before it ends a wait in which nothing arrived. The control thread keeps the endpoint while it is announced under the same incarnation and no other one can take the request (attempts, retry budget, a free endpoint); the question is repeated every second until `max_stream_duration` after the first attempt, which now bounds the waits and the stream together. An engine gets 50 ms more for each token of an answer that isn't streamed. An order is never offered elsewhere. A suspect request is given up as before, because others wait for its permit. Why it works: the connection is closed only after the control thread has found that another endpoint can take the request, or that this one is gone. What stays: bytes without progress, and a silence within a stream, end at the same limits as before. Callers give no deadline on this path, nobody can take over a begun stream, and connections may be silent for good.

--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -56,9 +56,9 @@
     pub body_idle_timeout: Duration,
     /// Maximum time that a chunk of a stream waits for a slow caller.
     pub write_timeout: Duration,
-    /// Maximum duration of a stream.
+    /// Maximum time from the first attempt to the end of an answer.
     pub max_stream_duration: Duration,
-    /// Timeout for the first byte of a plain service's response.
+    /// Silence of a plain service after which another endpoint may take a call.
     pub service_first_byte_timeout: Duration,
     /// Key of the endpoints. If it is empty, all announcements are refused.
     pub endpoint_key: String,
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -33,6 +33,7 @@
 use tokio::net::TcpStream;
 
 use crate::counting_stream::CountingStream;
+use crate::silence::HeaderWait;
 
 mod response;
 
@@ -56,7 +57,8 @@
 pub struct ClientTimeouts {
     /// Timeout for opening a connection.
     pub connect: Duration,
-    /// Timeout from the request to the headers of the response.
+    /// Timeout from the request to the headers of the response. A [`SilencePolicy`] may
+    /// extend it while the endpoint is silent.
     pub first_byte: Duration,
     /// Timeout between two chunks of the response body.
     pub gap: Duration,
@@ -129,6 +131,7 @@
     driver: Pin<Box<Driver>>,
     driver_done: bool,
     written: Arc<AtomicU64>,
+    received: Arc<AtomicU64>,
     idle_since: Instant,
     /// Derived from the endpoint's `keep-alive` header, or the client's own timeout
     /// if that is shorter or the header is absent.
@@ -157,9 +160,11 @@
         };
         stream.set_nodelay(true).ok();
         let written = Arc::new(AtomicU64::new(0));
+        let received = Arc::new(AtomicU64::new(0));
         let io = TokioIo::new(CountingStream {
             inner: stream,
             written: Arc::clone(&written),
+            received: Arc::clone(&received),
         });
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
@@ -171,6 +176,7 @@
             driver: Box::pin(driver),
             driver_done: false,
             written,
+            received,
             idle_since: Instant::now(),
             max_idle: timeouts.idle,
         })
@@ -198,11 +204,13 @@
     async fn request(
         &mut self,
         req: Request<Full<Bytes>>,
-        first_byte: Duration,
+        header_wait: HeaderWait<'_>,
     ) -> Result<http::Response<Incoming>, SendError> {
         let written_before = self.written.load(Ordering::Relaxed);
+        let received = Arc::clone(&self.received);
+        let received_before = received.load(Ordering::Relaxed);
         let mut response = Box::pin(self.sender.send_request(req));
-        let wait = std::future::poll_fn(|cx| {
+        let mut wait = std::future::poll_fn(|cx| {
             loop {
                 if let Poll::Ready(res) = response.as_mut().poll(cx) {
                     return Poll::Ready(res.map_err(|e| ClientError::Broken(e.to_string())));
@@ -220,9 +228,20 @@
                     .map_err(|e| ClientError::Broken(e.to_string()));
             }
         });
-        let res = match tokio::time::timeout(first_byte, wait).await {
-            Ok(res) => res,
-            Err(_) => Err(ClientError::Timeout("response headers")),
+        let mut limit = header_wait.limit;
+        let res = loop {
+            if let Ok(res) = tokio::time::timeout(limit, &mut wait).await {
+                break res;
+            }
+            let is_silent = received.load(Ordering::Relaxed) == received_before;
+            let extension = match header_wait.policy {
+                Some(policy) if is_silent => policy.extension().await,
+                _ => None,
+            };
+            match extension {
+                Some(more) => limit = more,
+                None => break Err(ClientError::Timeout("response headers")),
+            }
         };
         drop(response);
         res.map_err(|error| SendError {
@@ -357,7 +376,7 @@
         addr: SocketAddr,
         mut req: Request<Full<Bytes>>,
         attempt: AttemptId,
-        first_byte: Duration,
+        header_wait: impl Into<HeaderWait<'_>>,
         new_connection: bool,
     ) -> Result<EndpointResponse, SendError> {
         let id = format!("{attempt:032x}");
@@ -367,8 +386,16 @@
             req.headers_mut().insert(ATTEMPT_HEADER, id);
         }
         let echo_header = HeaderName::from_static(ATTEMPT_HEADER);
-        self.exchange(addr, req, &echo_header, first_byte, new_connection)
-            .await
+        let connected = || {};
+        self.exchange_inner(
+            addr,
+            req,
+            &echo_header,
+            header_wait.into(),
+            new_connection,
+            connected,
+        )
+        .await
     }
 
     /// Sends a request unchanged and waits for the headers of the response. The
@@ -411,6 +438,26 @@
         first_byte: Duration,
         new_connection: bool,
         connected: impl FnOnce(),
+    ) -> Result<EndpointResponse, SendError> {
+        self.exchange_inner(
+            addr,
+            req,
+            echo_header,
+            first_byte.into(),
+            new_connection,
+            connected,
+        )
+        .await
+    }
+
+    async fn exchange_inner(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        echo_header: &HeaderName,
+        header_wait: HeaderWait<'_>,
+        new_connection: bool,
+        connected: impl FnOnce(),
     ) -> Result<EndpointResponse, SendError> {
         let id = req.headers().get(echo_header).cloned();
         let pooled = if new_connection {
@@ -424,15 +471,19 @@
         };
         connected();
         let started = Instant::now();
-        let mut sent = conn.request(req, first_byte).await;
+        let mut sent = conn.request(req, header_wait).await;
         if let (Err(e), Some(req)) = (&sent, spare)
             && !e.written
             && matches!(e.error, ClientError::Broken(_))
         {
             // A close of a pooled connection says nothing about the endpoint.
             conn = self.connect(addr).await?;
-            let left = first_byte.saturating_sub(started.elapsed());
-            sent = conn.request(req, left).await;
+            let left = header_wait.limit.saturating_sub(started.elapsed());
+            let header_wait = HeaderWait {
+                limit: left,
+                ..header_wait
+            };
+            sent = conn.request(req, header_wait).await;
         }
         let response = sent?;
         let (parts, body) = response.into_parts();
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -41,6 +41,9 @@
 use crate::model_request;
 use crate::model_request::CompletionKind;
 use crate::model_request::ModelRequest;
+use crate::silence::HeaderWait;
+use crate::silence::KeepEndpoint;
+use crate::silence::next_chunk;
 use crate::sse::EventScanner;
 use crate::sse::Usage;
 
@@ -51,6 +54,9 @@
 /// Data events without a token: the role at the start and the finish reason at the
 /// end.
 const NON_TOKEN_EVENTS: u64 = 2;
+/// Time for each token of an answer that is not streamed, in which its engine is silent.
+/// Engines are used up to a gap of 31 ms.
+const TOKEN_TIME: Duration = Duration::from_millis(50);
 /// Timeout for the end of a stream after its `[DONE]`.
 const TAIL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -186,8 +192,9 @@
             return Err(refusal);
         }
     };
+    let deadline = Instant::now() + api.options.max_stream_duration;
     let started = loop {
-        let failure = match attempt(api, kind, &req, &ticket).await {
+        let failure = match attempt(api, kind, &req, &ticket, deadline).await {
             Ok(started) => break started,
             Err(failure) => failure,
         };
@@ -229,7 +236,7 @@
                 amount,
                 gap: api.client.timeouts().gap,
                 write_timeout: api.options.write_timeout,
-                deadline: Instant::now() + api.options.max_stream_duration,
+                deadline,
             };
             tokio::spawn(forwarder.run());
             let mut resp = Response::new(ChannelBody::body(
@@ -255,6 +262,7 @@
     kind: CompletionKind,
     req: &ModelRequest,
     ticket: &Ticket,
+    deadline: Instant,
 ) -> Result<AttemptResponse, AttemptFailure> {
     let record_outcome = |name| api.metrics.attempts.with_label_values(&[name]).inc();
     let request = Request::post(kind.path())
@@ -264,9 +272,19 @@
         .map_err(|_| AttemptFailure::request_not_built())?;
     let mut cancel = CancelOnDrop::new(&api.client, ticket.address, ticket.attempt);
     let first_byte = api.client.timeouts().first_byte;
+    let policy = KeepEndpoint {
+        core: &api.core,
+        no: ticket.no,
+        movable_at: Instant::now().checked_add(generation_time(req)),
+        deadline,
+    };
+    let header_wait = HeaderWait {
+        limit: first_byte,
+        policy: Some(&policy),
+    };
     let sent = api
         .client
-        .send(ticket.address, request, ticket.attempt, first_byte, false)
+        .send(ticket.address, request, ticket.attempt, header_wait, false)
         .await;
     let response = match sent {
         Ok(response) => response,
@@ -284,9 +302,9 @@
         return Err(read_error_response(response, api.client.timeouts().gap).await);
     }
     let started = if req.stream {
-        start_stream(response, req, cancel, api.client.timeouts().first_byte).await
+        start_stream(response, req, cancel, first_byte, &policy).await
     } else {
-        let res = read_whole(response, api.client.timeouts().first_byte).await;
+        let res = read_whole(response, first_byte).await;
         if res.is_ok() {
             cancel.disarm();
         }
@@ -296,6 +314,14 @@
     started
 }
 
+/// Returns the time in which an engine may be silent while it generates an answer.
+fn generation_time(req: &ModelRequest) -> Duration {
+    match req.stream {
+        true => Duration::ZERO,
+        false => TOKEN_TIME.saturating_mul(u32::try_from(req.max_tokens).unwrap_or(u32::MAX)),
+    }
+}
+
 /// Reads an error response and classifies the failure.
 pub(crate) async fn read_error_response(
     response: EndpointResponse,
@@ -378,6 +404,7 @@
     req: &ModelRequest,
     cancel: CancelOnDrop,
     timeout: Duration,
+    policy: &KeepEndpoint<'_>,
 ) -> Result<AttemptResponse, AttemptFailure> {
     let is_stream = response
         .headers
@@ -393,11 +420,19 @@
         return Err(invalid_stream());
     }
     let mut scanner = EventScanner::new(req.include_usage);
-    let started = Instant::now();
+    let mut heard_at = None;
     loop {
-        // Bytes before the first event don't extend the wait for it.
-        let left = timeout.saturating_sub(started.elapsed());
-        let chunk = match response.next(left).await {
+        let next = match heard_at {
+            None => next_chunk(&mut response, timeout, policy).await,
+            // Bytes before the first event don't extend the wait for it.
+            Some(at) => {
+                response
+                    .next(timeout.saturating_sub(Instant::elapsed(&at)))
+                    .await
+            }
+        };
+        heard_at.get_or_insert_with(Instant::now);
+        let chunk = match next {
             Ok(Some(chunk)) => chunk,
             Ok(None) => return Err(invalid_stream()),
             Err(e) => return Err(AttemptFailure::from_client_error(&e, true)),
--- a/crates/gateway/src/core_handle.rs
+++ b/crates/gateway/src/core_handle.rs
@@ -128,6 +128,15 @@
         /// Receives the next ticket.
         reply: oneshot::Sender<Result<Ticket, Refusal>>,
     },
+    /// Asks whether a request stays at its silent endpoint.
+    Silent {
+        /// Number of the request.
+        no: RequestNo,
+        /// Whether another endpoint may take it.
+        may_move: bool,
+        /// Receives the decision.
+        reply: oneshot::Sender<bool>,
+    },
     /// The first chunk of the response arrived this long after the request.
     FirstByte(RequestNo, Duration),
     /// Ends a request: settles its reservation and frees its slot.
@@ -252,6 +261,23 @@
             .unwrap_or_else(|_| Err(stopped().with_run_state(run)))
     }
 
+    /// Returns whether a request stays at its silent endpoint: the endpoint is announced,
+    /// and no other one can take the request. With `may_move` unset, no other one may.
+    pub async fn keeps_endpoint(&self, no: RequestNo, may_move: bool) -> bool {
+        let (reply, rx) = oneshot::channel();
+        let msg = CoreMsg::Silent {
+            no,
+            may_move,
+            reply,
+        };
+        match self.tx.try_send(msg) {
+            Ok(()) => rx.await.unwrap_or(false),
+            // Nobody decides now, so that the request is asked about again.
+            Err(mpsc::error::TrySendError::Full(_)) => true,
+            Err(mpsc::error::TrySendError::Closed(_)) => false,
+        }
+    }
+
     /// Sends a message that must not be lost. It doesn't block, so it can be
     /// called from `Drop`; when the queue is full, a new task sends the message.
     pub fn post(&self, msg: CoreMsg) {
--- a/crates/gateway/src/counting_stream.rs
+++ b/crates/gateway/src/counting_stream.rs
@@ -1,4 +1,4 @@
-//! TCP stream that counts the bytes it has sent.
+//! TCP stream that counts the bytes it has sent and received.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -12,10 +12,11 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// Counts the bytes that the kernel has accepted for sending.
+/// Counts the bytes that the kernel has accepted for sending, and those received.
 pub(crate) struct CountingStream {
     pub(crate) inner: TcpStream,
     pub(crate) written: Arc<AtomicU64>,
+    pub(crate) received: Arc<AtomicU64>,
 }
 
 impl AsyncRead for CountingStream {
@@ -24,7 +25,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let res = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let len = buf.filled().len() - before;
+        self.received.fetch_add(len as u64, Ordering::Relaxed);
+        res
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! requests to endpoints through `client` and ask the control thread for
 //! admission and endpoints through `core_handle`. `sse` parses event streams.
 //! `view` is the snapshot of configuration and routers that traffic threads
-//! read. `serve` runs a volo-http service on a listener; `connection` records
+//! read. `silence` decides how long to wait for an
+//! endpoint. `serve` runs a volo-http service on a listener; `connection` records
 //! what is known about one connection.
 
 pub mod announce;
@@ -25,6 +26,7 @@
 mod model_request;
 pub mod serve;
 mod service;
+pub mod silence;
 pub mod sse;
 pub mod view;
 
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -40,6 +40,8 @@
 use crate::guards::CancelOnDrop;
 use crate::guards::RequestGuard;
 use crate::memory::BodyMemoryGuard;
+use crate::silence::HeaderWait;
+use crate::silence::KeepEndpoint;
 
 /// Maximum length of a response body recorded with an order, in bytes.
 const MAX_RECORDED_BODY_BYTES: usize = 64 * 1024;
@@ -299,8 +301,9 @@
             return Err(refusal);
         }
     };
+    let deadline = Instant::now() + api.options.max_stream_duration;
     loop {
-        let mut failure = match attempt(api, call, &ticket, order.is_some()).await {
+        let mut failure = match attempt(api, call, &ticket, order.is_some(), deadline).await {
             Ok(response) => {
                 guard.settle(price).await;
                 if let Some(order) = order {
@@ -353,6 +356,7 @@
     call: &ServiceCall,
     ticket: &Ticket,
     order: bool,
+    deadline: Instant,
 ) -> Result<ServiceResponse, AttemptFailure> {
     let mut builder = Request::builder()
         .method(call.method.clone())
@@ -372,11 +376,22 @@
         cancel.disarm();
     }
     let timeout = api.options.service_first_byte_timeout;
+    let policy = KeepEndpoint {
+        core: &api.core,
+        no: ticket.no,
+        // An order that was sent is never sent again.
+        movable_at: (!order).then(Instant::now),
+        deadline,
+    };
+    let header_wait = HeaderWait {
+        limit: timeout,
+        policy: Some(&policy),
+    };
     let response = match api
         .client
         // Orders use a new connection: a pooled one may be closed by the endpoint
         // at the same moment, which would leave the order in an unknown state.
-        .send(ticket.address, request, ticket.attempt, timeout, order)
+        .send(ticket.address, request, ticket.attempt, header_wait, order)
         .await
     {
         Ok(response) => response,
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -430,6 +430,13 @@
                     reply,
                 },
             ),
+            CoreMsg::Silent {
+                no,
+                may_move,
+                reply,
+            } => {
+                reply.send(self.keeps_endpoint(now, no, may_move)).ok();
+            }
             CoreMsg::FirstByte(no, waited) => self.on_first_byte(now, no, waited),
             CoreMsg::AwaitSettlements(reply) => self.settlement_waiters.push(reply),
             CoreMsg::Finish { no, used, end, key } => self.on_finish(now, no, used, end, key),
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -52,6 +52,8 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) started: Duration,
     pub(crate) first_byte: Option<Duration>,
+    /// Whether its silent endpoint was kept.
+    pub(crate) is_kept: bool,
 }
 
 /// State of a request.
@@ -260,6 +262,7 @@
             incarnation: choice.incarnation,
             started: now,
             first_byte: None,
+            is_kept: false,
         };
         anvilloft_telemetry::decision!(self.log, "route";
             "request" => &req.admit.request_id, "team" => &req.admit.team,
@@ -285,6 +288,52 @@
         }
     }
 
+    /// Returns whether a request stays at its silent endpoint: the endpoint is announced,
+    /// and no other one can take the request.
+    pub(crate) fn keeps_endpoint(&mut self, now: Duration, no: RequestNo, may_move: bool) -> bool {
+        let Some(req) = self.requests.get(&no) else {
+            return false;
+        };
+        let Stage::Running(attempt) = &req.stage else {
+            return false;
+        };
+        let is_announced = self
+            .endpoints
+            .get(&attempt.endpoint)
+            .is_some_and(|e| e.update.incarnation == attempt.incarnation && now < e.expires);
+        let keeps = is_announced && !(may_move && self.can_move(now, no));
+        if let Some(req) = self.requests.get_mut(&no)
+            && let Stage::Running(attempt) = &mut req.stage
+            && keeps
+            && !std::mem::replace(&mut attempt.is_kept, true)
+        {
+            let reason = match may_move {
+                true => "none_usable",
+                false => "not_movable",
+            };
+            slog::info!(self.log, "endpoint silent"; "request" => &req.admit.request_id,
+                "endpoint" => &attempt.endpoint, "reason" => reason);
+        }
+        keeps
+    }
+
+    /// Returns whether another endpoint can take a request now.
+    fn can_move(&mut self, now: Duration, no: RequestNo) -> bool {
+        let Some(req) = self.requests.get(&no) else {
+            return false;
+        };
+        if self.is_suspect(now, &req.admit.fingerprint) {
+            // It holds a permit that others wait for.
+            return true;
+        }
+        req.tried.len() < MAX_ATTEMPTS
+            && self.retry.is_available(now)
+            && self
+                .selector
+                .choose(now, &Self::route_request(req, false))
+                .is_ok()
+    }
+
     pub(crate) fn on_first_byte(&mut self, now: Duration, no: RequestNo, _waited: Duration) {
         if let Some(req) = self.requests.get_mut(&no)
             && let Stage::Running(attempt) = &mut req.stage
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -39,6 +39,12 @@
         self.earned_retries += RETRIES_PER_SUCCESS;
     }
 
+    /// Returns whether a retry is available.
+    pub fn is_available(&mut self, now: Duration) -> bool {
+        self.advance(now);
+        self.earned_retries >= 1.0 || self.base_retries >= 1.0
+    }
+
     /// Takes one retry from the budget. Returns whether one was available.
     pub fn try_take(&mut self, now: Duration) -> bool {
         self.advance(now);
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -50,9 +50,9 @@
         write_stall: Duration = ["limits", "write_stall_ms", "ms", Some("30000"), 100, 600_000],
         /// Timeout for connecting to an endpoint.
         connect: Duration = ["limits", "connect_ms", "ms", Some("500"), 10, 60_000],
-        /// Timeout for the first byte of a model's answer.
+        /// Silence of a model engine after which another endpoint may take the request.
         first_byte_model: Duration = ["limits", "first_byte_model_ms", "ms", Some("30000"), 100, 600_000],
-        /// Timeout for the first byte of a service's answer.
+        /// Silence of a service after which another endpoint may take the call.
         first_byte_service: Duration = ["limits", "first_byte_service_ms", "ms", Some("5000"), 100, 600_000],
         /// Timeout between two chunks of an endpoint's answer.
         gap: Duration = ["limits", "gap_ms", "ms", Some("10000"), 100, 600_000],
