Count no failure of an endpoint for a caller's short deadline

What callers saw: nothing at once. A whole answer whose deadline passed within its body made its sound endpoint count as broken, so that it was avoided for 0.5 s, doubling up to 4 s, and its rate of failures rose. The other endpoints got its requests meanwhile. `exchange` had two timers of the same length; the inner one, of `read_to_end`, won, and its error was taken for a break. The outer one would have recorded `Cancelled`. Ruled out: the wait for the header; `judge` records `Cancelled` there unless the endpoint was silent for the stall timeout. Fix: one timer, and the rule of `judge`: `Broken` only if the rest of the answer took the stall timeout or more. Test: a_short_deadline_is_no_failure_of_the_endpoint.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -96,7 +96,7 @@
 
     /// Returns how long to wait for an answer's header while the request can still
     /// be sent to another endpoint.
-    fn stall_timeout(&self) -> Duration {
+    pub(crate) fn stall_timeout(&self) -> Duration {
         let factor = match self.kind.is_stream() {
             true => STALL_FACTOR_STREAM,
             false => STALL_FACTOR_PLAIN,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -7,6 +7,7 @@
 use anvilloft_gateway::Refusal;
 use anvilloft_gateway::body;
 use anvilloft_gateway::body::ReadLimits;
+use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::memory::BodyMemoryGuard;
 use anvilloft_gateway::serve::Handler;
 use anvilloft_routes::Route;
@@ -415,10 +416,11 @@
             });
         }
         let mut resp = Response::from_parts(response_head(&answer), Body::empty());
-        let left = outbound.deadline.saturating_sub(cx.now());
+        let began_at = cx.now();
+        let left = outbound.deadline.saturating_sub(began_at);
         let status = answer.status;
-        match tokio::time::timeout(left, answer.read_to_end(left)).await {
-            Ok(Ok(body)) => {
+        match answer.read_to_end(left).await {
+            Ok(body) => {
                 *resp.body_mut() = Body::from(body);
                 if status.is_success() {
                     crashes::record_answer(cx, &outbound.traits);
@@ -435,7 +437,7 @@
                 }
                 return Ok(resp);
             }
-            Ok(Err(e)) => {
+            Err(e) => {
                 slog::info!(cx.log, "answer broke off"; "request" => &outbound.id,
                     "endpoint" => &in_flight.pick.endpoint, "error" => %e,
                     "by" => ended_by(&e));
@@ -443,11 +445,14 @@
                 if e.is_connection_failure() {
                     crashes::record_broken(cx, &in_flight.pick, &outbound.traits);
                 }
-                in_flight.end(Outcome::Broken);
-            }
-            Err(_) => {
-                progress.may_have_run = true;
-                in_flight.end(Outcome::Cancelled);
+                let waited = cx.now().saturating_sub(began_at);
+                in_flight.end(match e {
+                    // A short deadline is no fault of the endpoint.
+                    ClientError::Timeout(_) if waited < outbound.stall_timeout() => {
+                        Outcome::Cancelled
+                    }
+                    _ => Outcome::Broken,
+                });
             }
         }
     }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod connections;
 mod crashes;
+mod deadlines;
 mod drain;
 mod loans;
 mod overlaps;
