Bound the connection to an endpoint by the request's deadline

What callers saw: a request whose endpoint accepted no connection was refused up to 0.3 s after its deadline (0.6 s after a broken pooled connection), where a caller that keeps its time has left. Cause: the client's timeout for the answer began when the connection was open; the connection had its own 300 ms, whatever time was left. The endpoint then counted as unreachable, although a short deadline says nothing about it. Ruled out: the wait for the header, which ends at the deadline. Fix: `exchange` counts its limit from the call, and the connection gets what is left of it. A connection cut short by the deadline is a timeout, and no failure of the endpoint. Test: a_connection_that_is_not_accepted_holds_no_request_past_its_deadline.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -57,7 +57,7 @@
 pub struct ClientTimeouts {
     /// Timeout for opening a connection.
     pub connect: Duration,
-    /// Timeout from the request to the headers of the response. A [`SilencePolicy`] may
+    /// Timeout from the request, before a connection is opened, to the headers of the response. A [`SilencePolicy`] may
     /// extend it while the endpoint is silent.
     pub first_byte: Duration,
     /// Timeout between two chunks of the response body.
@@ -146,16 +146,19 @@
 }
 
 impl Conn {
-    async fn open(addr: SocketAddr, client: &Client) -> Result<Self, ClientError> {
+    /// Opens a connection within `limit` and the client's own timeout.
+    async fn open(addr: SocketAddr, client: &Client, limit: Duration) -> Result<Self, ClientError> {
         let timeouts = &client.timeouts;
         let started = Instant::now();
-        let connect = tokio::time::timeout(timeouts.connect, TcpStream::connect(addr)).await;
+        let limit = limit.min(timeouts.connect);
+        let connect = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
         if let Some(observer) = &client.observer {
             observer.record_connect(started.elapsed());
         }
         let stream = match connect {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(ClientError::Connect(e.to_string())),
+            Err(_) if limit < timeouts.connect => return Err(ClientError::Timeout("connection")),
             Err(_) => return Err(ClientError::Connect("timed out".into())),
         };
         stream.set_nodelay(true).ok();
@@ -329,9 +332,10 @@
         None
     }
 
-    /// Opens a connection for a request.
-    async fn connect(&self, addr: SocketAddr) -> Result<Conn, SendError> {
-        Conn::open(addr, self).await.map_err(|error| SendError {
+    /// Opens a connection for a request within `limit`.
+    async fn connect(&self, addr: SocketAddr, limit: Duration) -> Result<Conn, SendError> {
+        let opened = Conn::open(addr, self, limit).await;
+        opened.map_err(|error| SendError {
             error,
             written: false,
         })
@@ -460,6 +464,11 @@
         connected: impl FnOnce(),
     ) -> Result<EndpointResponse, SendError> {
         let id = req.headers().get(echo_header).cloned();
+        let started = Instant::now();
+        let left = || HeaderWait {
+            limit: header_wait.limit.saturating_sub(started.elapsed()),
+            ..header_wait
+        };
         let pooled = if new_connection {
             None
         } else {
@@ -467,23 +476,17 @@
         };
         let (mut conn, spare) = match pooled {
             Some(conn) => (conn, Some(req.clone())),
-            None => (self.connect(addr).await?, None),
+            None => (self.connect(addr, header_wait.limit).await?, None),
         };
         connected();
-        let started = Instant::now();
-        let mut sent = conn.request(req, header_wait).await;
+        let mut sent = conn.request(req, left()).await;
         if let (Err(e), Some(req)) = (&sent, spare)
             && !e.written
             && matches!(e.error, ClientError::Broken(_))
         {
             // A close of a pooled connection says nothing about the endpoint.
-            conn = self.connect(addr).await?;
-            let left = header_wait.limit.saturating_sub(started.elapsed());
-            let header_wait = HeaderWait {
-                limit: left,
-                ..header_wait
-            };
-            sent = conn.request(req, header_wait).await;
+            conn = self.connect(addr, left().limit).await?;
+            sent = conn.request(req, left()).await;
         }
         let response = sent?;
         let (parts, body) = response.into_parts();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -520,6 +520,10 @@
                     Outcome::Cancelled
                 }
                 (_, true) => Outcome::Broken,
+                // The deadline left less time than a connection may take.
+                (ClientError::Timeout(_), false) if outbound.deadline <= cx.now() => {
+                    Outcome::Cancelled
+                }
                 // The router's own link is saturated, so this is no fault of the
                 // endpoint.
                 (_, false) if cx.link.state().is_saturated() => Outcome::Cancelled,
--- a/crates/relay/tests/relay/deadlines.rs
+++ b/crates/relay/tests/relay/deadlines.rs
@@ -1,13 +1,19 @@
 //! Requests whose deadline passes while an endpoint has them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
@@ -18,6 +24,21 @@
 /// in millions.
 const FOLLOWERS: usize = 24;
 
+/// Returns a listener whose backlog is full, so that further connections wait.
+async fn unaccepting_listener() -> (TcpListener, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let connects = (0..8).map(|_| timeout(Duration::from_millis(100), TcpStream::connect(address)));
+    let waiting = futures::future::join_all(connects).await;
+    assert!(
+        waiting.iter().any(Result::is_err),
+        "the backlog is not full"
+    );
+    (listener, address)
+}
+
 /// Guards against a sound endpoint that is avoided because a caller waits for less time
 /// than the rest of the answer takes.
 #[rstest::rstest]
@@ -60,3 +81,32 @@
         assert!(!served.contains(&0), "after short request {n}: {served:?}");
     }
 }
+
+/// Guards against a connection that can't be opened and holds its request past the
+/// deadline.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_is_not_accepted_holds_no_request_past_its_deadline(
+    #[values("/any/x", "/once/x", "/stream/x")] path: &str,
+) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let (_listener, address) = unaccepting_listener().await;
+    for service in ["plain", "engines"] {
+        fleet.announce(&format!("full-{service}"), address, service);
+    }
+    while fleet.send(0, path, "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let mut shortest = Duration::MAX;
+    for n in 0..5 {
+        let short = call(path, "body", &format!("short-{n}")).header("x-wait-ms", "100");
+        let started = Instant::now();
+        let reply = short.send(fleet.relays[0].address(), CALL_TIMEOUT).await;
+        shortest = shortest.min(started.elapsed());
+        let reply = reply.unwrap();
+        assert_eq!(reply.status, 503, "{}", reply.text());
+        assert!(!reply.text().contains("no_endpoint"));
+    }
+    assert!(shortest < Duration::from_millis(250), "{shortest:?}");
+}
