End a stream at its deadline also if its caller reads nothing

What callers saw: nothing, they had stopped reading. The endpoint kept the request, its slot and the reserved tokens until the caller's connection broke, which takes a quarter of an hour after a loss of its host's network. Cause: hyper asks for the next events only when it can write, and the deadline was checked only then. The timeouts of the connection don't run while an answer is open. Evidence: the test on the code without the fix (deadline 1.5 s, an endpoint that sends without end): the endpoint is held: Elapsed(()) after 4.5 s. Ruled out: a caller that closes its connection; hyper sees that. Fix: the relay tells the server the deadline of a streamed answer. The check of the connection's timeouts, once a second at least, ends it as `answer_stalled` if bytes wait for the caller then. The router's own path has `write_timeout` and sets none. Test: a_caller_that_stops_reading_holds_no_endpoint_past_its_deadline.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -64,6 +64,10 @@
     }
 }
 
+/// Extension of a response: when it ends, also if its caller reads nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerDeadline(pub Instant);
+
 /// Why a connection ended while a request had no complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EndCause {
@@ -110,6 +114,8 @@
     active_at: Instant,
     /// Whether bytes of an answer wait for the caller to read.
     unwritten: bool,
+    /// When the answer to the newest request ends, also if its caller reads nothing.
+    answer_deadline: Option<Instant>,
     /// Whether more bytes of a request's body may arrive.
     body_open: bool,
     /// Whether a body was not read to its end.
@@ -131,6 +137,7 @@
             header_since: None,
             active_at: Instant::now(),
             unwritten: false,
+            answer_deadline: None,
             body_open: false,
             body_cut: false,
             must_close: false,
@@ -144,6 +151,12 @@
         (p.id, p.open) = (id, true);
         p.count += 1;
         p.header_since = None;
+        p.answer_deadline = None;
+    }
+
+    /// Sets when the answer to the newest request ends, also if its caller reads nothing.
+    pub(crate) fn set_answer_deadline(&self, deadline: AnswerDeadline) {
+        lock(&self.0).answer_deadline = Some(deadline.0);
     }
 
     /// Records that the answer was passed to the connection completely.
@@ -193,9 +206,13 @@
     }
 
     /// Returns when the connection is closed if nothing happens until then, and why.
-    /// Returns `None` while a request is served.
+    /// Returns `None` while a request is served, unless its caller reads nothing of an
+    /// answer with a deadline.
     pub(crate) fn deadline(&self, timeouts: Timeouts) -> Option<(Instant, Option<EndCause>)> {
         let p = lock(&self.0);
+        if p.open && p.unwritten {
+            return Some((p.answer_deadline?, Some(EndCause::AnswerStalled)));
+        }
         if p.open || p.body_open {
             return None;
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -36,6 +36,7 @@
 
 use crate::client::ATTEMPT_HEADER;
 use crate::connection::AnswerBody;
+pub use crate::connection::AnswerDeadline;
 use crate::connection::ConnectionEnd;
 use crate::connection::ConnectionState;
 use crate::connection::EndCause;
@@ -251,6 +252,9 @@
                 .into_response()
             }
         };
+        if let Some(deadline) = resp.extensions().get::<AnswerDeadline>() {
+            state.set_answer_deadline(*deadline);
+        }
         if state.must_close() || self.shutdown.is_cancelled() {
             let close = HeaderValue::from_static("close");
             resp.headers_mut().insert(header::CONNECTION, close);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,6 +19,7 @@
 use anvilloft_dispatch::SilenceTimer;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::EndpointResponse;
+use anvilloft_gateway::serve::AnswerDeadline;
 use anvilloft_gateway::sse::MAX_EVENT_BYTES;
 use anvilloft_routes::RouteKind;
 use anvilloft_types::prelude::*;
@@ -28,6 +29,7 @@
 use futures::StreamExt;
 use http_body::Frame;
 use quick_error::quick_error;
+use tokio::time::Instant;
 use volo_http::body::Body;
 
 use crate::attempt::Attempt;
@@ -499,6 +501,8 @@
             RouteKind::Stream { max_gap, .. } => max_gap.saturating_mul(FAILED_AFTER_GAPS),
             _ => Duration::MAX,
         };
+        let left = outbound.deadline.saturating_sub(cx.now());
+        let deadline = Instant::now().checked_add(left);
         let mut source = ResumingStream {
             cx: Arc::clone(cx),
             outbound,
@@ -526,7 +530,12 @@
         let body = Self {
             events: Mutex::new(Box::pin(events)),
         };
-        Ok(http::Response::from_parts(head, Body::from_body(body)))
+        let mut resp = http::Response::from_parts(head, Body::from_body(body));
+        // The events aren't asked for while the caller reads nothing.
+        if let Some(at) = deadline {
+            resp.extensions_mut().insert(AnswerDeadline(at));
+        }
+        Ok(resp)
     }
 }
 
--- a/crates/relay/tests/relay/deadlines.rs
+++ b/crates/relay/tests/relay/deadlines.rs
@@ -10,6 +10,8 @@
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -18,7 +20,9 @@
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
 use crate::common::call;
+use crate::common::chunk;
 use crate::common::send;
+use crate::common::stream_head;
 
 /// Requests that follow each short one. They reach both endpoints, but for a chance of one
 /// in millions.
@@ -110,3 +114,46 @@
     }
     assert!(shortest < Duration::from_millis(250), "{shortest:?}");
 }
+
+/// Streams events without end. Returns how long the connection lasted.
+async fn flood(listener: TcpListener) -> Duration {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buf = vec![0; 4_096];
+    let len = stream.read(&mut buf).await.unwrap();
+    let started = Instant::now();
+    let head = String::from_utf8_lossy(&buf[..len]).to_ascii_lowercase();
+    let id = head.split("x-anvilloft-attempt: ").nth(1).unwrap();
+    let id = id.split("\r\n").next().unwrap();
+    stream.write_all(stream_head(id).as_bytes()).await.unwrap();
+    let data = "x".repeat(16_000);
+    for n in 1.. {
+        let event = chunk(&format!("id: {n}\ndata: {data}\n\n"));
+        if stream.write_all(event.as_bytes()).await.is_err() {
+            break;
+        }
+    }
+    started.elapsed()
+}
+
+/// Guards against a caller that reads nothing and so holds an endpoint past its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_stops_reading_holds_no_endpoint_past_its_deadline() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    fleet.announce("e1", listener.local_addr().unwrap(), "engines");
+    let flooded = tokio::spawn(flood(listener));
+    let wait = Duration::from_millis(1_500);
+    let call = call("/stream/x", "body", "held").header("x-wait-ms", "1500");
+    let open = loop {
+        let mut open = call.open(fleet.relays[0].address()).await.unwrap();
+        if open.read_until("id: 1\n", CALL_TIMEOUT).await {
+            break open;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    let lasted = timeout(wait * 3, flooded).await;
+    drop(open);
+    let lasted = lasted.expect("the endpoint is held").unwrap();
+    assert!(lasted > wait / 2, "{lasted:?}");
+}
