Keep an endpoint that is silent between its header and its body

What callers saw: on the router's own path, a whole answer whose header came at once was ended 30 s later (services 5 s), although no other endpoint could take the request: 502, run unknown, and an order stayed unknown for good. Cause: the same as before the header; `collect` ended the wait for the body after a fixed time, before the control thread was asked. Evidence: the test on the code without the fix (limit 300 ms, silence 1.2 s), all three cases: whole answer, service and order get 502 "endpoint_failed", run unknown. Fix: the wait for the first bytes of a body asks the same policy as the wait for the header. From then on the end must arrive within the old limit. Test: a_silent_body_is_not_given_up_before_another_endpoint_takes_over.

--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -44,6 +44,7 @@
 use crate::silence::HeaderWait;
 use crate::silence::KeepEndpoint;
 use crate::silence::next_chunk;
+use crate::silence::read_body;
 use crate::sse::EventScanner;
 use crate::sse::Usage;
 
@@ -304,7 +305,7 @@
     let started = if req.stream {
         start_stream(response, req, cancel, first_byte, &policy).await
     } else {
-        let res = read_whole(response, first_byte).await;
+        let res = read_whole(response, first_byte, &policy).await;
         if res.is_ok() {
             cancel.disarm();
         }
@@ -371,6 +372,7 @@
 async fn read_whole(
     response: EndpointResponse,
     timeout: Duration,
+    policy: &KeepEndpoint<'_>,
 ) -> Result<AttemptResponse, AttemptFailure> {
     #[derive(serde::Deserialize)]
     struct Whole {
@@ -379,10 +381,7 @@
         #[serde(rename = "choices")]
         _choices: Vec<serde::de::IgnoredAny>,
     }
-    // An engine sends the whole response when the generation is finished, so the
-    // timeout must cover the time of the generation.
-    let body = response
-        .collect(timeout)
+    let body = read_body(response, timeout, policy)
         .await
         .map_err(|e| AttemptFailure::from_client_error(&e, true))?;
     match serde_json::from_slice::<Whole>(&body) {
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -42,6 +42,7 @@
 use crate::memory::BodyMemoryGuard;
 use crate::silence::HeaderWait;
 use crate::silence::KeepEndpoint;
+use crate::silence::read_body;
 
 /// Maximum length of a response body recorded with an order, in bytes.
 const MAX_RECORDED_BODY_BYTES: usize = 64 * 1024;
@@ -429,7 +430,7 @@
         .and_then(|v| v.to_str().ok())
         .unwrap_or_default()
         .to_owned();
-    let body = response.collect(timeout).await.map_err(|e| {
+    let body = read_body(response, timeout, &policy).await.map_err(|e| {
         api.metrics.attempts.with_label_values(&["failed"]).inc();
         AttemptFailure::from_client_error(&e, true)
     })?;
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -7,6 +7,8 @@
 use std::time::Instant;
 
 use anvilloft_types::RequestNo;
+use bytes::Bytes;
+use bytes::BytesMut;
 use futures::future::BoxFuture;
 
 use crate::client::ClientError;
@@ -71,7 +73,7 @@
     response: &mut EndpointResponse,
     limit: Duration,
     policy: &dyn SilencePolicy,
-) -> Result<Option<bytes::Bytes>, ClientError> {
+) -> Result<Option<Bytes>, ClientError> {
     let mut limit = limit;
     loop {
         let res = response.next(limit).await;
@@ -84,3 +86,25 @@
         }
     }
 }
+
+/// Returns the whole body of a response, whose end must arrive within `limit` of its
+/// first chunk. `policy` may extend the wait for that chunk.
+pub(crate) async fn read_body(
+    mut response: EndpointResponse,
+    limit: Duration,
+    policy: &dyn SilencePolicy,
+) -> Result<Bytes, ClientError> {
+    if !response.is_framed() {
+        return Err(ClientError::NoFraming);
+    }
+    let Some(first) = next_chunk(&mut response, limit, policy).await? else {
+        return Ok(Bytes::new());
+    };
+    let rest = response.collect(limit).await?;
+    if rest.is_empty() {
+        return Ok(first);
+    }
+    let mut body = BytesMut::from(first);
+    body.extend_from_slice(&rest);
+    Ok(body.freeze())
+}
--- a/crates/router/tests/silence.rs
+++ b/crates/router/tests/silence.rs
@@ -11,6 +11,8 @@
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
+use anvilloft_fakes::raw::chat_body;
+use anvilloft_fakes::raw::whole_answer;
 use common::*;
 
 /// Silence after which another endpoint may get a request.
@@ -161,6 +163,53 @@
     assert!(reply.complete);
 }
 
+/// Announces a raw endpoint of a service once.
+async fn announce_service(fleet: &Fleet, raw: &RawEndpoint, service: &str) {
+    let text = serde_json::json!({
+        "id": "raw", "incarnation": 1, "seq": 1, "address": raw.addr.to_string(),
+        "data_centre": "dc1", "pool": service, "kind": "service", "slots": 8,
+    });
+    let announce = Call::post("/v1/endpoints/announce", text.to_string()).key(ENDPOINT_KEY);
+    let reply = announce.send(fleet.addr(0), TIMEOUT).await;
+    assert_eq!(reply.map(|r| r.status).ok(), Some(200));
+}
+
+/// Guards against a sound endpoint that is given up between its header and its body.
+#[rstest::rstest]
+#[case::whole("", chat("x", false))]
+#[case::service("stock", stock())]
+#[case::order("orders", order("k"))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_body_is_not_given_up_before_another_endpoint_takes_over(
+    #[case] service: &str,
+    #[case] call: Call,
+) {
+    let fleet = start_fleet().await;
+    let raw = RawEndpoint::start(|req| {
+        let body = chat_body("late");
+        let answer = whole_answer(&req.attempt, &body);
+        let (head, body) = answer.split_at(answer.len() - body.len());
+        vec![
+            Step::Send(head.to_vec()),
+            Step::Wait(LIMIT * 4),
+            Step::Send(body.to_vec()),
+        ]
+    })
+    .await
+    .unwrap();
+    match service {
+        "" => {
+            raw.announce(fleet.addr(0), ENDPOINT_KEY, "raw", "m", 1)
+                .await;
+        }
+        _ => announce_service(&fleet, &raw, service).await,
+    }
+    let reply = call.send(fleet.addr(0), TIMEOUT).await.unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(reply.text(), chat_body("late"));
+    assert_eq!(raw.request_count.load(Ordering::Relaxed), 1);
+}
+
 /// Guards against a request that waits for an endpoint that is gone, as its connection
 /// doesn't show it.
 #[rstest::rstest]
