--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -33,6 +33,7 @@
 use tokio::net::TcpStream;
 
 use crate::counting_stream::CountingStream;
+use crate::silence::HeaderWait;
 
 mod response;
 
@@ -56,7 +57,8 @@
 pub struct ClientTimeouts {
     /// Timeout for opening a connection.
     pub connect: Duration,
-    /// Timeout from the request to the headers of the response.
+    /// Timeout from the request, before a connection is opened, to the headers of the response. A [`SilencePolicy`] may
+    /// extend it while the endpoint is silent.
     pub first_byte: Duration,
     /// Timeout between two chunks of the response body.
     pub gap: Duration,
@@ -129,6 +131,7 @@
     driver: Pin<Box<Driver>>,
     driver_done: bool,
     written: Arc<AtomicU64>,
+    received: Arc<AtomicU64>,
     idle_since: Instant,
     /// Derived from the endpoint's `keep-alive` header, or the client's own timeout
     /// if that is shorter or the header is absent.
@@ -143,23 +146,28 @@
 }
 
 impl Conn {
-    async fn open(addr: SocketAddr, client: &Client) -> Result<Self, ClientError> {
+    /// Opens a connection within `limit` and the client's own timeout.
+    async fn open(addr: SocketAddr, client: &Client, limit: Duration) -> Result<Self, ClientError> {
         let timeouts = &client.timeouts;
         let started = Instant::now();
-        let connect = tokio::time::timeout(timeouts.connect, TcpStream::connect(addr)).await;
+        let limit = limit.min(timeouts.connect);
+        let connect = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
         if let Some(observer) = &client.observer {
             observer.record_connect(started.elapsed());
         }
         let stream = match connect {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(ClientError::Connect(e.to_string())),
+            Err(_) if limit < timeouts.connect => return Err(ClientError::Timeout("connection")),
             Err(_) => return Err(ClientError::Connect("timed out".into())),
         };
         stream.set_nodelay(true).ok();
         let written = Arc::new(AtomicU64::new(0));
+        let received = Arc::new(AtomicU64::new(0));
         let io = TokioIo::new(CountingStream {
             inner: stream,
             written: Arc::clone(&written),
+            received: Arc::clone(&received),
         });
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
@@ -171,6 +179,7 @@
             driver: Box::pin(driver),
             driver_done: false,
             written,
+            received,
             idle_since: Instant::now(),
             max_idle: timeouts.idle,
         })
@@ -198,11 +207,13 @@
     async fn request(
         &mut self,
         req: Request<Full<Bytes>>,
-        first_byte: Duration,
+        header_wait: HeaderWait<'_>,
     ) -> Result<http::Response<Incoming>, SendError> {
         let written_before = self.written.load(Ordering::Relaxed);
+        let received = Arc::clone(&self.received);
+        let received_before = received.load(Ordering::Relaxed);
         let mut response = Box::pin(self.sender.send_request(req));
-        let wait = std::future::poll_fn(|cx| {
+        let mut wait = std::future::poll_fn(|cx| {
             loop {
                 if let Poll::Ready(res) = response.as_mut().poll(cx) {
                     return Poll::Ready(res.map_err(|e| ClientError::Broken(e.to_string())));
@@ -220,9 +231,20 @@
                     .map_err(|e| ClientError::Broken(e.to_string()));
             }
         });
-        let res = match tokio::time::timeout(first_byte, wait).await {
-            Ok(res) => res,
-            Err(_) => Err(ClientError::Timeout("response headers")),
+        let mut limit = header_wait.limit;
+        let res = loop {
+            if let Ok(res) = tokio::time::timeout(limit, &mut wait).await {
+                break res;
+            }
+            let is_silent = received.load(Ordering::Relaxed) == received_before;
+            let extension = match header_wait.policy {
+                Some(policy) if is_silent => policy.extension().await,
+                _ => None,
+            };
+            match extension {
+                Some(more) => limit = more,
+                None => break Err(ClientError::Timeout("response headers")),
+            }
         };
         drop(response);
         res.map_err(|error| SendError {
@@ -310,9 +332,10 @@
         None
     }
 
-    /// Opens a connection for a request.
-    async fn connect(&self, addr: SocketAddr) -> Result<Conn, SendError> {
-        Conn::open(addr, self).await.map_err(|error| SendError {
+    /// Opens a connection for a request within `limit`.
+    async fn connect(&self, addr: SocketAddr, limit: Duration) -> Result<Conn, SendError> {
+        let opened = Conn::open(addr, self, limit).await;
+        opened.map_err(|error| SendError {
             error,
             written: false,
         })
@@ -357,7 +380,7 @@
         addr: SocketAddr,
         mut req: Request<Full<Bytes>>,
         attempt: AttemptId,
-        first_byte: Duration,
+        header_wait: impl Into<HeaderWait<'_>>,
         new_connection: bool,
     ) -> Result<EndpointResponse, SendError> {
         let id = format!("{attempt:032x}");
@@ -367,8 +390,16 @@
             req.headers_mut().insert(ATTEMPT_HEADER, id);
         }
         let echo_header = HeaderName::from_static(ATTEMPT_HEADER);
-        self.exchange(addr, req, &echo_header, first_byte, new_connection)
-            .await
+        let connected = || {};
+        self.exchange_inner(
+            addr,
+            req,
+            &echo_header,
+            header_wait.into(),
+            new_connection,
+            connected,
+        )
+        .await
     }
 
     /// Sends a request unchanged and waits for the headers of the response. The
@@ -411,8 +442,33 @@
         first_byte: Duration,
         new_connection: bool,
         connected: impl FnOnce(),
+    ) -> Result<EndpointResponse, SendError> {
+        self.exchange_inner(
+            addr,
+            req,
+            echo_header,
+            first_byte.into(),
+            new_connection,
+            connected,
+        )
+        .await
+    }
+
+    async fn exchange_inner(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        echo_header: &HeaderName,
+        header_wait: HeaderWait<'_>,
+        new_connection: bool,
+        connected: impl FnOnce(),
     ) -> Result<EndpointResponse, SendError> {
         let id = req.headers().get(echo_header).cloned();
+        let started = Instant::now();
+        let left = || HeaderWait {
+            limit: header_wait.limit.saturating_sub(started.elapsed()),
+            ..header_wait
+        };
         let pooled = if new_connection {
             None
         } else {
@@ -420,19 +476,17 @@
         };
         let (mut conn, spare) = match pooled {
             Some(conn) => (conn, Some(req.clone())),
-            None => (self.connect(addr).await?, None),
+            None => (self.connect(addr, header_wait.limit).await?, None),
         };
         connected();
-        let started = Instant::now();
-        let mut sent = conn.request(req, first_byte).await;
+        let mut sent = conn.request(req, left()).await;
         if let (Err(e), Some(req)) = (&sent, spare)
             && !e.written
             && matches!(e.error, ClientError::Broken(_))
         {
             // A close of a pooled connection says nothing about the endpoint.
-            conn = self.connect(addr).await?;
-            let left = first_byte.saturating_sub(started.elapsed());
-            sent = conn.request(req, left).await;
+            conn = self.connect(addr, left().limit).await?;
+            sent = conn.request(req, left()).await;
         }
         let response = sent?;
         let (parts, body) = response.into_parts();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -96,7 +96,7 @@
 
     /// Returns how long to wait for an answer's header while the request can still
     /// be sent to another endpoint.
-    fn stall_timeout(&self) -> Duration {
+    pub(crate) fn stall_timeout(&self) -> Duration {
         let factor = match self.kind.is_stream() {
             true => STALL_FACTOR_STREAM,
             false => STALL_FACTOR_PLAIN,
@@ -534,6 +534,10 @@
                     Outcome::Cancelled
                 }
                 (_, true) => Outcome::Broken,
+                // The deadline left less time than a connection may take.
+                (ClientError::Timeout(_), false) if outbound.deadline <= cx.now() => {
+                    Outcome::Cancelled
+                }
                 // The router's own link is saturated, so this is no fault of the
                 // endpoint.
                 (_, false) if cx.link.state().is_saturated() => Outcome::Cancelled,
