Send queued frames before a session is closed

A leave notice that a control member had acknowledged some milliseconds before SIGTERM reached no router, which went on to send work to the endpoint. Cause: closing a session dropped both halves of its connection at once, with the frames in its send queue. The member also closed its sessions before its control thread ended, so what the thread queued last was refused. Evidence: without the change, frames_queued_before_a_close_arrive fails with "left: 0, right: 256: the dialling side", and what_was_acknowledged_before_a_planned_stop_reaches_the_routers with 9 of 16 routers without the notice, "(0, true, false), (1, true, false), ...". Ruled out: a notice that the member had not queued (announce returns after the frames are queued); a lost table, which all 16 routers had. Change: a session that this side closes writes its queue, ends the stream and reads on until the peer has closed, for at most 200 ms. Queued calls are left out, so they are still known not to have run. A member ends its control thread first and then waits for its sessions. Closing with unread bytes would reset the connection and discard what the peer hasn't read; hence the reading. Bound: 200 ms, the 1,024 frames and 32 MiB of the queue, which takes no more frames; a_close_does_not_wait_for_a_peer_that_reads_nothing passes without the change, too, and guards the bound.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -329,14 +329,15 @@
     ///
     /// Fails when the control thread had failed.
     pub async fn kill(self) -> Result<(), DaemonError> {
-        self.stop.send_replace(true);
-        self.peers.stop();
         // The first two tasks are the servers, which end on `stop`.
         for task in &self.tasks[2..] {
             task.abort();
         }
         let driver = self.driver;
         let stopped = tokio::task::spawn_blocking(move || driver.stop()).await;
+        // The sessions send what the control thread queued last.
+        self.stop.send_replace(true);
+        self.peers.stop().await;
         for task in self.tasks {
             let _ = task.await;
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -138,14 +138,17 @@
         }
     }
 
-    /// Closes all links and sessions.
-    pub fn stop(&self) {
+    /// Closes all links and sessions, and waits until queued frames have been sent, for
+    /// at most [`CLOSE_TIMEOUT`](anvilloft_wire::session::CLOSE_TIMEOUT).
+    pub async fn stop(&self) {
         lock(&self.links).clear();
-        for session in lock(&self.members).values().flatten() {
+        let mut sessions: Vec<_> = lock(&self.members).values().flatten().cloned().collect();
+        sessions.extend(lock(&self.routers).iter().cloned());
+        for session in &sessions {
             session.close();
         }
-        for session in lock(&self.routers).iter() {
-            session.close();
+        for session in &sessions {
+            session.ended().await;
         }
     }
 
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -16,6 +16,7 @@
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::Control;
 use anvilloft_wire::control::TableRequest;
+use anvilloft_wire::frame::EndpointUpdate;
 use anvilloft_wire::frame::Payload;
 use futures::future::join_all;
 use hosts::Hosts;
@@ -333,3 +334,61 @@
         assert_eq!(table.version, expected, "requested with version {version}");
     }
 }
+
+/// Guards against a leave notice or a route table that was acknowledged right before a
+/// planned stop and reaches no router.
+#[tokio::test]
+async fn what_was_acknowledged_before_a_planned_stop_reaches_the_routers() {
+    const ROUTERS: usize = 16;
+    let mut hosts = Hosts::new(1);
+    hosts.start(0, GroupStart::New).await.unwrap();
+    hosts.leader().await;
+    let mut fleets: Vec<_> = (0..ROUTERS)
+        .map(|n| hosts.router(&format!("r{n}"), 0))
+        .collect();
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while hosts.daemon(0).peers().router_names().len() < ROUTERS {
+        assert!(Instant::now() < deadline, "routers without a session");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let daemon = hosts.hosts[0].daemon.take().unwrap();
+    let publish = Publish {
+        version: 4,
+        source: b"table".to_vec(),
+        prepaid: Vec::new(),
+    };
+    let published = daemon
+        .peers()
+        .call(Body::Publish(publish).into(), Duration::from_secs(5));
+    published.await.unwrap();
+    daemon.peers().announce(EndpointUpdate {
+        id: "e".into(),
+        leaving: true,
+        left: true,
+        ..EndpointUpdate::default()
+    });
+    daemon.stop().await.unwrap();
+    let mut lost = Vec::new();
+    for (n, fleet) in fleets.iter_mut().enumerate() {
+        let (mut has_table, mut has_notice) = (false, false);
+        let received = async {
+            while !has_table || !has_notice {
+                match fleet.inbox.recv().await.unwrap().payload {
+                    Payload::PublicationPush(4) => has_table = true,
+                    Payload::EndpointBatch(batch) => {
+                        has_notice |= batch.updates.iter().any(|u| u.id == "e" && u.left);
+                    }
+                    _ => {}
+                }
+            }
+        };
+        let limit = Duration::from_millis(500);
+        if tokio::time::timeout(limit, received).await.is_err() {
+            lost.push((n, has_table, has_notice));
+        }
+    }
+    assert!(
+        lost.is_empty(),
+        "router, has the table, has the notice: {lost:?}"
+    );
+}
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -40,6 +40,9 @@
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of the whole handshake, from the accepted connection on.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum time from the close of a session by this side to its end. Queued frames are
+/// sent meanwhile: a few round trips within one city, and one between regions.
+pub const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of frames queued for writing on one session.
 pub const MAX_QUEUED_FRAMES: usize = 1024;
 /// Maximum number of bytes queued for writing on one session. 1,024 frames of
--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -19,6 +19,7 @@
 use prost::Message;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -28,6 +29,7 @@
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use super::CLOSE_TIMEOUT;
 use super::HANDSHAKE_TIMEOUT;
 use super::HEARTBEAT_INTERVAL;
 use super::Identity;
@@ -152,7 +154,8 @@
         *lock(&self.round_trip)
     }
 
-    /// Closes the session.
+    /// Closes the session. Frames that were queued before are still sent, except
+    /// calls, for at most [`CLOSE_TIMEOUT`].
     pub fn close(&self) {
         self.stop_for(StopReason::Requested);
     }
@@ -336,14 +339,14 @@
     let stats = identity.stats.clone();
     let run = session.clone();
     tokio::spawn(async move {
-        let mut stop = run.stop.subscribe();
         let reason = tokio::select! {
             err = write_frames(&run, writer, seal_out, rx) => err,
             err = read_frames(&run, reader, seal_in, handler.clone()) => err,
-            stop = stop.wait_for(|stop| *stop != StopReason::None) => match stop.as_deref() {
-                Ok(StopReason::Overflow) => SessionError::Overflow,
-                _ => SessionError::ClosedLocally,
-            },
+            err = stopped(&run) => err,
+        };
+        let reason = match *run.stop.borrow() {
+            StopReason::Requested => SessionError::ClosedLocally,
+            _ => reason,
         };
         let counter = match reason {
             SessionError::SilenceTimeout => Some(&stats.dropped_silent),
@@ -364,6 +367,24 @@
     Ok(session)
 }
 
+/// Waits until this side ends the session, at the latest [`CLOSE_TIMEOUT`] after
+/// [`Session::close`].
+async fn stopped(session: &Session) -> SessionError {
+    let mut stop = session.stop.subscribe();
+    let reason = stop.wait_for(|stop| *stop != StopReason::None).await;
+    if reason.is_ok_and(|reason| *reason == StopReason::Overflow) {
+        return SessionError::Overflow;
+    }
+    tokio::time::sleep(CLOSE_TIMEOUT).await;
+    SessionError::ClosedLocally
+}
+
+/// Waits for [`Session::close`].
+async fn close_requested(stop: &mut watch::Receiver<StopReason>) {
+    // The session holds the sender, so waiting can't fail.
+    let _ = stop.wait_for(|stop| *stop == StopReason::Requested).await;
+}
+
 async fn write_frames<W: AsyncWrite + Unpin>(
     session: &Session,
     mut writer: FramedWrite<W, LengthDelimitedCodec>,
@@ -372,8 +393,10 @@
 ) -> SessionError {
     let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
     heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stop = session.stop.subscribe();
     loop {
         let mut next = tokio::select! {
+            () = close_requested(&mut stop) => None,
             out = rx.recv() => out.inspect(|out| session.release(out)),
             _ = heartbeat.tick() => {
                 // The pong echoes the time of the ping.
@@ -383,6 +406,14 @@
                 Some(Outgoing { bytes, state: None })
             }
         };
+        if next.is_none() {
+            return match flush_queue(session, &mut writer, &mut seal, &mut rx).await {
+                // The connection stays open until the peer has read everything:
+                // closing it with unread data would reset it.
+                Ok(()) => std::future::pending().await,
+                Err(err) => SessionError::Io(err),
+            };
+        }
         let batch = async {
             while let Some(out) = next {
                 let skip = out.state.is_some_and(|state| {
@@ -405,6 +436,25 @@
     }
 }
 
+/// Writes the queued frames and then the end of the stream. Calls are left out: their
+/// replies could not be awaited.
+async fn flush_queue<W: AsyncWrite + Unpin>(
+    session: &Session,
+    writer: &mut FramedWrite<W, LengthDelimitedCodec>,
+    seal: &mut Seal,
+    rx: &mut mpsc::Receiver<Outgoing>,
+) -> std::io::Result<()> {
+    rx.close();
+    while let Some(out) = rx.recv().await {
+        session.release(&out);
+        if out.state.is_none() {
+            writer.feed(seal.seal(&out.bytes)).await?;
+        }
+    }
+    SinkExt::<Bytes>::flush(writer).await?;
+    writer.get_mut().shutdown().await
+}
+
 async fn read_frames<R: AsyncRead + Unpin>(
     session: &Arc<Session>,
     mut reader: FramedRead<R, LengthDelimitedCodec>,
@@ -445,6 +495,8 @@
                     let _ = tx.send(reply);
                 }
             }
+            // The reply could not be sent.
+            Some(Payload::Call(_)) if !session.is_open() => (),
             Some(Payload::Call(call)) => {
                 let id = call.id;
                 match permits.clone().try_acquire_owned() {
--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -20,6 +20,7 @@
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::Query;
 use anvilloft_wire::frame::Payload;
+use anvilloft_wire::session::CLOSE_TIMEOUT;
 use anvilloft_wire::session::Link;
 use anvilloft_wire::session::MAX_QUEUED_BYTES;
 use proptest::prelude::*;
@@ -192,6 +193,102 @@
     assert!(session.send(Payload::Recall(huge)).is_err());
 }
 
+/// Guards against frames that were queued before a session closes and don't arrive.
+#[tokio::test]
+async fn frames_queued_before_a_close_arrive() {
+    struct Case {
+        name: &'static str,
+        /// Whether the side that accepted the session closes it.
+        accepting_closes: bool,
+        /// Whether the other side sends frames, too.
+        both_send: bool,
+    }
+    let case = |name, accepting_closes, both_send| Case {
+        name,
+        accepting_closes,
+        both_send,
+    };
+    let cases = [
+        case("the dialling side", false, false),
+        case("the accepting side", true, false),
+        case("the dialling side, both send", false, true),
+        case("the accepting side, both send", true, true),
+    ];
+    let count = 256;
+    for case in cases.iter().cycle().take(5 * cases.len()) {
+        let server = server(identity("server", KEY), Recorder::default()).await;
+        let handler = Arc::new(Recorder::default());
+        let client_identity = Arc::new(identity("client", KEY));
+        let link = Link::start(server.address, client_identity, handler.clone(), log());
+        let accepted = || server.handler.sessions.lock().unwrap().first().cloned();
+        let is_open = || accepted().is_some() && link.session().is_some();
+        assert!(wait_for(TIMEOUT, is_open).await);
+        let (dialled, accepted) = (link.session().unwrap(), accepted().unwrap());
+        let (closing, other, receiver) = match case.accepting_closes {
+            true => (accepted, dialled, &handler),
+            false => (dialled, accepted, &server.handler),
+        };
+        for n in 0..count {
+            closing.send(Payload::Recall(format!("{n:01024}"))).unwrap();
+            if case.both_send {
+                other.send(Payload::Recall(format!("{n:01024}"))).unwrap();
+            }
+        }
+        closing.close();
+        assert!(closing.send(Payload::Recall("late".into())).is_err());
+        let received = || receiver.recalls.lock().unwrap().len();
+        wait_for(TIMEOUT, || received() == count).await;
+        assert_eq!(received(), count, "{}", case.name);
+        assert!(tokio::time::timeout(TIMEOUT, closing.ended()).await.is_ok());
+    }
+}
+
+/// Guards against a close that waits for a peer that reads nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_close_does_not_wait_for_a_peer_that_reads_nothing() {
+    let server = server(identity("server", KEY), Recorder::default()).await;
+    let proxy = proxy(server.address, Fault::None).await;
+    let link = link(proxy.address, identity("client", KEY));
+    assert!(wait_for(TIMEOUT, || link.session().is_some()).await);
+    let session = link.session().unwrap();
+    proxy.freeze.send_modify(|n| *n += 1);
+    // More than the buffers of the sockets hold.
+    for _ in 0..16 {
+        session
+            .send(Payload::Recall("x".repeat(1024 * 1024)))
+            .unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(session.is_open());
+    let start = Instant::now();
+    session.close();
+    assert!(tokio::time::timeout(TIMEOUT, session.ended()).await.is_ok());
+    let took = start.elapsed();
+    assert!(took < CLOSE_TIMEOUT + Duration::from_secs(1), "{took:?}");
+}
+
+/// Guards against a call that is reported as not run although the peer received it
+/// while the session closed.
+#[tokio::test]
+async fn a_call_queued_before_a_close_runs_only_if_its_outcome_is_unknown() {
+    for _ in 0..20 {
+        let server = server(identity("server", KEY), Recorder::default()).await;
+        let link = link(server.address, identity("client", KEY));
+        assert!(wait_for(TIMEOUT, || link.session().is_some()).await);
+        let session = link.session().unwrap();
+        let (result, ()) = tokio::join!(session.call(proposal(), TIMEOUT, 0), async {
+            session.close();
+        });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let was_received = !server.handler.hops.lock().unwrap().is_empty();
+        match result {
+            Err(CallError::Unavailable(_)) => assert!(!was_received),
+            Err(CallError::Unknown(_)) => {}
+            Ok(reply) => panic!("{reply:?}"),
+        }
+    }
+}
+
 #[tokio::test]
 async fn errors_tell_whether_a_proposal_may_have_run() {
     let limit = Duration::from_millis(300);
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -36,8 +36,8 @@
     Identity::new(node, "control", "dc1", Secret::new(key))
 }
 
-/// Answers calls with `answer`, or not at all without one, and records recalls
-/// and the hops of calls.
+/// Answers calls with `answer`, or not at all without one, and records sessions,
+/// recalls and the hops of calls.
 #[derive(Default)]
 pub(crate) struct Recorder {
     pub(crate) answer: Option<Answer>,
@@ -45,9 +45,14 @@
     pub(crate) ignore_first_call: bool,
     pub(crate) recalls: Mutex<Vec<String>>,
     pub(crate) hops: Mutex<Vec<u32>>,
+    pub(crate) sessions: Mutex<Vec<Arc<Session>>>,
 }
 
 impl Handler for Recorder {
+    fn opened(&self, session: &Arc<Session>) {
+        self.sessions.lock().unwrap().push(session.clone());
+    }
+
     fn frame(&self, _session: &Arc<Session>, payload: Payload) {
         if let Payload::Recall(budget) = payload {
             self.recalls.lock().unwrap().push(budget);
