Refuse IPv4 addresses in IPv6 form at which nobody can listen

What callers saw: nothing yet. A heartbeat of another writer with the address [::ffff:0.0.0.0]:80 was acknowledged, and routers would send requests to port 80 of their own host. Cause: the check of addresses looked at the IPv6 form only, on both paths. Change: the check maps such an address to IPv4 first.

--- a/crates/directory/src/endpoints.rs
+++ b/crates/directory/src/endpoints.rs
@@ -215,7 +215,8 @@
 
 /// Returns whether an endpoint can listen at an address.
 pub fn can_listen_at(address: SocketAddr) -> bool {
-    let ip = address.ip();
+    // `::ffff:0.0.0.0` is as unusable as `0.0.0.0`.
+    let ip = address.ip().to_canonical();
     address.port() != 0
         && !ip.is_unspecified()
         && !ip.is_multicast()
--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -145,7 +145,7 @@
 fn invalid_announcements_are_refused() {
     let mut endpoints = EndpointTable::new();
     type Corrupt = fn(&mut EndpointUpdate);
-    let cases: [(&str, Corrupt); 10] = [
+    let cases: [(&str, Corrupt); 12] = [
         ("id", |u| u.id.clear()),
         ("id", |u| u.id = "x".repeat(300)),
         ("address", |u| u.address = "nowhere".into()),
@@ -153,6 +153,10 @@
         ("address", |u| u.address = "0.0.0.0:80".into()),
         ("address", |u| u.address = "224.0.0.1:80".into()),
         ("address", |u| u.address = "255.255.255.255:80".into()),
+        ("address", |u| u.address = "[::ffff:0.0.0.0]:80".into()),
+        ("address", |u| {
+            u.address = "[::ffff:224.0.0.1]:80".into();
+        }),
         ("slots", |u| u.slots = 0),
         ("prefixes", |u| u.prefixes = vec![0; 5000]),
         ("load", |u| {
