Refuse announcements that move an endpoint without a restart

What callers saw: with one heartbeat of another writer under the id of a sound endpoint, the endpoint was gone until its next heartbeat but one, and its requests got 503. Cause: a control member and the routers took address and service from the newest announcement, though an endpoint gets another one only with a restart. The test in crates/dispatch fails with "left: Renewed, right: Stale", the one in registry.rs can't be built without the new outcome. Ruled out: entries under an id of their own, which the older test plays. Change: within an incarnation, such an announcement gets 409, and routers ignore it: it may reach them through a member that didn't know the endpoint. A restart is known by its start time, so addresses may still be used again. Not covered: the other writer's announcement is the first of its incarnation. The product's own path (crates/directory) is unchanged; endpoints hold a key there.

--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -35,6 +35,9 @@
     Stale,
     /// A later start of the endpoint is known, so the announcement is not followed.
     Superseded,
+    /// It contradicts what the same incarnation announced before, so it may come from
+    /// another writer and is not followed.
+    Conflicting,
     /// The table is full.
     Full,
 }
@@ -105,13 +108,16 @@
         if (update.incarnation, update.seq) <= (old.incarnation, old.seq) {
             return AnnounceOutcome::Stale;
         }
-        if update.incarnation == old.incarnation && old.left {
-            return AnnounceOutcome::Stale;
+        if update.incarnation == old.incarnation {
+            if old.left {
+                return AnnounceOutcome::Stale;
+            }
+            // An endpoint moves only with a restart.
+            if update.address != old.address || update.pool != old.pool {
+                return AnnounceOutcome::Conflicting;
+            }
         }
-        let changed = update.incarnation != old.incarnation
-            || update.address != old.address
-            || update.pool != old.pool
-            || update.leaving != old.leaving;
+        let changed = update.incarnation != old.incarnation || update.leaving != old.leaving;
         entry.update = update;
         entry.announced_at = now;
         entry.pending = !changed;
--- a/crates/control/tests/registry.rs
+++ b/crates/control/tests/registry.rs
@@ -64,6 +64,32 @@
     assert_eq!(known, Some((6, false, false)));
 }
 
+/// Guards against an announcement of another writer that moves a sound endpoint.
+#[test]
+fn an_endpoint_does_not_move_within_an_incarnation() {
+    let moved = |incarnation, seq| EndpointUpdate {
+        address: "10.0.0.2:80".into(),
+        ..update(incarnation, seq)
+    };
+    let other_pool = EndpointUpdate {
+        pool: "other".into(),
+        ..update(5, 3)
+    };
+    let steps = [
+        (update(5, 1), AnnounceOutcome::Changed),
+        (moved(5, 2), AnnounceOutcome::Conflicting),
+        (other_pool, AnnounceOutcome::Conflicting),
+        (update(5, 2), AnnounceOutcome::Renewed),
+        (moved(6, 1), AnnounceOutcome::Changed),
+        (left(6), AnnounceOutcome::Changed),
+    ];
+    let registry = Registry::default();
+    for (step, (announcement, outcome)) in steps.into_iter().enumerate() {
+        let seen = registry.announce(SECOND, announcement);
+        assert_eq!(seen, outcome, "step {step}");
+    }
+}
+
 /// Guards against a leave notice of an earlier incarnation that removes the present
 /// one, and against one of a later incarnation that routers take for an earlier one's.
 #[test]
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -200,7 +200,7 @@
         if announcement.left {
             ep.announcement.left = true;
             ep.announcement.leaving = true;
-        } else if announcement.seq > old.seq {
+        } else if announcement.can_follow(old) {
             ep.last_announced = ep.last_announced.max(now.saturating_sub(announcement.age));
             ep.warm_at = now + announcement.warm_up;
             ep.announcement = announcement;
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -42,6 +42,14 @@
     pub age: Duration,
 }
 
+impl Announcement {
+    /// Returns whether this can follow `old` within the same incarnation. An endpoint
+    /// moves only with a restart, so another address or service is another writer's.
+    pub(crate) fn can_follow(&self, old: &Self) -> bool {
+        self.seq > old.seq && self.address == old.address && self.service == old.service
+    }
+}
+
 /// Effect of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -51,8 +59,9 @@
     Leaving,
     /// A newer announcement of a known incarnation, which doesn't begin to leave.
     Renewed,
-    /// Ignored: it is older than the latest announcement, its incarnation has left,
-    /// or it is of a new endpoint while the number of endpoints is at its limit.
+    /// Ignored: it is older than the latest announcement or contradicts it, its
+    /// incarnation has left, or it is of a new endpoint while the number of endpoints is
+    /// at its limit.
     Stale,
 }
 
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -214,6 +214,34 @@
     assert_eq!(d.choose(SECOND, &plain(&[])), Err(NoEndpoint::None));
 }
 
+/// Guards against an announcement of another writer that moves a sound endpoint, which
+/// may reach a router through a control member that didn't know the endpoint.
+#[test]
+fn an_endpoint_does_not_move_within_an_incarnation() {
+    let mut d = dispatcher(&[("e1", "a")]);
+    let address = announcement("e1", "a").address;
+    let moved = Announcement {
+        seq: 2,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        ..announcement("e1", "a")
+    };
+    let other_service = Announcement {
+        seq: 2,
+        service: "other".into(),
+        ..announcement("e1", "a")
+    };
+    for odd in [moved, other_service] {
+        assert_eq!(d.announce(SECOND, odd), Change::Stale);
+    }
+    let chosen = d.choose(SECOND, &plain(&[])).unwrap();
+    assert_eq!(chosen.address, address);
+    let renewed = Announcement {
+        seq: 2,
+        ..announcement("e1", "a")
+    };
+    assert_eq!(d.announce(SECOND, renewed), Change::Renewed);
+}
+
 /// Guards against dropping a leave notice without an incarnation. Such a notice
 /// comes from a control member that didn't know the endpoint.
 #[test]
