Refuse announcements whose number is far ahead

What callers saw: after one heartbeat of another writer with the largest number that is allowed, under the id and start time of a sound endpoint, the endpoint's later heartbeats were acknowledged and ignored. It drained and left while routers still sent requests to it. Ruled out: a late heartbeat, whose number is lower and which stays stale. Change: within an incarnation, a step of more than 2^32 is a conflict at control members (409) and is ignored by routers. Numbers that count milliseconds make such a step in 49 days. Not tried without the change: the new rows in crates/control/tests/registry.rs and crates/dispatch/tests/dispatcher.rs.

--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use anvilloft_types::MAX_SEQ_STEP;
 use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::frame::EndpointBatch;
@@ -112,8 +113,12 @@
             if old.left {
                 return AnnounceOutcome::Stale;
             }
-            // An endpoint moves only with a restart.
-            if update.address != old.address || update.pool != old.pool {
+            // An endpoint moves only with a restart. A number that is far ahead would
+            // hide what the endpoint says later.
+            if update.address != old.address
+                || update.pool != old.pool
+                || update.seq - old.seq > MAX_SEQ_STEP
+            {
                 return AnnounceOutcome::Conflicting;
             }
         }
--- a/crates/control/tests/registry.rs
+++ b/crates/control/tests/registry.rs
@@ -64,7 +64,8 @@
     assert_eq!(known, Some((6, false, false)));
 }
 
-/// Guards against an announcement of another writer that moves a sound endpoint.
+/// Guards against an announcement of another writer that moves a sound endpoint, or hides
+/// what the endpoint announces later.
 #[test]
 fn an_endpoint_does_not_move_within_an_incarnation() {
     let moved = |incarnation, seq| EndpointUpdate {
@@ -79,6 +80,7 @@
         (update(5, 1), AnnounceOutcome::Changed),
         (moved(5, 2), AnnounceOutcome::Conflicting),
         (other_pool, AnnounceOutcome::Conflicting),
+        (update(5, u64::MAX), AnnounceOutcome::Conflicting),
         (update(5, 2), AnnounceOutcome::Renewed),
         (moved(6, 1), AnnounceOutcome::Changed),
         (left(6), AnnounceOutcome::Changed),
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use anvilloft_types::MAX_SEQ_STEP;
 use anvilloft_types::prelude::*;
 
 use crate::cache::PartCache;
@@ -44,9 +45,13 @@
 
 impl Announcement {
     /// Returns whether this can follow `old` within the same incarnation. An endpoint
-    /// moves only with a restart, so another address or service is another writer's.
+    /// moves only with a restart, so another address or service is another writer's, and
+    /// so is a number that is far ahead.
     pub(crate) fn can_follow(&self, old: &Self) -> bool {
-        self.seq > old.seq && self.address == old.address && self.service == old.service
+        self.seq > old.seq
+            && self.seq - old.seq <= MAX_SEQ_STEP
+            && self.address == old.address
+            && self.service == old.service
     }
 }
 
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -214,8 +214,8 @@
     assert_eq!(d.choose(SECOND, &plain(&[])), Err(NoEndpoint::None));
 }
 
-/// Guards against an announcement of another writer that moves a sound endpoint, which
-/// may reach a router through a control member that didn't know the endpoint.
+/// Guards against an announcement of another writer that moves a sound endpoint, or hides
+/// what it announces later, and that comes through a member that didn't know the endpoint.
 #[test]
 fn an_endpoint_does_not_move_within_an_incarnation() {
     let mut d = dispatcher(&[("e1", "a")]);
@@ -230,7 +230,11 @@
         service: "other".into(),
         ..announcement("e1", "a")
     };
-    for odd in [moved, other_service] {
+    let far_ahead = Announcement {
+        seq: u64::MAX,
+        ..announcement("e1", "a")
+    };
+    for odd in [moved, other_service, far_ahead] {
         assert_eq!(d.announce(SECOND, odd), Change::Stale);
     }
     let chosen = d.choose(SECOND, &plain(&[])).unwrap();
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -32,6 +32,10 @@
 /// Number of one run of a router or endpoint process. A later run has a larger
 /// number.
 pub type Incarnation = u64;
+
+/// Largest step between the numbers of two announcements that an endpoint sends within
+/// an incarnation: 49 days, for numbers that count milliseconds.
+pub const MAX_SEQ_STEP: u64 = 1 << 32;
 /// Revision of the configuration. Starts at 0 and only increases.
 pub type Revision = u64;
 /// Number of tokens, the unit of every budget.
