Play more repeated refusals and odd answers to a resumed stream

Change: 4 more ways to repeat a refusal, all 12 on a route of whole answers and one of streams, and 10 more odd answers. No fault was found.

--- a/crates/relay/tests/relay/refusals.rs
+++ b/crates/relay/tests/relay/refusals.rs
@@ -19,6 +19,12 @@
     )
 }
 
+fn chunked_refusal(attempt: &str) -> String {
+    refusal(attempt)
+        .replace("content-length: 4", "transfer-encoding: chunked")
+        .replace("\r\n\r\nfull", "\r\n\r\n4\r\nfull\r\n0\r\n\r\n")
+}
+
 /// A way in which an endpoint repeats its refusal.
 struct Case {
     name: &'static str,
@@ -37,7 +43,33 @@
     Vec::new()
 }
 
-const CASES: [Case; 8] = [
+const CASES: [Case; 12] = [
+    Case {
+        name: "100 ms later",
+        refuse: |a| {
+            let pause = Step::Wait(Duration::from_millis(100));
+            vec![send(refusal(a)), pause, send(refusal(a))]
+        },
+        before_next: no_more,
+    },
+    Case {
+        name: "in chunks, with the end of the refusal",
+        refuse: |a| vec![send(chunked_refusal(a).repeat(2))],
+        before_next: no_more,
+    },
+    Case {
+        name: "in chunks, instead of the next answer",
+        refuse: |a| vec![send(chunked_refusal(a))],
+        before_next: |a| vec![send(chunked_refusal(a))],
+    },
+    Case {
+        name: "instead of the next answer, after an interim answer",
+        refuse: once,
+        before_next: |a| {
+            let interim = "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n".to_owned();
+            vec![send(interim + &refusal(a))]
+        },
+    },
     Case {
         name: "while the connection is idle",
         refuse: |a| {
@@ -103,10 +135,16 @@
 
 /// Guards against a refusal that is counted for a request that an endpoint runs: its
 /// caller is told that it was not run, or it runs a second time.
+#[rstest::rstest]
+#[case::whole_answer("once", "plain")]
+#[case::stream("fragile", "engines")]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_repeated_refusal_counts_for_no_other_request() {
+async fn a_repeated_refusal_counts_for_no_other_request(
+    #[case] route: &str,
+    #[case] service: &str,
+) {
     let fleet = Fleet::start(1).await;
-    fleet.publish(1, 0).await;
+    fleet.publish(1, 10_000_000).await;
     // The number of runs of each request.
     let runs = Arc::new(Mutex::new(HashMap::<String, u32>::new()));
     let last_refused = Mutex::new(String::new());
@@ -128,13 +166,13 @@
         }
     });
     let endpoint = endpoint.await.unwrap();
-    fleet.announce("e", endpoint.addr, "plain");
+    fleet.announce("e", endpoint.addr, service);
     let mut faults = Vec::new();
     for (n, case) in CASES.iter().enumerate() {
         for round in 0..10 {
             for kind in ["refuse", "run"] {
                 let id = format!("{kind}-{n}-{round}");
-                let reply = fleet.send(0, &format!("/once/{n}"), &id).await;
+                let reply = fleet.send(0, &format!("/{route}/{n}"), &id).await;
                 let runs = runs.lock().unwrap().get(&id).copied().unwrap_or_default();
                 let is_promise = matches!(reply.status, 408 | 421 | 429 | 503);
                 let is_true = match reply.status {
--- a/crates/relay/tests/relay/resumes.rs
+++ b/crates/relay/tests/relay/resumes.rs
@@ -48,7 +48,59 @@
 const JSON: &str = "content-type: application/json\r\n";
 const EVENTS: &str = "content-type: text/event-stream\r\n";
 
-const CASES: [Case; 14] = [
+const CASES: [Case; 24] = [
+    Case {
+        name: "server error in chunks",
+        answer: |a| {
+            let head = stream_head(a).replace("200 OK", "500 Error");
+            head + &chunk(ERROR) + "0\r\n\r\n"
+        },
+    },
+    Case {
+        name: "server error without a length",
+        answer: |a| until_close(a, ERROR).replace("200 OK", "500 Error"),
+    },
+    Case {
+        name: "server error after an interim answer",
+        answer: |a| {
+            let interim = "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n".to_owned();
+            interim + &with_length("500 Error", a, JSON, ERROR)
+        },
+    },
+    Case {
+        name: "server error, in two writes",
+        answer: |a| with_length("500 Error", a, EVENTS, "id: 3\ndata: foreign\n\n"),
+    },
+    Case {
+        name: "plain text",
+        answer: |a| {
+            let fields = "content-type: text/plain\r\n";
+            with_length("200 OK", a, fields, "id: 3\ndata: foreign\n\n")
+        },
+    },
+    Case {
+        name: "an event that reports an error",
+        answer: |a| {
+            let error = "event: error\ndata: foreign\n\n";
+            stream_head(a) + &chunk(error) + "0\r\n\r\n"
+        },
+    },
+    Case {
+        name: "events from number 0 on",
+        answer: |a| stream_head(a) + &chunk(&events(0..=LAST)) + "0\r\n\r\n",
+    },
+    Case {
+        name: "the head alone",
+        answer: stream_head,
+    },
+    Case {
+        name: "half of the head",
+        answer: |a| stream_head(a).split_at(40).0.to_owned(),
+    },
+    Case {
+        name: "the next event and another break",
+        answer: |a| stream_head(a) + &chunk(&event(3)) + &chunk("id: 4\nda"),
+    },
     Case {
         name: "server error",
         answer: |a| with_length("500 Error", a, JSON, ERROR),
@@ -135,8 +187,16 @@
     let path = req.head.split(' ').nth(1).unwrap_or_default();
     let case = path.rsplit('/').next().and_then(|n| n.parse().ok());
     let case = case.and_then(|n: usize| CASES.get(n)).unwrap();
+    let answer = (case.answer)(&req.attempt);
+    let first_len = match case.name.ends_with("in two writes") {
+        true => 30,
+        false => answer.len(),
+    };
+    let (first, rest) = answer.split_at(first_len);
     vec![
-        send((case.answer)(&req.attempt)),
+        send(first),
+        Step::Wait(Duration::from_millis(20)),
+        send(rest),
         Step::Wait(Duration::from_millis(20)),
         Step::Close,
     ]
