--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use anvilloft_types::MAX_SEQ_STEP;
 use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::frame::EndpointBatch;
@@ -35,6 +36,9 @@
     Stale,
     /// A later start of the endpoint is known, so the announcement is not followed.
     Superseded,
+    /// It contradicts what the same incarnation announced before, so it may come from
+    /// another writer and is not followed.
+    Conflicting,
     /// The table is full.
     Full,
 }
@@ -105,13 +109,20 @@
         if (update.incarnation, update.seq) <= (old.incarnation, old.seq) {
             return AnnounceOutcome::Stale;
         }
-        if update.incarnation == old.incarnation && old.left {
-            return AnnounceOutcome::Stale;
+        if update.incarnation == old.incarnation {
+            if old.left {
+                return AnnounceOutcome::Stale;
+            }
+            // An endpoint moves only with a restart. A number that is far ahead would
+            // hide what the endpoint says later.
+            if update.address != old.address
+                || update.pool != old.pool
+                || update.seq - old.seq > MAX_SEQ_STEP
+            {
+                return AnnounceOutcome::Conflicting;
+            }
         }
-        let changed = update.incarnation != old.incarnation
-            || update.address != old.address
-            || update.pool != old.pool
-            || update.leaving != old.leaving;
+        let changed = update.incarnation != old.incarnation || update.leaving != old.leaving;
         entry.update = update;
         entry.announced_at = now;
         entry.pending = !changed;
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use anvilloft_types::MAX_SEQ_STEP;
 use anvilloft_types::prelude::*;
 
 use crate::cache::PartCache;
@@ -42,6 +43,18 @@
     pub age: Duration,
 }
 
+impl Announcement {
+    /// Returns whether this can follow `old` within the same incarnation. An endpoint
+    /// moves only with a restart, so another address or service is another writer's, and
+    /// so is a number that is far ahead.
+    pub(crate) fn can_follow(&self, old: &Self) -> bool {
+        self.seq > old.seq
+            && self.seq - old.seq <= MAX_SEQ_STEP
+            && self.address == old.address
+            && self.service == old.service
+    }
+}
+
 /// Effect of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -51,8 +64,9 @@
     Leaving,
     /// A newer announcement of a known incarnation, which doesn't begin to leave.
     Renewed,
-    /// Ignored: it is older than the latest announcement, its incarnation has left,
-    /// or it is of a new endpoint while the number of endpoints is at its limit.
+    /// Ignored: it is older than the latest announcement or contradicts it, its
+    /// incarnation has left, or it is of a new endpoint while the number of endpoints is
+    /// at its limit.
     Stale,
 }
 
