--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -56,7 +56,7 @@
 
 /// Adapter for the headers of these tests. A published table consists of its
 /// version, the prepaid tokens of team `small` and optionally the idle limit of callers'
-/// connections in milliseconds.
+/// connections in milliseconds, or `empty` for a table without routes, services and teams.
 struct TestAdapter;
 
 impl ProtocolAdapter for TestAdapter {
@@ -115,7 +115,12 @@
         let (version, prepaid) = text
             .split_once(' ')
             .ok_or("expected a version and a number of prepaid tokens")?;
+        let version = version.parse().map_err(|_| "the version is no number")?;
         let (prepaid, idle_ms) = prepaid.split_once(' ').unwrap_or((prepaid, "15000"));
+        if idle_ms == "empty" {
+            let empty = RouteTable::builder().version(version).build();
+            return empty.map_err(|e| e.to_string());
+        }
         let limits = CallerLimits {
             idle_timeout: Duration::from_millis(idle_ms.parse().unwrap()),
             ..CallerLimits::default()
@@ -139,7 +144,7 @@
         };
         RouteTable::builder()
             .limits(limits)
-            .version(version.parse().map_err(|_| "the version is no number")?)
+            .version(version)
             .route(route("stream", stream, "engines"))
             .route(route("single", stream, "engines"))
             .route(
