Test the wait for a place behind a silent endpoint

Change: a test only. Six urgent requests for one silent engine with one place. Evidence: it passes on the code as it is. With the rank's limit raised a hundredfold by hand it fails: "0 refused, 1 placed".

--- a/crates/router/tests/silence.rs
+++ b/crates/router/tests/silence.rs
@@ -228,3 +228,41 @@
     assert_eq!(reply.status, 502, "{}", reply.text());
     assert_eq!(error(&reply).0, "unknown");
 }
+
+/// Guards against requests that wait beyond their rank's limit for a place that a silent
+/// endpoint's requests hold.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_behind_a_silent_endpoint_are_refused_within_the_wait_of_their_rank() {
+    const URGENT_WAIT: Duration = Duration::from_secs(2);
+    let fleet = start_fleet().await;
+    let mut options = engine("e1");
+    options.slots = 1;
+    let silent = fleet.fake(options).await;
+    silent.set_fault(Fault::StallAfter(0));
+    let addr = fleet.addr(0);
+    let calls: Vec<_> = (0..6)
+        .map(|n| {
+            let call = chat(&format!("x{n}"), true).header("x-anvilloft-rank", "urgent");
+            tokio::spawn(async move {
+                let started = Instant::now();
+                let reply = call.send(addr, URGENT_WAIT * 2).await;
+                (reply, started.elapsed())
+            })
+        })
+        .collect();
+    let mut refused = 0;
+    for call in calls {
+        let (reply, elapsed) = call.await.unwrap();
+        let reply = reply.unwrap();
+        if reply.status == 0 {
+            continue;
+        }
+        assert_eq!(reply.status, 429, "{}", reply.text());
+        assert_eq!(error(&reply).0, "no");
+        assert!(elapsed < URGENT_WAIT * 3 / 2, "refused after {elapsed:?}");
+        refused += 1;
+    }
+    let placed = silent.counts().arrived.load(Ordering::Relaxed);
+    assert!(refused >= 4, "{refused} refused, {placed} placed");
+    assert_eq!(refused + placed, 6);
+}
