Test the refusal for each end of a request, and slow callers

Evidence: they pass on the code as it is. With the write timeout raised a hundredfold by hand, a_caller_that_stops_reading_is_cut_off fails after 10 s ("the condition did not hold in time"). With `record_given_up` no longer noting that an endpoint may have run a request, a_request_without_an_answer_is_told_whether_it_was_run fails.

--- a/crates/relay/tests/relay/refusals.rs
+++ b/crates/relay/tests/relay/refusals.rs
@@ -9,7 +9,9 @@
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
 
+use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
+use crate::common::call;
 use crate::common::send;
 
 fn refusal(attempt: &str) -> String {
@@ -219,3 +221,96 @@
     let reply = fleet.send(0, "/any/x", "u-any").await;
     assert_eq!(reply.status, status);
 }
+
+/// A service's only endpoint, and what its requests are told.
+struct Ending {
+    name: &'static str,
+    /// Steps of the endpoint; `None` if there is none.
+    steps: Option<fn(&str) -> Vec<Step>>,
+    status: u16,
+    code: &'static str,
+    run: &'static str,
+}
+
+const ENDINGS: &[Ending] = &[
+    Ending {
+        name: "no endpoint",
+        steps: None,
+        status: 503,
+        code: "no_endpoint",
+        run: "no",
+    },
+    Ending {
+        name: "full",
+        steps: Some(|attempt| vec![send(refusal(attempt))]),
+        status: 503,
+        code: "endpoints_full",
+        run: "no",
+    },
+    Ending {
+        name: "unreachable",
+        steps: Some(|_| vec![Step::Crash]),
+        status: 503,
+        code: "endpoints_unreachable",
+        run: "no",
+    },
+    Ending {
+        name: "silent until the deadline",
+        steps: Some(|_| vec![Step::Wait(CALL_TIMEOUT)]),
+        status: 504,
+        code: "endpoint_late",
+        run: "unknown",
+    },
+    Ending {
+        name: "broken",
+        steps: Some(|_| vec![Step::Close]),
+        status: 502,
+        code: "endpoint_failed",
+        run: "unknown",
+    },
+    Ending {
+        name: "broken within the body",
+        steps: Some(|attempt| {
+            let answer = whole_answer(attempt, "done");
+            vec![send(&answer[..answer.len() - 1]), Step::Close]
+        }),
+        status: 502,
+        code: "endpoint_failed",
+        run: "unknown",
+    },
+];
+
+/// Guards against a request that ends without an answer, and against a refusal that
+/// doesn't say truly whether it was run.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_an_answer_is_told_whether_it_was_run(
+    #[values("/once/x", "/any/x")] path: &str,
+) {
+    for ending in ENDINGS {
+        let fleet = Fleet::start(1).await;
+        fleet.publish(1, 1_000).await;
+        let address = fleet.relays[0].address();
+        if let Some(steps) = ending.steps {
+            let endpoint = RawEndpoint::start(move |req| match req.attempt.as_str() {
+                "known" => vec![send(whole_answer(&req.attempt, "done"))],
+                _ => steps(&req.attempt),
+            });
+            let endpoint = endpoint.await.unwrap();
+            fleet.announce("e", endpoint.addr, "plain");
+            assert_eq!(fleet.send(0, path, "known").await.status, 200);
+            if ending.code == "endpoints_unreachable" {
+                // The endpoint closes its listener and the pooled connection.
+                fleet.try_send(0, path, "last").await;
+            }
+        }
+        let call = call(path, "body", "asked").header("x-wait-ms", "500");
+        let reply = call.send(address, CALL_TIMEOUT).await.unwrap();
+        let told = &reply.json()["error"];
+        let told = (told["code"].as_str(), told["run"].as_str());
+        let expected = (Some(ending.code), Some(ending.run));
+        assert_eq!(reply.status, ending.status, "{}: {told:?}", ending.name);
+        assert!(reply.complete, "{}", ending.name);
+        assert_eq!(told, expected, "{}", ending.name);
+    }
+}
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -326,3 +326,44 @@
     assert!(interrupted(&reply), "{}", reply.text());
     assert!(started_at.elapsed() < Duration::from_secs(3));
 }
+
+/// Guards against a caller that stops reading and so holds an engine and its tokens for
+/// ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_stops_reading_is_cut_off() {
+    let fleet = Fleet::start_with(1, 10_000_000, |o| {
+        o.api.write_timeout = Duration::from_millis(500);
+    })
+    .await;
+    let raw = RawEndpoint::start(|req| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+             x-anvilloft-attempt: {}\r\ntransfer-encoding: chunked\r\n\r\n",
+            req.attempt
+        );
+        let text = "x".repeat(100_000);
+        let data = format!(
+            "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n"
+        );
+        let event = format!("{:x}\r\n{data}\r\n", data.len());
+        vec![
+            Step::Send(head.into_bytes()),
+            Step::Repeat(event.into_bytes(), Duration::ZERO),
+        ]
+    });
+    let raw = raw.await.unwrap();
+    raw.announce(fleet.addr(0), ENDPOINT_KEY, "raw", "m", 1)
+        .await;
+    let body = r#"{"model":"m","prompt":"elm","max_tokens":1000,"stream":true}"#;
+    let call = anvilloft_fakes::http::Call::post("/v1/completions", body).key(KEY);
+    let mut open = call.open(fleet.addr(0)).await.unwrap();
+    assert!(open.read_until("data: ", TIMEOUT).await);
+    let metrics = fleet.routers[0].metrics();
+    assert_eq!(metrics.in_flight.get(), 1);
+    let started_at = std::time::Instant::now();
+    wait_until(|| metrics.in_flight.get() == 0).await;
+    let elapsed = started_at.elapsed();
+    drop(open);
+    assert!(elapsed < Duration::from_secs(5), "{elapsed:?}");
+    assert!(fleet.settled().await > 0);
+}
