Refuse requests that were not sent as not run when a planned stop ends

What callers saw: a request whose body was still arriving, or that waited for tokens, when a planned stop ended got 502 with run "unknown". A caller doesn't repeat a request that must run once after that. Cause: the refusal at the end of a stop didn't know whether an endpoint could have the request. Evidence: the test on the code without the fix: HTTP/1.1 502 Bad Gateway {"error":{"code":"stopping",...,"run":"unknown",...}} Ruled out: requests at an endpoint, whose test a_request_without_an_answer_is_refused_at_the_end_of_a_planned_stop still gets 502. Fix: `forward` notes when it hands a request to `exchange`; before that the refusal is 503 "draining", not run, to be repeated elsewhere at once. Test: a_request_that_was_not_sent_is_refused_as_not_run_at_the_end_of_a_planned_stop.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -1,6 +1,7 @@
 //! Handling of a caller's request, from its header to its answer.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
 use anvilloft_dispatch::Outcome;
@@ -114,10 +115,11 @@
         }
         Ok(head) => {
             let id = String::from_utf8_lossy(head.id.as_bytes()).into_owned();
+            let is_sent = AtomicBool::new(false);
             let result = tokio::select! {
                 biased;
-                result = forward(cx, received_at, &id, head, req) => result,
-                () = cx.abandon.cancelled() => Err(stopping()),
+                result = forward(cx, received_at, &id, head, req, &is_sent) => result,
+                () = cx.abandon.cancelled() => Err(stopping(is_sent.load(Ordering::Relaxed))),
             };
             (id, result)
         }
@@ -201,17 +203,18 @@
     team_level * ROUTE_LEVELS + route.level.min(ROUTE_LEVELS - 1)
 }
 
+/// Handles a request from its route to its answer. Sets `is_sent` once an endpoint may get
+/// it.
 async fn forward(
     cx: &Arc<RelayState>,
     received_at: Duration,
     id: &str,
     head: RequestHead,
     req: Request<Body>,
+    is_sent: &AtomicBool,
 ) -> Result<Response<Body>, Refusal> {
     if cx.draining.load(Ordering::Relaxed) {
-        return Err(
-            Refusal::unavailable("draining", "this router is stopping").retry_after(Duration::ZERO)
-        );
+        return Err(stopping(false));
     }
     let table = cx.table.load_full();
     let route = find_route(&table, &req)?;
@@ -266,6 +269,7 @@
         received_at,
         deadline,
     };
+    is_sent.store(true, Ordering::Relaxed);
     exchange(cx, outbound, charge).await
 }
 
@@ -291,13 +295,19 @@
     })
 }
 
-/// Returns the refusal of a request that an endpoint may run when the router stops.
-fn stopping() -> Refusal {
-    Refusal::bad_gateway(
-        "stopping",
-        "this router stopped before the request was answered",
-        RunState::Unknown,
-    )
+/// Returns the refusal of a request when the router stops. `is_sent` tells whether an
+/// endpoint may run it.
+fn stopping(is_sent: bool) -> Refusal {
+    match is_sent {
+        true => Refusal::bad_gateway(
+            "stopping",
+            "this router stopped before the request was answered",
+            RunState::Unknown,
+        ),
+        false => {
+            Refusal::unavailable("draining", "this router is stopping").retry_after(Duration::ZERO)
+        }
+    }
 }
 
 fn router_busy(delay: Duration) -> Refusal {
--- a/crates/relay/tests/relay/drain.rs
+++ b/crates/relay/tests/relay/drain.rs
@@ -8,6 +8,9 @@
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
@@ -109,3 +112,28 @@
         assert!(reply.text().contains("\"run\":\"unknown\""), "{path}");
     }
 }
+
+/// Guards against a request that is told it may have run, although the planned stop ended
+/// while its body was still arriving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_was_not_sent_is_refused_as_not_run_at_the_end_of_a_planned_stop() {
+    const LIMIT: Duration = Duration::from_secs(2);
+    let mut fleet = Fleet::start_with(1, |o| o.drain(Duration::from_millis(100), LIMIT)).await;
+    fleet.publish(1, 100_000).await;
+    let relay = fleet.relays.remove(0);
+    let mut caller = TcpStream::connect(relay.address()).await.unwrap();
+    let head = "POST /once/x HTTP/1.1\r\nhost: 127.0.0.1\r\nx-key: k\r\n\
+                x-anvilloft-attempt: half\r\ncontent-length: 4\r\n\r\nbo";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let metrics = Arc::clone(relay.metrics());
+    eventually("the relay has the request", || metrics.in_flight.get() == 1).await;
+    let read = tokio::spawn(async move {
+        let mut buf = vec![0; 4_096];
+        let len = caller.read(&mut buf).await.unwrap();
+        String::from_utf8_lossy(&buf[..len]).into_owned()
+    });
+    relay.drain().await;
+    let answer = read.await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains(r#""run":"no""#), "{answer}");
+}
