Renew the announcements in the test of resumed streams

Cause: the endpoints were announced once. Without the check of the next endpoint's answer (can_continue), all of them expired, and the test failed with "the relay knows no endpoint", which shows nothing about foreign bytes. Change: they are announced again for each case. Measured: without the check it now fails with "data: foreign" inside a stream that looks complete, for 4 of the 24 answers ("server error, in two writes", "plain text", "an error as a stream of events", "encoded"); with it, it passes.

--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -305,10 +305,15 @@
 
     /// Announces an endpoint of a service.
     pub(crate) fn announce(&self, id: &str, address: SocketAddr, service: &str) {
+        self.renew(id, address, service, 1);
+    }
+
+    /// Announces an endpoint again, with the number of the announcement.
+    pub(crate) fn renew(&self, id: &str, address: SocketAddr, service: &str, seq: u64) {
         self.control.peers().announce(EndpointUpdate {
             id: id.into(),
             incarnation: 1,
-            seq: 1,
+            seq,
             address: address.to_string(),
             data_centre: "a".into(),
             pool: service.into(),
--- a/crates/relay/tests/relay/resumes.rs
+++ b/crates/relay/tests/relay/resumes.rs
@@ -215,11 +215,14 @@
         let endpoint = RawEndpoint::start(move |req| script(&resumed, &req));
         let endpoint = endpoint.await.unwrap();
         fleet.announce(name, endpoint.addr, "engines");
-        endpoints.push(endpoint);
+        endpoints.push((name, endpoint));
     }
     let expected = events(1..=LAST);
     let mut faults = Vec::new();
     for (n, case) in CASES.iter().enumerate() {
+        for (name, endpoint) in &endpoints {
+            fleet.renew(name, endpoint.addr, "engines", n as u64 + 2);
+        }
         // The first route allows two endpoints, so the stream ends with the odd answer.
         // The second one allows a third endpoint, which goes on.
         for (path, resumes) in [("stream", 1), ("patient", 2)] {
