--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -324,15 +324,46 @@
 
     /// Announces an endpoint of a service with this number of slots.
     pub(crate) fn announce_slots(&self, id: &str, address: SocketAddr, service: &str, slots: u32) {
+        self.announce_update(
+            id,
+            address,
+            service,
+            EndpointUpdate {
+                seq: 1,
+                slots,
+                ..EndpointUpdate::default()
+            },
+        );
+    }
+
+    /// Announces an endpoint again, with the number of the announcement.
+    pub(crate) fn renew(&self, id: &str, address: SocketAddr, service: &str, seq: u64) {
+        self.announce_update(
+            id,
+            address,
+            service,
+            EndpointUpdate {
+                seq,
+                slots: 8,
+                ..EndpointUpdate::default()
+            },
+        );
+    }
+
+    fn announce_update(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        service: &str,
+        update: EndpointUpdate,
+    ) {
         self.control.peers().announce(EndpointUpdate {
             id: id.into(),
             incarnation: 1,
-            seq: 1,
             address: address.to_string(),
             data_centre: "a".into(),
             pool: service.into(),
-            slots,
-            ..EndpointUpdate::default()
+            ..update
         });
     }
 
