Order the lists of quarantined traits by the log

Cause: a lease that was granted before a quarantine and arrives after its push replaces the longer list. Nothing in the messages orders them. Change: the ledger keeps the log index of the command that last changed the list. Leases, pushes and replies to reports carry it (Quarantined 2, LeaseGrant 11), and routers ignore an older list. A push replaces the list instead of adding to it, as a release needs. Without a version, as from older members, a push adds and a lease replaces, as before. The version is forgotten when control doesn't know the router's incarnation: its log may be another one. The driver compares the versions instead of building the list twice in each flush. Ruled out: the index of the last applied command alone, as the driver needs to know whether the list has changed. Evidence: a_list_from_before_the_known_one_changes_no_quarantine fails when the version is ignored ("a lease from before the first quarantine: left: false, right: true"). each_change_of_the_quarantined_traits_has_a_larger_version, the_list_of_a_new_log_replaces_that_of_the_lost_one. The existing tests of the list are as strict as before; they name a list without a version.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -51,6 +51,7 @@
 use anvilloft_types::Clock;
 use anvilloft_types::prelude::*;
 use anvilloft_types::unix_ms;
+use anvilloft_wire::command::Quarantined;
 use anvilloft_wire::frame::ConsensusFrame;
 use quick_error::quick_error;
 use slog::Logger;
@@ -99,7 +100,7 @@
 
     /// Sends the routers the traits of requests that are quarantined. Called on every
     /// member after a change.
-    fn push_quarantined(&self, _fingerprints: &[Fingerprint]) {}
+    fn push_quarantined(&self, _quarantined: Quarantined) {}
 
     /// Sends a placement order to an endpoint, or drops it if it can't arrive
     /// in time. Called on the leader only.
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -504,7 +504,7 @@
     fn apply(&mut self, fx: Effects) -> Result<(), DriverError> {
         let revision = self.ledger.config().revision();
         let publication = self.ledger.publication_version();
-        let quarantined = self.ledger.quarantined_fingerprints();
+        let quarantine = self.ledger.quarantine_version();
         if let (true, Some(s)) = (fx.reset, &fx.snapshot) {
             self.ledger = match s.state.as_slice() {
                 [] => Ledger::new(),
@@ -531,11 +531,11 @@
                 "from" => publication);
             self.transport.push_publication_version(current);
         }
-        let current = self.ledger.quarantined_fingerprints();
-        if current != quarantined {
-            slog::warn!(self.log, "quarantine"; "traits" => current.len(),
-                "from" => quarantined.len());
-            self.transport.push_quarantined(&current);
+        if self.ledger.quarantine_version() != quarantine {
+            let current = self.ledger.quarantined();
+            slog::warn!(self.log, "quarantine"; "traits" => current.fingerprints.len(),
+                "version" => current.version, "from" => quarantine);
+            self.transport.push_quarantined(current);
         }
         let version = self.ledger.directory_version();
         if version != self.cached_directory.0 {
--- a/crates/control/src/driver/reads.rs
+++ b/crates/control/src/driver/reads.rs
@@ -88,6 +88,7 @@
         } else {
             ledger.open_incarnations()
         };
+        let quarantined = ledger.quarantined();
         LeaseGrant {
             valid_ms: ledger.config().value("config_lease_ms", ""),
             config: ledger.config_since(req.revision),
@@ -102,11 +103,8 @@
             silent_routers: self.timers.silent_routers(now, ledger),
             publication: ledger.publication_since(req.publication_version),
             members: self.member_addresses(),
-            quarantined: ledger
-                .quarantined_fingerprints()
-                .iter()
-                .map(|f| f.to_vec())
-                .collect(),
+            quarantined: quarantined.fingerprints,
+            quarantine_version: quarantined.version,
         }
     }
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -16,7 +16,6 @@
 
 use anvilloft_types::BoxFuture;
 use anvilloft_types::Clock;
-use anvilloft_types::Fingerprint;
 use anvilloft_types::Incarnation;
 use anvilloft_types::MemberId;
 use anvilloft_types::Revision;
@@ -424,10 +423,7 @@
         }
     }
 
-    fn push_quarantined(&self, fingerprints: &[Fingerprint]) {
-        let quarantined = Quarantined {
-            fingerprints: fingerprints.iter().map(|f| f.to_vec()).collect(),
-        };
+    fn push_quarantined(&self, quarantined: Quarantined) {
         for session in lock(&self.routers).iter() {
             // The next lease has the list, too.
             let _ = session.send(Payload::Quarantined(quarantined.clone()));
--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -110,6 +110,22 @@
     Crashed,
 }
 
+/// A list of quarantined traits, as control sent it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QuarantineList {
+    /// The traits.
+    pub traits: Vec<Fingerprint>,
+    /// Version of the list. A larger one is newer; older members don't send it.
+    pub version: Option<u64>,
+}
+
+impl QuarantineList {
+    /// Whether control made the list before the one of another version.
+    fn is_older_than(&self, version: Option<u64>) -> bool {
+        matches!((self.version, version), (Some(own), Some(other)) if own < other)
+    }
+}
+
 /// The requests that broke off lately, and the quarantined traits.
 #[derive(Debug, Default)]
 pub struct CrashWatch {
@@ -120,6 +136,8 @@
     answered: Vec<(Fingerprint, Duration)>,
     // Sorted.
     quarantined: Vec<Fingerprint>,
+    /// Version of the list of quarantined traits.
+    version: Option<u64>,
 }
 
 impl CrashWatch {
@@ -131,9 +149,33 @@
                 .any(|f| self.quarantined.binary_search(f).is_ok())
     }
 
-    /// Replaces the quarantined traits. Returns whether they changed. Answers from before
-    /// a quarantine say nothing about a trait after it.
-    pub fn set_quarantined(&mut self, mut list: Vec<Fingerprint>) -> bool {
+    /// Replaces the quarantined traits, unless a newer list is known. Returns whether they
+    /// changed.
+    pub fn set_quarantined(&mut self, list: QuarantineList) -> bool {
+        if list.is_older_than(self.version) {
+            return false;
+        }
+        self.version = list.version;
+        self.replace_quarantined(list.traits)
+    }
+
+    /// Takes a list that was sent ahead of the next lease. Without a version, it may be
+    /// older than the known one, so its traits are only added.
+    pub fn push_quarantined(&mut self, mut list: QuarantineList) -> bool {
+        if list.version.is_some() {
+            return self.set_quarantined(list);
+        }
+        list.traits.extend_from_slice(&self.quarantined);
+        self.replace_quarantined(list.traits)
+    }
+
+    /// Takes the next list whatever its version is, as control may have lost its log.
+    pub fn forget_quarantine_version(&mut self) {
+        self.version = None;
+    }
+
+    /// Answers from before a quarantine say nothing about a trait after it.
+    fn replace_quarantined(&mut self, mut list: Vec<Fingerprint>) -> bool {
         list.sort_unstable();
         list.dedup();
         list.truncate(MAX_QUARANTINED);
@@ -146,13 +188,6 @@
         changed
     }
 
-    /// Adds quarantined traits, until the list is replaced.
-    pub fn add_quarantined(&mut self, more: Vec<Fingerprint>) -> bool {
-        let mut list = self.quarantined.clone();
-        list.extend(more);
-        self.set_quarantined(list)
-    }
-
     /// Returns the number of quarantined traits.
     pub fn quarantined_count(&self) -> usize {
         self.quarantined.len()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 pub use config::DispatcherConfig;
 pub use crashes::CrashWatch;
 pub use crashes::CrashedEndpoint;
+pub use crashes::QuarantineList;
 pub use crashes::ReportedRequest;
 pub use crashes::ReportedTrait;
 pub use crashes::RequestTraits;
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -5,7 +5,9 @@
 use anvilloft_dispatch::CrashWatch;
 use anvilloft_dispatch::CrashedEndpoint;
 use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::QuarantineList;
 use anvilloft_dispatch::RequestTraits;
+use anvilloft_types::Fingerprint;
 
 const START: Duration = Duration::from_secs(100);
 
@@ -21,6 +23,10 @@
     RequestTraits::new(&[body.as_bytes()], &prompt)
 }
 
+fn list(version: Option<u64>, traits: Vec<Fingerprint>) -> QuarantineList {
+    QuarantineList { traits, version }
+}
+
 struct Case {
     name: &'static str,
     /// Time from an answer with part 1 to the crash; `None` without an answer.
@@ -120,7 +126,8 @@
 fn only_requests_with_a_quarantined_trait_are_refused() {
     let mut watch = CrashWatch::default();
     let deadly = traits("a", &[1, 9]);
-    watch.set_quarantined(vec![deadly.parts[1], traits("copy", &[]).whole]);
+    let quarantined = vec![deadly.parts[1], traits("copy", &[]).whole];
+    watch.set_quarantined(list(None, quarantined));
     for (name, request, want) in [
         ("the part", traits("b", &[2, 9]), true),
         ("the whole request", traits("copy", &[]), true),
@@ -129,10 +136,100 @@
     ] {
         assert_eq!(watch.is_quarantined(&request), want, "{name}");
     }
-    assert!(watch.set_quarantined(Vec::new()));
+    assert!(watch.set_quarantined(list(None, Vec::new())));
     assert!(!watch.is_quarantined(&deadly), "released");
 }
 
+/// How a list of quarantined traits reached the router.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Lease,
+    Push,
+}
+
+struct ListCase {
+    name: &'static str,
+    /// Lists in the order of their arrival: source, version, and whether it has the trait.
+    lists: &'static [(Source, Option<u64>, bool)],
+    want: bool,
+}
+
+/// Guards against a quarantine that a lease from before it takes back, and against a
+/// released trait that a late message quarantines again.
+#[test]
+fn a_list_from_before_the_known_one_changes_no_quarantine() {
+    use Source::Lease;
+    use Source::Push;
+    let cases = [
+        ListCase {
+            name: "a lease from before the first quarantine",
+            lists: &[(Push, Some(7), true), (Lease, Some(0), false)],
+            want: true,
+        },
+        ListCase {
+            name: "a lease from before a later quarantine",
+            lists: &[
+                (Lease, Some(3), false),
+                (Push, Some(7), true),
+                (Lease, Some(3), false),
+            ],
+            want: true,
+        },
+        ListCase {
+            name: "a push from before the release",
+            lists: &[(Lease, Some(9), false), (Push, Some(7), true)],
+            want: false,
+        },
+        ListCase {
+            name: "a release",
+            lists: &[(Lease, Some(7), true), (Push, Some(9), false)],
+            want: false,
+        },
+        ListCase {
+            name: "a push of an older member",
+            lists: &[(Push, None, true), (Push, None, false)],
+            want: true,
+        },
+        ListCase {
+            name: "a lease of an older member",
+            lists: &[(Push, Some(7), true), (Lease, None, false)],
+            want: false,
+        },
+        ListCase {
+            name: "a lease after one of an older member",
+            lists: &[(Lease, None, false), (Lease, Some(7), true)],
+            want: true,
+        },
+    ];
+    let deadly = traits("a", &[1, 9]);
+    for case in cases {
+        let mut watch = CrashWatch::default();
+        for (source, version, has_trait) in case.lists {
+            let known = match has_trait {
+                true => vec![deadly.parts[1]],
+                false => Vec::new(),
+            };
+            match source {
+                Lease => watch.set_quarantined(list(*version, known)),
+                Push => watch.push_quarantined(list(*version, known)),
+            };
+        }
+        assert_eq!(watch.is_quarantined(&deadly), case.want, "{}", case.name);
+    }
+}
+
+/// Guards against quarantines that never change again after control lost its log.
+#[test]
+fn the_list_of_a_new_log_replaces_that_of_the_lost_one() {
+    let deadly = traits("a", &[1, 9]);
+    let mut watch = CrashWatch::default();
+    watch.set_quarantined(list(Some(900), deadly.parts.clone()));
+    watch.forget_quarantine_version();
+    assert!(watch.is_quarantined(&deadly), "until the next list");
+    watch.set_quarantined(list(Some(0), Vec::new()));
+    assert!(!watch.is_quarantined(&deadly));
+}
+
 /// Guards against a part that counts as harmless after its quarantine because of an
 /// answer from before it.
 #[test]
@@ -140,8 +237,8 @@
     let mut watch = CrashWatch::default();
     let deadly = traits("a", &[1, 9]);
     watch.record_answer(START, &deadly);
-    watch.set_quarantined(vec![deadly.parts[1]]);
-    watch.set_quarantined(Vec::new());
+    watch.set_quarantined(list(None, vec![deadly.parts[1]]));
+    watch.set_quarantined(list(None, Vec::new()));
     watch.record_broken(START, "e1", 7, deadly);
     watch.record_check(START, "e1", 7, true);
     let reports = watch.take_reports(START);
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -186,6 +186,9 @@
     /// quarantines it again, unless a request with it was answered meanwhile.
     #[prost(uint64, tag = "2")]
     pub(crate) until_ms: u64,
+    /// Whether requests with the trait run again.
+    #[prost(bool, tag = "3")]
+    pub(crate) is_over: bool,
 }
 
 /// How strongly crashes speak against a trait.
@@ -239,14 +242,16 @@
     /// Sorted by time.
     pub(crate) crashes: VecDeque<Crash>,
     pub(crate) quarantines: BTreeMap<Fingerprint, Quarantine>,
+    /// Log index of the command that last changed which requests are refused.
+    pub(crate) version: u64,
 }
 
 impl Crashes {
     /// Returns the traits whose requests are refused.
-    pub(crate) fn quarantined(&self, now_ms: u64) -> Vec<Fingerprint> {
+    pub(crate) fn quarantined(&self) -> Vec<Fingerprint> {
         self.quarantines
             .iter()
-            .filter(|(_, q)| now_ms < q.until_ms)
+            .filter(|(_, q)| !q.is_over)
             .map(|(f, _)| *f)
             .collect()
     }
@@ -319,6 +324,7 @@
         let quarantine = Quarantine {
             fingerprint: f.to_vec(),
             until_ms,
+            is_over: false,
         };
         self.quarantines.insert(f, quarantine);
         self.explain(&f);
@@ -331,15 +337,18 @@
     }
 
     /// Quarantines those of the reported traits for which the evidence now suffices.
-    fn judge(&mut self, reported: &BTreeSet<Fingerprint>, now_ms: u64, quarantine_ms: u64) {
+    /// Returns whether there are any.
+    fn judge(&mut self, reported: &BTreeSet<Fingerprint>, now_ms: u64, quarantine_ms: u64) -> bool {
         let until_ms = now_ms.saturating_add(quarantine_ms);
+        let mut changed = false;
         for f in reported {
-            match self.quarantines.get(f).map(|q| q.until_ms <= now_ms) {
+            match self.quarantines.get(f).map(|q| q.is_over) {
                 None => {}
                 Some(true) => {
                     let evidence = self.evidence(f);
                     if evidence.crashes > 0 && !evidence.answered {
                         self.quarantine(*f, until_ms);
+                        changed = true;
                     }
                 }
                 // The request was sent before its quarantine was known.
@@ -348,14 +357,24 @@
         }
         while let Some(f) = self.culprit(reported) {
             self.quarantine(f, until_ms);
+            changed = true;
         }
+        changed
     }
 
-    pub(crate) fn expire(&mut self, now_ms: u64, quarantine_ms: u64) {
+    /// Drops what no longer counts, and ends quarantines. Returns whether any ended.
+    fn expire(&mut self, now_ms: u64, quarantine_ms: u64) -> bool {
         self.crashes
             .retain(|c| !has_elapsed(now_ms, c.at_ms, CRASH_RETENTION_MS));
-        self.quarantines
-            .retain(|_, q| !has_elapsed(now_ms, q.until_ms, quarantine_ms));
+        let mut changed = false;
+        self.quarantines.retain(|_, q| {
+            if !q.is_over && q.until_ms <= now_ms {
+                q.is_over = true;
+                changed = true;
+            }
+            !has_elapsed(now_ms, q.until_ms, quarantine_ms)
+        });
+        changed
     }
 }
 
@@ -377,21 +396,41 @@
         for crash in &c.crashes {
             self.crashes.record(crash, now_ms);
         }
-        self.crashes.expire(now_ms, quarantine_ms);
+        self.expire_crashes();
         let requests = c.crashes.iter().flat_map(|c| &c.requests);
         let reported = requests
             .flat_map(|r| r.whole.iter().chain(&r.parts))
             .filter_map(|t| Fingerprint::try_from(t.fingerprint.as_slice()).ok())
             .collect();
-        self.crashes.judge(&reported, now_ms, quarantine_ms);
-        let fingerprints = self.quarantined_fingerprints();
-        Reply::Quarantined(Quarantined {
-            fingerprints: fingerprints.iter().map(|f| f.to_vec()).collect(),
-        })
+        if self.crashes.judge(&reported, now_ms, quarantine_ms) {
+            self.crashes.version = self.log_index;
+        }
+        Reply::Quarantined(self.quarantined())
+    }
+
+    pub(crate) fn expire_crashes(&mut self) {
+        let quarantine_ms = self.config.value("condemn_ms", "");
+        if self.crashes.expire(self.now_ms, quarantine_ms) {
+            self.crashes.version = self.log_index;
+        }
     }
 
     /// Returns the fingerprints of the traits whose requests are refused.
     pub fn quarantined_fingerprints(&self) -> Vec<Fingerprint> {
-        self.crashes.quarantined(self.now_ms)
+        self.crashes.quarantined()
+    }
+
+    /// Returns the log index of the command that last changed these traits, or 0.
+    pub fn quarantine_version(&self) -> u64 {
+        self.crashes.version
+    }
+
+    /// Returns these traits as routers get them.
+    pub fn quarantined(&self) -> Quarantined {
+        let fingerprints = self.quarantined_fingerprints();
+        Quarantined {
+            fingerprints: fingerprints.iter().map(|f| f.to_vec()).collect(),
+            version: Some(self.crashes.version),
+        }
     }
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -199,8 +199,7 @@
             .expire(self.now_ms, self.config.value("order_keep_ms", ""));
         self.suspects
             .expire(self.now_ms, self.config.value("condemn_ms", ""));
-        self.crashes
-            .expire(self.now_ms, self.config.value("condemn_ms", ""));
+        self.expire_crashes();
         Reply::Ok(OkReply {})
     }
 }
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -86,6 +86,8 @@
     crashes: Vec<Crash>,
     #[prost(message, repeated, tag = "20")]
     quarantines: Vec<Quarantine>,
+    #[prost(uint64, tag = "21")]
+    quarantine_version: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -282,6 +284,7 @@
             route_table: self.publication_since(0),
             crashes: self.crashes.crashes.iter().cloned().collect(),
             quarantines: self.crashes.quarantines.values().cloned().collect(),
+            quarantine_version: self.crashes.version,
         }
     }
 
@@ -362,6 +365,7 @@
             let f = q.fingerprint.as_slice().try_into().map_err(corrupt)?;
             ledger.crashes.quarantines.insert(f, q);
         }
+        ledger.crashes.version = c.quarantine_version;
         if let Some(t) = c.route_table {
             ledger.route_table = RouteTable {
                 version: t.version,
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use anvilloft_ledger::Ledger;
+use anvilloft_wire::Command;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Crash;
 use anvilloft_wire::command::CrashedRequest;
@@ -302,3 +303,30 @@
     let bytes = ledger.encode().len();
     assert!(bytes < 2 * 1024 * 1024, "the snapshot has {bytes} bytes");
 }
+
+/// Guards against a list of quarantined traits that routers take for an older one.
+#[test]
+fn each_change_of_the_quarantined_traits_has_a_larger_version() {
+    let mut ledger = test_ledger();
+    let quarantine_ms = ledger.config().value("condemn_ms", "");
+    let deadly = |n: usize| crash(n, &[seen(100 + n as u8, &[1, 9], &[1])]);
+    let after_quarantine_ms = 3 * APART_MS + quarantine_ms;
+    let steps = [
+        ("the first crash", APART_MS, deadly(0), 0),
+        ("the second crash", 2 * APART_MS, deadly(1), 0),
+        ("the quarantine", 3 * APART_MS, deadly(2), 13),
+        ("a late report", 3 * APART_MS + 1, deadly(2), 13),
+        ("an hour", after_quarantine_ms, Body::Expire(Expire {}), 15),
+        ("the renewal", after_quarantine_ms + 1, deadly(3), 16),
+    ];
+    for (index, (name, at_ms, body, want)) in (11..).zip(steps) {
+        let cmd = Command {
+            at_ms,
+            body: Some(body),
+        };
+        ledger.apply_at(index, &cmd);
+        assert_eq!(ledger.quarantine_version(), want, "{name}");
+        assert_eq!(ledger.quarantined().version, Some(want), "{name}");
+        ledger = Ledger::decode(&ledger.encode()).expect("an intact snapshot");
+    }
+}
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -405,12 +405,13 @@
         if grant.valid_ms == 0 {
             // The incarnation is lost or closed; the reply to another registration
             // shows which.
+            lock(&self.cx.crashes).forget_quarantine_version();
             self.register();
             return;
         }
         self.last_renewal = Some(self.cx.now());
         self.set_control_reachable(true);
-        crashes::set_quarantined(&self.cx, &grant.quarantined);
+        crashes::set_quarantined(&self.cx, &grant);
         if let Some(publication) = &grant.publication {
             self.adopt_publication(publication);
         }
@@ -521,7 +522,7 @@
                 self.publisher = frame.node;
                 self.fetch_table();
             }
-            Payload::Quarantined(q) => crashes::add_quarantined(&self.cx, &q),
+            Payload::Quarantined(q) => crashes::push_quarantined(&self.cx, &q),
             Payload::Recall(budget) => self.cx.reservations.recall(self.cx.now(), &budget),
             _ => {}
         }
--- a/crates/relay/src/control/crash_reports.rs
+++ b/crates/relay/src/control/crash_reports.rs
@@ -32,7 +32,7 @@
         self.crash_reports -= 1;
         match result.map(|r| r.answer) {
             Ok(Some(Answer::Applied(reply))) => match reply.reply {
-                Some(Reply::Quarantined(q)) => crashes::add_quarantined(&self.cx, &q),
+                Some(Reply::Quarantined(q)) => crashes::push_quarantined(&self.cx, &q),
                 reply => {
                     slog::error!(self.cx.log, "report of crashes refused"; "reply" => ?reply);
                 }
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -8,6 +8,7 @@
 use anvilloft_dispatch::CrashedEndpoint;
 use anvilloft_dispatch::Pick;
 use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::QuarantineList;
 use anvilloft_dispatch::ReportedTrait;
 use anvilloft_dispatch::RequestTraits;
 use anvilloft_gateway::Refusal;
@@ -19,6 +20,7 @@
 use anvilloft_wire::command::Quarantined;
 use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RequestTrait;
+use anvilloft_wire::control::LeaseGrant;
 use http::request::Parts;
 use tokio::net::TcpStream;
 
@@ -104,26 +106,31 @@
     .retry_after(RETRY_AFTER_QUARANTINED))
 }
 
-/// Returns the fingerprints of a list from control, without those of a wrong length.
-pub(crate) fn fingerprints_from_wire(list: &[Vec<u8>]) -> Vec<Fingerprint> {
-    list.iter()
-        .filter_map(|f| Fingerprint::try_from(f.as_slice()).ok())
-        .collect()
+/// Leaves out fingerprints of a wrong length.
+fn list_from_wire(fingerprints: &[Vec<u8>], version: Option<u64>) -> QuarantineList {
+    let traits = fingerprints
+        .iter()
+        .filter_map(|f| Fingerprint::try_from(f.as_slice()).ok());
+    QuarantineList {
+        traits: traits.collect(),
+        version,
+    }
 }
 
-/// Adds the quarantined traits that a control member told.
-pub(crate) fn add_quarantined(cx: &RelayState, quarantined: &Quarantined) {
-    let list = fingerprints_from_wire(&quarantined.fingerprints);
+/// Takes the quarantined traits that a control member sent ahead of the next lease.
+pub(crate) fn push_quarantined(cx: &RelayState, quarantined: &Quarantined) {
+    let list = list_from_wire(&quarantined.fingerprints, quarantined.version);
     let mut watch = lock(&cx.crashes);
-    if watch.add_quarantined(list) {
+    if watch.push_quarantined(list) {
         record_quarantine(cx, &watch);
     }
 }
 
 /// Replaces the quarantined traits by those in a lease.
-pub(crate) fn set_quarantined(cx: &RelayState, list: &[Vec<u8>]) {
+pub(crate) fn set_quarantined(cx: &RelayState, lease: &LeaseGrant) {
+    let list = list_from_wire(&lease.quarantined, lease.quarantine_version);
     let mut watch = lock(&cx.crashes);
-    if watch.set_quarantined(fingerprints_from_wire(list)) {
+    if watch.set_quarantined(list) {
         record_quarantine(cx, &watch);
     }
 }
--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -58,4 +58,8 @@
     /// Fingerprints of the traits, 16 bytes each.
     #[prost(bytes = "vec", repeated, tag = "1")]
     pub fingerprints: Vec<Vec<u8>>,
+    /// Log index of the command that last changed the list, or 0 if none has. Older
+    /// members don't send it.
+    #[prost(uint64, optional, tag = "2")]
+    pub version: Option<u64>,
 }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -237,6 +237,9 @@
     /// requests crashed endpoints, 16 bytes each.
     #[prost(bytes = "vec", repeated, tag = "10")]
     pub quarantined: Vec<Vec<u8>>,
+    /// Version of that list, as in [`crate::command::Quarantined`].
+    #[prost(uint64, optional, tag = "11")]
+    pub quarantine_version: Option<u64>,
 }
 
 /// Reads state. The result is JSON, because people and scripts read it.
