Tell apart crashes that are reported late

Callers: with control unreachable, or its leader just killed, a request that crashes endpoints isn't found by the crashes of that time: it goes on crashing them. Cause: a report that got no answer was sent again with the age that it had at first, and the ledger took no age beyond 5 s. All crashes of an outage then counted as one, as they seemed to lie within 100 ms. Change: the age is computed whenever a report is sent, and the ledger takes any age; what is older than 10 min is dropped at once, as before. Remains: the age isn't renewed while a control member itself retries a report, up to 1 s. Evidence: crashes_that_are_reported_together_count_from_when_they_were_noticed fails with the limit of 5 s ("left: [], right: [9]"); crashes_while_control_is_unreachable_are_told_apart, over sockets with a control member that is stopped and started, fails when a report keeps its first age ("timed out waiting until the router refuses").

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -92,8 +92,8 @@
     pub incarnation: Incarnation,
     /// The requests that waited there for their answers to begin.
     pub requests: Vec<ReportedRequest>,
-    /// Time since the first of them broke off.
-    pub age: Duration,
+    /// Time at which the first of them broke off.
+    pub at: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -293,7 +293,7 @@
                     endpoint: b.endpoint,
                     incarnation: b.incarnation,
                     requests: vec![request],
-                    age: now.saturating_sub(b.at),
+                    at: b.at,
                 }),
             }
         }
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -48,8 +48,6 @@
 /// Time within which crashes count as one, in milliseconds. Endpoints that fail
 /// together, such as those of one rack, fail for a reason that they share.
 const SAME_CAUSE_MS: u64 = 100;
-/// Maximum age of a crash when it's reported, in milliseconds. Older ones count as this old.
-const MAX_AGE_MS: u64 = 5_000;
 
 /// A trait of the requests that waited at an endpoint when it crashed.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -258,7 +256,7 @@
 
     /// Records what one router saw of a crash.
     fn record(&mut self, report: &CrashReport, now_ms: u64) {
-        let at_ms = now_ms.saturating_sub(report.age_ms.min(MAX_AGE_MS));
+        let at_ms = now_ms.saturating_sub(report.age_ms);
         let known = self.crashes.iter().position(|c| {
             c.endpoint == report.endpoint && c.incarnation == report.endpoint_incarnation
         });
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -241,6 +241,25 @@
     }
 }
 
+/// Guards against a deadly part that isn't found because control was unreachable, so that
+/// all crashes were reported at once.
+#[test]
+fn crashes_that_are_reported_together_count_from_when_they_were_noticed() {
+    let mut ledger = test_ledger();
+    let crashes = (0..3_u8).map(|n| {
+        let Body::ReportCrashes(r) = crash(usize::from(n), &[seen(101 + n, &[1, 9], &[1])]) else {
+            panic!("not a report");
+        };
+        let mut crash = r.crashes[0].clone();
+        crash.age_ms = 20_000 - u64::from(n) * APART_MS;
+        crash
+    });
+    let together = Body::ReportCrashes(ReportCrashes {
+        crashes: crashes.collect(),
+    });
+    assert_eq!(report(&mut ledger, 30_000, together), [9]);
+}
+
 /// Guards against a deadly part that is free again for as many crashes as at first.
 #[test]
 fn one_crash_after_the_quarantine_renews_it() {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use anvilloft_dispatch::Change;
+use anvilloft_dispatch::CrashedEndpoint;
 use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CallError;
@@ -18,7 +19,6 @@
 use anvilloft_wire::command::CloseIncarnation;
 use anvilloft_wire::command::OpenIncarnation;
 use anvilloft_wire::command::Reply;
-use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RouterState;
 use anvilloft_wire::compression::decompress;
 use anvilloft_wire::control::Answer;
@@ -98,7 +98,7 @@
     Renewed(CallResult),
     Granted(u64, CallResult),
     Reported(u64, CallResult),
-    CrashesReported(ReportCrashes, CallResult),
+    CrashesReported(Vec<CrashedEndpoint>, CallResult),
     Closed(CallResult),
     TableFetched(CallResult),
 }
@@ -276,8 +276,8 @@
             CompletedCall::Granted(seq, Err(e)) | CompletedCall::Reported(seq, Err(e)) => {
                 slog::debug!(self.cx.log, "no reply from control"; "seq" => seq, "error" => %e);
             }
-            CompletedCall::CrashesReported(report, result) => {
-                self.on_crashes_reported(report, result);
+            CompletedCall::CrashesReported(crashes, result) => {
+                self.on_crashes_reported(crashes, result);
             }
             CompletedCall::TableFetched(result) => self.on_table_fetched(result),
             CompletedCall::Closed(result) => {
@@ -559,8 +559,9 @@
         for endpoint in expired {
             slog::info!(self.cx.log, "endpoint expired"; "endpoint" => endpoint);
         }
-        if let Some(report) = crashes::next_report(&self.cx) {
-            self.report_crashes(report);
+        let crashes = crashes::take_reports(&self.cx);
+        if !crashes.is_empty() {
+            self.report_crashes(crashes);
         }
         if Instant::now() >= self.next_renewal {
             self.renew();
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -143,28 +143,32 @@
     slog::info!(cx.log, "quarantine"; "traits" => count);
 }
 
-/// Returns the command that reports the crashes noticed since the last one.
-pub(crate) fn next_report(cx: &RelayState) -> Option<ReportCrashes> {
-    let crashes = lock(&cx.crashes).take_reports(cx.now());
-    (!crashes.is_empty()).then(|| ReportCrashes {
-        crashes: crashes.into_iter().map(crash_to_wire).collect(),
-    })
+/// Returns the crashes to report that were noticed since the last call.
+pub(crate) fn take_reports(cx: &RelayState) -> Vec<CrashedEndpoint> {
+    lock(&cx.crashes).take_reports(cx.now())
 }
 
-fn crash_to_wire(crash: CrashedEndpoint) -> Crash {
-    let requests = crash.requests.into_iter().map(|r| CrashedRequest {
-        whole: Some(trait_to_wire(r.whole)),
-        parts: r.parts.into_iter().map(trait_to_wire).collect(),
+/// Returns the command that reports crashes now.
+pub(crate) fn report_to_wire(crashes: &[CrashedEndpoint], now: Duration) -> ReportCrashes {
+    ReportCrashes {
+        crashes: crashes.iter().map(|c| crash_to_wire(c, now)).collect(),
+    }
+}
+
+fn crash_to_wire(crash: &CrashedEndpoint, now: Duration) -> Crash {
+    let requests = crash.requests.iter().map(|r| CrashedRequest {
+        whole: Some(trait_to_wire(&r.whole)),
+        parts: r.parts.iter().map(trait_to_wire).collect(),
     });
     Crash {
-        endpoint: crash.endpoint,
+        endpoint: crash.endpoint.clone(),
         endpoint_incarnation: crash.incarnation,
         requests: requests.collect(),
-        age_ms: crash.age.as_millis() as u64,
+        age_ms: now.saturating_sub(crash.at).as_millis() as u64,
     }
 }
 
-fn trait_to_wire(t: ReportedTrait) -> RequestTrait {
+fn trait_to_wire(t: &ReportedTrait) -> RequestTrait {
     RequestTrait {
         fingerprint: t.fingerprint.to_vec(),
         answered: t.answered,
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -191,6 +191,7 @@
     pub(crate) control: ControlDaemon,
     pub(crate) relays: Vec<Relay>,
     control_address: SocketAddr,
+    settings: ControlSettings,
     _folder: TempDir,
 }
 
@@ -230,13 +231,14 @@
             .fleet_key(fleet_key())
             .build()
             .unwrap();
-        let control = ControlDaemon::start(settings, Metrics::new().unwrap(), log())
+        let control = ControlDaemon::start(settings.clone(), Metrics::new().unwrap(), log())
             .await
             .unwrap();
         let mut fleet = Self {
             control,
             relays: Vec::new(),
             control_address: peer,
+            settings,
             _folder: folder,
         };
         for n in 0..relays {
@@ -266,6 +268,12 @@
         self.relays.push(relay.await.unwrap());
     }
 
+    /// Stops the control member, and returns its settings.
+    pub(crate) async fn stop_control(self) -> (ControlSettings, Vec<Relay>, TempDir) {
+        self.control.stop().await.unwrap();
+        (self.settings, self.relays, self._folder)
+    }
+
     /// Publishes a route table, and waits until every relay has one.
     pub(crate) async fn publish(&self, version: u64, prepaid: u64) {
         self.publish_source(version, prepaid, &format!("{version} {prepaid}"))
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvilloft_control::ControlDaemon;
 use anvilloft_control::peers::Peers;
 use anvilloft_dispatch::PromptPart;
 use anvilloft_dispatch::RequestTraits;
@@ -16,6 +17,7 @@
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
 use anvilloft_relay::RelayOptions;
+use anvilloft_telemetry::Metrics;
 use anvilloft_wire::Control;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Crash;
@@ -331,3 +333,39 @@
     })
     .await;
 }
+
+/// Guards against endpoints that crash one after the other because the first of them
+/// crashed while control was unreachable.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_while_control_is_unreachable_are_told_apart() {
+    let f = CrashingFleet::start("plain", "deadly").await;
+    let sound = f.send_sound(0, call("/any/x", "sound", "00ff")).await;
+    assert_eq!(sound.status, 200, "{}", sound.text());
+    let (settings, relays, _folder) = f.fleet.stop_control().await;
+    let send = |n: usize| {
+        let (call, address) = (
+            call("/any/x", "deadly", &format!("{n:032x}")),
+            relays[0].address(),
+        );
+        async move { call.send(address, CALL_TIMEOUT).await }
+    };
+    for n in 0..3 {
+        // The answer may be cut off.
+        drop(send(n).await);
+        tokio::time::sleep(SETTLE_TIME).await;
+    }
+    let crashes = f.crashes.load(Ordering::Relaxed);
+    assert!(crashes >= 3, "{crashes} requests crashed endpoints");
+    let metrics = Metrics::new().unwrap();
+    let control = ControlDaemon::start(settings, metrics, log())
+        .await
+        .unwrap();
+    eventually("the router refuses", || {
+        let text = relays[0].metrics().text();
+        text.contains("anvilloft_quarantined_traits 1")
+    })
+    .await;
+    let reply = send(9).await.unwrap();
+    assert!(reply.text().contains("\"code\":\"quarantined\""));
+    control.stop().await.unwrap();
+}
