Tell requests with equal bodies apart by their prompts

Callers: if requests with a deadly part have the same body, as when the prompt is in a header alone, the part isn't quarantined: endpoints go on crashing until, after six crashes, all requests with that body are refused, the sound ones too. Cause: a part needs crashes with two different requests, which were told apart by method, path, team and body. Change: reports have a fingerprint of the prompt (CrashedRequest 3). It tells requests apart whose body was answered before. Copies of a request that was never answered still count as one, whatever their prompts: their body may be the cause. The fingerprint of a request in a part's record must have 16 bytes now. Ruled out: the prompt in the fingerprint of the whole request. A repeated request is promised to have the same path, caller and body, not the same prompt. Evidence: the case "a part in requests that differ in their prompts alone" fails when the prompt is ignored ("left: [], right: [9]"); the cases for copies guard the other side. requests_with_equal_bodies_are_told_apart_by_their_prompts.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -32,6 +32,8 @@
     pub whole: Fingerprint,
     /// Fingerprints of the parts of the prompt that other requests may share, in order.
     pub parts: Vec<Fingerprint>,
+    /// Fingerprint of all parts of the prompt, with the one of the request itself.
+    pub prompt: Fingerprint,
 }
 
 impl RequestTraits {
@@ -39,12 +41,14 @@
     /// of a prompt belongs to one request or session.
     pub fn new(fields: &[&[u8]], prompt: &[PromptPart]) -> Self {
         let shared = prompt.len().saturating_sub(1);
+        let ids: Vec<u8> = prompt.iter().flat_map(|p| p.id.to_be_bytes()).collect();
         Self {
             whole: fingerprint(b"request", fields),
             parts: prompt[..shared]
                 .iter()
                 .map(|p| fingerprint(b"part", &[&p.id.to_be_bytes()]))
                 .collect(),
+            prompt: fingerprint(b"prompt", &[&ids]),
         }
     }
 
@@ -81,6 +85,8 @@
     pub whole: ReportedTrait,
     /// The parts that other requests may share, in order.
     pub parts: Vec<ReportedTrait>,
+    /// Fingerprint of the whole prompt.
+    pub prompt: Fingerprint,
 }
 
 /// A crash to report to control.
@@ -319,6 +325,7 @@
         ReportedRequest {
             whole: reported(&b.traits.whole),
             parts: b.traits.parts.iter().map(reported).collect(),
+            prompt: b.traits.prompt,
         }
     }
 
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -120,6 +120,24 @@
     );
 }
 
+/// Guards against a deadly part that isn't found because the requests with it have equal
+/// bodies.
+#[test]
+fn requests_with_equal_bodies_are_told_apart_by_their_prompts() {
+    let request = |own: u64| {
+        let prompt = [1, 9, own].map(|id| PromptPart { id, tokens: 10 });
+        RequestTraits::new(&[b"body"], &prompt)
+    };
+    assert_eq!(request(5).whole, request(6).whole);
+    assert_eq!(request(5).prompt, request(5).prompt);
+    assert_ne!(request(5).prompt, request(6).prompt);
+    let mut watch = CrashWatch::default();
+    watch.record_broken(START, "e1", 7, request(5));
+    watch.record_check(START, "e1", 7, true);
+    let reports = watch.take_reports(START);
+    assert_eq!(reports[0].requests[0].prompt, request(5).prompt);
+}
+
 /// Guards against sound requests that are refused for the last part of a prompt, which
 /// is their own, or for another part.
 #[test]
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -75,6 +75,16 @@
     }
 }
 
+/// Returns what tells a request from copies of it. The whole request doesn't if it was
+/// answered before, as with another prompt.
+fn request_id<'a>(whole: &'a RequestTrait, prompt: &'a [u8]) -> &'a [u8] {
+    // Older routers don't send the prompt.
+    match whole.answered && !prompt.is_empty() {
+        true => prompt,
+        false => &whole.fingerprint,
+    }
+}
+
 /// What is known to have crashed an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
@@ -151,6 +161,7 @@
         suspect.answered_lately |= t.answered_lately;
         suspect.place = suspect.place.max(place);
         if let Some(request) = part_of
+            && Fingerprint::try_from(request).is_ok()
             && suspect.requests.len() < MIN_REQUESTS
             && !suspect.requests.iter().any(|r| r == request)
         {
@@ -275,8 +286,9 @@
                 continue;
             };
             crash.add(whole, 0, None);
+            let id = request_id(whole, &request.prompt);
             for (place, part) in (0..).zip(&request.parts) {
-                crash.add(part, place, Some(&whole.fingerprint));
+                crash.add(part, place, Some(id));
             }
         }
         if self.crashes.len() >= MAX_CRASHES {
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -25,6 +25,8 @@
     whole: u8,
     parts: &'static [u8],
     answered: &'static [u8],
+    /// Number of its prompt.
+    prompt: Option<u8>,
 }
 
 fn seen(whole: u8, parts: &'static [u8], answered: &'static [u8]) -> Seen {
@@ -32,6 +34,14 @@
         whole,
         parts,
         answered,
+        prompt: None,
+    }
+}
+
+impl Seen {
+    fn with_prompt(mut self, n: u8) -> Self {
+        self.prompt = Some(n);
+        self
     }
 }
 
@@ -47,6 +57,7 @@
     let requests = requests.iter().map(|r| CrashedRequest {
         whole: Some(to_trait(r.whole, r.answered)),
         parts: r.parts.iter().map(|p| to_trait(*p, r.answered)).collect(),
+        prompt: r.prompt.map(|n| vec![n; 16]).unwrap_or_default(),
     });
     Body::ReportCrashes(ReportCrashes {
         crashes: vec![Crash {
@@ -120,6 +131,30 @@
             apart_ms: APART_MS,
             want: &[101],
         },
+        Case {
+            name: "a part in requests that differ in their prompts alone",
+            crashes: (201..204)
+                .map(|n| vec![seen(101, &[1, 9], &[1, 101]).with_prompt(n)])
+                .collect(),
+            apart_ms: APART_MS,
+            want: &[9],
+        },
+        Case {
+            name: "copies of a request that was answered before",
+            crashes: (0..5)
+                .map(|_| vec![seen(101, &[1, 9], &[1, 101]).with_prompt(201)])
+                .collect(),
+            apart_ms: APART_MS,
+            want: &[],
+        },
+        Case {
+            name: "a request that was never answered, with any prompt",
+            crashes: (201..204)
+                .map(|n| vec![seen(101, &[1, 9], &[1]).with_prompt(n)])
+                .collect(),
+            apart_ms: APART_MS,
+            want: &[101],
+        },
         Case {
             name: "a request without a prompt",
             crashes: (0..3).map(|_| vec![seen(101, &[], &[])]).collect(),
@@ -214,6 +249,7 @@
                 requests: vec![CrashedRequest {
                     whole: Some(to_trait(100 + n, &[])),
                     parts: vec![busy],
+                    prompt: Vec::new(),
                 }],
                 age_ms: 0,
             }],
@@ -308,6 +344,7 @@
         let requests = (0..200).map(|k| CrashedRequest {
             whole: Some(fingerprint(0, k)),
             parts: vec![fingerprint(1, k)],
+            prompt: Vec::new(),
         });
         let body = Body::ReportCrashes(ReportCrashes {
             crashes: vec![Crash {
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -159,6 +159,7 @@
     let requests = crash.requests.iter().map(|r| CrashedRequest {
         whole: Some(trait_to_wire(&r.whole)),
         parts: r.parts.iter().map(trait_to_wire).collect(),
+        prompt: r.prompt.to_vec(),
     });
     Crash {
         endpoint: crash.endpoint.clone(),
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -205,6 +205,7 @@
                 requests: vec![CrashedRequest {
                     whole: Some(to_trait(vec![n; 16])),
                     parts: vec![to_trait(part.to_vec())],
+                    prompt: Vec::new(),
                 }],
                 age_ms: 0,
             }],
--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -35,6 +35,10 @@
     /// The parts of its prompt that other requests may share, in order.
     #[prost(message, repeated, tag = "2")]
     pub parts: Vec<RequestTrait>,
+    /// Fingerprint of the whole prompt, 16 bytes, as requests may differ in their prompts
+    /// alone. Older routers don't send it.
+    #[prost(bytes = "vec", tag = "3")]
+    pub prompt: Vec<u8>,
 }
 
 /// A property that a crashing request may share with others.
