Remember answered parts apart from whole requests

Callers: sound requests may be refused because their part was at three crashes, not six, though it had been answered before (by reading). Cause: a router remembers 4,096 traits that were answered, whole requests and parts alike. At 1,000 requests a second, whole requests push out any part that wasn't answered within some 2 to 4 s, and then it counts as never answered. Change: parts have a table of their own, of the same size.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -16,8 +16,9 @@
 /// Maximum number of broken requests that wait for the check of their endpoint.
 /// Further ones are not reported.
 const MAX_BROKEN: usize = 1_024;
-/// Maximum number of traits of which an answer is remembered. The one that was answered
-/// least recently is forgotten first.
+/// Maximum number of whole requests, and of parts, of which an answer is remembered.
+/// Those that were answered least recently are forgotten first. Parts are few beside the
+/// requests that share them.
 const MAX_ANSWERED: usize = 4_096;
 /// A trait whose last answer began less than this before a crash isn't its cause, so that
 /// the crash of a busy endpoint isn't blamed on the parts that most prompts share.
@@ -116,6 +117,48 @@
     Crashed,
 }
 
+/// When an answer to a request with a trait last began.
+#[derive(Debug, Default)]
+struct Answers {
+    // Sorted by trait.
+    last: Vec<(Fingerprint, Duration)>,
+}
+
+impl Answers {
+    fn record(&mut self, now: Duration, f: &Fingerprint) {
+        match self.last.binary_search_by_key(f, |(f, _)| *f) {
+            Ok(at) => {
+                if let Some((_, answered_at)) = self.last.get_mut(at) {
+                    *answered_at = now;
+                }
+            }
+            Err(at) => self.last.insert(at, (*f, now)),
+        }
+        if self.last.len() > MAX_ANSWERED {
+            self.forget_oldest();
+        }
+    }
+
+    /// Forgets the older half.
+    fn forget_oldest(&mut self) {
+        let mut times: Vec<Duration> = self.last.iter().map(|(_, at)| *at).collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.last.retain(|(_, at)| *at > median);
+    }
+
+    /// Forgets some traits, which are sorted.
+    fn forget(&mut self, traits: &[Fingerprint]) {
+        self.last.retain(|(f, _)| traits.binary_search(f).is_err());
+    }
+
+    fn last(&self, f: &Fingerprint) -> Option<Duration> {
+        let at = self.last.binary_search_by_key(f, |(f, _)| *f).ok()?;
+        self.last.get(at).map(|(_, at)| *at)
+    }
+}
+
 /// A list of quarantined traits, as control sent it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct QuarantineList {
@@ -138,8 +181,8 @@
     broken: Vec<Broken>,
     /// Endpoints that are being checked or have crashed, and since when.
     checks: Vec<(EndpointId, Incarnation, Duration, Check)>,
-    /// When an answer last began, by trait. Sorted by trait.
-    answered: Vec<(Fingerprint, Duration)>,
+    answered_requests: Answers,
+    answered_parts: Answers,
     // Sorted.
     quarantined: Vec<Fingerprint>,
     /// Version of the list of quarantined traits.
@@ -188,8 +231,8 @@
         let changed = list != self.quarantined;
         self.quarantined = list;
         if changed {
-            self.answered
-                .retain(|(f, _)| self.quarantined.binary_search(f).is_err());
+            self.answered_requests.forget(&self.quarantined);
+            self.answered_parts.forget(&self.quarantined);
         }
         changed
     }
@@ -201,28 +244,10 @@
 
     /// Records that an endpoint began to answer a request.
     pub fn record_answer(&mut self, now: Duration, traits: &RequestTraits) {
-        for f in traits.all() {
-            match self.answered.binary_search_by_key(f, |(f, _)| *f) {
-                Ok(at) => {
-                    if let Some((_, answered_at)) = self.answered.get_mut(at) {
-                        *answered_at = now;
-                    }
-                }
-                Err(at) => self.answered.insert(at, (*f, now)),
-            }
+        self.answered_requests.record(now, &traits.whole);
+        for part in &traits.parts {
+            self.answered_parts.record(now, part);
         }
-        if self.answered.len() > MAX_ANSWERED {
-            self.forget_oldest_answers();
-        }
-    }
-
-    /// Forgets the older half of the answers.
-    fn forget_oldest_answers(&mut self) {
-        let mut times: Vec<Duration> = self.answered.iter().map(|(_, at)| *at).collect();
-        let middle = times.len() / 2;
-        let (_, median, _) = times.select_nth_unstable(middle);
-        let median = *median;
-        self.answered.retain(|(_, at)| *at > median);
     }
 
     /// Records that the connection of a request broke off before the answer began.
@@ -309,22 +334,18 @@
 
     /// Returns what speaks for and against a request.
     fn report_of(&self, b: &Broken) -> ReportedRequest {
-        let reported = |f: &Fingerprint| {
-            let answered_at = self
-                .answered
-                .binary_search_by_key(f, |(f, _)| *f)
-                .ok()
-                .and_then(|at| self.answered.get(at))
-                .map(|(_, at)| *at);
+        let reported = |f: &Fingerprint, answers: &Answers| {
+            let answered_at = answers.last(f);
             ReportedTrait {
                 fingerprint: *f,
                 answered: answered_at.is_some(),
                 answered_lately: answered_at.is_some_and(|at| at + RECENT_ANSWER > b.at),
             }
         };
+        let parts = b.traits.parts.iter();
         ReportedRequest {
-            whole: reported(&b.traits.whole),
-            parts: b.traits.parts.iter().map(reported).collect(),
+            whole: reported(&b.traits.whole, &self.answered_requests),
+            parts: parts.map(|f| reported(f, &self.answered_parts)).collect(),
             prompt: b.traits.prompt,
         }
     }
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -288,3 +288,20 @@
         "the newest is remembered, the oldest not"
     );
 }
+
+/// Guards against a part that counts as never answered because many requests without it
+/// were answered since.
+#[test]
+fn answered_parts_outlast_the_requests_that_share_them() {
+    let mut watch = CrashWatch::default();
+    watch.record_answer(START, &traits("seldom", &[1]));
+    for n in 0..20_000_u64 {
+        let now = START + Duration::from_millis(n);
+        watch.record_answer(now, &traits(&n.to_string(), &[2]));
+    }
+    let now = START + Duration::from_secs(20);
+    watch.record_broken(now, "e1", 7, traits("x", &[1]));
+    watch.record_check(now, "e1", 7, true);
+    let reports = watch.take_reports(now);
+    assert!(reports[0].requests[0].parts[0].answered);
+}
