Blame no part for crashes from before its last answer

And a deadly first or middle part that was answered before it became deadly is missed: the sound part behind it is quarantined, which clears the deadly one of these crashes. Cause: an answer within 2 s before a crash cleared a part of that crash only. Answers between two crashes counted for nothing, so a sound part had as much evidence against it as the deadly one, and the later place won. Change: reports say how long ago a trait was answered (RequestTrait 4), and the ledger counts only crashes from after the last answer that any report of the trait tells. What is deadly isn't answered between its crashes. Ruled out: fewer crashes for parts that were answered before (six): a test requires that five without anything in common quarantine nothing. Evidence: a_part_that_was_answered_between_crashes_is_not_blamed_for_the_earlier_ones fails without the filter: "crashes of other causes: left: [1], right: []"; without that case, "a deadly first part that was answered before it became deadly: left: [1], right: [9]".

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -73,8 +73,8 @@
 pub struct ReportedTrait {
     /// The trait.
     pub fingerprint: Fingerprint,
-    /// Whether this router has seen an answer to a request with it begin.
-    pub answered: bool,
+    /// When this router last saw an answer to a request with it begin.
+    pub answered_at: Option<Duration>,
     /// Whether that was shortly before the crash.
     pub answered_lately: bool,
 }
@@ -338,7 +338,7 @@
             let answered_at = answers.last(f);
             ReportedTrait {
                 fingerprint: *f,
-                answered: answered_at.is_some(),
+                answered_at,
                 answered_lately: answered_at.is_some_and(|at| at + RECENT_ANSWER > b.at),
             }
         };
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -90,7 +90,7 @@
             r.requests[0]
                 .parts
                 .iter()
-                .map(|p| (p.fingerprint, p.answered, p.answered_lately))
+                .map(|p| (p.fingerprint, p.answered_at.is_some(), p.answered_lately))
                 .collect()
         });
         let want: Option<Vec<_>> = case.want.map(|w| {
@@ -261,7 +261,7 @@
     watch.record_check(START, "e1", 7, true);
     let reports = watch.take_reports(START);
     let parts = &reports[0].requests[0].parts;
-    let answered: Vec<bool> = parts.iter().map(|p| p.answered).collect();
+    let answered: Vec<bool> = parts.iter().map(|p| p.answered_at.is_some()).collect();
     assert_eq!(answered, [true, false]);
 }
 
@@ -280,7 +280,7 @@
     let answered: Vec<(bool, bool)> = reports[0].requests[0]
         .parts
         .iter()
-        .map(|p| (p.answered, p.answered_lately))
+        .map(|p| (p.answered_at.is_some(), p.answered_lately))
         .collect();
     assert_eq!(
         answered,
@@ -303,5 +303,5 @@
     watch.record_broken(now, "e1", 7, traits("x", &[1]));
     watch.record_check(now, "e1", 7, true);
     let reports = watch.take_reports(now);
-    assert!(reports[0].requests[0].parts[0].answered);
+    assert_eq!(reports[0].requests[0].parts[0].answered_at, Some(START));
 }
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -67,6 +67,9 @@
     /// The crash doesn't speak against it then, whatever other routers saw.
     #[prost(bool, tag = "5")]
     pub(crate) answered_lately: bool,
+    /// Ledger time of the last answer to a request with it; 0 if unknown.
+    #[prost(uint64, tag = "6")]
+    pub(crate) answered_at_ms: u64,
 }
 
 impl Suspect {
@@ -129,7 +132,7 @@
     }
 
     /// Adds a trait of a request, unless the crash is explained without it.
-    fn add(&mut self, t: &RequestTrait, place: u32, part_of: Option<&[u8]>) {
+    fn add(&mut self, now_ms: u64, t: &RequestTrait, place: u32, part_of: Option<&[u8]>) {
         let is_cleared = match self.explanation() {
             Explanation::None => false,
             Explanation::Request => part_of.is_none(),
@@ -159,6 +162,10 @@
         };
         suspect.answered |= t.answered;
         suspect.answered_lately |= t.answered_lately;
+        if let Some(age_ms) = t.answer_age_ms {
+            let answered_at_ms = now_ms.saturating_sub(age_ms);
+            suspect.answered_at_ms = suspect.answered_at_ms.max(answered_at_ms);
+        }
         suspect.place = suspect.place.max(place);
         if let Some(request) = part_of
             && Fingerprint::try_from(request).is_ok()
@@ -213,7 +220,6 @@
 
 impl<'a> Evidence<'a> {
     fn add(&mut self, crash: &Crash, s: &'a Suspect) {
-        self.answered |= s.answered;
         if s.answered_lately {
             return;
         }
@@ -285,10 +291,10 @@
             let Some(whole) = &request.whole else {
                 continue;
             };
-            crash.add(whole, 0, None);
+            crash.add(now_ms, whole, 0, None);
             let id = request_id(whole, &request.prompt);
             for (place, part) in (0..).zip(&request.parts) {
-                crash.add(part, place, Some(id));
+                crash.add(now_ms, part, place, Some(id));
             }
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -299,11 +305,19 @@
     }
 
     fn evidence(&self, f: &Fingerprint) -> Evidence<'_> {
-        let mut evidence = Evidence::default();
-        for crash in &self.crashes {
-            if let Some(s) = crash.suspect(f) {
-                evidence.add(crash, s);
-            }
+        let seen = || {
+            self.crashes
+                .iter()
+                .filter_map(|crash| Some((crash, crash.suspect(f)?)))
+        };
+        let mut evidence = Evidence {
+            answered: seen().any(|(_, s)| s.answered),
+            ..Evidence::default()
+        };
+        // What was answered since a crash didn't cause it.
+        let answered_at_ms = seen().map(|(_, s)| s.answered_at_ms).max().unwrap_or(0);
+        for (crash, s) in seen().filter(|(crash, _)| crash.at_ms >= answered_at_ms) {
+            evidence.add(crash, s);
         }
         evidence
     }
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -49,7 +49,7 @@
     RequestTrait {
         fingerprint: vec![n; 16],
         answered: answered.contains(&n),
-        answered_lately: false,
+        ..RequestTrait::default()
     }
 }
 
@@ -337,8 +337,7 @@
             let id = (n as u64) << 32 | k << 4 | kind;
             RequestTrait {
                 fingerprint: [id.to_be_bytes(), id.to_be_bytes()].concat(),
-                answered: false,
-                answered_lately: false,
+                ..RequestTrait::default()
             }
         };
         let requests = (0..200).map(|k| CrashedRequest {
@@ -386,3 +385,84 @@
         ledger = Ledger::decode(&ledger.encode()).expect("an intact snapshot");
     }
 }
+
+struct AnswerCase {
+    name: &'static str,
+    /// Parts of the requests at each crash, in order. Part 9 is deadly.
+    parts: &'static [u8],
+    /// Time from the last answer with each other part to each crash, in milliseconds.
+    sound_before_ms: u64,
+    /// Number of crashes.
+    crashes: u64,
+    want: &'static [u8],
+}
+
+/// Guards against a sound part that is refused, in place of the deadly one or for crashes
+/// of other causes, though it was answered between the crashes.
+#[test]
+fn a_part_that_was_answered_between_crashes_is_not_blamed_for_the_earlier_ones() {
+    /// Time between two crashes, in milliseconds.
+    const SLOW_MS: u64 = 5_000;
+    let cases = [
+        AnswerCase {
+            name: "crashes of other causes",
+            parts: &[1],
+            sound_before_ms: 3_000,
+            crashes: 20,
+            want: &[],
+        },
+        AnswerCase {
+            name: "a deadly first part that was answered before it became deadly",
+            parts: &[9, 1],
+            sound_before_ms: 3_000,
+            crashes: 6,
+            want: &[9],
+        },
+        AnswerCase {
+            name: "a deadly middle part that was answered before it became deadly",
+            parts: &[1, 9, 2],
+            sound_before_ms: 3_000,
+            crashes: 6,
+            want: &[9],
+        },
+        AnswerCase {
+            name: "a part that was not answered since the first crash",
+            parts: &[1],
+            sound_before_ms: 60_000,
+            crashes: 6,
+            want: &[1],
+        },
+    ];
+    for case in cases {
+        let mut ledger = test_ledger();
+        let mut quarantined = Vec::new();
+        for n in 0..case.crashes {
+            let at_ms = 100_000 + n * SLOW_MS;
+            let parts = case.parts.iter().map(|part| RequestTrait {
+                fingerprint: vec![*part; 16],
+                answered: true,
+                answered_lately: false,
+                answer_age_ms: Some(match part {
+                    9 => 50_000 + n * SLOW_MS,
+                    _ => case.sound_before_ms,
+                }),
+            });
+            let request = CrashedRequest {
+                whole: Some(to_trait(100 + n as u8, &[])),
+                parts: parts.collect(),
+                prompt: Vec::new(),
+            };
+            let body = Body::ReportCrashes(ReportCrashes {
+                crashes: vec![Crash {
+                    endpoint: format!("e{n}"),
+                    endpoint_incarnation: 1,
+                    requests: vec![request],
+                    age_ms: 0,
+                }],
+            });
+            quarantined = report(&mut ledger, at_ms, body);
+            ledger = Ledger::decode(&ledger.encode()).expect("an intact snapshot");
+        }
+        assert_eq!(quarantined, case.want, "{}", case.name);
+    }
+}
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -157,8 +157,8 @@
 
 fn crash_to_wire(crash: &CrashedEndpoint, now: Duration) -> Crash {
     let requests = crash.requests.iter().map(|r| CrashedRequest {
-        whole: Some(trait_to_wire(&r.whole)),
-        parts: r.parts.iter().map(trait_to_wire).collect(),
+        whole: Some(trait_to_wire(&r.whole, now)),
+        parts: r.parts.iter().map(|t| trait_to_wire(t, now)).collect(),
         prompt: r.prompt.to_vec(),
     });
     Crash {
@@ -169,10 +169,12 @@
     }
 }
 
-fn trait_to_wire(t: &ReportedTrait) -> RequestTrait {
+fn trait_to_wire(t: &ReportedTrait, now: Duration) -> RequestTrait {
+    let answer_age = t.answered_at.map(|at| now.saturating_sub(at));
     RequestTrait {
         fingerprint: t.fingerprint.to_vec(),
-        answered: t.answered,
+        answered: answer_age.is_some(),
         answered_lately: t.answered_lately,
+        answer_age_ms: answer_age.map(|age| age.as_millis() as u64),
     }
 }
--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -54,6 +54,9 @@
     /// Whether that was so shortly before the crash that the trait isn't the cause.
     #[prost(bool, tag = "3")]
     pub answered_lately: bool,
+    /// Time since the last such answer, in milliseconds. Older routers don't send it.
+    #[prost(uint64, optional, tag = "4")]
+    pub answer_age_ms: Option<u64>,
 }
 
 /// Traits of requests that are refused because such requests crashed endpoints.
