List and release quarantined traits

Cause: a quarantine by mistake lasted condemn_ms (1 h), and nobody could see what is quarantined or release it. Change: GET /admin/v1/quarantines and DELETE /admin/v1/quarantines/{fingerprint}, and anvilloft quarantine list and release. A release is one command of the ledger (ReleaseQuarantine, Body 17) with a change id that is kept with those of the configuration; all members push the shorter list. What crashed so far no longer speaks against a released trait. Refusals name the trait. Quarantine has new fields 4 to 6. An older member ignores the command, as it does ReportCrashes. Evidence: a_quarantine_is_released_once_for_each_change_id, quarantines_are_listed_with_their_kind_and_end, quarantines_are_listed_and_released_once (command line), a_released_part_is_served_by_all_routers_at_once (over sockets). a_router_that_starts_after_a_quarantine_learns_of_it shares its set-up, unchanged.

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -17,6 +17,7 @@
 mod key;
 mod member;
 mod model;
+mod quarantine;
 mod rank;
 mod router;
 mod service;
@@ -72,7 +73,7 @@
 /// All subcommands, in the order of the help.
 const SUBCOMMANDS: &[Subcommand] = subcommands![
     status, team, key, budget, rank, model, service, default, exception, router, endpoint, member,
-    history, apply, bench, check, explain, settings, bootstrap,
+    quarantine, history, apply, bench, check, explain, settings, bootstrap,
 ];
 
 /// Prints the error, if any, and returns the documented exit code.
--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -14,6 +14,11 @@
 use anvilloft_settings::Secret;
 use anvilloft_telemetry::Metrics;
 use anvilloft_wire::Control;
+use anvilloft_wire::command::Body;
+use anvilloft_wire::command::Crash;
+use anvilloft_wire::command::CrashedRequest;
+use anvilloft_wire::command::ReportCrashes;
+use anvilloft_wire::command::RequestTrait;
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::Query;
 use serde_json::Value;
@@ -215,3 +220,48 @@
     assert_eq!(format_table(&rows), expected);
     assert_eq!(format_table(&json!([])), "none\n");
 }
+
+#[test]
+fn quarantines_are_listed_and_released_once() {
+    let f = Fixture::new();
+    let part = vec![9; 16];
+    let to_trait = |fingerprint: Vec<u8>| RequestTrait {
+        fingerprint,
+        ..RequestTrait::default()
+    };
+    for n in 0..3_u8 {
+        let report = ReportCrashes {
+            crashes: vec![Crash {
+                endpoint: format!("e{n}"),
+                endpoint_incarnation: 1,
+                requests: vec![CrashedRequest {
+                    whole: Some(to_trait(vec![n; 16])),
+                    parts: vec![to_trait(part.clone())],
+                    prompt: Vec::new(),
+                }],
+                age_ms: 0,
+            }],
+        };
+        let req = Body::ReportCrashes(report).into();
+        let call = f.daemon.peers().call(req, Duration::from_secs(5));
+        f.runtime.block_on(call).unwrap();
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    let rows = f.query("quarantines", "");
+    assert_eq!(rows[0]["kind"], "part");
+    assert_eq!(rows[0]["fingerprint"], hex::encode(&part));
+    let release = format!("quarantine release {} --reason r", hex::encode(&part));
+    let cases = [
+        ("quarantine list", "0"),
+        ("quarantine release 09 --reason r", "3"),
+        ("quarantine release part --reason r", "3"),
+        (&format!("{release} --change-id once"), "0"),
+        (&format!("{release} --change-id once"), "0"),
+        (&format!("{release} --change-id again"), "3"),
+        ("quarantine list", "0"),
+    ];
+    for (line, code) in cases {
+        assert_eq!(f.run(line), code, "{line}");
+    }
+    assert_eq!(f.query("quarantines", ""), json!([]));
+}
--- a/crates/control/src/admin/calls.rs
+++ b/crates/control/src/admin/calls.rs
@@ -31,6 +31,8 @@
     CreateKey,
     RotateKey,
     TopUp,
+    Quarantines,
+    ReleaseQuarantine,
     ListItems,
     GetItem,
     SetItem,
@@ -141,6 +143,18 @@
         Access::Operator,
         Operation::TopUp,
     ),
+    call(
+        "GET",
+        "/admin/v1/quarantines",
+        Access::Reader,
+        Operation::Quarantines,
+    ),
+    call(
+        "DELETE",
+        "/admin/v1/quarantines/{fingerprint}",
+        Access::Operator,
+        Operation::ReleaseQuarantine,
+    ),
     call(
         "GET",
         "/admin/v1/{kind}",
--- a/crates/control/src/admin/handlers.rs
+++ b/crates/control/src/admin/handlers.rs
@@ -5,6 +5,7 @@
 
 use anvilloft_wire::Control;
 use anvilloft_wire::command::Body;
+use anvilloft_wire::command::ReleaseQuarantine;
 use anvilloft_wire::command::Reply as LedgerReply;
 use anvilloft_wire::command::TopUp;
 use anvilloft_wire::config::ConfigOp;
@@ -154,6 +155,10 @@
             Operation::CreateKey => self.create_key(&caller, body).await,
             Operation::RotateKey => self.rotate_key(&caller, &params, body).await,
             Operation::TopUp => self.top_up(&caller, &params, body).await,
+            Operation::Quarantines => {
+                ok_reply(json!({ "quarantines": self.query("quarantines", "", "", 0).await? }))
+            }
+            Operation::ReleaseQuarantine => self.release_quarantine(&caller, &params, body).await,
             Operation::ListItems => self.list_items(&caller, &params, query).await,
             Operation::GetItem => self.get_item(&caller, &params).await,
             Operation::SetItem => self.set_item(&caller, &params, body).await,
@@ -463,6 +468,52 @@
         }
     }
 
+    async fn release_quarantine(
+        &self,
+        caller: &Caller,
+        params: &[String],
+        mut body: Map<String, Value>,
+    ) -> Result<Reply, ApiError> {
+        let change_id = take_text(&mut body, "change_id")?;
+        change::check_id("change_id", &change_id)?;
+        let reason = take_text(&mut body, "reason")?;
+        change::check_reason(&reason)?;
+        reject_unknown_fields(&body)?;
+        let fingerprint = &params[0];
+        let Ok(bytes) = hex::decode(fingerprint) else {
+            return Err(ApiError::BadRequest(
+                "a fingerprint must have 32 hexadecimal digits".to_owned(),
+            ));
+        };
+        let release = ReleaseQuarantine {
+            change_id: change_id.clone(),
+            author: caller.key.clone(),
+            reason: reason.clone(),
+            fingerprint: bytes,
+        };
+        let req = Body::ReleaseQuarantine(release).into();
+        let reply = self.control.call(req, self.options.timeout).await?;
+        match reply.answer {
+            Some(Answer::Applied(reply)) => match reply.reply {
+                Some(LedgerReply::Ok(_)) => {
+                    info!(self.log, "quarantine released";
+                        "author" => &caller.key, "change_id" => &change_id,
+                        "fingerprint" => fingerprint, "reason" => &reason);
+                    let body = json!({ "fingerprint": fingerprint, "released": true });
+                    Ok(Reply { status: 200, body })
+                }
+                Some(LedgerReply::Refused(refused)) => Err(refused.into()),
+                _ => Err(ApiError::Internal(
+                    "unexpected reply from the control group".to_owned(),
+                )),
+            },
+            Some(answer) => Err(answer.into()),
+            None => Err(ApiError::Internal(
+                "empty reply from the control group".to_owned(),
+            )),
+        }
+    }
+
     async fn add_member(
         &self,
         caller: &Caller,
--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -190,12 +190,16 @@
 }
 
 impl CrashWatch {
+    /// Returns a quarantined trait of a request, if it has one.
+    pub fn find_quarantined<'a>(&self, traits: &'a RequestTraits) -> Option<&'a Fingerprint> {
+        traits
+            .all()
+            .find(|f| self.quarantined.binary_search(f).is_ok())
+    }
+
     /// Returns whether a request has a quarantined trait.
     pub fn is_quarantined(&self, traits: &RequestTraits) -> bool {
-        !self.quarantined.is_empty()
-            && traits
-                .all()
-                .any(|f| self.quarantined.binary_search(f).is_ok())
+        self.find_quarantined(traits).is_some()
     }
 
     /// Replaces the quarantined traits, unless a newer list is known. Returns whether they
--- a/crates/ledger/src/changes.rs
+++ b/crates/ledger/src/changes.rs
@@ -109,6 +109,17 @@
         }
     }
 
+    /// Returns the refusal of a change when no further id can be kept.
+    pub(crate) fn check_room(&self) -> Result<(), Reply> {
+        if self.reply_queue.len() < MAX_CHANGE_IDS {
+            return Ok(());
+        }
+        Err(refused(
+            code::TABLE_FULL,
+            format!("at most {MAX_CHANGE_IDS} change ids are kept"),
+        ))
+    }
+
     pub(crate) fn store_reply(&mut self, reply: ChangeReply) {
         self.reply_queue
             .push_back((reply.at_ms, reply.change_id.clone()));
@@ -132,6 +143,14 @@
     }
 }
 
+/// Returns the refusal of a change under the id of another one.
+pub(crate) fn id_reused(change_id: &str) -> Reply {
+    refused(
+        code::CHANGE_ID_REUSED,
+        format!("change {change_id} was accepted with different content"),
+    )
+}
+
 impl Ledger {
     pub(crate) fn config_change(&mut self, change: &ConfigChange) -> Reply {
         if change.dry_run {
@@ -147,22 +166,13 @@
             if stored.digest == digest {
                 return reply;
             }
-            if matches!(reply, Reply::Accepted(_)) {
-                return refused(
-                    code::CHANGE_ID_REUSED,
-                    format!(
-                        "change {} was accepted with different content",
-                        change.change_id
-                    ),
-                );
+            if matches!(reply, Reply::Accepted(_) | Reply::Ok(_)) {
+                return id_reused(&change.change_id);
             }
             // A refused change may be corrected and sent again under its id.
         }
-        if self.changes.reply_queue.len() >= MAX_CHANGE_IDS {
-            return refused(
-                code::TABLE_FULL,
-                format!("at most {MAX_CHANGE_IDS} change ids are kept"),
-            );
+        if let Err(full) = self.changes.check_room() {
+            return full;
         }
         let reply = self.try_change(change);
         self.changes.store_reply(ChangeReply {
--- a/crates/ledger/src/code.rs
+++ b/crates/ledger/src/code.rs
@@ -64,6 +64,8 @@
 pub const UNKNOWN_ORDER: &str = "unknown_order";
 /// The attempt has ended, or another attempt runs the order.
 pub const STALE_ATTEMPT: &str = "stale_attempt";
+/// Nothing with this fingerprint is in quarantine.
+pub const UNKNOWN_QUARANTINE: &str = "unknown_quarantine";
 
 /// Returns a reply that refuses a command.
 pub(crate) fn refused(code: &str, message: impl Into<String>) -> Reply {
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -7,6 +7,7 @@
 //! with it waited for their answers to begin. Then the crashes are explained, and the
 //! other traits that were seen there are cleared of them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -14,16 +15,27 @@
 use anvilloft_types::EndpointId;
 use anvilloft_types::Fingerprint;
 use anvilloft_types::Incarnation;
+use anvilloft_wire::CommandReply;
 use anvilloft_wire::command::Crash as CrashReport;
+use anvilloft_wire::command::Ok as OkReply;
 use anvilloft_wire::command::Quarantined;
+use anvilloft_wire::command::ReleaseQuarantine;
 use anvilloft_wire::command::Reply;
 use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RequestTrait;
-
+use prost::Message;
+use serde_json::Value;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::changes::ChangeReply;
+use crate::changes::id_reused;
 use crate::code;
 use crate::code::refused;
 use crate::ledger::Ledger;
 use crate::ledger::has_elapsed;
+use crate::validate::MAX_REASON_BYTES;
 use crate::validate::check_name;
 
 /// Time for which a crash counts, in milliseconds.
@@ -205,6 +217,15 @@
     /// Whether requests with the trait run again.
     #[prost(bool, tag = "3")]
     pub(crate) is_over: bool,
+    /// Ledger time of its start.
+    #[prost(uint64, tag = "4")]
+    pub(crate) since_ms: u64,
+    /// Whether the trait is a part of prompts, not a whole request.
+    #[prost(bool, tag = "5")]
+    pub(crate) is_part: bool,
+    /// Number of crashes that spoke against it.
+    #[prost(uint32, tag = "6")]
+    pub(crate) crashes: u32,
 }
 
 /// How strongly crashes speak against a trait.
@@ -334,7 +355,7 @@
     }
 
     /// Quarantines a trait, and takes the crashes at which it was seen as explained.
-    fn quarantine(&mut self, f: Fingerprint, until_ms: u64) {
+    fn quarantine(&mut self, f: Fingerprint, now_ms: u64, until_ms: u64) {
         if self.quarantines.len() >= MAX_QUARANTINED
             && !self.quarantines.contains_key(&f)
             && let Some(first) = self
@@ -345,10 +366,14 @@
         {
             self.quarantines.remove(&first);
         }
+        let evidence = self.evidence(&f);
         let quarantine = Quarantine {
             fingerprint: f.to_vec(),
             until_ms,
             is_over: false,
+            since_ms: now_ms,
+            is_part: !evidence.requests.is_empty(),
+            crashes: evidence.crashes as u32,
         };
         self.quarantines.insert(f, quarantine);
         self.explain(&f);
@@ -371,7 +396,7 @@
                 Some(true) => {
                     let evidence = self.evidence(f);
                     if evidence.crashes > 0 && !evidence.answered {
-                        self.quarantine(*f, until_ms);
+                        self.quarantine(*f, now_ms, until_ms);
                         changed = true;
                     }
                 }
@@ -380,12 +405,21 @@
             }
         }
         while let Some(f) = self.culprit(reported) {
-            self.quarantine(f, until_ms);
+            self.quarantine(f, now_ms, until_ms);
             changed = true;
         }
         changed
     }
 
+    /// Ends the quarantine of a trait, and takes the crashes so far as no evidence against
+    /// it. Returns the quarantine.
+    fn release(&mut self, f: &Fingerprint) -> Option<Quarantine> {
+        for crash in &mut self.crashes {
+            crash.suspects.retain(|s| s.fingerprint != f);
+        }
+        self.quarantines.remove(f)
+    }
+
     /// Drops what no longer counts, and ends quarantines. Returns whether any ended.
     fn expire(&mut self, now_ms: u64, quarantine_ms: u64) -> bool {
         self.crashes
@@ -402,6 +436,10 @@
     }
 }
 
+fn to_hex(fingerprint: &[u8]) -> String {
+    fingerprint.iter().map(|b| format!("{b:02x}")).collect()
+}
+
 impl Ledger {
     pub(crate) fn report_crashes(&mut self, c: &ReportCrashes) -> Reply {
         if c.crashes.len() > MAX_REPORTED {
@@ -439,6 +477,70 @@
         }
     }
 
+    pub(crate) fn release_quarantine(&mut self, c: &ReleaseQuarantine) -> Reply {
+        if let Err((code, message)) = check_name(&c.change_id) {
+            return refused(code, message);
+        }
+        if c.reason.len() > MAX_REASON_BYTES || c.author.len() > MAX_REASON_BYTES {
+            return refused(
+                code::OUT_OF_RANGE,
+                format!("a reason and an author have at most {MAX_REASON_BYTES} bytes"),
+            );
+        }
+        let Ok(f) = Fingerprint::try_from(c.fingerprint.as_slice()) else {
+            return refused(code::MALFORMED, "a fingerprint has 16 bytes");
+        };
+        let digest = Sha256::digest(c.encode_to_vec()).to_vec();
+        if let Some(stored) = self.changes.replies.get(&c.change_id)
+            && let Some(reply) = stored.reply.as_ref().and_then(|r| r.reply.clone())
+        {
+            return match stored.digest == digest {
+                true => reply,
+                false => id_reused(&c.change_id),
+            };
+        }
+        if let Err(full) = self.changes.check_room() {
+            return full;
+        }
+        let Some(released) = self.crashes.release(&f) else {
+            return refused(
+                code::UNKNOWN_QUARANTINE,
+                format!("{} is not in quarantine", to_hex(&f)),
+            );
+        };
+        if !released.is_over {
+            self.crashes.version = self.log_index;
+        }
+        let reply = Reply::Ok(OkReply {});
+        self.changes.store_reply(ChangeReply {
+            change_id: c.change_id.clone(),
+            at_ms: self.now_ms,
+            digest,
+            reply: Some(CommandReply {
+                reply: Some(reply.clone()),
+            }),
+        });
+        reply
+    }
+
+    /// Returns the quarantined traits as operators see them, the newest first.
+    pub(crate) fn query_quarantines(&self) -> Value {
+        let mut rows: Vec<&Quarantine> = self.crashes.quarantines.values().collect();
+        rows.retain(|q| !q.is_over);
+        rows.sort_by_key(|q| Reverse(q.since_ms));
+        rows.into_iter()
+            .map(|q| {
+                json!({
+                    "fingerprint": to_hex(&q.fingerprint),
+                    "kind": if q.is_part { "part" } else { "request" },
+                    "crashes": q.crashes,
+                    "since_ms": q.since_ms,
+                    "until_ms": q.until_ms,
+                })
+            })
+            .collect()
+    }
+
     /// Returns the fingerprints of the traits whose requests are refused.
     pub fn quarantined_fingerprints(&self) -> Vec<Fingerprint> {
         self.crashes.quarantined()
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -125,6 +125,7 @@
             Some(Body::Publish(c)) => self.publish(c),
             Some(Body::RestoreReserve(c)) => self.restore_reserve(c),
             Some(Body::ReportCrashes(c)) => self.report_crashes(c),
+            Some(Body::ReleaseQuarantine(c)) => self.release_quarantine(c),
             None => refused(code::MALFORMED, "the command has no body"),
         };
         CommandReply { reply: Some(reply) }
--- a/crates/ledger/src/query.rs
+++ b/crates/ledger/src/query.rs
@@ -46,6 +46,7 @@
             "history" => self.query_history(q, limit),
             "key" => self.query_key(q),
             "routers" => self.query_routers(q),
+            "quarantines" => self.query_quarantines(),
             "orders" => self.query_orders(q, limit),
             "status" => self.query_status(q),
             kind => {
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -10,10 +10,13 @@
 use anvilloft_wire::command::Crash;
 use anvilloft_wire::command::CrashedRequest;
 use anvilloft_wire::command::Expire;
+use anvilloft_wire::command::ReleaseQuarantine;
 use anvilloft_wire::command::Reply;
 use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RequestTrait;
+use anvilloft_wire::control::Query;
 use support::apply_at;
+use support::refusal_code;
 use support::test_ledger;
 
 /// Time between two crashes with causes of their own, in milliseconds.
@@ -466,3 +469,95 @@
         assert_eq!(quarantined, case.want, "{}", case.name);
     }
 }
+
+fn release(change_id: &str, reason: &str, fingerprint: &[u8]) -> Body {
+    Body::ReleaseQuarantine(ReleaseQuarantine {
+        change_id: change_id.into(),
+        author: "operator".into(),
+        reason: reason.into(),
+        fingerprint: fingerprint.to_vec(),
+    })
+}
+
+/// Guards against a sound part that operators can't release, and against a resent release
+/// that ends a later quarantine.
+#[test]
+fn a_quarantine_is_released_once_for_each_change_id() {
+    let mut ledger = test_ledger();
+    let deadly = |n: u8| crash(usize::from(n), &[seen(100 + n, &[1, 9], &[1])]);
+    for n in 0..3 {
+        report(&mut ledger, u64::from(n) * APART_MS, deadly(n));
+    }
+    let part = [9; 16];
+    let id_of_change = "a".repeat(40);
+    let cases = [
+        ("a wrong length", release("r0", "r", &[9; 3]), "malformed"),
+        ("no id", release("", "r", &part), "bad_name"),
+        (
+            "another part",
+            release("r1", "r", &[1; 16]),
+            "unknown_quarantine",
+        ),
+        ("the part", release("r1", "r", &part), ""),
+        ("the same again", release("r1", "r", &part), ""),
+        (
+            "another reason",
+            release("r1", "s", &part),
+            "change_id_reused",
+        ),
+        (
+            "another id",
+            release(&id_of_change, "r", &part),
+            "unknown_quarantine",
+        ),
+    ];
+    for (name, body, want) in cases {
+        let reply = apply_at(&mut ledger, 4 * APART_MS, body);
+        assert_eq!(refusal_code(&reply), want, "{name}");
+        ledger = Ledger::decode(&ledger.encode()).expect("an intact snapshot");
+    }
+    assert!(ledger.quarantined_fingerprints().is_empty(), "released");
+    for (n, want) in [(3, &[][..]), (4, &[]), (5, &[9])] {
+        let at_ms = (2 + u64::from(n)) * APART_MS;
+        assert_eq!(report(&mut ledger, at_ms, deadly(n)), want, "crash {n}");
+    }
+    apply_at(&mut ledger, 9 * APART_MS, release("r1", "r", &part));
+    assert_eq!(
+        ledger.quarantined_fingerprints(),
+        [part],
+        "not released again"
+    );
+}
+
+/// Guards against operators who don't see what is refused, and why.
+#[test]
+fn quarantines_are_listed_with_their_kind_and_end() {
+    let mut ledger = test_ledger();
+    let quarantine_ms = ledger.config().value("condemn_ms", "");
+    for n in 0..3_u8 {
+        let body = crash(usize::from(n), &[seen(100 + n, &[1, 9], &[1])]);
+        report(&mut ledger, u64::from(n) * APART_MS, body);
+    }
+    for n in 3..6_u8 {
+        let body = crash(usize::from(n), &[seen(101, &[], &[])]);
+        report(&mut ledger, u64::from(n) * APART_MS, body);
+    }
+    let query = Query {
+        kind: "quarantines".into(),
+        ..Query::default()
+    };
+    let text = ledger.query(&query).expect("a list");
+    let row = |n: u8, kind: &str, since_ms: u64| {
+        let fingerprint = format!("{n:02x}").repeat(16);
+        let until_ms = since_ms + quarantine_ms;
+        format!(
+            "{{\"crashes\":3,\"fingerprint\":\"{fingerprint}\",\"kind\":\"{kind}\",\
+             \"since_ms\":{since_ms},\"until_ms\":{until_ms}}}"
+        )
+    };
+    let want = [
+        row(101, "request", 5 * APART_MS),
+        row(9, "part", 2 * APART_MS),
+    ];
+    assert_eq!(text, format!("[{}]", want.join(",")));
+}
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -96,12 +96,16 @@
 
 /// Refuses a request that has a quarantined trait.
 pub(crate) fn check_quarantine(cx: &RelayState, traits: &RequestTraits) -> Result<(), Refusal> {
-    if !lock(&cx.crashes).is_quarantined(traits) {
+    let Some(f) = lock(&cx.crashes).find_quarantined(traits).copied() else {
         return Ok(());
-    }
+    };
+    let fingerprint = u128::from_be_bytes(f);
     Err(Refusal::unavailable(
         "quarantined",
-        "endpoints crashed while running such requests, which are refused for some time",
+        format!(
+            "endpoints crashed while running requests with the trait {fingerprint:032x}, \
+             which are refused for some time"
+        ),
     )
     .retry_after(RETRY_AFTER_QUARANTINED))
 }
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use anvilloft_control::ControlDaemon;
 use anvilloft_control::peers::Peers;
@@ -18,10 +19,12 @@
 use anvilloft_fakes::raw::whole_answer;
 use anvilloft_relay::RelayOptions;
 use anvilloft_telemetry::Metrics;
+use anvilloft_types::Fingerprint;
 use anvilloft_wire::Control;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Crash;
 use anvilloft_wire::command::CrashedRequest;
+use anvilloft_wire::command::ReleaseQuarantine;
 use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RequestTrait;
 use anvilloft_wire::frame::EndpointUpdate;
@@ -39,6 +42,9 @@
 const MAX_CRASHES: u64 = 8;
 /// Time after a crash within which all routers know of it, with room for the machine.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
+/// Time within which all routers know a new list, with room for the machine. The next
+/// lease may be 1 s away.
+const PUSH_TIME: Duration = Duration::from_millis(700);
 /// Requests that crash endpoints, of which the last ones must be refused.
 const DEADLY_REQUESTS: usize = 12;
 
@@ -123,6 +129,35 @@
 }
 
 impl CrashingFleet {
+    /// Reports crashes that quarantine part 9, and returns its fingerprint.
+    async fn quarantine_part_9(&self) -> Fingerprint {
+        let prompt_parts = [9, 0].map(|id| PromptPart { id, tokens: 50 });
+        let part = RequestTraits::new(&[], &prompt_parts).parts[0];
+        let to_trait = |fingerprint: Vec<u8>| RequestTrait {
+            fingerprint,
+            ..RequestTrait::default()
+        };
+        for n in 0..3_u8 {
+            let report = ReportCrashes {
+                crashes: vec![Crash {
+                    endpoint: format!("gone{n}"),
+                    endpoint_incarnation: 1,
+                    requests: vec![CrashedRequest {
+                        whole: Some(to_trait(vec![n; 16])),
+                        parts: vec![to_trait(part.to_vec())],
+                        prompt: Vec::new(),
+                    }],
+                    age_ms: 0,
+                }],
+            };
+            let peers = self.fleet.control.peers();
+            let call = peers.call(Body::ReportCrashes(report).into(), CALL_TIMEOUT);
+            call.await.unwrap();
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+        part
+    }
+
     /// Sends a request, and repeats it a few times while it reaches only endpoints that
     /// have crashed.
     async fn send_sound(&self, n: usize, call: Call) -> Reply {
@@ -191,30 +226,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_router_that_starts_after_a_quarantine_learns_of_it() {
     let mut f = CrashingFleet::start("engines", "x-never").await;
-    let prompt_parts = [9, 0].map(|id| PromptPart { id, tokens: 50 });
-    let part = RequestTraits::new(&[], &prompt_parts).parts[0];
-    let to_trait = |fingerprint: Vec<u8>| RequestTrait {
-        fingerprint,
-        ..RequestTrait::default()
-    };
-    for n in 0..3_u8 {
-        let report = ReportCrashes {
-            crashes: vec![Crash {
-                endpoint: format!("gone{n}"),
-                endpoint_incarnation: 1,
-                requests: vec![CrashedRequest {
-                    whole: Some(to_trait(vec![n; 16])),
-                    parts: vec![to_trait(part.to_vec())],
-                    prompt: Vec::new(),
-                }],
-                age_ms: 0,
-            }],
-        };
-        let peers = f.fleet.control.peers();
-        let call = peers.call(Body::ReportCrashes(report).into(), CALL_TIMEOUT);
-        call.await.unwrap();
-        tokio::time::sleep(Duration::from_millis(150)).await;
-    }
+    f.quarantine_part_9().await;
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
     let options = RelayOptions::builder("late", "a", listen).build();
     f.fleet.add_relay("late", options, &log()).await;
@@ -370,3 +382,38 @@
     assert!(reply.text().contains("\"code\":\"quarantined\""));
     control.stop().await.unwrap();
 }
+
+/// Guards against sound requests that are refused after operators released their part.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_released_part_is_served_by_all_routers_at_once() {
+    let f = CrashingFleet::start("engines", "x-never").await;
+    let part = f.quarantine_part_9().await;
+    let count = |n: usize, count: u32| {
+        let text = f.fleet.relays[n].metrics().text();
+        text.contains(&format!("anvilloft_quarantined_traits {count}"))
+    };
+    for n in 0..3 {
+        eventually("the router refuses", || count(n, 1)).await;
+        let reply = f.send(n, prompt(n, "1,9")).await;
+        let trait_of_it = format!("{:032x}", u128::from_be_bytes(part));
+        assert!(reply.text().contains(&trait_of_it), "{}", reply.text());
+    }
+    let release = ReleaseQuarantine {
+        change_id: "r".into(),
+        author: "operator".into(),
+        reason: "it is sound".into(),
+        fingerprint: part.to_vec(),
+    };
+    let body = Body::ReleaseQuarantine(release).into();
+    let released = f.fleet.control.peers().call(body, CALL_TIMEOUT).await;
+    let pushed_by = Instant::now() + PUSH_TIME;
+    released.unwrap();
+    for n in 0..3 {
+        eventually("the router knows", || count(n, 0)).await;
+    }
+    assert!(Instant::now() < pushed_by, "ahead of the next leases");
+    for n in 0..3 {
+        let reply = f.send_sound(n, prompt(100 + n, "1,9")).await;
+        assert_eq!(reply.status, 200, "router {n}: {}", reply.text());
+    }
+}
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -10,6 +10,7 @@
 pub use crashes::Crash;
 pub use crashes::CrashedRequest;
 pub use crashes::Quarantined;
+pub use crashes::ReleaseQuarantine;
 pub use crashes::ReportCrashes;
 pub use crashes::RequestTrait;
 
@@ -23,7 +24,7 @@
     /// The command itself.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: Option<Body>,
 }
@@ -77,6 +78,9 @@
     /// common with other requests that crash endpoints.
     #[prost(message, tag = "16")]
     ReportCrashes(ReportCrashes),
+    /// Ends the quarantine of a trait of requests.
+    #[prost(message, tag = "17")]
+    ReleaseQuarantine(ReleaseQuarantine),
 }
 
 /// Publishes a whole route table. The highest version is in force; one that is
--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -70,3 +70,20 @@
     #[prost(uint64, optional, tag = "2")]
     pub version: Option<u64>,
 }
+
+/// Ends the quarantine of a trait, so that requests with it run again.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct ReleaseQuarantine {
+    /// Id chosen by the operator's client; a resent release has the same id.
+    #[prost(string, tag = "1")]
+    pub change_id: String,
+    /// Name of the operator's key.
+    #[prost(string, tag = "2")]
+    pub author: String,
+    /// Why the trait is released.
+    #[prost(string, tag = "3")]
+    pub reason: String,
+    /// Fingerprint of the trait, 16 bytes.
+    #[prost(bytes = "vec", tag = "4")]
+    pub fingerprint: Vec<u8>,
+}
