Keep checks of endpoints in a struct

Cause: they were tuples of four, read by position. Change: struct Check with its state; nothing else. Evidence: the tests of the crate pass unchanged.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -111,12 +111,28 @@
     traits: RequestTraits,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Check {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CheckState {
     Running,
     Crashed,
 }
 
+/// The check of an endpoint whose connections broke.
+#[derive(Clone, Debug)]
+struct Check {
+    endpoint: EndpointId,
+    incarnation: Incarnation,
+    state: CheckState,
+    /// When the endpoint came to this state.
+    since: Duration,
+}
+
+impl Check {
+    fn is_of(&self, endpoint: &str, incarnation: Incarnation) -> bool {
+        self.endpoint == endpoint && self.incarnation == incarnation
+    }
+}
+
 /// When an answer to a request with a trait last began.
 #[derive(Debug, Default)]
 struct Answers {
@@ -179,8 +195,8 @@
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     broken: Vec<Broken>,
-    /// Endpoints that are being checked or have crashed, and since when.
-    checks: Vec<(EndpointId, Incarnation, Duration, Check)>,
+    /// Endpoints that are being checked or have crashed.
+    checks: Vec<Check>,
     answered_requests: Answers,
     answered_parts: Answers,
     // Sorted.
@@ -273,13 +289,14 @@
             at: now,
             traits,
         });
-        let is_known = self
-            .checks
-            .iter()
-            .any(|(e, i, ..)| e == endpoint && *i == incarnation);
+        let is_known = self.checks.iter().any(|c| c.is_of(endpoint, incarnation));
         if !is_known {
-            let check = (endpoint.to_owned(), incarnation, now, Check::Running);
-            self.checks.push(check);
+            self.checks.push(Check {
+                endpoint: endpoint.to_owned(),
+                incarnation,
+                state: CheckState::Running,
+                since: now,
+            });
         }
         !is_known
     }
@@ -292,17 +309,17 @@
         incarnation: Incarnation,
         crashed: bool,
     ) {
-        let is_same = |e: &str, i: Incarnation| e == endpoint && i == incarnation;
         if crashed {
             for check in &mut self.checks {
-                if is_same(&check.0, check.1) {
-                    check.2 = now;
-                    check.3 = Check::Crashed;
+                if check.is_of(endpoint, incarnation) {
+                    check.since = now;
+                    check.state = CheckState::Crashed;
                 }
             }
         } else {
-            self.checks.retain(|(e, i, ..)| !is_same(e, *i));
-            self.broken.retain(|b| !is_same(&b.endpoint, b.incarnation));
+            self.checks.retain(|c| !c.is_of(endpoint, incarnation));
+            self.broken
+                .retain(|b| b.endpoint != endpoint || b.incarnation != incarnation);
         }
     }
 
@@ -312,9 +329,9 @@
         let mut reports: Vec<CrashedEndpoint> = Vec::new();
         let (crashed, waiting): (Vec<Broken>, Vec<Broken>) =
             std::mem::take(&mut self.broken).into_iter().partition(|b| {
-                self.checks.iter().any(|(e, i, _, check)| {
-                    *check == Check::Crashed && *e == b.endpoint && *i == b.incarnation
-                })
+                self.checks
+                    .iter()
+                    .any(|c| c.state == CheckState::Crashed && c.is_of(&b.endpoint, b.incarnation))
             });
         self.broken = waiting;
         for b in crashed {
@@ -357,6 +374,6 @@
     fn expire(&mut self, now: Duration) {
         let is_recent = |at: Duration| now.saturating_sub(at) < RETENTION;
         self.broken.retain(|b| is_recent(b.at));
-        self.checks.retain(|(_, _, at, _)| is_recent(*at));
+        self.checks.retain(|c| is_recent(c.since));
     }
 }
