Keep ledger time going while the wall clock is behind it

Cause: the leader dates commands by the wall clock, and not back. After a step back, or with a new leader whose clock is behind, ledger time stood still until the clock had caught up. Crashes seemed to lie within 100 ms then, which count as one. All periods that the ledger measures stood still, too. Change: ProposalClock goes on by the monotonic clock from the last time, or from the ledger's, until the wall clock is ahead again. Evidence: proposals_are_as_far_apart_as_they_were_made_when_the_clock_is_set_back fails with the former rule ("a step back at 1000 ms: left: 50000, right: 51000").

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -23,6 +23,7 @@
 mod handle;
 mod membership;
 mod placement;
+mod proposal_clock;
 mod reads;
 mod recalls;
 mod replies;
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -43,6 +43,7 @@
 use super::full_disk::Unsaved;
 use super::handle::Call;
 use super::placement::Placement;
+use super::proposal_clock::ProposalClock;
 use super::reads::PendingRead;
 use super::recalls::Recalls;
 use super::replies::ReplySender;
@@ -117,7 +118,7 @@
     pub(super) placement: Placement,
     next_check: Duration,
     next_expire: Duration,
-    last_wall_ms: u64,
+    proposal_clock: ProposalClock,
 }
 
 impl Core {
@@ -161,7 +162,7 @@
             placement: Placement::default(),
             next_check: Duration::ZERO,
             next_expire: Duration::ZERO,
-            last_wall_ms: 0,
+            proposal_clock: ProposalClock::default(),
         }
     }
 
@@ -332,7 +333,9 @@
         grant: Option<(BudgetId, Tokens)>,
     ) {
         let cmd = Command {
-            at_ms: self.wall_ms(),
+            at_ms: self
+                .proposal_clock
+                .read(now, unix_ms(), self.ledger.now_ms()),
             body: Some(body),
         };
         let data = cmd.encode_to_vec();
@@ -377,13 +380,6 @@
         self.pending_commands.insert(index, pending);
     }
 
-    /// Returns the wall clock time in milliseconds since the Unix epoch. It
-    /// never goes backwards.
-    fn wall_ms(&mut self) -> u64 {
-        self.last_wall_ms = self.last_wall_ms.max(unix_ms());
-        self.last_wall_ms
-    }
-
     /// Runs the leader's periodic tasks that are due.
     fn run_leader_tasks(&mut self, now: Duration) {
         self.update_leadership(now);
--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -2,6 +2,7 @@
 //! for in real time.
 
 mod contacts;
+mod proposal_clock;
 
 use anvilloft_ledger::Ledger;
 use anvilloft_types::prelude::*;
