Count a stream as answered after its first event

Callers: requests that crash each endpoint just after its first event are never quarantined. Cause: with the first event, a stream counted as answered, and its broken connection was no longer reported. So its own part also counted as answered just before each crash. Change: an answer counts from its second events, or its end, in the search for what crashes endpoints; the caller's answer begins as before. A request that crashes endpoints later in its answer is still not found. Evidence: the new case "after the first event" of a_request_that_crashes_endpoints_during_its_answer_is_refused fails with the former rule ("after the first event: 8 requests crashed endpoints", none refused).

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -109,6 +109,9 @@
     comments: BytesMut,
     /// When the first event arrived.
     first_event_at: Option<Duration>,
+    /// Whether the answer counts as begun in the search for requests that crash
+    /// endpoints: an endpoint may crash just after the first event.
+    is_answered: bool,
     /// When the last events arrived.
     last_events_at: Duration,
     /// Silence of the current endpoint, since it was last asked or made progress.
@@ -235,8 +238,8 @@
         let now = self.cx.now();
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
-            crashes::record_answer(&self.cx, &self.outbound.traits);
         } else {
+            self.record_answer();
             let gap = now.saturating_sub(self.last_events_at);
             self.longest_gap = self.longest_gap.max(gap);
         }
@@ -251,6 +254,12 @@
         }
     }
 
+    fn record_answer(&mut self) {
+        if !std::mem::replace(&mut self.is_answered, true) {
+            crashes::record_answer(&self.cx, &self.outbound.traits);
+        }
+    }
+
     /// Whether the current endpoint's answer has ended before its last event.
     fn is_cut_off(&self) -> bool {
         let answer = self.current.as_ref().map(|(_, answer)| answer);
@@ -260,6 +269,7 @@
     /// Ends the stream after its last event.
     fn end(&mut self) -> Option<Result<Bytes, StreamError>> {
         let (in_flight, _) = self.current.take()?;
+        self.record_answer();
         let first_event_at = self.first_event_at.unwrap_or_default();
         slog::info!(self.cx.log, "stream ended"; "request" => &self.outbound.id,
             "endpoint" => &in_flight.pick.endpoint,
@@ -413,7 +423,7 @@
     /// Resumes the stream at another endpoint after the last whole event.
     async fn resume(&mut self, error: &ClientError) -> Result<(), StreamError> {
         if let Some((in_flight, _)) = &self.current
-            && self.first_event_at.is_none()
+            && !self.is_answered
             && error.is_connection_failure()
         {
             crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
@@ -509,6 +519,7 @@
             splitter: EventSplitter::default(),
             comments: BytesMut::new(),
             first_event_at: None,
+            is_answered: false,
             last_events_at: Duration::ZERO,
             silence: SilenceTimer::new(max_silence, ASK_INTERVAL, cx.now()),
             kept_for: None,
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -32,6 +32,8 @@
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
 use crate::common::call;
+use crate::common::chunk;
+use crate::common::event;
 use crate::common::eventually;
 use crate::common::log;
 use crate::common::stream_head;
@@ -289,6 +291,12 @@
             path: "/stream/x",
             beginning: |id| stream_head(id).into_bytes(),
         },
+        Case {
+            name: "after the first event",
+            service: "engines",
+            path: "/stream/x",
+            beginning: |id| (stream_head(id) + &chunk(&event(1))).into_bytes(),
+        },
         Case {
             name: "a stream without chunks, inside its first event",
             service: "engines",
