Wait for the endpoints before control is stopped in a test

Cause: crashes_while_control_is_unreachable_are_told_apart sent its first request before the router knew an endpoint, on a busy machine: "no_endpoint" instead of 200, in a run of the whole suite. Its check was not at fault. Change: it waits until a request is served, and then for the other endpoints. What it requires stays the same.

--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -360,8 +360,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn crashes_while_control_is_unreachable_are_told_apart() {
     let f = CrashingFleet::start("plain", "deadly").await;
-    let sound = f.send_sound(0, call("/any/x", "sound", "00ff")).await;
+    let sound = f.fleet.send(0, "/any/x", "00ff").await;
     assert_eq!(sound.status, 200, "{}", sound.text());
+    // All other endpoints are announced by then, too.
+    tokio::time::sleep(SETTLE_TIME).await;
     let (settings, relays, _folder) = f.fleet.stop_control().await;
     let send = |n: usize| {
         let (call, address) = (
