--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -43,6 +43,7 @@
 use super::full_disk::Unsaved;
 use super::handle::Call;
 use super::placement::Placement;
+use super::proposal_clock::ProposalClock;
 use super::reads::PendingRead;
 use super::recalls::Recalls;
 use super::replies::ReplySender;
@@ -117,7 +118,7 @@
     pub(super) placement: Placement,
     next_check: Duration,
     next_expire: Duration,
-    last_wall_ms: u64,
+    proposal_clock: ProposalClock,
 }
 
 impl Core {
@@ -161,7 +162,7 @@
             placement: Placement::default(),
             next_check: Duration::ZERO,
             next_expire: Duration::ZERO,
-            last_wall_ms: 0,
+            proposal_clock: ProposalClock::default(),
         }
     }
 
@@ -332,7 +333,9 @@
         grant: Option<(BudgetId, Tokens)>,
     ) {
         let cmd = Command {
-            at_ms: self.wall_ms(),
+            at_ms: self
+                .proposal_clock
+                .read(now, unix_ms(), self.ledger.now_ms()),
             body: Some(body),
         };
         let data = cmd.encode_to_vec();
@@ -377,13 +380,6 @@
         self.pending_commands.insert(index, pending);
     }
 
-    /// Returns the wall clock time in milliseconds since the Unix epoch. It
-    /// never goes backwards.
-    fn wall_ms(&mut self) -> u64 {
-        self.last_wall_ms = self.last_wall_ms.max(unix_ms());
-        self.last_wall_ms
-    }
-
     /// Runs the leader's periodic tasks that are due.
     fn run_leader_tasks(&mut self, now: Duration) {
         self.update_leadership(now);
@@ -504,7 +500,7 @@
     fn apply(&mut self, fx: Effects) -> Result<(), DriverError> {
         let revision = self.ledger.config().revision();
         let publication = self.ledger.publication_version();
-        let quarantined = self.ledger.quarantined_fingerprints();
+        let quarantine = self.ledger.quarantine_version();
         if let (true, Some(s)) = (fx.reset, &fx.snapshot) {
             self.ledger = match s.state.as_slice() {
                 [] => Ledger::new(),
@@ -531,11 +527,11 @@
                 "from" => publication);
             self.transport.push_publication_version(current);
         }
-        let current = self.ledger.quarantined_fingerprints();
-        if current != quarantined {
-            slog::warn!(self.log, "quarantine"; "traits" => current.len(),
-                "from" => quarantined.len());
-            self.transport.push_quarantined(&current);
+        if self.ledger.quarantine_version() != quarantine {
+            let current = self.ledger.quarantined();
+            slog::warn!(self.log, "quarantine"; "traits" => current.fingerprints.len(),
+                "version" => current.version, "from" => quarantine);
+            self.transport.push_quarantined(current);
         }
         let version = self.ledger.directory_version();
         if version != self.cached_directory.0 {
--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -16,8 +16,9 @@
 /// Maximum number of broken requests that wait for the check of their endpoint.
 /// Further ones are not reported.
 const MAX_BROKEN: usize = 1_024;
-/// Maximum number of traits of which an answer is remembered. The one that was answered
-/// least recently is forgotten first.
+/// Maximum number of whole requests, and of parts, of which an answer is remembered.
+/// Those that were answered least recently are forgotten first. Parts are few beside the
+/// requests that share them.
 const MAX_ANSWERED: usize = 4_096;
 /// A trait whose last answer began less than this before a crash isn't its cause, so that
 /// the crash of a busy endpoint isn't blamed on the parts that most prompts share.
@@ -32,6 +33,8 @@
     pub whole: Fingerprint,
     /// Fingerprints of the parts of the prompt that other requests may share, in order.
     pub parts: Vec<Fingerprint>,
+    /// Fingerprint of all parts of the prompt, with the one of the request itself.
+    pub prompt: Fingerprint,
 }
 
 impl RequestTraits {
@@ -39,12 +42,14 @@
     /// of a prompt belongs to one request or session.
     pub fn new(fields: &[&[u8]], prompt: &[PromptPart]) -> Self {
         let shared = prompt.len().saturating_sub(1);
+        let ids: Vec<u8> = prompt.iter().flat_map(|p| p.id.to_be_bytes()).collect();
         Self {
             whole: fingerprint(b"request", fields),
             parts: prompt[..shared]
                 .iter()
                 .map(|p| fingerprint(b"part", &[&p.id.to_be_bytes()]))
                 .collect(),
+            prompt: fingerprint(b"prompt", &[&ids]),
         }
     }
 
@@ -68,8 +73,8 @@
 pub struct ReportedTrait {
     /// The trait.
     pub fingerprint: Fingerprint,
-    /// Whether this router has seen an answer to a request with it begin.
-    pub answered: bool,
+    /// When this router last saw an answer to a request with it begin.
+    pub answered_at: Option<Duration>,
     /// Whether that was shortly before the crash.
     pub answered_lately: bool,
 }
@@ -81,6 +86,8 @@
     pub whole: ReportedTrait,
     /// The parts that other requests may share, in order.
     pub parts: Vec<ReportedTrait>,
+    /// Fingerprint of the whole prompt.
+    pub prompt: Fingerprint,
 }
 
 /// A crash to report to control.
@@ -92,8 +99,8 @@
     pub incarnation: Incarnation,
     /// The requests that waited there for their answers to begin.
     pub requests: Vec<ReportedRequest>,
-    /// Time since the first of them broke off.
-    pub age: Duration,
+    /// Time at which the first of them broke off.
+    pub at: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -104,55 +111,152 @@
     traits: RequestTraits,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Check {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CheckState {
     Running,
     Crashed,
 }
 
+/// The check of an endpoint whose connections broke.
+#[derive(Clone, Debug)]
+struct Check {
+    endpoint: EndpointId,
+    incarnation: Incarnation,
+    state: CheckState,
+    /// When the endpoint came to this state.
+    since: Duration,
+}
+
+impl Check {
+    fn is_of(&self, endpoint: &str, incarnation: Incarnation) -> bool {
+        self.endpoint == endpoint && self.incarnation == incarnation
+    }
+}
+
+/// When an answer to a request with a trait last began.
+#[derive(Debug, Default)]
+struct Answers {
+    // Sorted by trait.
+    last: Vec<(Fingerprint, Duration)>,
+}
+
+impl Answers {
+    fn record(&mut self, now: Duration, f: &Fingerprint) {
+        match self.last.binary_search_by_key(f, |(f, _)| *f) {
+            Ok(at) => {
+                if let Some((_, answered_at)) = self.last.get_mut(at) {
+                    *answered_at = now;
+                }
+            }
+            Err(at) => self.last.insert(at, (*f, now)),
+        }
+        if self.last.len() > MAX_ANSWERED {
+            self.forget_oldest();
+        }
+    }
+
+    /// Forgets the older half.
+    fn forget_oldest(&mut self) {
+        let mut times: Vec<Duration> = self.last.iter().map(|(_, at)| *at).collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.last.retain(|(_, at)| *at > median);
+    }
+
+    /// Forgets some traits, which are sorted.
+    fn forget(&mut self, traits: &[Fingerprint]) {
+        self.last.retain(|(f, _)| traits.binary_search(f).is_err());
+    }
+
+    fn last(&self, f: &Fingerprint) -> Option<Duration> {
+        let at = self.last.binary_search_by_key(f, |(f, _)| *f).ok()?;
+        self.last.get(at).map(|(_, at)| *at)
+    }
+}
+
+/// A list of quarantined traits, as control sent it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QuarantineList {
+    /// The traits.
+    pub traits: Vec<Fingerprint>,
+    /// Version of the list. A larger one is newer; older members don't send it.
+    pub version: Option<u64>,
+}
+
+impl QuarantineList {
+    /// Whether control made the list before the one of another version.
+    fn is_older_than(&self, version: Option<u64>) -> bool {
+        matches!((self.version, version), (Some(own), Some(other)) if own < other)
+    }
+}
+
 /// The requests that broke off lately, and the quarantined traits.
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     broken: Vec<Broken>,
-    /// Endpoints that are being checked or have crashed, and since when.
-    checks: Vec<(EndpointId, Incarnation, Duration, Check)>,
-    /// When an answer last began, by trait. Sorted by trait.
-    answered: Vec<(Fingerprint, Duration)>,
+    /// Endpoints that are being checked or have crashed.
+    checks: Vec<Check>,
+    answered_requests: Answers,
+    answered_parts: Answers,
     // Sorted.
     quarantined: Vec<Fingerprint>,
+    /// Version of the list of quarantined traits.
+    version: Option<u64>,
 }
 
 impl CrashWatch {
+    /// Returns a quarantined trait of a request, if it has one.
+    pub fn find_quarantined<'a>(&self, traits: &'a RequestTraits) -> Option<&'a Fingerprint> {
+        traits
+            .all()
+            .find(|f| self.quarantined.binary_search(f).is_ok())
+    }
+
     /// Returns whether a request has a quarantined trait.
     pub fn is_quarantined(&self, traits: &RequestTraits) -> bool {
-        !self.quarantined.is_empty()
-            && traits
-                .all()
-                .any(|f| self.quarantined.binary_search(f).is_ok())
+        self.find_quarantined(traits).is_some()
+    }
+
+    /// Replaces the quarantined traits, unless a newer list is known. Returns whether they
+    /// changed.
+    pub fn set_quarantined(&mut self, list: QuarantineList) -> bool {
+        if list.is_older_than(self.version) {
+            return false;
+        }
+        self.version = list.version;
+        self.replace_quarantined(list.traits)
+    }
+
+    /// Takes a list that was sent ahead of the next lease. Without a version, it may be
+    /// older than the known one, so its traits are only added.
+    pub fn push_quarantined(&mut self, mut list: QuarantineList) -> bool {
+        if list.version.is_some() {
+            return self.set_quarantined(list);
+        }
+        list.traits.extend_from_slice(&self.quarantined);
+        self.replace_quarantined(list.traits)
+    }
+
+    /// Takes the next list whatever its version is, as control may have lost its log.
+    pub fn forget_quarantine_version(&mut self) {
+        self.version = None;
     }
 
-    /// Replaces the quarantined traits. Returns whether they changed. Answers from before
-    /// a quarantine say nothing about a trait after it.
-    pub fn set_quarantined(&mut self, mut list: Vec<Fingerprint>) -> bool {
+    /// Answers from before a quarantine say nothing about a trait after it.
+    fn replace_quarantined(&mut self, mut list: Vec<Fingerprint>) -> bool {
         list.sort_unstable();
         list.dedup();
         list.truncate(MAX_QUARANTINED);
         let changed = list != self.quarantined;
         self.quarantined = list;
         if changed {
-            self.answered
-                .retain(|(f, _)| self.quarantined.binary_search(f).is_err());
+            self.answered_requests.forget(&self.quarantined);
+            self.answered_parts.forget(&self.quarantined);
         }
         changed
     }
 
-    /// Adds quarantined traits, until the list is replaced.
-    pub fn add_quarantined(&mut self, more: Vec<Fingerprint>) -> bool {
-        let mut list = self.quarantined.clone();
-        list.extend(more);
-        self.set_quarantined(list)
-    }
-
     /// Returns the number of quarantined traits.
     pub fn quarantined_count(&self) -> usize {
         self.quarantined.len()
@@ -160,30 +264,12 @@
 
     /// Records that an endpoint began to answer a request.
     pub fn record_answer(&mut self, now: Duration, traits: &RequestTraits) {
-        for f in traits.all() {
-            match self.answered.binary_search_by_key(f, |(f, _)| *f) {
-                Ok(at) => {
-                    if let Some((_, answered_at)) = self.answered.get_mut(at) {
-                        *answered_at = now;
-                    }
-                }
-                Err(at) => self.answered.insert(at, (*f, now)),
-            }
-        }
-        if self.answered.len() > MAX_ANSWERED {
-            self.forget_oldest_answers();
+        self.answered_requests.record(now, &traits.whole);
+        for part in &traits.parts {
+            self.answered_parts.record(now, part);
         }
     }
 
-    /// Forgets the older half of the answers.
-    fn forget_oldest_answers(&mut self) {
-        let mut times: Vec<Duration> = self.answered.iter().map(|(_, at)| *at).collect();
-        let middle = times.len() / 2;
-        let (_, median, _) = times.select_nth_unstable(middle);
-        let median = *median;
-        self.answered.retain(|(_, at)| *at > median);
-    }
-
     /// Records that the connection of a request broke off before the answer began.
     /// Returns whether the endpoint must be checked now.
     pub fn record_broken(
@@ -203,13 +289,14 @@
             at: now,
             traits,
         });
-        let is_known = self
-            .checks
-            .iter()
-            .any(|(e, i, ..)| e == endpoint && *i == incarnation);
+        let is_known = self.checks.iter().any(|c| c.is_of(endpoint, incarnation));
         if !is_known {
-            let check = (endpoint.to_owned(), incarnation, now, Check::Running);
-            self.checks.push(check);
+            self.checks.push(Check {
+                endpoint: endpoint.to_owned(),
+                incarnation,
+                state: CheckState::Running,
+                since: now,
+            });
         }
         !is_known
     }
@@ -222,17 +309,17 @@
         incarnation: Incarnation,
         crashed: bool,
     ) {
-        let is_same = |e: &str, i: Incarnation| e == endpoint && i == incarnation;
         if crashed {
             for check in &mut self.checks {
-                if is_same(&check.0, check.1) {
-                    check.2 = now;
-                    check.3 = Check::Crashed;
+                if check.is_of(endpoint, incarnation) {
+                    check.since = now;
+                    check.state = CheckState::Crashed;
                 }
             }
         } else {
-            self.checks.retain(|(e, i, ..)| !is_same(e, *i));
-            self.broken.retain(|b| !is_same(&b.endpoint, b.incarnation));
+            self.checks.retain(|c| !c.is_of(endpoint, incarnation));
+            self.broken
+                .retain(|b| b.endpoint != endpoint || b.incarnation != incarnation);
         }
     }
 
@@ -242,9 +329,9 @@
         let mut reports: Vec<CrashedEndpoint> = Vec::new();
         let (crashed, waiting): (Vec<Broken>, Vec<Broken>) =
             std::mem::take(&mut self.broken).into_iter().partition(|b| {
-                self.checks.iter().any(|(e, i, _, check)| {
-                    *check == Check::Crashed && *e == b.endpoint && *i == b.incarnation
-                })
+                self.checks
+                    .iter()
+                    .any(|c| c.state == CheckState::Crashed && c.is_of(&b.endpoint, b.incarnation))
             });
         self.broken = waiting;
         for b in crashed {
@@ -258,7 +345,7 @@
                     endpoint: b.endpoint,
                     incarnation: b.incarnation,
                     requests: vec![request],
-                    age: now.saturating_sub(b.at),
+                    at: b.at,
                 }),
             }
         }
@@ -268,28 +355,25 @@
 
     /// Returns what speaks for and against a request.
     fn report_of(&self, b: &Broken) -> ReportedRequest {
-        let reported = |f: &Fingerprint| {
-            let answered_at = self
-                .answered
-                .binary_search_by_key(f, |(f, _)| *f)
-                .ok()
-                .and_then(|at| self.answered.get(at))
-                .map(|(_, at)| *at);
+        let reported = |f: &Fingerprint, answers: &Answers| {
+            let answered_at = answers.last(f);
             ReportedTrait {
                 fingerprint: *f,
-                answered: answered_at.is_some(),
+                answered_at,
                 answered_lately: answered_at.is_some_and(|at| at + RECENT_ANSWER > b.at),
             }
         };
+        let parts = b.traits.parts.iter();
         ReportedRequest {
-            whole: reported(&b.traits.whole),
-            parts: b.traits.parts.iter().map(reported).collect(),
+            whole: reported(&b.traits.whole, &self.answered_requests),
+            parts: parts.map(|f| reported(f, &self.answered_parts)).collect(),
+            prompt: b.traits.prompt,
         }
     }
 
     fn expire(&mut self, now: Duration) {
         let is_recent = |at: Duration| now.saturating_sub(at) < RETENTION;
         self.broken.retain(|b| is_recent(b.at));
-        self.checks.retain(|(_, _, at, _)| is_recent(*at));
+        self.checks.retain(|c| is_recent(c.since));
     }
 }
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -7,6 +7,7 @@
 //! with it waited for their answers to begin. Then the crashes are explained, and the
 //! other traits that were seen there are cleared of them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -14,16 +15,27 @@
 use anvilloft_types::EndpointId;
 use anvilloft_types::Fingerprint;
 use anvilloft_types::Incarnation;
+use anvilloft_wire::CommandReply;
 use anvilloft_wire::command::Crash as CrashReport;
+use anvilloft_wire::command::Ok as OkReply;
 use anvilloft_wire::command::Quarantined;
+use anvilloft_wire::command::ReleaseQuarantine;
 use anvilloft_wire::command::Reply;
 use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RequestTrait;
+use prost::Message;
+use serde_json::Value;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
 
+use crate::changes::ChangeReply;
+use crate::changes::id_reused;
 use crate::code;
 use crate::code::refused;
 use crate::ledger::Ledger;
 use crate::ledger::has_elapsed;
+use crate::validate::MAX_REASON_BYTES;
 use crate::validate::check_name;
 
 /// Time for which a crash counts, in milliseconds.
@@ -48,8 +60,6 @@
 /// Time within which crashes count as one, in milliseconds. Endpoints that fail
 /// together, such as those of one rack, fail for a reason that they share.
 const SAME_CAUSE_MS: u64 = 100;
-/// Maximum age of a crash when it's reported, in milliseconds. Older ones count as this old.
-const MAX_AGE_MS: u64 = 5_000;
 
 /// A trait of the requests that waited at an endpoint when it crashed.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -69,6 +79,9 @@
     /// The crash doesn't speak against it then, whatever other routers saw.
     #[prost(bool, tag = "5")]
     pub(crate) answered_lately: bool,
+    /// Ledger time of the last answer to a request with it; 0 if unknown.
+    #[prost(uint64, tag = "6")]
+    pub(crate) answered_at_ms: u64,
 }
 
 impl Suspect {
@@ -77,6 +90,16 @@
     }
 }
 
+/// Returns what tells a request from copies of it. The whole request doesn't if it was
+/// answered before, as with another prompt.
+fn request_id<'a>(whole: &'a RequestTrait, prompt: &'a [u8]) -> &'a [u8] {
+    // Older routers don't send the prompt.
+    match whole.answered && !prompt.is_empty() {
+        true => prompt,
+        false => &whole.fingerprint,
+    }
+}
+
 /// What is known to have crashed an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
@@ -121,7 +144,7 @@
     }
 
     /// Adds a trait of a request, unless the crash is explained without it.
-    fn add(&mut self, t: &RequestTrait, place: u32, part_of: Option<&[u8]>) {
+    fn add(&mut self, now_ms: u64, t: &RequestTrait, place: u32, part_of: Option<&[u8]>) {
         let is_cleared = match self.explanation() {
             Explanation::None => false,
             Explanation::Request => part_of.is_none(),
@@ -151,8 +174,13 @@
         };
         suspect.answered |= t.answered;
         suspect.answered_lately |= t.answered_lately;
+        if let Some(age_ms) = t.answer_age_ms {
+            let answered_at_ms = now_ms.saturating_sub(age_ms);
+            suspect.answered_at_ms = suspect.answered_at_ms.max(answered_at_ms);
+        }
         suspect.place = suspect.place.max(place);
         if let Some(request) = part_of
+            && Fingerprint::try_from(request).is_ok()
             && suspect.requests.len() < MIN_REQUESTS
             && !suspect.requests.iter().any(|r| r == request)
         {
@@ -186,6 +214,18 @@
     /// quarantines it again, unless a request with it was answered meanwhile.
     #[prost(uint64, tag = "2")]
     pub(crate) until_ms: u64,
+    /// Whether requests with the trait run again.
+    #[prost(bool, tag = "3")]
+    pub(crate) is_over: bool,
+    /// Ledger time of its start.
+    #[prost(uint64, tag = "4")]
+    pub(crate) since_ms: u64,
+    /// Whether the trait is a part of prompts, not a whole request.
+    #[prost(bool, tag = "5")]
+    pub(crate) is_part: bool,
+    /// Number of crashes that spoke against it.
+    #[prost(uint32, tag = "6")]
+    pub(crate) crashes: u32,
 }
 
 /// How strongly crashes speak against a trait.
@@ -201,7 +241,6 @@
 
 impl<'a> Evidence<'a> {
     fn add(&mut self, crash: &Crash, s: &'a Suspect) {
-        self.answered |= s.answered;
         if s.answered_lately {
             return;
         }
@@ -239,21 +278,23 @@
     /// Sorted by time.
     pub(crate) crashes: VecDeque<Crash>,
     pub(crate) quarantines: BTreeMap<Fingerprint, Quarantine>,
+    /// Log index of the command that last changed which requests are refused.
+    pub(crate) version: u64,
 }
 
 impl Crashes {
     /// Returns the traits whose requests are refused.
-    pub(crate) fn quarantined(&self, now_ms: u64) -> Vec<Fingerprint> {
+    pub(crate) fn quarantined(&self) -> Vec<Fingerprint> {
         self.quarantines
             .iter()
-            .filter(|(_, q)| now_ms < q.until_ms)
+            .filter(|(_, q)| !q.is_over)
             .map(|(f, _)| *f)
             .collect()
     }
 
     /// Records what one router saw of a crash.
     fn record(&mut self, report: &CrashReport, now_ms: u64) {
-        let at_ms = now_ms.saturating_sub(report.age_ms.min(MAX_AGE_MS));
+        let at_ms = now_ms.saturating_sub(report.age_ms);
         let known = self.crashes.iter().position(|c| {
             c.endpoint == report.endpoint && c.incarnation == report.endpoint_incarnation
         });
@@ -271,9 +312,10 @@
             let Some(whole) = &request.whole else {
                 continue;
             };
-            crash.add(whole, 0, None);
+            crash.add(now_ms, whole, 0, None);
+            let id = request_id(whole, &request.prompt);
             for (place, part) in (0..).zip(&request.parts) {
-                crash.add(part, place, Some(&whole.fingerprint));
+                crash.add(now_ms, part, place, Some(id));
             }
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -284,11 +326,19 @@
     }
 
     fn evidence(&self, f: &Fingerprint) -> Evidence<'_> {
-        let mut evidence = Evidence::default();
-        for crash in &self.crashes {
-            if let Some(s) = crash.suspect(f) {
-                evidence.add(crash, s);
-            }
+        let seen = || {
+            self.crashes
+                .iter()
+                .filter_map(|crash| Some((crash, crash.suspect(f)?)))
+        };
+        let mut evidence = Evidence {
+            answered: seen().any(|(_, s)| s.answered),
+            ..Evidence::default()
+        };
+        // What was answered since a crash didn't cause it.
+        let answered_at_ms = seen().map(|(_, s)| s.answered_at_ms).max().unwrap_or(0);
+        for (crash, s) in seen().filter(|(crash, _)| crash.at_ms >= answered_at_ms) {
+            evidence.add(crash, s);
         }
         evidence
     }
@@ -305,7 +355,7 @@
     }
 
     /// Quarantines a trait, and takes the crashes at which it was seen as explained.
-    fn quarantine(&mut self, f: Fingerprint, until_ms: u64) {
+    fn quarantine(&mut self, f: Fingerprint, now_ms: u64, until_ms: u64) {
         if self.quarantines.len() >= MAX_QUARANTINED
             && !self.quarantines.contains_key(&f)
             && let Some(first) = self
@@ -316,9 +366,14 @@
         {
             self.quarantines.remove(&first);
         }
+        let evidence = self.evidence(&f);
         let quarantine = Quarantine {
             fingerprint: f.to_vec(),
             until_ms,
+            is_over: false,
+            since_ms: now_ms,
+            is_part: !evidence.requests.is_empty(),
+            crashes: evidence.crashes as u32,
         };
         self.quarantines.insert(f, quarantine);
         self.explain(&f);
@@ -331,15 +386,18 @@
     }
 
     /// Quarantines those of the reported traits for which the evidence now suffices.
-    fn judge(&mut self, reported: &BTreeSet<Fingerprint>, now_ms: u64, quarantine_ms: u64) {
+    /// Returns whether there are any.
+    fn judge(&mut self, reported: &BTreeSet<Fingerprint>, now_ms: u64, quarantine_ms: u64) -> bool {
         let until_ms = now_ms.saturating_add(quarantine_ms);
+        let mut changed = false;
         for f in reported {
-            match self.quarantines.get(f).map(|q| q.until_ms <= now_ms) {
+            match self.quarantines.get(f).map(|q| q.is_over) {
                 None => {}
                 Some(true) => {
                     let evidence = self.evidence(f);
                     if evidence.crashes > 0 && !evidence.answered {
-                        self.quarantine(*f, until_ms);
+                        self.quarantine(*f, now_ms, until_ms);
+                        changed = true;
                     }
                 }
                 // The request was sent before its quarantine was known.
@@ -347,18 +405,41 @@
             }
         }
         while let Some(f) = self.culprit(reported) {
-            self.quarantine(f, until_ms);
+            self.quarantine(f, now_ms, until_ms);
+            changed = true;
+        }
+        changed
+    }
+
+    /// Ends the quarantine of a trait, and takes the crashes so far as no evidence against
+    /// it. Returns the quarantine.
+    fn release(&mut self, f: &Fingerprint) -> Option<Quarantine> {
+        for crash in &mut self.crashes {
+            crash.suspects.retain(|s| s.fingerprint != f);
         }
+        self.quarantines.remove(f)
     }
 
-    pub(crate) fn expire(&mut self, now_ms: u64, quarantine_ms: u64) {
+    /// Drops what no longer counts, and ends quarantines. Returns whether any ended.
+    fn expire(&mut self, now_ms: u64, quarantine_ms: u64) -> bool {
         self.crashes
             .retain(|c| !has_elapsed(now_ms, c.at_ms, CRASH_RETENTION_MS));
-        self.quarantines
-            .retain(|_, q| !has_elapsed(now_ms, q.until_ms, quarantine_ms));
+        let mut changed = false;
+        self.quarantines.retain(|_, q| {
+            if !q.is_over && q.until_ms <= now_ms {
+                q.is_over = true;
+                changed = true;
+            }
+            !has_elapsed(now_ms, q.until_ms, quarantine_ms)
+        });
+        changed
     }
 }
 
+fn to_hex(fingerprint: &[u8]) -> String {
+    fingerprint.iter().map(|b| format!("{b:02x}")).collect()
+}
+
 impl Ledger {
     pub(crate) fn report_crashes(&mut self, c: &ReportCrashes) -> Reply {
         if c.crashes.len() > MAX_REPORTED {
@@ -377,21 +458,105 @@
         for crash in &c.crashes {
             self.crashes.record(crash, now_ms);
         }
-        self.crashes.expire(now_ms, quarantine_ms);
+        self.expire_crashes();
         let requests = c.crashes.iter().flat_map(|c| &c.requests);
         let reported = requests
             .flat_map(|r| r.whole.iter().chain(&r.parts))
             .filter_map(|t| Fingerprint::try_from(t.fingerprint.as_slice()).ok())
             .collect();
-        self.crashes.judge(&reported, now_ms, quarantine_ms);
-        let fingerprints = self.quarantined_fingerprints();
-        Reply::Quarantined(Quarantined {
-            fingerprints: fingerprints.iter().map(|f| f.to_vec()).collect(),
-        })
+        if self.crashes.judge(&reported, now_ms, quarantine_ms) {
+            self.crashes.version = self.log_index;
+        }
+        Reply::Quarantined(self.quarantined())
+    }
+
+    pub(crate) fn expire_crashes(&mut self) {
+        let quarantine_ms = self.config.value("condemn_ms", "");
+        if self.crashes.expire(self.now_ms, quarantine_ms) {
+            self.crashes.version = self.log_index;
+        }
+    }
+
+    pub(crate) fn release_quarantine(&mut self, c: &ReleaseQuarantine) -> Reply {
+        if let Err((code, message)) = check_name(&c.change_id) {
+            return refused(code, message);
+        }
+        if c.reason.len() > MAX_REASON_BYTES || c.author.len() > MAX_REASON_BYTES {
+            return refused(
+                code::OUT_OF_RANGE,
+                format!("a reason and an author have at most {MAX_REASON_BYTES} bytes"),
+            );
+        }
+        let Ok(f) = Fingerprint::try_from(c.fingerprint.as_slice()) else {
+            return refused(code::MALFORMED, "a fingerprint has 16 bytes");
+        };
+        let digest = Sha256::digest(c.encode_to_vec()).to_vec();
+        if let Some(stored) = self.changes.replies.get(&c.change_id)
+            && let Some(reply) = stored.reply.as_ref().and_then(|r| r.reply.clone())
+        {
+            return match stored.digest == digest {
+                true => reply,
+                false => id_reused(&c.change_id),
+            };
+        }
+        if let Err(full) = self.changes.check_room() {
+            return full;
+        }
+        let Some(released) = self.crashes.release(&f) else {
+            return refused(
+                code::UNKNOWN_QUARANTINE,
+                format!("{} is not in quarantine", to_hex(&f)),
+            );
+        };
+        if !released.is_over {
+            self.crashes.version = self.log_index;
+        }
+        let reply = Reply::Ok(OkReply {});
+        self.changes.store_reply(ChangeReply {
+            change_id: c.change_id.clone(),
+            at_ms: self.now_ms,
+            digest,
+            reply: Some(CommandReply {
+                reply: Some(reply.clone()),
+            }),
+        });
+        reply
+    }
+
+    /// Returns the quarantined traits as operators see them, the newest first.
+    pub(crate) fn query_quarantines(&self) -> Value {
+        let mut rows: Vec<&Quarantine> = self.crashes.quarantines.values().collect();
+        rows.retain(|q| !q.is_over);
+        rows.sort_by_key(|q| Reverse(q.since_ms));
+        rows.into_iter()
+            .map(|q| {
+                json!({
+                    "fingerprint": to_hex(&q.fingerprint),
+                    "kind": if q.is_part { "part" } else { "request" },
+                    "crashes": q.crashes,
+                    "since_ms": q.since_ms,
+                    "until_ms": q.until_ms,
+                })
+            })
+            .collect()
     }
 
     /// Returns the fingerprints of the traits whose requests are refused.
     pub fn quarantined_fingerprints(&self) -> Vec<Fingerprint> {
-        self.crashes.quarantined(self.now_ms)
+        self.crashes.quarantined()
+    }
+
+    /// Returns the log index of the command that last changed these traits, or 0.
+    pub fn quarantine_version(&self) -> u64 {
+        self.crashes.version
+    }
+
+    /// Returns these traits as routers get them.
+    pub fn quarantined(&self) -> Quarantined {
+        let fingerprints = self.quarantined_fingerprints();
+        Quarantined {
+            fingerprints: fingerprints.iter().map(|f| f.to_vec()).collect(),
+            version: Some(self.crashes.version),
+        }
     }
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -125,6 +125,7 @@
             Some(Body::Publish(c)) => self.publish(c),
             Some(Body::RestoreReserve(c)) => self.restore_reserve(c),
             Some(Body::ReportCrashes(c)) => self.report_crashes(c),
+            Some(Body::ReleaseQuarantine(c)) => self.release_quarantine(c),
             None => refused(code::MALFORMED, "the command has no body"),
         };
         CommandReply { reply: Some(reply) }
@@ -199,8 +200,7 @@
             .expire(self.now_ms, self.config.value("order_keep_ms", ""));
         self.suspects
             .expire(self.now_ms, self.config.value("condemn_ms", ""));
-        self.crashes
-            .expire(self.now_ms, self.config.value("condemn_ms", ""));
+        self.expire_crashes();
         Reply::Ok(OkReply {})
     }
 }
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -8,6 +8,7 @@
 use anvilloft_dispatch::CrashedEndpoint;
 use anvilloft_dispatch::Pick;
 use anvilloft_dispatch::PromptPart;
+use anvilloft_dispatch::QuarantineList;
 use anvilloft_dispatch::ReportedTrait;
 use anvilloft_dispatch::RequestTraits;
 use anvilloft_gateway::Refusal;
@@ -19,6 +20,7 @@
 use anvilloft_wire::command::Quarantined;
 use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RequestTrait;
+use anvilloft_wire::control::LeaseGrant;
 use http::request::Parts;
 use tokio::net::TcpStream;
 
@@ -94,36 +96,45 @@
 
 /// Refuses a request that has a quarantined trait.
 pub(crate) fn check_quarantine(cx: &RelayState, traits: &RequestTraits) -> Result<(), Refusal> {
-    if !lock(&cx.crashes).is_quarantined(traits) {
+    let Some(f) = lock(&cx.crashes).find_quarantined(traits).copied() else {
         return Ok(());
-    }
+    };
+    let fingerprint = u128::from_be_bytes(f);
     Err(Refusal::unavailable(
         "quarantined",
-        "endpoints crashed while running such requests, which are refused for some time",
+        format!(
+            "endpoints crashed while running requests with the trait {fingerprint:032x}, \
+             which are refused for some time"
+        ),
     )
     .retry_after(RETRY_AFTER_QUARANTINED))
 }
 
-/// Returns the fingerprints of a list from control, without those of a wrong length.
-pub(crate) fn fingerprints_from_wire(list: &[Vec<u8>]) -> Vec<Fingerprint> {
-    list.iter()
-        .filter_map(|f| Fingerprint::try_from(f.as_slice()).ok())
-        .collect()
+/// Leaves out fingerprints of a wrong length.
+fn list_from_wire(fingerprints: &[Vec<u8>], version: Option<u64>) -> QuarantineList {
+    let traits = fingerprints
+        .iter()
+        .filter_map(|f| Fingerprint::try_from(f.as_slice()).ok());
+    QuarantineList {
+        traits: traits.collect(),
+        version,
+    }
 }
 
-/// Adds the quarantined traits that a control member told.
-pub(crate) fn add_quarantined(cx: &RelayState, quarantined: &Quarantined) {
-    let list = fingerprints_from_wire(&quarantined.fingerprints);
+/// Takes the quarantined traits that a control member sent ahead of the next lease.
+pub(crate) fn push_quarantined(cx: &RelayState, quarantined: &Quarantined) {
+    let list = list_from_wire(&quarantined.fingerprints, quarantined.version);
     let mut watch = lock(&cx.crashes);
-    if watch.add_quarantined(list) {
+    if watch.push_quarantined(list) {
         record_quarantine(cx, &watch);
     }
 }
 
 /// Replaces the quarantined traits by those in a lease.
-pub(crate) fn set_quarantined(cx: &RelayState, list: &[Vec<u8>]) {
+pub(crate) fn set_quarantined(cx: &RelayState, lease: &LeaseGrant) {
+    let list = list_from_wire(&lease.quarantined, lease.quarantine_version);
     let mut watch = lock(&cx.crashes);
-    if watch.set_quarantined(fingerprints_from_wire(list)) {
+    if watch.set_quarantined(list) {
         record_quarantine(cx, &watch);
     }
 }
@@ -136,31 +147,38 @@
     slog::info!(cx.log, "quarantine"; "traits" => count);
 }
 
-/// Returns the command that reports the crashes noticed since the last one.
-pub(crate) fn next_report(cx: &RelayState) -> Option<ReportCrashes> {
-    let crashes = lock(&cx.crashes).take_reports(cx.now());
-    (!crashes.is_empty()).then(|| ReportCrashes {
-        crashes: crashes.into_iter().map(crash_to_wire).collect(),
-    })
+/// Returns the crashes to report that were noticed since the last call.
+pub(crate) fn take_reports(cx: &RelayState) -> Vec<CrashedEndpoint> {
+    lock(&cx.crashes).take_reports(cx.now())
+}
+
+/// Returns the command that reports crashes now.
+pub(crate) fn report_to_wire(crashes: &[CrashedEndpoint], now: Duration) -> ReportCrashes {
+    ReportCrashes {
+        crashes: crashes.iter().map(|c| crash_to_wire(c, now)).collect(),
+    }
 }
 
-fn crash_to_wire(crash: CrashedEndpoint) -> Crash {
-    let requests = crash.requests.into_iter().map(|r| CrashedRequest {
-        whole: Some(trait_to_wire(r.whole)),
-        parts: r.parts.into_iter().map(trait_to_wire).collect(),
+fn crash_to_wire(crash: &CrashedEndpoint, now: Duration) -> Crash {
+    let requests = crash.requests.iter().map(|r| CrashedRequest {
+        whole: Some(trait_to_wire(&r.whole, now)),
+        parts: r.parts.iter().map(|t| trait_to_wire(t, now)).collect(),
+        prompt: r.prompt.to_vec(),
     });
     Crash {
-        endpoint: crash.endpoint,
+        endpoint: crash.endpoint.clone(),
         endpoint_incarnation: crash.incarnation,
         requests: requests.collect(),
-        age_ms: crash.age.as_millis() as u64,
+        age_ms: now.saturating_sub(crash.at).as_millis() as u64,
     }
 }
 
-fn trait_to_wire(t: ReportedTrait) -> RequestTrait {
+fn trait_to_wire(t: &ReportedTrait, now: Duration) -> RequestTrait {
+    let answer_age = t.answered_at.map(|at| now.saturating_sub(at));
     RequestTrait {
         fingerprint: t.fingerprint.to_vec(),
-        answered: t.answered,
+        answered: answer_age.is_some(),
         answered_lately: t.answered_lately,
+        answer_age_ms: answer_age.map(|age| age.as_millis() as u64),
     }
 }
--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -35,6 +35,10 @@
     /// The parts of its prompt that other requests may share, in order.
     #[prost(message, repeated, tag = "2")]
     pub parts: Vec<RequestTrait>,
+    /// Fingerprint of the whole prompt, 16 bytes, as requests may differ in their prompts
+    /// alone. Older routers don't send it.
+    #[prost(bytes = "vec", tag = "3")]
+    pub prompt: Vec<u8>,
 }
 
 /// A property that a crashing request may share with others.
@@ -50,6 +54,9 @@
     /// Whether that was so shortly before the crash that the trait isn't the cause.
     #[prost(bool, tag = "3")]
     pub answered_lately: bool,
+    /// Time since the last such answer, in milliseconds. Older routers don't send it.
+    #[prost(uint64, optional, tag = "4")]
+    pub answer_age_ms: Option<u64>,
 }
 
 /// Traits of requests that are refused because such requests crashed endpoints.
@@ -58,4 +65,25 @@
     /// Fingerprints of the traits, 16 bytes each.
     #[prost(bytes = "vec", repeated, tag = "1")]
     pub fingerprints: Vec<Vec<u8>>,
+    /// Log index of the command that last changed the list, or 0 if none has. Older
+    /// members don't send it.
+    #[prost(uint64, optional, tag = "2")]
+    pub version: Option<u64>,
+}
+
+/// Ends the quarantine of a trait, so that requests with it run again.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct ReleaseQuarantine {
+    /// Id chosen by the operator's client; a resent release has the same id.
+    #[prost(string, tag = "1")]
+    pub change_id: String,
+    /// Name of the operator's key.
+    #[prost(string, tag = "2")]
+    pub author: String,
+    /// Why the trait is released.
+    #[prost(string, tag = "3")]
+    pub reason: String,
+    /// Fingerprint of the trait, 16 bytes.
+    #[prost(bytes = "vec", tag = "4")]
+    pub fingerprint: Vec<u8>,
 }
