Count the bodies that are still arriving on a connection

Routers closed connections with the cause header_timeout 5 s after an early 401, while the body of a request was arriving, and a planned stop would wait for a header that never comes. Cause: one flag told whether a body is arriving. When the rest of a refused body and the next request arrive together, the next body begins before the discard of the first one ends, which cleared the flag. The bytes of the next body then counted as a header. Change: the bodies are counted. Ruled out: a caller that is slow with a header (the bytes are of a body).

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -116,8 +116,9 @@
     unwritten: bool,
     /// When the answer to the newest request ends, also if its caller reads nothing.
     answer_deadline: Option<Instant>,
-    /// Whether more bytes of a request's body may arrive.
-    body_open: bool,
+    /// Number of bodies of which more bytes may arrive. The rest of one that nobody reads
+    /// may still be discarded when the next request begins.
+    open_bodies: u32,
     /// Whether a body was not read to its end.
     body_cut: bool,
     /// Whether the connection must close, as a body can't be discarded.
@@ -138,7 +139,7 @@
             active_at: Instant::now(),
             unwritten: false,
             answer_deadline: None,
-            body_open: false,
+            open_bodies: 0,
             body_cut: false,
             must_close: false,
             failure: None,
@@ -171,12 +172,12 @@
     }
 
     fn body_began(&self) {
-        lock(&self.0).body_open = true;
+        lock(&self.0).open_bodies += 1;
     }
 
     fn body_ended(&self, cut: bool) {
         let mut p = lock(&self.0);
-        p.body_open = false;
+        p.open_bodies = p.open_bodies.saturating_sub(1);
         p.body_cut |= cut;
         p.active_at = Instant::now();
     }
@@ -193,7 +194,7 @@
     /// Whether the caller may be sending bytes that nobody will read.
     pub(crate) fn has_unread(&self) -> bool {
         let p = lock(&self.0);
-        p.body_open || p.body_cut
+        p.open_bodies > 0 || p.body_cut
     }
 
     /// Whether a part of a header was read.
@@ -213,7 +214,7 @@
         if p.open && p.unwritten {
             return Some((p.answer_deadline?, Some(EndCause::AnswerStalled)));
         }
-        if p.open || p.body_open {
+        if p.open || p.open_bodies > 0 {
             return None;
         }
         let (since, timeout, cause) = match p.header_since {
@@ -240,7 +241,7 @@
 
     fn record_read(&self, len: usize) {
         let mut p = lock(&self.0);
-        if len > 0 && !p.open && !p.body_open && p.header_since.is_none() {
+        if len > 0 && !p.open && p.open_bodies == 0 && p.header_since.is_none() {
             p.header_since = Some(Instant::now());
         }
     }
--- a/crates/gateway/tests/connections/refusals.rs
+++ b/crates/gateway/tests/connections/refusals.rs
@@ -203,3 +203,34 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Guards against the body of a refused request that is taken for a header, as its first
+/// bytes arrive together with the rest of another refused body.
+#[tokio::test]
+async fn a_body_behind_a_refused_one_is_not_taken_for_a_header() {
+    const PART: usize = 1_000;
+    const HEADER_TIMEOUT: Duration = Duration::from_millis(300);
+    let server = Server::start(ConnectionLimits {
+        header_timeout: HEADER_TIMEOUT,
+        ..ConnectionLimits::default()
+    })
+    .await;
+    let mut caller = server.connect().await;
+    let refused = |parts: usize| head("/refuse", &format!("content-length: {}\r\n", parts * PART));
+    let part = vec![b'x'; PART];
+    caller
+        .write(&[refused(2), part.clone()].concat())
+        .await
+        .unwrap();
+    assert_eq!(caller.read().await.map(|a| a.status), Ok(401));
+    let next = [part.clone(), refused(3), part.clone()].concat();
+    caller.write(&next).await.unwrap();
+    assert_eq!(caller.read().await.map(|a| a.status), Ok(401));
+    caller.write(&part).await.unwrap();
+    tokio::time::sleep(HEADER_TIMEOUT * 3).await;
+    caller
+        .write(&[part, head("/next", "")].concat())
+        .await
+        .unwrap();
+    assert_eq!(caller.read().await.map(|a| a.status), Ok(200));
+}
