--- a/crates/control/src/admin/handlers.rs
+++ b/crates/control/src/admin/handlers.rs
@@ -446,16 +446,19 @@
             author: caller.key.clone(),
             reason,
         };
-        let req = Body::TopUp(top_up).into();
-        let reply = self.control.call(req, self.options.timeout).await?;
-        match reply.answer {
+        self.apply(Body::TopUp(top_up)).await?;
+        info!(self.log, "budget topped up";
+            "author" => &caller.key, "id" => &id, "budget" => &budget, "amount" => amount);
+        let body = json!({ "id": id, "budget": budget, "amount": amount });
+        Ok(Reply { status: 200, body })
+    }
+
+    /// Waits until a command whose reply has no content is applied.
+    async fn apply(&self, command: Body) -> Result<(), ApiError> {
+        let reply = self.control.call(command.into(), self.options.timeout);
+        match reply.await?.answer {
             Some(Answer::Applied(reply)) => match reply.reply {
-                Some(LedgerReply::Ok(_)) => {
-                    info!(self.log, "budget topped up";
-                        "author" => &caller.key, "id" => &id, "budget" => &budget, "amount" => amount);
-                    let body = json!({ "id": id, "budget": budget, "amount": amount });
-                    Ok(Reply { status: 200, body })
-                }
+                Some(LedgerReply::Ok(_)) => Ok(()),
                 Some(LedgerReply::Refused(refused)) => Err(refused.into()),
                 _ => Err(ApiError::Internal(
                     "unexpected reply from the control group".to_owned(),
@@ -491,27 +494,12 @@
             reason: reason.clone(),
             fingerprint: bytes,
         };
-        let req = Body::ReleaseQuarantine(release).into();
-        let reply = self.control.call(req, self.options.timeout).await?;
-        match reply.answer {
-            Some(Answer::Applied(reply)) => match reply.reply {
-                Some(LedgerReply::Ok(_)) => {
-                    info!(self.log, "quarantine released";
-                        "author" => &caller.key, "change_id" => &change_id,
-                        "fingerprint" => fingerprint, "reason" => &reason);
-                    let body = json!({ "fingerprint": fingerprint, "released": true });
-                    Ok(Reply { status: 200, body })
-                }
-                Some(LedgerReply::Refused(refused)) => Err(refused.into()),
-                _ => Err(ApiError::Internal(
-                    "unexpected reply from the control group".to_owned(),
-                )),
-            },
-            Some(answer) => Err(answer.into()),
-            None => Err(ApiError::Internal(
-                "empty reply from the control group".to_owned(),
-            )),
-        }
+        self.apply(Body::ReleaseQuarantine(release)).await?;
+        info!(self.log, "quarantine released";
+            "author" => &caller.key, "change_id" => &change_id,
+            "fingerprint" => fingerprint, "reason" => &reason);
+        let body = json!({ "fingerprint": fingerprint, "released": true });
+        Ok(Reply { status: 200, body })
     }
 
     async fn add_member(
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -57,8 +57,8 @@
 pub struct ClientTimeouts {
     /// Timeout for opening a connection.
     pub connect: Duration,
-    /// Timeout from the request, before a connection is opened, to the headers of the response. A [`SilencePolicy`] may
-    /// extend it while the endpoint is silent.
+    /// Timeout from the request, before a connection is opened, to the headers of the
+    /// response. A `SilencePolicy` may extend it while the endpoint is silent.
     pub first_byte: Duration,
     /// Timeout between two chunks of the response body.
     pub gap: Duration,
