Announce leaving endpoints at their own address in a test

Cause: its notices named the address 127.0.0.1:1. Since, an announcement that moves an endpoint without a restart is another writer's and is ignored, so the test's set-up had no effect. Change: the notices name the endpoint's own address; what the test requires stays.

--- a/crates/relay/tests/relay/changes.rs
+++ b/crates/relay/tests/relay/changes.rs
@@ -1,5 +1,6 @@
 //! Requests in flight while what they began with goes away.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -58,7 +59,7 @@
     steps
 }
 
-async fn apply(fleet: &Fleet, change: Change, names: &[String]) {
+async fn apply(fleet: &Fleet, change: Change, names: &[String], address: SocketAddr) {
     if change == Change::Table {
         return fleet.put_source(2, 1_000_000, "2 1000000 empty").await;
     }
@@ -67,7 +68,7 @@
             id: name.clone(),
             incarnation: 1,
             seq: 2,
-            address: "127.0.0.1:1".into(),
+            address: address.to_string(),
             data_centre: "a".into(),
             pool: (*service).into(),
             slots: 8,
@@ -112,7 +113,7 @@
         endpoint.request_count.load(Ordering::Relaxed) == before + 4
     })
     .await;
-    apply(&fleet, change, &names).await;
+    apply(&fleet, change, &names, endpoint.addr).await;
     let code = match change {
         Change::Table => "unknown_route",
         Change::Leaving => "no_endpoint",
