Wait for a full disk that refuses syncs, renames and removals

Cause: only an append that found no room counted as a full disk. A sync, rename, removal or shorter file refused for want of room was a failed disk, which ends the member with code 1 at each write until there is room; the leader's turn ends its leadership again and again. Records of which a part was written had to be cut off at once, which a full disk may refuse, too. Change: every operation refused for want of room makes the save wait. What may hold a part of records is cut off before the records are written again.

--- a/crates/control/tests/driver/group.rs
+++ b/crates/control/tests/driver/group.rs
@@ -124,7 +124,15 @@
 impl Group {
     /// Starts a group: member 1 bootstraps it, the others join.
     pub(crate) async fn start(size: u64) -> Self {
-        let mut group = Self::default();
+        Self::start_with_snapshots(size, Self::default().snapshot_entries).await
+    }
+
+    /// Starts a group whose members take a snapshot after this number of entries.
+    pub(crate) async fn start_with_snapshots(size: u64, snapshot_entries: u64) -> Self {
+        let mut group = Self {
+            snapshot_entries,
+            ..Self::default()
+        };
         for id in 1..=size {
             let disk = MemDisk::new();
             group.disks.insert(id, disk.clone());
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -304,6 +304,51 @@
         .await;
 }
 
+/// Guards against a group that takes no changes, or a member that takes no part, after
+/// the disks of all members were full one after the other.
+#[rstest]
+#[case::leader_first(0, 16)]
+#[case::follower_first(1, 16)]
+#[case::snapshots_due(0, 2)]
+#[tokio::test]
+async fn members_whose_disks_were_full_in_turn_take_part_again(
+    #[case] first: u64,
+    #[case] snapshot_entries: u64,
+    #[values(None, Some(0), Some(1), Some(2))] refuses_after: Option<u32>,
+) {
+    let group = Group::start_with_snapshots(3, snapshot_entries).await;
+    let leader = group.leader().await;
+    let mut revision = 0;
+    let mut change = async || {
+        group
+            .propose(lease_change(revision, 2_000 + revision))
+            .await;
+        revision += 1;
+    };
+    for turn in 0..3 {
+        let id = (leader + first + turn - 1) % 3 + 1;
+        group.disk(id).set_room(Some(10));
+        group.disk(id).fill_after(refuses_after);
+        for _ in 0..6 {
+            change().await;
+        }
+        group.disk(id).set_room(None);
+        group.disk(id).fill_after(None);
+        group.wait_for_all(|s| !s.disk_full).await;
+    }
+    change().await;
+    group
+        .wait_for_all(|s| s.revision == 19 && s.failure.is_empty())
+        .await;
+    // Each of them is still needed for a majority with any other one.
+    for id in 1..=3 {
+        group.set_isolated(id, true);
+        change().await;
+        group.set_isolated(id, false);
+    }
+    group.wait_for_all(|s| s.revision == 22).await;
+}
+
 /// Guards against entries that count as durable before they are: a member whose
 /// sync fails must not have acknowledged them.
 #[tokio::test]
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -31,6 +31,9 @@
     fail_syncs: u32,
     /// Number of bytes that still fit, if the disk has a limit.
     room: Option<usize>,
+    /// Number of write operations that still succeed before the disk refuses every
+    /// change for want of room.
+    ops_until_full: Option<u32>,
     /// Number of write operations that still succeed before the simulated power
     /// failure.
     ops_until_power_failure: Option<u32>,
@@ -38,8 +41,13 @@
 }
 
 impl State {
-    /// Counts a write operation. Fails if the power has failed.
+    /// Counts a write operation. Fails if the power has failed or the disk is full.
     fn consume_write_op(&mut self) -> io::Result<()> {
+        match &mut self.ops_until_full {
+            Some(0) => return Err(io::ErrorKind::StorageFull.into()),
+            Some(ops) => *ops -= 1,
+            None => {}
+        }
         match &mut self.ops_until_power_failure {
             Some(0) => Err(io::Error::other("injected power failure")),
             Some(ops) => {
@@ -144,6 +152,12 @@
         self.state().room = room;
     }
 
+    /// Makes every write operation after the next `count` fail for want of room, also
+    /// syncs, renames and removals, or none.
+    pub fn fill_after(&self, count: Option<u32>) {
+        self.state().ops_until_full = count;
+    }
+
     /// Returns the number of file syncs that succeeded.
     pub fn sync_count(&self) -> u64 {
         self.state().sync_count
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -43,7 +43,6 @@
         Io(err: io::Error) {
             display("disk error: {}", err)
             source(err)
-            from()
         }
         /// The disk has no room. What was to be written isn't durable, and may be
         /// written again.
@@ -62,6 +61,15 @@
     }
 }
 
+impl From<io::Error> for StorageError {
+    fn from(err: io::Error) -> Self {
+        match err.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Self::Full(err),
+            _ => Self::Io(err),
+        }
+    }
+}
+
 /// Header of a snapshot file. The state follows it as raw bytes, then a record
 /// with the checksum of the state. This way the file is written in parts directly
 /// from the state in memory, without another copy.
@@ -113,6 +121,8 @@
     segments: Vec<Segment>,
     /// Length of the last segment in bytes, all of it synced.
     segment_len: u64,
+    /// Whether a segment may hold a part of records that were not saved.
+    has_unsaved_records: bool,
     next_segment: u64,
     log_bytes_written: u64,
     staged: Option<StagedSnapshot>,
@@ -145,27 +155,27 @@
     }
 }
 
-/// Appends to a file. After `Full`, the file may hold a part of the data.
-fn append(disk: &mut dyn Disk, name: &str, data: &[u8]) -> Result<(), StorageError> {
-    disk.append(name, data).map_err(|err| match err.kind() {
-        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => StorageError::Full(err),
-        _ => err.into(),
-    })
-}
-
 /// Atomically replaces a file with one record: after a crash it has either the
-/// old or the new content. After `Full` it has the old one.
+/// old or the new content.
 fn replace_file(disk: &mut dyn Disk, name: &str, payload: &[u8]) -> Result<(), StorageError> {
     let tmp = format!("{name}.tmp");
     remove_if_exists(disk, &tmp)?;
     let mut buf = Vec::with_capacity(payload.len() + 8);
     record::put_record(&mut buf, payload);
-    append(disk, &tmp, &buf)?;
+    disk.append(&tmp, &buf)?;
     disk.sync(&tmp)?;
     disk.rename(&tmp, name)?;
     Ok(disk.sync_folder()?)
 }
 
+/// Appends data to a file and syncs it. After an error, the file may hold a part of it.
+fn append_all(disk: &mut dyn Disk, name: &str, parts: &[&[u8]]) -> io::Result<()> {
+    for part in parts.iter().filter(|part| !part.is_empty()) {
+        disk.append(name, part)?;
+    }
+    disk.sync(name)
+}
+
 fn remove_if_exists(disk: &mut dyn Disk, name: &str) -> io::Result<()> {
     match disk.remove(name) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
@@ -265,6 +275,7 @@
             segment_bytes,
             segments: Vec::new(),
             segment_len: 0,
+            has_unsaved_records: false,
             next_segment: first_segment,
             log_bytes_written: 0,
             staged: None,
@@ -442,18 +453,14 @@
             let crc = staged.crc.clone().finalize().to_le_bytes();
             record::put_record(&mut tail, &crc);
         }
-        for data in [buf.as_slice(), part, tail.as_slice()] {
-            if data.is_empty() {
-                continue;
-            }
-            if let Err(err) = append(&mut *self.disk, &tmp, data) {
-                // Its room is needed by the log.
-                self.staged = None;
-                remove_if_exists(&mut *self.disk, &tmp)?;
-                return Err(err);
-            }
+        let parts = [buf.as_slice(), part, tail.as_slice()];
+        if let Err(err) = append_all(&mut *self.disk, &tmp, &parts) {
+            self.staged = None;
+            // Its room is needed by the log. If it can't be removed now, it is when the
+            // snapshot is staged anew.
+            remove_if_exists(&mut *self.disk, &tmp).ok();
+            return Err(err.into());
         }
-        self.disk.sync(&tmp)?;
         staged.written += part.len();
         staged.done = done;
         Ok(done)
@@ -510,6 +517,12 @@
             _ => (self.next_segment, 0),
         };
         let name = segment_name(self.group, number);
+        if self.has_unsaved_records {
+            match is_new {
+                true => remove_if_exists(&mut *self.disk, &name)?,
+                false => self.disk.truncate(&name, start)?,
+            }
+        }
         let mut buf = Vec::new();
         let time = WriteTime {
             written_ms: unix_ms(),
@@ -522,15 +535,8 @@
             payload.extend_from_slice(&time);
             record::put_log_record(&mut buf, start, start, &payload);
         }
-        if let Err(err) = append(&mut *self.disk, &name, &buf) {
-            // A part of the records may have been written.
-            match is_new {
-                true => remove_if_exists(&mut *self.disk, &name)?,
-                false => self.disk.truncate(&name, start)?,
-            }
-            return Err(err);
-        }
-        self.disk.sync(&name)?;
+        self.has_unsaved_records = true;
+        append_all(&mut *self.disk, &name, &[&buf])?;
         if is_new {
             self.disk.sync_folder()?;
             self.segments.push(Segment {
@@ -542,6 +548,7 @@
         if let Some(segment) = self.segments.last_mut() {
             segment.last_index = segment.last_index.max(last_index);
         }
+        self.has_unsaved_records = false;
         self.segment_len = start + buf.len() as u64;
         self.log_bytes_written += buf.len() as u64;
         Ok(())
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -125,6 +125,7 @@
             let mut tries = if is_full { rng.random_range(1..4) } else { 0 };
             while tries > 0 {
                 disk.set_room(Some(rng.random_range(0..200)));
+                disk.fill_after(rng.random_bool(0.5).then(|| rng.random_range(0..6)));
                 save_result = store.save(&fx);
                 let waits = matches!(save_result, Ok(()) | Err(StorageError::Full(_)));
                 assert!(waits || inject_failure, "seed {seed}: {save_result:?}");
@@ -134,6 +135,7 @@
                 };
             }
             disk.set_room(None);
+            disk.fill_after(None);
             // A member may also be stopped while its disk is full.
             let is_waiting = matches!(save_result, Err(StorageError::Full(_)));
             if !is_full || (is_waiting && rng.random_bool(0.7)) {
