Treat a stream without a length and without an event as failed

Cause: an endpoint that closes right after the head of a stream that has neither a length nor chunks looked like a whole, empty answer: the caller got 200. Change: such a stream has failed like one that ends inside an event; it begins elsewhere or gets 502. Ruled out: heads cut after each byte of their last line and at some places before, for streams, orders and look-ups, with and without a length: none was passed on as a success, before or after (the HTTP client takes no head without its end). Result: a_stream_without_a_length_and_an_event_has_failed fails without the change; a_head_that_stops_is_no_answer passes with and without it.

--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -76,10 +76,12 @@
 }
 
 /// Returns whether an answer has ended before its last event: it was to go on with a
-/// stream and has no event, or it has no length and ends within an event.
+/// stream and has no event, or it has no length and ends within an event or before the
+/// first one.
 pub(crate) fn is_cut_off(splitter: &EventSplitter, answer: &EndpointResponse) -> bool {
+    let is_unframed = is_event_stream(answer) && !answer.is_framed();
     splitter.is_resuming()
-        || (is_event_stream(answer) && !answer.is_framed() && splitter.has_partial())
+        || (is_unframed && (splitter.has_partial() || splitter.event_count() == 0))
 }
 
 /// Returns whether an answer's events can be joined to those of an earlier answer.
