Follow what endpoints say in their answers about further requests

Cause: neither an answer's word that its endpoint leaves nor a Retry-After beside a 503 was read. Such an endpoint went on to get requests, also as the last resort when all others were full or avoided. Change: both are read once, by the adapter or the product's own headers, into EndpointNotice. Availability, one type for both selectors, keeps them by incarnation: leaving until the next one, a pause until its end, the longest of several, at most 10 minutes; the return of the hosts is spread over a quarter of the pause, at most 0.5 s. An endpoint that pauses is no last resort. If all of a service do, the caller gets 503 endpoints_paused, not run, at once, with the time until the first one is back. A retry is taken from the budget only when it is sent. The platform's header stays at this host. Not done: peers and control aren't told; each host hears it with its own next answer. No request waits for the end of a pause.

--- a/crates/bench/src/traffic/baseline.rs
+++ b/crates/bench/src/traffic/baseline.rs
@@ -17,6 +17,7 @@
 use anvilloft_routing::RouteRequest;
 use anvilloft_routing::RouterCapacity;
 use anvilloft_routing::Selector;
+use anvilloft_types::availability::EndpointNotice;
 use anvilloft_types::prelude::*;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -161,6 +162,16 @@
         self.endpoints.retain(|e| e.id != ep);
     }
 
+    fn apply_notice(
+        &mut self,
+        _now: Duration,
+        _ep: &str,
+        _incarnation: Incarnation,
+        _notice: EndpointNotice,
+    ) -> bool {
+        false
+    }
+
     fn choose(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<Choice, NoRoute> {
         let live: Vec<&EndpointState> = self
             .endpoints
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -21,6 +21,7 @@
 //! more by the streams that the prompt would hold up, and by the prompts that would
 //! hold up its answer. Long prompts and long answers then gather on engines apart.
 
+use anvilloft_types::availability::EndpointNotice;
 use anvilloft_types::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
@@ -45,6 +46,8 @@
 /// How long after its last announcement an endpoint that has left is remembered, so
 /// that a delayed announcement doesn't add it again.
 const LEFT_RETENTION: Duration = Duration::from_secs(30);
+/// The same for an endpoint whose answers said that it leaves. Nobody else may know.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of endpoints.
 const MAX_ENDPOINTS: usize = 4_096;
 /// Maximum number of sent prompts that are queued for the peers. Further ones are
@@ -94,7 +97,7 @@
     /// It has cached the prompt's shared parts: less than one token of them is
     /// expected to be missing.
     Affinity,
-    /// All untried endpoints are avoided, full or silent.
+    /// All untried endpoints that asked for no pause are avoided, full or silent.
     LastResort,
 }
 
@@ -120,6 +123,8 @@
     None,
     /// Every endpoint was already tried.
     Tried,
+    /// Every untried endpoint asked for a pause. The first one ends after this time.
+    Paused(Duration),
 }
 
 /// The known endpoints, their load, and the requests in flight there.
@@ -234,6 +239,8 @@
             let silent_for = now.saturating_sub(ep.last_announced);
             let keep = if ep.announcement.left {
                 silent_for < LEFT_RETENTION
+            } else if ep.availability.is_leaving() {
+                silent_for < LEAVING_RETENTION
             } else {
                 silent_for < timeout * 2
                     || !ep.in_flight.is_empty()
@@ -277,8 +284,8 @@
     ) -> Result<Pick, NoEndpoint> {
         let of_service: Vec<usize> = (0..self.endpoints.len())
             .filter(|at| {
-                let announcement = &self.endpoints[*at].announcement;
-                announcement.service == req.service && !announcement.leaving && !announcement.left
+                let ep = &self.endpoints[*at];
+                ep.announcement.service == req.service && !ep.is_leaving()
             })
             .collect();
         if of_service.is_empty() {
@@ -293,13 +300,23 @@
         if untried.is_empty() {
             return Err(NoEndpoint::Tried);
         }
-        let usable: Vec<usize> = untried
+        let pause_left = |at: &usize| self.endpoints[*at].availability.pause_left(now);
+        let open: Vec<usize> = untried
+            .iter()
+            .copied()
+            .filter(|at| pause_left(at).is_none())
+            .collect();
+        if open.is_empty() {
+            let first_end = untried.iter().filter_map(pause_left).min();
+            return Err(NoEndpoint::Paused(first_end.unwrap_or_default()));
+        }
+        let usable: Vec<usize> = open
             .iter()
             .copied()
             .filter(|at| self.is_usable(now, *at, baseline))
             .filter(|at| !needs_free_slot || self.endpoints[*at].utilization() < 1.0)
             .collect();
-        let candidates = if usable.is_empty() { &untried } else { &usable };
+        let candidates = if usable.is_empty() { &open } else { &usable };
         let (at, reason) = match req.engine_memory {
             Some(_) => self.choose_engine(now, req, candidates),
             None => (self.choose_least_loaded(now, candidates), Reason::Predicted),
@@ -330,6 +347,21 @@
         (pick.reason != Reason::LastResort).then_some(pick)
     }
 
+    /// Applies what an answer of an endpoint says about further requests. Returns whether
+    /// it changes anything.
+    pub fn apply_notice(
+        &mut self,
+        now: Duration,
+        endpoint: &str,
+        incarnation: Incarnation,
+        notice: EndpointNotice,
+    ) -> bool {
+        let spread = self.rng.random_range(0.0..1.0);
+        self.find(endpoint)
+            .filter(|ep| ep.announcement.incarnation == incarnation)
+            .is_some_and(|ep| ep.availability.apply(now, notice, spread))
+    }
+
     /// Whether an endpoint has ended an answer, even a failure or a refusal, since a
     /// time. One that has is slow rather than dead.
     pub fn has_answered_since(&self, endpoint: &str, since: Duration) -> bool {
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use anvilloft_types::MAX_SEQ_STEP;
+use anvilloft_types::availability::Availability;
 use anvilloft_types::prelude::*;
 
 use crate::cache::PartCache;
@@ -144,6 +145,8 @@
     /// This router's requests.
     pub(crate) in_flight: Vec<InFlight>,
     pub(crate) health: Health,
+    /// What the endpoint's answers said about further requests.
+    pub(crate) availability: Availability,
     pub(crate) cache: PartCache,
     /// Moving average of the delay of first events beyond the prediction, in
     /// seconds, and the time of its last sample, by rank.
@@ -186,6 +189,7 @@
             announcement,
             in_flight: Vec::new(),
             health: Health::default(),
+            availability: Availability::default(),
             cache: PartCache::default(),
             delay: [(0.0, now); RANKS],
             prefill: (0.0, now),
@@ -209,6 +213,11 @@
         delay.max(backlog)
     }
 
+    /// Whether the endpoint takes no new work for the rest of its incarnation.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.announcement.leaving || self.announcement.left || self.availability.is_leaving()
+    }
+
     /// Returns the requests of all routers in flight, as a share of the slots.
     pub(crate) fn utilization(&self) -> f64 {
         self.total_in_flight() / f64::from(self.announcement.slots.max(1))
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -39,6 +39,7 @@
 use crate::model_request;
 use crate::model_request::CompletionKind;
 use crate::model_request::ModelRequest;
+use crate::notice;
 use crate::silence::HeaderWait;
 use crate::silence::KeepEndpoint;
 use crate::silence::next_chunk;
@@ -297,6 +298,7 @@
             return Err(AttemptFailure::from_client_error(&e.error, e.written));
         }
     };
+    notice::report(api, ticket.no, &response);
     if response.status != StatusCode::OK {
         cancel.disarm();
         record_outcome("refused");
--- a/crates/gateway/src/core_handle.rs
+++ b/crates/gateway/src/core_handle.rs
@@ -17,6 +17,7 @@
 use anvilloft_types::ServiceName;
 use anvilloft_types::TeamId;
 use anvilloft_types::Tokens;
+use anvilloft_types::availability::EndpointNotice;
 use anvilloft_wire::command::OrderBegin;
 use anvilloft_wire::command::OrderFinish;
 use anvilloft_wire::command::OrderReply;
@@ -139,6 +140,8 @@
     },
     /// The first chunk of the response arrived this long after the request.
     FirstByte(RequestNo, Duration),
+    /// What the answer to a request says about further requests to its endpoint.
+    Notice(RequestNo, EndpointNotice),
     /// Ends a request: settles its reservation and frees its slot.
     Finish {
         /// Number of the request.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,8 @@
 //! requests to endpoints through `client` and ask the control thread for
 //! admission and endpoints through `core_handle`. `sse` parses event streams.
 //! `view` is the snapshot of configuration and routers that traffic threads
-//! read. `silence` decides how long to wait for an
-//! endpoint. `serve` runs a volo-http service on a listener; `connection` records
+//! read. `silence` decides how long to wait for an endpoint, and `notice` reads
+//! whether an endpoint wants further requests. `serve` runs a volo-http service on a listener; `connection` records
 //! what is known about one connection.
 
 pub mod announce;
@@ -24,6 +24,7 @@
 pub mod memory;
 pub mod metrics;
 mod model_request;
+pub mod notice;
 pub mod serve;
 mod service;
 pub mod silence;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the traffic threads. No label holds a team name.
 
+use anvilloft_types::availability::EndpointNotice;
 use prometheus::Encoder;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
@@ -18,6 +19,8 @@
     pub answers: IntCounterVec,
     /// Attempts sent to endpoints, by outcome.
     pub attempts: IntCounterVec,
+    /// Answers in which endpoints said that they leave or asked for a pause, by kind.
+    pub endpoint_notices: IntCounterVec,
     /// Requests being served.
     pub in_flight: IntGauge,
     /// Bytes of request bodies in memory.
@@ -60,6 +63,13 @@
             Opts::new("anvilloft_attempts_total", "Attempts sent to endpoints"),
             &["outcome"],
         )?;
+        let endpoint_notices = IntCounterVec::new(
+            Opts::new(
+                "anvilloft_endpoint_notices_total",
+                "Answers in which endpoints said that they leave or asked for a pause",
+            ),
+            &["kind"],
+        )?;
         let in_flight = IntGauge::new("anvilloft_in_flight", "Requests being served")?;
         let connections = IntGauge::new("anvilloft_connections", "Open connections of callers")?;
         let connections_refused = IntCounter::new(
@@ -105,6 +115,7 @@
         )?;
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
+        registry.register(Box::new(endpoint_notices.clone()))?;
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(body_bytes.clone()))?;
         registry.register(Box::new(connections.clone()))?;
@@ -121,6 +132,7 @@
             registry,
             answers,
             attempts,
+            endpoint_notices,
             in_flight,
             connections,
             connections_refused,
@@ -136,6 +148,17 @@
         })
     }
 
+    /// Counts an answer that says something about further requests to its endpoint.
+    pub fn record_notice(&self, notice: EndpointNotice) {
+        let count = |kind| self.endpoint_notices.with_label_values(&[kind]).inc();
+        if notice.leaving {
+            count("leaving");
+        }
+        if notice.pause.is_some() {
+            count("pause");
+        }
+    }
+
     /// Returns all registered metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buf = Vec::new();
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -40,6 +40,7 @@
 use crate::guards::CancelOnDrop;
 use crate::guards::RequestGuard;
 use crate::memory::BodyMemoryGuard;
+use crate::notice;
 use crate::silence::HeaderWait;
 use crate::silence::KeepEndpoint;
 use crate::silence::read_body;
@@ -402,6 +403,7 @@
         }
     };
     cancel.disarm();
+    notice::report(api, ticket.no, &response);
     let not_run = response
         .headers
         .get(REFUSED_HEADER)
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -2,6 +2,7 @@
 
 use anvilloft_dispatch::PromptPart;
 use anvilloft_routes::RouteTable;
+use anvilloft_types::availability::EndpointNotice;
 use anvilloft_types::prelude::*;
 use http::HeaderMap;
 use http::HeaderName;
@@ -87,6 +88,10 @@
     /// Returns whether an endpoint ran the request that it answered.
     fn execution_status(&self, status: StatusCode, headers: &HeaderMap) -> ExecutionStatus;
 
+    /// Returns what an answer says about further requests to its endpoint. Removes the
+    /// headers that only concern this router.
+    fn take_notice(&self, status: StatusCode, headers: &mut HeaderMap) -> EndpointNotice;
+
     /// Returns the value of the header `Retry-After`.
     fn retry_after_value(&self, after: Duration) -> HeaderValue;
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -21,6 +21,7 @@
 use anvilloft_gateway::client::SendError;
 use anvilloft_gateway::memory::BodyMemoryGuard;
 use anvilloft_routes::RouteKind;
+use anvilloft_types::availability::EndpointNotice;
 use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use bytes::Bytes;
@@ -286,6 +287,8 @@
     NoEndpoint,
     /// The endpoints are at capacity.
     Full,
+    /// All endpoints asked for a pause. The first one ends after this time.
+    Paused(Duration),
     /// The deadline of the request has passed.
     DeadlineExceeded,
     /// Connections to endpoints could not be opened or were broken.
@@ -364,25 +367,31 @@
     progress: &mut Progress,
     last_failure: SendFailure,
 ) -> Result<InFlightRequest, SendFailure> {
-    if progress.sent_count > 0 {
-        let allowed = may_send_again(cx, outbound, &progress.state(outbound));
-        let allowed = allowed.and_then(|()| match cx.try_retry(&outbound.service) {
-            true => Ok(()),
-            false => Err(KeepReason::RetryBudget),
-        });
-        if let Err(reason) = allowed {
-            slog::info!(cx.log, "not sent again"; "request" => &outbound.id,
-                "reason" => reason.as_str(), "sent" => progress.sent_count);
-            return Err(last_failure);
-        }
+    let is_retry = progress.sent_count > 0;
+    let not_sent_again = |reason: KeepReason| {
+        slog::info!(cx.log, "not sent again"; "request" => &outbound.id,
+            "reason" => reason.as_str(), "sent" => progress.sent_count);
+        last_failure
+    };
+    if is_retry {
+        may_send_again(cx, outbound, &progress.state(outbound)).map_err(not_sent_again)?;
     }
-    match choose_endpoint(cx, outbound, progress) {
-        Ok(pick) => Ok(take_endpoint(cx, outbound, progress, pick)),
-        Err(NoEndpoint::Tried) if progress.sent_count == 0 && progress.unreachable_count > 0 => {
-            Err(SendFailure::ConnectionFailed)
+    let pick = match choose_endpoint(cx, outbound, progress) {
+        Ok(pick) => pick,
+        Err(NoEndpoint::Paused(left)) => return Err(SendFailure::Paused(left)),
+        Err(NoEndpoint::Tried) if !is_retry && progress.unreachable_count > 0 => {
+            return Err(SendFailure::ConnectionFailed);
         }
-        Err(NoEndpoint::None | NoEndpoint::Tried) => Err(last_failure),
+        Err(NoEndpoint::None | NoEndpoint::Tried) => return Err(last_failure),
+    };
+    // A retry that isn't sent must not use up the budget, so this is last.
+    if is_retry && !cx.try_retry(&outbound.service) {
+        return Err(not_sent_again(KeepReason::RetryBudget));
     }
+    let dispatch_req = outbound.dispatch_request(&progress.tried);
+    cx.dispatcher()
+        .started(cx.now(), &pick.endpoint, outbound.request_no, &dispatch_req);
+    Ok(take_endpoint(cx, outbound, progress, pick))
 }
 
 fn take_endpoint(
@@ -441,9 +450,6 @@
     let dispatch_req = outbound.dispatch_request(&progress.tried);
     let pick = dispatcher.choose(now, &dispatch_req);
     let known_count = dispatcher.len();
-    if let Ok(pick) = &pick {
-        dispatcher.started(now, &pick.endpoint, outbound.request_no, &dispatch_req);
-    }
     drop(dispatcher);
     match &pick {
         Ok(pick) => {
@@ -521,7 +527,7 @@
         started_at,
         ..
     } = attempt;
-    let answer = match sent {
+    let mut answer = match sent {
         Ok(answer) => answer,
         Err(e) => {
             let waited = cx.now().saturating_sub(started_at);
@@ -553,7 +559,13 @@
             };
         }
     };
-    match cx.adapter.execution_status(answer.status, &answer.headers) {
+    let status = cx.adapter.execution_status(answer.status, &answer.headers);
+    let notice = cx.adapter.take_notice(answer.status, &mut answer.headers);
+    // Another endpoint at the address speaks for itself only.
+    if status != ExecutionStatus::Misdirected {
+        apply_notice(cx, &in_flight.pick, notice);
+    }
+    match status {
         ExecutionStatus::Run => {
             AttemptResult::Answered(Box::new(EndpointAnswer { in_flight, answer }))
         }
@@ -577,6 +589,22 @@
     }
 }
 
+/// Applies what an answer says about further requests to its endpoint.
+fn apply_notice(cx: &RelayState, pick: &Pick, notice: EndpointNotice) {
+    let (id, incarnation) = (&pick.endpoint, pick.incarnation);
+    if notice.is_empty()
+        || !cx
+            .dispatcher()
+            .apply_notice(cx.now(), id, incarnation, notice)
+    {
+        return;
+    }
+    cx.metrics.record_notice(notice);
+    slog::info!(cx.log, "endpoint notice"; "endpoint" => id, "incarnation" => incarnation,
+        "leaving" => notice.leaving,
+        "pause_ms" => notice.pause.map(|p| p.as_millis() as u64));
+}
+
 /// Builds the request to an endpoint. Returns `None` when its parts are invalid.
 fn build_request(
     cx: &RelayState,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -356,6 +356,11 @@
             "the endpoints of the service are at capacity",
         )
         .retry_after(RETRY_AFTER_FULL),
+        SendFailure::Paused(left) => Refusal::unavailable(
+            "endpoints_paused",
+            "the endpoints of the service asked for a pause",
+        )
+        .retry_after(left),
         SendFailure::DeadlineExceeded => Refusal::unavailable(
             "too_late",
             "the deadline passed before the request was sent",
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -491,7 +491,7 @@
                     self.go_on_with(answered);
                     return Read::Nothing;
                 }
-                Err(SendFailure::Full) => {
+                Err(SendFailure::Full | SendFailure::Paused(_)) => {
                     let left = self.outbound.deadline.saturating_sub(self.cx.now());
                     tokio::time::sleep(ASK_INTERVAL.min(left)).await;
                     self.progress.forget_refusals();
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -11,6 +11,8 @@
 use anvilloft_fakes::http::Reply;
 use anvilloft_fakes::raw::ReceivedRequest;
 use anvilloft_fakes::raw::Step;
+use anvilloft_gateway::notice::LEAVING_HEADER;
+use anvilloft_gateway::notice::endpoint_notice;
 use anvilloft_relay::ExecutionStatus;
 use anvilloft_relay::ForwardContext;
 use anvilloft_relay::ProtocolAdapter;
@@ -30,6 +32,7 @@
 use anvilloft_settings::GroupStart;
 use anvilloft_settings::Secret;
 use anvilloft_telemetry::Metrics;
+use anvilloft_types::availability::EndpointNotice;
 use anvilloft_wire::Control;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Prepaid;
@@ -106,6 +109,12 @@
         }
     }
 
+    fn take_notice(&self, status: StatusCode, headers: &mut HeaderMap) -> EndpointNotice {
+        let notice = endpoint_notice(status, headers, LEAVING_HEADER);
+        headers.remove(LEAVING_HEADER);
+        notice
+    }
+
     fn retry_after_value(&self, after: Duration) -> HeaderValue {
         HeaderValue::from(after.as_secs())
     }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod drain;
 mod heads;
 mod loans;
+mod notices;
 mod overlaps;
 mod refusals;
 mod requests;
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -438,6 +438,7 @@
                 reply.send(self.keeps_endpoint(now, no, may_move)).ok();
             }
             CoreMsg::FirstByte(no, waited) => self.on_first_byte(now, no, waited),
+            CoreMsg::Notice(no, notice) => self.on_notice(now, no, notice),
             CoreMsg::AwaitSettlements(reply) => self.settlement_waiters.push(reply),
             CoreMsg::Finish { no, used, end, key } => self.on_finish(now, no, used, end, key),
             CoreMsg::OrderBegin(begin, within, reply) => {
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -20,6 +20,7 @@
 use anvilloft_types::RequestNo;
 use anvilloft_types::RunState;
 use anvilloft_types::Tokens;
+use anvilloft_types::availability::EndpointNotice;
 use http::StatusCode;
 use tokio::sync::oneshot;
 
@@ -196,14 +197,18 @@
             Ok(choice) if suspect => self.request_permit(no, choice),
             Ok(choice) => self.assign(now, no, choice),
             Err(NoRoute::Full(_)) => self.park(now, no),
-            Err(e @ (NoRoute::NoEndpoint | NoRoute::Excluded)) => {
+            Err(e) => {
+                let (code, after) = match e {
+                    NoRoute::Paused(left) => ("endpoints_paused", left),
+                    _ => ("no_endpoint", DEFAULT_RETRY_AFTER),
+                };
                 let refusal = match req.last_failure {
                     Some((run, _)) => {
                         Refusal::bad_gateway("endpoint_failed", "the endpoint failed", run)
                     }
-                    None => Refusal::unavailable("no_endpoint", e.to_string()),
+                    None => Refusal::unavailable(code, e.to_string()),
                 };
-                self.refuse(now, no, refusal.retry_after(DEFAULT_RETRY_AFTER));
+                self.refuse(now, no, refusal.retry_after(after));
             }
         }
     }
@@ -344,6 +349,23 @@
         }
     }
 
+    /// Applies what the answer to a request says about further requests to its endpoint.
+    pub(crate) fn on_notice(&mut self, now: Duration, no: RequestNo, notice: EndpointNotice) {
+        let Some(Stage::Running(attempt)) = self.requests.get(&no).map(|r| &r.stage) else {
+            return;
+        };
+        let (endpoint, incarnation) = (attempt.endpoint.clone(), attempt.incarnation);
+        let applied = self
+            .selector
+            .apply_notice(now, &endpoint, incarnation, notice);
+        if applied {
+            self.capacity_dirty = true;
+            slog::info!(self.log, "endpoint notice"; "endpoint" => endpoint,
+                "incarnation" => incarnation, "leaving" => notice.leaving,
+                "pause_ms" => notice.pause.map(|p| p.as_millis() as u64));
+        }
+    }
+
     pub(crate) fn on_finish(
         &mut self,
         now: Duration,
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use anvilloft_types::availability::Availability;
 use anvilloft_types::prelude::*;
 
 use crate::Failure;
@@ -22,6 +23,9 @@
 const MAX_SENT_PREFIXES: usize = 128;
 /// Time after which a prefix that this router sent may have been evicted.
 const MAX_SENT_AGE: Duration = Duration::from_secs(60);
+/// Time after the end of the lease for which an endpoint whose answers said that it
+/// leaves is remembered. Its announcements may not say so.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 /// Half-life of the failure score, in seconds.
 const FAILURE_HALF_LIFE: f64 = 10.0;
 /// Failure score from which an endpoint is used only when no healthy one is
@@ -145,6 +149,8 @@
 #[derive(Debug)]
 pub(crate) struct Endpoint {
     pub(crate) state: EndpointState,
+    /// What the endpoint's answers said about further requests.
+    pub(crate) availability: Availability,
     pub(crate) name_hash: u64,
     /// Number of routers that use the endpoint.
     routers: u32,
@@ -186,6 +192,7 @@
         let usable_slots = state.slots;
         Self {
             state,
+            availability: Availability::default(),
             name_hash,
             routers: 1,
             position: 0,
@@ -213,6 +220,7 @@
     pub(crate) fn set_state(&mut self, state: EndpointState) {
         let restarted = state.incarnation != self.state.incarnation;
         if restarted {
+            self.availability = Availability::default();
             self.last_failure_score = 0.0;
             self.sent_prefixes.clear();
             self.attempts.clear();
@@ -325,7 +333,10 @@
     /// Returns whether the endpoint is live, takes new work and has what a
     /// request needs.
     pub(crate) fn serves(&self, now: Duration, req: &RouteRequest<'_>) -> bool {
-        !self.state.leaving && self.state.lease_expires > now && self.matches(req)
+        !self.state.leaving
+            && !self.availability.is_leaving()
+            && self.state.lease_expires > now
+            && self.matches(req)
     }
 
     /// Returns whether the lease ended so long ago that copies of a request
@@ -334,6 +345,14 @@
         now > self.state.lease_expires + GONE_GRACE
     }
 
+    /// Returns whether the endpoint must be remembered, although its lease has ended.
+    pub(crate) fn is_remembered(&self, now: Duration) -> bool {
+        let leaving = self.availability.is_leaving();
+        !self.attempts.is_empty()
+            || !self.is_gone(now)
+            || (leaving && now < self.state.lease_expires + LEAVING_RETENTION)
+    }
+
     /// Returns whether the endpoint has what a request needs, live or not.
     pub(crate) fn matches(&self, req: &RouteRequest<'_>) -> bool {
         if !req.service.is_empty() {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod score;
 
+use anvilloft_types::availability::EndpointNotice;
 use anvilloft_types::prelude::*;
 use quick_error::quick_error;
 
@@ -94,10 +95,15 @@
         NoEndpoint {
             display("no endpoint serves the request")
         }
-        /// Every endpoint that serves the request was tried.
+        /// Every endpoint that serves the request was tried or asked for a pause.
         Excluded {
             display("every endpoint that serves the request was tried")
         }
+        /// Every endpoint that serves the request asked for a pause. The first one ends
+        /// after the given time.
+        Paused(left: Duration) {
+            display("the endpoints asked for a pause of {} ms more", left.as_millis())
+        }
         /// This router uses its whole share of the slots of every candidate.
         /// Retry when an attempt finishes or after the given time. Other
         /// requests may find a free slot meanwhile.
@@ -167,6 +173,16 @@
     /// Excludes an endpoint until a newer announcement of it arrives.
     fn remove(&mut self, ep: &str);
 
+    /// Applies what an answer of an endpoint's incarnation says about further requests.
+    /// Returns whether it changes anything.
+    fn apply_notice(
+        &mut self,
+        now: Duration,
+        ep: &str,
+        incarnation: Incarnation,
+        notice: EndpointNotice,
+    ) -> bool;
+
     /// Chooses the endpoint of an attempt.
     ///
     /// # Errors
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -1,5 +1,6 @@
 //! The production selector, [`PredictiveSelector`].
 
+use anvilloft_types::availability::EndpointNotice;
 use anvilloft_types::prelude::*;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -193,7 +194,9 @@
     fn collect_candidates(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<(), NoRoute> {
         let min_overdue = self.cfg.min_overdue.as_secs_f64();
         let mut serving = 0;
-        let mut tried = 0;
+        let mut paused = 0;
+        let mut first_end = Duration::MAX;
+        let mut untried_open = 0;
         let mut healthy_count = 0;
         self.candidates.clear();
         for (index, ep) in self.endpoints.iter().enumerate() {
@@ -201,10 +204,18 @@
                 continue;
             }
             serving += 1;
+            let pause = ep.availability.pause_left(now);
+            if let Some(left) = pause {
+                paused += 1;
+                first_end = first_end.min(left);
+            }
             if req.exclude.contains(&ep.state.id) {
-                tried += 1;
                 continue;
             }
+            if pause.is_some() {
+                continue;
+            }
+            untried_open += 1;
             let is_healthy = ep.is_healthy(now, min_overdue);
             healthy_count += usize::from(is_healthy);
             if ep.own_in_flight() >= ep.max_in_flight() {
@@ -225,7 +236,10 @@
         if serving == 0 {
             return Err(NoRoute::NoEndpoint);
         }
-        if serving == tried {
+        if serving == paused {
+            return Err(NoRoute::Paused(first_end));
+        }
+        if untried_open == 0 {
             return Err(NoRoute::Excluded);
         }
         let best = self.candidates.iter().map(|c| c.tier).min();
@@ -419,7 +433,7 @@
     fn update(&mut self, now: Duration, ep: &EndpointState) {
         self.now = self.now.max(now);
         self.endpoints
-            .retain(|e| e.own_in_flight() > 0 || !e.is_gone(now) || e.state.id == ep.id);
+            .retain(|e| e.is_remembered(now) || e.state.id == ep.id);
         let target = self.cfg.target_gap.as_secs_f64();
         match self.find(&ep.id) {
             Ok(index) => {
@@ -457,6 +471,19 @@
         }
     }
 
+    fn apply_notice(
+        &mut self,
+        now: Duration,
+        ep: &str,
+        incarnation: Incarnation,
+        notice: EndpointNotice,
+    ) -> bool {
+        let spread = self.rng.random::<f64>();
+        self.find_mut(ep)
+            .filter(|ep| ep.state.incarnation == incarnation)
+            .is_some_and(|ep| ep.availability.apply(now, notice, spread))
+    }
+
     fn choose(&mut self, now: Duration, req: &RouteRequest<'_>) -> Result<Choice, NoRoute> {
         self.now = self.now.max(now);
         self.collect_candidates(now, req)?;
@@ -535,7 +562,8 @@
         let min_overdue = self.cfg.min_overdue.as_secs_f64();
         let mut capacity = RouterCapacity::default();
         for ep in &self.endpoints {
-            if ep.serves(now, req) && ep.is_healthy(now, min_overdue) {
+            let is_paused = ep.availability.pause_left(now).is_some();
+            if ep.serves(now, req) && !is_paused && ep.is_healthy(now, min_overdue) {
                 capacity.slots += ep.slot_share();
                 capacity.max_in_flight += ep.max_in_flight();
                 capacity.running += ep.own_in_flight();
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+pub mod availability;
 mod clock;
 pub mod prelude;
 
