Pass requests on late in a planned stop only if they end before it

Cause: during a planned stop, a request accepted in time could be passed on late, after a wait for tokens or as a retry, and one that may not be repeated could outlast the stop: both were cut off at its end. Change: StopSchedule, pure code in dispatch, is asked before each attempt. A request that may not be repeated is passed on only if its deadline lies before the answers' end; any other also while new requests are accepted, or if an endpoint had it already. The others get 503, not run, and may come again at once. Ruled out: the former flag refused new requests after the same time, but nothing looked at them again.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `config`: configuration of a dispatcher.
 //! - `dispatcher`: chooses an endpoint; `peers` in it takes other routers' reports.
 //! - `retry`: limits retries to a share of the requests.
+//! - `stop`: decides which requests are passed on during a planned stop.
 //! - `shed`: load shedding when the router's processor is overloaded.
 //! - `handover`: decides when a request leaves a silent endpoint.
 //! - `link`: detects a saturated network link of the router, and sheds load
@@ -24,6 +25,7 @@
 mod link;
 mod retry;
 mod shed;
+mod stop;
 
 pub use cache::PromptPart;
 pub use config::DispatcherConfig;
@@ -51,3 +53,5 @@
 pub use link::LinkDelay;
 pub use retry::RetryBudget;
 pub use shed::LoadShedder;
+pub use stop::StopSchedule;
+pub use stop::StoppingRequest;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,6 +16,7 @@
 use anvilloft_dispatch::RequestTraits;
 use anvilloft_dispatch::SentState;
 use anvilloft_dispatch::SilenceTimer;
+use anvilloft_dispatch::StoppingRequest;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::EndpointResponse;
 use anvilloft_gateway::client::SendError;
@@ -289,6 +290,8 @@
     Full,
     /// All endpoints asked for a pause. The first one ends after this time.
     Paused(Duration),
+    /// The planned stop of this router leaves the request too little time.
+    Stopping,
     /// The deadline of the request has passed.
     DeadlineExceeded,
     /// Connections to endpoints could not be opened or were broken.
@@ -376,6 +379,7 @@
     if is_retry {
         may_send_again(cx, outbound, &progress.state(outbound)).map_err(not_sent_again)?;
     }
+    check_stop(cx, outbound, is_retry)?;
     let pick = match choose_endpoint(cx, outbound, progress) {
         Ok(pick) => pick,
         Err(NoEndpoint::Paused(left)) => return Err(SendFailure::Paused(left)),
@@ -394,6 +398,23 @@
     Ok(take_endpoint(cx, outbound, progress, pick))
 }
 
+/// Checks whether a planned stop leaves a request the time that it may take.
+fn check_stop(
+    cx: &RelayState,
+    outbound: &OutboundRequest,
+    was_sent: bool,
+) -> Result<(), SendFailure> {
+    let req = StoppingRequest {
+        deadline: outbound.deadline,
+        repeatable: outbound.kind.is_retryable(),
+        was_sent,
+    };
+    match cx.stop.get() {
+        Some(stop) if !stop.may_send(cx.now(), &req) => Err(SendFailure::Stopping),
+        _ => Ok(()),
+    }
+}
+
 fn take_endpoint(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -213,7 +213,7 @@
     req: Request<Body>,
     is_sent: &AtomicBool,
 ) -> Result<Response<Body>, Refusal> {
-    if cx.draining.load(Ordering::Relaxed) {
+    if cx.stop.get().is_some_and(|stop| !stop.accepts(received_at)) {
         return Err(stopping(false));
     }
     let table = cx.table.load_full();
@@ -361,6 +361,7 @@
             "the endpoints of the service asked for a pause",
         )
         .retry_after(left),
+        SendFailure::Stopping => stopping(false),
         SendFailure::DeadlineExceeded => Refusal::unavailable(
             "too_late",
             "the deadline passed before the request was sent",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,13 +6,13 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::DispatcherConfig;
 use anvilloft_dispatch::LINK_INTERVAL;
+use anvilloft_dispatch::StopSchedule;
 use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::ClientTimeouts;
@@ -161,7 +161,7 @@
             metrics: Arc::clone(&metrics),
             log: log.clone(),
             control_reachable: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
+            stop: OnceLock::new(),
             abandon: CancellationToken::new(),
             request_counter: AtomicU64::new(1),
             options,
@@ -260,13 +260,19 @@
     pub async fn drain(self) -> bool {
         let options = &self.cx.options;
         let end = tokio::time::Instant::now() + options.drain_limit;
+        let settle_time = SETTLE_TIME.min(options.drain_limit / SETTLE_DIVISOR);
+        let now = self.cx.now();
+        let schedule = StopSchedule {
+            accept_until: now + options.drain_accept,
+            requests_end: now + options.drain_limit.saturating_sub(settle_time),
+        };
+        // Can't be set already, as this consumes the relay.
+        let _ = self.cx.stop.set(schedule);
         info!(self.cx.log, "drains"; "requests" => self.cx.metrics.in_flight.get());
         self.target_phase.send_replace(Phase::Leaving);
         tokio::time::sleep(options.drain_accept).await;
-        self.cx.draining.store(true, Ordering::Relaxed);
         self.stop.cancel();
         self.finish.cancel();
-        let settle_time = SETTLE_TIME.min(options.drain_limit / SETTLE_DIVISOR);
         let requests_end = end.checked_sub(settle_time).unwrap_or(end);
         while self.cx.metrics.connections.get() > 0 && tokio::time::Instant::now() < requests_end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -13,6 +13,7 @@
 use anvilloft_dispatch::LinkDelay;
 use anvilloft_dispatch::LoadShedder;
 use anvilloft_dispatch::RetryBudget;
+use anvilloft_dispatch::StopSchedule;
 use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::ConnectObserver;
@@ -125,8 +126,8 @@
     pub(crate) log: Logger,
     /// Whether the lease was renewed within `control_timeout`.
     pub(crate) control_reachable: AtomicBool,
-    /// Whether new requests are refused because of a planned stop.
-    pub(crate) draining: AtomicBool,
+    /// Times of the planned stop, once it has begun.
+    pub(crate) stop: OnceLock<StopSchedule>,
     /// Cancelled at the end of a planned stop, when requests that still wait for an
     /// answer must be refused.
     pub(crate) abandon: CancellationToken,
--- a/crates/relay/tests/relay/drain.rs
+++ b/crates/relay/tests/relay/drain.rs
@@ -137,3 +137,109 @@
     assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
     assert!(answer.contains(r#""run":"no""#), "{answer}");
 }
+
+/// A request that arrives at a moment of a planned stop.
+struct LateRequest {
+    path: &'static str,
+    /// How long the caller waits, and how long the endpoint takes.
+    wait: Duration,
+    takes: Duration,
+    /// When it arrives after the begin of the stop.
+    at: Duration,
+    status: u16,
+}
+
+const fn late(path: &'static str, wait: u64, takes: u64, at: u64, status: u16) -> LateRequest {
+    LateRequest {
+        path,
+        wait: Duration::from_millis(wait),
+        takes: Duration::from_millis(takes),
+        at: Duration::from_millis(at),
+        status,
+    }
+}
+
+/// Requests in a stop of 3 s, of which new requests are accepted for 1 s. Answers have
+/// until about 2.6 s.
+const LATE_REQUESTS: &[LateRequest] = &[
+    late("/once/x", 1_000, 100, 100, 200),
+    late("/once/x", 1_000, 900, 800, 200),
+    late("/once/x", 4_000, 3_500, 100, 503),
+    late("/once/x", 4_000, 3_500, 900, 503),
+    late("/once/x", 500, 100, 1_200, 503),
+    late("/any/x", 4_000, 100, 800, 200),
+    late("/any/x", 4_000, 100, 1_500, 503),
+    late("/any/x", 4_000, 100, 2_400, 503),
+];
+
+/// Guards against requests that are passed on late in a planned stop and cut off at its
+/// end, although they may not be repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_late_in_a_planned_stop_are_answered_or_refused_as_not_run() {
+    const LIMIT: Duration = Duration::from_secs(3);
+    let accept = Duration::from_secs(1);
+    let mut fleet = Fleet::start_with(1, |o| o.drain(accept, LIMIT)).await;
+    fleet.publish(1, 1_000_000).await;
+    let ep = RawEndpoint::start(|req| {
+        let takes = req
+            .body
+            .parse()
+            .map_or(Duration::ZERO, Duration::from_millis);
+        vec![Step::Wait(takes), send(whole_answer(&req.attempt, "done"))]
+    });
+    let ep = ep.await.unwrap();
+    fleet.announce("e", ep.addr, "plain");
+    fleet.send(0, "/any/x", "warm").await;
+    let relay = fleet.relays.remove(0);
+    let address = relay.address();
+    // Open connections go on to bring requests when no new ones are taken.
+    let mut callers = Vec::new();
+    for (n, req) in LATE_REQUESTS.iter().enumerate() {
+        let warm = call("/any/x", "0", &format!("warm-{n}")).keep_alive();
+        let mut open = warm.open(address).await.unwrap();
+        assert_eq!(open.read_reply(CALL_TIMEOUT).await.status, 200);
+        callers.push(tokio::spawn(async move {
+            tokio::time::sleep(req.at).await;
+            let body = req.takes.as_millis().to_string();
+            let call = call(req.path, &body, &format!("late-{n}"))
+                .header("x-wait-ms", &req.wait.as_millis().to_string())
+                .keep_alive();
+            // The relay may have closed the idle connection, which says "not run", too.
+            if open.send_next(&call).await.is_err() {
+                return None;
+            }
+            Some(open.read_reply(CALL_TIMEOUT).await)
+        }));
+    }
+    let started = Instant::now();
+    relay.drain().await;
+    assert!(
+        started.elapsed() <= LIMIT + LIMIT / 5,
+        "{:?}",
+        started.elapsed()
+    );
+    for (req, caller) in LATE_REQUESTS.iter().zip(callers) {
+        let LateRequest { path, at, .. } = req;
+        let Some(reply) = caller.await.unwrap() else {
+            assert_eq!(req.status, 503, "{path} at {at:?}: closed");
+            continue;
+        };
+        let was_closed = reply.status == 0 && req.status == 503;
+        assert!(
+            reply.status == req.status || was_closed,
+            "{path} at {at:?}: {} {}",
+            reply.status,
+            reply.text()
+        );
+        if reply.status == 503 {
+            assert!(reply.text().contains(r#""run":"no""#), "{path} at {at:?}");
+        }
+    }
+    let warm_count = 1 + LATE_REQUESTS.len() as u64;
+    let answered = LATE_REQUESTS.iter().filter(|r| r.status == 200).count() as u64;
+    // What was refused never reached the endpoint.
+    assert_eq!(
+        ep.request_count.load(Ordering::Relaxed),
+        warm_count + answered
+    );
+}
