Let a few routers of each data centre hold the reserves of the others

Cause: with 191 fronts each sees 0.04 requests a second of a team. At a partition four fronts in five held nothing for it, and the others pieces smaller than a request; in contact nearly every request needed a grant of its own. What many fronts held in small reserves was not locked, and lost when all were killed. Change: TokenHolders chooses four routers of each data centre by rendezvous hashing. A router with fewer than 4 requests of a budget in 5 to 10 s keeps no reserve; it borrows from the budget's holder, which counts the request as its own demand, and asks control only for what is missing. Held reserves exceed ten seconds of demand by two large requests, as few requests come irregularly, and are locked while grants are slow, too.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`lease`]: configuration leases compared with serving without a lease
 //!   during network partitions.
 //! - [`load`]: requests through a router compared with direct requests.
+//! - [`reserves`]: what callers get in a partition of all routers from control.
 //! - [`traffic`]: admission and routing in a simulation of endpoints.
 
 pub mod budgets;
@@ -15,4 +16,5 @@
 pub mod history;
 pub mod lease;
 pub mod load;
+pub mod reserves;
 pub mod traffic;
--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -212,11 +212,27 @@
         now: Duration,
         budget: &str,
         amount: Tokens,
+    ) -> Result<ReservationId, NeedGrant> {
+        let local = self.budgets.entry(budget.into()).or_default();
+        local.record_demand(now, amount, self.demand_window);
+        self.reserve_recorded(now, budget, amount)
+    }
+
+    /// Reserves tokens like [`reserve`](Self::reserve), for a request whose demand was
+    /// recorded before.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`reserve`](Self::reserve).
+    pub fn reserve_recorded(
+        &mut self,
+        now: Duration,
+        budget: &str,
+        amount: Tokens,
     ) -> Result<ReservationId, NeedGrant> {
         let id = self.next_id;
         self.next_id += 1;
         let local = self.budgets.entry(budget.into()).or_default();
-        local.record_demand(now, amount, self.demand_window);
         if amount <= self.locks.usable(now, budget, local.idle) {
             local.reserve(amount);
             // Prefetches a grant, so that the next requests need not wait for it.
--- a/crates/budget/src/allotments/lending.rs
+++ b/crates/budget/src/allotments/lending.rs
@@ -17,6 +17,14 @@
 /// Weight of the newest reply in the moving average of the grants' latency.
 const GRANT_LATENCY_WEIGHT: f64 = 0.1;
 
+/// Minimum number of requests in one to two demand windows for which a router has a
+/// reserve of its own.
+const MIN_RESERVE_REQUESTS: u32 = 4;
+
+/// Requests of the largest size in use by which a reserve that other routers draw on
+/// exceeds the mean demand, as few requests come irregularly.
+const HELD_SPARE_REQUESTS: u64 = 2;
+
 /// Minimum size of a reserve that is locked, in requests of the largest size in use.
 const MIN_LOCKED_REQUESTS: u64 = 3;
 
@@ -40,8 +48,8 @@
     pub working: Duration,
     /// Time without contact with control until the whole reserve is unlocked.
     pub unlock: Duration,
-    /// Latency of grants above which nothing is locked: a request that a lock holds up
-    /// waits for a grant.
+    /// Latency of grants above which less is locked: a request that a lock holds up waits
+    /// for a grant.
     pub max_grant_latency: Duration,
 }
 
@@ -60,14 +68,22 @@
         let demand = local.demand_per_window(now, window) as f64;
         let demand_of =
             |time: Duration| (demand * time.as_secs_f64() / window.as_secs_f64()) as Tokens;
-        let max_growth = demand_of(self.target).saturating_sub(local.idle);
-        let due = now >= local.prefetch_after && max_growth > 0 && !draining;
+        let spare = match local.is_held {
+            true => local
+                .largest_reservation()
+                .saturating_mul(HELD_SPARE_REQUESTS),
+            false => 0,
+        };
+        let full = demand_of(self.target).saturating_add(spare);
+        let max_growth = full.saturating_sub(local.idle);
+        let due = now >= local.prefetch_after && max_growth > 0 && !draining && !local.is_drawn;
         if missing.is_none() && !due {
             return None;
         }
         let mut growth = 0;
         if due {
-            growth = demand_of(self.grant_interval + self.growth).min(max_growth);
+            growth = demand_of(self.grant_interval + self.growth).saturating_add(spare);
+            growth = growth.min(max_growth);
             local.prefetch_after = now + self.grant_interval;
         }
         let need = missing.unwrap_or(0);
@@ -82,9 +98,19 @@
     /// Returns the number of idle tokens to lock.
     ///
     /// A reserve of a few requests is not locked: until it is unlocked, a router that is
-    /// cut off would refuse most of them.
-    fn locked_amount(&self, now: Duration, local: &LocalBudget, window: Duration) -> Tokens {
+    /// cut off would refuse most of them. While grants are slow, one is locked only if
+    /// other routers draw on it: it has the tokens of many of them.
+    fn locked_amount(
+        &self,
+        now: Duration,
+        local: &LocalBudget,
+        window: Duration,
+        is_slow: bool,
+    ) -> Tokens {
         let request = local.largest_reservation();
+        if is_slow && !local.is_held {
+            return 0;
+        }
         if local.idle < request.saturating_mul(MIN_LOCKED_REQUESTS) {
             return 0;
         }
@@ -125,6 +151,33 @@
         Some((id, amount))
     }
 
+    /// Counts a request of a budget as demand, wherever its tokens come from. Returns
+    /// whether this router should draw on another one's reserve, because its own requests
+    /// are too few for one.
+    pub fn record_request(&mut self, now: Duration, budget: &str, amount: Tokens) -> bool {
+        let window = self.demand_window;
+        let local = self.budgets.entry(budget.into()).or_default();
+        local.record_demand(now, amount, window);
+        local.recent_count(now, window) < MIN_RESERVE_REQUESTS
+    }
+
+    /// Sets whether another router holds this router's reserve of a budget, so that no
+    /// tokens are requested ahead of need.
+    pub fn set_drawn(&mut self, budget: &str, is_drawn: bool) {
+        if let Some(local) = self.budgets.get_mut(budget) {
+            local.is_drawn = is_drawn;
+        }
+    }
+
+    /// Counts a request of another router, for which this one holds the reserve.
+    pub fn record_draw(&mut self, now: Duration, budget: &str, amount: Tokens) {
+        let window = self.demand_window;
+        let local = self.budgets.entry(budget.into()).or_default();
+        local.record_demand(now, amount, window);
+        local.is_drawn = false;
+        local.is_held = true;
+    }
+
     /// Queues a grant request for each reserve that is due to grow.
     pub(super) fn scan_reserves(&mut self, now: Duration) {
         let Some(policy) = self.lending else {
@@ -140,7 +193,7 @@
                 local.demand = 0;
                 local.last_demand = 0;
             }
-            if now >= local.prefetch_after && local.outstanding.is_none() {
+            if now >= local.prefetch_after && local.outstanding.is_none() && !local.is_drawn {
                 self.due.push_back(budget.clone());
             }
         }
@@ -186,9 +239,8 @@
         }
         let window = self.demand_window;
         let is_slow = self.grant_latency > policy.max_grant_latency;
-        let budgets = self.budgets.iter().filter(|_| !is_slow);
-        let amounts = budgets.filter_map(|(budget, local)| {
-            let amount = policy.locked_amount(now, local, window);
+        let amounts = self.budgets.iter().filter_map(|(budget, local)| {
+            let amount = policy.locked_amount(now, local, window, is_slow);
             (amount > 0).then(|| LockedAmount {
                 budget: budget.clone(),
                 amount,
--- a/crates/budget/src/allotments/local.rs
+++ b/crates/budget/src/allotments/local.rs
@@ -42,6 +42,13 @@
     // Demand of the current window, and of the one before.
     pub(super) demand: Tokens,
     pub(super) last_demand: Tokens,
+    // Number of reservations of the current window, and of the one before.
+    count: u32,
+    last_count: u32,
+    // Whether another router holds this router's reserve.
+    pub(super) is_drawn: bool,
+    // Whether other routers draw on this router's reserve.
+    pub(super) is_held: bool,
     // Largest reservation of the current window, and of the one before.
     largest: Tokens,
     last_largest: Tokens,
@@ -57,12 +64,15 @@
             let is_recent = age < window * 2;
             self.last_demand = if is_recent { self.demand } else { 0 };
             self.last_largest = if is_recent { self.largest } else { 0 };
+            self.last_count = if is_recent { self.count } else { 0 };
             self.demand = 0;
             self.largest = 0;
+            self.count = 0;
             self.window_start = now;
         }
         self.demand = self.demand.saturating_add(amount);
         self.largest = self.largest.max(amount);
+        self.count = self.count.saturating_add(1);
         self.last_used = now;
     }
 
@@ -74,6 +84,15 @@
         self.last_demand.max(current as Tokens)
     }
 
+    /// Returns the number of reservations in the last one to two windows.
+    pub(super) fn recent_count(&self, now: Duration, window: Duration) -> u32 {
+        let age = now.saturating_sub(self.window_start);
+        match age < window * 2 {
+            true => self.count.saturating_add(self.last_count),
+            false => 0,
+        }
+    }
+
     /// Returns the largest of the last reservations.
     pub(super) fn largest_reservation(&self) -> Tokens {
         self.largest.max(self.last_largest)
--- a/crates/budget/tests/lending.rs
+++ b/crates/budget/tests/lending.rs
@@ -143,6 +143,36 @@
     }
 }
 
+/// Guards against a reserve of many routers that is lost whole with its holder, because
+/// grants were slow when it died.
+#[test]
+fn a_held_reserve_is_locked_while_grants_are_slow() {
+    let mut allotments = lending_allotments();
+    let mut locked = Vec::new();
+    for step in 1..=200_u32 {
+        let now = step * Duration::from_millis(50);
+        allotments.record_draw(now, "b", 10);
+        if let Some((loan, amount)) = allotments.reserve_up_to(now, "b", 10) {
+            allotments.settle(now, loan, amount, None);
+        }
+        let replied_at = now + 3 * SECOND;
+        while let Some(grant) = allotments.next_grant(now) {
+            let granted = Granted { amount: grant.want };
+            let reply = CommandReply {
+                reply: Some(Reply::Granted(granted)),
+            };
+            allotments.on_grant(replied_at, grant.seq, &reply);
+        }
+        if let Some(report) = allotments.next_report(now) {
+            allotments.on_report_ack(now, report.seq);
+            locked = report.locked.map(|l| l.amounts).unwrap_or_default();
+        }
+    }
+    // All but a second of the ten that it lasts.
+    let amount = locked.first().map_or(0, |l| l.amount);
+    assert!(amount >= 1_000, "{locked:?}");
+}
+
 /// Guards against a router that locks nothing for seconds after a partition, because the
 /// time without contact counted as slow grants; its tokens are lost if it dies then.
 #[test]
@@ -199,3 +229,44 @@
     }
     assert!(is_locked, "the newest report locks nothing");
 }
+
+/// Guards against a reserve at each of many routers that see a few requests of a team, and
+/// against a holder that has none for them.
+#[test]
+fn only_the_holder_of_a_reserve_requests_tokens_ahead_of_need() {
+    let mut drawing = lending_allotments();
+    let mut holder = lending_allotments();
+    let mut held = 0;
+    for second in 1..10 {
+        let now = SECOND * second;
+        assert!(drawing.record_request(now, "b", 100) || second > 3);
+        drawing.set_drawn("b", true);
+        assert_eq!(grant_all(&mut drawing, now), 0, "second {second}");
+        for _ in 0..5 {
+            holder.record_draw(now, "b", 100);
+        }
+        held += grant_all(&mut holder, now);
+    }
+    // Ten seconds of the requests that drew on it; demand is extrapolated from a third of
+    // a window at least.
+    assert!((5_000..=15_000).contains(&held), "{held}");
+    // A router that is asked for tokens it doesn't hold gets what the request needs.
+    let now = SECOND * 10;
+    drawing
+        .reserve_recorded(now, "b", 100)
+        .expect_err("nothing is held");
+    assert_eq!(grant_all(&mut drawing, now), 100);
+}
+
+/// Guards against a router with many requests of a team that depends on another one for
+/// each of them.
+#[test]
+fn a_router_with_many_requests_has_a_reserve_of_its_own() {
+    let mut allotments = lending_allotments();
+    let has_few: Vec<bool> = (0..8)
+        .map(|_| allotments.record_request(SECOND, "b", 100))
+        .collect();
+    assert!(has_few[0] && !has_few[7], "{has_few:?}");
+    // After a while without requests it has few again.
+    assert!(allotments.record_request(SECOND * 30, "b", 100));
+}
--- a/crates/budget/tests/reserves.rs
+++ b/crates/budget/tests/reserves.rs
@@ -180,7 +180,16 @@
                 Err(need) => r.allotments.cancel(&budget, need.need()),
             }
         }
-        if !r.running.is_empty() && self.rng.random_bool(0.3) {
+        // Another router draws on this one's reserve.
+        if self.rng.random_bool(0.2) {
+            let amount = self.rng.random_range(20..600);
+            r.allotments.record_draw(self.now, &budget, amount);
+            if let Some((id, lent)) = r.allotments.reserve_up_to(self.now, &budget, amount) {
+                *total += lent;
+                r.running.push((id, lent));
+            }
+        }
+        if !r.running.is_empty() && self.rng.random_bool(0.4) {
             let at = self.rng.random_range(0..r.running.len());
             let (id, amount) = r.running.swap_remove(at);
             let used = self.rng.random_range(0..=amount);
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! [`endpoints`] holds a lease for each announced endpoint. [`routers`] holds the
 //! router directory; it chooses the routers for a caller and the routers that use
-//! an endpoint. Time is passed in; nothing here does I/O.
+//! an endpoint. [`holders`] finds the routers that hold tokens for others. Time is
+//! passed in; nothing here does I/O.
 
 pub mod endpoints;
+pub mod holders;
 pub mod routers;
 
 pub use endpoints::Change;
@@ -12,6 +14,7 @@
 pub use endpoints::EndpointLease;
 pub use endpoints::EndpointTable;
 pub use endpoints::can_listen_at;
+pub use holders::TokenHolders;
 pub use routers::RouterDirectory;
 pub use routers::entry_router_count;
 pub use routers::routers_for_callers;
--- a/crates/directory/src/routers.rs
+++ b/crates/directory/src/routers.rs
@@ -64,7 +64,7 @@
 }
 
 /// Returns the rendezvous hashing score of a router for a key. The highest wins.
-fn score(key: &str, router: &str) -> u64 {
+pub(crate) fn score(key: &str, router: &str) -> u64 {
     xxh3_64_with_seed(router.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
 }
 
--- a/crates/relay/src/charge.rs
+++ b/crates/relay/src/charge.rs
@@ -16,6 +16,7 @@
 use crate::adapter::TokenCounts;
 use crate::forward::RETRY_AFTER_UNAVAILABLE;
 use crate::loans::TokenSource;
+use crate::loans::draw_tokens;
 use crate::loans::gather_tokens;
 use crate::loans::settle_all;
 use crate::reservations::ReserveError;
@@ -102,12 +103,7 @@
         return Ok(None);
     };
     let budget = prepaid_budget(&team.name);
-    let sources = match reserve_own(cx, &budget, counts.max_total(), deadline).await {
-        Ok(id) => vec![TokenSource::Own(id, counts.max_total())],
-        Err(failure) => {
-            reserve_with_loans(cx, id, &budget, counts.max_total(), failure, deadline).await?
-        }
-    };
+    let sources = reserve_tokens(cx, id, &budget, counts.max_total(), deadline).await?;
     Ok(Some(Charge {
         cx: Arc::clone(cx),
         id: id.to_owned(),
@@ -120,6 +116,27 @@
     }))
 }
 
+/// Reserves tokens of this router, of the holder of its reserve, by a grant of control or
+/// by loans of peers, whichever has them first.
+async fn reserve_tokens(
+    cx: &Arc<RelayState>,
+    id: &str,
+    budget: &str,
+    amount: Tokens,
+    deadline: Duration,
+) -> Result<Vec<TokenSource>, Refusal> {
+    let has_few_requests = cx.reservations.record_request(cx.now(), budget, amount);
+    if !has_few_requests {
+        cx.reservations.set_drawn(budget, false);
+    } else if let Some(sources) = draw_tokens(cx, budget, amount, deadline).await {
+        return Ok(sources);
+    }
+    match reserve_own(cx, budget, amount, deadline).await {
+        Ok(id) => Ok(vec![TokenSource::Own(id, amount)]),
+        Err(failure) => reserve_with_loans(cx, id, budget, amount, failure, deadline).await,
+    }
+}
+
 /// Why a request got no tokens from this router and control.
 enum GrantFailure {
     /// Control refused the grant or granted too few tokens.
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use anvilloft_directory::TokenHolders;
 use anvilloft_dispatch::Change;
 use anvilloft_dispatch::CrashedEndpoint;
 use anvilloft_types::lock;
@@ -420,6 +421,7 @@
             let extra = self.cx.options.retry_extra / grant.routers.len() as f64;
             lock(&self.cx.retry_budgets).set_extra(extra);
             self.cx.dispatcher().set_router_count(grant.routers.len());
+            self.set_holders(&grant);
             self.peers.set_routers(&grant.routers);
         }
         for budget in &grant.recalls {
@@ -428,6 +430,19 @@
         self.update_members(&grant.members);
     }
 
+    /// Chooses the routers that hold tokens for the others of this data centre.
+    fn set_holders(&self, grant: &LeaseGrant) {
+        let data_centre = &self.registration.data_centre;
+        let holders = TokenHolders::choose(&grant.routers, &grant.silent_routers, data_centre);
+        let to_dial = holders.to_dial(&self.registration.router);
+        let addresses = to_dial.iter().filter_map(|a| a.parse().ok()).collect();
+        self.peers.set_further_routers(addresses);
+        if **self.cx.holders.load() != holders {
+            slog::info!(self.cx.log, "token holders"; "holders" => ?holders);
+            self.cx.holders.store(Arc::new(holders));
+        }
+    }
+
     /// Maintains connections to the members of the control group. While the group
     /// has fewer members than the list that the router started with, it is still
     /// forming, so connections to that list are kept too.
--- a/crates/relay/src/loans.rs
+++ b/crates/relay/src/loans.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use anvilloft_budget::ReservationId;
+use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::ControlReply;
 use anvilloft_wire::ControlRequest;
@@ -23,6 +24,7 @@
 use anvilloft_wire::session::PeerCallHandler;
 use anvilloft_wire::session::Session;
 use tokio::sync::oneshot;
+use tokio::time::error::Elapsed;
 
 use crate::state::RelayState;
 
@@ -31,6 +33,9 @@
 /// Time after which a lender's answer is no longer expected. An answer that arrives
 /// after [`LOAN_REQUEST_TIMEOUT`] and before it returns the loan.
 const LATE_LOAN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a holder that didn't answer isn't asked, so that not every request
+/// waits for it. Its session ends after 2 s of silence.
+const SILENT_HOLDER_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of peers that are asked for one request.
 const MAX_PEERS: usize = 12;
 /// Time after which a loan whose end was not reported counts as fully used.
@@ -126,18 +131,14 @@
     }
 }
 
-/// Borrows at most `max` tokens from a peer, within `max_wait`.
+/// Asks a peer for a loan, and waits for `max_wait` at most. Returns `None` if it lends
+/// nothing, and an error if it doesn't answer.
 async fn borrow_tokens(
     cx: &Arc<RelayState>,
     session: Arc<Session>,
-    budget: &str,
-    max: Tokens,
+    req: LoanRequest,
     max_wait: Duration,
-) -> Option<TokenSource> {
-    let req = LoanRequest {
-        budget: budget.to_owned(),
-        max_tokens: max,
-    };
+) -> Result<Option<TokenSource>, Elapsed> {
     let (tx, rx) = oneshot::channel();
     let cx = Arc::clone(cx);
     // Runs in its own task, so that a loan whose request has stopped waiting is still
@@ -153,8 +154,60 @@
             drop(tx.send(ArrivingLoan { cx, source }));
         }
     });
-    let arrived = tokio::time::timeout(max_wait, rx).await;
-    arrived.ok()?.ok()?.source.take()
+    let arrived = tokio::time::timeout(max_wait, rx).await?;
+    Ok(arrived.ok().and_then(|mut loan| loan.source.take()))
+}
+
+/// Collects tokens of a budget from this router.
+fn take_own<'a>(cx: &'a Arc<RelayState>, budget: &str, amount: Tokens) -> GatheredTokens<'a> {
+    let mut gathered = GatheredTokens {
+        cx,
+        sources: Vec::new(),
+    };
+    if let Some((id, part)) = cx.reservations.reserve_up_to(cx.now(), budget, amount) {
+        gathered.push(TokenSource::Own(id, part));
+    }
+    gathered
+}
+
+/// Collects tokens of a budget from this router and then from the holder of its reserve.
+/// Returns `None` if there are fewer than `amount`, or this router holds the reserve
+/// itself.
+pub(crate) async fn draw_tokens(
+    cx: &Arc<RelayState>,
+    budget: &str,
+    amount: Tokens,
+    deadline: Duration,
+) -> Option<Vec<TokenSource>> {
+    let holders = cx.holders.load_full();
+    let now = cx.now();
+    let session = holders
+        .of(budget)
+        .into_iter()
+        .filter(|name| !lock(&cx.silent_holders).is_silent(now, name))
+        .find_map(|name| match name == cx.options.name {
+            true => Some(None),
+            false => Some(Some(cx.peers.get()?.router_session(name)?)),
+        })
+        .flatten();
+    cx.reservations.set_drawn(budget, session.is_some());
+    let session = session?;
+    let mut gathered = take_own(cx, budget, amount);
+    let missing = amount.saturating_sub(gathered.amount());
+    if missing > 0 {
+        let req = LoanRequest {
+            budget: budget.to_owned(),
+            max_tokens: missing,
+            as_holder: true,
+        };
+        let max_wait = LOAN_REQUEST_TIMEOUT.min(deadline.saturating_sub(now));
+        let name = session.peer().node.clone();
+        match borrow_tokens(cx, session, req, max_wait).await {
+            Ok(loan) => loan.into_iter().for_each(|source| gathered.push(source)),
+            Err(_) => lock(&cx.silent_holders).record(now, &name),
+        }
+    }
+    (gathered.amount() >= amount).then(|| gathered.into_sources())
 }
 
 /// Collects tokens of a budget from this router and then from its peers, until
@@ -165,13 +218,7 @@
     amount: Tokens,
     deadline: Duration,
 ) -> GatheredTokens<'a> {
-    let mut gathered = GatheredTokens {
-        cx,
-        sources: Vec::new(),
-    };
-    if let Some((id, part)) = cx.reservations.reserve_up_to(cx.now(), budget, amount) {
-        gathered.push(TokenSource::Own(id, part));
-    }
+    let mut gathered = take_own(cx, budget, amount);
     let mut peers = cx
         .peers
         .get()
@@ -180,6 +227,15 @@
     // Starts with a random peer, to spread the requests of all routers.
     let start = rand::random_range(0..peers.len().max(1)).min(peers.len());
     peers.rotate_left(start);
+    // Holders have more than others.
+    let holders = cx.holders.load_full();
+    let names = holders.of(budget);
+    peers.sort_by_key(|s| {
+        names
+            .iter()
+            .position(|n| *n == s.peer().node)
+            .unwrap_or(names.len())
+    });
     for session in peers.into_iter().take(MAX_PEERS) {
         let missing = amount.saturating_sub(gathered.amount());
         let left = deadline.saturating_sub(cx.now());
@@ -187,7 +243,12 @@
             break;
         }
         let max_wait = LOAN_REQUEST_TIMEOUT.min(left);
-        if let Some(source) = borrow_tokens(cx, session, budget, missing, max_wait).await {
+        let req = LoanRequest {
+            budget: budget.to_owned(),
+            max_tokens: missing,
+            as_holder: false,
+        };
+        if let Ok(Some(source)) = borrow_tokens(cx, session, req, max_wait).await {
             gathered.push(source);
         }
     }
@@ -203,16 +264,33 @@
             return None;
         };
         let (now, peer) = (self.0.now(), &session.peer().node);
-        let grant = self
-            .0
-            .reservations
-            .lend(now, peer, &loan.budget, loan.max_tokens);
+        let grant = self.0.reservations.lend(now, peer, loan);
         slog::debug!(self.0.log, "lent"; "peer" => peer, "budget" => &loan.budget,
             "asked" => loan.max_tokens, "amount" => grant.amount);
         Some(Answer::Lent(grant).into())
     }
 }
 
+/// Holders that didn't answer a loan request lately, and when.
+#[derive(Default)]
+pub(crate) struct SilentHolders(Vec<(RouterId, Duration)>);
+
+impl SilentHolders {
+    /// Whether a holder is not to be asked.
+    fn is_silent(&self, now: Duration, name: &str) -> bool {
+        self.0
+            .iter()
+            .any(|(n, at)| n == name && now.saturating_sub(*at) < SILENT_HOLDER_TIME)
+    }
+
+    /// Records that a holder did not answer.
+    fn record(&mut self, now: Duration, name: &str) {
+        self.0
+            .retain(|(n, at)| n != name && now.saturating_sub(*at) < SILENT_HOLDER_TIME);
+        self.0.push((name.to_owned(), now));
+    }
+}
+
 struct Loan {
     borrower: RouterId,
     amount: Tokens,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -154,6 +154,8 @@
             shedder: Mutex::default(),
             crashes: Mutex::default(),
             reservations: TokenReservations::new(&options.name, identity.incarnation),
+            holders: ArcSwap::default(),
+            silent_holders: Mutex::default(),
             peers: OnceLock::new(),
             client: Client::with_observer(timeouts, MAX_ANSWER_BYTES, link.clone()),
             link,
--- a/crates/relay/src/reservations.rs
+++ b/crates/relay/src/reservations.rs
@@ -16,6 +16,7 @@
 use anvilloft_wire::command::Grant;
 use anvilloft_wire::command::Report;
 use anvilloft_wire::control::LoanGrant;
+use anvilloft_wire::control::LoanRequest;
 use anvilloft_wire::frame::LoanEnd;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -86,7 +87,19 @@
         self.lock().allotments = new_allotments(router, incarnation);
     }
 
-    /// Reserves tokens of the allotment, or queues the request for a grant.
+    /// Counts a request as demand of its budget. Returns whether this router has too few
+    /// of them for a reserve of its own.
+    pub(crate) fn record_request(&self, now: Duration, budget: &str, amount: Tokens) -> bool {
+        self.lock().allotments.record_request(now, budget, amount)
+    }
+
+    /// Sets whether another router holds this router's reserve of a budget.
+    pub(crate) fn set_drawn(&self, budget: &str, is_drawn: bool) {
+        self.lock().allotments.set_drawn(budget, is_drawn);
+    }
+
+    /// Reserves tokens of the allotment, or queues the request for a grant. The request
+    /// must have been counted.
     pub(crate) fn reserve(
         &self,
         now: Duration,
@@ -94,7 +107,7 @@
         amount: Tokens,
     ) -> Result<ReservationId, ReserveError> {
         let mut state = self.lock();
-        let reserved = state.allotments.reserve(now, budget, amount);
+        let reserved = state.allotments.reserve_recorded(now, budget, amount);
         let result = match reserved {
             Ok(id) => Ok(id),
             Err(need) if state.waiting.len() >= MAX_WAITING => {
@@ -139,8 +152,12 @@
 
     /// Lends unreserved tokens to a peer, at most `max`. The grant is empty when
     /// nothing can be lent.
-    pub(crate) fn lend(&self, now: Duration, peer: &str, budget: &str, max: Tokens) -> LoanGrant {
+    pub(crate) fn lend(&self, now: Duration, peer: &str, req: &LoanRequest) -> LoanGrant {
+        let (budget, max) = (req.budget.as_str(), req.max_tokens);
         let mut state = self.lock();
+        if req.as_holder {
+            state.allotments.record_draw(now, budget, max);
+        }
         if !state.loans.has_capacity() {
             return LoanGrant::default();
         }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use anvilloft_directory::TokenHolders;
 use anvilloft_dispatch::CrashWatch;
 use anvilloft_dispatch::Dispatcher;
 use anvilloft_dispatch::LinkDelay;
@@ -28,6 +29,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::adapter::ProtocolAdapter;
+use crate::loans::SilentHolders;
 use crate::options::RelayOptions;
 use crate::reservations::TokenReservations;
 
@@ -118,6 +120,9 @@
     pub(crate) crashes: Mutex<CrashWatch>,
     pub(crate) link: Arc<LinkMonitor>,
     pub(crate) reservations: TokenReservations,
+    /// Routers of this data centre that hold tokens for the others.
+    pub(crate) holders: ArcSwap<TokenHolders>,
+    pub(crate) silent_holders: Mutex<SilentHolders>,
     /// Sessions with peers; set once by the control thread.
     pub(crate) peers: OnceLock<Arc<FleetPeers>>,
     pub(crate) client: Arc<Client>,
--- a/crates/relay/tests/relay/loans.rs
+++ b/crates/relay/tests/relay/loans.rs
@@ -142,3 +142,34 @@
     assert!(elapsed < Duration::from_millis(500), "{elapsed:?}");
     drop(lenders);
 }
+
+/// Guards against a router that sees few requests of a team and refuses them in a
+/// partition, although the holder of its data centre has tokens.
+#[tokio::test(flavor = "multi_thread", worker_threads = 8)]
+async fn a_router_draws_on_the_holder_of_its_data_centre() {
+    const RELAYS: usize = 3;
+    let fleet = Fleet::start(RELAYS).await;
+    fleet.publish(1, 10_000_000).await;
+    let endpoint = RawEndpoint::start(|s| whole_stream(&s, 3)).await.unwrap();
+    fleet.announce("e", endpoint.addr, "engines");
+    // Few requests at each relay, so that only the holder has a reserve.
+    for round in 0..4 {
+        for relay in 0..RELAYS {
+            let reply = fleet
+                .send(relay, "/stream/x", &format!("r{round}-{relay}"))
+                .await;
+            assert_eq!(reply.status, 200, "{}", reply.text());
+        }
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+    }
+    let relays = fleet.stop_control().await.1;
+    // The locks of the reserve end 3 s after the last contact.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    for (n, relay) in relays.iter().enumerate() {
+        let reply = call("/stream/x", "body", &format!("cut-{n}"))
+            .send(relay.address(), CALL_TIMEOUT)
+            .await
+            .unwrap();
+        assert_eq!(reply.status, 200, "relay {n}: {}", reply.text());
+    }
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -63,6 +63,10 @@
     /// Maximum number of tokens to lend.
     #[prost(uint64, tag = "2")]
     pub max_tokens: u64,
+    /// Whether the lender is asked as the holder of the requester's reserve, and counts
+    /// the request as demand of its own.
+    #[prost(bool, tag = "3")]
+    pub as_holder: bool,
 }
 
 /// Tokens that a router reserved for a peer.
--- a/crates/wire/src/session/fleet.rs
+++ b/crates/wire/src/session/fleet.rs
@@ -103,6 +103,8 @@
     identity: Arc<Identity>,
     sessions: Mutex<HashMap<String, Arc<Session>>>,
     links: Mutex<HashMap<SocketAddr, Link>>,
+    /// Peer addresses that are dialled beside those on the ring.
+    further_routers: Mutex<Vec<SocketAddr>>,
     configured_routers: Vec<SocketAddr>,
     inbox: mpsc::Sender<PeerFrame>,
     control: OnceLock<Arc<ControlClient>>,
@@ -130,6 +132,7 @@
         identity: Arc::clone(&identity),
         sessions: Mutex::new(HashMap::new()),
         links: Mutex::new(HashMap::new()),
+        further_routers: Mutex::default(),
         configured_routers: options.routers.clone(),
         inbox: tx,
         control: OnceLock::new(),
@@ -181,6 +184,19 @@
             .collect()
     }
 
+    /// Returns the open session with a peer router.
+    pub fn router_session(&self, name: &str) -> Option<Arc<Session>> {
+        let sessions = lock(&self.sessions);
+        let session = sessions.get(name)?;
+        (session.peer().role == ROUTER_ROLE && session.is_open()).then(|| Arc::clone(session))
+    }
+
+    /// Sets the peer addresses of the routers that this one dials beside those on the
+    /// ring. Takes effect with the next list of routers.
+    pub fn set_further_routers(&self, addresses: Vec<SocketAddr>) {
+        *lock(&self.further_routers) = addresses;
+    }
+
     /// Returns the peer addresses of the routers that this one dials.
     fn to_dial(&self, routers: &[OpenIncarnation]) -> Vec<SocketAddr> {
         let others = routers.iter().filter(|r| r.router != self.name);
@@ -279,7 +295,8 @@
     }
 
     fn set_routers(&self, routers: &[OpenIncarnation]) {
-        let wanted = self.to_dial(routers);
+        let mut wanted = self.to_dial(routers);
+        wanted.extend_from_slice(&lock(&self.further_routers));
         for address in &wanted {
             self.dial(*address);
         }
