--- a/crates/router/tests/notices.rs
+++ b/crates/router/tests/notices.rs
@@ -1,6 +1,8 @@
 //! Endpoints that say in their answers that they leave, ask for a pause, or stop in the
 //! middle of the head of an answer.
 
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
 mod common;
 
 use std::sync::Arc;
