Report a pause of a service only if all its endpoints pause

Cause: a request that one endpoint had refused and whose other endpoints pause was refused with the time of a pause, although the one that refused it may have room at once. Change: choose says Paused only if every endpoint of the service asked for a pause, else Tried.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -121,9 +121,9 @@
 pub enum NoEndpoint {
     /// The service has no endpoint that takes new work.
     None,
-    /// Every endpoint was already tried.
+    /// Every endpoint was already tried or asked for a pause.
     Tried,
-    /// Every untried endpoint asked for a pause. The first one ends after this time.
+    /// Every endpoint asked for a pause. The first one ends after this time.
     Paused(Duration),
 }
 
@@ -291,25 +291,21 @@
         if of_service.is_empty() {
             return Err(NoEndpoint::None);
         }
-        let baseline = self.median_failure_rate(now, &of_service);
-        let untried: Vec<usize> = of_service
-            .iter()
-            .copied()
-            .filter(|at| !req.tried.contains(&self.endpoints[*at].announcement.id))
-            .collect();
-        if untried.is_empty() {
-            return Err(NoEndpoint::Tried);
-        }
         let pause_left = |at: &usize| self.endpoints[*at].availability.pause_left(now);
-        let open: Vec<usize> = untried
+        if of_service.iter().all(|at| pause_left(at).is_some()) {
+            let first_end = of_service.iter().filter_map(pause_left).min();
+            return Err(NoEndpoint::Paused(first_end.unwrap_or_default()));
+        }
+        let open: Vec<usize> = of_service
             .iter()
             .copied()
+            .filter(|at| !req.tried.contains(&self.endpoints[*at].announcement.id))
             .filter(|at| pause_left(at).is_none())
             .collect();
         if open.is_empty() {
-            let first_end = untried.iter().filter_map(pause_left).min();
-            return Err(NoEndpoint::Paused(first_end.unwrap_or_default()));
+            return Err(NoEndpoint::Tried);
         }
+        let baseline = self.median_failure_rate(now, &of_service);
         let usable: Vec<usize> = open
             .iter()
             .copied()
