Say once where the model of reserves gets its means and data centres from

Cause: the read of the whole change found the mean reservation and a router's data centre worked out twice in crates/bench/src/reserves.rs, and a field's comment that described the field after it. Change: one function for each; the comments say what the fields count.

--- a/crates/bench/src/reserves.rs
+++ b/crates/bench/src/reserves.rs
@@ -34,6 +34,17 @@
 /// Tokens that a request reserves.
 const RESERVED: std::ops::Range<u64> = 5_000..40_000;
 
+/// Returns the mean number of tokens that a request reserves.
+fn mean_reservation() -> f64 {
+    (RESERVED.start + RESERVED.end) as f64 / 2.0
+}
+
+/// Returns the data centre of a router. Neighbours on the ring share one, as with names that
+/// begin with it.
+fn data_centre(router: usize, routers: usize) -> usize {
+    router * DATA_CENTRES / routers
+}
+
 /// Who holds the reserves of routers that see few requests of a team.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Holding {
@@ -65,18 +76,17 @@
 impl ReservesConfig {
     /// Returns the tokens that each team has paid in.
     fn team_budget(&self) -> u64 {
-        let mean = (RESERVED.start + RESERVED.end) as f64 / 2.0;
         let rate = self.rate * self.routers as f64 / self.teams as f64;
-        (mean * rate * self.paid_in.as_secs_f64()) as u64
+        (mean_reservation() * rate * self.paid_in.as_secs_f64()) as u64
     }
 }
 
 /// Result of a play.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct ReservesRow {
-    /// Requests in contact, and those of them whose tokens control had to grant first.
+    /// Requests in contact with control.
     pub in_contact: u64,
-    /// Of these, requests that waited for a grant.
+    /// Of these, requests whose tokens control had to grant first.
     pub waited: u64,
     /// Requests in the partition.
     pub in_partition: u64,
@@ -130,8 +140,6 @@
 
 impl Play {
     fn new(cfg: ReservesConfig, holding: Holding) -> Self {
-        // Ring neighbours share a data centre, as with names that begin with it.
-        let centre = |n: usize| n * DATA_CENTRES / cfg.routers;
         let names: Vec<String> = (0..cfg.routers).map(|n| format!("r{n:04}")).collect();
         let list: Vec<OpenIncarnation> = names
             .iter()
@@ -141,7 +149,7 @@
                 incarnation: 1,
                 caller_address: String::new(),
                 peer_address: String::new(),
-                data_centre: centre(n).to_string(),
+                data_centre: data_centre(n, cfg.routers).to_string(),
                 state: RouterState::Alive.into(),
             })
             .collect();
@@ -255,7 +263,7 @@
         if self.holding == Holding::Own {
             return Vec::new();
         }
-        let centre = router * DATA_CENTRES / self.cfg.routers;
+        let centre = data_centre(router, self.cfg.routers);
         let position = |name: &str| self.names.binary_search_by(|n| n.as_str().cmp(name)).ok();
         let names = self.holders[centre].of(budget);
         names.into_iter().filter_map(position).collect()
@@ -332,8 +340,7 @@
             let idle: u64 = budgets
                 .map(|b| play.routers.iter().map(|r| r.holding(&b).idle).sum::<u64>())
                 .sum();
-            let mean = (RESERVED.start + RESERVED.end) as f64 / 2.0;
-            row.idle_s = idle as f64 / (mean * total_rate);
+            row.idle_s = idle as f64 / (mean_reservation() * total_rate);
         }
         let router = rng.random_range(0..cfg.routers);
         let budget = format!("team{}", rng.random_range(0..cfg.teams));
