--- a/crates/cli/tests/partitions.rs
+++ b/crates/cli/tests/partitions.rs
@@ -14,10 +14,10 @@
 
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::Reply;
+use anvilloft_fakes::proxy::Network;
 use workdir::AdminCall;
 use workdir::TIMEOUT;
 use workdir::Workdir;
-use workdir::proxy::Network;
 use workdir::wait_until;
 
 const ALL_MEMBERS: [usize; 3] = [0, 1, 2];
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -28,13 +28,13 @@
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::OpenCall;
 use anvilloft_fakes::http::Reply;
+use anvilloft_fakes::proxy::CALLERS;
+use anvilloft_fakes::proxy::Network;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use workdir::Workdir;
-use workdir::proxy::CALLERS;
-use workdir::proxy::Network;
 
 const CONTROLS: usize = 3;
 const ROUTERS: usize = 3;
--- a/crates/cli/tests/workdir/mod.rs
+++ b/crates/cli/tests/workdir/mod.rs
@@ -4,8 +4,6 @@
 #![expect(clippy::unwrap_used, reason = "test support")]
 #![expect(dead_code, reason = "each test file uses only some of the helpers")]
 
-pub(crate) mod proxy;
-
 use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
@@ -24,7 +22,7 @@
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::OpenCall;
 use anvilloft_fakes::http::Reply;
-use proxy::Network;
+use anvilloft_fakes::proxy::Network;
 
 /// Timeout of every wait.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`engine`]: a model engine or plain service that can inject faults.
 //! - [`http`]: an HTTP client that exposes the response as received.
+//! - [`proxy`]: a network between processes that can be cut, slowed and reset.
 //! - [`raw`]: an endpoint that sends scripted bytes.
 //! - [`control`]: the ledger and the links between routers, in one process.
 //! - [`free_address`]: finds a loopback address to listen on.
@@ -12,6 +13,7 @@
 pub mod http;
 mod model;
 mod orders;
+pub mod proxy;
 pub mod raw;
 mod slots;
 
--- a/crates/fakes/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -2,7 +2,10 @@
 //! for callers. It can hold bytes back without closing the connection, as a network
 //! that drops every packet does, delay them, or close connections.
 
-#![expect(clippy::unwrap_used, reason = "test support")]
+#![expect(
+    clippy::unwrap_used,
+    reason = "a broken proxy fails the test that uses it"
+)]
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -19,9 +22,13 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 /// Host name under which all callers are known to the proxy.
-pub(crate) const CALLERS: &str = "callers";
+pub const CALLERS: &str = "callers";
 /// Interval at which a blocked connection checks whether it may pass bytes.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Offset of the name in a hello: after the length of the frame and two fields.
+const HELLO_NAME_AT: usize = 8;
+/// Tag of the name in a hello: field 3, with a length.
+const NAME_TAG: u8 = 0x1a;
 
 #[derive(Default)]
 struct State {
@@ -42,27 +49,17 @@
 
 /// The proxies of one fleet. Hosts have the names of their daemons, such as `c0`.
 #[derive(Clone, Default)]
-pub(crate) struct Network(Arc<Mutex<State>>);
+pub struct Network(Arc<Mutex<State>>);
 
 impl Network {
     /// Proxies connections of peers to `host`, from `listen` to `target`.
-    pub(crate) fn proxy_peers(
-        &self,
-        host: &str,
-        listen: std::net::TcpListener,
-        target: SocketAddr,
-    ) {
+    pub fn proxy_peers(&self, host: &str, listen: std::net::TcpListener, target: SocketAddr) {
         self.proxy_from(None, host, listen, target);
     }
 
     /// Proxies connections of callers to `host`, from `listen` to `target`. Callers
     /// send no host name, so all of them are [`CALLERS`].
-    pub(crate) fn proxy_callers(
-        &self,
-        host: &str,
-        listen: std::net::TcpListener,
-        target: SocketAddr,
-    ) {
+    pub fn proxy_callers(&self, host: &str, listen: std::net::TcpListener, target: SocketAddr) {
         self.proxy_from(Some(CALLERS), host, listen, target);
     }
 
@@ -191,19 +188,19 @@
     }
 
     /// Blocks all bytes from one host to another. The other direction still passes.
-    pub(crate) fn cut(&self, from: &str, to: &str) {
+    pub fn cut(&self, from: &str, to: &str) {
         let mut state = self.0.lock().unwrap();
         state.cut.insert((from.to_owned(), to.to_owned()));
     }
 
     /// Unblocks the direction blocked by [`Self::cut`].
-    pub(crate) fn restore(&self, from: &str, to: &str) {
+    pub fn restore(&self, from: &str, to: &str) {
         let mut state = self.0.lock().unwrap();
         state.cut.remove(&(from.to_owned(), to.to_owned()));
     }
 
     /// Delays all bytes from and to a host. A zero delay removes the delay.
-    pub(crate) fn set_delay(&self, host: &str, delay: Duration) {
+    pub fn set_delay(&self, host: &str, delay: Duration) {
         let mut state = self.0.lock().unwrap();
         match delay.is_zero() {
             true => drop(state.delays.remove(host)),
@@ -212,7 +209,7 @@
     }
 
     /// Closes the open connections from and to a host. New ones work.
-    pub(crate) fn reset_open(&self, host: &str) {
+    pub fn reset_open(&self, host: &str) {
         let mut state = self.0.lock().unwrap();
         let state = &mut *state;
         let matching = state.open.iter().filter(|(_, f, t)| f == host || t == host);
@@ -220,19 +217,29 @@
     }
 
     /// Blocks all bytes from and to a host without closing connections.
-    pub(crate) fn isolate(&self, host: &str) {
+    pub fn isolate(&self, host: &str) {
         self.0.lock().unwrap().isolated.insert(host.to_owned());
     }
 
     /// Ends the isolation. Bytes held back are delivered now, as TCP would retransmit
     /// lost packets.
-    pub(crate) fn rejoin(&self, host: &str) {
+    pub fn rejoin(&self, host: &str) {
         self.0.lock().unwrap().isolated.remove(host);
     }
 
+    /// Closes the open connections between two hosts. New ones work.
+    pub fn reset_between(&self, a: &str, b: &str) {
+        let mut state = self.0.lock().unwrap();
+        let state = &mut *state;
+        let matching = state.open.iter().filter(|(_, f, t)| {
+            (f.as_str(), t.as_str()) == (a, b) || (f.as_str(), t.as_str()) == (b, a)
+        });
+        state.reset.extend(matching.map(|(number, ..)| *number));
+    }
+
     /// Blocks the matching open connections for good and returns how many they are.
     /// New connections work.
-    pub(crate) fn freeze_open(&self, matches: impl Fn(&str, &str) -> bool) -> usize {
+    pub fn freeze_open(&self, matches: impl Fn(&str, &str) -> bool) -> usize {
         let mut state = self.0.lock().unwrap();
         let state = &mut *state;
         let matching = state.open.iter().filter(|(_, from, to)| matches(from, to));
@@ -242,9 +249,12 @@
     }
 }
 
-/// Returns the name of the connecting host: the two-letter name in field 3 of the
-/// hello, which is the first frame of a session.
+/// Returns the name of the connecting host: field 3 of the hello, which is the first
+/// frame of a session. The two protocol versions before it take one byte each.
 fn hello_sender(first: &[u8]) -> Option<String> {
-    let at = first.windows(2).position(|w| w == [0x1a, 2])?;
-    String::from_utf8(first.get(at + 2..at + 4)?.to_vec()).ok()
+    let name = first.get(HELLO_NAME_AT..)?;
+    let [NAME_TAG, len, name @ ..] = name else {
+        return None;
+    };
+    String::from_utf8(name.get(..usize::from(*len))?.to_vec()).ok()
 }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -148,12 +148,13 @@
 /// Runs the control thread until its incarnation is closed after a planned stop.
 pub(crate) async fn run(args: ControlArgs) {
     let mut target_phase = args.target_phase;
-    let peer_address = args.peer_listener.local_addr();
+    let peer_address = args.cx.options.peer_address;
+    let peer_address = peer_address.or_else(|| args.peer_listener.local_addr().ok());
     let registration = OpenIncarnation {
         router: args.cx.options.name.clone(),
         incarnation: args.identity.incarnation,
         caller_address: args.cx.options.listen.to_string(),
-        peer_address: peer_address.map_or_else(|_| String::new(), |a| a.to_string()),
+        peer_address: peer_address.map_or_else(String::new, |a| a.to_string()),
         data_centre: args.cx.options.data_centre.clone(),
         state: RouterState::Alive.into(),
     };
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -17,6 +17,9 @@
     pub data_centre: DataCentre,
     /// Address on which callers are served.
     pub listen: SocketAddr,
+    /// Address at which peer routers reach this one, if it isn't the one that it
+    /// listens on.
+    pub peer_address: Option<SocketAddr>,
     /// Maximum number of open connections of callers.
     pub max_connections: usize,
     /// Maximum total size of request bodies in memory, in bytes.
@@ -49,6 +52,7 @@
             name: name.into(),
             data_centre: data_centre.into(),
             listen,
+            peer_address: None,
             max_connections: 2_048,
             max_buffered_bytes: DEFAULT_MAX_BUFFERED_BYTES,
             retry_window: Duration::from_secs(10),
@@ -99,6 +103,13 @@
         self
     }
 
+    /// Sets the address at which peer routers reach this one.
+    #[must_use]
+    pub fn peer_address(mut self, address: SocketAddr) -> Self {
+        self.0.peer_address = Some(address);
+        self
+    }
+
     /// Returns the options.
     pub fn build(self) -> RelayOptions {
         self.0
