control: log leaders, elections and changes of the members on each member

Only the leader logged changes of the membership, and a member that is not elected logged nothing. The record of the unanswered reads of the configuration therefore can't tell a group without a majority from elections that don't end, or from a leader that calls don't reach.

Each member now logs when it loses sight of its leader and finds one, when it starts an election (with the votes of its attempt before) and requests votes, and which members a committed entry adds, promotes and removes. The leader logs why a learner is not promoted and which voters are silent. The metric control_elections_started_total counts elections, so that a candidate that never wins shows as well.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -336,6 +336,11 @@
         self.leader
     }
 
+    /// Returns the members that granted the current pre-vote or vote.
+    pub fn votes(&self) -> &[MemberId] {
+        &self.votes
+    }
+
     /// Returns the newest membership, whether or not it is committed.
     pub fn membership(&self) -> &Membership {
         self.log.membership()
--- a/crates/control/src/daemon/metrics.rs
+++ b/crates/control/src/daemon/metrics.rs
@@ -38,6 +38,11 @@
         "Snapshots taken or received.",
         |s| &s.snapshots,
     ),
+    (
+        "control_elections_started_total",
+        "Elections that this member started, pre-votes included.",
+        |s| &s.elections_started,
+    ),
     (
         "control_elections_won_total",
         "Times that this member became leader.",
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -20,6 +20,7 @@
 mod contacts;
 mod core;
 mod full_disk;
+mod group_log;
 mod handle;
 mod membership;
 mod placement;
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -41,6 +41,7 @@
 use super::contacts::Contacts;
 use super::contacts::OwnCopies;
 use super::full_disk::Unsaved;
+use super::group_log::GroupLog;
 use super::handle::Call;
 use super::placement::Placement;
 use super::proposal_clock::ProposalClock;
@@ -92,6 +93,7 @@
     pub(super) ledger: Ledger,
     pub(super) transport: Arc<dyn Transport>,
     pub(super) log: Logger,
+    pub(super) group_log: GroupLog,
     pub(super) stats: Arc<DriverStats>,
     pub(super) status: watch::Sender<Status>,
     pub(super) snapshot_entries: u64,
@@ -133,6 +135,7 @@
     ) -> Self {
         let applied = node.commit_index();
         Self {
+            group_log: GroupLog::new(&node),
             clock,
             node,
             store,
@@ -216,7 +219,7 @@
             let now = self.now();
             if now >= self.node.deadline() {
                 self.note_not_leader(now);
-                self.node.tick(now);
+                self.tick(now);
             }
             self.run_leader_tasks(now);
         };
@@ -400,6 +403,7 @@
             }
             self.restore_reserves(now);
             self.maintain_membership(now);
+            self.log_delayed_members(now);
             self.maintain_placement(now);
         }
         if now >= self.next_expire {
@@ -415,6 +419,7 @@
             Role::Leader => self.node.term(),
             _ => 0,
         };
+        self.group_log.observe(now, &self.node, &self.log);
         if term == self.leader_term {
             return;
         }
@@ -506,6 +511,7 @@
                 [] => Ledger::new(),
                 state => Ledger::decode(state)?,
             };
+            self.group_log.members_installed(s.membership.as_ref());
             self.applied = s.index;
             self.bytes_since_snapshot = 0;
             self.snapshot_worker.reset(Some(Arc::clone(s)));
@@ -614,7 +620,10 @@
                     None
                 }
             },
-            EntryKind::Members => Some(ok_reply()),
+            EntryKind::Members => {
+                self.group_log.members_applied(&e, &self.log);
+                Some(ok_reply())
+            }
             EntryKind::Noop => None,
         };
         let Some(pending) = pending else {
--- a/crates/control/src/driver/status.rs
+++ b/crates/control/src/driver/status.rs
@@ -53,6 +53,8 @@
     pub applied: AtomicU64,
     /// Snapshots taken or received.
     pub snapshots: AtomicU64,
+    /// Elections that this member started, pre-votes included.
+    pub elections_started: AtomicU64,
     /// Times that this member became leader.
     pub elections_won: AtomicU64,
     /// Calls refused at a limit, such as a full queue.
