consensus: promote a learner by rounds of catch-up, not at a moment of standstill

What callers saw: nothing that is shown to come from this.

Cause: a learner counted as caught up only while it had synced every entry that was committed at that very moment. Under a steady flow of commands a learner that is slower than the majority is some entries behind at every moment, so it is never promoted, and the group keeps its dead voters.

Change: the leader measures rounds of replication (Ongaro's thesis, 4.2.1). A round ends once the member has synced every entry that the log held at its start. A learner is promoted if its last round and the current one are shorter than an election timeout. Raft's safety doesn't depend on this condition. A learner that is further behind, or falls behind steadily, is still refused (lag of 700 ms and 5 s, half the pace of the commands).

--- a/crates/consensus/src/change.rs
+++ b/crates/consensus/src/change.rs
@@ -47,13 +47,13 @@
         Ok(index)
     }
 
-    /// Returns whether a member is in contact with this leader and has synced
-    /// everything that the leader has committed.
+    /// Returns whether a member is in contact with this leader and syncs entries within
+    /// an election timeout of their arrival, so that waiting for it delays a commit by no
+    /// more than an election would.
     pub fn is_caught_up(&self, now: Duration, id: MemberId) -> bool {
-        self.progress_of(id).is_some_and(|p| {
-            p.match_index >= self.commit_index
-                && now < p.last_contact + self.cfg.min_election_timeout
-        })
+        let limit = self.cfg.max_election_timeout;
+        self.progress_of(id)
+            .is_some_and(|p| now < p.last_contact + limit && p.catch_up.is_shorter_than(now, limit))
     }
 
     /// Returns the time at which this leader last received a reply from a member.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -51,6 +51,41 @@
     read_round: u64,
     /// Time at which a reply from the member was last received.
     pub(crate) last_contact: Duration,
+    pub(crate) catch_up: CatchUpRound,
+}
+
+/// Round of replication to a member (Ongaro's thesis, 4.2.1): it ends once the member
+/// has synced every entry that the log held at its start.
+#[derive(Debug)]
+pub(crate) struct CatchUpRound {
+    target: LogIndex,
+    start: Duration,
+    /// Duration of the round before, if there was one.
+    last: Option<Duration>,
+}
+
+impl CatchUpRound {
+    fn new(now: Duration, target: LogIndex) -> Self {
+        Self {
+            target,
+            start: now,
+            last: None,
+        }
+    }
+
+    fn record_match(&mut self, now: Duration, match_index: LogIndex, last_index: LogIndex) {
+        if match_index >= self.target {
+            self.last = Some(now.saturating_sub(self.start));
+            self.target = last_index;
+            self.start = now;
+        }
+    }
+
+    /// Returns whether the last round was shorter than `limit`, and the current one
+    /// isn't longer so far.
+    pub(crate) fn is_shorter_than(&self, now: Duration, limit: Duration) -> bool {
+        self.last.is_some_and(|last| last < limit) && now < self.start + limit
+    }
 }
 
 impl Progress {
@@ -66,8 +101,15 @@
             in_flight: VecDeque::new(),
             read_round: 0,
             last_contact: now,
+            catch_up: CatchUpRound::new(now, next_index.saturating_sub(1)),
         }
     }
+
+    fn record_match(&mut self, now: Duration, index: LogIndex, last_index: LogIndex) {
+        self.match_index = self.match_index.max(index);
+        self.catch_up
+            .record_match(now, self.match_index, last_index);
+    }
 }
 
 /// A snapshot that is being received in chunks.
@@ -347,7 +389,7 @@
             if r.index > last {
                 return;
             }
-            p.match_index = p.match_index.max(r.index);
+            p.record_match(now, r.index, last);
             while p
                 .in_flight
                 .front()
@@ -479,7 +521,7 @@
         if r.done {
             p.snapshot_transfer = None;
             p.awaiting_reply = false;
-            p.match_index = p.match_index.max(r.index.min(last));
+            p.record_match(now, r.index.min(last), last);
             p.next_index = p.match_index + 1;
             p.probing = true;
             p.in_flight.clear();
