control: log and count operators' calls that get no answer

Each call of a member's own callers that the group doesn't answer is now counted (control_calls_unanswered_total, control_calls_abandoned_total) and logged with its reason and how long it waited, at most one line a second with the number of calls since the last one. A session with a member logs when it opens and ends, which side opened it, and why it ended.

--- a/crates/control/src/daemon/metrics.rs
+++ b/crates/control/src/daemon/metrics.rs
@@ -137,6 +137,8 @@
     member_sessions: IntGauge,
     router_sessions: IntGauge,
     forwarded: IntGauge,
+    refused_calls: IntGauge,
+    abandoned_calls: IntGauge,
 }
 
 impl MemberMetrics {
@@ -172,6 +174,14 @@
                 .gauge("peer_router_sessions", "Open sessions with routers.")?,
             forwarded: metrics
                 .gauge("control_forwarded_total", "Calls forwarded to the leader.")?,
+            refused_calls: metrics.gauge(
+                "control_calls_unanswered_total",
+                "Calls of this member's own callers refused for lack of an answer.",
+            )?,
+            abandoned_calls: metrics.gauge(
+                "control_calls_abandoned_total",
+                "Calls whose callers left before an answer.",
+            )?,
         })
     }
 
@@ -214,5 +224,8 @@
         self.member_sessions.set(int(with_members as u64));
         self.router_sessions.set(int(with_routers as u64));
         self.forwarded.set(int(peers.forwarded_calls()));
+        let unanswered = peers.unanswered_calls();
+        self.refused_calls.set(load(unanswered.refused()));
+        self.abandoned_calls.set(load(unanswered.abandoned()));
     }
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -40,6 +40,7 @@
 use anvilloft_wire::session::Session;
 use anvilloft_wire::session::SessionError;
 use slog::Logger;
+use slog::info;
 use slog::warn;
 use tokio::runtime;
 use tokio::sync::Semaphore;
@@ -52,6 +53,9 @@
 use crate::registry::AnnounceOutcome;
 use crate::registry::BATCH_INTERVAL;
 use crate::registry::Registry;
+use unanswered::UnansweredCalls;
+
+mod unanswered;
 
 /// Kind of the query for a member's own status, which is never forwarded.
 pub(crate) const LOCAL_QUERY: &str = "member";
@@ -81,6 +85,7 @@
     forwarded: AtomicU64,
     orders: OrderSender,
     registry: Registry,
+    unanswered: UnansweredCalls,
     clock: Clock,
     log: Logger,
 }
@@ -113,6 +118,7 @@
             forwarded: AtomicU64::new(0),
             orders: OrderSender::new(log.clone()),
             registry: Registry::default(),
+            unanswered: UnansweredCalls::new(log.clone()),
             clock: Clock::start(),
             log,
         })
@@ -186,7 +192,7 @@
         if outcome == AnnounceOutcome::Changed
             && let Some(update) = self.registry.get(now, &id)
         {
-            slog::info!(self.log, "endpoint changed"; "endpoint" => &id,
+            info!(self.log, "endpoint changed"; "endpoint" => &id,
                 "incarnation" => update.incarnation, "seq" => update.seq,
                 "address" => &update.address, "pool" => &update.pool,
                 "leaving" => update.leaving, "left" => update.left);
@@ -226,6 +232,11 @@
         self.forwarded.load(Ordering::Relaxed)
     }
 
+    /// Returns the counters of the calls of this member's own callers without an answer.
+    pub fn unanswered_calls(&self) -> &UnansweredCalls {
+        &self.unanswered
+    }
+
     /// Refuses new calls, so that callers use other members, and waits until
     /// the calls in flight have ended.
     pub async fn drain(&self) {
@@ -327,7 +338,12 @@
         req: ControlRequest,
         timeout: Duration,
     ) -> BoxFuture<'_, Result<ControlReply, CallError>> {
-        Box::pin(async move { self.handle_call(req, timeout, 0).await.into_result() })
+        Box::pin(async move {
+            let waiting = self.unanswered.begin_call();
+            let result = self.handle_call(req, timeout, 0).await.into_result();
+            waiting.end(&result);
+            result
+        })
     }
 }
 
@@ -341,6 +357,8 @@
             let mut members = lock(&self.0.members);
             let sessions = members.entry(session.peer().member).or_default();
             sessions.push(session.clone());
+            info!(self.0.log, "member session opened"; "peer" => &session.peer().node,
+                "dialled" => session.is_dialled(), "sessions" => sessions.len());
         } else {
             lock(&self.0.routers).push(session.clone());
             let all = self.0.registry.all(self.0.clock.now());
@@ -359,8 +377,13 @@
     }
 
     fn closed(&self, session: &Arc<Session>, reason: &SessionError) {
-        slog::debug!(self.0.log, "peer session ended";
-            "peer" => &session.peer().node, "reason" => %reason);
+        if session.peer().role == "control" {
+            info!(self.0.log, "member session ended"; "peer" => &session.peer().node,
+                "dialled" => session.is_dialled(), "reason" => %reason);
+        } else {
+            slog::debug!(self.0.log, "peer session ended";
+                "peer" => &session.peer().node, "reason" => %reason);
+        }
         lock(&self.0.members).retain(|_, sessions| {
             sessions.retain(|s| !Arc::ptr_eq(s, session));
             !sessions.is_empty()
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -3,6 +3,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
+mod calls;
 mod hosts;
 
 use std::fs;
--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -103,6 +103,7 @@
     next_call: AtomicU64,
     start: Instant,
     round_trip: Mutex<Option<RoundTrip>>,
+    is_dialled: bool,
     stop: watch::Sender<StopReason>,
     ended: watch::Sender<bool>,
 }
@@ -154,6 +155,11 @@
         *lock(&self.round_trip)
     }
 
+    /// Returns whether this side opened the connection.
+    pub fn is_dialled(&self) -> bool {
+        self.is_dialled
+    }
+
     /// Closes the session. Frames that were queued before are still sent, except
     /// calls, for at most [`CLOSE_TIMEOUT`].
     pub fn close(&self) {
@@ -332,6 +338,7 @@
         next_call: AtomicU64::new(1),
         start: Instant::now(),
         round_trip: Mutex::default(),
+        is_dialled: side == Side::Client,
         stop: watch::Sender::new(StopReason::None),
         ended: watch::Sender::new(false),
     });
