Return to a silent endpoint that was left when the next one fails

Callers saw a stream break off although the endpoint that had it was sound: it was silent for a while, the router left it for another one, and that one failed, refused or broke off.

Cause: leaving a silent endpoint closes its connection once the next one has the request for 200 ms. From then on the endpoint counted as tried, so that a failure of the next one used up the route's endpoints, and a refusal ended the stream after five attempts of 300 ms, whatever time was left.

Endpoints that were left are remembered now. When the next one fails, the stream is sent again to the one that was left, after its last event, as long as that incarnation is announced, the retry budget allows it and the deadline has not passed. It is no further endpoint, so the route's limit holds. An endpoint that broke off itself isn't asked again.

Evidence: a_stream_returns_to_the_silent_endpoint_that_it_left_when_the_next_one_fails failed in all four cases before (the next one answers 500, closes, refuses, or answers without events, each after 500 ms): "broken off after "id: 1\ndata: t1\n\n", asked ["e3", "e1", "e1", "e1", "e1"]" where it refuses.

Not changed: before its first event such a stream is sent again in the same way; a request that waits for a header and whose endpoints all fail is still answered with 502.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -176,6 +176,8 @@
     unreachable_count: u32,
     /// Endpoints that refused the request as full.
     refused: Vec<EndpointId>,
+    /// Endpoints that were left because they were silent. They may be sound.
+    pub(crate) left: Vec<Pick>,
     /// Whether an endpoint may have run the request.
     pub(crate) may_have_run: bool,
 }
@@ -202,9 +204,19 @@
         self.may_have_run = true;
     }
 
-    /// Lets endpoints that refused the request as full be asked again.
+    /// Records that a silent endpoint was left for another one.
+    pub(crate) fn record_left(&mut self, pick: Pick) {
+        self.left.retain(|p| p.endpoint != pick.endpoint);
+        self.left.push(pick);
+    }
+
+    /// Lets endpoints that refused the request as full be asked again. Those that have had
+    /// it before are asked by [`resume_stream`](crate::resume::resume_stream) only.
     pub(crate) fn forget_refusals(&mut self) {
         for id in self.refused.drain(..) {
+            if self.left.iter().any(|p| p.endpoint == id) {
+                continue;
+            }
             self.tried.retain(|t| *t != id);
             self.sent_count = self.sent_count.saturating_sub(1);
         }
@@ -461,6 +473,28 @@
     Ok(in_flight)
 }
 
+/// Takes a silent endpoint that was left for the request once more, and a retry from the
+/// budget.
+pub(crate) fn reserve_again(
+    cx: &Arc<RelayState>,
+    outbound: &OutboundRequest,
+    progress: &mut Progress,
+    pick: Pick,
+) -> Result<InFlightRequest, KeepReason> {
+    let mut state = progress.state(outbound);
+    // It counts as one of the route's endpoints already.
+    state.sent = state.sent.saturating_sub(1);
+    may_send_again(cx, outbound, &state)?;
+    if !cx.try_retry(&outbound.service) {
+        return Err(KeepReason::RetryBudget);
+    }
+    let dispatch_req = outbound.dispatch_request(&progress.tried);
+    cx.dispatcher()
+        .started(cx.now(), &pick.endpoint, outbound.request_no, &dispatch_req);
+    progress.sent_count = state.sent;
+    Ok(take_endpoint(cx, outbound, progress, pick))
+}
+
 fn choose_endpoint(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -5,8 +5,10 @@
 
 use std::sync::Arc;
 
+use anvilloft_dispatch::KeepReason;
 use anvilloft_dispatch::Outcome;
 use anvilloft_gateway::client::EndpointResponse;
+use anvilloft_types::prelude::*;
 use http::StatusCode;
 use http::header;
 
@@ -15,9 +17,17 @@
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
 use crate::attempt::SendFailure;
+use crate::attempt::reserve_again;
 use crate::attempt::send_request;
+use crate::attempt::start_attempt;
 use crate::events::EventSplitter;
+use crate::handover::ASK_INTERVAL;
 use crate::state::RelayState;
+use crate::stream::StreamError;
+
+/// Maximum number of times that a stream that its endpoint broke is offered to endpoints
+/// that were full.
+const MAX_RESUMPTIONS: u32 = 5;
 
 /// Order of the event ids of a stream.
 #[derive(Clone, Debug, Default)]
@@ -118,3 +128,79 @@
         progress.may_have_run = true;
     }
 }
+
+/// Resumes a stream after the event `last_event` at the endpoint of `running`, or at any
+/// other. If they fail, it returns to an endpoint that was left because it was silent, as
+/// that one may be sound.
+pub(crate) async fn resume_stream(
+    cx: &Arc<RelayState>,
+    outbound: &OutboundRequest,
+    progress: &mut Progress,
+    last_event: Option<&str>,
+    mut running: Option<Attempt>,
+) -> Result<EndpointAnswer, StreamError> {
+    // An endpoint that was full a while ago may have room now.
+    progress.forget_refusals();
+    let mut returned_to = None;
+    let mut attempts_left = MAX_RESUMPTIONS;
+    loop {
+        let found = find_continuation(cx, outbound, progress, last_event, running.take()).await;
+        let failure = match found {
+            Ok(answered) => return Ok(answered),
+            Err(SendFailure::DeadlineExceeded) => return Err(StreamError::DeadlineExceeded),
+            Err(failure) => failure,
+        };
+        attempts_left = attempts_left.saturating_sub(1);
+        let is_full = matches!(failure, SendFailure::Full | SendFailure::Paused(_));
+        let was_return = match returned_to.take() {
+            Some(id) if !is_full => {
+                progress.left.retain(|p| p.endpoint != id);
+                true
+            }
+            returned => returned.is_some(),
+        };
+        if !was_return {
+            (running, returned_to) = return_to_left(cx, outbound, progress, last_event);
+            if running.is_some() {
+                continue;
+            }
+        }
+        if progress.left.is_empty() && !(is_full && attempts_left > 0) {
+            return Err(StreamError::EndpointFailed);
+        }
+        let left = outbound.deadline.saturating_sub(cx.now());
+        tokio::time::sleep(ASK_INTERVAL.min(left)).await;
+        progress.forget_refusals();
+    }
+}
+
+/// Sends a request once more to the silent endpoint that was left last. Endpoints that
+/// have gone since are forgotten.
+fn return_to_left(
+    cx: &Arc<RelayState>,
+    outbound: &OutboundRequest,
+    progress: &mut Progress,
+    last_event: Option<&str>,
+) -> (Option<Attempt>, Option<EndpointId>) {
+    progress
+        .left
+        .retain(|p| cx.dispatcher().takes_work(&p.endpoint, p.incarnation));
+    let Some(pick) = progress.left.last().cloned() else {
+        return (None, None);
+    };
+    let endpoint = pick.endpoint.clone();
+    match reserve_again(cx, outbound, progress, pick) {
+        Ok(in_flight) => {
+            slog::info!(cx.log, "sent again to a silent endpoint"; "request" => &outbound.id,
+                "endpoint" => &endpoint);
+            let left = outbound.deadline.saturating_sub(cx.now());
+            let attempt = start_attempt(cx, outbound, in_flight, left, last_event);
+            (attempt, Some(endpoint))
+        }
+        Err(KeepReason::RetryBudget) => (None, None),
+        Err(_) => {
+            progress.left.clear();
+            (None, None)
+        }
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -38,7 +38,6 @@
 use crate::attempt::InFlightRequest;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
-use crate::attempt::SendFailure;
 use crate::attempt::ended_by;
 use crate::attempt::judge;
 use crate::charge::Charge;
@@ -53,9 +52,9 @@
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
 use crate::resume::can_continue;
-use crate::resume::find_continuation;
 use crate::resume::is_cut_off;
 use crate::resume::is_event_stream;
+use crate::resume::resume_stream;
 use crate::state::RelayState;
 
 /// Pause between events after which a resumable stream is offered to another endpoint,
@@ -65,8 +64,6 @@
 const FAILED_AFTER_GAPS: u32 = 3;
 /// Maximum length of what precedes the first event with data or an id, in bytes.
 const MAX_PREFACE_BYTES: usize = 64 * 1024;
-/// Maximum number of times that a broken stream is offered to endpoints that were full.
-const MAX_RESUMPTIONS: u32 = 5;
 
 quick_error! {
     /// Why a stream ended before its last event. The caller sees a broken connection.
@@ -382,10 +379,7 @@
                 self.progress.record(&result);
                 match result {
                     AttemptResult::Answered(answered) if can_continue(&answered.answer) => {
-                        self.close_current(
-                            "router",
-                            "silent while another endpoint has the request",
-                        );
+                        self.leave_silent();
                         self.go_on_with(*answered);
                     }
                     AttemptResult::Answered(answered) => {
@@ -406,7 +400,7 @@
                 Some(Read::Nothing)
             }
             First::Nobody => {
-                self.close_current("router", "silent while another endpoint has the request");
+                self.leave_silent();
                 Some(self.resume_at(Some(other)).await)
             }
         }
@@ -437,6 +431,14 @@
         can_resume
     }
 
+    /// Closes the connection to the current endpoint, which may be sound.
+    fn leave_silent(&mut self) {
+        if let Some((in_flight, _)) = &self.current {
+            self.progress.record_left(in_flight.pick.clone());
+        }
+        self.close_current("router", "silent while another endpoint has the request");
+    }
+
     /// Closes the connection to an endpoint that broke the stream. Returns whether another
     /// endpoint can go on with it.
     fn close_broken(&mut self, error: &ClientError) -> bool {
@@ -473,36 +475,17 @@
     }
 
     /// Resumes the stream at the endpoint of a running attempt, or at any other.
-    async fn resume_at(&mut self, mut running: Option<Attempt>) -> Read {
+    async fn resume_at(&mut self, running: Option<Attempt>) -> Read {
         let last_event = self.splitter.last_id().map(str::to_owned);
-        // An endpoint that was full a while ago may have room now.
-        self.progress.forget_refusals();
-        for _ in 0..MAX_RESUMPTIONS {
-            let found = find_continuation(
-                &self.cx,
-                &self.outbound,
-                &mut self.progress,
-                last_event.as_deref(),
-                running.take(),
-            )
-            .await;
-            match found {
-                Ok(answered) => {
-                    self.go_on_with(answered);
-                    return Read::Nothing;
-                }
-                Err(SendFailure::Full | SendFailure::Paused(_)) => {
-                    let left = self.outbound.deadline.saturating_sub(self.cx.now());
-                    tokio::time::sleep(ASK_INTERVAL.min(left)).await;
-                    self.progress.forget_refusals();
-                }
-                Err(SendFailure::DeadlineExceeded) => {
-                    return Read::Failed(StreamError::DeadlineExceeded);
-                }
-                Err(_) => return Read::Failed(StreamError::EndpointFailed),
+        let (cx, outbound) = (&self.cx, &self.outbound);
+        let last_event = last_event.as_deref();
+        match resume_stream(cx, outbound, &mut self.progress, last_event, running).await {
+            Ok(answered) => {
+                self.go_on_with(answered);
+                Read::Nothing
             }
+            Err(err) => Read::Failed(err),
         }
-        Read::Failed(StreamError::EndpointFailed)
     }
 }
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod refusals;
 mod requests;
 mod resumes;
+mod returns;
 mod silence;
 mod traces;
 mod ways;
--- /dev/null
+++ b/crates/relay/tests/relay/returns.rs
@@ -0,0 +1,94 @@
+//! Endpoints that were left because they were silent, and are asked again.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::ReceivedRequest;
+use anvilloft_fakes::raw::Step;
+
+use crate::common::Fleet;
+use crate::common::chunk;
+use crate::common::event;
+use crate::common::send;
+use crate::common::stream_head;
+use crate::common::whole_stream;
+
+/// Id of the request that meets the silence.
+const ID: &str = "silent";
+/// Silence that is longer than three pauses of the route.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Time after which the next endpoint ends its part: longer than a handover.
+const LATER: Duration = Duration::from_millis(500);
+
+/// How the next endpoint ends its part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    Fails,
+    BreaksOff,
+    Refuses,
+    /// It is another endpoint by now.
+    AnswersForAnother,
+}
+
+fn next_steps(next: Next, req: &ReceivedRequest) -> Vec<Step> {
+    let status = match next {
+        Next::Fails => "500 Failed\r\n",
+        Next::BreaksOff => return vec![Step::Wait(LATER), Step::Close],
+        Next::Refuses => "503 Full\r\nx-anvilloft-refused: not-run\r\n",
+        Next::AnswersForAnother => "200 Ok\r\ncontent-type: text/plain\r\n",
+    };
+    let answer = format!(
+        "HTTP/1.1 {status}x-anvilloft-attempt: {}\r\ncontent-length: 0\r\n\r\n",
+        req.attempt
+    );
+    vec![Step::Wait(LATER), send(answer)]
+}
+
+/// Guards against a stream that the router breaks off because it left a silent endpoint
+/// for one that fails, although the first one is sound.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_returns_to_the_silent_endpoint_that_it_left_when_the_next_one_fails(
+    #[values(Next::Fails, Next::BreaksOff, Next::Refuses, Next::AnswersForAnother)] next: Next,
+) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    for name in ["e1", "e2", "e3"] {
+        let asked = Arc::clone(&asked);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return whole_stream(&req, 3);
+            }
+            let mut asked = asked.lock().unwrap();
+            asked.push(name);
+            match asked.as_slice() {
+                [_] => vec![
+                    send(stream_head(ID) + &chunk(&event(1))),
+                    Step::Wait(SILENCE),
+                    send(chunk(&event(2)) + &chunk(&event(3)) + "0\r\n\r\n"),
+                ],
+                [first, ..] if *first == name => whole_stream(&req, 3),
+                _ => next_steps(next, &req),
+            }
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", ID).await;
+    let mut asked = asked.lock().unwrap().clone();
+    assert!(
+        reply.complete,
+        "broken off after {:?}, asked {asked:?}",
+        reply.text()
+    );
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 2, "endpoints that were asked: {asked:?}");
+}
