Keep an answer that is being written until its request's deadline

Callers saw an answer cut off after a part of it when their link, or they themselves, paused for longer than the idle limit of the table. An operator who shortens the limit to a second thereby cuts long answers.

Cause: once the last byte of an answer is passed to the connection, the request counts as answered, and the idle limit counts from the last write, also while bytes wait for the caller. Only streams had a deadline of their answer.

Whole answers carry their deadline now, too, and while bytes wait for the caller, the connection is closed at the later of the idle limit and that deadline. Idle connections close as before.

Evidence: an_answer_that_is_being_written_outlasts_a_short_idle_limit (7 MiB, idle limit 1 s, a caller that pauses for 2.5 s) failed before for a whole answer and passes; its second case, the end of a stream, passed before, too.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -224,7 +224,10 @@
                 (p.active_at, timeouts.idle, stalled)
             }
         };
-        Some((since.checked_add(timeout)?, cause))
+        let at = since.checked_add(timeout)?;
+        // The idle limit may be shorter than a pause of the link to a caller that waits.
+        let answer_deadline = p.answer_deadline.filter(|_| p.unwritten);
+        Some((answer_deadline.map_or(at, |due| at.max(due)), cause))
     }
 
     /// Returns the id of the request without a complete answer, if there is one; it is
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -10,6 +10,7 @@
 use anvilloft_gateway::body::ReadLimits;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::memory::BodyMemoryGuard;
+use anvilloft_gateway::serve::AnswerDeadline;
 use anvilloft_gateway::serve::Handler;
 use anvilloft_routes::Route;
 use anvilloft_routes::RouteTable;
@@ -24,6 +25,7 @@
 use http::header;
 use http_body::Body as _;
 use prometheus::IntGauge;
+use tokio::time::Instant;
 use volo_http::body::Body;
 
 use crate::adapter::RequestHead;
@@ -432,12 +434,15 @@
             });
         }
         let mut resp = Response::from_parts(response_head(&answer), Body::empty());
-        let began_at = cx.now();
+        let (began_at, began) = (cx.now(), Instant::now());
         let left = outbound.deadline.saturating_sub(began_at);
         let status = answer.status;
         match answer.read_to_end(left).await {
             Ok(body) => {
                 *resp.body_mut() = Body::from(body);
+                if let Some(at) = began.checked_add(left) {
+                    resp.extensions_mut().insert(AnswerDeadline(at));
+                }
                 if status.is_success() {
                     crashes::record_answer(cx, &outbound.traits);
                 }
--- a/crates/relay/tests/relay/connections.rs
+++ b/crates/relay/tests/relay/connections.rs
@@ -15,8 +15,11 @@
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
+use crate::common::call;
+use crate::common::chunk;
 use crate::common::eventually;
 use crate::common::send;
+use crate::common::stream_head;
 
 /// Returns the bytes of a request without a body.
 fn request(path: &str, id: &str) -> Vec<u8> {
@@ -235,3 +238,45 @@
     // Every request that reached the endpoint was answered.
     assert_eq!(seen.load(Ordering::Relaxed), answers + 1);
 }
+
+/// Guards against an answer that is cut off by the idle limit of its connection, which a
+/// table has made shorter than a pause of the caller's link.
+#[rstest::rstest]
+#[case::whole("/any/x")]
+#[case::end_of_a_stream("/stream/x")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_being_written_outlasts_a_short_idle_limit(#[case] path: &str) {
+    // More than the buffers of both sockets take.
+    const LEN: usize = 7 * 1024 * 1024;
+    const PAUSE: Duration = Duration::from_millis(2_500);
+    let fleet = Fleet::start(1).await;
+    fleet.publish_idle_limit(1, 1_000).await;
+    let endpoint = RawEndpoint::start(|req| {
+        let body = match req.attempt.as_str() {
+            "long" => "x".repeat(LEN),
+            _ => "done".to_owned(),
+        };
+        match req.head.starts_with("post /stream/") {
+            false => vec![send(whole_answer(&req.attempt, &body))],
+            true => {
+                let events: String = (1..=8)
+                    .map(|id| chunk(&format!("id: {id}\ndata: {}\n\n", &body[..body.len() / 8])))
+                    .collect();
+                vec![send(stream_head(&req.attempt) + &events + "0\r\n\r\n")]
+            }
+        }
+    });
+    let endpoint = endpoint.await.unwrap();
+    for service in ["plain", "engines"] {
+        fleet.announce(&format!("e-{service}"), endpoint.addr, service);
+    }
+    while fleet.send(0, path, "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let call = call(path, "body", "long");
+    let mut open = call.open(fleet.relays[0].address()).await.unwrap();
+    tokio::time::sleep(PAUSE).await;
+    let reply = open.read_reply(CALL_TIMEOUT).await;
+    assert_eq!(reply.status, 200);
+    assert!(reply.complete, "cut off after {} bytes", reply.body.len());
+}
