Keep a silent endpoint until the next one sends an event

Callers saw a stream break off, or end without its last bytes, although the endpoint that had it was sound and only silent for a while.

Cause: at a handover, the silent endpoint was left as soon as the other one had sent the header of an answer. That answer could still end, break off or begin with events that don't follow. One case needs no faulty endpoint: the silence falls between the last event and the end of the stream, and the other endpoint has nothing to send after that event.

The silent endpoint is kept now until the first event of the other one, for the 200 ms that a handover may take in all, so that two engines have a stream for no longer than before. If the other answer ends or breaks off without an event, it is dropped, and the first endpoint goes on. An endpoint to which a stream has returned is no longer counted as left; a stream that it broke off again was sent to it until the deadline.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -87,6 +87,19 @@
         self.is_resuming = true;
     }
 
+    /// Returns a splitter for the answer of another endpoint, as [`resume`](Self::resume)
+    /// prepares it.
+    pub fn resumed(&self) -> Self {
+        Self {
+            buf: BytesMut::new(),
+            scanned: 0,
+            order: self.order.clone(),
+            events: self.events,
+            is_resuming: true,
+            ends_without_id: self.ends_without_id,
+        }
+    }
+
     /// Returns whether another endpoint goes on with the stream and has sent no event
     /// yet.
     pub fn is_resuming(&self) -> bool {
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -26,7 +26,7 @@
 
 /// Maximum time for which two engines have the same request, and for which a connection
 /// to the other endpoint may take. An endpoint that is full says so at once.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const HANDOVER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which another endpoint is asked for again.
 pub(crate) const ASK_INTERVAL: Duration = Duration::from_millis(300);
 
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -146,7 +146,11 @@
     loop {
         let found = find_continuation(cx, outbound, progress, last_event, running.take()).await;
         let failure = match found {
-            Ok(answered) => return Ok(answered),
+            Ok(answered) => {
+                let endpoint = &answered.in_flight.pick.endpoint;
+                progress.left.retain(|p| p.endpoint != *endpoint);
+                return Ok(answered);
+            }
             Err(SendFailure::DeadlineExceeded) => return Err(StreamError::DeadlineExceeded),
             Err(failure) => failure,
         };
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -46,6 +46,7 @@
 use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
+use crate::handover::HANDOVER_TIMEOUT;
 use crate::handover::SilentEndpoint;
 use crate::handover::is_alive;
 use crate::handover::log_silence;
@@ -379,8 +380,9 @@
                 self.progress.record(&result);
                 match result {
                     AttemptResult::Answered(answered) if can_continue(&answered.answer) => {
-                        self.leave_silent();
-                        self.go_on_with(*answered);
+                        let asked_for = self.cx.now().saturating_sub(now);
+                        let limit = HANDOVER_TIMEOUT.saturating_sub(asked_for);
+                        return self.wait_for_first_event(*answered, limit).await;
                     }
                     AttemptResult::Answered(answered) => {
                         answered.discard(&self.cx, &self.outbound);
@@ -406,6 +408,64 @@
         }
     }
 
+    /// Goes on with another endpoint's answer once it brings an event, or after `limit`.
+    /// The current endpoint goes on if it is heard before, or if the other one ends or
+    /// breaks off without an event.
+    async fn wait_for_first_event(
+        &mut self,
+        mut other: EndpointAnswer,
+        limit: Duration,
+    ) -> Option<Read> {
+        let has_begun = self.has_begun();
+        let mut splitter = match has_begun {
+            true => self.splitter.resumed(),
+            false => EventSplitter::default(),
+        };
+        let mut comments = BytesMut::new();
+        let left = self.outbound.deadline.saturating_sub(self.cx.now());
+        let max = max_comments(has_begun);
+        let (_, answer) = self.current.as_mut()?;
+        let current = read_events(answer, &mut self.splitter, &mut self.comments, max, left);
+        let next = read_events(&mut other.answer, &mut splitter, &mut comments, max, left);
+        let read = tokio::select! {
+            biased;
+            read = current => Err(read),
+            read = next => Ok(read),
+            () = tokio::time::sleep(limit) => Ok(Read::Nothing),
+        };
+        match read {
+            Err(Read::Broken(e)) => {
+                self.close_broken(&e);
+                self.take_over(other, splitter, comments);
+                Some(Read::Nothing)
+            }
+            Err(read) => Some(read),
+            Ok(Read::Broken(e)) => {
+                let EndpointAnswer { in_flight, answer } = other;
+                slog::info!(self.cx.log, "answer discarded"; "request" => &self.outbound.id,
+                    "endpoint" => &in_flight.pick.endpoint, "error" => %e);
+                if !self.is_answered && e.is_connection_failure() {
+                    crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
+                }
+                drop(answer);
+                in_flight.end(Outcome::Broken);
+                Some(Read::Nothing)
+            }
+            Ok(read) => {
+                self.leave_silent();
+                self.take_over(other, splitter, comments);
+                Some(read)
+            }
+        }
+    }
+
+    /// Goes on with an answer of which a part was read.
+    fn take_over(&mut self, answered: EndpointAnswer, splitter: EventSplitter, comments: BytesMut) {
+        self.splitter = splitter;
+        self.comments.extend_from_slice(&comments);
+        self.go_on_with(answered);
+    }
+
     /// Closes the connection to the current endpoint, so that its run ends. Returns
     /// whether another endpoint can go on with the stream.
     fn close_current(&mut self, by: &str, error: &str) -> bool {
--- a/crates/relay/tests/relay/returns.rs
+++ b/crates/relay/tests/relay/returns.rs
@@ -92,3 +92,68 @@
     asked.dedup();
     assert_eq!(asked.len(), 2, "endpoints that were asked: {asked:?}");
 }
+
+/// What the next endpoint sends after the header of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AfterHeader {
+    End,
+    Break,
+    /// An event that can't follow.
+    Foreign,
+}
+
+/// Guards against a silent endpoint that is left for one whose answer brings no event,
+/// such as the end of a stream that was silent before its own end only.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_endpoint_is_kept_until_the_next_one_sends_an_event(
+    #[values(1, 3)] events_before: u32,
+    #[values(AfterHeader::End, AfterHeader::Break, AfterHeader::Foreign)] next: AfterHeader,
+) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    for name in ["e1", "e2"] {
+        let asked = Arc::clone(&asked);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return whole_stream(&req, 3);
+            }
+            let mut asked = asked.lock().unwrap();
+            asked.push(name);
+            let events = |ids: std::ops::RangeInclusive<u32>| -> String {
+                ids.map(|id| chunk(&event(id))).collect()
+            };
+            match (asked.len(), next) {
+                (1, _) => vec![
+                    send(stream_head(ID) + &events(1..=events_before)),
+                    Step::Wait(SILENCE),
+                    send(events(events_before + 1..=3) + "0\r\n\r\n"),
+                ],
+                (_, AfterHeader::End) => vec![send(stream_head(ID) + "0\r\n\r\n")],
+                (_, AfterHeader::Break) => vec![
+                    send(stream_head(ID)),
+                    Step::Wait(Duration::from_millis(50)),
+                    Step::Close,
+                ],
+                (_, AfterHeader::Foreign) => {
+                    vec![send(stream_head(ID) + &events(1..=3) + "0\r\n\r\n")]
+                }
+            }
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", ID).await;
+    let asked = asked.lock().unwrap().clone();
+    assert!(
+        reply.complete,
+        "broken off after {:?}, asked {asked:?}",
+        reply.text()
+    );
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    assert_eq!(asked.len(), 2, "requests at endpoints: {asked:?}");
+}
