End a stream where it ran when it was left after its last event

Callers saw a stream with all its events break off when its endpoint, and the next one, were silent for longer than a handover before the end of the stream.

Cause: a continuation without an event counts as cut off, since an endpoint that was only asked to go on can't know the end. That held for the endpoint that had sent the events, too, when the stream returned to it.

An endpoint to which a stream returns may end it without a further event, if its answer has a length or chunks. Any other continuation without an event is still a break.

--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -131,14 +131,14 @@
 
 /// Resumes a stream after the event `last_event` at the endpoint of `running`, or at any
 /// other. If they fail, it returns to an endpoint that was left because it was silent, as
-/// that one may be sound.
+/// that one may be sound. The second value tells whether it did.
 pub(crate) async fn resume_stream(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
     progress: &mut Progress,
     last_event: Option<&str>,
     mut running: Option<Attempt>,
-) -> Result<EndpointAnswer, StreamError> {
+) -> Result<(EndpointAnswer, bool), StreamError> {
     // An endpoint that was full a while ago may have room now.
     progress.forget_refusals();
     let mut returned_to = None;
@@ -149,7 +149,8 @@
             Ok(answered) => {
                 let endpoint = &answered.in_flight.pick.endpoint;
                 progress.left.retain(|p| p.endpoint != *endpoint);
-                return Ok(answered);
+                let has_returned = returned_to.as_ref() == Some(endpoint);
+                return Ok((answered, has_returned));
             }
             Err(SendFailure::DeadlineExceeded) => return Err(StreamError::DeadlineExceeded),
             Err(failure) => failure,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -103,6 +103,8 @@
     /// Current endpoint and its answer; `None` after the end of the stream.
     current: Option<(InFlightRequest, EndpointResponse)>,
     splitter: EventSplitter,
+    /// Whether the current endpoint has sent events before it was left.
+    has_returned: bool,
     /// Status and headers of the current answer, until the first event.
     head: http::response::Parts,
     /// Events without data or an id that the caller has not got yet.
@@ -139,14 +141,17 @@
                     return read;
                 }
             }
-            Ok(None) => return read_end(answer, splitter),
+            Ok(None) => return read_end(answer, splitter, false),
             Err(e) => return Read::Broken(e),
         }
     }
 }
 
-fn read_end(answer: &EndpointResponse, splitter: &EventSplitter) -> Read {
-    match is_cut_off(splitter, answer) {
+/// Returns what the end of an answer means. `has_returned` tells that the endpoint has sent
+/// events before it was left, and may have had nothing more to send.
+fn read_end(answer: &EndpointResponse, splitter: &EventSplitter, has_returned: bool) -> Read {
+    let is_whole = has_returned && answer.is_framed();
+    match !is_whole && is_cut_off(splitter, answer) {
         true => Read::Broken(ClientError::Broken("the end before the last event".into())),
         false => Read::End,
     }
@@ -230,7 +235,7 @@
                     max_comments(has_begun),
                     &bytes,
                 ),
-                Ok(None) => read_end(answer, &self.splitter),
+                Ok(None) => read_end(answer, &self.splitter, self.has_returned),
                 Err(ClientError::Timeout(_)) if can_move => self.hand_over().await?,
                 Err(ClientError::Timeout(_)) => Read::Nothing,
                 Err(e) => Read::Broken(e),
@@ -519,6 +524,7 @@
             self.head = response_head(&answer);
         }
         self.current = Some((in_flight, answer));
+        self.has_returned = false;
         self.silence.heard(self.cx.now());
         self.kept_for = None;
     }
@@ -540,8 +546,9 @@
         let (cx, outbound) = (&self.cx, &self.outbound);
         let last_event = last_event.as_deref();
         match resume_stream(cx, outbound, &mut self.progress, last_event, running).await {
-            Ok(answered) => {
+            Ok((answered, has_returned)) => {
                 self.go_on_with(answered);
+                self.has_returned = has_returned;
                 Read::Nothing
             }
             Err(err) => Read::Failed(err),
@@ -594,6 +601,7 @@
             head: response_head(&answer),
             current: Some((in_flight, answer)),
             splitter: EventSplitter::default(),
+            has_returned: false,
             comments: BytesMut::new(),
             first_event_at: None,
             is_answered: false,
--- a/crates/relay/tests/relay/returns.rs
+++ b/crates/relay/tests/relay/returns.rs
@@ -157,3 +157,51 @@
     assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
     assert_eq!(asked.len(), 2, "requests at endpoints: {asked:?}");
 }
+
+/// Guards against a whole stream that is broken off because its endpoint was silent, and
+/// was left, between the last event and the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_was_left_after_its_last_event_ends_where_it_began() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    for name in ["e1", "e2"] {
+        let asked = Arc::clone(&asked);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return whole_stream(&req, 3);
+            }
+            let mut asked = asked.lock().unwrap();
+            asked.push(name);
+            let wait = match asked.len() {
+                1 => SILENCE,
+                2 => LATER,
+                _ => Duration::ZERO,
+            };
+            // The first one is resumed after the last event, too.
+            let Step::Send(answer) = whole_stream(&req, 3).remove(0) else {
+                unreachable!("an answer");
+            };
+            let answer = String::from_utf8(answer).unwrap();
+            let (begun, end) = answer.split_at(answer.len() - "0\r\n\r\n".len());
+            match asked.len() {
+                1 => vec![send(begun), Step::Wait(wait), send(end)],
+                _ => vec![Step::Wait(wait), send(answer)],
+            }
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", ID).await;
+    let asked = asked.lock().unwrap().clone();
+    assert!(
+        reply.complete,
+        "broken off after {:?}, asked {asked:?}",
+        reply.text()
+    );
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
+}
