--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -260,11 +260,12 @@
 
     /// Parses what was received so far.
     pub fn reply(&self) -> Reply {
-        parse(&self.raw)
+        parse_reply(&self.raw)
     }
 }
 
-fn parse(raw: &[u8]) -> Reply {
+/// Parses what was received of a response so far.
+pub fn parse_reply(raw: &[u8]) -> Reply {
     let Some(end) = raw.windows(4).position(|w| w == b"\r\n\r\n") else {
         return Reply::default();
     };
