--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -38,7 +38,6 @@
 use crate::attempt::InFlightRequest;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
-use crate::attempt::SendFailure;
 use crate::attempt::ended_by;
 use crate::attempt::judge;
 use crate::charge::Charge;
@@ -47,15 +46,16 @@
 use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
+use crate::handover::HANDOVER_TIMEOUT;
 use crate::handover::SilentEndpoint;
 use crate::handover::is_alive;
 use crate::handover::log_silence;
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
 use crate::resume::can_continue;
-use crate::resume::find_continuation;
 use crate::resume::is_cut_off;
 use crate::resume::is_event_stream;
+use crate::resume::resume_stream;
 use crate::state::RelayState;
 
 /// Pause between events after which a resumable stream is offered to another endpoint,
@@ -65,8 +65,6 @@
 const FAILED_AFTER_GAPS: u32 = 3;
 /// Maximum length of what precedes the first event with data or an id, in bytes.
 const MAX_PREFACE_BYTES: usize = 64 * 1024;
-/// Maximum number of times that a broken stream is offered to endpoints that were full.
-const MAX_RESUMPTIONS: u32 = 5;
 
 quick_error! {
     /// Why a stream ended before its last event. The caller sees a broken connection.
@@ -105,6 +103,8 @@
     /// Current endpoint and its answer; `None` after the end of the stream.
     current: Option<(InFlightRequest, EndpointResponse)>,
     splitter: EventSplitter,
+    /// Whether the current endpoint has sent events before it was left.
+    has_returned: bool,
     /// Status and headers of the current answer, until the first event.
     head: http::response::Parts,
     /// Events without data or an id that the caller has not got yet.
@@ -141,14 +141,17 @@
                     return read;
                 }
             }
-            Ok(None) => return read_end(answer, splitter),
+            Ok(None) => return read_end(answer, splitter, false),
             Err(e) => return Read::Broken(e),
         }
     }
 }
 
-fn read_end(answer: &EndpointResponse, splitter: &EventSplitter) -> Read {
-    match is_cut_off(splitter, answer) {
+/// Returns what the end of an answer means. `has_returned` tells that the endpoint has sent
+/// events before it was left, and may have had nothing more to send.
+fn read_end(answer: &EndpointResponse, splitter: &EventSplitter, has_returned: bool) -> Read {
+    let is_whole = has_returned && answer.is_framed();
+    match !is_whole && is_cut_off(splitter, answer) {
         true => Read::Broken(ClientError::Broken("the end before the last event".into())),
         false => Read::End,
     }
@@ -232,7 +235,7 @@
                     max_comments(has_begun),
                     &bytes,
                 ),
-                Ok(None) => read_end(answer, &self.splitter),
+                Ok(None) => read_end(answer, &self.splitter, self.has_returned),
                 Err(ClientError::Timeout(_)) if can_move => self.hand_over().await?,
                 Err(ClientError::Timeout(_)) => Read::Nothing,
                 Err(e) => Read::Broken(e),
@@ -382,11 +385,9 @@
                 self.progress.record(&result);
                 match result {
                     AttemptResult::Answered(answered) if can_continue(&answered.answer) => {
-                        self.close_current(
-                            "router",
-                            "silent while another endpoint has the request",
-                        );
-                        self.go_on_with(*answered);
+                        let asked_for = self.cx.now().saturating_sub(now);
+                        let limit = HANDOVER_TIMEOUT.saturating_sub(asked_for);
+                        return self.wait_for_first_event(*answered, limit).await;
                     }
                     AttemptResult::Answered(answered) => {
                         answered.discard(&self.cx, &self.outbound);
@@ -406,12 +407,70 @@
                 Some(Read::Nothing)
             }
             First::Nobody => {
-                self.close_current("router", "silent while another endpoint has the request");
+                self.leave_silent();
                 Some(self.resume_at(Some(other)).await)
             }
         }
     }
 
+    /// Goes on with another endpoint's answer once it brings an event, or after `limit`.
+    /// The current endpoint goes on if it is heard before, or if the other one ends or
+    /// breaks off without an event.
+    async fn wait_for_first_event(
+        &mut self,
+        mut other: EndpointAnswer,
+        limit: Duration,
+    ) -> Option<Read> {
+        let has_begun = self.has_begun();
+        let mut splitter = match has_begun {
+            true => self.splitter.resumed(),
+            false => EventSplitter::default(),
+        };
+        let mut comments = BytesMut::new();
+        let left = self.outbound.deadline.saturating_sub(self.cx.now());
+        let max = max_comments(has_begun);
+        let (_, answer) = self.current.as_mut()?;
+        let current = read_events(answer, &mut self.splitter, &mut self.comments, max, left);
+        let next = read_events(&mut other.answer, &mut splitter, &mut comments, max, left);
+        let read = tokio::select! {
+            biased;
+            read = current => Err(read),
+            read = next => Ok(read),
+            () = tokio::time::sleep(limit) => Ok(Read::Nothing),
+        };
+        match read {
+            Err(Read::Broken(e)) => {
+                self.close_broken(&e);
+                self.take_over(other, splitter, comments);
+                Some(Read::Nothing)
+            }
+            Err(read) => Some(read),
+            Ok(Read::Broken(e)) => {
+                let EndpointAnswer { in_flight, answer } = other;
+                slog::info!(self.cx.log, "answer discarded"; "request" => &self.outbound.id,
+                    "endpoint" => &in_flight.pick.endpoint, "error" => %e);
+                if !self.is_answered && e.is_connection_failure() {
+                    crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
+                }
+                drop(answer);
+                in_flight.end(Outcome::Broken);
+                Some(Read::Nothing)
+            }
+            Ok(read) => {
+                self.leave_silent();
+                self.take_over(other, splitter, comments);
+                Some(read)
+            }
+        }
+    }
+
+    /// Goes on with an answer of which a part was read.
+    fn take_over(&mut self, answered: EndpointAnswer, splitter: EventSplitter, comments: BytesMut) {
+        self.splitter = splitter;
+        self.comments.extend_from_slice(&comments);
+        self.go_on_with(answered);
+    }
+
     /// Closes the connection to the current endpoint, so that its run ends. Returns
     /// whether another endpoint can go on with the stream.
     fn close_current(&mut self, by: &str, error: &str) -> bool {
@@ -437,6 +496,14 @@
         can_resume
     }
 
+    /// Closes the connection to the current endpoint, which may be sound.
+    fn leave_silent(&mut self) {
+        if let Some((in_flight, _)) = &self.current {
+            self.progress.record_left(in_flight.pick.clone());
+        }
+        self.close_current("router", "silent while another endpoint has the request");
+    }
+
     /// Closes the connection to an endpoint that broke the stream. Returns whether another
     /// endpoint can go on with it.
     fn close_broken(&mut self, error: &ClientError) -> bool {
@@ -457,6 +524,7 @@
             self.head = response_head(&answer);
         }
         self.current = Some((in_flight, answer));
+        self.has_returned = false;
         self.silence.heard(self.cx.now());
         self.kept_for = None;
     }
@@ -473,36 +541,18 @@
     }
 
     /// Resumes the stream at the endpoint of a running attempt, or at any other.
-    async fn resume_at(&mut self, mut running: Option<Attempt>) -> Read {
+    async fn resume_at(&mut self, running: Option<Attempt>) -> Read {
         let last_event = self.splitter.last_id().map(str::to_owned);
-        // An endpoint that was full a while ago may have room now.
-        self.progress.forget_refusals();
-        for _ in 0..MAX_RESUMPTIONS {
-            let found = find_continuation(
-                &self.cx,
-                &self.outbound,
-                &mut self.progress,
-                last_event.as_deref(),
-                running.take(),
-            )
-            .await;
-            match found {
-                Ok(answered) => {
-                    self.go_on_with(answered);
-                    return Read::Nothing;
-                }
-                Err(SendFailure::Full | SendFailure::Paused(_)) => {
-                    let left = self.outbound.deadline.saturating_sub(self.cx.now());
-                    tokio::time::sleep(ASK_INTERVAL.min(left)).await;
-                    self.progress.forget_refusals();
-                }
-                Err(SendFailure::DeadlineExceeded) => {
-                    return Read::Failed(StreamError::DeadlineExceeded);
-                }
-                Err(_) => return Read::Failed(StreamError::EndpointFailed),
+        let (cx, outbound) = (&self.cx, &self.outbound);
+        let last_event = last_event.as_deref();
+        match resume_stream(cx, outbound, &mut self.progress, last_event, running).await {
+            Ok((answered, has_returned)) => {
+                self.go_on_with(answered);
+                self.has_returned = has_returned;
+                Read::Nothing
             }
+            Err(err) => Read::Failed(err),
         }
-        Read::Failed(StreamError::EndpointFailed)
     }
 }
 
@@ -551,6 +601,7 @@
             head: response_head(&answer),
             current: Some((in_flight, answer)),
             splitter: EventSplitter::default(),
+            has_returned: false,
             comments: BytesMut::new(),
             first_event_at: None,
             is_answered: false,
--- /dev/null
+++ b/crates/relay/tests/relay/returns.rs
@@ -0,0 +1,207 @@
+//! Endpoints that were left because they were silent, and are asked again.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::ReceivedRequest;
+use anvilloft_fakes::raw::Step;
+
+use crate::common::Fleet;
+use crate::common::chunk;
+use crate::common::event;
+use crate::common::send;
+use crate::common::stream_head;
+use crate::common::whole_stream;
+
+/// Id of the request that meets the silence.
+const ID: &str = "silent";
+/// Silence that is longer than three pauses of the route.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Time after which the next endpoint ends its part: longer than a handover.
+const LATER: Duration = Duration::from_millis(500);
+
+/// How the next endpoint ends its part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    Fails,
+    BreaksOff,
+    Refuses,
+    /// It is another endpoint by now.
+    AnswersForAnother,
+}
+
+fn next_steps(next: Next, req: &ReceivedRequest) -> Vec<Step> {
+    let status = match next {
+        Next::Fails => "500 Failed\r\n",
+        Next::BreaksOff => return vec![Step::Wait(LATER), Step::Close],
+        Next::Refuses => "503 Full\r\nx-anvilloft-refused: not-run\r\n",
+        Next::AnswersForAnother => "200 Ok\r\ncontent-type: text/plain\r\n",
+    };
+    let answer = format!(
+        "HTTP/1.1 {status}x-anvilloft-attempt: {}\r\ncontent-length: 0\r\n\r\n",
+        req.attempt
+    );
+    vec![Step::Wait(LATER), send(answer)]
+}
+
+/// Guards against a stream that the router breaks off because it left a silent endpoint
+/// for one that fails, although the first one is sound.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_returns_to_the_silent_endpoint_that_it_left_when_the_next_one_fails(
+    #[values(Next::Fails, Next::BreaksOff, Next::Refuses, Next::AnswersForAnother)] next: Next,
+) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    for name in ["e1", "e2", "e3"] {
+        let asked = Arc::clone(&asked);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return whole_stream(&req, 3);
+            }
+            let mut asked = asked.lock().unwrap();
+            asked.push(name);
+            match asked.as_slice() {
+                [_] => vec![
+                    send(stream_head(ID) + &chunk(&event(1))),
+                    Step::Wait(SILENCE),
+                    send(chunk(&event(2)) + &chunk(&event(3)) + "0\r\n\r\n"),
+                ],
+                [first, ..] if *first == name => whole_stream(&req, 3),
+                _ => next_steps(next, &req),
+            }
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", ID).await;
+    let mut asked = asked.lock().unwrap().clone();
+    assert!(
+        reply.complete,
+        "broken off after {:?}, asked {asked:?}",
+        reply.text()
+    );
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 2, "endpoints that were asked: {asked:?}");
+}
+
+/// What the next endpoint sends after the header of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AfterHeader {
+    End,
+    Break,
+    /// An event that can't follow.
+    Foreign,
+}
+
+/// Guards against a silent endpoint that is left for one whose answer brings no event,
+/// such as the end of a stream that was silent before its own end only.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_endpoint_is_kept_until_the_next_one_sends_an_event(
+    #[values(1, 3)] events_before: u32,
+    #[values(AfterHeader::End, AfterHeader::Break, AfterHeader::Foreign)] next: AfterHeader,
+) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    for name in ["e1", "e2"] {
+        let asked = Arc::clone(&asked);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return whole_stream(&req, 3);
+            }
+            let mut asked = asked.lock().unwrap();
+            asked.push(name);
+            let events = |ids: std::ops::RangeInclusive<u32>| -> String {
+                ids.map(|id| chunk(&event(id))).collect()
+            };
+            match (asked.len(), next) {
+                (1, _) => vec![
+                    send(stream_head(ID) + &events(1..=events_before)),
+                    Step::Wait(SILENCE),
+                    send(events(events_before + 1..=3) + "0\r\n\r\n"),
+                ],
+                (_, AfterHeader::End) => vec![send(stream_head(ID) + "0\r\n\r\n")],
+                (_, AfterHeader::Break) => vec![
+                    send(stream_head(ID)),
+                    Step::Wait(Duration::from_millis(50)),
+                    Step::Close,
+                ],
+                (_, AfterHeader::Foreign) => {
+                    vec![send(stream_head(ID) + &events(1..=3) + "0\r\n\r\n")]
+                }
+            }
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", ID).await;
+    let asked = asked.lock().unwrap().clone();
+    assert!(
+        reply.complete,
+        "broken off after {:?}, asked {asked:?}",
+        reply.text()
+    );
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    assert_eq!(asked.len(), 2, "requests at endpoints: {asked:?}");
+}
+
+/// Guards against a whole stream that is broken off because its endpoint was silent, and
+/// was left, between the last event and the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_was_left_after_its_last_event_ends_where_it_began() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    for name in ["e1", "e2"] {
+        let asked = Arc::clone(&asked);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return whole_stream(&req, 3);
+            }
+            let mut asked = asked.lock().unwrap();
+            asked.push(name);
+            let wait = match asked.len() {
+                1 => SILENCE,
+                2 => LATER,
+                _ => Duration::ZERO,
+            };
+            // The first one is resumed after the last event, too.
+            let Step::Send(answer) = whole_stream(&req, 3).remove(0) else {
+                unreachable!("an answer");
+            };
+            let answer = String::from_utf8(answer).unwrap();
+            let (begun, end) = answer.split_at(answer.len() - "0\r\n\r\n".len());
+            match asked.len() {
+                1 => vec![send(begun), Step::Wait(wait), send(end)],
+                _ => vec![Step::Wait(wait), send(answer)],
+            }
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", ID).await;
+    let asked = asked.lock().unwrap().clone();
+    assert!(
+        reply.complete,
+        "broken off after {:?}, asked {asked:?}",
+        reply.text()
+    );
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
+}
