Close the connection of an endpoint's answer that is of no use

Such an answer is only found to be of no use when its events are read, and its connection had returned to the pool by then, though the code that drops the answer says that it closes the connection. The next request was written on it while the endpoint closed it.

An endpoint's response now keeps its connection until it is dropped, and close() keeps it out of the pool. The received requests of raw endpoints tell their connection.

Ruled out: a reset that overtakes events (the trace shows failures before any byte of an answer, on kept connections only), unknown or avoided endpoints, the search for crashed endpoints ("not sent again" names endpoint_limit).

--- a/crates/fakes/src/raw.rs
+++ b/crates/fakes/src/raw.rs
@@ -21,6 +21,8 @@
 pub struct ReceivedRequest {
     /// Number of the request, counted from 0 over all connections.
     pub number: u64,
+    /// Number of its connection, counted from 0.
+    pub connection: u64,
     /// Attempt id in the request's header.
     pub attempt: String,
     /// Request line and headers, converted to lower case.
@@ -89,7 +91,7 @@
         let crash = Arc::new(crash);
         let mut listener_crashed = crashed.clone();
         tokio::spawn(async move {
-            loop {
+            for connection in 0.. {
                 let accepted = tokio::select! {
                     accepted = listener.accept() => accepted,
                     _ = listener_crashed.changed() => return,
@@ -102,7 +104,7 @@
                 let (crash, mut crashed) = (Arc::clone(&crash), crashed.clone());
                 tokio::spawn(async move {
                     tokio::select! {
-                        _ = serve(stream, &counter, &*script, &crash) => {}
+                        _ = serve(stream, connection, &counter, &*script, &crash) => {}
                         _ = crashed.changed() => {}
                     }
                 });
@@ -131,6 +133,7 @@
 
 async fn serve(
     mut stream: TcpStream,
+    connection: u64,
     counter: &AtomicU64,
     script: &(dyn Fn(ReceivedRequest) -> Vec<Step> + Send + Sync),
     crash: &watch::Sender<bool>,
@@ -162,6 +165,7 @@
         buf.drain(..head_end + length);
         let req = ReceivedRequest {
             number: counter.fetch_add(1, Ordering::Relaxed),
+            connection,
             attempt: field("x-anvilloft-attempt"),
             head: head.clone(),
             body,
--- a/crates/gateway/src/client/response.rs
+++ b/crates/gateway/src/client/response.rs
@@ -23,7 +23,8 @@
 /// they have already arrived.
 const COALESCE_LIMIT_BYTES: usize = 32 * 1024;
 
-/// An endpoint's response to one attempt.
+/// An endpoint's response to one attempt. Dropping it returns the connection to the pool
+/// if the end of the response has been read, and closes it otherwise.
 pub struct EndpointResponse {
     /// HTTP status.
     pub status: StatusCode,
@@ -48,6 +49,12 @@
         self.is_framed
     }
 
+    /// Closes the connection, as the response is of no use. Its endpoint may not keep to
+    /// the protocol.
+    pub fn close(mut self) {
+        self.conn = None;
+    }
+
     /// Returns how long the connection may stay idle: three quarters of the time in
     /// the endpoint's `keep-alive` header, because the endpoint starts counting
     /// earlier, and at most the client's own timeout.
@@ -94,10 +101,6 @@
                     // The driver must process the end of the exchange before the
                     // connection can return to the pool.
                     conn.drive(cx);
-                    if let Some(mut conn) = self.conn.take() {
-                        conn.max_idle = self.max_idle();
-                        self.client.put_idle(self.addr, conn);
-                    }
                 }
                 Poll::Pending => {
                     if !chunks.is_empty() {
@@ -178,3 +181,14 @@
         Ok(chunks.join().unwrap_or_default())
     }
 }
+
+impl Drop for EndpointResponse {
+    fn drop(&mut self) {
+        if self.body.is_none()
+            && let Some(mut conn) = self.conn.take()
+        {
+            conn.max_idle = self.max_idle();
+            self.client.put_idle(self.addr, conn);
+        }
+    }
+}
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -113,7 +113,7 @@
             false => Outcome::Failed,
         };
         // Closes the connection first, so that two runs never overlap.
-        drop(answer);
+        answer.close();
         in_flight.end(outcome);
         progress.may_have_run = true;
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -419,7 +419,7 @@
             return false;
         };
         let can_resume = is_resumable(&answer, &self.splitter);
-        drop(answer);
+        answer.close();
         let silent_for = self.silence.silent_for(self.cx.now());
         slog::info!(self.cx.log, "endpoint broke off"; "request" => &self.outbound.id,
             "endpoint" => &in_flight.pick.endpoint, "error" => error,
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod loans;
 mod notices;
 mod overlaps;
+mod pool;
 mod refusals;
 mod requests;
 mod resumes;
