Send a request again on a new connection after a break

After an attempt with an unknown outcome, all further ones use new connections, as attempts beside a silent endpoint do already.

Before, on: a_second_stale_connection_fails_no_request failed with a 502 in both cases; an_odd_answer_is_never_joined_to_a_broken_stream failed in 3 of 46 runs, six or eight at a time. Its trace: "attempt failed", written, "connection error" on kept connections to two endpoints, then "not sent again", endpoint_limit.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -423,8 +423,9 @@
 ) -> InFlightRequest {
     progress.tried.push(pick.endpoint.clone());
     // On a kept connection, a second copy of the answer to the earlier attempt would
-    // have the expected id.
-    let new_connection = progress.addresses.contains(&pick.address);
+    // have the expected id. After a break, idle connections to other endpoints may be
+    // stale too.
+    let new_connection = progress.may_have_run || progress.addresses.contains(&pick.address);
     progress.addresses.push(pick.address);
     InFlightRequest {
         cx: Arc::clone(cx),
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -3,10 +3,13 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
+use anvilloft_fakes::raw::whole_answer;
 
 use crate::common::Fleet;
 use crate::common::chunk;
@@ -18,6 +21,61 @@
 /// Number of the last event of each stream.
 const LAST: u32 = 3;
 
+/// Guards against a request that fails as the idle connections to two endpoints were
+/// closed while it was sent on them.
+#[rstest::rstest]
+#[case::plain("any", "plain")]
+#[case::stream("stream", "engines")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_stale_connection_fails_no_request(
+    #[case] path: &'static str,
+    #[case] service: &'static str,
+) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let is_stale = Arc::new(AtomicBool::new(false));
+    let mut endpoints = Vec::new();
+    for name in ["e1", "e2"] {
+        let (used, is_stale) = (Mutex::new(HashSet::new()), Arc::clone(&is_stale));
+        let endpoint = RawEndpoint::start(move |req| {
+            let is_new = used.lock().unwrap().insert(req.connection);
+            if !is_new && is_stale.load(Ordering::Relaxed) {
+                return vec![Step::Close];
+            }
+            let mut steps = match req.head.contains("/any/") {
+                true => vec![send(whole_answer(&req.attempt, "done"))],
+                false => whole_stream(&req, LAST),
+            };
+            steps.insert(0, Step::Wait(Duration::from_millis(20)));
+            steps
+        });
+        let endpoint = endpoint.await.unwrap();
+        fleet.announce(name, endpoint.addr, service);
+        endpoints.push(endpoint);
+    }
+    let path = format!("/{path}/x");
+    let is_used = |e: &RawEndpoint| e.request_count.load(Ordering::Relaxed) > 0;
+    for round in 0..100 {
+        let ids: Vec<String> = (0..8).map(|n| format!("w{round}-{n}")).collect();
+        let warm_up = ids.iter().map(|id| fleet.send(0, &path, id));
+        for reply in futures::future::join_all(warm_up).await {
+            assert_eq!((reply.status, reply.complete), (200, true));
+        }
+        if endpoints.iter().all(is_used) {
+            break;
+        }
+    }
+    assert!(endpoints.iter().all(is_used), "an endpoint gets no request");
+    is_stale.store(true, Ordering::Relaxed);
+    let reply = fleet.send(0, &path, "r").await;
+    assert_eq!(
+        (reply.status, reply.complete),
+        (200, true),
+        "{}",
+        reply.text()
+    );
+}
+
 /// Guards against a request on the connection of an answer that was of no use.
 #[rstest::rstest]
 #[case::repeated_events(&[1, 2, 3])]
