Read an endpoint's answer to its end after a failed write

Callers could get a 502 endpoint_failed although the whole answer had arrived at the router: an endpoint that answers before it has read the whole request resets the connection, and the client closed it at the error of its next write, with bytes of the answer unread in its socket.

The client's stream now keeps the error of a write until all bytes have been read. A failed write takes the socket's error, so that the read that follows sees a plain end; it returns the kept error then, and an answer without a length isn't taken for whole.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -164,11 +164,11 @@
         stream.set_nodelay(true).ok();
         let written = Arc::new(AtomicU64::new(0));
         let received = Arc::new(AtomicU64::new(0));
-        let io = TokioIo::new(CountingStream {
-            inner: stream,
-            written: Arc::clone(&written),
-            received: Arc::clone(&received),
-        });
+        let io = TokioIo::new(CountingStream::new(
+            stream,
+            Arc::clone(&written),
+            Arc::clone(&received),
+        ));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(io)
--- a/crates/gateway/src/counting_stream.rs
+++ b/crates/gateway/src/counting_stream.rs
@@ -1,5 +1,7 @@
-//! TCP stream that counts the bytes it has sent and received.
+//! TCP stream that counts the bytes it has sent and received, and that can be read to its
+//! end after a write has failed.
 
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -13,10 +15,40 @@
 use tokio::net::TcpStream;
 
 /// Counts the bytes that the kernel has accepted for sending, and those received.
+///
+/// A peer that answers before it has read a whole request resets the connection. Its
+/// answer may have arrived by then, so an error of a write is only returned once all
+/// bytes have been read; until then, bytes to send are dropped.
 pub(crate) struct CountingStream {
-    pub(crate) inner: TcpStream,
-    pub(crate) written: Arc<AtomicU64>,
-    pub(crate) received: Arc<AtomicU64>,
+    inner: TcpStream,
+    written: Arc<AtomicU64>,
+    received: Arc<AtomicU64>,
+    write_error: Option<io::ErrorKind>,
+}
+
+impl CountingStream {
+    pub(crate) fn new(inner: TcpStream, written: Arc<AtomicU64>, received: Arc<AtomicU64>) -> Self {
+        Self {
+            inner,
+            written,
+            received,
+            write_error: None,
+        }
+    }
+
+    /// Records the result of a write of `len` bytes.
+    fn record_write(&mut self, result: io::Result<usize>, len: usize) -> usize {
+        match result {
+            Ok(n) => {
+                self.written.fetch_add(n as u64, Ordering::Relaxed);
+                n
+            }
+            Err(e) => {
+                self.write_error = Some(e.kind());
+                len
+            }
+        }
+    }
 }
 
 impl AsyncRead for CountingStream {
@@ -24,12 +56,19 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
+    ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        let has_room = buf.remaining() > 0;
         let res = Pin::new(&mut self.inner).poll_read(cx, buf);
         let len = buf.filled().len() - before;
         self.received.fetch_add(len as u64, Ordering::Relaxed);
-        res
+        match (&res, self.write_error) {
+            // The failed write took the connection's error, so the read sees a plain end.
+            (Poll::Ready(Ok(())), Some(kind)) if len == 0 && has_room => {
+                Poll::Ready(Err(kind.into()))
+            }
+            _ => res,
+        }
     }
 }
 
@@ -38,35 +77,36 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let res = Pin::new(&mut self.inner).poll_write(cx, buf);
-        if let Poll::Ready(Ok(n)) = res {
-            self.written.fetch_add(n as u64, Ordering::Relaxed);
+    ) -> Poll<io::Result<usize>> {
+        if self.write_error.is_some() {
+            return Poll::Ready(Ok(buf.len()));
         }
-        res
+        let res = Pin::new(&mut self.inner).poll_write(cx, buf);
+        res.map(|result| Ok(self.record_write(result, buf.len())))
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bufs: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        let res = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        if let Poll::Ready(Ok(n)) = res {
-            self.written.fetch_add(n as u64, Ordering::Relaxed);
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let len = bufs.iter().map(|b| b.len()).sum();
+        if self.write_error.is_some() {
+            return Poll::Ready(Ok(len));
         }
-        res
+        let res = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        res.map(|result| Ok(self.record_write(result, len)))
     }
 
     fn is_write_vectored(&self) -> bool {
         self.inner.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -224,3 +224,59 @@
     }
     assert!(failures.is_empty(), "{} {failures:?}", failures.len());
 }
+
+/// Guards against an answer that is lost although it had arrived, as its endpoint reset the
+/// connection while the request was still being sent and the runtime was busy.
+#[rstest::rstest]
+#[case::with_a_length("content-length: 30000\r\n", true)]
+#[case::without_a_length("", false)]
+#[tokio::test]
+async fn an_answer_that_arrived_before_a_reset_is_read(
+    #[case] length: &'static str,
+    #[case] is_complete: bool,
+) {
+    const BODY_LEN: usize = 30_000;
+    let client = Client::new(ClientTimeouts::default(), 1 << 20);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (answering, is_answering) = std::sync::mpsc::channel();
+    let (reset, was_reset) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 1024];
+        stream.read_exact(&mut buf).unwrap();
+        answering.send(()).unwrap();
+        let id = format!("{:032x}", 1);
+        let head = format!("HTTP/1.1 200 OK\r\nx-anvilloft-attempt: {id}\r\n{length}\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(&[b'x'; BODY_LEN]).unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+        // Resets the connection, as most of the request is unread.
+        drop(stream);
+        reset.send(()).unwrap();
+    });
+    let req = Request::post("/x")
+        .body(Full::new(Bytes::from(vec![b'b'; 8_000_000])))
+        .unwrap();
+    let sent = tokio::spawn({
+        let client = Arc::clone(&client);
+        async move { client.send(addr, req, 1, GAP, false).await }
+    });
+    while is_answering.try_recv().is_err() {
+        tokio::task::yield_now().await;
+    }
+    // Blocks the only thread of the runtime until the endpoint has reset the connection.
+    was_reset.recv().unwrap();
+    let mut response = sent.await.unwrap().unwrap();
+    let mut received = 0;
+    let end = loop {
+        match response.next(GAP).await {
+            Ok(Some(bytes)) => received += bytes.len(),
+            end => break end,
+        }
+    };
+    assert_eq!(received, BODY_LEN);
+    assert_eq!(end.is_ok(), is_complete, "{end:?}");
+    drop(response);
+    assert_eq!(client.idle_count(), 0);
+}
