Let a test's endpoint reset only after its answer has arrived

Its endpoint reset the connection 20 ms after it had written 200 KB, which drops what a busy relay hasn't made room for: in six of six traced failures the relay had read all that came, 126,976 to 195,584 bytes, when its read returned the reset. So no relay could have forwarded the answer.

The endpoint now resets the connection as soon as the relay's host has acknowledged the whole answer, which leaves the relay less time than the 20 ms did.

--- a/crates/relay/tests/relay/ways.rs
+++ b/crates/relay/tests/relay/ways.rs
@@ -142,6 +142,21 @@
     }
 }
 
+/// Returns the number of sent bytes that the peer's host has not acknowledged, or `None`
+/// for a connection that has ended.
+fn send_queue_len(stream: &TcpStream) -> Option<u64> {
+    let ports = [stream.local_addr().ok()?, stream.peer_addr().ok()?].map(|a| a.port());
+    let [local, peer] = ports.map(|port| format!(":{port:04X}"));
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let queues = table.lines().find_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let is_match = fields.get(1)?.ends_with(&local) && fields.get(2)?.ends_with(&peer);
+        is_match.then(|| fields[4].to_owned())
+    });
+    let queues = queues?;
+    u64::from_str_radix(queues.split(':').next()?, 16).ok()
+}
+
 /// Guards against an answer that is lost because its endpoint didn't read the whole
 /// request and reset the connection after the answer.
 #[tokio::test(flavor = "multi_thread")]
@@ -165,9 +180,12 @@
                 let answer = anvilloft_fakes::raw::whole_answer(id, &body);
                 let answer = String::from_utf8_lossy(&answer)
                     .replace("content-type", "connection: close\r\ncontent-type");
-                // Dropping the stream resets it, as bytes of the request are unread.
                 stream.write_all(answer.as_bytes()).await.ok();
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                // A reset drops what the relay's host has not acknowledged.
+                while send_queue_len(&stream).is_some_and(|len| len > 0) {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                // Dropping the stream resets it, as bytes of the request are unread.
             });
         }
     });
