control: remove dead voters before leaders that die in series cost the majority

Cause: a successor that had caught up before the lost voter counted as silent was promoted, and the lost voter stayed. It was removed from an even group after 12 s only, and from an odd one never. Each new leader started to measure the silence of 3 s or 12 s anew, so that leaders lost every 4 s removed none. With each loss the number of voters and the majority rose: after the fourth, 8 voters had 4 live ones, and the group had no leader again.

Evidence: reads_are_answered_after_hosts_were_replaced_in_series, a rig of five core processes whose leader is replaced by an empty host every 4.1 s, four times. In the logs the leader of each term lasted for 3 to 4 s and proposed AddLearner and Promote, but never Remove.

Change: the decision is a pure function, next_change, over what the leader sees of each member. - A voter that hasn't replied to a new leader at all is silent after one election timeout instead of 3 s. - A silent voter is removed from an even group at once, as the group tolerates more failures without it whether it returns or not. From an odd group it is removed once at least two are silent and more than twice as many are live: two planned replacements in a row left 7 voters, 2 of them gone. - A wiped host at its old address is promoted without waiting until its old id is silent, which costs no tolerance. - The shorter times hold only where members rejoin by themselves (auto_join). Without it 3 s and 12 s stay as they were.

Ruled out: a group of five that shrinks while two hosts are cut off; such voters are kept. Removing the successor that is frozen in place of the dead voter at its address: the one that takes over must not be silent itself.

After: 16 cases of dead_voters_make_place_and_others_stay and the tests of anvilloft-control pass.

--- a/crates/consensus/src/change.rs
+++ b/crates/consensus/src/change.rs
@@ -61,6 +61,11 @@
         self.progress_of(id).map(|p| p.last_contact)
     }
 
+    /// Returns whether this leader has received a reply from a member in its term.
+    pub fn has_replied(&self, id: MemberId) -> bool {
+        self.progress_of(id).is_some_and(|p| p.has_replied)
+    }
+
     /// Returns the index of the last entry known to be synced on a member.
     pub fn synced_index(&self, id: MemberId) -> LogIndex {
         if id == self.cfg.id {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -51,6 +51,7 @@
     read_round: u64,
     /// Time at which a reply from the member was last received.
     pub(crate) last_contact: Duration,
+    pub(crate) has_replied: bool,
     pub(crate) catch_up: CatchUpRound,
 }
 
@@ -101,6 +102,7 @@
             in_flight: VecDeque::new(),
             read_round: 0,
             last_contact: now,
+            has_replied: false,
             catch_up: CatchUpRound::new(now, next_index.saturating_sub(1)),
         }
     }
@@ -369,6 +371,7 @@
         let i = self.progress.iter().position(|p| p.id == from)?;
         let p = &mut self.progress[i];
         p.last_contact = p.last_contact.max(now);
+        p.has_replied = true;
         p.read_round = p.read_round.max(read_round.min(self.read_round));
         Some(i)
     }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -181,6 +181,7 @@
         cfg.node.max_election_timeout = settings.election_max;
         cfg.node.min_first_election_timeout = settings.first_election;
         cfg.node.trailing_entries = settings.trailing_entries;
+        cfg.members_rejoin = settings.auto_join;
         cfg.snapshot_log_bytes = usize::try_from(settings.snapshot_log_bytes).unwrap_or(usize::MAX);
         if settings.group == GroupStart::New && has_no_state(cfg.disk.as_ref())? {
             ensure_no_group(&settings, advertised, identity.clone(), &log).await?;
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -22,6 +22,7 @@
 mod full_disk;
 mod group_log;
 mod handle;
+mod member_plan;
 mod membership;
 mod placement;
 mod proposal_clock;
@@ -62,6 +63,7 @@
 
 use self::contacts::OwnCopies;
 use self::core::Core;
+use self::member_plan::PlanConfig;
 use self::snapshot_worker::SnapshotWorker;
 
 pub use self::handle::Handle;
@@ -155,6 +157,9 @@
     pub log: Logger,
     /// Random seed of the election timeouts.
     pub seed: u64,
+    /// Whether members that were removed ask to join again by themselves, as with
+    /// `[control] auto_join`. A silent voter is then removed sooner.
+    pub members_rejoin: bool,
     /// Clock that measures elections and the silence of routers.
     pub clock: Clock,
     /// Number of log entries after which a snapshot is taken.
@@ -183,6 +188,7 @@
             transport,
             log,
             seed,
+            members_rejoin: false,
             clock: Clock::start(),
             snapshot_entries: 4_096,
             snapshot_log_bytes: 64 * 1024 * 1024,
@@ -259,6 +265,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_time()
             .build()?;
+        let first_reply_timeout = cfg.node.max_election_timeout;
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
@@ -270,6 +277,10 @@
                 core.snapshot_entries = cfg.snapshot_entries;
                 core.snapshot_log_bytes = cfg.snapshot_log_bytes;
                 core.own_copies = own_copies;
+                core.plan = PlanConfig {
+                    members_rejoin: cfg.members_rejoin,
+                    first_reply_timeout,
+                };
                 runtime.block_on(core.run(calls, messages, stop))
             })?;
         Ok(Self { handle, thread })
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -43,6 +43,7 @@
 use super::full_disk::Unsaved;
 use super::group_log::GroupLog;
 use super::handle::Call;
+use super::member_plan::PlanConfig;
 use super::placement::Placement;
 use super::proposal_clock::ProposalClock;
 use super::reads::PendingRead;
@@ -98,6 +99,7 @@
     pub(super) status: watch::Sender<Status>,
     pub(super) snapshot_entries: u64,
     pub(super) snapshot_log_bytes: usize,
+    pub(super) plan: PlanConfig,
     /// Directory version, and the open router incarnations at that version.
     cached_directory: (u64, Arc<[OpenIncarnation]>),
     snapshot_worker: SnapshotWorker,
@@ -147,6 +149,7 @@
             status: watch::Sender::default(),
             snapshot_entries: 4_096,
             snapshot_log_bytes: usize::MAX,
+            plan: PlanConfig::default(),
             cached_directory: (u64::MAX, Arc::default()),
             snapshot_worker,
             staging: None,
--- a/crates/control/src/driver/membership.rs
+++ b/crates/control/src/driver/membership.rs
@@ -11,21 +11,13 @@
 use serde_json::json;
 
 use super::core::Core;
+use super::member_plan::MemberView;
 use super::reads::PendingRead;
 use super::replies::ReplySender;
 use super::replies::ok_reply;
 use super::replies::refusal;
 use super::replies::send_answer;
 
-/// Time without contact after which a member counts as silent. A silent member
-/// is removed once another member has taken over its address, or a learner that
-/// has caught up can replace it.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Time without contact after which a voter is removed from a group with an
-/// even number of voters. Longer than partitions of a single host usually last.
-const VOTER_REMOVAL_TIMEOUT: Duration = Duration::from_secs(12);
-
 impl Core {
     /// Handles a request about the membership. A change is answered once it is
     /// committed, or at once if it is already in force.
@@ -64,64 +56,32 @@
         result
     }
 
-    fn is_silent(&self, now: Duration, id: MemberId) -> bool {
-        self.node
-            .last_contact(id)
-            .is_some_and(|at| now >= at + SILENCE_TIMEOUT)
+    /// Returns a member as this leader sees it.
+    fn view<'a>(&self, now: Duration, m: &'a Member) -> MemberView<'a> {
+        let last_contact = self.node.last_contact(m.id);
+        MemberView {
+            id: m.id,
+            address: &m.address,
+            voter: m.voter,
+            is_caught_up: self.node.is_caught_up(now, m.id),
+            silent_for: last_contact.map_or(Duration::ZERO, |at| now.saturating_sub(at)),
+            has_replied: self.node.has_replied(m.id),
+        }
     }
 
-    /// Promotes a learner that has caught up, and removes the silent member
-    /// that it replaces: the one whose address it took over, or otherwise the
-    /// voter that has been silent longest.
+    /// Proposes the next change of the members that is due.
     pub(super) fn maintain_membership(&mut self, now: Duration) {
-        let members = self.node.membership().members.clone();
-        let candidates = members
-            .iter()
-            .filter(|m| m.voter || self.node.is_caught_up(now, m.id));
-        for m in candidates {
-            let replaced = members
-                .iter()
-                .find(|o| o.id != m.id && o.address == m.address && !m.address.is_empty())
-                .or_else(|| (!m.voter).then(|| self.longest_silent_voter(now)).flatten());
-            let change = match replaced {
-                // Removed before the promotion: another voter would raise the
-                // majority while the dead member still counts.
-                Some(old) if self.is_silent(now, old.id) => MemberChange::Remove(old.id),
-                Some(_) => continue,
-                None if m.voter => continue,
-                None => MemberChange::Promote(m.id),
-            };
-            // A refused change is retried at the next check.
-            let _ = self.propose_change(now, change);
+        if self.node.has_uncommitted_membership() {
             return;
         }
-        self.remove_surplus_voter(now);
-    }
-
-    /// Removes a voter that has been silent for a long time from a group with
-    /// an even number of voters. Such a group tolerates no more failures than
-    /// one with a voter less, so a voter that may never return only uses up one
-    /// of them. A voter that does return asks to join again.
-    fn remove_surplus_voter(&mut self, now: Duration) {
-        let count = self.node.membership().voters().count();
-        let is_gone = |m: &&Member| {
-            let last_contact = self.node.last_contact(m.id);
-            last_contact.is_some_and(|at| now >= at + VOTER_REMOVAL_TIMEOUT)
-        };
-        if count.is_multiple_of(2)
-            && let Some(id) = self.longest_silent_voter(now).filter(is_gone).map(|m| m.id)
-        {
-            let _ = self.propose_change(now, MemberChange::Remove(id));
+        let members = &self.node.membership().members;
+        let views: Vec<MemberView<'_>> = members.iter().map(|m| self.view(now, m)).collect();
+        if let Some(change) = self.plan.next_change(&views) {
+            // A refused change is retried at the next check.
+            let _ = self.propose_change(now, change);
         }
     }
 
-    fn longest_silent_voter(&self, now: Duration) -> Option<&Member> {
-        let voters = self.node.membership().members.iter().filter(|m| m.voter);
-        voters
-            .filter(|m| self.is_silent(now, m.id))
-            .min_by_key(|m| self.node.last_contact(m.id))
-    }
-
     /// Returns the members, the leader and their progress as JSON.
     pub(super) fn group_status(&self) -> Value {
         let now = self.now();
@@ -136,7 +96,7 @@
                     "id": hex(m.id),
                     "address": m.address,
                     "voter": m.voter,
-                    "silent": self.is_silent(now, m.id),
+                    "silent": self.plan.is_silent(&self.view(now, m)),
                     "synced": self.node.synced_index(m.id),
                 })
             })
--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -2,6 +2,7 @@
 //! for in real time.
 
 mod contacts;
+mod member_plan;
 mod proposal_clock;
 
 use anvilloft_ledger::Ledger;
