control: ask the next member to join besides one that doesn't answer

What callers saw: nothing that is shown to come from this. A new core host that joins late leaves its group without its vote for longer, and has only a few seconds until the host that it replaces no longer counts.

Cause: a member that wants to join asked its peers one after another and waited up to a second for each. A peer without a group, or without a leader, holds the call for that second, and so does a session that is silent.

Evidence: a_member_joins_soon_although_most_of_its_peers_have_no_group.

Change: the next peer is asked as soon as one refuses, or 200 ms after the one before; the first that adds the member ends the others. The request is idempotent. At most one call a peer is under way, as before.

--- a/crates/control/src/join.rs
+++ b/crates/control/src/join.rs
@@ -12,8 +12,11 @@
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::GroupAction;
 use anvilloft_wire::control::GroupRequest;
+use anvilloft_wire::session::Session;
 use slog::Logger;
 use slog::info;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::driver::Handle;
 use crate::peers::Peers;
@@ -25,6 +28,8 @@
 const LEADERLESS_TIMEOUT: Duration = Duration::from_secs(4);
 /// Timeout of one call to another member.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which the next member is asked besides one that hasn't answered.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Keeps this member in the group until the control thread ends.
 pub(crate) async fn stay_in_group(
@@ -62,14 +67,33 @@
             member,
             address: address.clone(),
         };
-        for session in peers.member_sessions() {
-            let reply = session.call(req.clone().into(), CALL_TIMEOUT, 0).await;
-            if let Ok(reply) = reply
-                && let Some(Answer::Applied(_)) = reply.answer
-            {
-                info!(log, "asked to join the group"; "through" => &session.peer().node);
-                break;
-            }
+        if let Some(through) = ask_to_join(peers.member_sessions(), &req).await {
+            info!(log, "asked to join the group"; "through" => through);
         }
     }
 }
+
+/// Asks one member after another to add this one, the next as soon as one refuses or
+/// [`ASK_INTERVAL`] after the one before. Returns the name of the member through which
+/// this one was added.
+async fn ask_to_join(sessions: Vec<Arc<Session>>, req: &GroupRequest) -> Option<String> {
+    let mut calls = JoinSet::new();
+    for session in sessions {
+        let req = req.clone();
+        calls.spawn(async move {
+            let reply = session.call(req.into(), CALL_TIMEOUT, 0).await.ok()?;
+            let is_added = matches!(reply.answer, Some(Answer::Applied(_)));
+            is_added.then(|| session.peer().node.clone())
+        });
+        // A call that isn't answered yet goes on besides the next one.
+        if let Ok(Some(Ok(Some(through)))) = timeout(ASK_INTERVAL, calls.join_next()).await {
+            return Some(through);
+        }
+    }
+    while let Some(call) = calls.join_next().await {
+        if let Ok(Some(through)) = call {
+            return Some(through);
+        }
+    }
+    None
+}
--- a/crates/control/tests/join.rs
+++ b/crates/control/tests/join.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use std::time::Instant;
 
 use anvilloft_control::ControlDaemon;
 use anvilloft_fakes::free_address;
@@ -105,3 +106,42 @@
         daemon.kill().await.unwrap();
     }
 }
+
+/// Guards against a new member that waits for a second for each peer that has no group
+/// itself, while another peer could have added it at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_joins_soon_although_most_of_its_peers_have_no_group() {
+    let folder = tempfile::tempdir().unwrap();
+    let founder_address = free_address();
+    let founder = start("c0", folder.path(), founder_address, &[], GroupStart::New).await;
+    wait_until("a leader", || founder.handle().status().borrow().is_leader).await;
+    let mut groupless = Vec::new();
+    let mut seeds = vec![founder_address];
+    for n in 1..=4 {
+        let address = free_address();
+        seeds.push(address);
+        let name = format!("c{n}");
+        groupless.push(start(&name, folder.path(), address, &[], GroupStart::Join).await);
+    }
+    let joiner = start(
+        "joiner",
+        folder.path(),
+        free_address(),
+        &seeds,
+        GroupStart::Join,
+    )
+    .await;
+    let started = Instant::now();
+    let id = joiner.member_id();
+    let is_added = || {
+        let status = founder.handle().status();
+        let status = status.borrow();
+        status.membership.get(id).is_some()
+    };
+    wait_until("the member is added", is_added).await;
+    let took = started.elapsed();
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+    for daemon in [founder, joiner].into_iter().chain(groupless) {
+        daemon.kill().await.unwrap();
+    }
+}
