control: don't log old changes of the members again after a restart

A restarted member logged each change that its log held as if it were new: every member wrote over 20 lines within 30 ms when a rig of five hosts came back after a loss of power. Changes up to the last entry that the process restored are skipped. The tests of anvilloft-control pass.

--- a/crates/control/src/driver/group_log.rs
+++ b/crates/control/src/driver/group_log.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use anvilloft_consensus::Entry;
+use anvilloft_consensus::LogIndex;
 use anvilloft_consensus::Membership;
 use anvilloft_consensus::Node;
 use anvilloft_consensus::Role;
@@ -36,6 +37,9 @@
     next_delay_line: Duration,
     /// The members by the entries applied so far.
     applied: Membership,
+    /// Index of the last entry at the start of the process. Changes up to it were logged
+    /// when they were made.
+    restored_index: LogIndex,
 }
 
 /// Formats member ids as in the status, separated by commas.
@@ -57,6 +61,7 @@
                 .snapshot()
                 .and_then(|s| s.membership.clone())
                 .unwrap_or_default(),
+            restored_index: node.last_index(),
         }
     }
 
@@ -112,6 +117,9 @@
             return;
         };
         let line = |change: &'static str, id: MemberId, address: &str| {
+            if e.index <= self.restored_index {
+                return;
+            }
             info!(log, "member changed"; "change" => change, "member" => hex_ids(&[id]),
                 "address" => address, "index" => e.index,
                 "voters" => next.voters().count());
