control: send operators' calls over every path to the leader

A core host forwarded a call over its newest session with the leader only, one attempt of a second at a time. Two sessions between two members are usual, as each side dials; if the newest one is silent (its connection lost its state, or one direction is cut), calls went unanswered until it was dropped, after 2 s or more, although the older session worked. Consensus messages took the same session. A member that the leader's messages don't reach knew no leader at all, although members beside it did.

A session tells whether a heartbeat has waited for its answer for more than 250 ms; such sessions are used only if there is no other, also for consensus. A call of a member's own callers goes to the leader over the best session, after 200 ms without an answer over the next one, then by way of another member, which forwards it at most to the leader; the first answer counts. A member that has known no leader for longer than an election takes, and finds nobody else to ask, refuses at once. Ruled out: answers that differ by path. Reads are confirmed by a majority at the leader, and commands are idempotent by their ids or versions; changes of the membership, which aren't, have one attempt at a time. Calls of routers are forwarded as before, except for the choice of the session.

The tests of anvilloft-control and anvilloft-wire pass, and a_silent_session_is_unresponsive_long_before_it_is_dropped is new.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -157,7 +157,13 @@
         let identity = Arc::new(identity);
         let max_calls = usize::try_from(settings.peer_calls).unwrap_or(usize::MAX);
         let runtime = runtime::Handle::current();
-        let peers = Peers::new(identity.clone(), runtime, max_calls, log.clone());
+        let peers = Peers::new(
+            identity.clone(),
+            runtime,
+            max_calls,
+            settings.election_max,
+            log.clone(),
+        );
 
         let peer_listener = listen("peer_listen", settings.peer_listen).await?;
         let admin_listener = listen("admin_listen", settings.admin_listen).await?;
@@ -449,6 +455,7 @@
         identity.clone(),
         runtime::Handle::current(),
         1,
+        settings.election_max,
         log.clone(),
     )));
     let client = ControlClient::start(&others, identity, handler, log.clone());
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -652,12 +652,18 @@
         set(&self.stats.pending_commands, self.pending_commands.len());
         set(&self.stats.held_grants, self.recalls.len());
         let (leader, disk_full) = (self.node.leader(), self.unsaved.is_waiting());
+        // A leader that waits is about to be replaced.
+        let leader = leader.filter(|id| !disk_full || *id != self.node.id());
+        let leaderless_since = self.status.borrow().leaderless_since;
         let status = Status {
             id: self.node.id(),
             is_leader: self.node.is_leader_ready() && !disk_full,
             term: self.node.term(),
-            // A leader that waits is about to be replaced.
-            leader: leader.filter(|id| !disk_full || *id != self.node.id()),
+            leader,
+            leaderless_since: match leader {
+                Some(_) => None,
+                None => leaderless_since.or_else(|| Some(Instant::now())),
+            },
             leader_address: self.leader_address(),
             membership: self.node.membership().clone(),
             membership_changing: self.node.has_uncommitted_membership(),
--- a/crates/control/src/driver/status.rs
+++ b/crates/control/src/driver/status.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Instant;
 
 use anvilloft_consensus::Membership;
 use anvilloft_types::prelude::*;
@@ -18,6 +19,8 @@
     pub term: u64,
     /// Current leader, if known.
     pub leader: Option<MemberId>,
+    /// Since when no leader is known, or `None` while one is.
+    pub leaderless_since: Option<Instant>,
     /// Peer address of the leader, or empty if unknown.
     pub leader_address: String,
     /// Members of the group.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - `driver`: consensus, storage and ledger on one thread
 //! - `peers`: sessions with other members and with routers
+//! - `forwarding`: paths of a call to the leader
 //! - `registry`: endpoint announcements, forwarded to routers
 //! - `orders`: placement orders, sent to endpoints over HTTP
 //! - `join`: joins the control group without an operator
@@ -12,6 +13,7 @@
 pub mod admin;
 pub mod daemon;
 pub mod driver;
+mod forwarding;
 mod join;
 mod orders;
 pub mod peers;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -49,24 +49,42 @@
 use crate::driver::EndpointOrder;
 use crate::driver::Handle;
 use crate::driver::Transport;
+use crate::forwarding::End;
+use crate::forwarding::RETRY_DELAY;
 use crate::orders::OrderSender;
 use crate::registry::AnnounceOutcome;
 use crate::registry::BATCH_INTERVAL;
 use crate::registry::Registry;
 use unanswered::UnansweredCalls;
 
+mod calls;
 mod unanswered;
 
 /// Kind of the query for a member's own status, which is never forwarded.
 pub(crate) const LOCAL_QUERY: &str = "member";
 /// Maximum timeout of a peer's call, whatever the peer asks for.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(60);
-/// Delay before a call is retried while no leader is known.
-const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Timeout of one attempt, short enough that a call survives the loss of a
 /// leader.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Where a call comes from.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    /// A caller of this member itself, such as an operator.
+    Own,
+    Peer {
+        hops: u32,
+    },
+}
+
+/// Receiver of an attempt of a call.
+#[derive(Clone)]
+enum Target {
+    Here,
+    Session(Arc<Session>),
+}
+
 /// Sessions and links of a control member.
 pub struct Peers {
     identity: Arc<Identity>,
@@ -81,6 +99,7 @@
     links: Mutex<HashMap<SocketAddr, Link>>,
     call_permits: Semaphore,
     max_calls: usize,
+    election_time: Duration,
     draining: AtomicBool,
     forwarded: AtomicU64,
     orders: OrderSender,
@@ -98,11 +117,13 @@
 
 impl Peers {
     /// Creates an instance without sessions. `max_calls` is the maximum number
-    /// of calls in flight from all peers together.
+    /// of calls in flight from all peers together, and `election_time` the time that an
+    /// election takes at most, if no vote is split.
     pub fn new(
         identity: Arc<Identity>,
         runtime: runtime::Handle,
         max_calls: usize,
+        election_time: Duration,
         log: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -114,6 +135,7 @@
             links: Mutex::default(),
             call_permits: Semaphore::new(max_calls),
             max_calls,
+            election_time,
             draining: AtomicBool::new(false),
             forwarded: AtomicU64::new(0),
             orders: OrderSender::new(log.clone()),
@@ -157,20 +179,33 @@
         }
     }
 
-    /// Returns the newest open session with a member.
+    /// Returns the newest open session with a member, if possible a responsive one.
     pub fn member_session(&self, id: MemberId) -> Option<Arc<Session>> {
-        let members = lock(&self.members);
-        let open = members.get(&id)?.iter().rev().find(|s| s.is_open());
-        open.cloned()
+        lock(&self.members).get(&id).and_then(|s| preferred(s))
     }
 
-    /// Returns the newest open session with each member.
+    /// Returns the newest open session with each member, if possible a responsive one.
     pub fn member_sessions(&self) -> Vec<Arc<Session>> {
         let members = lock(&self.members);
-        members
-            .values()
-            .filter_map(|sessions| sessions.iter().rev().find(|s| s.is_open()).cloned())
-            .collect()
+        members.values().filter_map(|s| preferred(s)).collect()
+    }
+
+    /// Returns the paths of a call to the leader, newest sessions first.
+    fn paths(&self, leader: Option<MemberId>) -> Vec<(End, Target)> {
+        if leader == Some(self.identity.member) {
+            return vec![(End::Leader, Target::Here)];
+        }
+        let members = lock(&self.members);
+        let mut paths = Vec::new();
+        for (id, sessions) in members.iter() {
+            if Some(*id) == leader {
+                let open = sessions.iter().rev().filter(|s| s.is_open());
+                paths.extend(open.map(|s| (End::Leader, Target::Session(s.clone()))));
+            } else if let Some(session) = preferred(sessions) {
+                paths.push((End::Other, Target::Session(session)));
+            }
+        }
+        paths
     }
 
     /// Returns the names of the routers with an open session, sorted.
@@ -248,7 +283,12 @@
 
     /// Answers a call locally or forwards it to the leader. Retries for up to
     /// `timeout`.
-    async fn handle_call(&self, req: ControlRequest, timeout: Duration, hops: u32) -> ControlReply {
+    async fn handle_call(
+        &self,
+        req: ControlRequest,
+        timeout: Duration,
+        origin: Origin,
+    ) -> ControlReply {
         let Some(handle) = self.handle.get() else {
             return unavailable("the member is starting");
         };
@@ -264,7 +304,8 @@
             return unavailable("too many calls are in flight");
         };
         let is_table_request = matches!(req.request, Some(Request::Table(_)));
-        if is_table_request || hops >= HOPS_BY_CONTROL {
+        let is_forwarded = matches!(origin, Origin::Peer { hops } if hops >= HOPS_BY_CONTROL);
+        if is_table_request || is_forwarded {
             // Every member can answer a table request. A call that another
             // member forwarded isn't forwarded again: that member retries it
             // with the leader that it knows by then.
@@ -279,6 +320,20 @@
         if must_wait {
             return unavailable("the disk of this member is full");
         }
+        match origin {
+            Origin::Own => self.call_over_paths(handle, &req, timeout).await,
+            Origin::Peer { .. } => self.call_leader(handle, req, timeout).await,
+        }
+    }
+
+    /// Sends a call of a peer to the leader that is known. Peers try other members, and
+    /// wait for one as long as for an election.
+    async fn call_leader(
+        &self,
+        handle: &Handle,
+        req: ControlRequest,
+        timeout: Duration,
+    ) -> ControlReply {
         let changes_state = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
         let deadline = Instant::now() + timeout;
         // Kept once it is set: a later refusal says nothing about the outcome
@@ -315,6 +370,13 @@
     }
 }
 
+/// Returns the newest open session, if possible a responsive one.
+fn preferred(sessions: &[Arc<Session>]) -> Option<Arc<Session>> {
+    let open = || sessions.iter().rev().filter(|s| s.is_open());
+    let responsive = open().find(|s| s.is_responsive());
+    responsive.or_else(|| open().next()).cloned()
+}
+
 fn unavailable(reason: &str) -> ControlReply {
     Answer::Unavailable(reason.to_owned()).into()
 }
@@ -340,7 +402,8 @@
     ) -> BoxFuture<'_, Result<ControlReply, CallError>> {
         Box::pin(async move {
             let waiting = self.unanswered.begin_call();
-            let result = self.handle_call(req, timeout, 0).await.into_result();
+            let reply = self.handle_call(req, timeout, Origin::Own).await;
+            let result = reply.into_result();
             waiting.end(&result);
             result
         })
@@ -415,7 +478,8 @@
                 return unavailable("empty request");
             };
             let timeout = Duration::from_millis(call.timeout_ms).min(MAX_CALL_TIMEOUT);
-            peers.handle_call(req, timeout, call.hops).await
+            let origin = Origin::Peer { hops: call.hops };
+            peers.handle_call(req, timeout, origin).await
         })
     }
 }
--- a/crates/control/tests/full_disk.rs
+++ b/crates/control/tests/full_disk.rs
@@ -68,6 +68,7 @@
         Arc::new(identity),
         runtime::Handle::current(),
         64,
+        Duration::from_millis(600),
         log.clone(),
     );
     let disk = MemDisk::new();
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -38,6 +38,10 @@
 /// heartbeats, so that the retransmission of one lost TCP segment ends no
 /// session.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a heartbeat of a responsive session may wait for its answer. Longer
+/// than a round trip between regions, and than the retransmission of one segment within
+/// a city.
+pub const PONG_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of the whole handshake, from the accepted connection on.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum time from the close of a session by this side to its end. Queued frames are
--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -37,6 +37,7 @@
 use super::MAX_OUTBOUND_CALLS;
 use super::MAX_QUEUED_BYTES;
 use super::MAX_QUEUED_FRAMES;
+use super::PONG_TIMEOUT;
 use super::SILENCE_TIMEOUT;
 use super::SessionError;
 use super::handshake::Opened;
@@ -80,6 +81,15 @@
     pub received_at: Instant,
 }
 
+/// Heartbeats of this side, by the time from the start of the session at which they
+/// were sent.
+#[derive(Default)]
+struct Pings {
+    last: Duration,
+    /// The first one without a pong.
+    unanswered: Option<Duration>,
+}
+
 /// States of a queued call, in [`Outgoing::state`].
 const QUEUED: u8 = 0;
 const WRITTEN: u8 = 1;
@@ -103,6 +113,7 @@
     next_call: AtomicU64,
     start: Instant,
     round_trip: Mutex<Option<RoundTrip>>,
+    pings: Mutex<Pings>,
     is_dialled: bool,
     stop: watch::Sender<StopReason>,
     ended: watch::Sender<bool>,
@@ -160,6 +171,26 @@
         self.is_dialled
     }
 
+    /// Returns whether no heartbeat has waited for its answer for [`PONG_TIMEOUT`].
+    pub fn is_responsive(&self) -> bool {
+        let unanswered = lock(&self.pings).unanswered;
+        unanswered.is_none_or(|sent| self.start.elapsed().saturating_sub(sent) < PONG_TIMEOUT)
+    }
+
+    fn record_ping(&self, sent: Duration) {
+        let mut pings = lock(&self.pings);
+        pings.last = sent;
+        pings.unanswered.get_or_insert(sent);
+    }
+
+    fn record_pong(&self, sent: Duration) {
+        let received_at = Instant::now();
+        let time = self.start.elapsed().saturating_sub(sent);
+        *lock(&self.round_trip) = Some(RoundTrip { time, received_at });
+        let mut pings = lock(&self.pings);
+        pings.unanswered = Some(pings.last).filter(|last| *last > sent);
+    }
+
     /// Closes the session. Frames that were queued before are still sent, except
     /// calls, for at most [`CLOSE_TIMEOUT`].
     pub fn close(&self) {
@@ -338,6 +369,7 @@
         next_call: AtomicU64::new(1),
         start: Instant::now(),
         round_trip: Mutex::default(),
+        pings: Mutex::default(),
         is_dialled: side == Side::Client,
         stop: watch::Sender::new(StopReason::None),
         ended: watch::Sender::new(false),
@@ -408,6 +440,7 @@
             _ = heartbeat.tick() => {
                 // The pong echoes the time of the ping.
                 let sent_at = u64::try_from(session.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+                session.record_ping(Duration::from_micros(sent_at));
                 let frame = Frame { payload: Some(Payload::Ping(sent_at)) };
                 let bytes = frame.encode_to_vec();
                 Some(Outgoing { bytes, state: None })
@@ -490,12 +523,7 @@
                 // An error can be ignored: a full queue ends the session.
                 let _ = session.send(Payload::Pong(sent_at));
             }
-            Some(Payload::Pong(sent_at)) => {
-                let now = session.start.elapsed();
-                let time = now.saturating_sub(Duration::from_micros(sent_at));
-                let received_at = Instant::now();
-                *lock(&session.round_trip) = Some(RoundTrip { time, received_at });
-            }
+            Some(Payload::Pong(sent_at)) => session.record_pong(Duration::from_micros(sent_at)),
             Some(Payload::Answer(answer)) => {
                 let pending = lock(&session.calls).remove(&answer.id);
                 if let (Some(tx), Some(reply)) = (pending, answer.reply) {
--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -21,8 +21,10 @@
 use anvilloft_wire::control::Query;
 use anvilloft_wire::frame::Payload;
 use anvilloft_wire::session::CLOSE_TIMEOUT;
+use anvilloft_wire::session::HEARTBEAT_INTERVAL;
 use anvilloft_wire::session::Link;
 use anvilloft_wire::session::MAX_QUEUED_BYTES;
+use anvilloft_wire::session::PONG_TIMEOUT;
 use proptest::prelude::*;
 use support::Fault;
 use support::KEY;
@@ -150,6 +152,22 @@
     }
 }
 
+/// Guards against calls that are sent over a silent session until it is dropped.
+#[tokio::test]
+async fn a_silent_session_is_unresponsive_long_before_it_is_dropped() {
+    let server = server(identity("c1", KEY), Recorder::default()).await;
+    let proxy = proxy(server.address, Fault::None).await;
+    let link = link(proxy.address, identity("c2", KEY));
+    assert!(wait_for(Duration::from_secs(2), || link.session().is_some()).await);
+    let session = link.session().unwrap();
+    let was_silent = wait_for(3 * HEARTBEAT_INTERVAL, || !session.is_responsive()).await;
+    assert!(!was_silent, "unresponsive while heartbeats are answered");
+    proxy.freeze.send_replace(1);
+    let limit = HEARTBEAT_INTERVAL + 2 * PONG_TIMEOUT;
+    assert!(wait_for(limit, || !session.is_responsive()).await);
+    assert!(session.is_open());
+}
+
 #[tokio::test]
 async fn a_silent_connection_is_replaced_while_new_ones_work() {
     let handler = Recorder {
