control: tell a silent session from a slow leader before a call goes twice

Since operators' calls go over further paths, each call that a leader doesn't answer within 200 ms was sent up to three times. A leader that is only slow then gets a multiple of the calls that it is too slow for.

A heartbeat now goes with each forwarded call, unless one is unanswered, so that a silent session shows within 200 ms. A call takes a further path only while each path that it is in flight on is silent, or if the new one is better, such as a session with a new leader; and a member has at most 32 further attempts at once.

--- a/crates/control/src/forwarding.rs
+++ b/crates/control/src/forwarding.rs
@@ -6,8 +6,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Time after which a call that isn't answered goes over a further path. A round trip to
-/// the leader, and from there to a majority, takes less unless disks or links are slow.
+/// Time after which a call may go over a further path.
 const FURTHER_PATH_DELAY: Duration = Duration::from_millis(200);
 /// Delay before a call is retried after an attempt that ended without an answer.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -72,8 +71,8 @@
     pub(crate) election_time: Duration,
     /// Paths in the order of preference among equals.
     pub(crate) paths: &'a [Path],
-    /// Whether the call may be sent again before an earlier attempt has ended.
-    pub(crate) is_repeatable: bool,
+    /// Whether the call may be sent again while an earlier attempt is in flight.
+    pub(crate) allows_further: bool,
 }
 
 /// What is to be done next for a call.
@@ -91,7 +90,7 @@
     pub(crate) fn next_step(&self) -> Step {
         let is_waiting = self.paths.iter().any(|p| p.attempt == Attempt::InFlight);
         let delay = match is_waiting {
-            true if !self.is_repeatable => return Step::Wait(FURTHER_PATH_DELAY),
+            true if !self.allows_further => return Step::Wait(FURTHER_PATH_DELAY),
             true => FURTHER_PATH_DELAY,
             false => RETRY_DELAY,
         };
@@ -103,7 +102,11 @@
         if self.leaderless.is_some() && !is_election_over && self.elapsed < FURTHER_PATH_DELAY {
             return Step::Wait(RETRY_DELAY);
         }
-        let free = self.paths.iter().enumerate().filter(|(_, p)| p.is_free());
+        // A leader that is reached but slow would only get the call twice.
+        let in_flight = self.paths.iter().filter(|p| p.attempt == Attempt::InFlight);
+        let best = in_flight.filter(|p| p.is_responsive).map(Path::rank).min();
+        let paths = self.paths.iter().enumerate();
+        let free = paths.filter(|(_, p)| p.is_free() && best.is_none_or(|best| p.rank() < best));
         match free.min_by_key(|(_, p)| (p.rank(), p.attempt == Attempt::Failed)) {
             Some((index, _)) => Step::Try(index),
             None if is_waiting => Step::Wait(FURTHER_PATH_DELAY),
--- a/crates/control/src/forwarding/tests.rs
+++ b/crates/control/src/forwarding/tests.rs
@@ -23,6 +23,7 @@
 const LEADER: Path = path(End::Leader, true, Attempt::None);
 const SILENT_LEADER: Path = path(End::Leader, false, Attempt::None);
 const ASKED_LEADER: Path = path(End::Leader, true, Attempt::InFlight);
+const ASKED_SILENT: Path = path(End::Leader, false, Attempt::InFlight);
 const FAILED_LEADER: Path = path(End::Leader, true, Attempt::Failed);
 const OTHER: Path = path(End::Other, true, Attempt::None);
 const ASKED_OTHER: Path = path(End::Other, true, Attempt::InFlight);
@@ -36,9 +37,12 @@
 #[case::responsive_session_first(0, None, None, &[SILENT_LEADER, LEADER], Step::Try(1))]
 #[case::other_member_before_a_silent_session(0, None, None, &[SILENT_LEADER, OTHER], Step::Try(1))]
 #[case::silent_session_alone(0, None, None, &[SILENT_LEADER], Step::Try(0))]
-#[case::time_for_an_answer(150, Some(150), None, &[ASKED_LEADER, LEADER], Step::Wait(ms(50)))]
-#[case::second_session(200, Some(200), None, &[ASKED_LEADER, LEADER, OTHER], Step::Try(1))]
-#[case::other_member(400, Some(200), None, &[ASKED_LEADER, ASKED_LEADER, OTHER], Step::Try(2))]
+#[case::time_for_an_answer(150, Some(150), None, &[ASKED_SILENT, LEADER], Step::Wait(ms(50)))]
+#[case::second_session(200, Some(200), None, &[ASKED_SILENT, LEADER, OTHER], Step::Try(1))]
+#[case::other_member(400, Some(200), None, &[ASKED_SILENT, ASKED_SILENT, OTHER], Step::Try(2))]
+#[case::slow_leader(400, Some(400), None, &[ASKED_LEADER, LEADER, OTHER], Step::Wait(ms(200)))]
+#[case::slow_other_member(400, Some(200), None, &[ASKED_OTHER, OTHER], Step::Wait(ms(200)))]
+#[case::new_leader(700, Some(200), None, &[ASKED_OTHER, LEADER], Step::Try(1))]
 #[case::all_asked(600, Some(200), None, &[ASKED_LEADER, ASKED_OTHER], Step::Wait(ms(200)))]
 #[case::not_at_once_after_a_failure(5, Some(5), None, &[FAILED_LEADER], Step::Wait(ms(15)))]
 #[case::leader_again(20, Some(20), None, &[FAILED_LEADER, FAILED_OTHER], Step::Try(0))]
@@ -64,22 +68,22 @@
         leaderless: leaderless.map(ms),
         election_time: ms(600),
         paths,
-        is_repeatable: true,
+        allows_further: true,
     };
     assert_eq!(situation.next_step(), expected);
 }
 
 /// Guards against a change of the group that is proposed twice at once, whose second
-/// proposal is refused.
+/// proposal is refused, and against a slow leader that gets each call several times.
 #[test]
-fn a_call_that_is_not_repeatable_has_one_attempt_at_a_time() {
+fn a_call_without_further_attempts_has_one_at_a_time() {
     let mut situation = Situation {
         elapsed: ms(900),
         since_attempt: Some(ms(900)),
         leaderless: None,
         election_time: ms(600),
         paths: &[ASKED_LEADER, LEADER],
-        is_repeatable: false,
+        allows_further: false,
     };
     assert_eq!(situation.next_step(), Step::Wait(ms(200)));
     situation.paths = &[FAILED_LEADER, LEADER];
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -64,6 +64,9 @@
 pub(crate) const LOCAL_QUERY: &str = "member";
 /// Maximum timeout of a peer's call, whatever the peer asks for.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(60);
+/// Maximum number of attempts at once beside an earlier one of the same call. Without a
+/// limit, a slow leader would get each call several times.
+const MAX_FURTHER_ATTEMPTS: usize = 32;
 /// Timeout of one attempt, short enough that a call survives the loss of a
 /// leader.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -100,6 +103,8 @@
     call_permits: Semaphore,
     max_calls: usize,
     election_time: Duration,
+    /// Permits for attempts beside an earlier one of the same call.
+    further_attempts: Semaphore,
     draining: AtomicBool,
     forwarded: AtomicU64,
     orders: OrderSender,
@@ -136,6 +141,7 @@
             call_permits: Semaphore::new(max_calls),
             max_calls,
             election_time,
+            further_attempts: Semaphore::new(MAX_FURTHER_ATTEMPTS),
             draining: AtomicBool::new(false),
             forwarded: AtomicU64::new(0),
             orders: OrderSender::new(log.clone()),
--- a/crates/control/src/peers/calls.rs
+++ b/crates/control/src/peers/calls.rs
@@ -101,13 +101,17 @@
                     attempt: attempts.of(target),
                 })
                 .collect();
+            let further_permit = match is_repeatable && !in_flight.is_empty() {
+                true => self.further_attempts.try_acquire().ok(),
+                false => None,
+            };
             let situation = Situation {
                 elapsed: start.elapsed(),
                 since_attempt: last_attempt.map(|at| at.elapsed()),
                 leaderless: leaderless_since.map(|at| at.elapsed()),
                 election_time: self.election_time,
                 paths: &paths,
-                is_repeatable,
+                allows_further: further_permit.is_some(),
             };
             let step = match left.is_zero() {
                 true => Step::Refuse,
@@ -131,6 +135,7 @@
                     last_attempt = Some(Instant::now());
                     let limit = left.min(ATTEMPT_TIMEOUT);
                     in_flight.push(async move {
+                        let _permit = further_permit;
                         let result = self.attempt(handle, req, end, &target, limit).await;
                         (target, result)
                     });
@@ -171,6 +176,7 @@
             // That member forwards it to the leader only.
             End::Other => HOPS_BY_ROUTER,
         };
+        session.probe();
         session.call(req.clone(), limit, hops).await
     }
 }
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -39,9 +39,8 @@
 /// session.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a heartbeat of a responsive session may wait for its answer. Longer
-/// than a round trip between regions, and than the retransmission of one segment within
-/// a city.
-pub const PONG_TIMEOUT: Duration = Duration::from_millis(250);
+/// than a round trip between regions.
+pub const PONG_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout of the whole handshake, from the accepted connection on.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum time from the close of a session by this side to its end. Queued frames are
--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -177,10 +177,23 @@
         unanswered.is_none_or(|sent| self.start.elapsed().saturating_sub(sent) < PONG_TIMEOUT)
     }
 
-    fn record_ping(&self, sent: Duration) {
+    /// Sends a heartbeat at once unless one is unanswered, so that
+    /// [`is_responsive`](Self::is_responsive) tells of a session that fell silent.
+    pub fn probe(&self) {
+        if lock(&self.pings).unanswered.is_none() {
+            // An error can be ignored: a full queue ends the session.
+            let _ = self.send(self.next_ping());
+        }
+    }
+
+    /// Returns a ping with the current time, which the pong echoes.
+    fn next_ping(&self) -> Payload {
+        let sent_at = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let sent = Duration::from_micros(sent_at);
         let mut pings = lock(&self.pings);
         pings.last = sent;
         pings.unanswered.get_or_insert(sent);
+        Payload::Ping(sent_at)
     }
 
     fn record_pong(&self, sent: Duration) {
@@ -438,10 +451,7 @@
             () = close_requested(&mut stop) => None,
             out = rx.recv() => out.inspect(|out| session.release(out)),
             _ = heartbeat.tick() => {
-                // The pong echoes the time of the ping.
-                let sent_at = u64::try_from(session.start.elapsed().as_micros()).unwrap_or(u64::MAX);
-                session.record_ping(Duration::from_micros(sent_at));
-                let frame = Frame { payload: Some(Payload::Ping(sent_at)) };
+                let frame = Frame { payload: Some(session.next_ping()) };
                 let bytes = frame.encode_to_vec();
                 Some(Outgoing { bytes, state: None })
             }
