control: remove learners that are gone

What callers saw: nothing yet. Found by reading the code for the same cause as that of the dead voters.

Cause: a learner left the group only when another member took over its address. A host that was replaced before it had caught up stayed in the membership for good; the leader sent it probes and every member dialled it.

Evidence: the case a_learner_that_is_gone_is_removed of dead_voters_make_place_and_others_stay gave None instead of Remove(4).

Change: with auto_join a learner that has been silent for 12 s is removed. One that returns asks to join again. Without auto_join it stays, as an operator added it.

--- a/crates/control/src/driver/member_plan.rs
+++ b/crates/control/src/driver/member_plan.rs
@@ -6,10 +6,10 @@
 /// Time without a reply after which a member counts as silent.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time without a reply after which a voter that won't ask to join again is removed
-/// from a group with an even number of voters. Longer than partitions of a single host
+/// Time without a reply after which a learner is removed that would ask to join again,
+/// and from an even group a voter that would not. Longer than partitions of a single host
 /// usually last.
-const SURPLUS_TIMEOUT: Duration = Duration::from_secs(12);
+const GONE_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// A member, as its leader sees it.
 #[derive(Clone, Debug)]
@@ -75,7 +75,14 @@
             });
         }
         let surplus = longest_silent.filter(|m| self.is_surplus(members, m));
-        surplus.map(|m| MemberChange::Remove(m.id))
+        let gone = surplus.or_else(|| members.iter().find(|m| self.is_gone_learner(m)));
+        gone.map(|m| MemberChange::Remove(m.id))
+    }
+
+    /// Returns whether a learner may never return, such as one that was replaced before it
+    /// had caught up. One that does return asks to join again.
+    fn is_gone_learner(&self, m: &MemberView<'_>) -> bool {
+        self.members_rejoin && !m.voter && m.silent_for >= GONE_TIMEOUT
     }
 
     /// Returns whether the group tolerates more failures without a silent voter.
@@ -88,7 +95,7 @@
         let is_even = (silent.len() + live.len()).is_multiple_of(2);
         match self.members_rejoin {
             true => is_even || (silent.len() >= 2 && live.len() > 2 * silent.len()),
-            false => is_even && voter.silent_for >= SURPLUS_TIMEOUT,
+            false => is_even && voter.silent_for >= GONE_TIMEOUT,
         }
     }
 }
--- a/crates/control/src/driver/tests/member_plan.rs
+++ b/crates/control/src/driver/tests/member_plan.rs
@@ -44,6 +44,13 @@
     }
 }
 
+const fn gone_learner(id: MemberId) -> MemberView<'static> {
+    MemberView {
+        voter: false,
+        ..voter(id, 12_000)
+    }
+}
+
 const fn at(address: &'static str, m: MemberView<'static>) -> MemberView<'static> {
     MemberView { address, ..m }
 }
@@ -144,6 +151,16 @@
         at("b", MemberView { voter: false, ..voter(4, 3_000) })],
     change: None,
 })]
+#[case::a_learner_that_is_gone_is_removed(Case {
+    config: CONFIG,
+    members: vec![voter(1, 0), voter(2, 0), voter(3, 0), gone_learner(4)],
+    change: Some(MemberChange::Remove(4)),
+})]
+#[case::a_learner_that_does_not_rejoin_is_kept(Case {
+    config: MANUAL,
+    members: vec![voter(1, 0), voter(2, 0), voter(3, 0), gone_learner(4)],
+    change: None,
+})]
 fn dead_voters_make_place_and_others_stay(#[case] case: Case) {
     assert_eq!(case.config.next_change(&case.members), case.change);
 }
