--- a/crates/relay/tests/relay/changes.rs
+++ b/crates/relay/tests/relay/changes.rs
@@ -10,6 +10,9 @@
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
 use anvilloft_wire::frame::EndpointUpdate;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
@@ -143,3 +146,38 @@
         assert_eq!(reply.text(), text, "{path}");
     }
 }
+
+/// Guards against a request that is closed or refused because a table removes its route,
+/// or shortens the idle limit, while its body arrives.
+#[rstest::rstest]
+#[case::route_removed("2 1000000 empty")]
+#[case::idle_limit_shortened("2 1000000 1000")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_arrives_across_a_change_is_answered(#[case] source: &str) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let endpoint = RawEndpoint::start(|req| vec![send(whole_answer(&req.attempt, "done"))]).await;
+    let endpoint = endpoint.unwrap();
+    fleet.announce("e", endpoint.addr, "plain");
+    assert_eq!(fleet.send(0, "/any/x", "warm").await.status, 200);
+    let address = fleet.relays[0].address();
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let begun = "POST /any/x HTTP/1.1\r\nhost: 127.0.0.1\r\nx-key: k\r\nconnection: close\r\n\
+                 x-anvilloft-attempt: slow\r\ncontent-length: 8\r\n\r\nhalf";
+    caller.write_all(begun.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.put_source(2, 1_000_000, source).await;
+    tokio::time::sleep(PAUSE).await;
+    if source.ends_with("empty") {
+        let reply = fleet.try_send(0, "/any/x", "warm").await;
+        assert!(
+            reply.text().contains("unknown_route"),
+            "the change has no effect"
+        );
+    }
+    caller.write_all(b"rest").await.unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("done"), "{answer}");
+}
