Read the socket once more before closing an idle or stopping connection

Callers saw a whole request on a kept connection end without an answer when a planned stop, or the idle limit, closed the connection just then.

Cause: the server polls a connection before it closes it, but by what the runtime read of its sockets before. What arrives after that, while other tasks run or the thread has no processor, is closed unread. A busy or starved process makes that span long.

Before such a close, reads of the connection ask the socket itself once. A request that has arrived is served, with "connection: close" during a stop; a part of a header delays the stop as before. The socket's descriptor is only duplicated for that read.

Evidence: a_request_that_arrives_before_a_close_is_answered blocks the thread between the poll and the close, and sends a request meanwhile.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,7 +3,9 @@
 
 use std::io;
 use std::io::IoSlice;
+use std::io::Read;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::panic::AssertUnwindSafe;
 use std::panic::catch_unwind;
 use std::pin::Pin;
@@ -123,6 +125,8 @@
     body_cut: bool,
     /// Whether the connection must close, as a body can't be discarded.
     must_close: bool,
+    /// Whether reads ask the socket itself, beyond what the runtime knows of it.
+    reads_socket: bool,
     failure: Option<EndCause>,
 }
 
@@ -142,6 +146,7 @@
             open_bodies: 0,
             body_cut: false,
             must_close: false,
+            reads_socket: false,
             failure: None,
         }))
     }
@@ -197,6 +202,12 @@
         p.open_bodies > 0 || p.body_cut
     }
 
+    /// Sets whether reads ask the socket itself. Other tasks may have run for a while since
+    /// the runtime read its events.
+    pub(crate) fn set_reads_socket(&self, reads: bool) {
+        lock(&self.0).reads_socket = reads;
+    }
+
     /// Whether a part of a header was read.
     pub(crate) fn is_reading_header(&self) -> bool {
         lock(&self.0).header_since.is_some()
@@ -309,6 +320,21 @@
     }
 }
 
+/// Reads from a socket without waiting, whether or not the runtime takes it for readable.
+/// An end or an error is left to the runtime.
+fn read_socket(stream: &TcpStream, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    let Ok(socket) = stream.as_fd().try_clone_to_owned() else {
+        return Poll::Pending;
+    };
+    match std::net::TcpStream::from(socket).read(buf.initialize_unfilled()) {
+        Ok(len @ 1..) => {
+            buf.advance(len);
+            Poll::Ready(Ok(()))
+        }
+        _ => Poll::Pending,
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -316,7 +342,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let mut result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if result.is_pending() && lock(&self.state.0).reads_socket {
+            result = read_socket(&self.stream, buf);
+        }
         self.state.record_read(buf.filled().len() - before);
         result
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,7 +8,9 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use anvilloft_types::RunState;
@@ -314,6 +316,11 @@
     }
 }
 
+/// Polls a future once.
+async fn poll_once<F: Future>(mut future: Pin<&mut F>) -> Poll<F::Output> {
+    std::future::poll_fn(|cx| Poll::Ready(future.as_mut().poll(cx))).await
+}
+
 fn check_interval(timeouts: Timeouts) -> Duration {
     let shortest = timeouts.header.min(timeouts.idle);
     shortest.clamp(HEADER_POLL_INTERVAL, CHECK_INTERVAL)
@@ -361,6 +368,17 @@
             () = check.as_mut() => {
                 timeouts = timeouts.longest((border.timeouts)());
                 let now = Instant::now();
+                let is_due = state.deadline(timeouts).is_some_and(|(at, _)| at <= now);
+                if is_due || (is_stopping && !is_closing) {
+                    // A request that the runtime hasn't seen would be lost with a close.
+                    state.set_reads_socket(true);
+                    let polled = poll_once(Pin::new(&mut connection)).await;
+                    state.set_reads_socket(false);
+                    if let Poll::Ready(res) = polled {
+                        guard.error = res.err().map(|err| err.to_string());
+                        break EndCause::CallerLeft;
+                    }
+                }
                 // hyper would close a kept connection within a header.
                 if is_stopping && !is_closing && !state.is_reading_header() {
                     is_closing = true;
--- a/crates/gateway/tests/connections/main.rs
+++ b/crates/gateway/tests/connections/main.rs
@@ -6,6 +6,7 @@
     reason = "a failed set-up fails the test"
 )]
 
+mod closes;
 mod common;
 mod ends;
 mod refusals;
