Limit the interim responses of an endpoint

Callers saw: while an endpoint sent interim responses (1xx) without end, 200 requests to it got no answer within 10 s on a route of 6 s, and a small request beside them took up to 6.8 s.

Cause: the read buffer of 64 KiB limits each interim response but not their number. Each is dropped when it has been parsed, so the header never exceeds the buffer, and on a fast connection the parser is hardly ever left.

Evidence: interim_responses_without_end_fail fails without the limit ("timed out waiting for the response headers").

Change: reads of a connection fail once 64 KiB have come without the header of a response.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -51,6 +51,9 @@
 /// Size of a connection's read buffer, in bytes: the largest header of a response.
 /// An endpoint that sends a header without end fills no more memory than that.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum length of a response's header and of all interim responses before it, in bytes.
+/// The read buffer limits each of them, but not their number.
+const MAX_HEADERS_BYTES: u64 = READ_BUFFER_BYTES as u64;
 
 /// Timeouts for connections to endpoints.
 #[derive(Clone, Copy, Debug)]
@@ -132,6 +135,7 @@
     driver_done: bool,
     written: Arc<AtomicU64>,
     received: Arc<AtomicU64>,
+    receive_limit: Arc<AtomicU64>,
     idle_since: Instant,
     /// Derived from the endpoint's `keep-alive` header, or the client's own timeout
     /// if that is shorter or the header is absent.
@@ -164,10 +168,12 @@
         stream.set_nodelay(true).ok();
         let written = Arc::new(AtomicU64::new(0));
         let received = Arc::new(AtomicU64::new(0));
+        let receive_limit = Arc::new(AtomicU64::new(u64::MAX));
         let io = TokioIo::new(CountingStream {
             inner: stream,
             written: Arc::clone(&written),
             received: Arc::clone(&received),
+            receive_limit: Arc::clone(&receive_limit),
         });
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
@@ -180,6 +186,7 @@
             driver_done: false,
             written,
             received,
+            receive_limit,
             idle_since: Instant::now(),
             max_idle: timeouts.idle,
         })
@@ -212,6 +219,9 @@
         let written_before = self.written.load(Ordering::Relaxed);
         let received = Arc::clone(&self.received);
         let received_before = received.load(Ordering::Relaxed);
+        let receive_limit = Arc::clone(&self.receive_limit);
+        let limit = received_before.saturating_add(MAX_HEADERS_BYTES);
+        receive_limit.store(limit, Ordering::Relaxed);
         let mut response = Box::pin(self.sender.send_request(req));
         let mut wait = std::future::poll_fn(|cx| {
             loop {
@@ -247,6 +257,7 @@
             }
         };
         drop(response);
+        receive_limit.store(u64::MAX, Ordering::Relaxed);
         res.map_err(|error| SendError {
             error,
             written: self.written.load(Ordering::Relaxed) > written_before,
--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -224,3 +224,34 @@
     }
     assert!(failures.is_empty(), "{} {failures:?}", failures.len());
 }
+
+/// Guards against interim responses that an endpoint sends without end, and against a
+/// limit that sound headers exceed.
+#[tokio::test]
+async fn interim_responses_without_end_fail() {
+    const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n";
+    let endpoint = RawEndpoint::start(|req| match req.number {
+        0 => vec![Step::Repeat(INTERIM.repeat(100).into(), Duration::ZERO)],
+        1 => vec![
+            Step::Send(INTERIM.repeat(20).into()),
+            Step::Send(whole_answer(&req.attempt, &"x".repeat(300_000))),
+        ],
+        _ => {
+            let long = format!("\r\nx-long: {}\r\n\r\n", "y".repeat(60_000));
+            let answer = whole_answer(&req.attempt, "x");
+            let answer = String::from_utf8(answer).unwrap();
+            vec![Step::Send(answer.replacen("\r\n\r\n", &long, 1).into())]
+        }
+    })
+    .await
+    .unwrap();
+    let client = Client::new(ClientTimeouts::default(), 1 << 20);
+    let e = send_and_collect(&client, endpoint.addr, 0)
+        .await
+        .unwrap_err();
+    assert!(matches!(e.error, ClientError::Broken(_)), "{}", e.error);
+    let body = send_and_collect(&client, endpoint.addr, 1).await.unwrap();
+    assert_eq!(body.len(), 300_000);
+    let body = send_and_collect(&client, endpoint.addr, 2).await.unwrap();
+    assert_eq!(body, "x");
+}
