Limit the memory of all answers of a process

Callers would see: 200 requests to endpoints that send bodies without end bring a front of 110 MB to an end, and with it the requests of others.

Cause: each answer had a limit of 8 MiB and each event one of 1 MiB, but nothing limited their sum.

An answer grows while it leaves as much room as it takes; one that doesn't fit waits, and its endpoint with it. Two at a time may exceed the limit, in order, so that large answers end one after the other instead of waiting for one another. An answer without room until its deadline is refused as answers_too_large with run "unknown", and its endpoint is not blamed. A declared length above the limit fails at once.

Metric: anvilloft_answer_bytes.

Not included: streams of the product's own path (EventScanner).

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -32,6 +32,7 @@
 use quick_error::quick_error;
 use tokio::net::TcpStream;
 
+use crate::answer_memory::AnswerMemory;
 use crate::counting_stream::CountingStream;
 use crate::silence::HeaderWait;
 
@@ -108,6 +109,10 @@
         TooLong {
             display("the response body exceeds the size limit")
         }
+        /// The responses of all requests exceed the memory limit until the timeout.
+        NoMemory {
+            display("the responses in memory have reached their limit")
+        }
     }
 }
 
@@ -280,15 +285,20 @@
     idle: Mutex<HashMap<SocketAddr, Vec<Conn>>>,
     timeouts: ClientTimeouts,
     max_response_bytes: usize,
+    answers: Arc<AnswerMemory>,
     observer: Option<Arc<dyn ConnectObserver>>,
 }
 
 impl Client {
     /// Creates a client. [`EndpointResponse::collect`] and
     /// [`EndpointResponse::read_to_end`] fail for bodies longer than
-    /// `max_response_bytes`.
-    pub fn new(timeouts: ClientTimeouts, max_response_bytes: usize) -> Arc<Self> {
-        Self::build(timeouts, max_response_bytes, None)
+    /// `max_response_bytes`. `answers` limits the memory of all bodies.
+    pub fn new(
+        timeouts: ClientTimeouts,
+        max_response_bytes: usize,
+        answers: Arc<AnswerMemory>,
+    ) -> Arc<Self> {
+        Self::build(timeouts, max_response_bytes, answers, None)
     }
 
     /// Creates a client that reports the duration of its connection attempts to
@@ -296,24 +306,32 @@
     pub fn with_observer(
         timeouts: ClientTimeouts,
         max_response_bytes: usize,
+        answers: Arc<AnswerMemory>,
         observer: Arc<dyn ConnectObserver>,
     ) -> Arc<Self> {
-        Self::build(timeouts, max_response_bytes, Some(observer))
+        Self::build(timeouts, max_response_bytes, answers, Some(observer))
     }
 
     fn build(
         timeouts: ClientTimeouts,
         max_response_bytes: usize,
+        answers: Arc<AnswerMemory>,
         observer: Option<Arc<dyn ConnectObserver>>,
     ) -> Arc<Self> {
         Arc::new(Self {
             idle: Mutex::new(HashMap::new()),
             timeouts,
             max_response_bytes,
+            answers,
             observer,
         })
     }
 
+    /// Returns the limit on the memory of all responses.
+    pub fn answers(&self) -> &Arc<AnswerMemory> {
+        &self.answers
+    }
+
     /// Returns the timeouts.
     pub fn timeouts(&self) -> &ClientTimeouts {
         &self.timeouts
--- a/crates/gateway/src/client/response.rs
+++ b/crates/gateway/src/client/response.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -148,10 +150,19 @@
     /// Fails unless the end of the body was received within `limit`, or when the body
     /// is too long.
     pub async fn collect(self, limit: Duration) -> Result<Bytes, ClientError> {
+        self.collect_after(Bytes::new(), limit).await
+    }
+
+    /// Same as [`collect`](Self::collect), for a body of which `first` was read before.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`collect`](Self::collect).
+    pub async fn collect_after(self, first: Bytes, limit: Duration) -> Result<Bytes, ClientError> {
         if !self.is_framed {
             return Err(ClientError::NoFraming);
         }
-        self.read_to_end(limit).await
+        self.read_after(first, limit).await
     }
 
     /// Returns the whole body, including that of a response that ends only with its
@@ -162,19 +173,47 @@
     /// Fails when the connection is reset before the end, when the end does not arrive
     /// within `limit`, however many bytes do, or when the body is too long.
     pub async fn read_to_end(self, limit: Duration) -> Result<Bytes, ClientError> {
-        let read = tokio::time::timeout(limit, self.read_all(limit)).await;
-        read.unwrap_or(Err(ClientError::Timeout("end of the response")))
+        self.read_after(Bytes::new(), limit).await
     }
 
-    async fn read_all(mut self, gap: Duration) -> Result<Bytes, ClientError> {
+    async fn read_after(self, first: Bytes, limit: Duration) -> Result<Bytes, ClientError> {
+        let has_room = AtomicBool::new(true);
+        let read = self.read_all(first, limit, &has_room);
+        let read = tokio::time::timeout(limit, read).await;
+        read.unwrap_or_else(|_| {
+            Err(match has_room.load(Ordering::Relaxed) {
+                true => ClientError::Timeout("end of the response"),
+                false => ClientError::NoMemory,
+            })
+        })
+    }
+
+    /// Reads the body. Clears `has_room` while it waits for memory.
+    async fn read_all(
+        mut self,
+        first: Bytes,
+        gap: Duration,
+        has_room: &AtomicBool,
+    ) -> Result<Bytes, ClientError> {
         let max_bytes = self.client.max_response_bytes;
+        let declared = self.body.as_ref().map(|body| body.size_hint().lower());
+        if declared.is_some_and(|len| len > max_bytes as u64) {
+            return Err(ClientError::TooLong);
+        }
+        let mut charge = self.client.answers.charge();
         let mut chunks = ChunkBuffer::default();
+        if !first.is_empty() {
+            chunks.push(first);
+        }
         while let Some(data) = self.next(gap).await? {
             chunks.push(data);
             if chunks.len() > max_bytes {
                 return Err(ClientError::TooLong);
             }
+            has_room.store(false, Ordering::Relaxed);
+            charge.resize(chunks.len()).await;
+            has_room.store(true, Ordering::Relaxed);
         }
-        Ok(chunks.join().unwrap_or_default())
+        Ok(charge.attach(chunks.join().unwrap_or_default()))
     }
 }
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -117,6 +117,8 @@
             ClientError::Broken(_) if !written => AttemptEnd::Unreachable,
             ClientError::Broken(_) => AttemptEnd::Broken,
             ClientError::Timeout(_) => AttemptEnd::TimedOut,
+            // The router kept the endpoint waiting.
+            ClientError::NoMemory => AttemptEnd::Cancelled,
             _ => AttemptEnd::Failed,
         };
         Self {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! what is known about one connection.
 
 pub mod announce;
+pub mod answer_memory;
 pub mod api;
 mod auth;
 pub mod body;
@@ -31,6 +32,7 @@
 pub mod sse;
 pub mod view;
 
+pub use answer_memory::AnswerMemory;
 pub use api::Api;
 pub use api::ApiOptions;
 pub use core_handle::CoreHandle;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub in_flight: IntGauge,
     /// Bytes of request bodies in memory.
     pub body_bytes: IntGauge,
+    /// Bytes of large answers of endpoints in memory.
+    pub answer_bytes: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Connections of callers refused at the connection limit.
@@ -90,6 +92,10 @@
         )?;
         let body_bytes =
             IntGauge::new("anvilloft_body_bytes", "Bytes of request bodies in memory")?;
+        let answer_bytes = IntGauge::new(
+            "anvilloft_answer_bytes",
+            "Bytes of endpoints' large answers in memory",
+        )?;
         let core_queue = IntGauge::new(
             "anvilloft_core_queue",
             "Messages queued for the control thread",
@@ -118,6 +124,7 @@
         registry.register(Box::new(endpoint_notices.clone()))?;
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(body_bytes.clone()))?;
+        registry.register(Box::new(answer_bytes.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         registry.register(Box::new(connections_refused.clone()))?;
         registry.register(Box::new(connection_ends.clone()))?;
@@ -139,6 +146,7 @@
             connection_ends,
             panics,
             body_bytes,
+            answer_bytes,
             open_answers,
             core_queue,
             idle_connections,
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -8,7 +8,6 @@
 
 use anvilloft_types::RequestNo;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures::future::BoxFuture;
 
 use crate::client::ClientError;
@@ -100,11 +99,5 @@
     let Some(first) = next_chunk(&mut response, limit, policy).await? else {
         return Ok(Bytes::new());
     };
-    let rest = response.collect(limit).await?;
-    if rest.is_empty() {
-        return Ok(first);
-    }
-    let mut body = BytesMut::from(first);
-    body.extend_from_slice(&rest);
-    Ok(body.freeze())
+    response.collect_after(first, limit).await
 }
--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -16,6 +16,7 @@
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
+use anvilloft_gateway::AnswerMemory;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::ClientTimeouts;
@@ -23,12 +24,19 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use prometheus::IntGauge;
 
 const GAP: Duration = Duration::from_millis(200);
 
 /// Number of connections that are reset at different times.
 const RESETS: u128 = 3_000;
 
+fn new_client(timeouts: ClientTimeouts, max_response_bytes: usize) -> Arc<Client> {
+    let gauge = IntGauge::new("answers", "answers").unwrap();
+    let answers = AnswerMemory::new(1 << 20, 1, gauge);
+    Client::new(timeouts, max_response_bytes, answers)
+}
+
 /// Answers one request, and resets the connection a little later each time.
 fn reset_after_answer(mut stream: std::net::TcpStream, number: usize) {
     let mut buf = [0; 1024];
@@ -83,7 +91,7 @@
     })
     .await
     .unwrap();
-    let client = Client::new(ClientTimeouts::default(), 1024);
+    let client = new_client(ClientTimeouts::default(), 1024);
     for n in 0..8 {
         let body = send_and_collect(&client, endpoint.addr, n).await.unwrap();
         assert_eq!(body, n.to_string());
@@ -98,7 +106,7 @@
         idle: Duration::from_millis(10),
         ..ClientTimeouts::default()
     };
-    let client = Client::new(short_idle, 1024);
+    let client = new_client(short_idle, 1024);
     send_and_collect(&client, endpoint.addr, 9).await.unwrap();
     tokio::time::sleep(Duration::from_millis(20)).await;
     client.close_idle();
@@ -113,7 +121,7 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         listener.local_addr().unwrap()
     };
-    let client = Client::new(ClientTimeouts::default(), 16);
+    let client = new_client(ClientTimeouts::default(), 16);
     let e = send_and_collect(&client, closed_addr, 1).await.unwrap_err();
     assert!(matches!(e.error, ClientError::Connect(_)));
     assert!(!e.written);
@@ -173,7 +181,7 @@
 /// closed long before, as the runtime was too busy to notice it.
 #[tokio::test]
 async fn a_connection_that_closed_while_the_runtime_was_busy_is_not_used() {
-    let client = Client::new(ClientTimeouts::default(), 1 << 20);
+    let client = new_client(ClientTimeouts::default(), 1 << 20);
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     let (closed, was_closed) = std::sync::mpsc::channel();
@@ -213,7 +221,7 @@
             reset_after_answer(stream.unwrap(), number);
         }
     });
-    let client = Client::new(ClientTimeouts::default(), 1024);
+    let client = new_client(ClientTimeouts::default(), 1024);
     let mut failures = Vec::new();
     for n in 0..RESETS {
         if let Err(e) = send_and_collect(&client, addr, n).await
@@ -245,7 +253,7 @@
     })
     .await
     .unwrap();
-    let client = Client::new(ClientTimeouts::default(), 1 << 20);
+    let client = new_client(ClientTimeouts::default(), 1 << 20);
     let e = send_and_collect(&client, endpoint.addr, 0)
         .await
         .unwrap_err();
@@ -255,3 +263,27 @@
     let body = send_and_collect(&client, endpoint.addr, 2).await.unwrap();
     assert_eq!(body, "x");
 }
+
+/// Guards against an endpoint that is blamed for an answer that found no room in memory,
+/// and against small answers that wait with it.
+#[tokio::test]
+async fn an_answer_without_room_is_no_failure_of_its_endpoint() {
+    let endpoint = RawEndpoint::start(|req| {
+        let length = if req.number == 0 { 500_000 } else { 10_000 };
+        let body = "x".repeat(length);
+        vec![Step::Send(whole_answer(&req.attempt, &body))]
+    })
+    .await
+    .unwrap();
+    let gauge = IntGauge::new("answers", "answers").unwrap();
+    let answers = AnswerMemory::new(1 << 18, 1, gauge);
+    let mut large = answers.charge();
+    large.resize(1 << 20).await;
+    let client = Client::new(ClientTimeouts::default(), 1 << 20, answers);
+    let e = send_and_collect(&client, endpoint.addr, 0)
+        .await
+        .unwrap_err();
+    assert_eq!(e.error, ClientError::NoMemory);
+    let body = send_and_collect(&client, endpoint.addr, 1).await.unwrap();
+    assert_eq!(body.len(), 10_000);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -223,7 +223,7 @@
 /// Returns which side ended an attempt, for logs.
 pub(crate) fn ended_by(error: &ClientError) -> &'static str {
     match error {
-        ClientError::Timeout(_) => "router",
+        ClientError::Timeout(_) | ClientError::NoMemory => "router",
         _ => "endpoint",
     }
 }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -93,6 +93,11 @@
         self.is_resuming
     }
 
+    /// Returns the length of the incomplete event, in bytes.
+    pub fn partial_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether part of an event has arrived.
     pub fn has_partial(&self) -> bool {
         self.buf.iter().any(|b| !b.is_ascii_whitespace())
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -327,6 +327,15 @@
     .retry_after(RETRY_AFTER_UNAVAILABLE)
 }
 
+/// Returns the refusal of a request whose answer found no room until its deadline.
+fn answers_too_large() -> Refusal {
+    Refusal::bad_gateway(
+        "answers_too_large",
+        "the answers in the memory of this router have reached their limit",
+        RunState::Unknown,
+    )
+}
+
 /// Returns the refusal for a request that an endpoint may have run.
 fn refusal_of_unknown(is_late: bool) -> Refusal {
     match is_late {
@@ -467,8 +476,12 @@
                     ClientError::Timeout(_) if waited < outbound.stall_timeout() => {
                         Outcome::Cancelled
                     }
+                    ClientError::NoMemory => Outcome::Cancelled,
                     _ => Outcome::Broken,
                 });
+                if e == ClientError::NoMemory {
+                    return Err(answers_too_large());
+                }
             }
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -13,6 +13,7 @@
 use anvilloft_dispatch::DispatcherConfig;
 use anvilloft_dispatch::LINK_INTERVAL;
 use anvilloft_dispatch::StopSchedule;
+use anvilloft_gateway::AnswerMemory;
 use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::ClientTimeouts;
@@ -54,6 +55,11 @@
 const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Limit on the memory of all answers, in bytes, and number of answers that may exceed it
+/// at a time. Together they leave room for request bodies and connections in the memory of
+/// the smallest supported host.
+const ANSWER_MEMORY_BYTES: usize = 8 * 1024 * 1024;
+const MAX_LARGE_ANSWERS: usize = 2;
 /// Time that a caller's header may take beyond its limit, for packets that are sent again.
 const HEADER_GRACE: Duration = Duration::from_secs(2);
 /// Minimum idle time after which a caller's connection is closed.
@@ -145,6 +151,11 @@
         };
         let dispatcher_cfg = DispatcherConfig::new(options.data_centre.clone());
         let link = Arc::new(LinkMonitor::default());
+        let answers = AnswerMemory::new(
+            ANSWER_MEMORY_BYTES,
+            MAX_LARGE_ANSWERS,
+            metrics.answer_bytes.clone(),
+        );
         let cx = Arc::new(RelayState {
             adapter,
             clock: Clock::start(),
@@ -157,7 +168,7 @@
             holders: ArcSwap::default(),
             silent_holders: Mutex::default(),
             peers: OnceLock::new(),
-            client: Client::with_observer(timeouts, MAX_ANSWER_BYTES, link.clone()),
+            client: Client::with_observer(timeouts, MAX_ANSWER_BYTES, answers, link.clone()),
             link,
             bodies: BodyMemory::new(options.max_buffered_bytes, metrics.body_bytes.clone()),
             metrics: Arc::clone(&metrics),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,6 +17,7 @@
 use anvilloft_dispatch::KeepReason;
 use anvilloft_dispatch::Outcome;
 use anvilloft_dispatch::SilenceTimer;
+use anvilloft_gateway::answer_memory::AnswerCharge;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::EndpointResponse;
 use anvilloft_gateway::serve::AnswerDeadline;
@@ -109,6 +110,8 @@
     head: http::response::Parts,
     /// Events without data or an id that the caller has not got yet.
     comments: BytesMut,
+    /// Memory of the incomplete event and of `comments`.
+    memory: AnswerCharge,
     /// When the first event arrived.
     first_event_at: Option<Duration>,
     /// Whether the answer counts as begun in the search for requests that crash
@@ -124,17 +127,35 @@
     longest_gap: Duration,
 }
 
+/// Returns the next bytes of an answer, once there is memory for the `held` ones before.
+async fn next_bytes(
+    answer: &mut EndpointResponse,
+    memory: &mut AnswerCharge,
+    held: usize,
+    limit: Duration,
+) -> Result<Option<Bytes>, ClientError> {
+    if memory.try_resize(held) {
+        return answer.next(limit).await;
+    }
+    let start = Instant::now();
+    let wait = tokio::time::timeout(limit, memory.resize(held)).await;
+    wait.map_err(|_| ClientError::Timeout("memory of an event"))?;
+    answer.next(limit.saturating_sub(start.elapsed())).await
+}
+
 /// Reads from an endpoint until an event with data or an id is whole. Other events are
 /// added to `comments`. Dropping the future loses nothing.
 async fn read_events(
     answer: &mut EndpointResponse,
     splitter: &mut EventSplitter,
     comments: &mut BytesMut,
+    memory: &mut AnswerCharge,
     max_comments: usize,
     left: Duration,
 ) -> Read {
     loop {
-        match answer.next(left).await {
+        let held = splitter.partial_len() + comments.len();
+        match next_bytes(answer, memory, held, left).await {
             Ok(Some(bytes)) => {
                 let read = push(splitter, comments, max_comments, &bytes);
                 if !matches!(read, Read::Nothing) {
@@ -202,7 +223,8 @@
     async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         loop {
             if self.has_begun() && !self.comments.is_empty() {
-                return Some(Ok(self.comments.split().freeze()));
+                let comments = self.comments.split().freeze();
+                return Some(Ok(self.memory.detach(comments)));
             }
             let has_begun = self.has_begun();
             let (_, answer) = self.current.as_mut()?;
@@ -225,7 +247,8 @@
                 true => self.silence.until_ask(now).min(left),
                 false => left,
             };
-            let read = match answer.next(wait).await {
+            let held = self.splitter.partial_len() + self.comments.len();
+            let read = match next_bytes(answer, &mut self.memory, held, wait).await {
                 Ok(Some(bytes)) => push(
                     &mut self.splitter,
                     &mut self.comments,
@@ -241,7 +264,7 @@
                 Read::Events(events) => {
                     self.record_events();
                     if self.comments.is_empty() {
-                        return Some(Ok(events));
+                        return Some(Ok(self.memory.detach(events)));
                     }
                     self.comments.extend_from_slice(&events);
                 }
@@ -365,6 +388,7 @@
             answer,
             &mut self.splitter,
             &mut self.comments,
+            &mut self.memory,
             max_comments(has_begun),
             left,
         );
@@ -552,6 +576,7 @@
             current: Some((in_flight, answer)),
             splitter: EventSplitter::default(),
             comments: BytesMut::new(),
+            memory: cx.client.answers().charge(),
             first_event_at: None,
             is_answered: false,
             last_events_at: Duration::ZERO,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilloft_gateway::AnswerMemory;
 use anvilloft_gateway::Api;
 use anvilloft_gateway::ApiOptions;
 use anvilloft_gateway::BodyMemory;
@@ -38,6 +39,8 @@
 use crate::core::StopRequest;
 
 /// Default maximum size of an endpoint answer that is buffered whole, in bytes.
+/// Number of answers that may exceed the memory limit of all answers at a time.
+const MAX_LARGE_ANSWERS: usize = 2;
 const DEFAULT_MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 /// Interval between checks for unsent answers at shutdown, and the time left for
 /// the last bytes to be sent.
@@ -190,7 +193,12 @@
         let view = Arc::new(arc_swap::ArcSwap::from_pointee(View::empty()));
         let (handle, msgs) = CoreHandle::new();
         let metrics = Arc::new(Metrics::new()?);
-        let client = Client::new(options.client, options.max_answer_bytes);
+        let answers = AnswerMemory::new(
+            options.api.max_buffered_bytes,
+            MAX_LARGE_ANSWERS,
+            metrics.answer_bytes.clone(),
+        );
+        let client = Client::new(options.client, options.max_answer_bytes, answers);
         let log = log.new(slog::o!("router" => options.name.clone()));
         let server_log = log.clone();
         let body_memory =
