Release the buffer of a long event with the event

Callers would see: 200 streams of events of 1 MiB bring a front of 110 MB to an end, although the memory of answers is limited.

Cause: the events that a stream passes on share their buffer with the bytes after them. A few bytes of the next event, or the empty rest of the comments, kept 1 to 2 MiB a stream, of which only the few bytes were counted.

Change: after more than 64 KiB of events, the rest moves to a buffer of its own. Comments leave no buffer behind.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -7,6 +7,10 @@
 
 use crate::resume::EventOrder;
 
+/// Length of events from which their buffer is not used again, in bytes. The few bytes
+/// after them would keep all of it in memory while the endpoint pauses.
+const MAX_KEPT_BYTES: usize = 64 * 1024;
+
 /// Splits a byte stream at the ends of server-sent events.
 ///
 /// Only whole events are returned, so that another endpoint can resume the stream
@@ -40,7 +44,15 @@
         }
         // A blank line has up to three bytes, and some of them may have arrived.
         self.scanned = (self.buf.len() - end).saturating_sub(3);
-        (self.buf.len() - end <= MAX_EVENT_BYTES).then(|| self.buf.split_to(end).freeze())
+        (self.buf.len() - end <= MAX_EVENT_BYTES).then(|| self.split_events(end))
+    }
+
+    fn split_events(&mut self, end: usize) -> Bytes {
+        let events = self.buf.split_to(end).freeze();
+        if events.len() > MAX_KEPT_BYTES {
+            self.buf = BytesMut::from(self.buf.as_ref());
+        }
+        events
     }
 
     /// Records an event. Returns whether it can follow the events so far.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -223,7 +223,7 @@
     async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         loop {
             if self.has_begun() && !self.comments.is_empty() {
-                let comments = self.comments.split().freeze();
+                let comments = std::mem::take(&mut self.comments).freeze();
                 return Some(Ok(self.memory.detach(comments)));
             }
             let has_begun = self.has_begun();
