Let other tasks run between the frames of a body

Callers saw: while an endpoint sent a body in chunks of one byte without end to 200 requests, none of them was answered within 10 s on a route of 6 s, nor was a small request beside them.

Cause: a chunk joins frames until it has 32 KiB or none is ready. Frames of one byte that have arrived are always ready, and reading them takes neither a system call nor a turn of the scheduler, so each request held the thread of a front for 32,768 frames at a time.

A unit test of the client alone with one connection didn't show it, so there is none.

Change: a chunk has at most 32 frames, and a task that got as many lets the others run before it reads on.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -540,6 +540,7 @@
             body: Some(body),
             conn: Some(conn),
             client: Arc::clone(self),
+            has_many_frames: false,
         })
     }
 
--- a/crates/gateway/src/client/response.rs
+++ b/crates/gateway/src/client/response.rs
@@ -24,6 +24,9 @@
 /// Joined size, in bytes, from which no further frames are added to a chunk, even if
 /// they have already arrived.
 const COALESCE_LIMIT_BYTES: usize = 32 * 1024;
+/// Maximum number of frames of a chunk. Frames of a few bytes would otherwise take a lot
+/// of time, in which no other task runs.
+const MAX_COALESCED_FRAMES: usize = 32;
 
 /// An endpoint's response to one attempt.
 pub struct EndpointResponse {
@@ -37,6 +40,8 @@
     pub(super) body: Option<Incoming>,
     pub(super) conn: Option<Conn>,
     pub(super) client: Arc<Client>,
+    /// Whether the last chunk had as many frames as one may have.
+    pub(super) has_many_frames: bool,
 }
 
 impl EndpointResponse {
@@ -66,6 +71,7 @@
 
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, ClientError>> {
         let mut chunks = ChunkBuffer::default();
+        let mut frames = 0;
         while let (Some(body), Some(conn)) = (self.body.as_mut(), self.conn.as_mut()) {
             let was_done = conn.driver_done;
             let mut polled = Pin::new(&mut *body).poll_frame(cx);
@@ -79,7 +85,9 @@
                         continue;
                     };
                     chunks.push(data);
-                    if chunks.copied_len() >= COALESCE_LIMIT_BYTES {
+                    frames += 1;
+                    self.has_many_frames = frames == MAX_COALESCED_FRAMES;
+                    if self.has_many_frames || chunks.copied_len() >= COALESCE_LIMIT_BYTES {
                         break;
                     }
                 }
@@ -130,6 +138,9 @@
     /// Fails when the connection breaks before the end, or when nothing arrives
     /// for `gap`.
     pub async fn next(&mut self, gap: Duration) -> Result<Option<Bytes>, ClientError> {
+        if std::mem::take(&mut self.has_many_frames) {
+            tokio::task::yield_now().await;
+        }
         let chunk = std::future::poll_fn(|cx| self.poll_chunk(cx));
         match chunk.now_or_never() {
             Some(res) => res,
