--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -32,6 +32,7 @@
 use quick_error::quick_error;
 use tokio::net::TcpStream;
 
+use crate::answer_memory::AnswerMemory;
 use crate::counting_stream::CountingStream;
 use crate::silence::HeaderWait;
 
@@ -51,6 +52,9 @@
 /// Size of a connection's read buffer, in bytes: the largest header of a response.
 /// An endpoint that sends a header without end fills no more memory than that.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum length of a response's header and of all interim responses before it, in bytes.
+/// The read buffer limits each of them, but not their number.
+const MAX_HEADERS_BYTES: u64 = READ_BUFFER_BYTES as u64;
 
 /// Timeouts for connections to endpoints.
 #[derive(Clone, Copy, Debug)]
@@ -105,6 +109,10 @@
         TooLong {
             display("the response body exceeds the size limit")
         }
+        /// The responses of all requests exceed the memory limit until the timeout.
+        NoMemory {
+            display("the responses in memory have reached their limit")
+        }
     }
 }
 
@@ -132,6 +140,7 @@
     driver_done: bool,
     written: Arc<AtomicU64>,
     received: Arc<AtomicU64>,
+    receive_limit: Arc<AtomicU64>,
     idle_since: Instant,
     /// Derived from the endpoint's `keep-alive` header, or the client's own timeout
     /// if that is shorter or the header is absent.
@@ -164,10 +173,12 @@
         stream.set_nodelay(true).ok();
         let written = Arc::new(AtomicU64::new(0));
         let received = Arc::new(AtomicU64::new(0));
+        let receive_limit = Arc::new(AtomicU64::new(u64::MAX));
         let io = TokioIo::new(CountingStream::new(
             stream,
             Arc::clone(&written),
             Arc::clone(&received),
+            Arc::clone(&receive_limit),
         ));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
@@ -180,6 +191,7 @@
             driver_done: false,
             written,
             received,
+            receive_limit,
             idle_since: Instant::now(),
             max_idle: timeouts.idle,
         })
@@ -212,6 +224,9 @@
         let written_before = self.written.load(Ordering::Relaxed);
         let received = Arc::clone(&self.received);
         let received_before = received.load(Ordering::Relaxed);
+        let receive_limit = Arc::clone(&self.receive_limit);
+        let limit = received_before.saturating_add(MAX_HEADERS_BYTES);
+        receive_limit.store(limit, Ordering::Relaxed);
         let mut response = Box::pin(self.sender.send_request(req));
         let mut wait = std::future::poll_fn(|cx| {
             loop {
@@ -247,6 +262,7 @@
             }
         };
         drop(response);
+        receive_limit.store(u64::MAX, Ordering::Relaxed);
         res.map_err(|error| SendError {
             error,
             written: self.written.load(Ordering::Relaxed) > written_before,
@@ -269,15 +285,20 @@
     idle: Mutex<HashMap<SocketAddr, Vec<Conn>>>,
     timeouts: ClientTimeouts,
     max_response_bytes: usize,
+    answers: Arc<AnswerMemory>,
     observer: Option<Arc<dyn ConnectObserver>>,
 }
 
 impl Client {
     /// Creates a client. [`EndpointResponse::collect`] and
     /// [`EndpointResponse::read_to_end`] fail for bodies longer than
-    /// `max_response_bytes`.
-    pub fn new(timeouts: ClientTimeouts, max_response_bytes: usize) -> Arc<Self> {
-        Self::build(timeouts, max_response_bytes, None)
+    /// `max_response_bytes`. `answers` limits the memory of all bodies.
+    pub fn new(
+        timeouts: ClientTimeouts,
+        max_response_bytes: usize,
+        answers: Arc<AnswerMemory>,
+    ) -> Arc<Self> {
+        Self::build(timeouts, max_response_bytes, answers, None)
     }
 
     /// Creates a client that reports the duration of its connection attempts to
@@ -285,24 +306,32 @@
     pub fn with_observer(
         timeouts: ClientTimeouts,
         max_response_bytes: usize,
+        answers: Arc<AnswerMemory>,
         observer: Arc<dyn ConnectObserver>,
     ) -> Arc<Self> {
-        Self::build(timeouts, max_response_bytes, Some(observer))
+        Self::build(timeouts, max_response_bytes, answers, Some(observer))
     }
 
     fn build(
         timeouts: ClientTimeouts,
         max_response_bytes: usize,
+        answers: Arc<AnswerMemory>,
         observer: Option<Arc<dyn ConnectObserver>>,
     ) -> Arc<Self> {
         Arc::new(Self {
             idle: Mutex::new(HashMap::new()),
             timeouts,
             max_response_bytes,
+            answers,
             observer,
         })
     }
 
+    /// Returns the limit on the memory of all responses.
+    pub fn answers(&self) -> &Arc<AnswerMemory> {
+        &self.answers
+    }
+
     /// Returns the timeouts.
     pub fn timeouts(&self) -> &ClientTimeouts {
         &self.timeouts
@@ -511,6 +540,7 @@
             body: Some(body),
             conn: Some(conn),
             client: Arc::clone(self),
+            has_many_frames: false,
         })
     }
 
--- a/crates/gateway/src/client/response.rs
+++ b/crates/gateway/src/client/response.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -22,6 +24,9 @@
 /// Joined size, in bytes, from which no further frames are added to a chunk, even if
 /// they have already arrived.
 const COALESCE_LIMIT_BYTES: usize = 32 * 1024;
+/// Maximum number of frames of a chunk. Frames of a few bytes would otherwise take a lot
+/// of time, in which no other task runs.
+const MAX_COALESCED_FRAMES: usize = 32;
 
 /// An endpoint's response to one attempt. Dropping it returns the connection to the pool
 /// if the end of the response has been read, and closes it otherwise.
@@ -36,6 +41,8 @@
     pub(super) body: Option<Incoming>,
     pub(super) conn: Option<Conn>,
     pub(super) client: Arc<Client>,
+    /// Whether the last chunk had as many frames as one may have.
+    pub(super) has_many_frames: bool,
 }
 
 impl EndpointResponse {
@@ -71,6 +78,7 @@
 
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, ClientError>> {
         let mut chunks = ChunkBuffer::default();
+        let mut frames = 0;
         while let (Some(body), Some(conn)) = (self.body.as_mut(), self.conn.as_mut()) {
             let was_done = conn.driver_done;
             let mut polled = Pin::new(&mut *body).poll_frame(cx);
@@ -84,7 +92,9 @@
                         continue;
                     };
                     chunks.push(data);
-                    if chunks.copied_len() >= COALESCE_LIMIT_BYTES {
+                    frames += 1;
+                    self.has_many_frames = frames == MAX_COALESCED_FRAMES;
+                    if self.has_many_frames || chunks.copied_len() >= COALESCE_LIMIT_BYTES {
                         break;
                     }
                 }
@@ -131,6 +141,9 @@
     /// Fails when the connection breaks before the end, or when nothing arrives
     /// for `gap`.
     pub async fn next(&mut self, gap: Duration) -> Result<Option<Bytes>, ClientError> {
+        if std::mem::take(&mut self.has_many_frames) {
+            tokio::task::yield_now().await;
+        }
         let chunk = std::future::poll_fn(|cx| self.poll_chunk(cx));
         match chunk.now_or_never() {
             Some(res) => res,
@@ -151,10 +164,19 @@
     /// Fails unless the end of the body was received within `limit`, or when the body
     /// is too long.
     pub async fn collect(self, limit: Duration) -> Result<Bytes, ClientError> {
+        self.collect_after(Bytes::new(), limit).await
+    }
+
+    /// Same as [`collect`](Self::collect), for a body of which `first` was read before.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`collect`](Self::collect).
+    pub async fn collect_after(self, first: Bytes, limit: Duration) -> Result<Bytes, ClientError> {
         if !self.is_framed {
             return Err(ClientError::NoFraming);
         }
-        self.read_to_end(limit).await
+        self.read_after(first, limit).await
     }
 
     /// Returns the whole body, including that of a response that ends only with its
@@ -165,20 +187,48 @@
     /// Fails when the connection is reset before the end, when the end does not arrive
     /// within `limit`, however many bytes do, or when the body is too long.
     pub async fn read_to_end(self, limit: Duration) -> Result<Bytes, ClientError> {
-        let read = tokio::time::timeout(limit, self.read_all(limit)).await;
-        read.unwrap_or(Err(ClientError::Timeout("end of the response")))
+        self.read_after(Bytes::new(), limit).await
+    }
+
+    async fn read_after(self, first: Bytes, limit: Duration) -> Result<Bytes, ClientError> {
+        let has_room = AtomicBool::new(true);
+        let read = self.read_all(first, limit, &has_room);
+        let read = tokio::time::timeout(limit, read).await;
+        read.unwrap_or_else(|_| {
+            Err(match has_room.load(Ordering::Relaxed) {
+                true => ClientError::Timeout("end of the response"),
+                false => ClientError::NoMemory,
+            })
+        })
     }
 
-    async fn read_all(mut self, gap: Duration) -> Result<Bytes, ClientError> {
+    /// Reads the body. Clears `has_room` while it waits for memory.
+    async fn read_all(
+        mut self,
+        first: Bytes,
+        gap: Duration,
+        has_room: &AtomicBool,
+    ) -> Result<Bytes, ClientError> {
         let max_bytes = self.client.max_response_bytes;
+        let declared = self.body.as_ref().map(|body| body.size_hint().lower());
+        if declared.is_some_and(|len| len > max_bytes as u64) {
+            return Err(ClientError::TooLong);
+        }
+        let mut charge = self.client.answers.charge();
         let mut chunks = ChunkBuffer::default();
+        if !first.is_empty() {
+            chunks.push(first);
+        }
         while let Some(data) = self.next(gap).await? {
             chunks.push(data);
             if chunks.len() > max_bytes {
                 return Err(ClientError::TooLong);
             }
+            has_room.store(false, Ordering::Relaxed);
+            charge.resize(chunks.len()).await;
+            has_room.store(true, Ordering::Relaxed);
         }
-        Ok(chunks.join().unwrap_or_default())
+        Ok(charge.attach(chunks.join().unwrap_or_default()))
     }
 }
 
--- a/crates/gateway/src/counting_stream.rs
+++ b/crates/gateway/src/counting_stream.rs
@@ -14,6 +14,9 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+/// Maximum length of one read while the received bytes are limited.
+const LIMITED_READ_BYTES: usize = 8 * 1024;
+
 /// Counts the bytes that the kernel has accepted for sending, and those received.
 ///
 /// A peer that answers before it has read a whole request resets the connection. Its
@@ -23,15 +26,23 @@
     inner: TcpStream,
     written: Arc<AtomicU64>,
     received: Arc<AtomicU64>,
+    /// Number of received bytes from which reads fail; `u64::MAX` for no limit.
+    receive_limit: Arc<AtomicU64>,
     write_error: Option<io::ErrorKind>,
 }
 
 impl CountingStream {
-    pub(crate) fn new(inner: TcpStream, written: Arc<AtomicU64>, received: Arc<AtomicU64>) -> Self {
+    pub(crate) fn new(
+        inner: TcpStream,
+        written: Arc<AtomicU64>,
+        received: Arc<AtomicU64>,
+        receive_limit: Arc<AtomicU64>,
+    ) -> Self {
         Self {
             inner,
             written,
             received,
+            receive_limit,
             write_error: None,
         }
     }
@@ -57,9 +68,29 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let received = self.received.load(Ordering::Relaxed);
+        let limit = self.receive_limit.load(Ordering::Relaxed);
+        let left = match limit {
+            u64::MAX => None,
+            limit => Some(usize::try_from(limit.saturating_sub(received)).unwrap_or(usize::MAX)),
+        };
         let before = buf.filled().len();
         let has_room = buf.remaining() > 0;
-        let res = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let res = match left {
+            Some(0) => {
+                let err = io::Error::new(io::ErrorKind::InvalidData, "the header is too long");
+                Poll::Ready(Err(err))
+            }
+            None => Pin::new(&mut self.inner).poll_read(cx, buf),
+            Some(left) => {
+                let mut part = [0; LIMITED_READ_BYTES];
+                let len = left.min(part.len()).min(buf.remaining());
+                let mut part = ReadBuf::new(&mut part[..len]);
+                let res = Pin::new(&mut self.inner).poll_read(cx, &mut part);
+                buf.put_slice(part.filled());
+                res
+            }
+        };
         let len = buf.filled().len() - before;
         self.received.fetch_add(len as u64, Ordering::Relaxed);
         match (&res, self.write_error) {
