Leave time for refusals after a pause over the end of a planned stop

A router that was paused until after the end of its planned stop ended without an answer or a refusal for the requests in flight: their refusals were started, but the time to write them was counted from the planned end, which had passed.

They now get 100 ms in any case. A stop of 0.9 s or longer that isn't late is unchanged, as its refusals begin earlier than that.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -72,6 +72,9 @@
 /// Part of a planned stop's time in which requests that still wait for an answer are
 /// refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(300);
+/// Minimum time for these refusals, also after the end of the planned stop: a host that
+/// was paused may be late.
+const MIN_REFUSAL_TIME: Duration = Duration::from_millis(100);
 
 quick_error! {
     /// Error when starting a relay.
@@ -307,6 +310,7 @@
             return;
         }
         self.cx.abandon.cancel();
+        let end = end.max(tokio::time::Instant::now() + MIN_REFUSAL_TIME);
         while self.cx.metrics.in_flight.get() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
--- a/crates/relay/tests/relay/drain.rs
+++ b/crates/relay/tests/relay/drain.rs
@@ -113,6 +113,53 @@
     }
 }
 
+/// Guards against a request that gets neither an answer nor a refusal, as its router was
+/// paused until after the end of a planned stop.
+#[rstest::rstest]
+#[tokio::test]
+async fn a_pause_over_the_end_of_a_planned_stop_leaves_time_for_refusals(
+    #[values("/once/x", "/any/x", "/stream/x")] path: &'static str,
+) {
+    const LIMIT: Duration = Duration::from_millis(1_500);
+    let mut fleet = Fleet::start_with(1, |o| o.drain(Duration::from_millis(100), LIMIT)).await;
+    fleet.publish(1, 100_000).await;
+    let slow = RawEndpoint::start(|_| vec![Step::Wait(CALL_TIMEOUT)]).await;
+    let slow = slow.unwrap();
+    for service in ["plain", "engines"] {
+        fleet.announce(service, slow.addr, service);
+    }
+    let relay = fleet.relays.remove(0);
+    let address = relay.address();
+    let answer = tokio::spawn(async move {
+        loop {
+            let reply = call(path, "body", "slow").send(address, CALL_TIMEOUT).await;
+            match reply {
+                Ok(reply) if reply.text().contains("no_endpoint") => {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+                reply => return reply,
+            }
+        }
+    });
+    let count = Arc::clone(&slow.request_count);
+    eventually("the endpoint has the request", || {
+        count.load(Ordering::Relaxed) == 1
+    })
+    .await;
+    tokio::spawn(async {
+        tokio::time::sleep(LIMIT / 2).await;
+        // Stops the only thread that serves callers.
+        std::thread::sleep(LIMIT);
+    });
+    let metrics = Arc::clone(relay.metrics());
+    relay.drain().await;
+    // The process ends here.
+    assert_eq!(metrics.in_flight.get(), 0, "requests without an end");
+    let reply = answer.await.unwrap().unwrap();
+    assert_eq!(reply.status, 502, "{}", reply.text());
+    assert!(reply.text().contains("\"run\":\"unknown\""));
+}
+
 /// Guards against a request that is told it may have run, although the planned stop ended
 /// while its body was still arriving.
 #[tokio::test(flavor = "multi_thread")]
