Close a crashed raw endpoint's listener before its connections

refusals::a_request_without_an_answer_is_told_whether_it_was_run failed once: "unreachable" got a 502 with run "unknown" instead of a 503 with "no". Its endpoint ends the connection and the listener in two tasks, so that the next request could still connect.

The listener now closes first, and the connections end once it has.

--- a/crates/fakes/src/raw.rs
+++ b/crates/fakes/src/raw.rs
@@ -43,10 +43,19 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
-    /// Closes the listener and all connections, as the death of a process does.
+    /// Closes the listener and then all connections, as the death of a process does.
     Crash,
 }
 
+/// State of an endpoint. Its listener closes at `Crashing` and its connections at `Crashed`,
+/// so that nobody who sees one of these end can still connect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    Running,
+    Crashing,
+    Crashed,
+}
+
 /// Builds the bytes of a complete JSON response.
 pub fn whole_answer(attempt: &str, body: &str) -> Vec<u8> {
     format!(
@@ -87,28 +96,30 @@
         let request_count = Arc::new(AtomicU64::new(0));
         let counter = Arc::clone(&request_count);
         let script = Arc::new(script);
-        let (crash, crashed) = watch::channel(false);
-        let crash = Arc::new(crash);
-        let mut listener_crashed = crashed.clone();
+        let life = Arc::new(watch::Sender::new(Life::Running));
+        let mut listener_life = life.subscribe();
         tokio::spawn(async move {
             for connection in 0.. {
                 let accepted = tokio::select! {
                     accepted = listener.accept() => accepted,
-                    _ = listener_crashed.changed() => return,
+                    _ = listener_life.wait_for(|l| *l == Life::Crashing) => break,
                 };
                 let Ok((stream, _)) = accepted else {
                     return;
                 };
                 let script = Arc::clone(&script);
                 let counter = Arc::clone(&counter);
-                let (crash, mut crashed) = (Arc::clone(&crash), crashed.clone());
+                let life = Arc::clone(&life);
                 tokio::spawn(async move {
+                    let mut crashed = life.subscribe();
                     tokio::select! {
-                        _ = serve(stream, connection, &counter, &*script, &crash) => {}
-                        _ = crashed.changed() => {}
+                        _ = serve(stream, connection, &counter, &*script, &life) => {}
+                        _ = crashed.wait_for(|l| *l == Life::Crashed) => {}
                     }
                 });
             }
+            drop(listener);
+            life.send_replace(Life::Crashed);
         });
         Ok(Self {
             addr,
@@ -136,7 +147,7 @@
     connection: u64,
     counter: &AtomicU64,
     script: &(dyn Fn(ReceivedRequest) -> Vec<Step> + Send + Sync),
-    crash: &watch::Sender<bool>,
+    life: &watch::Sender<Life>,
 ) -> io::Result<()> {
     let mut buf = Vec::new();
     loop {
@@ -184,8 +195,14 @@
                 Step::Wait(time) => tokio::time::sleep(time).await,
                 Step::Close => return Ok(()),
                 Step::Crash => {
-                    crash.send_replace(true);
-                    return Ok(());
+                    life.send_if_modified(|life| {
+                        let is_first = *life == Life::Running;
+                        if is_first {
+                            *life = Life::Crashing;
+                        }
+                        is_first
+                    });
+                    std::future::pending::<()>().await;
                 }
             }
         }
