--- a/crates/control/src/peers/calls.rs
+++ b/crates/control/src/peers/calls.rs
@@ -14,6 +14,7 @@
 use anvilloft_wire::session::HOPS_BY_ROUTER;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use prost::Message as _;
 use tokio::time::Instant;
 
 use super::ATTEMPT_TIMEOUT;
@@ -29,6 +30,9 @@
 /// Longest pause until it is checked whether another member leads.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Maximum size of a call that is sent again while an earlier attempt is in flight.
+const MAX_REPEATED_BYTES: usize = 64 * 1024;
+
 impl Target {
     fn is_same(&self, other: &Self) -> bool {
         match (self, other) {
@@ -74,8 +78,10 @@
         timeout: Duration,
     ) -> ControlReply {
         let changes_state = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
-        // Commands are idempotent by their ids or versions.
-        let is_repeatable = !matches!(req.request, Some(Request::Group(_)));
+        // Commands are idempotent by their ids or versions. Heartbeats wait behind a large
+        // request, so it would go over each path at once.
+        let is_repeatable = !matches!(req.request, Some(Request::Group(_)))
+            && req.encoded_len() <= MAX_REPEATED_BYTES;
         let start = Instant::now();
         let deadline = start + timeout;
         let status = handle.status();
