control: hold a permit of further attempts only while one is under way

The permit is acquired when an attempt is sent. The number of free permits decides whether one may be.

--- a/crates/control/src/peers/calls.rs
+++ b/crates/control/src/peers/calls.rs
@@ -107,17 +107,13 @@
                     attempt: attempts.of(target),
                 })
                 .collect();
-            let further_permit = match is_repeatable && !in_flight.is_empty() {
-                true => self.further_attempts.try_acquire().ok(),
-                false => None,
-            };
             let situation = Situation {
                 elapsed: start.elapsed(),
                 since_attempt: last_attempt.map(|at| at.elapsed()),
                 leaderless: leaderless_since.map(|at| at.elapsed()),
                 election_time: self.election_time,
                 paths: &paths,
-                allows_further: further_permit.is_some(),
+                allows_further: is_repeatable && self.further_attempts.available_permits() > 0,
             };
             let step = match left.is_zero() {
                 true => Step::Refuse,
@@ -136,6 +132,10 @@
                 }
                 Step::Wait(pause) => pause,
                 Step::Try(index) => {
+                    let further_permit = match in_flight.is_empty() {
+                        true => None,
+                        false => self.further_attempts.try_acquire().ok(),
+                    };
                     let (end, target) = targets[index].clone();
                     attempts.set(&target, Attempt::InFlight);
                     last_attempt = Some(Instant::now());
