relay: end a stream as whole only where its last event came from

A stream that returns to a silent endpoint that it had left ends as whole if that endpoint ends it in a regular way: the endpoint has sent all events and only its end was late. The check took any endpoint that had been left, also one that had sent nothing since.

An endpoint that is left is remembered with the id of the last event that it sent, and only ends the stream if that is still the last one.

a_stream_is_not_ended_by_an_endpoint_that_did_not_send_its_last_event failed without the check: 'whole after requests at ["e1", "e2", "e1"]'.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -165,6 +165,13 @@
     }
 }
 
+/// An endpoint that a request was taken from because it was silent.
+pub(crate) struct LeftEndpoint {
+    pub(crate) pick: Pick,
+    /// Id of the last event of its answer, if it sent one.
+    pub(crate) last_event: Option<String>,
+}
+
 /// Progress of a request over all its attempts.
 #[derive(Default)]
 pub(crate) struct Progress {
@@ -177,7 +184,7 @@
     /// Endpoints that refused the request as full.
     refused: Vec<EndpointId>,
     /// Endpoints that were left because they were silent. They may be sound.
-    pub(crate) left: Vec<Pick>,
+    pub(crate) left: Vec<LeftEndpoint>,
     /// Whether an endpoint may have run the request.
     pub(crate) may_have_run: bool,
 }
@@ -205,16 +212,16 @@
     }
 
     /// Records that a silent endpoint was left for another one.
-    pub(crate) fn record_left(&mut self, pick: Pick) {
-        self.left.retain(|p| p.endpoint != pick.endpoint);
-        self.left.push(pick);
+    pub(crate) fn record_left(&mut self, pick: Pick, last_event: Option<String>) {
+        self.left.retain(|l| l.pick.endpoint != pick.endpoint);
+        self.left.push(LeftEndpoint { pick, last_event });
     }
 
     /// Lets endpoints that refused the request as full be asked again. Those that have had
     /// it before are asked by [`resume_stream`](crate::resume::resume_stream) only.
     pub(crate) fn forget_refusals(&mut self) {
         for id in self.refused.drain(..) {
-            if self.left.iter().any(|p| p.endpoint == id) {
+            if self.left.iter().any(|l| l.pick.endpoint == id) {
                 continue;
             }
             self.tried.retain(|t| *t != id);
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -14,6 +14,7 @@
 
 use crate::attempt::Attempt;
 use crate::attempt::EndpointAnswer;
+use crate::attempt::LeftEndpoint;
 use crate::attempt::OutboundRequest;
 use crate::attempt::Progress;
 use crate::attempt::SendFailure;
@@ -131,7 +132,8 @@
 
 /// Resumes a stream after the event `last_event` at the endpoint of `running`, or at any
 /// other. If they fail, it returns to an endpoint that was left because it was silent, as
-/// that one may be sound. The second value tells whether it did.
+/// that one may be sound. The second value tells whether it did, and whether that one has
+/// sent the last event.
 pub(crate) async fn resume_stream(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
@@ -148,8 +150,12 @@
         let failure = match found {
             Ok(answered) => {
                 let endpoint = &answered.in_flight.pick.endpoint;
-                progress.left.retain(|p| p.endpoint != *endpoint);
-                let has_returned = returned_to.as_ref() == Some(endpoint);
+                let is_left = |l: &LeftEndpoint| l.pick.endpoint == *endpoint;
+                let left = progress.left.iter().find(|l| is_left(l));
+                let sent_last = last_event.is_some()
+                    && left.is_some_and(|l| l.last_event.as_deref() == last_event);
+                let has_returned = returned_to.as_ref() == Some(endpoint) && sent_last;
+                progress.left.retain(|l| !is_left(l));
                 return Ok((answered, has_returned));
             }
             Err(SendFailure::DeadlineExceeded) => return Err(StreamError::DeadlineExceeded),
@@ -159,7 +165,7 @@
         let is_full = matches!(failure, SendFailure::Full | SendFailure::Paused(_));
         let was_return = match returned_to.take() {
             Some(id) if !is_full => {
-                progress.left.retain(|p| p.endpoint != id);
+                progress.left.retain(|l| l.pick.endpoint != id);
                 true
             }
             returned => returned.is_some(),
@@ -187,10 +193,11 @@
     progress: &mut Progress,
     last_event: Option<&str>,
 ) -> (Option<Attempt>, Option<EndpointId>) {
-    progress
-        .left
-        .retain(|p| cx.dispatcher().takes_work(&p.endpoint, p.incarnation));
-    let Some(pick) = progress.left.last().cloned() else {
+    progress.left.retain(|l| {
+        cx.dispatcher()
+            .takes_work(&l.pick.endpoint, l.pick.incarnation)
+    });
+    let Some(pick) = progress.left.last().map(|l| l.pick.clone()) else {
         return (None, None);
     };
     let endpoint = pick.endpoint.clone();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -106,6 +106,8 @@
     splitter: EventSplitter,
     /// Whether the current endpoint has sent events before it was left.
     has_returned: bool,
+    /// Number of events before those of the current endpoint.
+    events_before: u64,
     /// Status and headers of the current answer, until the first event.
     head: http::response::Parts,
     /// Events without data or an id that the caller has not got yet.
@@ -511,10 +513,12 @@
         comments: BytesMut,
         memory: AnswerCharge,
     ) {
+        let events_before = self.splitter.event_count();
         self.splitter = splitter;
         self.comments.extend_from_slice(&comments);
         self.memory = memory;
         self.go_on_with(answered);
+        self.events_before = events_before;
     }
 
     /// Closes the connection to the current endpoint, so that its run ends. Returns
@@ -545,7 +549,11 @@
     /// Closes the connection to the current endpoint, which may be sound.
     fn leave_silent(&mut self) {
         if let Some((in_flight, _)) = &self.current {
-            self.progress.record_left(in_flight.pick.clone());
+            let has_sent = self.splitter.event_count() > self.events_before;
+            let last_event = self.splitter.last_id().filter(|_| has_sent);
+            let last_event = last_event.map(str::to_owned);
+            self.progress
+                .record_left(in_flight.pick.clone(), last_event);
         }
         self.close_current("router", "silent while another endpoint has the request");
     }
@@ -570,6 +578,7 @@
             self.head = response_head(&answer);
         }
         self.current = Some((in_flight, answer));
+        self.events_before = self.splitter.event_count();
         self.has_returned = false;
         self.silence.heard(self.cx.now());
         self.kept_for = None;
@@ -647,6 +656,7 @@
             head: response_head(&answer),
             current: Some((in_flight, answer)),
             splitter: EventSplitter::default(),
+            events_before: 0,
             has_returned: false,
             comments: BytesMut::new(),
             memory: cx.client.answers().charge(),
--- a/crates/relay/tests/relay/returns.rs
+++ b/crates/relay/tests/relay/returns.rs
@@ -205,3 +205,44 @@
     assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
     assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
 }
+
+/// Guards against a stream that looks complete because an endpoint without its last event
+/// ended it: the endpoint had been left before, and has nothing more to send.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_not_ended_by_an_endpoint_that_did_not_send_its_last_event() {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    for name in ["e1", "e2"] {
+        let asked = Arc::clone(&asked);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return whole_stream(&req, 3);
+            }
+            let mut asked = asked.lock().unwrap();
+            asked.push(name);
+            match asked.len() {
+                1 => vec![
+                    send(stream_head(ID) + &chunk(&event(1))),
+                    Step::Wait(SILENCE),
+                ],
+                2 => vec![
+                    send(stream_head(ID) + &chunk(&event(2))),
+                    Step::Wait(LATER),
+                    Step::Close,
+                ],
+                _ => vec![send(stream_head(ID) + "0\r\n\r\n")],
+            }
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", ID).await;
+    let asked = asked.lock().unwrap().clone();
+    assert_eq!(reply.text(), event(1) + &event(2));
+    assert!(!reply.complete, "whole after requests at {asked:?}");
+    assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
+}
