relay: count an endpoint once when a return to it fails

A return to an endpoint that was left lowered the number of endpoints before it was sent. If the connection failed, the number stayed lower, and the request could go to one endpoint more than its route allows.

The number stays as it is, and the result of the return doesn't raise it. No test of its own: the tests of returns count the requests at endpoints.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -185,6 +185,8 @@
     refused: Vec<EndpointId>,
     /// Endpoints that were left because they were silent. They may be sound.
     pub(crate) left: Vec<LeftEndpoint>,
+    /// Whether the next attempt to be recorded is at an endpoint that is counted already.
+    is_return: bool,
     /// Whether an endpoint may have run the request.
     pub(crate) may_have_run: bool,
 }
@@ -193,24 +195,33 @@
     /// Records the result of an attempt.
     pub(crate) fn record(&mut self, result: &AttemptResult) {
         match result {
-            AttemptResult::Answered(_) => self.sent_count += 1,
+            AttemptResult::Answered(_) => self.count_sent(),
             AttemptResult::NotRun(failure, endpoint) => {
-                self.sent_count += 1;
+                self.count_sent();
                 if *failure == SendFailure::Full {
                     self.refused.push(endpoint.clone());
                 }
             }
-            AttemptResult::Unreachable => self.unreachable_count += 1,
+            AttemptResult::Unreachable => {
+                self.is_return = false;
+                self.unreachable_count += 1;
+            }
             AttemptResult::Unknown => self.record_given_up(),
         }
     }
 
     /// Records an attempt that was given up, or whose answer is of no use.
     pub(crate) fn record_given_up(&mut self) {
-        self.sent_count += 1;
+        self.count_sent();
         self.may_have_run = true;
     }
 
+    fn count_sent(&mut self) {
+        if !std::mem::take(&mut self.is_return) {
+            self.sent_count += 1;
+        }
+    }
+
     /// Records that a silent endpoint was left for another one.
     pub(crate) fn record_left(&mut self, pick: Pick, last_event: Option<String>) {
         self.left.retain(|l| l.pick.endpoint != pick.endpoint);
@@ -499,7 +510,7 @@
     let dispatch_req = outbound.dispatch_request(&progress.tried);
     cx.dispatcher()
         .started(cx.now(), &pick.endpoint, outbound.request_no, &dispatch_req);
-    progress.sent_count = state.sent;
+    progress.is_return = true;
     Ok(take_endpoint(cx, outbound, progress, pick))
 }
 
