relay: take the late end of a whole stream also during a handover

The end of a stream that returned to the endpoint of its last event counted as a break if it came while another endpoint was asked, so that the whole stream was broken off. Both places that read the current endpoint know now whether it sent the last event.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -153,6 +153,7 @@
     comments: &mut BytesMut,
     memory: &mut AnswerCharge,
     max_comments: usize,
+    has_returned: bool,
     left: Duration,
 ) -> Read {
     loop {
@@ -164,7 +165,7 @@
                     return read;
                 }
             }
-            Ok(None) => return read_end(answer, splitter, false),
+            Ok(None) => return read_end(answer, splitter, has_returned),
             Err(e) => return Read::Broken(e),
         }
     }
@@ -395,6 +396,7 @@
             &mut self.comments,
             &mut self.memory,
             max_comments(has_begun),
+            self.has_returned,
             left,
         );
         match wait_for_either(read, &mut other).await {
@@ -463,6 +465,7 @@
             &mut self.comments,
             &mut self.memory,
             max,
+            self.has_returned,
             left,
         );
         let next = read_events(
@@ -471,6 +474,7 @@
             &mut comments,
             &mut memory,
             max,
+            false,
             left,
         );
         let read = tokio::select! {
