Limit the buffers of callers' connections

Callers would see: 200 connections that send a body in chunks without end bring a front of 110 MB or a core host of 256 MB to an end.

Cause: the server's buffers had hyper's default limit of 400 KiB a connection.

Change: 64 KiB, which is also the largest header that is read. No test covers headers between that and 400 KiB.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -48,6 +48,9 @@
 use crate::error::Refusal;
 use crate::metrics::Metrics;
 
+/// Size of the buffers of a connection, in bytes: the largest header of a request. With
+/// the default of 400 KiB, 200 connections would take most of a small host's memory.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of headers in a request.
 pub const MAX_HEADERS: usize = 100;
 /// Delay after a failed `accept`, for example when file descriptors run out.
@@ -339,6 +342,7 @@
     let stream = TrackedStream::new(stream, Arc::clone(&state));
     let mut connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
+        .max_buf_size(READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), handler);
     let mut check = std::pin::pin!(tokio::time::sleep(check_interval(timeouts)));
     let (mut is_stopping, mut is_closing) = (false, false);
