relay: keep the progress of a request in a file of its own

The progress over all attempts, with the endpoints that were left, moves to progress.rs unchanged; it knows nothing of connections.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -16,12 +16,12 @@
 use crate::attempt::Attempt;
 use crate::attempt::AttemptResult;
 use crate::attempt::OutboundRequest;
-use crate::attempt::Progress;
 use crate::attempt::SendResult;
 use crate::attempt::judge;
 use crate::attempt::may_send_again;
 use crate::attempt::reserve_endpoint;
 use crate::attempt::start_attempt;
+use crate::progress::Progress;
 use crate::state::RelayState;
 
 /// Maximum time for which two engines have the same request, and for which a connection
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! - `relay` starts and stops a relay, `options` configures it, and `state` is
 //!   shared by its requests.
-//! - `forward` handles a request, `attempt` sends it to endpoints, `stream`
-//!   forwards a streamed answer and resumes it at another endpoint, and `events`
-//!   splits a stream into events.
+//! - `forward` handles a request, `attempt` sends it to endpoints and `progress` keeps
+//!   what is known of it after each, `stream` forwards a streamed answer and resumes it
+//!   at another endpoint, and `events` splits a stream into events.
 //! - `charge` reserves and settles the tokens of a request, `reservations` holds
 //!   this router's tokens, and `loans` lends tokens between routers.
 //! - `control` maintains the lease and the sessions with the control group and
@@ -24,6 +24,7 @@
 mod handover;
 mod loans;
 mod options;
+mod progress;
 mod relay;
 mod reservations;
 mod resume;
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -14,15 +14,15 @@
 
 use crate::attempt::Attempt;
 use crate::attempt::EndpointAnswer;
-use crate::attempt::LeftEndpoint;
 use crate::attempt::OutboundRequest;
-use crate::attempt::Progress;
 use crate::attempt::SendFailure;
 use crate::attempt::reserve_again;
 use crate::attempt::send_request;
 use crate::attempt::start_attempt;
 use crate::events::EventSplitter;
 use crate::handover::ASK_INTERVAL;
+use crate::progress::LeftEndpoint;
+use crate::progress::Progress;
 use crate::state::RelayState;
 use crate::stream::StreamError;
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -38,7 +38,6 @@
 use crate::attempt::EndpointAnswer;
 use crate::attempt::InFlightRequest;
 use crate::attempt::OutboundRequest;
-use crate::attempt::Progress;
 use crate::attempt::ended_by;
 use crate::attempt::judge;
 use crate::charge::Charge;
@@ -53,6 +52,7 @@
 use crate::handover::log_silence;
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
+use crate::progress::Progress;
 use crate::resume::can_continue;
 use crate::resume::is_cut_off;
 use crate::resume::is_event_stream;
@@ -172,7 +172,7 @@
 }
 
 /// Returns what the end of an answer means. `has_returned` tells that the endpoint has sent
-/// events before it was left, and may have had nothing more to send.
+/// the stream's last event before it was left, and may have had nothing more to send.
 fn read_end(answer: &EndpointResponse, splitter: &EventSplitter, has_returned: bool) -> Read {
     let is_whole = has_returned && answer.is_framed();
     match !is_whole && is_cut_off(splitter, answer) {
