gateway: convert byte counts for gauges in one place

answer_memory.rs had a copy of the conversion in memory.rs. It calls that one now, which is visible in the crate. No change of behaviour.

--- a/crates/gateway/src/answer_memory.rs
+++ b/crates/gateway/src/answer_memory.rs
@@ -10,6 +10,8 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
+use crate::memory::to_gauge_value;
+
 /// Bytes of each answer that aren't counted, so that small answers never wait. The number
 /// of requests limits their sum.
 pub const UNCOUNTED_BYTES: usize = 16 * 1024;
@@ -178,8 +180,3 @@
         &self.bytes
     }
 }
-
-/// Converts a byte count for the gauge. A buffer in memory never exceeds `i64::MAX` bytes.
-fn to_gauge_value(bytes: usize) -> i64 {
-    i64::try_from(bytes).unwrap_or(i64::MAX)
-}
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -89,6 +89,6 @@
 
 /// Converts a byte count for the gauge. A buffer in memory never exceeds
 /// `i64::MAX` bytes.
-fn to_gauge_value(bytes: usize) -> i64 {
+pub(crate) fn to_gauge_value(bytes: usize) -> i64 {
     i64::try_from(bytes).unwrap_or(i64::MAX)
 }
