control: copy leave notices to a majority before they are acknowledged

Cause: the notice lived in the memory of the one member that got it, and in the fronts in session with it. The others kept the endpoint's last heartbeat and told it to each front that connected.

Change: a notice (draining or left) is copied to the other members and acknowledged once a majority of the voters holds it. Members that connect get the notices, too. In memory suffices: who has forgotten the notice has forgotten the endpoint.

Ruled out: an entry of the replicated log, which costs a sync at each member and needs the leader.

--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -295,6 +295,12 @@
                     Answer::Unavailable("only routers lend tokens".into()),
                 );
             }
+            Some(Request::Copy(_)) => {
+                send_answer(
+                    reply,
+                    Answer::Unavailable("the registry takes copies of announcements".into()),
+                );
+            }
             None => send_answer(reply, Answer::Unavailable("empty request".into())),
         }
     }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -58,6 +58,7 @@
 use unanswered::UnansweredCalls;
 
 mod calls;
+mod notices;
 mod unanswered;
 
 /// Kind of the query for a member's own status, which is never forwarded.
@@ -426,6 +427,10 @@
             let mut members = lock(&self.0.members);
             let sessions = members.entry(session.peer().member).or_default();
             sessions.push(session.clone());
+            let leaving = self.0.registry.leaving(self.0.clock.now());
+            if !leaving.updates.is_empty() {
+                let _ = session.send(Payload::EndpointBatch(leaving));
+            }
             info!(self.0.log, "member session opened"; "peer" => &session.peer().node,
                 "dialled" => session.is_dialled(), "sessions" => sessions.len());
         } else {
@@ -461,8 +466,15 @@
     }
 
     fn frame(&self, session: &Arc<Session>, payload: Payload) {
-        let Payload::Consensus(frame) = payload else {
-            return;
+        let frame = match payload {
+            Payload::Consensus(frame) => frame,
+            Payload::EndpointBatch(batch) if session.peer().role == "control" => {
+                for update in batch.updates {
+                    self.0.announce(update);
+                }
+                return;
+            }
+            _ => return,
         };
         // Every process with the fleet key is trusted, but a member must not
         // send messages as another one by mistake, such as with a copied data
@@ -477,12 +489,19 @@
         }
     }
 
-    fn call(&self, _session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
+    fn call(&self, session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
         let peers = self.0.clone();
+        let is_member = session.peer().role == "control";
         Box::pin(async move {
             let Some(req) = call.request else {
                 return unavailable("empty request");
             };
+            if let Some(Request::Copy(update)) = req.request {
+                return match is_member {
+                    true => peers.take_copy(update),
+                    false => unavailable("only members copy announcements"),
+                };
+            }
             let timeout = Duration::from_millis(call.timeout_ms).min(MAX_CALL_TIMEOUT);
             let origin = Origin::Peer { hops: call.hops };
             peers.handle_call(req, timeout, origin).await
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -4,8 +4,9 @@
 //! every router that it has a session with. Changes that affect routing are
 //! forwarded at once. Plain renewals are sent in batches, so that the number of
 //! messages grows with the number of routers and not with routers times
-//! endpoints. Members don't forward announcements to each other: routers have
-//! sessions with all members and merge what they receive.
+//! endpoints. Members don't forward renewals to each other: routers have sessions with
+//! all members and merge what they receive. An announcement that an endpoint leaves is
+//! copied to the other members before it is acknowledged, as nobody may repeat it.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -49,6 +50,24 @@
     announced_at: Duration,
     /// Whether the newest announcement waits for the next batch.
     pending: bool,
+    /// Whether enough members hold a copy of the announcement that the endpoint leaves.
+    is_replicated: bool,
+}
+
+impl Entry {
+    fn new(announced_at: Duration, update: EndpointUpdate) -> Self {
+        Self {
+            update,
+            announced_at,
+            pending: false,
+            is_replicated: false,
+        }
+    }
+
+    /// Returns whether the endpoint takes no new work.
+    fn is_leaving(&self) -> bool {
+        self.update.leaving || self.update.left
+    }
 }
 
 /// The newest announcement of each endpoint at this member.
@@ -66,6 +85,7 @@
     /// Records an announcement. An endpoint that has left is remembered, so
     /// that a delayed renewal doesn't bring it back.
     pub fn announce(&self, now: Duration, update: EndpointUpdate) -> AnnounceOutcome {
+        let announced_at = now.saturating_sub(Duration::from_millis(update.age_ms));
         let mut entries = self.lock();
         let index = match entries.binary_search_by(|e| e.update.id.cmp(&update.id)) {
             Ok(index) => index,
@@ -73,12 +93,7 @@
                 if entries.len() >= MAX_ENDPOINTS {
                     return AnnounceOutcome::Full;
                 }
-                let entry = Entry {
-                    update,
-                    announced_at: now,
-                    pending: false,
-                };
-                entries.insert(index, entry);
+                entries.insert(index, Entry::new(announced_at, update));
                 return AnnounceOutcome::Changed;
             }
         };
@@ -100,7 +115,8 @@
             entry.update.incarnation = incarnation;
             entry.update.left = true;
             entry.update.leaving = true;
-            entry.announced_at = now;
+            entry.announced_at = announced_at;
+            entry.is_replicated = false;
             return AnnounceOutcome::Changed;
         }
         if update.incarnation < old.incarnation {
@@ -124,8 +140,9 @@
         }
         let changed = update.incarnation != old.incarnation || update.leaving != old.leaving;
         entry.update = update;
-        entry.announced_at = now;
+        entry.announced_at = announced_at;
         entry.pending = !changed;
+        entry.is_replicated &= !changed;
         match changed {
             true => AnnounceOutcome::Changed,
             false => AnnounceOutcome::Renewed,
@@ -141,6 +158,40 @@
         entries.get(index).map(|e| with_age(e, now))
     }
 
+    /// Returns the announcement that an endpoint leaves, unless enough members are known
+    /// to hold it.
+    pub(crate) fn unreplicated_notice(&self, now: Duration, id: &str) -> Option<EndpointUpdate> {
+        let entries = self.lock();
+        let index = entries
+            .binary_search_by(|e| e.update.id.as_str().cmp(id))
+            .ok()?;
+        let entry = entries.get(index)?;
+        (entry.is_leaving() && !entry.is_replicated).then(|| with_age(entry, now))
+    }
+
+    /// Records that enough members hold the announcement that an endpoint leaves.
+    pub(crate) fn set_replicated(&self, notice: &EndpointUpdate) {
+        let mut entries = self.lock();
+        let Ok(index) = entries.binary_search_by(|e| e.update.id.cmp(&notice.id)) else {
+            return;
+        };
+        if let Some(entry) = entries.get_mut(index) {
+            let old = &entry.update;
+            entry.is_replicated = (old.incarnation, old.leaving, old.left)
+                == (notice.incarnation, notice.leaving, notice.left);
+        }
+    }
+
+    /// Returns the announcements of the endpoints that leave, for a member that has just
+    /// connected.
+    pub(crate) fn leaving(&self, now: Duration) -> EndpointBatch {
+        let entries = self.lock();
+        let leaving = entries.iter().filter(|e| e.is_leaving());
+        EndpointBatch {
+            updates: leaving.map(|e| with_age(e, now)).collect(),
+        }
+    }
+
     /// Removes entries that have expired, and returns the renewals since the
     /// last batch.
     pub fn take_batch(&self, now: Duration) -> Option<EndpointBatch> {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -53,9 +53,10 @@
                     Err(err) => Answer::Unavailable(err.to_string()),
                 },
                 Some(Request::Group(_)) => Answer::QueryResult(GROUP_STATUS.to_owned()),
-                Some(Request::Renew(_) | Request::Loan(_) | Request::Table(_)) | None => {
-                    Answer::Unavailable("not supported by this stand-in".to_owned())
-                }
+                Some(
+                    Request::Renew(_) | Request::Loan(_) | Request::Table(_) | Request::Copy(_),
+                )
+                | None => Answer::Unavailable("not supported by this stand-in".to_owned()),
             })
         };
         let result = answer().map(ControlReply::from);
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -367,7 +367,7 @@
                         .with_ledger(|l| l.publication_since(table.held_version));
                     Answer::Table(newer.unwrap_or_default()).into()
                 }
-                Some(Request::Group(_) | Request::Loan(_)) | None => {
+                Some(Request::Group(_) | Request::Loan(_) | Request::Copy(_)) | None => {
                     return Err(CallError::Unavailable(
                         "LocalControl does not support this request".into(),
                     ));
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -10,12 +10,13 @@
 use crate::command::CommandReply;
 use crate::command::OpenIncarnation;
 use crate::config::ConfigUpdate;
+use crate::frame::EndpointUpdate;
 
 /// A request to the control members.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ControlRequest {
     /// The request itself.
-    #[prost(oneof = "Request", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Request", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub request: Option<Request>,
 }
 
@@ -42,6 +43,10 @@
     /// answers, with `Table`.
     #[prost(message, tag = "6")]
     Table(TableRequest),
+    /// Gives another member a copy of what an endpoint announced. That member answers
+    /// for itself, with `Applied` once it holds the copy or something newer.
+    #[prost(message, tag = "7")]
+    Copy(EndpointUpdate),
 }
 
 /// Asks a control member for the published route table.
@@ -356,6 +361,14 @@
     }
 }
 
+impl From<EndpointUpdate> for ControlRequest {
+    fn from(update: EndpointUpdate) -> Self {
+        Self {
+            request: Some(Request::Copy(update)),
+        }
+    }
+}
+
 impl From<TableRequest> for ControlRequest {
     fn from(req: TableRequest) -> Self {
         Self {
