ledger: count crashes one by one along a request that was sent on

Cause: crashes within 100 ms counted as one, as a rack may be lost, also when one request went from each crashed endpoint to the next.

Change: they count one by one for a whole request that was never answered, if it waited at every endpoint that crashed at about that time.

Measured: what_crashes_have_in_common_is_quarantined, case "a request that is sent on from one crash to the next", fails before and passes now; two new cases of endpoints that fail together quarantine nothing.

--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -57,8 +57,9 @@
 /// Different requests with a part that must have waited at crashed endpoints before
 /// the part is quarantined. Copies of one request say nothing about its parts.
 const MIN_REQUESTS: usize = 2;
-/// Time within which crashes count as one, in milliseconds. Endpoints that fail
-/// together, such as those of one rack, fail for a reason that they share.
+/// Time within which crashes may have a cause that they share, in milliseconds, such as
+/// the loss of a rack. They count as one then, unless one request that was never answered
+/// waited at every endpoint that crashed: it reached the next as the one before was gone.
 const SAME_CAUSE_MS: u64 = 100;
 
 /// A trait of the requests that waited at an endpoint when it crashed.
@@ -240,7 +241,9 @@
 }
 
 impl<'a> Evidence<'a> {
-    fn add(&mut self, crash: &Crash, s: &'a Suspect) {
+    /// Adds a crash at which a trait was seen. `is_alone` tells that no endpoint crashed at
+    /// about the same time without the trait.
+    fn add(&mut self, crash: &Crash, s: &'a Suspect, is_alone: bool) {
         if s.answered_lately {
             return;
         }
@@ -251,7 +254,8 @@
             }
         }
         let since_last = crash.at_ms.saturating_sub(self.last_at_ms);
-        if self.crashes == 0 || since_last >= SAME_CAUSE_MS {
+        let is_own_cause = is_alone && !s.is_part() && !self.answered;
+        if self.crashes == 0 || since_last >= SAME_CAUSE_MS || is_own_cause {
             self.crashes += 1;
             self.last_at_ms = crash.at_ms;
         }
@@ -338,11 +342,19 @@
         // What was answered since a crash didn't cause it.
         let answered_at_ms = seen().map(|(_, s)| s.answered_at_ms).max().unwrap_or(0);
         for (crash, s) in seen().filter(|(crash, _)| crash.at_ms >= answered_at_ms) {
-            evidence.add(crash, s);
+            evidence.add(crash, s, self.is_alone(crash, f));
         }
         evidence
     }
 
+    /// Returns whether a trait was seen at every endpoint that crashed at about the same
+    /// time as this one.
+    fn is_alone(&self, crash: &Crash, f: &Fingerprint) -> bool {
+        let is_near = |c: &&Crash| c.at_ms.abs_diff(crash.at_ms) < SAME_CAUSE_MS;
+        let mut near = self.crashes.iter().filter(is_near);
+        near.all(|c| c.suspect(f).is_some())
+    }
+
     /// Returns the one of some traits that explains the crashes best, if the evidence
     /// suffices.
     fn culprit(&self, traits: &BTreeSet<Fingerprint>) -> Option<Fingerprint> {
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -181,6 +181,30 @@
             apart_ms: 10,
             want: &[],
         },
+        Case {
+            name: "a request that is sent on from one crash to the next",
+            crashes: vec![
+                vec![seen(101, &[], &[]), seen(111, &[], &[])],
+                vec![seen(101, &[], &[]), seen(111, &[], &[])],
+                vec![seen(101, &[], &[]), seen(112, &[], &[])],
+            ],
+            apart_ms: 10,
+            want: &[101],
+        },
+        Case {
+            name: "a request that is sent on while other endpoints fail, too",
+            crashes: [101, 102, 101, 103, 101, 101]
+                .map(|w| vec![seen(w, &[], &[])])
+                .into(),
+            apart_ms: 10,
+            want: &[],
+        },
+        Case {
+            name: "equal requests that were answered before, as endpoints fail together",
+            crashes: (0..8).map(|_| vec![seen(101, &[], &[101])]).collect(),
+            apart_ms: 10,
+            want: &[],
+        },
         Case {
             name: "crashes without anything in common",
             crashes: (0..20)
