relay: blame requests for crashes in the middle of their streams

Cause: a stream counted as answered from its second event on, which cleared the request, and a break after that was no sign of a crash. The second event may also come from the engine that resumes the stream.

Change: only a whole answer clears a request, as for plain ones, and a stream that breaks off in the middle is reported like any other.

Measured: a_request_that_crashes_endpoints_during_its_answer_is_refused, case "after three events of each endpoint".

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -1,6 +1,6 @@
 //! Requests that may have crashed an endpoint, as one router sees them.
 //!
-//! When a connection breaks off before the answer has begun, the router checks whether
+//! When a connection breaks off before the answer is whole, the router checks whether
 //! the endpoint has crashed. If so, it reports the requests that waited there to
 //! control, which finds out what crashes of the whole fleet have in common and
 //! quarantines it. Requests with a quarantined trait are refused.
@@ -20,7 +20,7 @@
 /// Those that were answered least recently are forgotten first. Parts are few beside the
 /// requests that share them.
 const MAX_ANSWERED: usize = 4_096;
-/// A trait whose last answer began less than this before a crash isn't its cause, so that
+/// A trait whose last answer ended less than this before a crash isn't its cause, so that
 /// the crash of a busy endpoint isn't blamed on the parts that most prompts share.
 const RECENT_ANSWER: Duration = Duration::from_secs(2);
 /// Maximum number of quarantined traits that are kept.
@@ -73,7 +73,7 @@
 pub struct ReportedTrait {
     /// The trait.
     pub fingerprint: Fingerprint,
-    /// When this router last saw an answer to a request with it begin.
+    /// When this router last saw the end of an answer to a request with it.
     pub answered_at: Option<Duration>,
     /// Whether that was shortly before the crash.
     pub answered_lately: bool,
@@ -97,7 +97,7 @@
     pub endpoint: EndpointId,
     /// Incarnation that crashed.
     pub incarnation: Incarnation,
-    /// The requests that waited there for their answers to begin.
+    /// The requests that waited there for their whole answers.
     pub requests: Vec<ReportedRequest>,
     /// Time at which the first of them broke off.
     pub at: Duration,
@@ -133,7 +133,7 @@
     }
 }
 
-/// When an answer to a request with a trait last began.
+/// When an answer to a request with a trait last ended.
 #[derive(Debug, Default)]
 struct Answers {
     // Sorted by trait.
@@ -262,7 +262,7 @@
         self.quarantined.len()
     }
 
-    /// Records that an endpoint began to answer a request.
+    /// Records that a request was answered in full.
     pub fn record_answer(&mut self, now: Duration, traits: &RequestTraits) {
         self.answered_requests.record(now, &traits.whole);
         for part in &traits.parts {
@@ -270,7 +270,7 @@
         }
     }
 
-    /// Records that the connection of a request broke off before the answer began.
+    /// Records that the connection of a request broke off before the answer was whole.
     /// Returns whether the endpoint must be checked now.
     pub fn record_broken(
         &mut self,
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -38,7 +38,7 @@
 /// than a caller waits.
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(60);
 
-/// Records that the connection of a request broke off before its answer began, and
+/// Records that the connection of a request broke off before its answer was whole, and
 /// checks whether the endpoint has crashed.
 pub(crate) fn record_broken(cx: &Arc<RelayState>, pick: &Pick, traits: &RequestTraits) {
     let (endpoint, incarnation) = (pick.endpoint.clone(), pick.incarnation);
@@ -59,7 +59,7 @@
     });
 }
 
-/// Records that an endpoint began to answer a request.
+/// Records that a request was answered in full.
 pub(crate) fn record_answer(cx: &RelayState, traits: &RequestTraits) {
     lock(&cx.crashes).record_answer(cx.now(), traits);
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -116,9 +116,6 @@
     memory: AnswerCharge,
     /// When the first event arrived.
     first_event_at: Option<Duration>,
-    /// Whether the answer counts as begun in the search for requests that crash
-    /// endpoints: an endpoint may crash just after the first event.
-    is_answered: bool,
     /// When the last events arrived.
     last_events_at: Duration,
     /// Silence of the current endpoint, since it was last asked or made progress.
@@ -297,7 +294,6 @@
             self.first_event_at = Some(now);
             self.silence = gap_timer(&self.outbound, now);
         } else {
-            self.record_answer();
             let gap = now.saturating_sub(self.last_events_at);
             self.longest_gap = self.longest_gap.max(gap);
         }
@@ -312,16 +308,10 @@
         }
     }
 
-    fn record_answer(&mut self) {
-        if !std::mem::replace(&mut self.is_answered, true) {
-            crashes::record_answer(&self.cx, &self.outbound.traits);
-        }
-    }
-
     /// Ends the stream after its last event.
     fn end(&mut self) -> Option<Result<Bytes, StreamError>> {
         let (in_flight, _) = self.current.take()?;
-        self.record_answer();
+        crashes::record_answer(&self.cx, &self.outbound.traits);
         let first_event_at = self.first_event_at.unwrap_or_default();
         slog::info!(self.cx.log, "stream ended"; "request" => &self.outbound.id,
             "endpoint" => &in_flight.pick.endpoint,
@@ -494,7 +484,7 @@
                 let EndpointAnswer { in_flight, answer } = other;
                 slog::info!(self.cx.log, "answer discarded"; "request" => &self.outbound.id,
                     "endpoint" => &in_flight.pick.endpoint, "error" => %e);
-                if !self.is_answered && e.is_connection_failure() {
+                if e.is_connection_failure() {
                     crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
                 }
                 answer.close();
@@ -566,7 +556,6 @@
     /// endpoint can go on with it.
     fn close_broken(&mut self, error: &ClientError) -> bool {
         if let Some((in_flight, _)) = &self.current
-            && !self.is_answered
             && error.is_connection_failure()
         {
             crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
@@ -665,7 +654,6 @@
             comments: BytesMut::new(),
             memory: cx.client.answers().charge(),
             first_event_at: None,
-            is_answered: false,
             last_events_at: Duration::ZERO,
             silence,
             kept_for: None,
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -442,16 +442,19 @@
     format!("id: {id}\ndata: t{id}\n\n")
 }
 
-/// Returns a streamed answer with the events up to `last`. It begins after the
-/// event in the header `last-event-id`, if the request has one.
-pub(crate) fn whole_stream(req: &ReceivedRequest, last: u32) -> Vec<Step> {
-    let after = req
-        .head
-        .lines()
-        .find_map(|l| l.strip_prefix("last-event-id: "));
-    let first = after
+/// Returns the number of the first event that a request asks for: the one after the event
+/// in the header `last-event-id`, if the request has one.
+pub(crate) fn next_event(req: &ReceivedRequest) -> u32 {
+    let mut lines = req.head.lines();
+    let after = lines.find_map(|l| l.strip_prefix("last-event-id: "));
+    after
         .and_then(|id| id.trim().parse().ok())
-        .map_or(1, |id: u32| id + 1);
+        .map_or(1, |id: u32| id + 1)
+}
+
+/// Returns a streamed answer with the events that the request asks for, up to `last`.
+pub(crate) fn whole_stream(req: &ReceivedRequest, last: u32) -> Vec<Step> {
+    let first = next_event(req);
     let events: String = (first..=last).map(|id| chunk(&event(id))).collect();
     vec![send(stream_head(&req.attempt) + &events + "0\r\n\r\n")]
 }
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -15,6 +15,7 @@
 use anvilloft_fakes::http::Call;
 use anvilloft_fakes::http::Reply;
 use anvilloft_fakes::raw::RawEndpoint;
+use anvilloft_fakes::raw::ReceivedRequest;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
 use anvilloft_relay::RelayOptions;
@@ -36,6 +37,7 @@
 use crate::common::event;
 use crate::common::eventually;
 use crate::common::log;
+use crate::common::next_event;
 use crate::common::stream_head;
 use crate::common::whole_stream;
 
@@ -76,7 +78,7 @@
     async fn start_with(
         service: &str,
         deadly: &'static str,
-        beginning: fn(&str) -> Vec<u8>,
+        beginning: fn(&ReceivedRequest) -> Vec<u8>,
     ) -> Self {
         let fleet = Fleet::start(3).await;
         fleet.publish(1, 1_000_000).await;
@@ -91,7 +93,7 @@
                     crashes.fetch_add(1, Ordering::Relaxed);
                     alive.store(false, Ordering::Relaxed);
                     vec![
-                        Step::Send(beginning(&req.attempt)),
+                        Step::Send(beginning(&req)),
                         Step::Wait(Duration::from_millis(20)),
                         Step::Crash,
                     ]
@@ -270,39 +272,49 @@
         name: &'static str,
         service: &'static str,
         path: &'static str,
-        beginning: fn(&str) -> Vec<u8>,
+        beginning: fn(&ReceivedRequest) -> Vec<u8>,
     }
     let cases = [
         Case {
             name: "after the header",
             service: "plain",
             path: "/any/x",
-            beginning: |id| cut_answer(id, 0),
+            beginning: |req| cut_answer(&req.attempt, 0),
         },
         Case {
             name: "in the body",
             service: "plain",
             path: "/once/x",
-            beginning: |id| cut_answer(id, 5),
+            beginning: |req| cut_answer(&req.attempt, 5),
         },
         Case {
             name: "a stream without an event",
             service: "engines",
             path: "/stream/x",
-            beginning: |id| stream_head(id).into_bytes(),
+            beginning: |req| stream_head(&req.attempt).into_bytes(),
         },
         Case {
             name: "after the first event",
             service: "engines",
             path: "/stream/x",
-            beginning: |id| (stream_head(id) + &chunk(&event(1))).into_bytes(),
+            beginning: |req| (stream_head(&req.attempt) + &chunk(&event(1))).into_bytes(),
+        },
+        Case {
+            name: "after three events of each endpoint",
+            service: "engines",
+            path: "/stream/x",
+            beginning: |req| {
+                let first = next_event(req);
+                let events = (first..first + 3).map(|id| chunk(&event(id)));
+                (stream_head(&req.attempt) + &events.collect::<String>()).into_bytes()
+            },
         },
         Case {
             name: "a stream without chunks, inside its first event",
             service: "engines",
             path: "/stream/x",
-            beginning: |id| {
-                let head = stream_head(id).replace("transfer-encoding: chunked\r\n", "");
+            beginning: |req| {
+                let head = stream_head(&req.attempt).replace("transfer-encoding: chunked\r\n", "");
                 (head + "id: 1\ndata: x").into_bytes()
             },
         },
