relay: keep the events of an answer in a type of their own

EventBuffer holds them, and is replaced as a whole when another endpoint goes on. No change of behaviour.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,15 +17,12 @@
 use anvilloft_dispatch::KeepReason;
 use anvilloft_dispatch::Outcome;
 use anvilloft_dispatch::SilenceTimer;
-use anvilloft_gateway::answer_memory::AnswerCharge;
 use anvilloft_gateway::client::ClientError;
 use anvilloft_gateway::client::EndpointResponse;
 use anvilloft_gateway::serve::AnswerDeadline;
-use anvilloft_gateway::sse::MAX_EVENT_BYTES;
 use anvilloft_routes::RouteKind;
 use anvilloft_types::prelude::*;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures::Stream;
 use futures::StreamExt;
 use http_body::Frame;
@@ -42,7 +39,8 @@
 use crate::attempt::judge;
 use crate::charge::Charge;
 use crate::crashes;
-use crate::events::EventSplitter;
+use crate::event_buffer::EventBuffer;
+use crate::event_buffer::Read;
 use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
@@ -54,8 +52,6 @@
 use crate::handover::wait_for_either;
 use crate::progress::Progress;
 use crate::resume::can_continue;
-use crate::resume::is_cut_off;
-use crate::resume::is_event_stream;
 use crate::resume::resume_stream;
 use crate::state::RelayState;
 
@@ -64,8 +60,6 @@
 /// up at eight times `max_gap`. Before the first event, the limit is that of an answer's
 /// header. Any other stream is never cut for a pause: nobody else could go on with it.
 const FAILED_AFTER_GAPS: u32 = 3;
-/// Maximum length of what precedes the first event with data or an id, in bytes.
-const MAX_PREFACE_BYTES: usize = 64 * 1024;
 
 quick_error! {
     /// Why a stream ended before its last event. The caller sees a broken connection.
@@ -82,19 +76,6 @@
     }
 }
 
-/// What was read from the current endpoint.
-enum Read {
-    /// Whole events, of which one has data or an id.
-    Events(Bytes),
-    End,
-    /// The endpoint broke the stream.
-    Broken(ClientError),
-    /// Nothing that the caller gets, or the stream goes on elsewhere.
-    Nothing,
-    /// No endpoint goes on with the stream.
-    Failed(StreamError),
-}
-
 /// The events of a streamed answer, which may come from several endpoints.
 struct ResumingStream {
     cx: Arc<RelayState>,
@@ -103,17 +84,11 @@
     charge: Option<Charge>,
     /// Current endpoint and its answer; `None` after the end of the stream.
     current: Option<(InFlightRequest, EndpointResponse)>,
-    splitter: EventSplitter,
-    /// Whether the current endpoint has sent events before it was left.
-    has_returned: bool,
+    buffer: EventBuffer,
     /// Number of events before those of the current endpoint.
     events_before: u64,
     /// Status and headers of the current answer, until the first event.
     head: http::response::Parts,
-    /// Events without data or an id that the caller has not got yet.
-    comments: BytesMut,
-    /// Memory of the incomplete event and of `comments`.
-    memory: AnswerCharge,
     /// When the first event arrived.
     first_event_at: Option<Duration>,
     /// When the last events arrived.
@@ -126,78 +101,6 @@
     longest_gap: Duration,
 }
 
-/// Returns the next bytes of an answer, once there is memory for the `held` ones before.
-async fn next_bytes(
-    answer: &mut EndpointResponse,
-    memory: &mut AnswerCharge,
-    held: usize,
-    limit: Duration,
-) -> Result<Option<Bytes>, ClientError> {
-    if memory.try_resize(held) {
-        return answer.next(limit).await;
-    }
-    let start = Instant::now();
-    let wait = tokio::time::timeout(limit, memory.resize(held)).await;
-    wait.map_err(|_| ClientError::Timeout("memory of an event"))?;
-    answer.next(limit.saturating_sub(start.elapsed())).await
-}
-
-/// Reads from an endpoint until an event with data or an id is whole. Other events are
-/// added to `comments`. Dropping the future loses nothing.
-async fn read_events(
-    answer: &mut EndpointResponse,
-    splitter: &mut EventSplitter,
-    comments: &mut BytesMut,
-    memory: &mut AnswerCharge,
-    max_comments: usize,
-    has_returned: bool,
-    left: Duration,
-) -> Read {
-    loop {
-        let held = splitter.partial_len() + comments.len();
-        match next_bytes(answer, memory, held, left).await {
-            Ok(Some(bytes)) => {
-                let read = push(splitter, comments, max_comments, &bytes);
-                if !matches!(read, Read::Nothing) {
-                    return read;
-                }
-            }
-            Ok(None) => return read_end(answer, splitter, has_returned),
-            Err(e) => return Read::Broken(e),
-        }
-    }
-}
-
-/// Returns what the end of an answer means. `has_returned` tells that the endpoint has sent
-/// the stream's last event before it was left, and may have had nothing more to send.
-fn read_end(answer: &EndpointResponse, splitter: &EventSplitter, has_returned: bool) -> Read {
-    let is_whole = has_returned && answer.is_framed();
-    match !is_whole && is_cut_off(splitter, answer) {
-        true => Read::Broken(ClientError::Broken("the end before the last event".into())),
-        false => Read::End,
-    }
-}
-
-fn push(
-    splitter: &mut EventSplitter,
-    comments: &mut BytesMut,
-    max_comments: usize,
-    bytes: &[u8],
-) -> Read {
-    let count_before = splitter.event_count();
-    let Some(events) = splitter.push(bytes) else {
-        return Read::Broken(ClientError::Broken("an event that can't follow".into()));
-    };
-    if splitter.event_count() > count_before {
-        return Read::Events(events);
-    }
-    comments.extend_from_slice(&events);
-    match comments.len() > max_comments {
-        true => Read::Broken(ClientError::Broken("comments without end".into())),
-        false => Read::Nothing,
-    }
-}
-
 /// Returns the timer of the silence between events.
 fn gap_timer(outbound: &OutboundRequest, now: Duration) -> SilenceTimer {
     let limit = match outbound.kind {
@@ -207,29 +110,14 @@
     SilenceTimer::new(limit, ASK_INTERVAL, now)
 }
 
-/// Returns the limit on events without data or an id that the caller has not got yet, in
-/// bytes.
-fn max_comments(has_begun: bool) -> usize {
-    match has_begun {
-        true => MAX_EVENT_BYTES,
-        false => MAX_PREFACE_BYTES,
-    }
-}
-
-/// Whether another endpoint can go on with an endpoint's answer.
-fn is_resumable(answer: &EndpointResponse, splitter: &EventSplitter) -> bool {
-    is_event_stream(answer) && splitter.can_resume()
-}
-
 impl ResumingStream {
     /// Returns the next whole events, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         loop {
-            if self.has_begun() && !self.comments.is_empty() {
-                let comments = std::mem::take(&mut self.comments).freeze();
-                return Some(Ok(self.memory.detach(comments)));
-            }
             let has_begun = self.has_begun();
+            if has_begun && self.buffer.has_comments() {
+                return Some(Ok(self.buffer.take_with(Bytes::new())));
+            }
             let (_, answer) = self.current.as_mut()?;
             let now = self.cx.now();
             let left = self.outbound.deadline.saturating_sub(now);
@@ -242,34 +130,23 @@
             }
             // Without an id, another endpoint would begin with the first event, of which the
             // caller must have nothing then.
-            let can_move = (!has_begun || self.splitter.last_id().is_some())
+            let can_move = (!has_begun || self.buffer.splitter.last_id().is_some())
                 && self.outbound.kind.is_retryable()
-                && is_resumable(answer, &self.splitter);
+                && self.buffer.can_resume(answer);
             // Bytes that complete no event with data or an id are no progress.
             let wait = match can_move {
                 true => self.silence.until_ask(now).min(left),
                 false => left,
             };
-            let held = self.splitter.partial_len() + self.comments.len();
-            let read = match next_bytes(answer, &mut self.memory, held, wait).await {
-                Ok(Some(bytes)) => push(
-                    &mut self.splitter,
-                    &mut self.comments,
-                    max_comments(has_begun),
-                    &bytes,
-                ),
-                Ok(None) => read_end(answer, &self.splitter, self.has_returned),
-                Err(ClientError::Timeout(_)) if can_move => self.hand_over().await?,
-                Err(ClientError::Timeout(_)) => Read::Nothing,
-                Err(e) => Read::Broken(e),
+            let read = match self.buffer.read(answer, wait).await {
+                Read::Broken(ClientError::Timeout(_)) if can_move => self.hand_over().await?,
+                Read::Broken(ClientError::Timeout(_)) => Read::Nothing,
+                read => read,
             };
             match read {
                 Read::Events(events) => {
                     self.record_events();
-                    if self.comments.is_empty() {
-                        return Some(Ok(self.memory.detach(events)));
-                    }
-                    self.comments.extend_from_slice(&events);
+                    return Some(Ok(self.buffer.take_with(events)));
                 }
                 Read::End => return self.end(),
                 Read::Broken(e) => {
@@ -304,7 +181,7 @@
         self.silence.heard(now);
         self.kept_for = None;
         if let Some(charge) = &mut self.charge {
-            charge.events = self.splitter.event_count();
+            charge.events = self.buffer.splitter.event_count();
         }
     }
 
@@ -320,12 +197,10 @@
                 .as_millis() as u64,
             "gap_ms" => self.longest_gap.as_millis() as u64,
             "rank" => self.outbound.level,
-            "events" => self.splitter.event_count(),
+            "events" => self.buffer.splitter.event_count(),
             "endpoints" => self.progress.sent_count);
         in_flight.end(Outcome::Ok);
-        self.comments
-            .extend_from_slice(&self.splitter.take_remainder());
-        let rest = self.comments.split().freeze();
+        let rest = self.buffer.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -339,7 +214,7 @@
             return Some(Err(err));
         }
         slog::info!(self.cx.log, "stream broken off"; "request" => &self.outbound.id,
-            "reason" => %err, "events" => self.splitter.event_count(),
+            "reason" => %err, "events" => self.buffer.splitter.event_count(),
             "endpoints" => self.progress.sent_count,
             "table" => self.cx.table.load().version());
         Some(Err(err))
@@ -352,8 +227,7 @@
         let now = self.cx.now();
         self.silence.asked(now);
         let silent_for = self.silence.silent_for(now);
-        let last_event = self.splitter.last_id().map(str::to_owned);
-        let has_begun = self.has_begun();
+        let last_event = self.buffer.splitter.last_id().map(str::to_owned);
         let (in_flight, answer) = self.current.as_mut()?;
         let endpoint = in_flight.pick.endpoint.clone();
         let silent = SilentEndpoint {
@@ -380,15 +254,7 @@
         let asked = Ok(other.in_flight.pick.endpoint.as_str());
         log_silence(&self.cx, &self.outbound, &endpoint, silent_for, asked);
         let left = self.outbound.deadline.saturating_sub(now);
-        let read = read_events(
-            answer,
-            &mut self.splitter,
-            &mut self.comments,
-            &mut self.memory,
-            max_comments(has_begun),
-            self.has_returned,
-            left,
-        );
+        let read = self.buffer.read_events(answer, left);
         match wait_for_either(read, &mut other).await {
             First::Current(Read::Broken(e)) => {
                 self.close_broken(&e);
@@ -439,44 +305,21 @@
         mut other: EndpointAnswer,
         limit: Duration,
     ) -> Option<Read> {
-        let has_begun = self.has_begun();
-        let mut splitter = match has_begun {
-            true => self.splitter.resumed(),
-            false => EventSplitter::default(),
-        };
-        let mut comments = BytesMut::new();
-        let mut memory = self.cx.client.answers().charge();
+        let mut next = self.buffer.for_next(self.cx.client.answers().charge());
         let left = self.outbound.deadline.saturating_sub(self.cx.now());
-        let max = max_comments(has_begun);
         let (_, answer) = self.current.as_mut()?;
-        let current = read_events(
-            answer,
-            &mut self.splitter,
-            &mut self.comments,
-            &mut self.memory,
-            max,
-            self.has_returned,
-            left,
-        );
-        let next = read_events(
-            &mut other.answer,
-            &mut splitter,
-            &mut comments,
-            &mut memory,
-            max,
-            false,
-            left,
-        );
+        let current = self.buffer.read_events(answer, left);
+        let following = next.read_events(&mut other.answer, left);
         let read = tokio::select! {
             biased;
             read = current => Err(read),
-            read = next => Ok(read),
+            read = following => Ok(read),
             () = tokio::time::sleep(limit) => Ok(Read::Nothing),
         };
         match read {
             Err(Read::Broken(e)) => {
                 self.close_broken(&e);
-                self.take_over(other, splitter, comments, memory);
+                self.take_over(other, next);
                 Some(Read::Nothing)
             }
             Err(read) => Some(read),
@@ -493,24 +336,16 @@
             }
             Ok(read) => {
                 self.leave_silent();
-                self.take_over(other, splitter, comments, memory);
+                self.take_over(other, next);
                 Some(read)
             }
         }
     }
 
     /// Goes on with an answer of which a part was read.
-    fn take_over(
-        &mut self,
-        answered: EndpointAnswer,
-        splitter: EventSplitter,
-        comments: BytesMut,
-        memory: AnswerCharge,
-    ) {
-        let events_before = self.splitter.event_count();
-        self.splitter = splitter;
-        self.comments.extend_from_slice(&comments);
-        self.memory = memory;
+    fn take_over(&mut self, answered: EndpointAnswer, next: EventBuffer) {
+        let events_before = self.buffer.splitter.event_count();
+        self.buffer.replace(next);
         self.go_on_with(answered);
         self.events_before = events_before;
     }
@@ -521,30 +356,24 @@
         let Some((in_flight, answer)) = self.current.take() else {
             return false;
         };
-        let can_resume = is_resumable(&answer, &self.splitter);
+        let can_resume = self.buffer.can_resume(&answer);
         answer.close();
         let silent_for = self.silence.silent_for(self.cx.now());
         slog::info!(self.cx.log, "endpoint broke off"; "request" => &self.outbound.id,
             "endpoint" => &in_flight.pick.endpoint, "error" => error,
-            "by" => by, "events" => self.splitter.event_count(),
+            "by" => by, "events" => self.buffer.splitter.event_count(),
             "silent_ms" => silent_for.as_millis() as u64);
         in_flight.end(Outcome::Broken);
         self.progress.may_have_run = true;
-        if self.has_begun() {
-            self.splitter.resume();
-        } else {
-            // The caller has nothing of this answer.
-            self.splitter = EventSplitter::default();
-            self.comments.clear();
-        }
+        self.buffer.reset();
         can_resume
     }
 
     /// Closes the connection to the current endpoint, which may be sound.
     fn leave_silent(&mut self) {
         if let Some((in_flight, _)) = &self.current {
-            let has_sent = self.splitter.event_count() > self.events_before;
-            let last_event = self.splitter.last_id().filter(|_| has_sent);
+            let has_sent = self.buffer.splitter.event_count() > self.events_before;
+            let last_event = self.buffer.splitter.last_id().filter(|_| has_sent);
             let last_event = last_event.map(str::to_owned);
             self.progress
                 .record_left(in_flight.pick.clone(), last_event);
@@ -566,13 +395,13 @@
     fn go_on_with(&mut self, answered: EndpointAnswer) {
         let EndpointAnswer { in_flight, answer } = answered;
         slog::info!(self.cx.log, "stream resumed"; "request" => &self.outbound.id,
-            "endpoint" => &in_flight.pick.endpoint, "after" => self.splitter.last_id());
+            "endpoint" => &in_flight.pick.endpoint, "after" => self.buffer.splitter.last_id());
         if !self.has_begun() {
             self.head = response_head(&answer);
         }
         self.current = Some((in_flight, answer));
-        self.events_before = self.splitter.event_count();
-        self.has_returned = false;
+        self.events_before = self.buffer.splitter.event_count();
+        self.buffer.has_returned = false;
         self.silence.heard(self.cx.now());
         self.kept_for = None;
     }
@@ -590,13 +419,13 @@
 
     /// Resumes the stream at the endpoint of a running attempt, or at any other.
     async fn resume_at(&mut self, running: Option<Attempt>) -> Read {
-        let last_event = self.splitter.last_id().map(str::to_owned);
+        let last_event = self.buffer.splitter.last_id().map(str::to_owned);
         let (cx, outbound) = (&self.cx, &self.outbound);
         let last_event = last_event.as_deref();
         match resume_stream(cx, outbound, &mut self.progress, last_event, running).await {
             Ok((answered, has_returned)) => {
                 self.go_on_with(answered);
-                self.has_returned = has_returned;
+                self.buffer.has_returned = has_returned;
                 Read::Nothing
             }
             Err(err) => Read::Failed(err),
@@ -648,11 +477,8 @@
             charge,
             head: response_head(&answer),
             current: Some((in_flight, answer)),
-            splitter: EventSplitter::default(),
+            buffer: EventBuffer::new(cx.client.answers().charge()),
             events_before: 0,
-            has_returned: false,
-            comments: BytesMut::new(),
-            memory: cx.client.answers().charge(),
             first_event_at: None,
             last_events_at: Duration::ZERO,
             silence,
