gateway: keep bodies in blocks of one size

Cause: a body was joined in one buffer that grew fourfold. glibc raises its limit for mapped memory when it frees such a buffer, so the next ones come from the heap and leave holes of all sizes there. Shown: the same code with MALLOC_MMAP_THRESHOLD_=131072 peaks at 122 MB, without at 244; MALLOC_ARENA_MAX=1 changes nothing (242 MB).

Change: ChunkBuffer keeps blocks of 64 KiB, and joins them once the body is whole.

--- a/crates/gateway/src/chunk_buffer.rs
+++ b/crates/gateway/src/chunk_buffer.rs
@@ -2,24 +2,27 @@
 
 use bytes::Bytes;
 
-/// Size from which the buffer grows by a multiple of its size, in bytes.
-const LARGE_BYTES: usize = 64 * 1024;
-/// Factor of this growth. Pages that were never written take no memory, while the old
-/// buffers of many small steps fragment the heap.
-const GROWTH_FACTOR: usize = 4;
+#[cfg(test)]
+mod tests;
+
+/// Size of the blocks in which chunks are kept, in bytes. Blocks of one size take each
+/// other's place in the heap, while buffers that grow leave holes of all sizes there.
+const BLOCK_BYTES: usize = 64 * 1024;
 
 /// Chunks of a body in arrival order. A single chunk is returned without a copy.
 #[derive(Debug, Default)]
 pub(crate) struct ChunkBuffer {
     first: Option<Bytes>,
-    // All chunks copied together once there are two; `first` is `None` then.
-    joined: Vec<u8>,
+    /// All chunks copied one after the other once there are two; `first` is `None` then.
+    /// Only the last block has room.
+    blocks: Vec<Vec<u8>>,
+    copied_len: usize,
 }
 
 impl ChunkBuffer {
     pub(crate) fn push(&mut self, chunk: Bytes) {
         match self.first.take() {
-            None if self.joined.is_empty() => self.first = Some(chunk),
+            None if self.blocks.is_empty() => self.first = Some(chunk),
             None => self.append(&chunk),
             Some(first) => {
                 self.append(&first);
@@ -28,32 +31,51 @@
         }
     }
 
-    fn append(&mut self, chunk: &[u8]) {
-        let is_full = self.joined.capacity() - self.joined.len() < chunk.len();
-        if is_full && self.joined.len() >= LARGE_BYTES {
-            let added = self.joined.len() * (GROWTH_FACTOR - 1);
-            self.joined.reserve_exact(added.max(chunk.len()));
+    fn append(&mut self, mut chunk: &[u8]) {
+        self.copied_len += chunk.len();
+        while !chunk.is_empty() {
+            let is_full = |block: &Vec<u8>| block.len() >= BLOCK_BYTES;
+            if self.blocks.last().is_none_or(is_full) {
+                // A first block may stay small, so it begins without room.
+                let capacity = match self.blocks.is_empty() {
+                    true => 0,
+                    false => BLOCK_BYTES,
+                };
+                self.blocks.push(Vec::with_capacity(capacity));
+            }
+            let Some(block) = self.blocks.last_mut() else {
+                return;
+            };
+            let (fitting, rest) = chunk.split_at(chunk.len().min(BLOCK_BYTES - block.len()));
+            block.extend_from_slice(fitting);
+            chunk = rest;
         }
-        self.joined.extend_from_slice(chunk);
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.first.is_none() && self.joined.is_empty()
+        self.first.is_none() && self.blocks.is_empty()
     }
 
     /// Returns the total length of the chunks, in bytes.
     pub(crate) fn len(&self) -> usize {
-        self.joined.len() + self.first.as_ref().map_or(0, Bytes::len)
+        self.copied_len + self.first.as_ref().map_or(0, Bytes::len)
     }
 
     /// Returns the number of bytes copied to join chunks; 0 for a single chunk.
     pub(crate) fn copied_len(&self) -> usize {
-        self.joined.len()
+        self.copied_len
     }
 
     /// Returns the chunks joined, or `None` when there was no data.
-    pub(crate) fn join(self) -> Option<Bytes> {
-        let joined = (!self.joined.is_empty()).then(|| Bytes::from(self.joined));
-        self.first.or(joined)
+    pub(crate) fn join(mut self) -> Option<Bytes> {
+        if self.blocks.len() <= 1 {
+            return self.first.or(self.blocks.pop().map(Bytes::from));
+        }
+        let mut joined = Vec::with_capacity(self.copied_len);
+        // Each block is freed as it is copied.
+        for block in self.blocks {
+            joined.extend_from_slice(&block);
+        }
+        Some(Bytes::from(joined))
     }
 }
