platform: get short configurations from the leader in one call

Cause: the host's own member lags there, so each read asked the leader twice, each time over a path that is found after 200 ms.

Change: Query.max_source_bytes replaces version_only.

--- a/crates/ledger/src/query.rs
+++ b/crates/ledger/src/query.rs
@@ -29,10 +29,11 @@
             0 => DEFAULT_ROWS,
             n => n.min(MAX_ROWS),
         } as usize;
-        if q.kind == "publication" && q.version_only {
-            return Ok(self.route_table.version.to_string());
-        }
         if q.kind == "publication" {
+            let max_bytes = q.max_source_bytes as usize;
+            if max_bytes > 0 && self.route_table.source.len() > max_bytes {
+                return Ok(self.route_table.version.to_string());
+            }
             // Returned as the operator wrote it, so it is not parsed.
             if self.route_table.version == 0 {
                 return Ok(String::new());
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -268,10 +268,11 @@
     /// Maximum number of rows; 0 for the default.
     #[prost(uint32, tag = "4")]
     pub limit: u32,
-    /// Whether only the version of the `publication` is read, or 0 without one. Older
-    /// members return the source all the same.
-    #[prost(bool, tag = "5")]
-    pub version_only: bool,
+    /// Maximum size of the source of the `publication`, compressed, in bytes; 0 for no
+    /// limit. Of a longer one only the version is returned. Older members return the source
+    /// all the same.
+    #[prost(uint32, tag = "5")]
+    pub max_source_bytes: u32,
 }
 
 /// A reply of the control members.
