control: bound the copies of leave notices

Found by reading (review): a member in its planned stop confirmed copies that it forgets at once; a notice without an incarnation was told again to each member that connects, where it could be applied to a later incarnation; a member that refuses a copy was asked every 20 ms.

Change: a stopping member refuses copies, notices without an incarnation aren't told again, and any answer ends the copy to a member.

None of them plays the three orders of events.

--- a/crates/control/src/peers/notices.rs
+++ b/crates/control/src/peers/notices.rs
@@ -1,6 +1,7 @@
 //! Copies of leave notices at other members, so that an acknowledged notice outlives the
 //! member that received it.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilloft_types::MemberId;
@@ -83,10 +84,9 @@
             if let Some(session) = self.member_session(member) {
                 let limit = left.min(COPY_TIMEOUT);
                 let reply = session.call(notice.clone().into(), limit, HOPS_BY_CONTROL);
-                if let Ok(reply) = reply.await
-                    && matches!(reply.answer, Some(Answer::Applied(_)))
-                {
-                    return Some(member);
+                // A member that refuses the copy would refuse it again.
+                if let Ok(reply) = reply.await {
+                    return matches!(reply.answer, Some(Answer::Applied(_))).then_some(member);
                 }
             }
             tokio::time::sleep(left.min(RETRY_DELAY)).await;
@@ -95,6 +95,9 @@
 
     /// Takes a copy of a notice from another member.
     pub(super) fn take_copy(&self, notice: EndpointUpdate) -> ControlReply {
+        if self.draining.load(Ordering::Relaxed) {
+            return unavailable("the member is stopping");
+        }
         match self.announce(notice) {
             AnnounceOutcome::Full => unavailable("too many endpoints"),
             AnnounceOutcome::Conflicting => unavailable("the endpoint has announced otherwise"),
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -183,10 +183,12 @@
     }
 
     /// Returns the announcements of the endpoints that leave, for a member that has just
-    /// connected.
+    /// connected. A notice without an incarnation is left out: it could be applied to a
+    /// later one there.
     pub(crate) fn leaving(&self, now: Duration) -> EndpointBatch {
         let entries = self.lock();
-        let leaving = entries.iter().filter(|e| e.is_leaving());
+        let is_sent = |e: &&Entry| e.is_leaving() && e.update.incarnation > 0;
+        let leaving = entries.iter().filter(is_sent);
         EndpointBatch {
             updates: leaving.map(|e| with_age(e, now)).collect(),
         }
