gateway: keep the first block of a body within its size

Found by reading (review): the first block grew by doubling, so its capacity could pass the size of a block.

Measured: chunks_are_joined_in_order passes; the tests of gateway pass.

--- a/crates/gateway/src/chunk_buffer.rs
+++ b/crates/gateway/src/chunk_buffer.rs
@@ -36,7 +36,7 @@
         while !chunk.is_empty() {
             let is_full = |block: &Vec<u8>| block.len() >= BLOCK_BYTES;
             if self.blocks.last().is_none_or(is_full) {
-                // A first block may stay small, so it begins without room.
+                // The first block may stay small, so it grows.
                 let capacity = match self.blocks.is_empty() {
                     true => 0,
                     false => BLOCK_BYTES,
@@ -47,6 +47,10 @@
                 return;
             };
             let (fitting, rest) = chunk.split_at(chunk.len().min(BLOCK_BYTES - block.len()));
+            if block.capacity() - block.len() < fitting.len() {
+                let capacity = (block.len() + fitting.len()).max(block.capacity() * 2);
+                block.reserve_exact(capacity.min(BLOCK_BYTES) - block.len());
+            }
             block.extend_from_slice(fitting);
             chunk = rest;
         }
