crashes: count close crashes only along a request that was sent on

Found by reading (review): the ledger counted crashes within 100 ms one by one for a request that waited at all endpoints that crashed. Copies of a sound request at endpoints that fail together look the same.

Change: a router says whether another endpoint had broken the request off before it was sent there (CrashedRequest.sent_on); only such crashes count. The beginning of a stream also tells its buffer itself whether the caller has events.

--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -238,6 +238,7 @@
                     whole: Some(to_trait(vec![n; 16])),
                     parts: vec![to_trait(part.clone())],
                     prompt: Vec::new(),
+                    ..CrashedRequest::default()
                 }],
                 age_ms: 0,
             }],
--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -88,6 +88,8 @@
     pub parts: Vec<ReportedTrait>,
     /// Fingerprint of the whole prompt.
     pub prompt: Fingerprint,
+    /// Whether it was sent there after another endpoint had broken it off.
+    pub sent_on: bool,
 }
 
 /// A crash to report to control.
@@ -103,12 +105,30 @@
     pub at: Duration,
 }
 
+/// A request whose connection broke off.
+#[derive(Clone, Debug)]
+pub struct BrokenRequest {
+    /// Its traits.
+    pub traits: RequestTraits,
+    /// Whether it was sent there after another endpoint had broken it off.
+    pub sent_on: bool,
+}
+
+impl From<RequestTraits> for BrokenRequest {
+    fn from(traits: RequestTraits) -> Self {
+        Self {
+            traits,
+            sent_on: false,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Broken {
     endpoint: EndpointId,
     incarnation: Incarnation,
     at: Duration,
-    traits: RequestTraits,
+    request: BrokenRequest,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -277,7 +297,7 @@
         now: Duration,
         endpoint: &str,
         incarnation: Incarnation,
-        traits: RequestTraits,
+        request: impl Into<BrokenRequest>,
     ) -> bool {
         self.expire(now);
         if self.broken.len() >= MAX_BROKEN {
@@ -287,7 +307,7 @@
             endpoint: endpoint.to_owned(),
             incarnation,
             at: now,
-            traits,
+            request: request.into(),
         });
         let is_known = self.checks.iter().any(|c| c.is_of(endpoint, incarnation));
         if !is_known {
@@ -363,11 +383,13 @@
                 answered_lately: answered_at.is_some_and(|at| at + RECENT_ANSWER > b.at),
             }
         };
-        let parts = b.traits.parts.iter();
+        let traits = &b.request.traits;
+        let parts = traits.parts.iter();
         ReportedRequest {
-            whole: reported(&b.traits.whole, &self.answered_requests),
+            whole: reported(&traits.whole, &self.answered_requests),
             parts: parts.map(|f| reported(f, &self.answered_parts)).collect(),
-            prompt: b.traits.prompt,
+            prompt: traits.prompt,
+            sent_on: b.request.sent_on,
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 
 pub use cache::PromptPart;
 pub use config::DispatcherConfig;
+pub use crashes::BrokenRequest;
 pub use crashes::CrashWatch;
 pub use crashes::CrashedEndpoint;
 pub use crashes::QuarantineList;
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -4,7 +4,7 @@
 //! little about any of them. What they have in common with the requests of other
 //! crashes says more: a part of the prompt, or the whole request if its caller sends
 //! it again. Such a trait is quarantined once enough endpoints crashed while requests
-//! with it waited for their answers to begin. Then the crashes are explained, and the
+//! with it waited for their whole answers. Then the crashes are explained, and the
 //! other traits that were seen there are cleared of them.
 
 use std::cmp::Reverse;
@@ -58,8 +58,8 @@
 /// the part is quarantined. Copies of one request say nothing about its parts.
 const MIN_REQUESTS: usize = 2;
 /// Time within which crashes may have a cause that they share, in milliseconds, such as
-/// the loss of a rack. They count as one then, unless one request that was never answered
-/// waited at every endpoint that crashed: it reached the next as the one before was gone.
+/// the loss of a rack. They count as one, except for a request that was never answered, was
+/// sent on from one that had broken off, and waited at every endpoint that crashed then.
 const SAME_CAUSE_MS: u64 = 100;
 
 /// A trait of the requests that waited at an endpoint when it crashed.
@@ -83,6 +83,9 @@
     /// Ledger time of the last answer to a request with it; 0 if unknown.
     #[prost(uint64, tag = "6")]
     pub(crate) answered_at_ms: u64,
+    /// Whether a request was sent there after another endpoint had broken it off.
+    #[prost(bool, tag = "7")]
+    pub(crate) sent_on: bool,
 }
 
 impl Suspect {
@@ -189,6 +192,16 @@
         }
     }
 
+    /// Records that a request was sent there after another endpoint had broken it off.
+    fn set_sent_on(&mut self, f: &[u8]) {
+        let found = self
+            .suspects
+            .binary_search_by(|s| s.fingerprint.as_slice().cmp(f));
+        if let Some(suspect) = found.ok().and_then(|at| self.suspects.get_mut(at)) {
+            suspect.sent_on = true;
+        }
+    }
+
     /// Takes a suspect as the cause, which clears the others. A request doesn't clear
     /// the parts of its prompt.
     fn explain(&mut self, f: &Fingerprint) {
@@ -241,9 +254,9 @@
 }
 
 impl<'a> Evidence<'a> {
-    /// Adds a crash at which a trait was seen. `is_alone` tells that no endpoint crashed at
-    /// about the same time without the trait.
-    fn add(&mut self, crash: &Crash, s: &'a Suspect, is_alone: bool) {
+    /// Adds a crash at which a trait was seen. `is_alone` tells whether no endpoint crashed
+    /// at about the same time without the trait.
+    fn add(&mut self, crash: &Crash, s: &'a Suspect, is_alone: impl FnOnce() -> bool) {
         if s.answered_lately {
             return;
         }
@@ -254,8 +267,9 @@
             }
         }
         let since_last = crash.at_ms.saturating_sub(self.last_at_ms);
-        let is_own_cause = is_alone && !s.is_part() && !self.answered;
-        if self.crashes == 0 || since_last >= SAME_CAUSE_MS || is_own_cause {
+        let may_share_cause = self.crashes > 0 && since_last < SAME_CAUSE_MS;
+        let is_sent_on = s.sent_on && !s.is_part() && !self.answered;
+        if !may_share_cause || (is_sent_on && is_alone()) {
             self.crashes += 1;
             self.last_at_ms = crash.at_ms;
         }
@@ -317,6 +331,9 @@
                 continue;
             };
             crash.add(now_ms, whole, 0, None);
+            if request.sent_on {
+                crash.set_sent_on(&whole.fingerprint);
+            }
             let id = request_id(whole, &request.prompt);
             for (place, part) in (0..).zip(&request.parts) {
                 crash.add(now_ms, part, place, Some(id));
@@ -342,7 +359,7 @@
         // What was answered since a crash didn't cause it.
         let answered_at_ms = seen().map(|(_, s)| s.answered_at_ms).max().unwrap_or(0);
         for (crash, s) in seen().filter(|(crash, _)| crash.at_ms >= answered_at_ms) {
-            evidence.add(crash, s, self.is_alone(crash, f));
+            evidence.add(crash, s, || self.is_alone(crash, f));
         }
         evidence
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -126,6 +126,8 @@
     request_no: RequestNo,
     /// Whether no pooled connection may be used.
     new_connection: bool,
+    /// Whether another endpoint had broken the request off before it was sent here.
+    pub(crate) sent_on: bool,
     /// Whether an event of a stream has arrived.
     has_event: bool,
     ended: bool,
@@ -377,6 +379,7 @@
         pick,
         request_no: outbound.request_no,
         new_connection,
+        sent_on: progress.may_have_run,
         has_event: false,
         ended: false,
     }
@@ -539,7 +542,7 @@
                 (_, false) => Outcome::Unreachable,
             };
             if e.written && e.error.is_connection_failure() {
-                crashes::record_broken(cx, &in_flight.pick, &outbound.traits);
+                crashes::record_broken(cx, &in_flight, &outbound.traits);
             }
             in_flight.end(outcome);
             return match e.written {
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use anvilloft_dispatch::BrokenRequest;
 use anvilloft_dispatch::CrashWatch;
 use anvilloft_dispatch::CrashedEndpoint;
-use anvilloft_dispatch::Pick;
 use anvilloft_dispatch::PromptPart;
 use anvilloft_dispatch::QuarantineList;
 use anvilloft_dispatch::ReportedTrait;
@@ -24,6 +24,7 @@
 use http::request::Parts;
 use tokio::net::TcpStream;
 
+use crate::attempt::InFlightRequest;
 use crate::state::RelayState;
 
 /// Timeout of one attempt to connect to an endpoint that may have crashed. The host of
@@ -40,10 +41,18 @@
 
 /// Records that the connection of a request broke off before its answer was whole, and
 /// checks whether the endpoint has crashed.
-pub(crate) fn record_broken(cx: &Arc<RelayState>, pick: &Pick, traits: &RequestTraits) {
+pub(crate) fn record_broken(
+    cx: &Arc<RelayState>,
+    in_flight: &InFlightRequest,
+    traits: &RequestTraits,
+) {
+    let pick = &in_flight.pick;
     let (endpoint, incarnation) = (pick.endpoint.clone(), pick.incarnation);
-    let must_check =
-        lock(&cx.crashes).record_broken(cx.now(), &endpoint, incarnation, traits.clone());
+    let request = BrokenRequest {
+        traits: traits.clone(),
+        sent_on: in_flight.sent_on,
+    };
+    let must_check = lock(&cx.crashes).record_broken(cx.now(), &endpoint, incarnation, request);
     if !must_check {
         return;
     }
@@ -164,6 +173,7 @@
         whole: Some(trait_to_wire(&r.whole, now)),
         parts: r.parts.iter().map(|t| trait_to_wire(t, now)).collect(),
         prompt: r.prompt.to_vec(),
+        sent_on: r.sent_on,
     });
     Crash {
         endpoint: crash.endpoint.clone(),
--- a/crates/relay/src/event_buffer.rs
+++ b/crates/relay/src/event_buffer.rs
@@ -69,12 +69,12 @@
         *self = next;
     }
 
-    /// Prepares for the answer of another endpoint.
-    pub(crate) fn reset(&mut self) {
-        match self.has_begun() {
+    /// Prepares for the answer of another endpoint. `has_begun` tells whether the caller
+    /// gets events of the answers so far.
+    pub(crate) fn reset(&mut self, has_begun: bool) {
+        match has_begun {
             true => self.splitter.resume(),
             false => {
-                // The caller has nothing of this answer.
                 self.splitter = EventSplitter::default();
                 self.comments.clear();
             }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -473,7 +473,7 @@
                     "by" => ended_by(&e));
                 progress.may_have_run = true;
                 if e.is_connection_failure() {
-                    crashes::record_broken(cx, &in_flight.pick, &outbound.traits);
+                    crashes::record_broken(cx, &in_flight, &outbound.traits);
                 }
                 let waited = cx.now().saturating_sub(began_at);
                 in_flight.end(match e {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -328,7 +328,7 @@
                 slog::info!(self.cx.log, "answer discarded"; "request" => &self.outbound.id,
                     "endpoint" => &in_flight.pick.endpoint, "error" => %e);
                 if e.is_connection_failure() {
-                    crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
+                    crashes::record_broken(&self.cx, &in_flight, &self.outbound.traits);
                 }
                 answer.close();
                 in_flight.end(Outcome::Broken);
@@ -365,7 +365,8 @@
             "silent_ms" => silent_for.as_millis() as u64);
         in_flight.end(Outcome::Broken);
         self.progress.may_have_run = true;
-        self.buffer.reset();
+        let has_begun = self.has_begun();
+        self.buffer.reset(has_begun);
         can_resume
     }
 
@@ -387,7 +388,7 @@
         if let Some((in_flight, _)) = &self.current
             && error.is_connection_failure()
         {
-            crashes::record_broken(&self.cx, &in_flight.pick, &self.outbound.traits);
+            crashes::record_broken(&self.cx, in_flight, &self.outbound.traits);
         }
         self.close_current(ended_by(error), &error.to_string())
     }
--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -39,6 +39,9 @@
     /// alone. Older routers don't send it.
     #[prost(bytes = "vec", tag = "3")]
     pub prompt: Vec<u8>,
+    /// Whether the request was sent there after another endpoint had broken it off.
+    #[prost(bool, tag = "4")]
+    pub sent_on: bool,
 }
 
 /// A property that a crashing request may share with others.
