relay: take the end of an endpoint that leaves for no crash

Found by reading (review): an endpoint that drains and exits breaks the streams that still run there. Since streams are blamed for breaks in their middle, each planned release would report them as crashes.

Change: a break at an endpoint that is known to be leaving isn't reported.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -367,6 +367,14 @@
             .is_some_and(|at| at >= since)
     }
 
+    /// Whether an incarnation of an endpoint is known to be leaving.
+    pub fn is_leaving(&self, endpoint: &str, incarnation: Incarnation) -> bool {
+        let found = self.position(endpoint).ok();
+        found
+            .and_then(|at| self.endpoints.get(at))
+            .is_some_and(|ep| ep.announcement.incarnation == incarnation && ep.is_leaving())
+    }
+
     /// Whether an incarnation of an endpoint is known and isn't leaving.
     pub fn takes_work(&self, endpoint: &str, incarnation: Incarnation) -> bool {
         let found = self.position(endpoint).ok();
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -40,7 +40,7 @@
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(60);
 
 /// Records that the connection of a request broke off before its answer was whole, and
-/// checks whether the endpoint has crashed.
+/// checks whether the endpoint has crashed. One that leaves may end with requests in flight.
 pub(crate) fn record_broken(
     cx: &Arc<RelayState>,
     in_flight: &InFlightRequest,
@@ -48,6 +48,9 @@
 ) {
     let pick = &in_flight.pick;
     let (endpoint, incarnation) = (pick.endpoint.clone(), pick.incarnation);
+    if cx.dispatcher().is_leaving(&endpoint, incarnation) {
+        return;
+    }
     let request = BrokenRequest {
         traits: traits.clone(),
         sent_on: in_flight.sent_on,
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -29,6 +29,7 @@
 use anvilloft_wire::command::ReportCrashes;
 use anvilloft_wire::command::RequestTrait;
 use anvilloft_wire::frame::EndpointUpdate;
+use rstest::rstest;
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::Fleet;
@@ -150,6 +151,7 @@
                         whole: Some(to_trait(vec![n; 16])),
                         parts: vec![to_trait(part.to_vec())],
                         prompt: Vec::new(),
+                        ..CrashedRequest::default()
                     }],
                     age_ms: 0,
                 }],
@@ -335,6 +337,49 @@
     }
 }
 
+/// Guards against requests that are blamed for the end of an endpoint that leaves.
+#[rstest]
+#[case::stays(false, 1)]
+#[case::leaves(true, 0)]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_ends_its_streams_after_it_has_left_did_not_crash(
+    #[case] leaves: bool,
+    #[case] crashes: u64,
+) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let endpoint = RawEndpoint::start(|req| {
+        let events: String = (1..4).map(|id| chunk(&event(id))).collect();
+        vec![
+            Step::Send((stream_head(&req.attempt) + &events).into_bytes()),
+            Step::Wait(2 * SETTLE_TIME),
+            Step::Crash,
+        ]
+    });
+    let address = endpoint.await.unwrap().addr;
+    fleet.announce("f0", address, "engines");
+    let relay = &fleet.relays[0];
+    let call = call("/stream/x", "any", "00aa");
+    let mut stream = call.open(relay.address()).await.unwrap();
+    // The announcement may take a moment to arrive.
+    while !stream.read_until("id: 3", SETTLE_TIME).await {
+        stream = call.open(relay.address()).await.unwrap();
+    }
+    let leave = EndpointUpdate {
+        id: "f0".into(),
+        leaving: leaves,
+        left: leaves,
+        incarnation: 1,
+        ..EndpointUpdate::default()
+    };
+    fleet.control.peers().announce(leave);
+    tokio::time::sleep(3 * SETTLE_TIME).await;
+    drop(stream);
+    let expected = format!("anvilloft_endpoint_crashes_total {crashes}");
+    let metrics = relay.metrics().text();
+    assert!(metrics.contains(&expected), "{metrics}");
+}
+
 /// Returns an answer without the end of its body, of which `sent` bytes are there.
 fn cut_answer(id: &str, sent: usize) -> Vec<u8> {
     let mut answer = whole_answer(id, "0123456789");
