relay: clear the parts of a prompt once its stream goes on

Found by reading (review): since only whole streams count as answers, a part that most prompts share counts as never answered for the first seconds after a restart of all routers, and three crashes in that time would quarantine it for an hour.

Parts that crash engines in the middle of streams aren't found, as before.

Measured: a_stream_that_goes_on_clears_its_parts_but_not_itself (pure); the tests of dispatch and relay pass.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -285,6 +285,13 @@
     /// Records that a request was answered in full.
     pub fn record_answer(&mut self, now: Duration, traits: &RequestTraits) {
         self.answered_requests.record(now, &traits.whole);
+        self.record_progress(now, traits);
+    }
+
+    /// Records that an endpoint goes on after the beginning of an answer. The parts of the
+    /// prompt count as answered then: after a restart of all routers, the first streams end
+    /// only seconds later, and a part that most prompts share must not be blamed until then.
+    pub fn record_progress(&mut self, now: Duration, traits: &RequestTraits) {
         for part in &traits.parts {
             self.answered_parts.record(now, part);
         }
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -103,6 +103,22 @@
     }
 }
 
+/// Guards against a sound part that is blamed while the first streams with it still run, as
+/// after a restart of all routers, and against a request that is cleared by the beginning
+/// of its answer.
+#[test]
+fn a_stream_that_goes_on_clears_its_parts_but_not_itself() {
+    let mut watch = CrashWatch::default();
+    let request = traits("any", &[1]);
+    watch.record_progress(START, &request);
+    watch.record_broken(START, "e1", 7, request);
+    watch.record_check(START, "e1", 7, true);
+    let reports = watch.take_reports(START);
+    let reported = &reports[0].requests[0];
+    assert_eq!(reported.whole.answered_at, None);
+    assert_eq!(reported.parts[0].answered_at, Some(START));
+}
+
 /// Guards against a request that is missing in the report because its connection broke
 /// after the crash was known.
 #[test]
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -76,6 +76,11 @@
     lock(&cx.crashes).record_answer(cx.now(), traits);
 }
 
+/// Records that an endpoint goes on after the beginning of an answer.
+pub(crate) fn record_progress(cx: &RelayState, traits: &RequestTraits) {
+    lock(&cx.crashes).record_progress(cx.now(), traits);
+}
+
 /// Returns whether nobody listens at an address.
 async fn is_refusing(address: SocketAddr) -> bool {
     for n in 0..MAX_PROBES {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -91,6 +91,8 @@
     head: http::response::Parts,
     /// When the first event arrived.
     first_event_at: Option<Duration>,
+    /// Whether events arrived after the first ones.
+    has_progress: bool,
     /// When the last events arrived.
     last_events_at: Duration,
     /// Silence of the current endpoint, since it was last asked or made progress.
@@ -171,6 +173,9 @@
             self.first_event_at = Some(now);
             self.silence = gap_timer(&self.outbound, now);
         } else {
+            if !std::mem::replace(&mut self.has_progress, true) {
+                crashes::record_progress(&self.cx, &self.outbound.traits);
+            }
             let gap = now.saturating_sub(self.last_events_at);
             self.longest_gap = self.longest_gap.max(gap);
         }
@@ -481,6 +486,7 @@
             buffer: EventBuffer::new(cx.client.answers().charge()),
             events_before: 0,
             first_event_at: None,
+            has_progress: false,
             last_events_at: Duration::ZERO,
             silence,
             kept_for: None,
