--- a/crates/wire/src/command/crashes.rs
+++ b/crates/wire/src/command/crashes.rs
@@ -18,7 +18,7 @@
     /// Incarnation of the endpoint that crashed.
     #[prost(uint64, tag = "2")]
     pub endpoint_incarnation: u64,
-    /// The router's requests that waited there for an answer to begin.
+    /// The router's requests that waited there for their whole answers.
     #[prost(message, repeated, tag = "3")]
     pub requests: Vec<CrashedRequest>,
     /// Time since the router noticed the crash, in milliseconds.
@@ -50,8 +50,7 @@
     /// Fingerprint, 16 bytes.
     #[prost(bytes = "vec", tag = "1")]
     pub fingerprint: Vec<u8>,
-    /// Whether the router has seen an endpoint begin an answer to a request with
-    /// this trait.
+    /// Whether the router has seen an answer to a request with this trait.
     #[prost(bool, tag = "2")]
     pub answered: bool,
     /// Whether that was so shortly before the crash that the trait isn't the cause.
