gateway: read a header into the caller's buffer

While a header was read, each read went through an array of 8 KiB on the stack and was copied from there, on the path of every answer. The part of the caller's buffer that may be filled serves as well.

--- a/crates/gateway/src/counting_stream.rs
+++ b/crates/gateway/src/counting_stream.rs
@@ -83,11 +83,11 @@
             }
             None => Pin::new(&mut self.inner).poll_read(cx, buf),
             Some(left) => {
-                let mut part = [0; LIMITED_READ_BYTES];
-                let len = left.min(part.len()).min(buf.remaining());
-                let mut part = ReadBuf::new(&mut part[..len]);
+                let len = left.min(LIMITED_READ_BYTES).min(buf.remaining());
+                let mut part = ReadBuf::new(buf.initialize_unfilled_to(len));
                 let res = Pin::new(&mut self.inner).poll_read(cx, &mut part);
-                buf.put_slice(part.filled());
+                let len = part.filled().len();
+                buf.advance(len);
                 res
             }
         };
