--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -53,6 +53,7 @@
 use anvilloft_storage::Store;
 use anvilloft_types::Clock;
 use anvilloft_types::prelude::*;
+use anvilloft_types::to_ms;
 use anvilloft_types::unix_ms;
 use anvilloft_wire::command::Quarantined;
 use anvilloft_wire::frame::ConsensusFrame;
@@ -69,6 +70,7 @@
 pub use self::handle::Handle;
 pub(crate) use self::placement::ENDPOINTS_QUERY;
 pub use self::placement::EndpointOrder;
+pub(crate) use self::replies::ok_reply;
 pub use self::status::DriverStats;
 pub use self::status::Status;
 
@@ -247,7 +249,7 @@
             "member" => cfg.node.id, "term" => restored.hard_state.term,
             "snapshot" => restored.snapshot.as_ref().map_or(0, |s| s.index),
             "entries" => restored.entries.len(),
-            "ms" => u64::try_from((clock.now() - start).as_millis()).unwrap_or(u64::MAX));
+            "ms" => to_ms(clock.now() - start));
         let own_copies = OwnCopies::new(clock.now(), unix_ms(), &store.take_write_times());
         let worker = SnapshotWorker::start(restored.snapshot.clone())?;
         let (calls_tx, calls) = mpsc::channel(MAX_QUEUED_CALLS);
--- a/crates/control/src/driver/group_log.rs
+++ b/crates/control/src/driver/group_log.rs
@@ -9,6 +9,7 @@
 use anvilloft_consensus::Node;
 use anvilloft_consensus::Role;
 use anvilloft_types::prelude::*;
+use anvilloft_types::to_ms;
 use prost::Message as _;
 use slog::Logger;
 use slog::info;
@@ -71,7 +72,7 @@
         let term = node.term();
         let leader = node.leader();
         if leader != self.leader {
-            let ms = millis(now.saturating_sub(self.changed_at));
+            let ms = to_ms(now.saturating_sub(self.changed_at));
             if let Some(old) = self.leader {
                 info!(log, "leader lost"; "leader" => hex_ids(&[old]), "term" => term,
                     "after_ms" => ms);
@@ -145,10 +146,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl Core {
     /// Runs the node's work that is due, and logs an election that this starts.
     pub(super) fn tick(&mut self, now: Duration) {
@@ -171,21 +168,19 @@
         let commit = self.node.commit_index();
         let is_changing = self.node.has_uncommitted_membership();
         for m in &self.node.membership().members {
-            let Some(at) = self.node.last_contact(m.id) else {
-                continue;
-            };
-            let silent = now.saturating_sub(at);
+            let m = self.view(now, m);
+            let is_silent = m.silent_for >= REPORTED_SILENCE;
             let reason = match m.voter {
-                true if silent < REPORTED_SILENCE => continue,
+                true if !is_silent => continue,
                 true => "silent",
                 false if is_changing => "another change is uncommitted",
-                false if silent >= REPORTED_SILENCE => "no contact",
-                false if !self.node.is_caught_up(now, m.id) => "behind",
+                false if is_silent => "no contact",
+                false if !m.is_caught_up => "behind",
                 false => "waits for another member",
             };
             self.group_log.next_delay_line = now + REPEAT_INTERVAL;
             warn!(self.log, "member change delayed"; "member" => hex_ids(&[m.id]),
-                "voter" => m.voter, "reason" => reason, "silent_ms" => millis(silent),
+                "voter" => m.voter, "reason" => reason, "silent_ms" => to_ms(m.silent_for),
                 "synced" => self.node.synced_index(m.id), "commit" => commit);
         }
     }
--- a/crates/control/src/driver/member_plan.rs
+++ b/crates/control/src/driver/member_plan.rs
@@ -64,8 +64,8 @@
             .iter()
             .filter(|m| m.voter && self.is_silent(m))
             .max_by_key(|m| m.silent_for);
-        let ready = members.iter().filter(|m| m.voter || m.is_caught_up);
-        if let Some(old) = { ready }.find_map(taken_over) {
+        let mut ready = members.iter().filter(|m| m.voter || m.is_caught_up);
+        if let Some(old) = ready.find_map(taken_over) {
             return Some(MemberChange::Remove(old.id));
         }
         if let Some(learner) = members.iter().find(|m| !m.voter && m.is_caught_up) {
--- a/crates/control/src/driver/membership.rs
+++ b/crates/control/src/driver/membership.rs
@@ -57,7 +57,7 @@
     }
 
     /// Returns a member as this leader sees it.
-    fn view<'a>(&self, now: Duration, m: &'a Member) -> MemberView<'a> {
+    pub(super) fn view<'a>(&self, now: Duration, m: &'a Member) -> MemberView<'a> {
         let last_contact = self.node.last_contact(m.id);
         MemberView {
             id: m.id,
--- a/crates/control/src/driver/replies.rs
+++ b/crates/control/src/driver/replies.rs
@@ -17,8 +17,8 @@
     let _ = reply.send(answer.into());
 }
 
-/// Returns the reply to a command or membership change that carries no result.
-pub(super) fn ok_reply() -> CommandReply {
+/// Returns the reply to a request that carries no result.
+pub(crate) fn ok_reply() -> CommandReply {
     CommandReply {
         reply: Some(Reply::Ok(command::Ok {})),
     }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -341,7 +341,7 @@
         req: ControlRequest,
         timeout: Duration,
     ) -> ControlReply {
-        let changes_state = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
+        let changes_state = changes_state(&req);
         let deadline = Instant::now() + timeout;
         // Kept once it is set: a later refusal says nothing about the outcome
         // of the earlier attempt.
@@ -384,6 +384,16 @@
     responsive.or_else(|| open().next()).cloned()
 }
 
+/// Returns whether the peer of a session is a member of the group, not a router.
+fn is_member(session: &Session) -> bool {
+    session.peer().role == "control"
+}
+
+/// Returns whether a call may have changed something although it got no answer.
+fn changes_state(req: &ControlRequest) -> bool {
+    matches!(req.request, Some(Request::Propose(_) | Request::Group(_)))
+}
+
 fn unavailable(reason: &str) -> ControlReply {
     Answer::Unavailable(reason.to_owned()).into()
 }
@@ -423,7 +433,7 @@
 
 impl Handler for PeerHandler {
     fn opened(&self, session: &Arc<Session>) {
-        if session.peer().role == "control" {
+        if is_member(session) {
             let mut members = lock(&self.0.members);
             let sessions = members.entry(session.peer().member).or_default();
             sessions.push(session.clone());
@@ -451,7 +461,7 @@
     }
 
     fn closed(&self, session: &Arc<Session>, reason: &SessionError) {
-        if session.peer().role == "control" {
+        if is_member(session) {
             info!(self.0.log, "member session ended"; "peer" => &session.peer().node,
                 "dialled" => session.is_dialled(), "reason" => %reason);
         } else {
@@ -468,7 +478,7 @@
     fn frame(&self, session: &Arc<Session>, payload: Payload) {
         let frame = match payload {
             Payload::Consensus(frame) => frame,
-            Payload::EndpointBatch(batch) if session.peer().role == "control" => {
+            Payload::EndpointBatch(batch) if is_member(session) => {
                 for update in batch.updates {
                     self.0.announce(update);
                 }
@@ -479,7 +489,7 @@
         // Every process with the fleet key is trusted, but a member must not
         // send messages as another one by mistake, such as with a copied data
         // folder.
-        if session.peer().role != "control" || frame.from != session.peer().member {
+        if !is_member(session) || frame.from != session.peer().member {
             warn!(self.0.log, "dropped a consensus message with a wrong sender";
                 "peer" => &session.peer().node, "from" => frame.from);
             return;
@@ -491,7 +501,7 @@
 
     fn call(&self, session: &Arc<Session>, call: Call) -> BoxFuture<'static, ControlReply> {
         let peers = self.0.clone();
-        let is_member = session.peer().role == "control";
+        let is_member = is_member(session);
         Box::pin(async move {
             let Some(req) = call.request else {
                 return unavailable("empty request");
--- a/crates/control/src/peers/calls.rs
+++ b/crates/control/src/peers/calls.rs
@@ -20,6 +20,7 @@
 use super::ATTEMPT_TIMEOUT;
 use super::Peers;
 use super::Target;
+use super::changes_state;
 use crate::driver::Handle;
 use crate::forwarding::Attempt;
 use crate::forwarding::End;
@@ -77,7 +78,7 @@
         req: &ControlRequest,
         timeout: Duration,
     ) -> ControlReply {
-        let changes_state = matches!(req.request, Some(Request::Propose(_) | Request::Group(_)));
+        let changes_state = changes_state(req);
         // Commands are idempotent by their ids or versions. Heartbeats wait behind a large
         // request, so it would go over each path at once.
         let is_repeatable = !matches!(req.request, Some(Request::Group(_)))
--- a/crates/control/src/peers/notices.rs
+++ b/crates/control/src/peers/notices.rs
@@ -5,10 +5,7 @@
 use std::time::Duration;
 
 use anvilloft_types::MemberId;
-use anvilloft_wire::CommandReply;
 use anvilloft_wire::ControlReply;
-use anvilloft_wire::command;
-use anvilloft_wire::command::Reply;
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::frame::EndpointUpdate;
 use anvilloft_wire::session::HOPS_BY_CONTROL;
@@ -19,6 +16,7 @@
 
 use super::Peers;
 use super::unavailable;
+use crate::driver::ok_reply;
 use crate::forwarding::RETRY_DELAY;
 use crate::registry::AnnounceOutcome;
 
@@ -101,10 +99,7 @@
         match self.announce(notice) {
             AnnounceOutcome::Full => unavailable("too many endpoints"),
             AnnounceOutcome::Conflicting => unavailable("the endpoint has announced otherwise"),
-            _ => Answer::Applied(CommandReply {
-                reply: Some(Reply::Ok(command::Ok {})),
-            })
-            .into(),
+            _ => Answer::Applied(ok_reply()).into(),
         }
     }
 }
--- a/crates/control/src/peers/unanswered.rs
+++ b/crates/control/src/peers/unanswered.rs
@@ -1,13 +1,13 @@
 //! Log lines and counters of calls of a member's own callers that get no answer of the
 //! control group.
 
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use anvilloft_types::lock;
+use anvilloft_telemetry::LineLimit;
+use anvilloft_types::to_ms;
 use anvilloft_wire::CallError;
 use anvilloft_wire::ControlReply;
 use slog::Logger;
@@ -16,18 +16,11 @@
 /// Minimum time between two log lines about calls without an answer.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Calls since the last log line.
-#[derive(Default)]
-struct Unlogged {
-    count: u64,
-    logged_at: Option<Instant>,
-}
-
 /// Calls without an answer of the control group.
 pub struct UnansweredCalls {
     refused: AtomicU64,
     abandoned: AtomicU64,
-    unlogged: Mutex<Unlogged>,
+    lines: LineLimit,
     log: Logger,
 }
 
@@ -36,7 +29,7 @@
         Self {
             refused: AtomicU64::new(0),
             abandoned: AtomicU64::new(0),
-            unlogged: Mutex::default(),
+            lines: LineLimit::new(LOG_INTERVAL),
             log,
         }
     }
@@ -62,17 +55,9 @@
 
     fn record(&self, counter: &AtomicU64, reason: &str, waited: Duration) {
         counter.fetch_add(1, Ordering::Relaxed);
-        let mut unlogged = lock(&self.unlogged);
-        unlogged.count += 1;
-        let last = unlogged.logged_at;
-        if last.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
+        if let Some(count) = self.lines.record() {
             warn!(self.log, "call not answered"; "reason" => reason,
-                "waited_ms" => u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
-                "count" => unlogged.count);
-            *unlogged = Unlogged {
-                count: 0,
-                logged_at: Some(Instant::now()),
-            };
+                "waited_ms" => to_ms(waited), "count" => count);
         }
     }
 }
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -14,6 +14,7 @@
 use anvilloft_types::MAX_SEQ_STEP;
 use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
+use anvilloft_types::to_ms;
 use anvilloft_wire::frame::EndpointBatch;
 use anvilloft_wire::frame::EndpointUpdate;
 
@@ -70,6 +71,12 @@
     }
 }
 
+/// Returns the place of an endpoint in entries that are sorted by id, or the place at
+/// which it would be inserted.
+fn position(entries: &[Entry], id: &str) -> Result<usize, usize> {
+    entries.binary_search_by(|e| e.update.id.as_str().cmp(id))
+}
+
 /// The newest announcement of each endpoint at this member.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -87,7 +94,7 @@
     pub fn announce(&self, now: Duration, update: EndpointUpdate) -> AnnounceOutcome {
         let announced_at = now.saturating_sub(Duration::from_millis(update.age_ms));
         let mut entries = self.lock();
-        let index = match entries.binary_search_by(|e| e.update.id.cmp(&update.id)) {
+        let index = match position(&entries, &update.id) {
             Ok(index) => index,
             Err(index) => {
                 if entries.len() >= MAX_ENDPOINTS {
@@ -152,9 +159,7 @@
     /// Returns the newest announcement of an endpoint, with its current age.
     pub fn get(&self, now: Duration, id: &str) -> Option<EndpointUpdate> {
         let entries = self.lock();
-        let index = entries
-            .binary_search_by(|e| e.update.id.as_str().cmp(id))
-            .ok()?;
+        let index = position(&entries, id).ok()?;
         entries.get(index).map(|e| with_age(e, now))
     }
 
@@ -162,9 +167,7 @@
     /// to hold it.
     pub(crate) fn unreplicated_notice(&self, now: Duration, id: &str) -> Option<EndpointUpdate> {
         let entries = self.lock();
-        let index = entries
-            .binary_search_by(|e| e.update.id.as_str().cmp(id))
-            .ok()?;
+        let index = position(&entries, id).ok()?;
         let entry = entries.get(index)?;
         (entry.is_leaving() && !entry.is_replicated).then(|| with_age(entry, now))
     }
@@ -172,7 +175,7 @@
     /// Records that enough members hold the announcement that an endpoint leaves.
     pub(crate) fn set_replicated(&self, notice: &EndpointUpdate) {
         let mut entries = self.lock();
-        let Ok(index) = entries.binary_search_by(|e| e.update.id.cmp(&notice.id)) else {
+        let Ok(index) = position(&entries, &notice.id) else {
             return;
         };
         if let Some(entry) = entries.get_mut(index) {
@@ -229,7 +232,7 @@
 fn with_age(entry: &Entry, now: Duration) -> EndpointUpdate {
     let age = now.saturating_sub(entry.announced_at);
     EndpointUpdate {
-        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        age_ms: to_ms(age),
         ..entry.update.clone()
     }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,13 +1,16 @@
 //! Logs and metrics of the daemons.
 //!
 //! `log` sets up slog, and `metrics` registers Prometheus metrics. [`decision!`]
-//! logs one routing, admission or placement decision. `request_trace` collects
+//! logs one routing, admission or placement decision, and `line_limit` bounds the rate of
+//! lines about frequent events. `request_trace` collects
 //! the log lines of one request and finds the cause of its end.
 
+mod line_limit;
 mod log;
 mod metrics;
 mod request_trace;
 
+pub use line_limit::LineLimit;
 pub use log::LogGuard;
 pub use log::LogOptions;
 pub use log::start_logger;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -87,5 +88,10 @@
 /// host's clock is set to an earlier time.
 pub fn unix_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    elapsed.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+    elapsed.map_or(0, to_ms)
+}
+
+/// Returns a time in whole milliseconds, at most `u64::MAX`.
+pub fn to_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -13,6 +13,7 @@
 
 use anvilloft_types::BoxFuture;
 use anvilloft_types::lock;
+use anvilloft_types::to_ms;
 use bytes::Bytes;
 use futures::SinkExt;
 use futures::StreamExt;
@@ -296,7 +297,7 @@
         let state = Arc::new(AtomicU8::new(QUEUED));
         let call = Call {
             id,
-            timeout_ms: u64::try_from(max_wait.as_millis()).unwrap_or(u64::MAX),
+            timeout_ms: to_ms(max_wait),
             request: Some(req),
             hops,
         };
