dispatch, ledger, relay: look things up in one place

Endpoints by incarnation, suspects by fingerprint; and a request counts as started where its endpoint is taken, instead of at each of the three callers. Comments say for what parts of prompts count as answered.

No change of behaviour.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -20,7 +20,7 @@
 /// Those that were answered least recently are forgotten first. Parts are few beside the
 /// requests that share them.
 const MAX_ANSWERED: usize = 4_096;
-/// A trait whose last answer ended less than this before a crash isn't its cause, so that
+/// A trait that was last answered less than this before a crash isn't its cause, so that
 /// the crash of a busy endpoint isn't blamed on the parts that most prompts share.
 const RECENT_ANSWER: Duration = Duration::from_secs(2);
 /// Maximum number of quarantined traits that are kept.
@@ -73,7 +73,8 @@
 pub struct ReportedTrait {
     /// The trait.
     pub fingerprint: Fingerprint,
-    /// When this router last saw the end of an answer to a request with it.
+    /// When this router last saw an answer to a request with it: for the whole request its
+    /// end, for a part also that it went on.
     pub answered_at: Option<Duration>,
     /// Whether that was shortly before the crash.
     pub answered_lately: bool,
@@ -153,7 +154,7 @@
     }
 }
 
-/// When an answer to a request with a trait last ended.
+/// When requests with a trait were last answered.
 #[derive(Debug, Default)]
 struct Answers {
     // Sorted by trait.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -170,6 +170,15 @@
         self.endpoints.get_mut(at)
     }
 
+    fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.endpoints.get(self.position(id).ok()?)
+    }
+
+    fn get_incarnation(&self, id: &str, incarnation: Incarnation) -> Option<&Endpoint> {
+        self.get(id)
+            .filter(|ep| ep.announcement.incarnation == incarnation)
+    }
+
     /// Applies an announcement. Announcements may arrive out of order or more than
     /// once.
     pub fn announce(&mut self, now: Duration, announcement: Announcement) -> Change {
@@ -361,26 +370,21 @@
     /// Whether an endpoint has ended an answer, even a failure or a refusal, since a
     /// time. One that has is slow rather than dead.
     pub fn has_answered_since(&self, endpoint: &str, since: Duration) -> bool {
-        let found = self.position(endpoint).ok();
-        found
-            .and_then(|at| self.endpoints.get(at)?.health.last_answer)
+        self.get(endpoint)
+            .and_then(|ep| ep.health.last_answer)
             .is_some_and(|at| at >= since)
     }
 
     /// Whether an incarnation of an endpoint is known to be leaving.
     pub fn is_leaving(&self, endpoint: &str, incarnation: Incarnation) -> bool {
-        let found = self.position(endpoint).ok();
-        found
-            .and_then(|at| self.endpoints.get(at))
-            .is_some_and(|ep| ep.announcement.incarnation == incarnation && ep.is_leaving())
+        self.get_incarnation(endpoint, incarnation)
+            .is_some_and(Endpoint::is_leaving)
     }
 
     /// Whether an incarnation of an endpoint is known and isn't leaving.
     pub fn takes_work(&self, endpoint: &str, incarnation: Incarnation) -> bool {
-        let found = self.position(endpoint).ok();
-        found
-            .and_then(|at| self.endpoints.get(at))
-            .is_some_and(|ep| ep.announcement.incarnation == incarnation && !ep.is_leaving())
+        self.get_incarnation(endpoint, incarnation)
+            .is_some_and(|ep| !ep.is_leaving())
     }
 
     fn median_failure_rate(&self, now: Duration, of_service: &[usize]) -> f64 {
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -133,11 +133,15 @@
 }
 
 impl Crash {
+    /// Returns the place of a trait among the suspects, or the one at which it would be
+    /// inserted.
+    fn position(&self, f: &[u8]) -> Result<usize, usize> {
+        self.suspects
+            .binary_search_by(|s| s.fingerprint.as_slice().cmp(f))
+    }
+
     fn suspect(&self, f: &[u8]) -> Option<&Suspect> {
-        let found = self
-            .suspects
-            .binary_search_by(|s| s.fingerprint.as_slice().cmp(f));
-        found.ok().and_then(|at| self.suspects.get(at))
+        self.suspects.get(self.position(f).ok()?)
     }
 
     fn count(&self, answered_lately: bool) -> usize {
@@ -157,10 +161,7 @@
         if is_cleared || Fingerprint::try_from(t.fingerprint.as_slice()).is_err() {
             return;
         }
-        let found = self
-            .suspects
-            .binary_search_by(|s| s.fingerprint.cmp(&t.fingerprint));
-        let at = match found {
+        let at = match self.position(&t.fingerprint) {
             Ok(at) => at,
             Err(_) if self.count(t.answered_lately) >= MAX_TRAITS => return,
             Err(at) => {
@@ -194,10 +195,9 @@
 
     /// Records that a request was sent there after another endpoint had broken it off.
     fn set_sent_on(&mut self, f: &[u8]) {
-        let found = self
-            .suspects
-            .binary_search_by(|s| s.fingerprint.as_slice().cmp(f));
-        if let Some(suspect) = found.ok().and_then(|at| self.suspects.get_mut(at)) {
+        if let Ok(at) = self.position(f)
+            && let Some(suspect) = self.suspects.get_mut(at)
+        {
             suspect.sent_on = true;
         }
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -339,9 +339,6 @@
     if is_retry && !cx.try_retry(&outbound.service) {
         return Err(not_sent_again(KeepReason::RetryBudget));
     }
-    let dispatch_req = outbound.dispatch_request(&progress.tried);
-    cx.dispatcher()
-        .started(cx.now(), &pick.endpoint, outbound.request_no, &dispatch_req);
     Ok(take_endpoint(cx, outbound, progress, pick))
 }
 
@@ -362,12 +359,16 @@
     }
 }
 
+/// Counts a request as in flight at the endpoint that was chosen for it.
 fn take_endpoint(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
     progress: &mut Progress,
     pick: Pick,
 ) -> InFlightRequest {
+    let dispatch_req = outbound.dispatch_request(&progress.tried);
+    cx.dispatcher()
+        .started(cx.now(), &pick.endpoint, outbound.request_no, &dispatch_req);
     progress.tried.push(pick.endpoint.clone());
     // On a kept connection, a second copy of the answer to the earlier attempt would
     // have the expected id. After a break, idle connections to other endpoints may be
@@ -402,8 +403,6 @@
     if !cx.try_retry(&outbound.service) {
         return Err(KeepReason::RetryBudget);
     }
-    cx.dispatcher()
-        .started(now, &pick.endpoint, outbound.request_no, &dispatch_req);
     let mut in_flight = take_endpoint(cx, outbound, progress, pick);
     // An idle connection doesn't show that the endpoint can still be reached.
     in_flight.new_connection = true;
@@ -425,9 +424,6 @@
     if !cx.try_retry(&outbound.service) {
         return Err(KeepReason::RetryBudget);
     }
-    let dispatch_req = outbound.dispatch_request(&progress.tried);
-    cx.dispatcher()
-        .started(cx.now(), &pick.endpoint, outbound.request_no, &dispatch_req);
     progress.is_return = true;
     Ok(take_endpoint(cx, outbound, progress, pick))
 }
