--- a/crates/fakes/src/raw.rs
+++ b/crates/fakes/src/raw.rs
@@ -142,6 +142,38 @@
     }
 }
 
+/// Reads a request whose body, if any, has a length. Returns its head in lower case and its
+/// body, or `None` at the end of the connection. `buf` keeps what follows the request.
+///
+/// # Errors
+///
+/// Fails when the connection does.
+pub async fn read_request(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+) -> io::Result<Option<(String, String)>> {
+    let head_end = loop {
+        if let Some(at) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(buf).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buf[..head_end]).to_ascii_lowercase();
+    let mut lines = head.lines();
+    let length = lines.find_map(|l| l.strip_prefix("content-length:"));
+    let length: usize = length.and_then(|v| v.trim().parse().ok()).unwrap_or(0);
+    while buf.len() < head_end + length {
+        if stream.read_buf(buf).await? == 0 {
+            return Ok(None);
+        }
+    }
+    let body = String::from_utf8_lossy(&buf[head_end..head_end + length]).into_owned();
+    buf.drain(..head_end + length);
+    Ok(Some((head, body)))
+}
+
 async fn serve(
     mut stream: TcpStream,
     connection: u64,
@@ -151,29 +183,15 @@
 ) -> io::Result<()> {
     let mut buf = Vec::new();
     loop {
-        let head_end = loop {
-            if let Some(at) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
-                break at + 4;
-            }
-            if stream.read_buf(&mut buf).await? == 0 {
-                return Ok(());
-            }
+        let Some((head, body)) = read_request(&mut stream, &mut buf).await? else {
+            return Ok(());
         };
-        let head = String::from_utf8_lossy(&buf[..head_end]).to_ascii_lowercase();
         let field = |name: &str| {
             head.lines()
                 .find_map(|l| l.strip_prefix(name))
                 .map(|v| v.trim_start_matches(':').trim().to_owned())
                 .unwrap_or_default()
         };
-        let length: usize = field("content-length").parse().unwrap_or(0);
-        while buf.len() < head_end + length {
-            if stream.read_buf(&mut buf).await? == 0 {
-                return Ok(());
-            }
-        }
-        let body = String::from_utf8_lossy(&buf[head_end..head_end + length]).into_owned();
-        buf.drain(..head_end + length);
         let req = ReceivedRequest {
             number: counter.fetch_add(1, Ordering::Relaxed),
             connection,
--- a/crates/relay/tests/relay/returns.rs
+++ b/crates/relay/tests/relay/returns.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use anvilloft_fakes::http::Reply;
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::ReceivedRequest;
 use anvilloft_fakes::raw::Step;
@@ -22,6 +23,47 @@
 /// Time after which the next endpoint ends its part: longer than a handover.
 const LATER: Duration = Duration::from_millis(500);
 
+/// Sends a request to a fleet with these engines, and returns the answer with the names of
+/// the engines that got it, in order. `script` returns what an engine does with it; the
+/// last of the names that it gets is the engine's own.
+async fn play(
+    names: &'static [&'static str],
+    script: impl Fn(&[&'static str], &ReceivedRequest) -> Vec<Step> + Copy + Send + Sync + 'static,
+) -> (Reply, Vec<&'static str>) {
+    let fleet = Fleet::start(1).await;
+    fleet.publish(1, 1_000_000).await;
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    for name in names.iter().copied() {
+        let asked = Arc::clone(&asked);
+        let endpoint = RawEndpoint::start(move |req| {
+            if req.attempt != ID {
+                return whole_stream(&req, 3);
+            }
+            let mut asked = asked.lock().unwrap();
+            asked.push(name);
+            script(&asked, &req)
+        });
+        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+    }
+    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = fleet.send(0, "/stream/x", ID).await;
+    let asked = asked.lock().unwrap().clone();
+    (reply, asked)
+}
+
+/// Asserts that the answer has all three events.
+fn assert_whole(reply: &Reply, asked: &[&str]) {
+    assert!(
+        reply.complete,
+        "broken off after {:?}, asked {asked:?}",
+        reply.text()
+    );
+    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+}
+
 /// How the next endpoint ends its part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -53,41 +95,17 @@
 async fn a_stream_returns_to_the_silent_endpoint_that_it_left_when_the_next_one_fails(
     #[values(Next::Fails, Next::BreaksOff, Next::Refuses, Next::AnswersForAnother)] next: Next,
 ) {
-    let fleet = Fleet::start(1).await;
-    fleet.publish(1, 1_000_000).await;
-    let asked = Arc::new(Mutex::new(Vec::new()));
-    for name in ["e1", "e2", "e3"] {
-        let asked = Arc::clone(&asked);
-        let endpoint = RawEndpoint::start(move |req| {
-            if req.attempt != ID {
-                return whole_stream(&req, 3);
-            }
-            let mut asked = asked.lock().unwrap();
-            asked.push(name);
-            match asked.as_slice() {
-                [_] => vec![
-                    send(stream_head(ID) + &chunk(&event(1))),
-                    Step::Wait(SILENCE),
-                    send(chunk(&event(2)) + &chunk(&event(3)) + "0\r\n\r\n"),
-                ],
-                [first, ..] if *first == name => whole_stream(&req, 3),
-                _ => next_steps(next, &req),
-            }
-        });
-        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
-    }
-    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let reply = fleet.send(0, "/stream/x", ID).await;
-    let mut asked = asked.lock().unwrap().clone();
-    assert!(
-        reply.complete,
-        "broken off after {:?}, asked {asked:?}",
-        reply.text()
-    );
-    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    let (reply, mut asked) = play(&["e1", "e2", "e3"], move |asked, req| match asked {
+        [_] => vec![
+            send(stream_head(ID) + &chunk(&event(1))),
+            Step::Wait(SILENCE),
+            send(chunk(&event(2)) + &chunk(&event(3)) + "0\r\n\r\n"),
+        ],
+        [first, .., last] if first == last => whole_stream(req, 3),
+        _ => next_steps(next, req),
+    })
+    .await;
+    assert_whole(&reply, &asked);
     asked.sort_unstable();
     asked.dedup();
     assert_eq!(asked.len(), 2, "endpoints that were asked: {asked:?}");
@@ -110,51 +128,29 @@
     #[values(1, 3)] events_before: u32,
     #[values(AfterHeader::End, AfterHeader::Break, AfterHeader::Foreign)] next: AfterHeader,
 ) {
-    let fleet = Fleet::start(1).await;
-    fleet.publish(1, 1_000_000).await;
-    let asked = Arc::new(Mutex::new(Vec::new()));
-    for name in ["e1", "e2"] {
-        let asked = Arc::clone(&asked);
-        let endpoint = RawEndpoint::start(move |req| {
-            if req.attempt != ID {
-                return whole_stream(&req, 3);
+    let (reply, asked) = play(&["e1", "e2"], move |asked, _| {
+        let events = |ids: std::ops::RangeInclusive<u32>| -> String {
+            ids.map(|id| chunk(&event(id))).collect()
+        };
+        match (asked.len(), next) {
+            (1, _) => vec![
+                send(stream_head(ID) + &events(1..=events_before)),
+                Step::Wait(SILENCE),
+                send(events(events_before + 1..=3) + "0\r\n\r\n"),
+            ],
+            (_, AfterHeader::End) => vec![send(stream_head(ID) + "0\r\n\r\n")],
+            (_, AfterHeader::Break) => vec![
+                send(stream_head(ID)),
+                Step::Wait(Duration::from_millis(50)),
+                Step::Close,
+            ],
+            (_, AfterHeader::Foreign) => {
+                vec![send(stream_head(ID) + &events(1..=3) + "0\r\n\r\n")]
             }
-            let mut asked = asked.lock().unwrap();
-            asked.push(name);
-            let events = |ids: std::ops::RangeInclusive<u32>| -> String {
-                ids.map(|id| chunk(&event(id))).collect()
-            };
-            match (asked.len(), next) {
-                (1, _) => vec![
-                    send(stream_head(ID) + &events(1..=events_before)),
-                    Step::Wait(SILENCE),
-                    send(events(events_before + 1..=3) + "0\r\n\r\n"),
-                ],
-                (_, AfterHeader::End) => vec![send(stream_head(ID) + "0\r\n\r\n")],
-                (_, AfterHeader::Break) => vec![
-                    send(stream_head(ID)),
-                    Step::Wait(Duration::from_millis(50)),
-                    Step::Close,
-                ],
-                (_, AfterHeader::Foreign) => {
-                    vec![send(stream_head(ID) + &events(1..=3) + "0\r\n\r\n")]
-                }
-            }
-        });
-        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
-    }
-    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let reply = fleet.send(0, "/stream/x", ID).await;
-    let asked = asked.lock().unwrap().clone();
-    assert!(
-        reply.complete,
-        "broken off after {:?}, asked {asked:?}",
-        reply.text()
-    );
-    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+        }
+    })
+    .await;
+    assert_whole(&reply, &asked);
     assert_eq!(asked.len(), 2, "requests at endpoints: {asked:?}");
 }
 
@@ -162,47 +158,25 @@
 /// was left, between the last event and the end.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_was_left_after_its_last_event_ends_where_it_began() {
-    let fleet = Fleet::start(1).await;
-    fleet.publish(1, 1_000_000).await;
-    let asked = Arc::new(Mutex::new(Vec::new()));
-    for name in ["e1", "e2"] {
-        let asked = Arc::clone(&asked);
-        let endpoint = RawEndpoint::start(move |req| {
-            if req.attempt != ID {
-                return whole_stream(&req, 3);
-            }
-            let mut asked = asked.lock().unwrap();
-            asked.push(name);
-            let wait = match asked.len() {
-                1 => SILENCE,
-                2 => LATER,
-                _ => Duration::ZERO,
-            };
-            // The first one is resumed after the last event, too.
-            let Step::Send(answer) = whole_stream(&req, 3).remove(0) else {
-                unreachable!("an answer");
-            };
-            let answer = String::from_utf8(answer).unwrap();
-            let (begun, end) = answer.split_at(answer.len() - "0\r\n\r\n".len());
-            match asked.len() {
-                1 => vec![send(begun), Step::Wait(wait), send(end)],
-                _ => vec![Step::Wait(wait), send(answer)],
-            }
-        });
-        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
-    }
-    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let reply = fleet.send(0, "/stream/x", ID).await;
-    let asked = asked.lock().unwrap().clone();
-    assert!(
-        reply.complete,
-        "broken off after {:?}, asked {asked:?}",
-        reply.text()
-    );
-    assert_eq!(reply.text(), event(1) + &event(2) + &event(3));
+    let (reply, asked) = play(&["e1", "e2"], move |asked, req| {
+        let wait = match asked.len() {
+            1 => SILENCE,
+            2 => LATER,
+            _ => Duration::ZERO,
+        };
+        // The first one is resumed after the last event, too.
+        let Step::Send(answer) = whole_stream(req, 3).remove(0) else {
+            unreachable!("an answer");
+        };
+        let answer = String::from_utf8(answer).unwrap();
+        let (begun, end) = answer.split_at(answer.len() - "0\r\n\r\n".len());
+        match asked.len() {
+            1 => vec![send(begun), Step::Wait(wait), send(end)],
+            _ => vec![Step::Wait(wait), send(answer)],
+        }
+    })
+    .await;
+    assert_whole(&reply, &asked);
     assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
 }
 
@@ -210,38 +184,19 @@
 /// ended it: the endpoint had been left before, and has nothing more to send.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_not_ended_by_an_endpoint_that_did_not_send_its_last_event() {
-    let fleet = Fleet::start(1).await;
-    fleet.publish(1, 1_000_000).await;
-    let asked = Arc::new(Mutex::new(Vec::new()));
-    for name in ["e1", "e2"] {
-        let asked = Arc::clone(&asked);
-        let endpoint = RawEndpoint::start(move |req| {
-            if req.attempt != ID {
-                return whole_stream(&req, 3);
-            }
-            let mut asked = asked.lock().unwrap();
-            asked.push(name);
-            match asked.len() {
-                1 => vec![
-                    send(stream_head(ID) + &chunk(&event(1))),
-                    Step::Wait(SILENCE),
-                ],
-                2 => vec![
-                    send(stream_head(ID) + &chunk(&event(2))),
-                    Step::Wait(LATER),
-                    Step::Close,
-                ],
-                _ => vec![send(stream_head(ID) + "0\r\n\r\n")],
-            }
-        });
-        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
-    }
-    while fleet.send(0, "/stream/x", "warm").await.status == 429 {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let reply = fleet.send(0, "/stream/x", ID).await;
-    let asked = asked.lock().unwrap().clone();
+    let (reply, asked) = play(&["e1", "e2"], move |asked, _| match asked.len() {
+        1 => vec![
+            send(stream_head(ID) + &chunk(&event(1))),
+            Step::Wait(SILENCE),
+        ],
+        2 => vec![
+            send(stream_head(ID) + &chunk(&event(2))),
+            Step::Wait(LATER),
+            Step::Close,
+        ],
+        _ => vec![send(stream_head(ID) + "0\r\n\r\n")],
+    })
+    .await;
     assert_eq!(reply.text(), event(1) + &event(2));
     assert!(!reply.complete, "whole after requests at {asked:?}");
     assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
