control: recall locked reserves for grants of lending routers

Cause: grants of lending routers were never recalled for, since routers lend to each other. Reserves have been locked since then, and a locked token can't be lent while its router is in contact.

Change: the leader holds such a grant if the locked tokens of routers in contact, which the ledger knows, cover what is missing, and recalls them; else it is decided at once as before. A router drops the lock of what it returns: without that the next grant served nobody. What lending routers get beyond their needs is bounded in total, so grants in flight count with that bound.

Ruled out: lending locked tokens. They go back to the budget when their router dies, so they would be spent twice.

Tests seen failing without the change: a_grant_after_a_recall_of_locked_tokens_is_usable.

--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -489,6 +489,7 @@
         };
         let amount = std::mem::take(&mut local.idle);
         if amount > 0 {
+            self.locks.on_return(budget, amount);
             self.outbox.add_return(now, budget, amount);
             self.outbox.flush();
         }
@@ -510,10 +511,12 @@
         }
         self.last_idle_scan = now;
         let timeout = self.idle_timeout;
-        let outbox = &mut self.outbox;
+        let (outbox, locks) = (&mut self.outbox, &mut self.locks);
         self.budgets.retain(|budget, local| {
             if now.saturating_sub(local.last_used) >= timeout && local.outstanding.is_none() {
-                outbox.add_return(now, budget, std::mem::take(&mut local.idle));
+                let amount = std::mem::take(&mut local.idle);
+                locks.on_return(budget, amount);
+                outbox.add_return(now, budget, amount);
                 return !local.is_unused();
             }
             true
--- a/crates/budget/src/allotments/locks.rs
+++ b/crates/budget/src/allotments/locks.rs
@@ -8,6 +8,7 @@
 use anvilloft_wire::command::LockedReserve;
 use anvilloft_wire::command::lock_more;
 use anvilloft_wire::command::still_locked;
+use anvilloft_wire::command::unlock;
 
 /// A lock that a report has announced to control.
 #[derive(Debug)]
@@ -87,6 +88,14 @@
         }
     }
 
+    /// Unlocks idle tokens that go back to control. They can't be used here any more, so
+    /// they stand for their part of a lock until control has applied the report.
+    pub(super) fn on_return(&mut self, budget: &str, returned: Tokens) {
+        for lock in &mut self.locks {
+            unlock(&mut lock.amounts, budget, returned);
+        }
+    }
+
     /// Returns the time since control last acknowledged a report, if it ever has.
     pub(super) fn since_ack(&self, now: Duration) -> Option<Duration> {
         self.last_ack.map(|(_, at)| now.saturating_sub(at))
--- a/crates/budget/tests/lending.rs
+++ b/crates/budget/tests/lending.rs
@@ -270,3 +270,40 @@
     // After a while without requests it has few again.
     assert!(allotments.record_request(SECOND * 30, "b", 100));
 }
+
+/// Guards against tokens that stay locked after they were recalled, so that the next
+/// grant serves no request.
+#[test]
+fn a_grant_after_a_recall_of_locked_tokens_is_usable() {
+    let mut allotments = lending_allotments();
+    for s in 1..=12_u32 {
+        let now = s * SECOND;
+        let reserved = allotments.reserve(now, "b", 100);
+        grant_all(&mut allotments, now);
+        let id = reserved.unwrap_or_else(|need| need.need());
+        allotments.settle(now, id, 100, None);
+        while let Some(report) = allotments.next_report(now + SECOND / 2) {
+            allotments.on_report_ack(now + SECOND / 2, report.seq);
+        }
+    }
+    let now = 13 * SECOND;
+    let idle = allotments.holding("b").idle;
+    let (loan, usable) = allotments
+        .reserve_up_to(now, "b", idle)
+        .expect("an unlocked part");
+    assert!(usable < idle / 2, "{usable} of {idle} tokens are unlocked");
+    allotments.release(now, loan);
+    allotments.recall(now, "b");
+    allotments
+        .reserve(now, "b", 300)
+        .expect_err("no idle tokens");
+    // The report that returns the tokens is on its way.
+    assert!(allotments.next_report(now).is_some());
+    let grant = allotments.next_grant(now).expect("a grant");
+    let amount = grant.need;
+    let reply = CommandReply {
+        reply: Some(Reply::Granted(Granted { amount })),
+    };
+    let met = allotments.on_grant(now, grant.seq, &reply);
+    assert!(met.iter().any(|r| r.outcome.is_ok()), "{met:?}");
+}
--- a/crates/budget/tests/reserves.rs
+++ b/crates/budget/tests/reserves.rs
@@ -1,7 +1,8 @@
 //! Random schedules of lending routers that are cut off and die, against the ledger.
 //!
 //! Guards against a budget that is overspent because a dead router's tokens were
-//! returned though it had used them while it was cut off.
+//! returned though it had used them while it was cut off, or twice because it had
+//! returned them after a recall.
 
 #![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
@@ -249,6 +250,9 @@
                 _ => {}
             }
         }
+        if !r.cut && self.rng.random_bool(0.005) {
+            r.allotments.recall(now, &prepaid_budget("t"));
+        }
     }
 
     /// Kills a router. All that it runs counts as used, and a new process takes its
--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -47,6 +47,7 @@
 use super::placement::Placement;
 use super::proposal_clock::ProposalClock;
 use super::reads::PendingRead;
+use super::recalls::ProposedAmount;
 use super::recalls::Recalls;
 use super::replies::ReplySender;
 use super::replies::ok_reply;
@@ -81,7 +82,7 @@
     term: u64,
     bytes: usize,
     /// Budget of a grant and the maximum number of tokens it may allot.
-    grant: Option<(BudgetId, Tokens)>,
+    grant: Option<(BudgetId, ProposedAmount)>,
     reply: Option<ReplySender>,
 }
 
@@ -321,8 +322,10 @@
                 let message = "only the leader can restore a reserve".to_owned();
                 send_answer(reply, refusal("malformed", message));
             }
-            Body::Grant(grant) if self.node.is_leader_ready() && !grant.lending => {
-                let ready = self.recalls.try_hold(now, &self.ledger, grant, reply);
+            Body::Grant(grant) if self.node.is_leader_ready() => {
+                let (timers, ledger) = (&self.timers, &self.ledger);
+                let silent = || timers.silent_routers(now, ledger);
+                let ready = self.recalls.try_hold(now, ledger, silent, grant, reply);
                 if let Some((grant, reply)) = ready {
                     self.propose_grant(now, grant, reply);
                 }
@@ -332,8 +335,8 @@
     }
 
     fn propose_grant(&mut self, now: Duration, grant: Grant, reply: ReplySender) {
-        let max_tokens = self.recalls.record_proposed(&self.ledger, &grant);
-        let in_flight = (grant.budget.clone(), max_tokens);
+        let proposed = self.recalls.record_proposed(&self.ledger, &grant);
+        let in_flight = (grant.budget.clone(), proposed);
         self.propose(now, Body::Grant(grant), Some(reply), Some(in_flight));
     }
 
@@ -342,7 +345,7 @@
         now: Duration,
         body: Body,
         reply: Option<ReplySender>,
-        grant: Option<(BudgetId, Tokens)>,
+        grant: Option<(BudgetId, ProposedAmount)>,
     ) {
         let cmd = Command {
             at_ms: self
@@ -362,8 +365,8 @@
                 self.record_pending(index, bytes, grant, reply);
             }
             Err(e) => {
-                if let Some((budget, max_tokens)) = grant {
-                    self.recalls.record_applied(&budget, max_tokens);
+                if let Some((budget, proposed)) = grant {
+                    self.recalls.record_applied(&budget, proposed);
                 }
                 self.stats.calls_refused.fetch_add(1, Ordering::Relaxed);
                 if let Some(reply) = reply {
@@ -379,7 +382,7 @@
         &mut self,
         index: u64,
         bytes: usize,
-        grant: Option<(BudgetId, Tokens)>,
+        grant: Option<(BudgetId, ProposedAmount)>,
         reply: Option<ReplySender>,
     ) {
         self.pending_bytes += bytes;
@@ -639,8 +642,8 @@
             return;
         };
         self.pending_bytes = self.pending_bytes.saturating_sub(pending.bytes);
-        if let Some((budget, max_tokens)) = &pending.grant {
-            self.recalls.record_applied(budget, *max_tokens);
+        if let Some((budget, proposed)) = &pending.grant {
+            self.recalls.record_applied(budget, *proposed);
         }
         if let Some(to) = pending.reply {
             let result = match reply {
--- a/crates/control/src/driver/recalls.rs
+++ b/crates/control/src/driver/recalls.rs
@@ -5,6 +5,10 @@
 //! can't cover is held for up to `recall_wait_ms` while the routers with
 //! allotments are asked to return idle tokens. Then it is proposed regardless
 //! of the balance.
+//!
+//! Lending routers borrow idle tokens from each other, but those that are locked can
+//! only come back through control. So a grant of theirs is held only if the locked
+//! tokens of routers in contact cover what is missing.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -24,17 +28,28 @@
     deadline: Duration,
 }
 
+/// Tokens that the ledger may allot for a proposed grant.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProposedAmount {
+    need: Tokens,
+    /// Maximum beyond the need.
+    extra: Tokens,
+}
+
 /// Number and total tokens of one budget's grants that are proposed and not yet
 /// applied.
 #[derive(Debug, Default)]
 struct InFlight {
     count: u64,
-    amount: Tokens,
+    need: Tokens,
+    extra: Tokens,
 }
 
 /// A request to the holders of a budget's allotments to return idle tokens.
 #[derive(Debug)]
 struct Recall {
+    /// When the holders were last asked.
+    sent_at: Duration,
     expires: Duration,
     holders: Vec<(RouterId, Incarnation)>,
 }
@@ -61,36 +76,40 @@
 
 impl<W> Recalls<W> {
     /// Holds a grant until tokens are returned. Returns the grant if it is to
-    /// be proposed now instead.
+    /// be proposed now instead. `silent` returns the routers out of contact, sorted.
     pub(crate) fn try_hold(
         &mut self,
         now: Duration,
         ledger: &Ledger,
+        silent: impl FnOnce() -> Vec<RouterId>,
         grant: Grant,
         context: W,
     ) -> Option<(Grant, W)> {
         if self.covers(ledger, &grant) || self.held.len() >= MAX_HELD_GRANTS {
             return Some((grant, context));
         }
-        // Holders in lost incarnations can't return anything.
-        let holders: Vec<(RouterId, Incarnation)> = ledger
-            .holders(&grant.budget)
-            .into_iter()
-            .filter(|(router, incarnation, amount)| {
-                *amount > 0
-                    && (router, *incarnation) != (&grant.router, grant.incarnation)
-                    && ledger.is_incarnation_open(router, *incarnation)
-            })
-            .map(|(router, incarnation, _)| (router, incarnation))
-            .collect();
-        if holders.is_empty() && !self.in_flight.contains_key(&grant.budget) {
+        let holders = match grant.lending {
+            true => self.locked_holders(ledger, &silent(), &grant),
+            false => idle_holders(ledger, &grant),
+        };
+        let is_awaited = !grant.lending && self.in_flight.contains_key(&grant.budget);
+        if holders.is_empty() && !is_awaited {
             return Some((grant, context));
         }
         let config = ledger.config();
         let wait = Duration::from_millis(config.value("recall_wait_ms", ""));
         if !holders.is_empty() {
             let budget = &grant.budget;
-            let is_new = self.recalls.get(budget).is_none_or(|r| r.expires <= now);
+            // A reserve that was locked since then is asked for again.
+            let repeat = if grant.lending { wait } else { Duration::MAX };
+            let is_new = self
+                .recalls
+                .get(budget)
+                .is_none_or(|r| r.expires <= now || now.saturating_sub(r.sent_at) >= repeat);
+            let sent_at = match self.recalls.get(budget) {
+                Some(recall) if !is_new => recall.sent_at,
+                _ => now,
+            };
             if is_new {
                 let unsent = holders.iter().map(|(r, i)| (r.clone(), *i, budget.clone()));
                 self.unsent.extend(unsent);
@@ -99,7 +118,11 @@
             // renewal.
             let renew = Duration::from_millis(config.value("lease_renew_ms", ""));
             let expires = now + wait.max(renew * 2);
-            let recall = Recall { expires, holders };
+            let recall = Recall {
+                sent_at,
+                expires,
+                holders,
+            };
             self.recalls.insert(budget.clone(), recall);
         }
         self.held.push_back(HeldGrant {
@@ -113,19 +136,21 @@
     /// Records that a grant was proposed. Returns the maximum number of tokens
     /// that the ledger may allot for it, to be passed to
     /// [`record_applied`](Self::record_applied).
-    pub(crate) fn record_proposed(&mut self, ledger: &Ledger, grant: &Grant) -> Tokens {
-        let max_tokens = max_allotment(ledger, grant);
+    pub(crate) fn record_proposed(&mut self, ledger: &Ledger, grant: &Grant) -> ProposedAmount {
+        let proposed = max_allotment(ledger, grant);
         let f = self.in_flight.entry(grant.budget.clone()).or_default();
         f.count += 1;
-        f.amount = f.amount.saturating_add(max_tokens);
-        max_tokens
+        f.need = f.need.saturating_add(proposed.need);
+        f.extra = f.extra.saturating_add(proposed.extra);
+        proposed
     }
 
     /// Records that a proposed grant was applied or could not be proposed.
-    pub(crate) fn record_applied(&mut self, budget: &str, max_tokens: Tokens) {
+    pub(crate) fn record_applied(&mut self, budget: &str, proposed: ProposedAmount) {
         if let Some(f) = self.in_flight.get_mut(budget) {
             f.count = f.count.saturating_sub(1);
-            f.amount = f.amount.saturating_sub(max_tokens);
+            f.need = f.need.saturating_sub(proposed.need);
+            f.extra = f.extra.saturating_sub(proposed.extra);
             if f.count == 0 {
                 self.in_flight.remove(budget);
             }
@@ -184,25 +209,76 @@
         held.into_iter().map(|h| h.context).collect()
     }
 
+    /// Returns the tokens of a grant's budget that are unspent once all grants in flight
+    /// are applied, or `None` for an unknown budget.
+    fn available(&self, ledger: &Ledger, grant: &Grant) -> Option<Tokens> {
+        let amounts = ledger.amounts(&grant.budget)?;
+        let reserved = self.in_flight.get(&grant.budget).map_or(0, |f| {
+            let extra = match grant.lending {
+                // What lending routers get beyond their needs is bounded in total.
+                true => f.extra.min(amounts.reserve_room()),
+                false => f.extra,
+            };
+            f.need.saturating_add(extra)
+        });
+        Some(amounts.unspent.saturating_sub(reserved))
+    }
+
     /// Returns whether the budget covers the grant's need once all grants in
     /// flight are applied. Unknown budgets are left to the ledger.
     fn covers(&self, ledger: &Ledger, grant: &Grant) -> bool {
-        let Some(amounts) = ledger.amounts(&grant.budget) else {
-            return true;
-        };
-        let reserved = self.in_flight.get(&grant.budget).map_or(0, |f| f.amount);
-        amounts.unspent.saturating_sub(reserved) >= grant.need.max(1)
+        self.available(ledger, grant)
+            .is_none_or(|available| available >= grant.need.max(1))
     }
+
+    /// Returns the routers in contact with locked tokens of a grant's budget, the
+    /// grant's own included, if these tokens cover what is missing.
+    fn locked_holders(
+        &self,
+        ledger: &Ledger,
+        silent: &[RouterId],
+        grant: &Grant,
+    ) -> Vec<(RouterId, Incarnation)> {
+        let available = self.available(ledger, grant).unwrap_or(0);
+        let mut reserves = ledger.locked_reserves(&grant.budget);
+        reserves.retain(|(router, _, _)| silent.binary_search(router).is_err());
+        let locked = reserves
+            .iter()
+            .fold(0, |sum: Tokens, (_, _, t)| sum.saturating_add(*t));
+        if available.saturating_add(locked) < grant.need {
+            return Vec::new();
+        }
+        let holders = reserves.into_iter();
+        holders.map(|(router, inc, _)| (router, inc)).collect()
+    }
+}
+
+/// Returns the other open holders of a grant's budget. Those in lost incarnations can't
+/// return anything.
+fn idle_holders(ledger: &Ledger, grant: &Grant) -> Vec<(RouterId, Incarnation)> {
+    let is_asked = |router: &RouterId, incarnation: Incarnation, amount: Tokens| {
+        amount > 0
+            && (router, incarnation) != (&grant.router, grant.incarnation)
+            && ledger.is_incarnation_open(router, incarnation)
+    };
+    ledger
+        .holders(&grant.budget)
+        .into_iter()
+        .filter(|(router, incarnation, amount)| is_asked(router, *incarnation, *amount))
+        .map(|(router, incarnation, _)| (router, incarnation))
+        .collect()
 }
 
 /// Returns the maximum number of tokens that the ledger may allot for a grant.
-fn max_allotment(ledger: &Ledger, grant: &Grant) -> Tokens {
+fn max_allotment(ledger: &Ledger, grant: &Grant) -> ProposedAmount {
     let config = ledger.config();
     let team = config.budget(&grant.budget).map_or("", |b| b.team.as_str());
     let unspent = ledger.amounts(&grant.budget).map_or(0, |a| a.unspent);
-    if unspent < config.value("small_budget_tokens", team) {
-        grant.need.max(1)
-    } else {
-        grant.want.max(grant.need).max(1)
-    }
+    let need = grant.need.max(1);
+    let is_exact = !grant.lending && unspent < config.value("small_budget_tokens", team);
+    let extra = match is_exact {
+        true => 0,
+        false => grant.want.saturating_sub(need),
+    };
+    ProposedAmount { need, extra }
 }
--- a/crates/control/tests/driver/main.rs
+++ b/crates/control/tests/driver/main.rs
@@ -19,6 +19,8 @@
 use anvilloft_wire::Control;
 use anvilloft_wire::command::Body;
 use anvilloft_wire::command::Grant;
+use anvilloft_wire::command::LockedAmount;
+use anvilloft_wire::command::LockedReserve;
 use anvilloft_wire::command::Report;
 use anvilloft_wire::command::ReportEntry;
 
@@ -246,6 +248,84 @@
     assert!(start.elapsed() >= ms(1_500) && start.elapsed() < ms(4_000));
 }
 
+/// Guards against a lending router that gets no tokens while others hold locked ones,
+/// which they can't lend, and against waiting for locked tokens that are too few.
+#[tokio::test]
+async fn a_lending_grant_waits_for_locked_tokens_that_cover_it() {
+    let group = Group::start(1).await;
+    group.propose(budget_change("b")).await;
+    group.propose(top_up("b", 1_000)).await;
+    group
+        .propose(group::default_change(1, "recall_wait_ms", 1_500))
+        .await;
+    for router in ["r1", "r2"] {
+        assert_eq!(group.propose(open_incarnation(router, 1)).await, Reply::Ok);
+    }
+    let grant = |router: &str, seq, need| {
+        Body::Grant(Grant {
+            router: router.into(),
+            incarnation: 1,
+            seq,
+            budget: "b".into(),
+            need,
+            want: need,
+            lending: true,
+        })
+    };
+    let report = |seq, entries, locked: Option<u64>| {
+        let locked = locked.map(|amount| LockedReserve {
+            acked_seq: seq - 1,
+            unlock_ms: 3_000,
+            amounts: vec![LockedAmount {
+                budget: "b".into(),
+                amount,
+            }],
+        });
+        Body::Report(Report {
+            router: "r1".into(),
+            incarnation: 1,
+            seq,
+            locked,
+            entries,
+        })
+    };
+    assert_eq!(
+        group.propose(grant("r1", 1, 900)).await,
+        Reply::Granted(900)
+    );
+    // Idle tokens that aren't locked are lent instead.
+    let start = tokio::time::Instant::now();
+    let refused = group.propose(grant("r2", 1, 500)).await;
+    assert_eq!(refused, Reply::Insufficient(100, 900));
+    assert_eq!(group.propose(report(1, vec![], None)).await, Reply::Ok);
+    assert_eq!(group.propose(report(2, vec![], Some(600))).await, Reply::Ok);
+    let refused = group.propose(grant("r2", 2, 701)).await;
+    assert_eq!(refused, Reply::Insufficient(100, 900));
+    assert!(start.elapsed() < ms(1_000));
+    let waiting = {
+        let group = group.clone();
+        let grant = grant("r2", 3, 700);
+        tokio::spawn(async move { group.propose(grant).await })
+    };
+    group.wait_for_recall("r1", "b").await;
+    let returned = ReportEntry {
+        budget: "b".into(),
+        returned: 600,
+        ..ReportEntry::default()
+    };
+    let reply = group.propose(report(3, vec![returned], None)).await;
+    assert_eq!(reply, Reply::Ok);
+    assert_eq!(waiting.await.unwrap(), Reply::Granted(700));
+    let start = tokio::time::Instant::now();
+    let refused = group.propose(grant("r2", 4, 300)).await;
+    assert_eq!(
+        refused,
+        Reply::Insufficient(0, 1_000),
+        "nothing is locked any more"
+    );
+    assert!(start.elapsed() < ms(1_000));
+}
+
 /// Guards against a member that keeps running after its disk has failed, when
 /// what it acknowledges may be lost.
 #[tokio::test]
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -55,6 +55,13 @@
 }
 
 impl Amounts {
+    /// Returns how many more tokens lending routers may get beyond what their requests
+    /// need.
+    pub fn reserve_room(&self) -> Tokens {
+        let reserve = self.unspent.saturating_add(self.allotted) / RESERVE_DIVISOR;
+        reserve.saturating_sub(self.allotted)
+    }
+
     // Sets all amounts. Panics if the parts don't add up to the total.
     fn replace(&mut self, topped_up: Tokens, unspent: Tokens, allotted: Tokens, settled: Tokens) {
         let sum = unspent
@@ -295,6 +302,21 @@
             .collect()
     }
 
+    /// Returns the open incarnations that hold locked tokens of a budget, with the
+    /// amounts. Unlike other idle tokens, they can't be lent.
+    pub fn locked_reserves(&self, budget: &str) -> Vec<(RouterId, Incarnation, Tokens)> {
+        let Some(account) = self.accounts.by_name.get(budget) else {
+            return Vec::new();
+        };
+        let locked_of = |(router, incarnation): &(Arc<str>, Incarnation)| {
+            let inc = self.routers.get(router, *incarnation)?;
+            let locked = inc.reserve.locked_of(budget);
+            let is_held = inc.phase == Phase::Open && locked > 0;
+            is_held.then(|| (router.to_string(), *incarnation, locked))
+        };
+        account.holders.iter().filter_map(locked_of).collect()
+    }
+
     pub(crate) fn top_up(&mut self, c: &TopUp) -> Reply {
         if let Err((code, message)) = check_name(&c.id) {
             return refused(code, message);
@@ -409,9 +431,7 @@
         } else if c.lending {
             // Limits the reserve: the team loses the tokens that a router holds
             // when the router dies.
-            let reserve = (amounts.unspent + amounts.allotted) / RESERVE_DIVISOR;
-            let available = reserve.saturating_sub(amounts.allotted);
-            let extra = c.want.saturating_sub(need).min(available);
+            let extra = c.want.saturating_sub(need).min(amounts.reserve_room());
             need + extra.min(amounts.unspent - need)
         } else if amounts.unspent < small_budget {
             need
--- a/crates/ledger/src/reserves.rs
+++ b/crates/ledger/src/reserves.rs
@@ -7,7 +7,6 @@
 //! that were still locked then go back to the budget.
 
 use anvilloft_types::Tokens;
-use anvilloft_wire::command::LockedAmount;
 use anvilloft_wire::command::LockedReserve;
 use anvilloft_wire::command::Ok as OkReply;
 use anvilloft_wire::command::Reply;
@@ -15,6 +14,7 @@
 use anvilloft_wire::command::RestoreReserve;
 use anvilloft_wire::command::lock_more;
 use anvilloft_wire::command::still_locked;
+use anvilloft_wire::command::unlock;
 
 use crate::code;
 use crate::code::refused;
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Returns the locked amount of a budget.
+    pub(crate) fn locked_of(&self, budget: &str) -> Tokens {
+        let amounts = self.locked.as_ref().map_or(&[][..], |l| &l.amounts);
+        let found = amounts.binary_search_by(|l| l.budget.as_str().cmp(budget));
+        found.map_or(0, |at| amounts[at].amount)
+    }
+
     /// Returns the sum of the locked amounts.
     pub(crate) fn total(&self) -> Tokens {
         let amounts = self.locked.iter().flat_map(|l| &l.amounts);
@@ -80,12 +87,6 @@
     }
 }
 
-fn unlock(amounts: &mut [LockedAmount], budget: &str, tokens: Tokens) {
-    if let Ok(at) = amounts.binary_search_by(|l| l.budget.as_str().cmp(budget)) {
-        amounts[at].amount = amounts[at].amount.saturating_sub(tokens);
-    }
-}
-
 impl Ledger {
     /// Returns the tokens to their budgets that a dead incarnation had still locked.
     /// The rest stays frozen until the incarnation is closed.
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -337,6 +337,13 @@
     }
 }
 
+/// Takes tokens of a budget off locked amounts, which are sorted by budget.
+pub fn unlock(amounts: &mut [LockedAmount], budget: &str, tokens: u64) {
+    if let Ok(at) = amounts.binary_search_by(|l| l.budget.as_str().cmp(budget)) {
+        amounts[at].amount = amounts[at].amount.saturating_sub(tokens);
+    }
+}
+
 /// Records a non-idempotent call before its first byte is sent.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct OrderBegin {
