relay: refuse for good what the tokens in flight won't cover

What callers saw: at the end of a team's budget, 429 tokens_short with a time to come back, again and again, until the requests in flight had ended; then 402.

Cause: a shortage counted everything that is allotted as if it came back. The requests of these teams use 97 % of what they reserve.

From 22.2 to 26 s, 107 requests get 429; after the last of those in flight has ended, 743 tokens are left. Quarantined requests and attempts that ended in a crash hold none.

Change: each router averages what its latest 16 or so requests of a budget used of their reservations. 429 is given only if the unspent and the locked tokens and twice the mean return of the rest cover the request, else 402. Control tells the locked tokens with the refusal, also those of routers that are out of contact or dead, as they may come back. The product's own path answers 402 already.

Ruled out: 402 whenever `unspent` is too small. Requests that reserve far more than they use would lose tokens that are free a second later.

Seen failing without the change: case all_is_used of a_request_beyond_the_tokens_in_flight_is_told_whether_to_come_back.

--- a/crates/bench/src/reserves.rs
+++ b/crates/bench/src/reserves.rs
@@ -202,7 +202,11 @@
             let amount = grant.need + spare.min(grant.want - grant.need);
             let reply = match grant.need <= unspent {
                 true => Reply::Granted(Granted { amount }),
-                false => Reply::Insufficient(Insufficient { unspent, allotted }),
+                false => Reply::Insufficient(Insufficient {
+                    unspent,
+                    allotted,
+                    locked: 0,
+                }),
             };
             if grant.need <= unspent {
                 self.unspent[team] -= amount;
--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -11,11 +11,13 @@
 use anvilloft_types::Tokens;
 use anvilloft_wire::CommandReply;
 use anvilloft_wire::command::Grant;
+use anvilloft_wire::command::Insufficient;
 use anvilloft_wire::command::Reply;
 use anvilloft_wire::command::Report;
 use quick_error::quick_error;
 
 use crate::outbox::Outbox;
+use crate::usage::Usage;
 
 mod lending;
 mod local;
@@ -74,13 +76,46 @@
     }
 }
 
+/// Tokens of a budget that doesn't cover a need, as control told them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shortage {
+    /// Tokens that are not allotted.
+    pub unspent: Tokens,
+    /// Tokens allotted to routers.
+    pub allotted: Tokens,
+    /// Of these, idle tokens that were locked. Control gets them back from routers that
+    /// it reaches again, or that have died.
+    pub locked: Tokens,
+}
+
+impl From<Insufficient> for Shortage {
+    fn from(i: Insufficient) -> Self {
+        Self {
+            unspent: i.unspent,
+            allotted: i.allotted,
+            locked: i.locked,
+        }
+    }
+}
+
+impl Shortage {
+    /// Returns whether a request may get its tokens once others have ended. `usage` is
+    /// what the requests of the budget use of their reservations.
+    pub fn may_cover(&self, needed: Tokens, usage: &Usage) -> bool {
+        let in_use = self.allotted.saturating_sub(self.locked);
+        let returned = usage.max_return(in_use);
+        let total = self.unspent.saturating_add(self.locked);
+        total.saturating_add(returned) >= needed
+    }
+}
+
 quick_error! {
     /// Why a need was refused.
     #[derive(Clone, Debug, PartialEq, Eq)]
     pub enum GrantRefusal {
         /// The budget doesn't have enough unspent tokens.
-        Insufficient(unspent: Tokens, allotted: Tokens) {
-            display("the budget has only {} unspent tokens, and {} allotted to routers", unspent, allotted)
+        Insufficient(budget: Shortage) {
+            display("the budget has only {} unspent tokens, and {} allotted to routers", budget.unspent, budget.allotted)
         }
         /// Control refused the grant.
         Refused(code: String, message: String) {
@@ -407,7 +442,7 @@
                     if !fits {
                         results.push(GrantResult {
                             need: *need,
-                            outcome: Err(GrantRefusal::Insufficient(i.unspent, i.allotted)),
+                            outcome: Err(GrantRefusal::Insufficient((*i).into())),
                         });
                     }
                     fits
@@ -577,6 +612,20 @@
         }
     }
 
+    /// Records what a request used of the tokens that were reserved for it.
+    pub fn record_usage(&mut self, budget: &str, reserved: Tokens, used: Tokens) {
+        if let Some(local) = self.budgets.get_mut(budget) {
+            local.usage.record(reserved, used);
+        }
+    }
+
+    /// Returns what the latest requests of a budget used of their reservations.
+    pub fn usage(&self, budget: &str) -> Usage {
+        self.budgets
+            .get(budget)
+            .map_or_else(Usage::default, |l| l.usage)
+    }
+
     /// Returns the tokens of a budget that this router holds or waits for.
     pub fn holding(&self, budget: &str) -> Holding {
         self.budgets
--- a/crates/budget/src/allotments/local.rs
+++ b/crates/budget/src/allotments/local.rs
@@ -7,6 +7,7 @@
 use anvilloft_wire::command::Grant;
 
 use super::NeedId;
+use crate::usage::Usage;
 
 /// A grant request without a reply.
 #[derive(Debug)]
@@ -52,6 +53,7 @@
     // Largest reservation of the current window, and of the one before.
     largest: Tokens,
     last_largest: Tokens,
+    pub(super) usage: Usage,
     // No grant is requested ahead of need before this time.
     pub(super) prefetch_after: Duration,
 }
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -8,6 +8,7 @@
 mod allotments;
 mod copies;
 mod outbox;
+mod usage;
 
 pub use allotments::Allotments;
 pub use allotments::GrantRefusal;
@@ -17,5 +18,7 @@
 pub use allotments::NeedId;
 pub use allotments::ReservationId;
 pub use allotments::ReservePolicy;
+pub use allotments::Shortage;
 pub use copies::SettlementCopies;
 pub use copies::is_release_notice;
+pub use usage::Usage;
--- a/crates/budget/tests/allotments.rs
+++ b/crates/budget/tests/allotments.rs
@@ -10,6 +10,7 @@
 use anvilloft_budget::Holding;
 use anvilloft_budget::NeedGrant;
 use anvilloft_budget::SettlementCopies;
+use anvilloft_budget::Shortage;
 use anvilloft_ledger::code;
 use anvilloft_wire::CommandReply;
 use anvilloft_wire::command::Granted;
@@ -31,7 +32,11 @@
 fn insufficient(unspent: u64) -> CommandReply {
     let allotted = 7;
     CommandReply {
-        reply: Some(Reply::Insufficient(Insufficient { unspent, allotted })),
+        reply: Some(Reply::Insufficient(Insufficient {
+            unspent,
+            allotted,
+            locked: 0,
+        })),
     }
 }
 
@@ -164,7 +169,11 @@
     let grant = a.next_grant(ms(0)).expect("a grant");
     assert_eq!(grant.need, 330);
     let results = a.on_grant(ms(0), grant.seq, &insufficient(100));
-    let outcome = Err(GrantRefusal::Insufficient(100, 7));
+    let outcome = Err(GrantRefusal::Insufficient(Shortage {
+        unspent: 100,
+        allotted: 7,
+        locked: 0,
+    }));
     assert_eq!(
         results,
         [GrantResult {
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -317,6 +317,29 @@
         account.holders.iter().filter_map(locked_of).collect()
     }
 
+    /// Returns the locked tokens of a budget at all holders.
+    fn locked_total(&self, budget: &str) -> Tokens {
+        let holders = self.accounts.by_name.get(budget).map(|a| &a.holders);
+        holders
+            .into_iter()
+            .flatten()
+            .filter_map(|(router, incarnation)| self.routers.get(router, *incarnation))
+            .fold(0, |sum: Tokens, i| {
+                sum.saturating_add(i.reserve.locked_of(budget))
+            })
+    }
+
+    /// Applies a grant.
+    pub(crate) fn grant(&mut self, c: &Grant) -> Reply {
+        match self.allot(c) {
+            Reply::Insufficient(refusal) => Reply::Insufficient(Insufficient {
+                locked: self.locked_total(&c.budget),
+                ..refusal
+            }),
+            reply => reply,
+        }
+    }
+
     pub(crate) fn top_up(&mut self, c: &TopUp) -> Reply {
         if let Err((code, message)) = check_name(&c.id) {
             return refused(code, message);
@@ -375,7 +398,7 @@
         Reply::Ok(OkReply {})
     }
 
-    pub(crate) fn grant(&mut self, c: &Grant) -> Reply {
+    fn allot(&mut self, c: &Grant) -> Reply {
         let now_ms = self.now_ms;
         let team = self.budget_team(&c.budget);
         let Some(inc) = self.routers.get_mut(&c.router, c.incarnation) else {
@@ -599,6 +622,7 @@
             Reply::Insufficient(Insufficient {
                 unspent: self.budget_unspent,
                 allotted: self.budget_allotted,
+                locked: 0,
             })
         }
     }
--- a/crates/ledger/tests/amounts.rs
+++ b/crates/ledger/tests/amounts.rs
@@ -96,6 +96,7 @@
             Reply::Insufficient(Insufficient {
                 unspent: 800_000,
                 allotted: 200_000,
+                locked: 0,
             }),
         ),
     ];
--- a/crates/relay/src/charge.rs
+++ b/crates/relay/src/charge.rs
@@ -6,6 +6,7 @@
 use anvilloft_budget::GrantRefusal;
 use anvilloft_budget::NeedId;
 use anvilloft_budget::ReservationId;
+use anvilloft_budget::Shortage;
 use anvilloft_gateway::Refusal;
 use anvilloft_ledger::prepaid_budget;
 use anvilloft_routes::Service;
@@ -65,6 +66,9 @@
         slog::info!(self.cx.log, "settled"; "request" => &self.id, "team" => &self.team,
             "reserved" => self.counts.max_total(), "used" => used, "events" => self.events,
             "sources" => sources.len());
+        let reserved = sources.iter().map(TokenSource::amount).sum();
+        let budget = prepaid_budget(&self.team);
+        self.cx.reservations.record_usage(&budget, reserved, used);
         settle_all(&self.cx, sources, used);
     }
 }
@@ -148,13 +152,11 @@
 }
 
 impl GrantFailure {
-    /// Returns the unspent and the allotted tokens of the budget, if control told them.
-    fn amounts(&self) -> (Option<Tokens>, Option<Tokens>) {
+    /// Returns the tokens of the budget, if control told them.
+    fn shortage(&self) -> Option<Shortage> {
         match self {
-            Self::Refused(GrantRefusal::Insufficient(unspent, allotted)) => {
-                (Some(*unspent), Some(*allotted))
-            }
-            _ => (None, None),
+            Self::Refused(GrantRefusal::Insufficient(shortage)) => Some(*shortage),
+            _ => None,
         }
     }
 
@@ -209,7 +211,7 @@
     deadline: Duration,
 ) -> Result<Vec<TokenSource>, Refusal> {
     if let GrantFailure::Refused(refusal @ GrantRefusal::Refused(..)) = &failure {
-        return Err(refusal_of_grant(refusal, amount));
+        return Err(refusal_of_grant(cx, refusal, budget, amount));
     }
     let mut gathered = gather_tokens(cx, budget, amount, deadline).await;
     let missing = amount.saturating_sub(gathered.amount());
@@ -218,18 +220,20 @@
     }
     anvilloft_telemetry::decision!(cx.log, "tokens"; "request" => id, "budget" => budget,
         "need" => amount, "gathered" => gathered.amount(), "control" => failure.as_str(),
-        "unspent" => failure.amounts().0, "allotted" => failure.amounts().1,
+        "unspent" => failure.shortage().map(|s| s.unspent),
+        "allotted" => failure.shortage().map(|s| s.allotted),
+        "locked" => failure.shortage().map(|s| s.locked),
         "peers" => cx.peers.get().map_or(0, |p| p.router_sessions().len()),
         "in_touch" => cx.control_reachable.load(Ordering::Relaxed));
     match &failure {
-        GrantFailure::Refused(refusal @ GrantRefusal::Insufficient(unspent, _)) => {
-            if *unspent >= missing
+        GrantFailure::Refused(refusal @ GrantRefusal::Insufficient(shortage)) => {
+            if shortage.unspent >= missing
                 && let Ok(id) = reserve_own(cx, budget, missing, deadline).await
             {
                 gathered.push(TokenSource::Own(id, missing));
                 return Ok(gathered.into_sources());
             }
-            Err(refusal_of_grant(refusal, amount))
+            Err(refusal_of_grant(cx, refusal, budget, amount))
         }
         GrantFailure::QueueFull => Err(tokens_short(
             "too many requests at this router wait for tokens",
@@ -240,19 +244,29 @@
     }
 }
 
-/// Returns the refusal of a request for which control granted too few tokens.
-fn refusal_of_grant(refusal: &GrantRefusal, needed: Tokens) -> Refusal {
+/// Returns the refusal of a request for which control granted too few tokens. A caller is
+/// asked to come back only if the requests in flight may leave enough.
+fn refusal_of_grant(
+    cx: &RelayState,
+    refusal: &GrantRefusal,
+    budget: &str,
+    needed: Tokens,
+) -> Refusal {
     match refusal {
-        // Other routers may hold tokens for requests that will use fewer of them.
-        GrantRefusal::Insufficient(unspent, allotted)
-            if unspent.saturating_add(*allotted) >= needed =>
+        GrantRefusal::Insufficient(shortage)
+            if shortage.may_cover(needed, &cx.reservations.usage(budget)) =>
         {
             tokens_short("the rest of the budget is reserved for requests in flight")
         }
-        GrantRefusal::Insufficient(unspent, _) => Refusal::new(
+        GrantRefusal::Insufficient(Shortage {
+            unspent, allotted, ..
+        }) => Refusal::new(
             StatusCode::PAYMENT_REQUIRED,
             "budget_exhausted",
-            format!("the budget has {unspent} tokens left, the request may use {needed}"),
+            format!(
+                "the budget has {unspent} tokens left and {allotted} at routers, where requests \
+                 in flight use most of them; the request may use {needed}"
+            ),
         ),
         GrantRefusal::Refused(code, message) => Refusal::unavailable(
             "budget_unavailable",
--- a/crates/relay/src/reservations.rs
+++ b/crates/relay/src/reservations.rs
@@ -10,6 +10,7 @@
 use anvilloft_budget::NeedId;
 use anvilloft_budget::ReservationId;
 use anvilloft_budget::ReservePolicy;
+use anvilloft_budget::Usage;
 use anvilloft_types::lock;
 use anvilloft_types::prelude::*;
 use anvilloft_wire::CommandReply;
@@ -192,6 +193,16 @@
         self.lock().allotments.settle(now, id, used, None);
     }
 
+    /// Records what a request used of the tokens that were reserved for it.
+    pub(crate) fn record_usage(&self, budget: &str, reserved: Tokens, used: Tokens) {
+        self.lock().allotments.record_usage(budget, reserved, used);
+    }
+
+    /// Returns what the latest requests of a budget used of their reservations.
+    pub(crate) fn usage(&self, budget: &str) -> Usage {
+        self.lock().allotments.usage(budget)
+    }
+
     /// Returns the next grant command that is due.
     pub(crate) fn next_grant(&self, now: Duration) -> Option<Grant> {
         self.lock().allotments.next_grant(now)
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -8,6 +8,7 @@
 use anvilloft_fakes::raw::RawEndpoint;
 use anvilloft_fakes::raw::Step;
 use anvilloft_fakes::raw::whole_answer;
+use rstest::rstest;
 
 use crate::common::CALL_TIMEOUT;
 use crate::common::COUNTS;
@@ -251,6 +252,44 @@
     );
 }
 
+/// Guards against callers that are asked to come back for tokens that the requests in
+/// flight will use, and against a final refusal if these give back enough.
+#[rstest]
+#[case::all_is_used(10, 402)]
+#[case::a_quarter_comes_back(1, 429)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_beyond_the_tokens_in_flight_is_told_whether_to_come_back(
+    #[case] events: u32,
+    #[case] status: u16,
+) {
+    let fleet = Fleet::start(1).await;
+    let used = COUNTS.prompt + 4 * u64::from(events);
+    let prepaid = 10 * used + 3 * COUNTS.max_total();
+    fleet.publish(1, prepaid).await;
+    let engine = RawEndpoint::start(move |s| {
+        let mut steps = whole_stream(&s, events);
+        if s.attempt.starts_with("slow") {
+            steps.insert(0, Step::Wait(Duration::from_secs(2)));
+        }
+        steps
+    });
+    let engine = engine.await.unwrap();
+    fleet.announce("e", engine.addr, "engines");
+    for n in 0..10 {
+        assert_eq!(
+            fleet.send(0, "/stream/x", &format!("t{n}")).await.status,
+            200
+        );
+    }
+    let slow = |id| fleet.try_send(0, "/single/x", id);
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        fleet.try_send(0, "/stream/x", "late").await
+    };
+    let (_, _, _, late) = tokio::join!(slow("slow0"), slow("slow1"), slow("slow2"), late);
+    assert_eq!(late.status, status, "{}", late.text());
+}
+
 /// Guards against a planned stop that interrupts an answer in flight, or during
 /// which callers are still sent to the router.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -4,6 +4,7 @@
 
 use anvilloft_budget::GrantRefusal;
 use anvilloft_budget::NeedId;
+use anvilloft_budget::Shortage;
 use anvilloft_gateway::Refusal;
 use anvilloft_ledger::code;
 use anvilloft_types::Incarnation;
@@ -160,7 +161,9 @@
                         req.need = None;
                     }
                     let refusal = match refusal {
-                        GrantRefusal::Insufficient(unspent, allotted) => Refusal::new(
+                        GrantRefusal::Insufficient(Shortage {
+                            unspent, allotted, ..
+                        }) => Refusal::new(
                             StatusCode::PAYMENT_REQUIRED,
                             "budget_exhausted",
                             format!(
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -569,6 +569,10 @@
     /// Tokens allotted to routers. A recall may return some of them.
     #[prost(uint64, tag = "2")]
     pub allotted: u64,
+    /// Of these, tokens that routers reported as locked, also routers that are out of
+    /// contact or lost. No request uses them.
+    #[prost(uint64, tag = "3")]
+    pub locked: u64,
 }
 
 /// State of an order.
