--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -337,6 +337,13 @@
     }
 }
 
+/// Takes tokens of a budget off locked amounts, which are sorted by budget.
+pub fn unlock(amounts: &mut [LockedAmount], budget: &str, tokens: u64) {
+    if let Ok(at) = amounts.binary_search_by(|l| l.budget.as_str().cmp(budget)) {
+        amounts[at].amount = amounts[at].amount.saturating_sub(tokens);
+    }
+}
+
 /// Records a non-idempotent call before its first byte is sent.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct OrderBegin {
@@ -562,6 +569,10 @@
     /// Tokens allotted to routers. A recall may return some of them.
     #[prost(uint64, tag = "2")]
     pub allotted: u64,
+    /// Of these, tokens that routers reported as locked, also routers that are out of
+    /// contact or lost. No request uses them.
+    #[prost(uint64, tag = "3")]
+    pub locked: u64,
 }
 
 /// State of an order.
