--- a/crates/control/src/driver/core.rs
+++ b/crates/control/src/driver/core.rs
@@ -689,6 +689,7 @@
             applied_index: self.applied,
             revision: self.ledger.config().revision(),
             publication_version: self.ledger.publication_version(),
+            publication_bytes: self.ledger.publication_bytes(),
             routers: Arc::clone(&self.cached_directory.1),
             disk_full,
             failure: failure.to_owned(),
--- a/crates/control/src/driver/status.rs
+++ b/crates/control/src/driver/status.rs
@@ -35,6 +35,8 @@
     pub revision: Revision,
     /// Version of the published route table in this member's ledger.
     pub publication_version: u64,
+    /// Its compressed size, in bytes.
+    pub publication_bytes: usize,
     /// Open router incarnations in this member's ledger, sorted by name.
     pub routers: Arc<[OpenIncarnation]>,
     /// Whether this member waits for room on its disk.
--- a/crates/ledger/src/publication.rs
+++ b/crates/ledger/src/publication.rs
@@ -50,6 +50,11 @@
         self.route_table.version
     }
 
+    /// Returns the compressed size of the published route table, in bytes.
+    pub fn publication_bytes(&self) -> usize {
+        self.route_table.source.len()
+    }
+
     /// Returns the published route table if it is newer than a version.
     pub fn publication_since(&self, version: u64) -> Option<Publication> {
         (self.route_table.version > version).then(|| Publication {
