--- a/crates/control/src/peers/unanswered.rs
+++ b/crates/control/src/peers/unanswered.rs
@@ -13,14 +13,19 @@
 use slog::Logger;
 use slog::warn;
 
-/// Minimum time between two log lines about calls without an answer.
+#[cfg(test)]
+mod tests;
+
+/// Minimum time between two log lines about refused calls, and about callers that left.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Calls without an answer of the control group.
 pub struct UnansweredCalls {
     refused: AtomicU64,
     abandoned: AtomicU64,
-    lines: LineLimit,
+    refused_lines: LineLimit,
+    /// Separate, as the refusals of the same second would hide a caller that left.
+    abandoned_lines: LineLimit,
     log: Logger,
 }
 
@@ -29,7 +34,8 @@
         Self {
             refused: AtomicU64::new(0),
             abandoned: AtomicU64::new(0),
-            lines: LineLimit::new(LOG_INTERVAL),
+            refused_lines: LineLimit::new(LOG_INTERVAL),
+            abandoned_lines: LineLimit::new(LOG_INTERVAL),
             log,
         }
     }
@@ -53,9 +59,9 @@
         }
     }
 
-    fn record(&self, counter: &AtomicU64, reason: &str, waited: Duration) {
+    fn record(&self, counter: &AtomicU64, lines: &LineLimit, reason: &str, waited: Duration) {
         counter.fetch_add(1, Ordering::Relaxed);
-        if let Some(count) = self.lines.record() {
+        if let Some(count) = lines.record() {
             warn!(self.log, "call not answered"; "reason" => reason,
                 "waited_ms" => to_ms(waited), "count" => count);
         }
@@ -74,7 +80,8 @@
         self.is_ended = true;
         if let Err(CallError::Unavailable(reason) | CallError::Unknown(reason)) = result {
             let calls = self.calls;
-            calls.record(&calls.refused, reason, self.start.elapsed());
+            let waited = self.start.elapsed();
+            calls.record(&calls.refused, &calls.refused_lines, reason, waited);
         }
     }
 }
@@ -83,7 +90,9 @@
     fn drop(&mut self) {
         if !self.is_ended {
             let calls = self.calls;
-            calls.record(&calls.abandoned, "the caller left", self.start.elapsed());
+            let waited = self.start.elapsed();
+            let lines = &calls.abandoned_lines;
+            calls.record(&calls.abandoned, lines, "the caller left", waited);
         }
     }
 }
