relay: confirm an unmarked end of a returned stream by a second one

Callers saw: a whole stream without a length or chunks broken off after its last event, if its endpoint was silent before the end and was left.

Cause: the endpoint to which the stream returns has nothing more to send and closes its connection, which a crash does as well. Such an end counted as a break, and a returned endpoint isn't asked again.

Change: that endpoint is asked once more, on a new connection and within the retry budget. A second end without an event is the stream's end; an endpoint that has crashed doesn't send one. Any other outcome breaks the stream off as before.

--- a/crates/relay/src/event_buffer.rs
+++ b/crates/relay/src/event_buffer.rs
@@ -22,6 +22,8 @@
     /// Whole events, of which one has data or an id.
     Events(Bytes),
     End,
+    /// An end that can't be told from a break, of an answer without a length or chunks.
+    UnmarkedEnd,
     /// The endpoint broke the stream.
     Broken(ClientError),
     /// Nothing that the caller gets, or the stream goes on elsewhere.
@@ -30,6 +32,19 @@
     Failed(StreamError),
 }
 
+/// To which endpoint a stream has returned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum ReturnedTo {
+    /// To none that has sent the last event.
+    #[default]
+    None,
+    /// To the one that has sent the last event, and may have had nothing more to send when
+    /// it was left.
+    LastSender,
+    /// The same, and it has sent an unmarked end after that event already.
+    EndedBefore,
+}
+
 /// The incomplete event of an answer, and events that wait for the next one with data or
 /// an id. Both count towards the memory for answers.
 pub(crate) struct EventBuffer {
@@ -37,9 +52,7 @@
     /// Events without data or an id that the caller has not got yet.
     comments: BytesMut,
     memory: AnswerCharge,
-    /// Whether the endpoint has sent the stream's last event before it was left, and may
-    /// have had nothing more to send.
-    pub(crate) has_returned: bool,
+    pub(crate) returned_to: ReturnedTo,
 }
 
 impl EventBuffer {
@@ -48,7 +61,7 @@
             splitter: EventSplitter::default(),
             comments: BytesMut::new(),
             memory,
-            has_returned: false,
+            returned_to: ReturnedTo::None,
         }
     }
 
@@ -172,10 +185,16 @@
 
     /// Returns what the end of an answer means.
     fn end_of(&self, answer: &EndpointResponse) -> Read {
-        let is_whole = self.has_returned && answer.is_framed();
-        match !is_whole && is_cut_off(&self.splitter, answer) {
-            true => Read::Broken(ClientError::Broken("the end before the last event".into())),
-            false => Read::End,
+        if !is_cut_off(&self.splitter, answer) {
+            return Read::End;
+        }
+        let is_partial = self.splitter.has_partial();
+        match (self.returned_to, answer.is_framed()) {
+            (ReturnedTo::LastSender | ReturnedTo::EndedBefore, true) => Read::End,
+            // An endpoint that has crashed after its header doesn't end a second answer.
+            (ReturnedTo::EndedBefore, false) if !is_partial => Read::End,
+            (ReturnedTo::LastSender, false) if !is_partial => Read::UnmarkedEnd,
+            _ => Read::Broken(ClientError::Broken("the end before the last event".into())),
         }
     }
 }
--- a/crates/relay/src/progress.rs
+++ b/crates/relay/src/progress.rs
@@ -10,11 +10,15 @@
 use crate::attempt::OutboundRequest;
 use crate::attempt::SendFailure;
 
-/// An endpoint that a request was taken from because it was silent.
+/// An endpoint that a request was taken from because it was silent, or because its end of
+/// the stream is to be confirmed.
 pub(crate) struct LeftEndpoint {
     pub(crate) pick: Pick,
-    /// Id of the last event of its answer, if it sent one.
+    /// Id of the last event of the stream, if this endpoint sent it.
     pub(crate) last_event: Option<String>,
+    /// Whether it has ended an answer after that event in a way that can't be told from a
+    /// break.
+    pub(crate) has_ended: bool,
 }
 
 /// Progress of a request over all its attempts.
@@ -28,7 +32,7 @@
     pub(crate) unreachable_count: u32,
     /// Endpoints that refused the request as full.
     refused: Vec<EndpointId>,
-    /// Endpoints that were left because they were silent. They may be sound.
+    /// Endpoints that were left although they may be sound.
     pub(crate) left: Vec<LeftEndpoint>,
     /// Whether the next attempt to be recorded is at an endpoint that is counted already.
     pub(crate) is_return: bool,
@@ -67,10 +71,10 @@
         }
     }
 
-    /// Records that a silent endpoint was left for another one.
-    pub(crate) fn record_left(&mut self, pick: Pick, last_event: Option<String>) {
-        self.left.retain(|l| l.pick.endpoint != pick.endpoint);
-        self.left.push(LeftEndpoint { pick, last_event });
+    /// Records that an endpoint was left and may be asked again.
+    pub(crate) fn record_left(&mut self, left: LeftEndpoint) {
+        self.left.retain(|l| l.pick.endpoint != left.pick.endpoint);
+        self.left.push(left);
     }
 
     /// Lets endpoints that refused the request as full be asked again. Those that have had
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -19,6 +19,7 @@
 use crate::attempt::reserve_again;
 use crate::attempt::send_request;
 use crate::attempt::start_attempt;
+use crate::event_buffer::ReturnedTo;
 use crate::events::EventSplitter;
 use crate::handover::ASK_INTERVAL;
 use crate::progress::LeftEndpoint;
@@ -132,15 +133,14 @@
 
 /// Resumes a stream after the event `last_event` at the endpoint of `running`, or at any
 /// other. If they fail, it returns to an endpoint that was left because it was silent, as
-/// that one may be sound. The second value tells whether it did, and whether that one has
-/// sent the last event.
+/// that one may be sound. The second value tells whether it did.
 pub(crate) async fn resume_stream(
     cx: &Arc<RelayState>,
     outbound: &OutboundRequest,
     progress: &mut Progress,
     last_event: Option<&str>,
     mut running: Option<Attempt>,
-) -> Result<(EndpointAnswer, bool), StreamError> {
+) -> Result<(EndpointAnswer, ReturnedTo), StreamError> {
     // An endpoint that was full a while ago may have room now.
     progress.forget_refusals();
     let mut returned_to = None;
@@ -152,11 +152,18 @@
                 let endpoint = &answered.in_flight.pick.endpoint;
                 let is_left = |l: &LeftEndpoint| l.pick.endpoint == *endpoint;
                 let left = progress.left.iter().find(|l| is_left(l));
-                let sent_last = last_event.is_some()
-                    && left.is_some_and(|l| l.last_event.as_deref() == last_event);
-                let has_returned = returned_to.as_ref() == Some(endpoint) && sent_last;
+                let sent_last = |l: &&LeftEndpoint| {
+                    last_event.is_some() && l.last_event.as_deref() == last_event
+                };
+                let returned_to = match left.filter(sent_last) {
+                    Some(l) if returned_to.as_ref() == Some(endpoint) => match l.has_ended {
+                        true => ReturnedTo::EndedBefore,
+                        false => ReturnedTo::LastSender,
+                    },
+                    _ => ReturnedTo::None,
+                };
                 progress.left.retain(|l| !is_left(l));
-                return Ok((answered, has_returned));
+                return Ok((answered, returned_to));
             }
             Err(SendFailure::DeadlineExceeded) => return Err(StreamError::DeadlineExceeded),
             Err(failure) => failure,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -41,6 +41,7 @@
 use crate::crashes;
 use crate::event_buffer::EventBuffer;
 use crate::event_buffer::Read;
+use crate::event_buffer::ReturnedTo;
 use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
@@ -50,6 +51,7 @@
 use crate::handover::log_silence;
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
+use crate::progress::LeftEndpoint;
 use crate::progress::Progress;
 use crate::resume::can_continue;
 use crate::resume::resume_stream;
@@ -151,6 +153,12 @@
                     return Some(Ok(self.buffer.take_with(events)));
                 }
                 Read::End => return self.end(),
+                Read::UnmarkedEnd => {
+                    self.leave_ended();
+                    if let Read::Failed(err) = self.resume_at(None).await {
+                        return self.fail(err, Outcome::Broken);
+                    }
+                }
                 Read::Broken(e) => {
                     if let Err(err) = self.resume(&e).await {
                         return self.fail(err, Outcome::Broken);
@@ -378,15 +386,38 @@
     /// Closes the connection to the current endpoint, which may be sound.
     fn leave_silent(&mut self) {
         if let Some((in_flight, _)) = &self.current {
-            let has_sent = self.buffer.splitter.event_count() > self.events_before;
+            let returned_to = self.buffer.returned_to;
+            let has_sent = self.buffer.splitter.event_count() > self.events_before
+                || returned_to != ReturnedTo::None;
             let last_event = self.buffer.splitter.last_id().filter(|_| has_sent);
-            let last_event = last_event.map(str::to_owned);
-            self.progress
-                .record_left(in_flight.pick.clone(), last_event);
+            self.progress.record_left(LeftEndpoint {
+                pick: in_flight.pick.clone(),
+                last_event: last_event.map(str::to_owned),
+                has_ended: returned_to == ReturnedTo::EndedBefore,
+            });
         }
         self.close_current("router", "silent while another endpoint has the request");
     }
 
+    /// Leaves an endpoint that has ended the stream in a way that can't be told from a break,
+    /// so that it is asked again.
+    fn leave_ended(&mut self) {
+        let Some((in_flight, _)) = self.current.take() else {
+            return;
+        };
+        slog::info!(self.cx.log, "end to be confirmed"; "request" => &self.outbound.id,
+            "endpoint" => &in_flight.pick.endpoint,
+            "events" => self.buffer.splitter.event_count());
+        self.progress.record_left(LeftEndpoint {
+            pick: in_flight.pick.clone(),
+            last_event: self.buffer.splitter.last_id().map(str::to_owned),
+            has_ended: true,
+        });
+        in_flight.end(Outcome::Ok);
+        self.progress.may_have_run = true;
+        self.buffer.reset(true);
+    }
+
     /// Closes the connection to an endpoint that broke the stream. Returns whether another
     /// endpoint can go on with it.
     fn close_broken(&mut self, error: &ClientError) -> bool {
@@ -407,7 +438,7 @@
         }
         self.current = Some((in_flight, answer));
         self.events_before = self.buffer.splitter.event_count();
-        self.buffer.has_returned = false;
+        self.buffer.returned_to = ReturnedTo::None;
         self.silence.heard(self.cx.now());
         self.kept_for = None;
     }
@@ -429,9 +460,9 @@
         let (cx, outbound) = (&self.cx, &self.outbound);
         let last_event = last_event.as_deref();
         match resume_stream(cx, outbound, &mut self.progress, last_event, running).await {
-            Ok((answered, has_returned)) => {
+            Ok((answered, returned_to)) => {
                 self.go_on_with(answered);
-                self.buffer.has_returned = has_returned;
+                self.buffer.returned_to = returned_to;
                 Read::Nothing
             }
             Err(err) => Read::Failed(err),
--- a/crates/relay/tests/relay/returns.rs
+++ b/crates/relay/tests/relay/returns.rs
@@ -12,6 +12,7 @@
 use crate::common::Fleet;
 use crate::common::chunk;
 use crate::common::event;
+use crate::common::next_event;
 use crate::common::send;
 use crate::common::stream_head;
 use crate::common::whole_stream;
@@ -154,30 +155,62 @@
     assert_eq!(asked.len(), 2, "requests at endpoints: {asked:?}");
 }
 
+/// Splits the answer to a request into its events with what precedes them, and its end.
+fn split_stream(req: &ReceivedRequest, is_framed: bool) -> (Step, Step) {
+    if !is_framed {
+        let head = stream_head(&req.attempt).replace("transfer-encoding: chunked\r\n", "");
+        let events: String = (next_event(req)..=3).map(event).collect();
+        return (send(head + &events), Step::Close);
+    }
+    let Step::Send(answer) = whole_stream(req, 3).remove(0) else {
+        unreachable!("an answer");
+    };
+    let answer = String::from_utf8(answer).unwrap();
+    let (begun, end) = answer.split_at(answer.len() - "0\r\n\r\n".len());
+    (send(begun), send(end))
+}
+
 /// Guards against a whole stream that is broken off because its endpoint was silent, and
 /// was left, between the last event and the end.
+#[rstest::rstest]
+#[case::framed(true, 3)]
+// An end that nothing marks is confirmed by a second one.
+#[case::unframed(false, 4)]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_stream_that_was_left_after_its_last_event_ends_where_it_began() {
+async fn a_stream_that_was_left_after_its_last_event_ends_where_it_began(
+    #[case] is_framed: bool,
+    #[case] request_count: usize,
+) {
     let (reply, asked) = play(&["e1", "e2"], move |asked, req| {
-        let wait = match asked.len() {
-            1 => SILENCE,
-            2 => LATER,
-            _ => Duration::ZERO,
-        };
         // The first one is resumed after the last event, too.
-        let Step::Send(answer) = whole_stream(req, 3).remove(0) else {
-            unreachable!("an answer");
-        };
-        let answer = String::from_utf8(answer).unwrap();
-        let (begun, end) = answer.split_at(answer.len() - "0\r\n\r\n".len());
+        let (events, end) = split_stream(req, is_framed);
         match asked.len() {
-            1 => vec![send(begun), Step::Wait(wait), send(end)],
-            _ => vec![Step::Wait(wait), send(answer)],
+            1 => vec![events, Step::Wait(SILENCE), end],
+            2 => vec![Step::Wait(LATER), events, end],
+            _ => vec![events, end],
         }
     })
     .await;
     assert_whole(&reply, &asked);
-    assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
+    assert_eq!(asked.len(), request_count, "requests at {asked:?}");
+}
+
+/// Guards against a stream that looks complete because its endpoint crashed after the header
+/// of an answer without a length or chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unmarked_end_of_a_returned_stream_is_not_taken_for_its_end_without_a_second_one() {
+    let (reply, asked) = play(&["e1", "e2"], move |asked, req| {
+        let (events, end) = split_stream(req, false);
+        match asked.len() {
+            1 => vec![events, Step::Wait(SILENCE), end],
+            2 => vec![Step::Wait(LATER), Step::Close],
+            3 => vec![events, end],
+            _ => vec![Step::Close],
+        }
+    })
+    .await;
+    assert!(!reply.complete, "whole after requests at {asked:?}");
+    assert_eq!(asked.len(), 4, "requests at endpoints: {asked:?}");
 }
 
 /// Guards against a stream that looks complete because an endpoint without its last event
