relay: return to a silent endpoint that was left before an answer

Callers saw: 502 (or the next endpoint's 500) for a streamed request whose sound endpoint was silent before its first event, as the router left it for one that then failed, refused or broke off.

Only a stream with an event could return to an endpoint that was left; before the header, or between it and the first event, the one that was left counted as tried.

Change: an endpoint that is left before an answer is remembered, too, and is asked again once no other one may be, within the retry budget and not past the deadline. Each is asked again once.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -39,6 +39,7 @@
 use crate::charge::reserve;
 use crate::crashes;
 use crate::progress::Progress;
+use crate::resume::return_before_answer;
 use crate::state::RelayState;
 use crate::stream::EventBody;
 use crate::stream::StreamError;
@@ -405,14 +406,19 @@
 ) -> Result<Response<Body>, Refusal> {
     let mut progress = Progress::default();
     let mut endpoint_failure: Option<Response<Body>> = None;
+    let mut running = None;
     loop {
-        let result = send_request(cx, &outbound, &mut progress, None, None).await;
+        let result = send_request(cx, &outbound, &mut progress, None, running.take()).await;
         if let Some(charge) = &mut charge {
             charge.has_run |= matches!(&result, Ok(a) if a.answer.status.is_success());
         }
         let EndpointAnswer { in_flight, answer } = match result {
             Ok(answered) => answered,
             Err(failure) => {
+                running = return_before_answer(cx, &outbound, &mut progress, failure);
+                if running.is_some() {
+                    continue;
+                }
                 // Without a better answer, the caller gets an endpoint's own
                 // server error.
                 return endpoint_failure.ok_or_else(|| refusal_of_failure(failure, &progress));
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -21,6 +21,7 @@
 use crate::attempt::may_send_again;
 use crate::attempt::reserve_endpoint;
 use crate::attempt::start_attempt;
+use crate::progress::LeftEndpoint;
 use crate::progress::Progress;
 use crate::state::RelayState;
 
@@ -149,6 +150,16 @@
     }
 }
 
+/// Closes the connection of an attempt at a silent endpoint, which may be sound.
+fn leave(attempt: Attempt, progress: &mut Progress) {
+    progress.record_left(LeftEndpoint {
+        pick: attempt.in_flight.pick.clone(),
+        last_event: None,
+        has_ended: false,
+    });
+    attempt.give_up();
+}
+
 /// Waits for an answer to an attempt. Returns the result of one attempt, and another
 /// one that still runs.
 ///
@@ -204,7 +215,7 @@
             }
             First::Other(sent) => match judge(cx, outbound, other, *sent).await {
                 AttemptResult::Answered(answered) if answered.answer.status.is_success() => {
-                    attempt.give_up();
+                    leave(attempt, progress);
                     progress.record_given_up();
                     return (AttemptResult::Answered(answered), None);
                 }
@@ -222,7 +233,7 @@
                 progress.record_given_up();
             }
             First::Nobody => {
-                attempt.give_up();
+                leave(attempt, progress);
                 return (AttemptResult::Unknown, Some(other));
             }
         }
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -192,6 +192,24 @@
     }
 }
 
+/// Sends a request without an answer once more to a silent endpoint that was left, as that
+/// one may be sound and the others have failed.
+pub(crate) fn return_before_answer(
+    cx: &Arc<RelayState>,
+    outbound: &OutboundRequest,
+    progress: &mut Progress,
+    failure: SendFailure,
+) -> Option<Attempt> {
+    if failure == SendFailure::DeadlineExceeded {
+        return None;
+    }
+    let (running, returned_to) = return_to_left(cx, outbound, progress, None);
+    progress
+        .left
+        .retain(|l| Some(&l.pick.endpoint) != returned_to.as_ref());
+    running
+}
+
 /// Sends a request once more to the silent endpoint that was left last. Endpoints that
 /// have gone since are forgotten.
 fn return_to_left(
--- a/crates/relay/tests/relay/returns.rs
+++ b/crates/relay/tests/relay/returns.rs
@@ -112,6 +112,26 @@
     assert_eq!(asked.len(), 2, "endpoints that were asked: {asked:?}");
 }
 
+/// Guards against a request that fails because the router left a silent endpoint, which had
+/// sent nothing yet, for one that fails.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_returns_to_the_silent_endpoint_that_it_left_before_an_answer(
+    #[values(Next::Fails, Next::BreaksOff, Next::Refuses)] next: Next,
+    #[values(false, true)] sends_header: bool,
+) {
+    let (reply, asked) = play(&["e1", "e2"], move |asked, req| match asked.len() {
+        1 => vec![Step::Wait(SILENCE), whole_stream(req, 3).remove(0)],
+        2 if sends_header => vec![send(stream_head(ID)), Step::Wait(LATER), Step::Close],
+        2 => next_steps(next, req),
+        _ => whole_stream(req, 3),
+    })
+    .await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_whole(&reply, &asked);
+    assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
+}
+
 /// What the next endpoint sends after the header of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AfterHeader {
