relay: let streams return to endpoints that have just begun to leave

Callers saw: a broken stream, as the router left a silent endpoint that was leaving, or began to leave then, for one that failed.

Cause: a leaving endpoint was left like any other, but took no return, as it takes no new request.

Change: an endpoint serves for at least 2 s after it says that it leaves, so a request that it has had may return for 1.5 s from then on. After that, a stream with events stays twice as long, six pauses instead of three, before another endpoint is asked: callers wait for eight, and an endpoint that is gone mustn't hold its streams to their deadline. If that other one fails, too, the stream still breaks off.

Measured: a_stream_returns_to_a_silent_endpoint_that_has_just_begun_to_ leave (cases Fails and BreaksOff) and a_stream_stays_longer_at_a_silent_ endpoint_that_is_leaving fail before and pass. Case Refuses and a_stream_ leaves_a_leaving_endpoint_that_stays_silent guard the other side and passed before. a_request_returns_to_an_endpoint_only_just_after_it_began_ to_leave (pure) passes; the code before has no such call.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -210,7 +210,9 @@
         if (announcement.incarnation < old.incarnation && !any_incarnation) || old.left {
             return Change::Stale;
         }
-        let starts_leaving = (announcement.leaving || announcement.left) && !old.leaving;
+        let says_leaving = announcement.leaving || announcement.left;
+        let starts_leaving = says_leaving && !old.leaving;
+        let said_at = now.saturating_sub(announcement.age);
         if announcement.left {
             ep.announcement.left = true;
             ep.announcement.leaving = true;
@@ -221,6 +223,9 @@
         } else {
             return Change::Stale;
         }
+        if starts_leaving {
+            ep.record_leaving(said_at);
+        }
         match starts_leaving {
             true => Change::Leaving,
             false => Change::Renewed,
@@ -362,9 +367,14 @@
         notice: EndpointNotice,
     ) -> bool {
         let spread = self.rng.random_range(0.0..1.0);
-        self.find(endpoint)
-            .filter(|ep| ep.announcement.incarnation == incarnation)
-            .is_some_and(|ep| ep.availability.apply(now, notice, spread))
+        let found = self.find(endpoint);
+        let Some(ep) = found.filter(|ep| ep.announcement.incarnation == incarnation) else {
+            return false;
+        };
+        if notice.leaving {
+            ep.record_leaving(now);
+        }
+        ep.availability.apply(now, notice, spread)
     }
 
     /// Whether an endpoint has ended an answer, even a failure or a refusal, since a
@@ -381,10 +391,11 @@
             .is_some_and(Endpoint::is_leaving)
     }
 
-    /// Whether an incarnation of an endpoint is known and isn't leaving.
-    pub fn takes_work(&self, endpoint: &str, incarnation: Incarnation) -> bool {
+    /// Whether an incarnation of an endpoint is known and takes a request that it has had
+    /// before.
+    pub fn takes_return(&self, now: Duration, endpoint: &str, incarnation: Incarnation) -> bool {
         self.get_incarnation(endpoint, incarnation)
-            .is_some_and(|ep| !ep.is_leaving())
+            .is_some_and(|ep| ep.takes_return(now))
     }
 
     fn median_failure_rate(&self, now: Duration, of_service: &[usize]) -> f64 {
@@ -610,6 +621,7 @@
             Outcome::Misdirected => {
                 ep.announcement.left = true;
                 ep.announcement.leaving = true;
+                ep.limit_returns(now);
             }
             Outcome::Cancelled => {}
         }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -10,6 +10,9 @@
 use crate::cache::PromptPart;
 use crate::health::Health;
 
+/// Time after an endpoint first says that it leaves for which requests that it has had may
+/// return. Endpoints serve for 2 s at least after that is acknowledged.
+const LEAVING_GRACE: Duration = Duration::from_millis(1_500);
 /// Half-life of the measured delay of first events, in seconds.
 const DELAY_HALF_LIFE_S: f64 = 2.0;
 /// Half-life of the time that an engine spends on prompts, in seconds.
@@ -138,6 +141,8 @@
 pub(crate) struct Endpoint {
     /// Latest announcement.
     pub(crate) announcement: Announcement,
+    /// End of the time in which requests may return to the endpoint, if it is leaving.
+    returns_until: Option<Duration>,
     /// When the endpoint sent its latest announcement.
     pub(crate) last_announced: Duration,
     /// When the endpoint's warm-up ends.
@@ -187,6 +192,7 @@
             last_announced: now.saturating_sub(announcement.age),
             warm_at: now + announcement.warm_up,
             announcement,
+            returns_until: None,
             in_flight: Vec::new(),
             health: Health::default(),
             availability: Availability::default(),
@@ -218,6 +224,22 @@
         self.announcement.leaving || self.announcement.left || self.availability.is_leaving()
     }
 
+    /// Records that the endpoint said at `at` that it leaves.
+    pub(crate) fn record_leaving(&mut self, at: Duration) {
+        self.limit_returns(at + LEAVING_GRACE);
+    }
+
+    /// Records that no request may return to the endpoint from `until` on.
+    pub(crate) fn limit_returns(&mut self, until: Duration) {
+        self.returns_until = Some(self.returns_until.map_or(until, |u| u.min(until)));
+    }
+
+    /// Whether the endpoint takes a request that it has had before. One that has just
+    /// begun to leave still does.
+    pub(crate) fn takes_return(&self, now: Duration) -> bool {
+        !self.is_leaving() || self.returns_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the requests of all routers in flight, as a share of the slots.
     pub(crate) fn utilization(&self) -> f64 {
         self.total_in_flight() / f64::from(self.announcement.slots.max(1))
--- a/crates/dispatch/src/handover.rs
+++ b/crates/dispatch/src/handover.rs
@@ -6,8 +6,9 @@
 
 use anvilloft_types::prelude::*;
 
-/// Silence after which an endpoint that answers nobody is left for one that may queue the
-/// request, as a multiple of the silence after which another endpoint is asked.
+/// Silence after which an endpoint is left for one that may queue the request, or though
+/// the request can't return to it, as a multiple of the silence after which another
+/// endpoint is asked.
 const LONG_SILENCE_FACTOR: u32 = 2;
 
 /// Why a request isn't left to another endpoint.
@@ -28,6 +29,8 @@
     Quarantined,
     /// The silent endpoint has answered other requests meanwhile.
     AnswersOthers,
+    /// The silent endpoint is leaving, so the request couldn't return to it.
+    Leaving,
 }
 
 impl KeepReason {
@@ -41,6 +44,7 @@
             Self::Deadline => "deadline",
             Self::Quarantined => "quarantined",
             Self::AnswersOthers => "answers_others",
+            Self::Leaving => "leaving",
         }
     }
 }
@@ -123,8 +127,13 @@
     /// Whether only an endpoint with a free slot may be asked. `answers_others` tells that
     /// the silent one has answered other requests meanwhile.
     pub fn needs_free_slot(&self, now: Duration, answers_others: bool) -> bool {
-        let long = self.limit.saturating_mul(LONG_SILENCE_FACTOR);
-        answers_others || self.silent_for(now) < long
+        answers_others || !self.is_long(now)
+    }
+
+    /// Whether the endpoint has been silent for so long that it is left even where that
+    /// may be no gain.
+    pub fn is_long(&self, now: Duration) -> bool {
+        self.silent_for(now) >= self.limit.saturating_mul(LONG_SILENCE_FACTOR)
     }
 
     /// Returns the time until another endpoint is to be asked for.
--- a/crates/dispatch/tests/notices.rs
+++ b/crates/dispatch/tests/notices.rs
@@ -140,3 +140,92 @@
     let pick = d.choose(2 * SECOND + left, &req).unwrap();
     assert_eq!(pick.endpoint, "e");
 }
+
+/// Guards against a request that returns to an endpoint long after it said that it leaves,
+/// or to another one at its address, and against one that may not return before.
+#[test]
+fn a_request_returns_to_an_endpoint_only_just_after_it_began_to_leave() {
+    struct Case {
+        name: &'static str,
+        leave: fn(&mut Dispatcher),
+        /// Time from the start for which a request may return.
+        until: Duration,
+    }
+    const FOREVER: Duration = Duration::from_secs(9);
+    let grace = SECOND * 3 / 2;
+    let cases = [
+        Case {
+            name: "not leaving",
+            leave: |_| {},
+            until: FOREVER,
+        },
+        Case {
+            name: "announced, and renewed later",
+            leave: |d| {
+                for seq in 2..4 {
+                    let leaving = Announcement {
+                        leaving: true,
+                        ..announcement("e", 1, seq)
+                    };
+                    d.announce(SECOND * (seq as u32 - 1), leaving);
+                }
+            },
+            until: SECOND + grace,
+        },
+        Case {
+            name: "announced late",
+            leave: |d| {
+                let leaving = Announcement {
+                    leaving: true,
+                    age: SECOND,
+                    ..announcement("e", 1, 2)
+                };
+                d.announce(SECOND, leaving);
+            },
+            until: grace,
+        },
+        Case {
+            name: "gone without having drained",
+            leave: |d| {
+                let left = Announcement {
+                    left: true,
+                    ..announcement("e", 1, 2)
+                };
+                d.announce(SECOND, left);
+            },
+            until: SECOND + grace,
+        },
+        Case {
+            name: "said in an answer",
+            leave: |d| {
+                d.apply_notice(SECOND, "e", 1, LEAVING);
+            },
+            until: SECOND + grace,
+        },
+        Case {
+            name: "replaced at its address",
+            leave: |d| {
+                d.started(SECOND, "e", 1, &request(&[], false));
+                d.finished(SECOND, "e", 1, 1, Outcome::Misdirected);
+            },
+            until: Duration::ZERO,
+        },
+        Case {
+            name: "started again",
+            leave: |d| {
+                d.announce(SECOND, announcement("e", 2, 1));
+            },
+            until: Duration::ZERO,
+        },
+    ];
+    for case in cases {
+        let mut d = dispatcher(&["e"]);
+        (case.leave)(&mut d);
+        for ms in [1_000, 1_400, 1_600, 2_400, 2_600, 8_000] {
+            let now = Duration::from_millis(ms);
+            let may_return = d.takes_return(now, "e", 1);
+            assert_eq!(may_return, now < case.until, "{}: {now:?}", case.name);
+        }
+    }
+    assert!(!dispatcher(&[]).takes_return(SECOND, "e", 1), "unknown");
+}
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -220,7 +220,7 @@
 ) -> (Option<Attempt>, Option<EndpointId>) {
     progress.left.retain(|l| {
         cx.dispatcher()
-            .takes_work(&l.pick.endpoint, l.pick.incarnation)
+            .takes_return(cx.now(), &l.pick.endpoint, l.pick.incarnation)
     });
     let Some(pick) = progress.left.last().map(|l| l.pick.clone()) else {
         return (None, None);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -243,18 +243,24 @@
         let last_event = self.buffer.splitter.last_id().map(str::to_owned);
         let (in_flight, answer) = self.current.as_mut()?;
         let endpoint = in_flight.pick.endpoint.clone();
+        let (has_begun, incarnation) = (self.first_event_at.is_some(), in_flight.pick.incarnation);
         let silent = SilentEndpoint {
             id: &endpoint,
             silence: self.silence,
             sent_count: self.progress.sent_count,
         };
-        let other = start_handover(
-            &self.cx,
-            &self.outbound,
-            &mut self.progress,
-            &silent,
-            last_event.as_deref(),
-        );
+        let cx = &self.cx;
+        let takes_return = || cx.dispatcher().takes_return(now, &endpoint, incarnation);
+        let other = match has_begun && !self.silence.is_long(now) && !takes_return() {
+            true => Err(KeepReason::Leaving),
+            false => start_handover(
+                cx,
+                &self.outbound,
+                &mut self.progress,
+                &silent,
+                last_event.as_deref(),
+            ),
+        };
         let mut other = match other {
             Ok(other) => other,
             Err(reason) => {
--- a/crates/relay/tests/relay/common.rs
+++ b/crates/relay/tests/relay/common.rs
@@ -367,6 +367,21 @@
         );
     }
 
+    /// Announces that an endpoint of a service leaves.
+    pub(crate) fn announce_leaving(&self, id: &str, address: SocketAddr, service: &str) {
+        self.announce_update(
+            id,
+            address,
+            service,
+            EndpointUpdate {
+                seq: 2,
+                slots: 8,
+                leaving: true,
+                ..EndpointUpdate::default()
+            },
+        );
+    }
+
     fn announce_update(
         &self,
         id: &str,
--- a/crates/relay/tests/relay/returns.rs
+++ b/crates/relay/tests/relay/returns.rs
@@ -1,5 +1,6 @@
 //! Endpoints that were left because they were silent, and are asked again.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use crate::common::Fleet;
 use crate::common::chunk;
 use crate::common::event;
+use crate::common::eventually;
 use crate::common::next_event;
 use crate::common::send;
 use crate::common::stream_head;
@@ -21,6 +23,8 @@
 const ID: &str = "silent";
 /// Silence that is longer than three pauses of the route.
 const SILENCE: Duration = Duration::from_secs(2);
+/// Silence that is longer than three pauses of the route, and shorter than six.
+const SILENCE_OF_LEAVING: Duration = Duration::from_millis(1_500);
 /// Time after which the next endpoint ends its part: longer than a handover.
 const LATER: Duration = Duration::from_millis(500);
 
@@ -30,10 +34,21 @@
 async fn play(
     names: &'static [&'static str],
     script: impl Fn(&[&'static str], &ReceivedRequest) -> Vec<Step> + Copy + Send + Sync + 'static,
+) -> (Reply, Vec<&'static str>) {
+    play_leaving(names, None, script).await
+}
+
+/// Does the same, and lets the first engine announce that it leaves once this many engines
+/// have got the request.
+async fn play_leaving(
+    names: &'static [&'static str],
+    leaves_at: Option<usize>,
+    script: impl Fn(&[&'static str], &ReceivedRequest) -> Vec<Step> + Copy + Send + Sync + 'static,
 ) -> (Reply, Vec<&'static str>) {
     let fleet = Fleet::start(1).await;
     fleet.publish(1, 1_000_000).await;
     let asked = Arc::new(Mutex::new(Vec::new()));
+    let mut addresses = HashMap::new();
     for name in names.iter().copied() {
         let asked = Arc::clone(&asked);
         let endpoint = RawEndpoint::start(move |req| {
@@ -44,13 +59,21 @@
             asked.push(name);
             script(&asked, &req)
         });
-        fleet.announce(name, endpoint.await.unwrap().addr, "engines");
+        let address = endpoint.await.unwrap().addr;
+        addresses.insert(name, address);
+        fleet.announce(name, address, "engines");
     }
     while fleet.send(0, "/stream/x", "warm").await.status == 429 {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let reply = fleet.send(0, "/stream/x", ID).await;
+    let (reply, ()) = tokio::join!(fleet.send(0, "/stream/x", ID), async {
+        let Some(leaves_at) = leaves_at else { return };
+        let count = || asked.lock().unwrap().len();
+        eventually("the engines have the request", || count() >= leaves_at).await;
+        let first = asked.lock().unwrap()[0];
+        fleet.announce_leaving(first, addresses[first], "engines");
+    });
     let asked = asked.lock().unwrap().clone();
     (reply, asked)
 }
@@ -112,6 +135,71 @@
     assert_eq!(asked.len(), 2, "endpoints that were asked: {asked:?}");
 }
 
+/// Guards against a stream that is broken off because the silent endpoint that it left for
+/// one that fails has begun to leave meanwhile.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_returns_to_a_silent_endpoint_that_has_just_begun_to_leave(
+    #[values(Next::Fails, Next::BreaksOff, Next::Refuses)] next: Next,
+) {
+    let (reply, asked) = play_leaving(&["e1", "e2"], Some(2), move |asked, req| {
+        match asked.len() {
+            1 => vec![
+                send(stream_head(ID) + &chunk(&event(1))),
+                Step::Wait(SILENCE),
+            ],
+            2 => next_steps(next, req),
+            _ => whole_stream(req, 3),
+        }
+    })
+    .await;
+    assert_whole(&reply, &asked);
+    assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
+}
+
+/// Guards against a stream that is broken off because it leaves a silent endpoint, to which
+/// it can't return, for one that fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_stays_longer_at_a_silent_endpoint_that_is_leaving() {
+    let (reply, asked) = play_leaving(&["e1", "e2"], Some(1), move |asked, req| {
+        let pause = Step::Wait(Duration::from_millis(500));
+        match asked.len() {
+            1 => vec![
+                send(stream_head(ID) + &chunk(&event(1))),
+                pause.clone(),
+                send(chunk(&event(2))),
+                pause,
+                send(chunk(&event(3))),
+                Step::Wait(SILENCE_OF_LEAVING),
+                send("0\r\n\r\n"),
+            ],
+            _ => next_steps(Next::Fails, req),
+        }
+    })
+    .await;
+    assert_whole(&reply, &asked);
+    assert_eq!(asked.len(), 1, "requests at endpoints: {asked:?}");
+}
+
+/// Guards against a stream that stays for ever at a leaving endpoint that is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_leaves_a_leaving_endpoint_that_stays_silent() {
+    let (reply, asked) = play_leaving(&["e1", "e2"], Some(1), move |asked, req| {
+        match asked.len() {
+            1 => vec![
+                send(stream_head(ID) + &chunk(&event(1))),
+                Step::Wait(Duration::from_millis(700)),
+                send(chunk(&event(2))),
+                Step::Wait(Duration::from_secs(10)),
+            ],
+            _ => whole_stream(req, 3),
+        }
+    })
+    .await;
+    assert_whole(&reply, &asked);
+    assert_eq!(asked.len(), 2, "requests at endpoints: {asked:?}");
+}
+
 /// Guards against a request that fails because the router left a silent endpoint, which had
 /// sent nothing yet, for one that fails.
 #[rstest::rstest]
