relay: let a stream return to an endpoint that it didn't need before

Callers saw: a broken stream after its endpoint, which had been silent for a while and had gone on, broke off, though the endpoint that was asked during the silence was sound.

Cause: an endpoint that is asked in vain, as the silent one is heard first, counts as one that had the request. With a limit of two endpoints, nobody was left.

Change: a stream may return to it, like to one that was left because it was silent: it counts as one of the route's endpoints already. Within the retry budget, and only if it takes a return. Before an answer begins, such an endpoint still isn't asked again: case breaks_off of an_endpoint_ that_is_asked_in_vain_counts_as_one_that_had_the_request asserts two requests there.

Measured: a_stream_returns_to_an_endpoint_that_it_did_not_need_before fails before ("broken off after" two events, asked e1, e2) and passes.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -152,11 +152,7 @@
 
 /// Closes the connection of an attempt at a silent endpoint, which may be sound.
 fn leave(attempt: Attempt, progress: &mut Progress) {
-    progress.record_left(LeftEndpoint {
-        pick: attempt.in_flight.pick.clone(),
-        last_event: None,
-        has_ended: false,
-    });
+    progress.record_left(LeftEndpoint::before_events(&attempt.in_flight.pick));
     attempt.give_up();
 }
 
--- a/crates/relay/src/progress.rs
+++ b/crates/relay/src/progress.rs
@@ -10,8 +10,8 @@
 use crate::attempt::OutboundRequest;
 use crate::attempt::SendFailure;
 
-/// An endpoint that a request was taken from because it was silent, or because its end of
-/// the stream is to be confirmed.
+/// An endpoint that a request was taken from because it was silent, or another one went on,
+/// or because its end of the stream is to be confirmed.
 pub(crate) struct LeftEndpoint {
     pub(crate) pick: Pick,
     /// Id of the last event of the stream, if this endpoint sent it.
@@ -21,6 +21,17 @@
     pub(crate) has_ended: bool,
 }
 
+impl LeftEndpoint {
+    /// Returns an endpoint that has sent no event of the stream, or no whole answer.
+    pub(crate) fn before_events(pick: &Pick) -> Self {
+        Self {
+            pick: pick.clone(),
+            last_event: None,
+            has_ended: false,
+        }
+    }
+}
+
 /// Progress of a request over all its attempts.
 #[derive(Default)]
 pub(crate) struct Progress {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -280,7 +280,7 @@
                 Some(self.resume_at(Some(other)).await)
             }
             First::Current(read) => {
-                self.progress.record_given_up();
+                self.cancel(other);
                 Some(read)
             }
             First::Other(sent) => {
@@ -305,8 +305,7 @@
                 let silent_for = self.silence.silent_for(self.cx.now());
                 let reason = Err(KeepReason::AnswersOthers);
                 log_silence(&self.cx, &self.outbound, &endpoint, silent_for, reason);
-                drop(other);
-                self.progress.record_given_up();
+                self.cancel(other);
                 Some(Read::Nothing)
             }
             First::Nobody => {
@@ -316,6 +315,13 @@
         }
     }
 
+    /// Cancels an attempt that isn't needed now. The stream may come back to its endpoint.
+    fn cancel(&mut self, other: Attempt) {
+        let left = LeftEndpoint::before_events(&other.in_flight.pick);
+        self.progress.record_left(left);
+        self.progress.record_given_up();
+    }
+
     /// Goes on with another endpoint's answer once it brings an event, or after `limit`.
     /// The current endpoint goes on if it is heard before, or if the other one ends or
     /// breaks off without an event.
@@ -341,7 +347,11 @@
                 self.take_over(other, next);
                 Some(Read::Nothing)
             }
-            Err(read) => Some(read),
+            Err(read) => {
+                let left = LeftEndpoint::before_events(&other.in_flight.pick);
+                self.progress.record_left(left);
+                Some(read)
+            }
             Ok(Read::Broken(e)) => {
                 let EndpointAnswer { in_flight, answer } = other;
                 slog::info!(self.cx.log, "answer discarded"; "request" => &self.outbound.id,
--- a/crates/relay/tests/relay/returns.rs
+++ b/crates/relay/tests/relay/returns.rs
@@ -220,6 +220,29 @@
     assert_eq!(asked.len(), 3, "requests at endpoints: {asked:?}");
 }
 
+/// Guards against a stream that breaks off with its endpoint, which was silent before, though
+/// the one that it didn't need then could go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_returns_to_an_endpoint_that_it_did_not_need_before() {
+    let (reply, asked) = play(&["e1", "e2"], move |asked, req| match asked.len() {
+        1 => vec![
+            send(stream_head(ID) + &chunk(&event(1))),
+            Step::Wait(Duration::from_millis(1_000)),
+            send(chunk(&event(2))),
+            Step::Wait(Duration::from_millis(50)),
+            Step::Close,
+        ],
+        2 => vec![
+            Step::Wait(Duration::from_millis(400)),
+            whole_stream(req, 3).remove(0),
+        ],
+        _ => whole_stream(req, 3),
+    })
+    .await;
+    assert_whole(&reply, &asked);
+    assert_eq!(asked.last(), asked.get(1), "{asked:?}");
+}
+
 /// What the next endpoint sends after the header of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AfterHeader {
