relay: don't wait for the retry budget to return where it wasn't needed

Change: only for an endpoint that the router itself left does a stream wait for the budget.

No test of its own.

--- a/crates/relay/src/progress.rs
+++ b/crates/relay/src/progress.rs
@@ -19,15 +19,26 @@
     /// Whether it has ended an answer after that event in a way that can't be told from a
     /// break.
     pub(crate) has_ended: bool,
+    /// Whether it was only asked in vain, so that the stream doesn't wait to return to it.
+    pub(crate) was_unneeded: bool,
 }
 
 impl LeftEndpoint {
+    /// Returns an endpoint that was asked in vain, as another one went on.
+    pub(crate) fn unneeded(pick: &Pick) -> Self {
+        Self {
+            was_unneeded: true,
+            ..Self::before_events(pick)
+        }
+    }
+
     /// Returns an endpoint that has sent no event of the stream, or no whole answer.
     pub(crate) fn before_events(pick: &Pick) -> Self {
         Self {
             pick: pick.clone(),
             last_event: None,
             has_ended: false,
+            was_unneeded: false,
         }
     }
 }
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -183,7 +183,9 @@
                 continue;
             }
         }
-        if progress.left.is_empty() && !(is_full && attempts_left > 0) {
+        let may_return = progress.left.iter().any(|l| !l.was_unneeded);
+        let may_have_room = is_full && attempts_left > 0;
+        if !may_return && !may_have_room {
             return Err(StreamError::EndpointFailed);
         }
         let left = outbound.deadline.saturating_sub(cx.now());
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -317,7 +317,7 @@
 
     /// Cancels an attempt that isn't needed now. The stream may come back to its endpoint.
     fn cancel(&mut self, other: Attempt) {
-        let left = LeftEndpoint::before_events(&other.in_flight.pick);
+        let left = LeftEndpoint::unneeded(&other.in_flight.pick);
         self.progress.record_left(left);
         self.progress.record_given_up();
     }
@@ -348,7 +348,7 @@
                 Some(Read::Nothing)
             }
             Err(read) => {
-                let left = LeftEndpoint::before_events(&other.in_flight.pick);
+                let left = LeftEndpoint::unneeded(&other.in_flight.pick);
                 self.progress.record_left(left);
                 Some(read)
             }
@@ -410,6 +410,7 @@
                 pick: in_flight.pick.clone(),
                 last_event: last_event.map(str::to_owned),
                 has_ended: returned_to == ReturnedTo::EndedBefore,
+                was_unneeded: false,
             });
         }
         self.close_current("router", "silent while another endpoint has the request");
@@ -428,6 +429,7 @@
             pick: in_flight.pick.clone(),
             last_event: self.buffer.splitter.last_id().map(str::to_owned),
             has_ended: true,
+            was_unneeded: false,
         });
         in_flight.end(Outcome::Ok);
         self.progress.may_have_run = true;
