--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -41,6 +41,7 @@
 use crate::crashes;
 use crate::event_buffer::EventBuffer;
 use crate::event_buffer::Read;
+use crate::event_buffer::ReturnedTo;
 use crate::forward::remove_connection_headers;
 use crate::handover::ASK_INTERVAL;
 use crate::handover::First;
@@ -50,6 +51,7 @@
 use crate::handover::log_silence;
 use crate::handover::start_handover;
 use crate::handover::wait_for_either;
+use crate::progress::LeftEndpoint;
 use crate::progress::Progress;
 use crate::resume::can_continue;
 use crate::resume::resume_stream;
@@ -151,6 +153,12 @@
                     return Some(Ok(self.buffer.take_with(events)));
                 }
                 Read::End => return self.end(),
+                Read::UnmarkedEnd => {
+                    self.leave_ended();
+                    if let Read::Failed(err) = self.resume_at(None).await {
+                        return self.fail(err, Outcome::Broken);
+                    }
+                }
                 Read::Broken(e) => {
                     if let Err(err) = self.resume(&e).await {
                         return self.fail(err, Outcome::Broken);
@@ -235,18 +243,24 @@
         let last_event = self.buffer.splitter.last_id().map(str::to_owned);
         let (in_flight, answer) = self.current.as_mut()?;
         let endpoint = in_flight.pick.endpoint.clone();
+        let (has_begun, incarnation) = (self.first_event_at.is_some(), in_flight.pick.incarnation);
         let silent = SilentEndpoint {
             id: &endpoint,
             silence: self.silence,
             sent_count: self.progress.sent_count,
         };
-        let other = start_handover(
-            &self.cx,
-            &self.outbound,
-            &mut self.progress,
-            &silent,
-            last_event.as_deref(),
-        );
+        let cx = &self.cx;
+        let takes_return = || cx.dispatcher().takes_return(now, &endpoint, incarnation);
+        let other = match has_begun && !self.silence.is_long(now) && !takes_return() {
+            true => Err(KeepReason::Leaving),
+            false => start_handover(
+                cx,
+                &self.outbound,
+                &mut self.progress,
+                &silent,
+                last_event.as_deref(),
+            ),
+        };
         let mut other = match other {
             Ok(other) => other,
             Err(reason) => {
@@ -266,7 +280,7 @@
                 Some(self.resume_at(Some(other)).await)
             }
             First::Current(read) => {
-                self.progress.record_given_up();
+                self.cancel(other);
                 Some(read)
             }
             First::Other(sent) => {
@@ -291,8 +305,7 @@
                 let silent_for = self.silence.silent_for(self.cx.now());
                 let reason = Err(KeepReason::AnswersOthers);
                 log_silence(&self.cx, &self.outbound, &endpoint, silent_for, reason);
-                drop(other);
-                self.progress.record_given_up();
+                self.cancel(other);
                 Some(Read::Nothing)
             }
             First::Nobody => {
@@ -302,6 +315,13 @@
         }
     }
 
+    /// Cancels an attempt that isn't needed now. The stream may come back to its endpoint.
+    fn cancel(&mut self, other: Attempt) {
+        let left = LeftEndpoint::unneeded(&other.in_flight.pick);
+        self.progress.record_left(left);
+        self.progress.record_given_up();
+    }
+
     /// Goes on with another endpoint's answer once it brings an event, or after `limit`.
     /// The current endpoint goes on if it is heard before, or if the other one ends or
     /// breaks off without an event.
@@ -327,7 +347,11 @@
                 self.take_over(other, next);
                 Some(Read::Nothing)
             }
-            Err(read) => Some(read),
+            Err(read) => {
+                let left = LeftEndpoint::unneeded(&other.in_flight.pick);
+                self.progress.record_left(left);
+                Some(read)
+            }
             Ok(Read::Broken(e)) => {
                 let EndpointAnswer { in_flight, answer } = other;
                 slog::info!(self.cx.log, "answer discarded"; "request" => &self.outbound.id,
@@ -378,15 +402,40 @@
     /// Closes the connection to the current endpoint, which may be sound.
     fn leave_silent(&mut self) {
         if let Some((in_flight, _)) = &self.current {
-            let has_sent = self.buffer.splitter.event_count() > self.events_before;
+            let returned_to = self.buffer.returned_to;
+            let has_sent = self.buffer.splitter.event_count() > self.events_before
+                || returned_to != ReturnedTo::None;
             let last_event = self.buffer.splitter.last_id().filter(|_| has_sent);
-            let last_event = last_event.map(str::to_owned);
-            self.progress
-                .record_left(in_flight.pick.clone(), last_event);
+            self.progress.record_left(LeftEndpoint {
+                pick: in_flight.pick.clone(),
+                last_event: last_event.map(str::to_owned),
+                has_ended: returned_to == ReturnedTo::EndedBefore,
+                was_unneeded: false,
+            });
         }
         self.close_current("router", "silent while another endpoint has the request");
     }
 
+    /// Leaves an endpoint that has ended the stream in a way that can't be told from a break,
+    /// so that it is asked again.
+    fn leave_ended(&mut self) {
+        let Some((in_flight, _)) = self.current.take() else {
+            return;
+        };
+        slog::info!(self.cx.log, "end to be confirmed"; "request" => &self.outbound.id,
+            "endpoint" => &in_flight.pick.endpoint,
+            "events" => self.buffer.splitter.event_count());
+        self.progress.record_left(LeftEndpoint {
+            pick: in_flight.pick.clone(),
+            last_event: self.buffer.splitter.last_id().map(str::to_owned),
+            has_ended: true,
+            was_unneeded: false,
+        });
+        in_flight.end(Outcome::Ok);
+        self.progress.may_have_run = true;
+        self.buffer.reset(true);
+    }
+
     /// Closes the connection to an endpoint that broke the stream. Returns whether another
     /// endpoint can go on with it.
     fn close_broken(&mut self, error: &ClientError) -> bool {
@@ -407,7 +456,7 @@
         }
         self.current = Some((in_flight, answer));
         self.events_before = self.buffer.splitter.event_count();
-        self.buffer.has_returned = false;
+        self.buffer.returned_to = ReturnedTo::None;
         self.silence.heard(self.cx.now());
         self.kept_for = None;
     }
@@ -429,9 +478,9 @@
         let (cx, outbound) = (&self.cx, &self.outbound);
         let last_event = last_event.as_deref();
         match resume_stream(cx, outbound, &mut self.progress, last_event, running).await {
-            Ok((answered, has_returned)) => {
+            Ok((answered, returned_to)) => {
                 self.go_on_with(answered);
-                self.buffer.has_returned = has_returned;
+                self.buffer.returned_to = returned_to;
                 Read::Nothing
             }
             Err(err) => Read::Failed(err),
