--- a/crates/budget/src/allotments.rs
+++ b/crates/budget/src/allotments.rs
@@ -99,6 +99,15 @@
 }
 
 impl Shortage {
+    /// Returns the shortage without allotted tokens that were found idle.
+    #[must_use]
+    pub fn without(&self, idle: Tokens) -> Self {
+        Self {
+            allotted: self.allotted.saturating_sub(idle),
+            ..*self
+        }
+    }
+
     /// Returns whether a request may get its tokens once others have ended. `usage` is
     /// what the requests of the budget use of their reservations.
     pub fn may_cover(&self, needed: Tokens, usage: &Usage) -> bool {
@@ -524,7 +533,7 @@
         };
         let amount = std::mem::take(&mut local.idle);
         if amount > 0 {
-            self.locks.on_return(budget, amount);
+            self.locks.on_return(budget);
             self.outbox.add_return(now, budget, amount);
             self.outbox.flush();
         }
@@ -550,7 +559,7 @@
         self.budgets.retain(|budget, local| {
             if now.saturating_sub(local.last_used) >= timeout && local.outstanding.is_none() {
                 let amount = std::mem::take(&mut local.idle);
-                locks.on_return(budget, amount);
+                locks.on_return(budget);
                 outbox.add_return(now, budget, amount);
                 return !local.is_unused();
             }
--- a/crates/budget/src/allotments/locks.rs
+++ b/crates/budget/src/allotments/locks.rs
@@ -88,11 +88,11 @@
         }
     }
 
-    /// Unlocks idle tokens that go back to control. They can't be used here any more, so
-    /// they stand for their part of a lock until control has applied the report.
-    pub(super) fn on_return(&mut self, budget: &str, returned: Tokens) {
+    /// Unlocks a budget, all idle tokens of which go back to control. Control counts them
+    /// as locked until it applies the report, and they can't be used here any more.
+    pub(super) fn on_return(&mut self, budget: &str) {
         for lock in &mut self.locks {
-            unlock(&mut lock.amounts, budget, returned);
+            unlock(&mut lock.amounts, budget);
         }
     }
 
--- a/crates/budget/tests/reserves.rs
+++ b/crates/budget/tests/reserves.rs
@@ -221,6 +221,7 @@
                 break;
             }
             let reply = self.apply_from_router(m.content.clone());
+            self.check_all_frozen();
             let r = &mut self.routers[n];
             let at = (self.now + delay).max(r.to_router.back().map_or(Duration::ZERO, |m| m.at));
             let incarnation = match &m.content {
@@ -266,7 +267,10 @@
         r.running.clear();
         r.to_router.clear();
         r.cut = false;
-        // What is on its way may still arrive, before or after the successor opens.
+        // What is on its way may still arrive, before or after the successor opens, and
+        // after the reserve was restored.
+        let delay = Duration::from_millis(self.rng.random_range(0..2_000));
+        r.to_control.iter_mut().for_each(|m| m.at += delay);
         if self.rng.random_bool(0.5) {
             r.to_control.clear();
         }
@@ -307,6 +311,10 @@
         );
     }
 
+    fn check_all_frozen(&self) {
+        self.died_at.keys().for_each(|id| self.check_frozen(id));
+    }
+
     fn unspent(&self) -> u64 {
         self.ledger.amounts(&prepaid_budget("t")).unwrap().unspent
     }
--- a/crates/budget/tests/usage.rs
+++ b/crates/budget/tests/usage.rs
@@ -3,11 +3,10 @@
 use anvilloft_budget::Shortage;
 use anvilloft_budget::Usage;
 
-/// Guards against callers that are asked to come back although the requests in flight
-/// use nearly all that they reserve, and against a final refusal while enough tokens are
-/// unspent, locked or about to come back.
+/// Guards against a 429 although the requests in flight use nearly all that they reserve,
+/// and against a 402 while enough tokens are unspent, locked or about to be returned.
 #[test]
-fn a_shortage_passes_only_if_enough_tokens_come_back() {
+fn may_cover_counts_the_tokens_that_are_likely_returned() {
     struct Case {
         name: &'static str,
         /// Reserved and used tokens of the latest requests.
@@ -30,14 +29,14 @@
         case("no request has ended", &[], 10, 1_000, 0, 1_010),
         case("all of it is used", &[(100, 100); 8], 10, 1_000, 0, 10),
         case(
-            "3 in 100 come back",
+            "3 in 100 are returned",
             &[(10_000, 9_700); 64],
             10,
             1_008,
             0,
             70,
         ),
-        case("half comes back", &[(100, 50); 8], 10, 1_000, 0, 1_010),
+        case("half is returned", &[(100, 50); 8], 10, 1_000, 0, 1_010),
         case("no request has run", &[(100, 0); 8], 10, 1_000, 0, 1_010),
         case("a part is locked", &[(100, 100); 8], 10, 1_000, 400, 410),
         case(
--- a/crates/control/src/driver/recalls.rs
+++ b/crates/control/src/driver/recalls.rs
@@ -18,6 +18,9 @@
 use anvilloft_types::prelude::*;
 use anvilloft_wire::command::Grant;
 
+/// Need of a grant that a lending router requests ahead of need. Nothing is recalled for
+/// one.
+const NEED_OF_PREFETCH: Tokens = 1;
 /// Maximum number of held grants. Further ones are proposed at once.
 const MAX_HELD_GRANTS: usize = 4_096;
 
@@ -92,25 +95,23 @@
             true => self.locked_holders(ledger, &silent(), &grant),
             false => idle_holders(ledger, &grant),
         };
+        let config = ledger.config();
+        let wait = Duration::from_millis(config.value("recall_wait_ms", ""));
+        let earlier = self.recalls.get(&grant.budget);
+        let asked_at = earlier.filter(|r| r.expires > now).map(|r| r.sent_at);
+        if grant.lending && asked_at.is_some_and(|at| now >= at + wait) {
+            // Holders that have returned nothing since then have nothing idle.
+            return Some((grant, context));
+        }
         let is_awaited = !grant.lending && self.in_flight.contains_key(&grant.budget);
         if holders.is_empty() && !is_awaited {
             return Some((grant, context));
         }
-        let config = ledger.config();
-        let wait = Duration::from_millis(config.value("recall_wait_ms", ""));
-        if !holders.is_empty() {
+        // While a recall is in effect, its holders report each end of a request by itself,
+        // so one of locked reserves isn't prolonged.
+        if !holders.is_empty() && !(grant.lending && asked_at.is_some()) {
             let budget = &grant.budget;
-            // A reserve that was locked since then is asked for again.
-            let repeat = if grant.lending { wait } else { Duration::MAX };
-            let is_new = self
-                .recalls
-                .get(budget)
-                .is_none_or(|r| r.expires <= now || now.saturating_sub(r.sent_at) >= repeat);
-            let sent_at = match self.recalls.get(budget) {
-                Some(recall) if !is_new => recall.sent_at,
-                _ => now,
-            };
-            if is_new {
+            if asked_at.is_none() {
                 let unsent = holders.iter().map(|(r, i)| (r.clone(), *i, budget.clone()));
                 self.unsent.extend(unsent);
             }
@@ -119,16 +120,17 @@
             let renew = Duration::from_millis(config.value("lease_renew_ms", ""));
             let expires = now + wait.max(renew * 2);
             let recall = Recall {
-                sent_at,
+                sent_at: asked_at.unwrap_or(now),
                 expires,
                 holders,
             };
             self.recalls.insert(budget.clone(), recall);
         }
+        let asked_at = asked_at.filter(|_| grant.lending).unwrap_or(now);
         self.held.push_back(HeldGrant {
             grant,
             context,
-            deadline: now + wait,
+            deadline: asked_at + wait,
         });
         None
     }
@@ -239,6 +241,9 @@
         silent: &[RouterId],
         grant: &Grant,
     ) -> Vec<(RouterId, Incarnation)> {
+        if grant.need <= NEED_OF_PREFETCH {
+            return Vec::new();
+        }
         let available = self.available(ledger, grant).unwrap_or(0);
         let mut reserves = ledger.locked_reserves(&grant.budget);
         reserves.retain(|(router, _, _)| silent.binary_search(router).is_err());
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -22,6 +22,7 @@
 use crate::ledger::drain_expired;
 use crate::routers::Allotment;
 use crate::routers::Phase;
+use crate::routers::RouterIncarnation;
 use crate::validate::MAX_REASON_BYTES;
 use crate::validate::check_name;
 
@@ -31,6 +32,9 @@
 /// Divisor of the remaining tokens of a budget. Routers that lend tokens to
 /// each other may hold the resulting share beyond what their requests need.
 const RESERVE_DIVISOR: Tokens = 2;
+/// Time after the loss of a router, in milliseconds, within which its reserve is restored
+/// if that is possible.
+const RESTORE_WAIT_MS: u64 = 5_000;
 /// Maximum number of top-up ids kept for detecting resends.
 const MAX_TOP_UP_IDS: usize = 4_194_304;
 /// Maximum number of billed request keys. At the limit the oldest key is
@@ -317,13 +321,19 @@
         account.holders.iter().filter_map(locked_of).collect()
     }
 
-    /// Returns the locked tokens of a budget at all holders.
+    /// Returns the locked tokens of a budget that may be returned or restored.
     fn locked_total(&self, budget: &str) -> Tokens {
         let holders = self.accounts.by_name.get(budget).map(|a| &a.holders);
+        let may_return = |i: &&RouterIncarnation| match i.phase {
+            Phase::Open => true,
+            Phase::Lost => self.now_ms.saturating_sub(i.since_ms) < RESTORE_WAIT_MS,
+            Phase::Closed => false,
+        };
         holders
             .into_iter()
             .flatten()
             .filter_map(|(router, incarnation)| self.routers.get(router, *incarnation))
+            .filter(may_return)
             .fold(0, |sum: Tokens, i| {
                 sum.saturating_add(i.reserve.locked_of(budget))
             })
@@ -544,6 +554,7 @@
             account.apply_published_total();
             return;
         }
+        returned = inc.reserve.new_returns(&e.budget, returned);
         let mut empty = Allotment::default();
         let allotment = inc
             .allotments
--- a/crates/ledger/src/reserves.rs
+++ b/crates/ledger/src/reserves.rs
@@ -7,6 +7,7 @@
 //! that were still locked then go back to the budget.
 
 use anvilloft_types::Tokens;
+use anvilloft_wire::command::LockedAmount;
 use anvilloft_wire::command::LockedReserve;
 use anvilloft_wire::command::Ok as OkReply;
 use anvilloft_wire::command::Reply;
@@ -36,6 +37,9 @@
     /// lock tokens again, or they would be returned twice.
     #[prost(bool, tag = "4")]
     restored: bool,
+    /// Tokens that were restored and that a delayed report may still return.
+    #[prost(message, repeated, tag = "5")]
+    restored_amounts: Vec<LockedAmount>,
 }
 
 impl Reserve {
@@ -55,7 +59,7 @@
         } else if let Some(locked) = &mut self.locked {
             // Returned tokens may have been locked.
             for e in report.entries.iter().filter(|e| e.returned > 0) {
-                unlock(&mut locked.amounts, &e.budget, e.returned);
+                unlock(&mut locked.amounts, &e.budget);
             }
         }
         self.last_report_index = index;
@@ -68,6 +72,17 @@
         }
     }
 
+    /// Returns how many of the tokens that a report returns were not restored before.
+    pub(crate) fn new_returns(&mut self, budget: &str, returned: Tokens) -> Tokens {
+        let amounts = &mut self.restored_amounts;
+        let Ok(at) = amounts.binary_search_by(|l| l.budget.as_str().cmp(budget)) else {
+            return returned;
+        };
+        let restored = amounts[at].amount.min(returned);
+        amounts[at].amount -= restored;
+        returned - restored
+    }
+
     /// Returns the locked amount of a budget.
     pub(crate) fn locked_of(&self, budget: &str) -> Tokens {
         let amounts = self.locked.as_ref().map_or(&[][..], |l| &l.amounts);
@@ -118,6 +133,7 @@
             let unused = unused.min(allotment.amount);
             if account.amounts.return_allotted(unused).is_some() {
                 allotment.amount -= unused;
+                lock_more(&mut inc.reserve.restored_amounts, &l.budget, unused);
             }
             if allotment.amount == 0 {
                 account.remove_holder(&c.router, c.incarnation);
--- a/crates/relay/src/charge.rs
+++ b/crates/relay/src/charge.rs
@@ -30,6 +30,10 @@
 /// flight end within seconds, and their unused tokens are returned.
 const RETRY_AFTER_TOKENS_SHORT: Duration = Duration::from_millis(1_500);
 
+/// Reason of a refusal while control doesn't reply.
+const NO_CONTROL: &str =
+    "control, which grants tokens, can't be reached, and peers have too few tokens";
+
 /// Reserved tokens of a request, and its usage so far. The reservation is settled
 /// on drop, also when the caller disconnects.
 pub(crate) struct Charge {
@@ -66,9 +70,12 @@
         slog::info!(self.cx.log, "settled"; "request" => &self.id, "team" => &self.team,
             "reserved" => self.counts.max_total(), "used" => used, "events" => self.events,
             "sources" => sources.len());
-        let reserved = sources.iter().map(TokenSource::amount).sum();
-        let budget = prepaid_budget(&self.team);
-        self.cx.reservations.record_usage(&budget, reserved, used);
+        // A request that was refused says nothing about those that run.
+        if self.has_run {
+            let reserved = sources.iter().map(TokenSource::amount).sum();
+            let budget = prepaid_budget(&self.team);
+            self.cx.reservations.record_usage(&budget, reserved, used);
+        }
         settle_all(&self.cx, sources, used);
     }
 }
@@ -210,8 +217,12 @@
     failure: GrantFailure,
     deadline: Duration,
 ) -> Result<Vec<TokenSource>, Refusal> {
-    if let GrantFailure::Refused(refusal @ GrantRefusal::Refused(..)) = &failure {
-        return Err(refusal_of_grant(cx, refusal, budget, amount));
+    if let GrantFailure::Refused(GrantRefusal::Refused(code, message)) = &failure {
+        return Err(Refusal::unavailable(
+            "budget_unavailable",
+            format!("control refused tokens of the budget: {message} ({code})"),
+        )
+        .retry_after(RETRY_AFTER_UNAVAILABLE));
     }
     let mut gathered = gather_tokens(cx, budget, amount, deadline).await;
     let missing = amount.saturating_sub(gathered.amount());
@@ -225,55 +236,41 @@
         "locked" => failure.shortage().map(|s| s.locked),
         "peers" => cx.peers.get().map_or(0, |p| p.router_sessions().len()),
         "in_touch" => cx.control_reachable.load(Ordering::Relaxed));
-    match &failure {
-        GrantFailure::Refused(refusal @ GrantRefusal::Insufficient(shortage)) => {
-            if shortage.unspent >= missing
-                && let Ok(id) = reserve_own(cx, budget, missing, deadline).await
-            {
+    let shortage = match failure {
+        GrantFailure::Refused(GrantRefusal::Insufficient(shortage)) => shortage,
+        GrantFailure::QueueFull => {
+            return Err(tokens_short(
+                "too many requests at this router wait for tokens",
+            ));
+        }
+        _ => return Err(tokens_short(NO_CONTROL)),
+    };
+    if shortage.unspent >= missing {
+        match reserve_own(cx, budget, missing, deadline).await {
+            Ok(id) => {
                 gathered.push(TokenSource::Own(id, missing));
                 return Ok(gathered.into_sources());
             }
-            Err(refusal_of_grant(cx, refusal, budget, amount))
+            Err(GrantFailure::Refused(_)) => {}
+            Err(_) => return Err(tokens_short(NO_CONTROL)),
         }
-        GrantFailure::QueueFull => Err(tokens_short(
-            "too many requests at this router wait for tokens",
-        )),
-        _ => Err(tokens_short(
-            "control, which grants tokens, can't be reached, and peers have too few tokens",
-        )),
     }
-}
-
-/// Returns the refusal of a request for which control granted too few tokens. A caller is
-/// asked to come back only if the requests in flight may leave enough.
-fn refusal_of_grant(
-    cx: &RelayState,
-    refusal: &GrantRefusal,
-    budget: &str,
-    needed: Tokens,
-) -> Refusal {
-    match refusal {
-        GrantRefusal::Insufficient(shortage)
-            if shortage.may_cover(needed, &cx.reservations.usage(budget)) =>
-        {
-            tokens_short("the rest of the budget is reserved for requests in flight")
-        }
-        GrantRefusal::Insufficient(Shortage {
-            unspent, allotted, ..
-        }) => Refusal::new(
-            StatusCode::PAYMENT_REQUIRED,
-            "budget_exhausted",
-            format!(
-                "the budget has {unspent} tokens left and {allotted} at routers, where requests \
-                 in flight use most of them; the request may use {needed}"
-            ),
-        ),
-        GrantRefusal::Refused(code, message) => Refusal::unavailable(
-            "budget_unavailable",
-            format!("control refused tokens of the budget: {message} ({code})"),
-        )
-        .retry_after(RETRY_AFTER_UNAVAILABLE),
+    // Idle tokens at routers that weren't asked can't be told from those in use.
+    let rest = shortage.without(gathered.amount());
+    if !gathered.has_asked_all() || rest.may_cover(missing, &cx.reservations.usage(budget)) {
+        return Err(tokens_short(
+            "the rest of the budget is reserved at routers, which may return enough of it",
+        ));
     }
+    Err(Refusal::new(
+        StatusCode::PAYMENT_REQUIRED,
+        "budget_exhausted",
+        format!(
+            "the budget has {} tokens left and {} at routers, of which too few will be \
+             returned; the request may use {amount}",
+            shortage.unspent, shortage.allotted
+        ),
+    ))
 }
 
 fn tokens_short(reason: &str) -> Refusal {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -422,6 +422,9 @@
             let extra = self.cx.options.retry_extra / grant.routers.len() as f64;
             lock(&self.cx.retry_budgets).set_extra(extra);
             self.cx.dispatcher().set_router_count(grant.routers.len());
+            self.cx
+                .router_count
+                .store(grant.routers.len(), Ordering::Relaxed);
             self.set_holders(&grant);
             self.peers.set_routers(&grant.routers);
         }
--- a/crates/relay/src/loans.rs
+++ b/crates/relay/src/loans.rs
@@ -10,6 +10,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use anvilloft_budget::ReservationId;
 use anvilloft_types::lock;
@@ -92,6 +93,8 @@
 pub(crate) struct GatheredTokens<'a> {
     cx: &'a RelayState,
     sources: Vec<TokenSource>,
+    /// Number of peers that have answered.
+    answer_count: usize,
 }
 
 impl GatheredTokens<'_> {
@@ -100,6 +103,12 @@
         self.sources.iter().map(TokenSource::amount).sum()
     }
 
+    /// Whether all other routers have told that they lend no more.
+    pub(crate) fn has_asked_all(&self) -> bool {
+        let routers = self.cx.router_count.load(Ordering::Relaxed);
+        routers > 0 && self.answer_count + 1 >= routers
+    }
+
     pub(crate) fn push(&mut self, source: TokenSource) {
         self.sources.push(source);
     }
@@ -163,6 +172,7 @@
     let mut gathered = GatheredTokens {
         cx,
         sources: Vec::new(),
+        answer_count: 0,
     };
     if let Some((id, part)) = cx.reservations.reserve_up_to(cx.now(), budget, amount) {
         gathered.push(TokenSource::Own(id, part));
@@ -257,8 +267,9 @@
             max_tokens: missing,
             as_holder: false,
         };
-        if let Ok(Some(source)) = borrow_tokens(cx, session, req, max_wait).await {
-            gathered.push(source);
+        if let Ok(loan) = borrow_tokens(cx, session, req, max_wait).await {
+            gathered.answer_count += 1;
+            loan.into_iter().for_each(|source| gathered.push(source));
         }
     }
     gathered
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,6 +6,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::thread;
 use std::thread::JoinHandle;
 
@@ -179,6 +180,7 @@
             control_reachable: AtomicBool::new(false),
             stop: OnceLock::new(),
             abandon: CancellationToken::new(),
+            router_count: AtomicUsize::new(0),
             request_counter: AtomicU64::new(1),
             options,
         });
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use anvilloft_directory::TokenHolders;
@@ -123,6 +124,8 @@
     /// Routers of this data centre that hold tokens for the others.
     pub(crate) holders: ArcSwap<TokenHolders>,
     pub(crate) silent_holders: Mutex<SilentHolders>,
+    /// Number of routers in the directory, with this one; 0 before the first lease.
+    pub(crate) router_count: AtomicUsize,
     /// Sessions with peers; set once by the control thread.
     pub(crate) peers: OnceLock<Arc<FleetPeers>>,
     pub(crate) client: Arc<Client>,
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -252,13 +252,13 @@
     );
 }
 
-/// Guards against callers that are asked to come back for tokens that the requests in
-/// flight will use, and against a final refusal if these give back enough.
+/// Guards against a 429 for tokens that the requests in flight will use, and against a 402
+/// if these return enough.
 #[rstest]
 #[case::all_is_used(10, 402)]
-#[case::a_quarter_comes_back(1, 429)]
+#[case::a_quarter_is_returned(1, 429)]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_request_beyond_the_tokens_in_flight_is_told_whether_to_come_back(
+async fn a_request_beyond_the_tokens_in_flight_gets_402_or_429(
     #[case] events: u32,
     #[case] status: u16,
 ) {
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -337,10 +337,11 @@
     }
 }
 
-/// Takes tokens of a budget off locked amounts, which are sorted by budget.
-pub fn unlock(amounts: &mut [LockedAmount], budget: &str, tokens: u64) {
+/// Removes a budget from locked amounts, which are sorted by budget. A return takes all
+/// idle tokens of a router, so nothing stays locked.
+pub fn unlock(amounts: &mut [LockedAmount], budget: &str) {
     if let Ok(at) = amounts.binary_search_by(|l| l.budget.as_str().cmp(budget)) {
-        amounts[at].amount = amounts[at].amount.saturating_sub(tokens);
+        amounts[at].amount = 0;
     }
 }
 
@@ -569,8 +570,8 @@
     /// Tokens allotted to routers. A recall may return some of them.
     #[prost(uint64, tag = "2")]
     pub allotted: u64,
-    /// Of these, tokens that routers reported as locked, also routers that are out of
-    /// contact or lost. No request uses them.
+    /// Of these, tokens that routers reported as locked. They may be returned, also when
+    /// their router is out of contact or was lost a moment ago.
     #[prost(uint64, tag = "3")]
     pub locked: u64,
 }
