--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -173,7 +173,7 @@
     }
 
     /// Closes all links and sessions, and waits until queued frames have been sent, for
-    /// at most [`CLOSE_TIMEOUT`](anvilloft_wire::session::CLOSE_TIMEOUT).
+    /// at most [`CLOSE_LIMIT`](anvilloft_wire::session::CLOSE_LIMIT).
     pub async fn stop(&self) {
         lock(&self.links).clear();
         let mut sessions: Vec<_> = lock(&self.members).values().flatten().cloned().collect();
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -11,6 +11,7 @@
 mod handshake;
 mod link;
 mod peer;
+mod progress;
 mod seal;
 mod server;
 
@@ -43,9 +44,15 @@
 pub const PONG_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout of the whole handshake, from the accepted connection on.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum time from the close of a session by this side to its end. Queued frames are
-/// sent meanwhile: a few round trips within one city, and one between regions.
+/// Maximum time for which a session that this side closes waits for the connection to
+/// accept a byte of the queue: a few round trips within one city, and one between
+/// regions.
 pub const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time from the close of a session by this side to its end. A process with a
+/// tenth of a core may get no processor for several tenths of a second while it sends
+/// or reads the queue. A core host's planned stop ends at SIGKILL after 8 s, of which
+/// its calls take at most 6 s before.
+pub const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 /// Maximum number of frames queued for writing on one session.
 pub const MAX_QUEUED_FRAMES: usize = 1024;
 /// Maximum number of bytes queued for writing on one session. 1,024 frames of
--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -25,11 +25,13 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task::coop::unconstrained;
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use super::CLOSE_LIMIT;
 use super::CLOSE_TIMEOUT;
 use super::HANDSHAKE_TIMEOUT;
 use super::HEARTBEAT_INTERVAL;
@@ -44,6 +46,8 @@
 use super::handshake::Opened;
 use super::handshake::Side;
 use super::handshake::handshake;
+use super::progress::CountingWriter;
+use super::progress::WriteProgress;
 use super::seal::Seal;
 use crate::control::Answer;
 use crate::control::CallError;
@@ -206,7 +210,8 @@
     }
 
     /// Closes the session. Frames that were queued before are still sent, except
-    /// calls, for at most [`CLOSE_TIMEOUT`].
+    /// calls, until the connection has accepted no byte for [`CLOSE_TIMEOUT`], and for
+    /// at most [`CLOSE_LIMIT`].
     pub fn close(&self) {
         self.stop_for(StopReason::Requested);
     }
@@ -352,6 +357,8 @@
     R: AsyncRead + Unpin + Send + 'static,
     W: AsyncWrite + Unpin + Send + 'static,
 {
+    let progress = Arc::new(WriteProgress::default());
+    let writer = CountingWriter::new(writer, Arc::clone(&progress));
     let opened = timeout(HANDSHAKE_TIMEOUT, handshake(reader, writer, side, identity))
         .await
         .unwrap_or(Err(SessionError::HandshakeTimeout));
@@ -392,10 +399,19 @@
     let stats = identity.stats.clone();
     let run = session.clone();
     tokio::spawn(async move {
+        let run_frames = async {
+            tokio::select! {
+                err = write_frames(&run, writer, seal_out, rx, &progress) => err,
+                err = read_frames(&run, reader, seal_in, handler.clone()) => err,
+            }
+        };
+        // After a time without processor, what the connection accepts counts before the
+        // timers that have expired meanwhile. A peer that never stops sending can't use
+        // up the budget of `stopped`.
         let reason = tokio::select! {
-            err = write_frames(&run, writer, seal_out, rx) => err,
-            err = read_frames(&run, reader, seal_in, handler.clone()) => err,
-            err = stopped(&run) => err,
+            biased;
+            err = run_frames => err,
+            err = unconstrained(stopped(&run, &progress)) => err,
         };
         let reason = match *run.stop.borrow() {
             StopReason::Requested => SessionError::ClosedLocally,
@@ -420,16 +436,30 @@
     Ok(session)
 }
 
-/// Waits until this side ends the session, at the latest [`CLOSE_TIMEOUT`] after
-/// [`Session::close`].
-async fn stopped(session: &Session) -> SessionError {
+/// Waits until this side ends the session: after [`Session::close`], until the
+/// connection has accepted no byte of the queue for [`CLOSE_TIMEOUT`], at the latest
+/// after [`CLOSE_LIMIT`].
+async fn stopped(session: &Session, progress: &WriteProgress) -> SessionError {
     let mut stop = session.stop.subscribe();
     let reason = stop.wait_for(|stop| *stop != StopReason::None).await;
     if reason.is_ok_and(|reason| *reason == StopReason::Overflow) {
         return SessionError::Overflow;
     }
-    tokio::time::sleep(CLOSE_TIMEOUT).await;
-    SessionError::ClosedLocally
+    let limit = tokio::time::sleep(CLOSE_LIMIT);
+    tokio::pin!(limit);
+    let mut written = progress.written();
+    loop {
+        tokio::select! {
+            () = &mut limit => return SessionError::ClosedLocally,
+            () = tokio::time::sleep(CLOSE_TIMEOUT) => (),
+        }
+        let before = std::mem::replace(&mut written, progress.written());
+        // What the peer still has to read is in the buffers of both kernels, so its
+        // progress can't be seen from here.
+        if written == before && !progress.is_finished() {
+            return SessionError::ClosedLocally;
+        }
+    }
 }
 
 /// Waits for [`Session::close`].
@@ -443,6 +473,7 @@
     mut writer: FramedWrite<W, LengthDelimitedCodec>,
     mut seal: Seal,
     mut rx: mpsc::Receiver<Outgoing>,
+    progress: &WriteProgress,
 ) -> SessionError {
     let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
     heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -461,7 +492,10 @@
             return match flush_queue(session, &mut writer, &mut seal, &mut rx).await {
                 // The connection stays open until the peer has read everything:
                 // closing it with unread data would reset it.
-                Ok(()) => std::future::pending().await,
+                Ok(()) => {
+                    progress.finish();
+                    std::future::pending().await
+                }
                 Err(err) => SessionError::Io(err),
             };
         }
--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -33,6 +33,7 @@
 use support::log;
 use support::proxy;
 use support::server;
+use support::server_with_send_buffer;
 use support::wait_for;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -261,19 +262,84 @@
     }
 }
 
+/// Guards against frames that are lost because a process that closes a session, or its
+/// peer, gets no processor for a while.
+#[tokio::test]
+async fn frames_queued_before_a_close_arrive_after_a_time_without_processor() {
+    let count = 256;
+    let mut lost = Vec::new();
+    for turns in (0..4).cycle().take(8) {
+        let server = server(identity("server", KEY), Recorder::default()).await;
+        let link = link(server.address, identity("client", KEY));
+        let accepted = || server.handler.sessions.lock().unwrap().first().cloned();
+        let is_open = || accepted().is_some() && link.session().is_some();
+        assert!(wait_for(TIMEOUT, is_open).await);
+        let (dialled, accepted) = (link.session().unwrap(), accepted().unwrap());
+        for n in 0..count {
+            dialled.send(Payload::Recall(format!("{n:01024}"))).unwrap();
+            accepted.send(Payload::Recall(String::new())).unwrap();
+        }
+        dialled.close();
+        for _ in 0..turns {
+            tokio::task::yield_now().await;
+        }
+        // Both sessions run on this thread.
+        std::thread::sleep(CLOSE_TIMEOUT + Duration::from_millis(100));
+        let received = || server.handler.recalls.lock().unwrap().len();
+        wait_for(TIMEOUT, || received() == count || !accepted.is_open()).await;
+        if received() < count {
+            lost.push((turns, count - received()));
+        }
+    }
+    assert!(lost.is_empty(), "turns before, lost frames: {lost:?}");
+}
+
+/// Guards against frames that are lost because the peer reads slowly, though it reads on.
+#[tokio::test]
+async fn frames_queued_before_a_close_arrive_at_a_peer_that_reads_slowly() {
+    let server = server_with_send_buffer(identity("server", KEY), 4096).await;
+    let proxy = proxy(server.address, Fault::Delay).await;
+    let handler = Arc::new(Recorder::default());
+    let client_identity = Arc::new(identity("client", KEY));
+    let link = Link::start(proxy.address, client_identity, handler.clone(), log());
+    let accepted = || server.handler.sessions.lock().unwrap().first().cloned();
+    let is_open = || accepted().is_some() && link.session().is_some();
+    assert!(wait_for(TIMEOUT, is_open).await);
+    let accepted = accepted().unwrap();
+    proxy.armed.store(true, Ordering::SeqCst);
+    let count = 20;
+    for n in 0..count {
+        accepted
+            .send(Payload::Recall(format!("{n:08192}")))
+            .unwrap();
+    }
+    let start = Instant::now();
+    accepted.close();
+    let received = || handler.recalls.lock().unwrap().len();
+    wait_for(TIMEOUT, || received() == count).await;
+    let took = start.elapsed();
+    assert_eq!(received(), count);
+    assert!(took > 2 * CLOSE_TIMEOUT, "the peer was not slow: {took:?}");
+}
+
 /// Guards against a close that waits for a peer that reads nothing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_close_does_not_wait_for_a_peer_that_reads_nothing() {
-    let server = server(identity("server", KEY), Recorder::default()).await;
+    // The buffers of the sockets are full long before the close, so that no further byte
+    // is accepted: sealing what larger buffers take lasts for seconds in a debug build
+    // on a busy machine.
+    let server = server_with_send_buffer(identity("server", KEY), 4096).await;
     let proxy = proxy(server.address, Fault::None).await;
     let link = link(proxy.address, identity("client", KEY));
-    assert!(wait_for(TIMEOUT, || link.session().is_some()).await);
-    let session = link.session().unwrap();
+    let accepted = || server.handler.sessions.lock().unwrap().first().cloned();
+    let is_open = || accepted().is_some() && link.session().is_some();
+    assert!(wait_for(TIMEOUT, is_open).await);
+    let session = accepted().unwrap();
     proxy.freeze.send_modify(|n| *n += 1);
     // More than the buffers of the sockets hold.
-    for _ in 0..16 {
+    for _ in 0..256 {
         session
-            .send(Payload::Recall("x".repeat(1024 * 1024)))
+            .send(Payload::Recall("x".repeat(64 * 1024)))
             .unwrap();
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -23,7 +23,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::sync::watch;
 
 pub(crate) const KEY: &str = "0123456789abcdef0123456789abcdef";
@@ -36,6 +36,9 @@
     Identity::new(node, "control", "dc1", Secret::new(key))
 }
 
+/// Delay of each frame by [`Fault::Delay`].
+const FRAME_DELAY: Duration = Duration::from_millis(25);
+
 /// Answers calls with `answer`, or not at all without one, and records sessions,
 /// recalls and the hops of calls.
 #[derive(Default)]
@@ -82,6 +85,19 @@
 
 pub(crate) async fn server(identity: Identity, handler: Recorder) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    serve_on(listener, identity, handler)
+}
+
+/// Starts a server whose sockets accept only little more than `bytes` before the peer
+/// reads.
+pub(crate) async fn server_with_send_buffer(identity: Identity, bytes: u32) -> Server {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(bytes).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    serve_on(socket.listen(64).unwrap(), identity, Recorder::default())
+}
+
+fn serve_on(listener: TcpListener, identity: Identity, handler: Recorder) -> Server {
     let address = listener.local_addr().unwrap();
     let (stop, stopped) = watch::channel(false);
     let identity = Arc::new(identity);
@@ -111,6 +127,8 @@
     FlipByte,
     Truncate,
     Oversize,
+    /// Delays each frame from the server to the client, which fill small buffers.
+    Delay,
 }
 
 pub(crate) struct Proxy {
@@ -131,10 +149,18 @@
     let arm = armed.clone();
     tokio::spawn(async move {
         while let Ok((client, _)) = listener.accept().await {
-            let server = TcpStream::connect(target).await.unwrap();
+            let socket = TcpSocket::new_v4().unwrap();
+            if matches!(fault, Fault::Delay) {
+                socket.set_recv_buffer_size(4096).unwrap();
+            }
+            let server = socket.connect(target).await.unwrap();
             let (cr, cw) = client.into_split();
             let (sr, sw) = server.into_split();
-            for (r, w, fault) in [(cr, sw, fault), (sr, cw, Fault::None)] {
+            let (to_server, to_client) = match fault {
+                Fault::Delay => (Fault::None, Fault::Delay),
+                _ => (fault, Fault::None),
+            };
+            for (r, w, fault) in [(cr, sw, to_server), (sr, cw, to_client)] {
                 let mut frozen = frozen.clone();
                 frozen.mark_unchanged();
                 let arm = arm.clone();
@@ -180,6 +206,7 @@
                 },
                 Fault::FlipByte => out[0][0] ^= 1,
                 Fault::Truncate => out[0].truncate(7),
+                Fault::Delay => tokio::time::sleep(FRAME_DELAY).await,
                 Fault::Oversize => {
                     w.write_u32(5 * 1024 * 1024).await?;
                 }
