--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -21,6 +21,7 @@
 use anvilloft_wire::ControlClient;
 use anvilloft_wire::control::Answer;
 use anvilloft_wire::control::Query;
+use anvilloft_wire::session::CLOSE_TIMEOUT;
 use anvilloft_wire::session::HOPS_BY_CONTROL;
 use anvilloft_wire::session::Identity;
 use anvilloft_wire::session::Session;
@@ -57,6 +58,10 @@
 /// Time that an administration connection has beyond the wait for the group, to
 /// read the request and write the answer.
 const CONNECTION_SLACK: Duration = Duration::from_secs(20);
+/// Maximum time in which a stop waits for the end of sessions, as a divisor of its time
+/// for calls in flight. On the platform both and the calls before take at most seven
+/// eighths of the time until SIGKILL.
+const SESSIONS_DIVISOR: u32 = 2;
 /// Interval between updates of the metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 /// Files that a data folder may hold although it has no consensus state.
@@ -313,7 +318,8 @@
         }
     }
 
-    /// Stops once the calls in flight have ended, or after `stop_limit`.
+    /// Stops once the calls in flight have ended, or after `stop_limit`. Then waits for
+    /// the end of the sessions, for at most half of it.
     ///
     /// # Errors
     ///
@@ -344,7 +350,8 @@
         let stopped = tokio::task::spawn_blocking(move || driver.stop()).await;
         // The sessions send what the control thread queued last.
         self.stop.send_replace(true);
-        self.peers.stop().await;
+        let limit = (self.settings.stop_limit / SESSIONS_DIVISOR).max(CLOSE_TIMEOUT);
+        self.peers.stop(limit).await;
         for task in self.tasks {
             let _ = task.await;
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -173,17 +173,21 @@
     }
 
     /// Closes all links and sessions, and waits until queued frames have been sent, for
-    /// at most [`CLOSE_LIMIT`](anvilloft_wire::session::CLOSE_LIMIT).
-    pub async fn stop(&self) {
+    /// at most `limit` and [`CLOSE_LIMIT`](anvilloft_wire::session::CLOSE_LIMIT).
+    pub async fn stop(&self, limit: Duration) {
         lock(&self.links).clear();
         let mut sessions: Vec<_> = lock(&self.members).values().flatten().cloned().collect();
         sessions.extend(lock(&self.routers).iter().cloned());
         for session in &sessions {
             session.close();
         }
-        for session in &sessions {
-            session.ended().await;
-        }
+        let all_ended = async {
+            for session in &sessions {
+                session.ended().await;
+            }
+        };
+        // A session that hasn't ended ends with the process.
+        let _ = tokio::time::timeout(limit, all_ended).await;
     }
 
     /// Returns the newest open session with a member, if possible a responsive one.
--- a/crates/control/tests/group/hosts.rs
+++ b/crates/control/tests/group/hosts.rs
@@ -43,6 +43,8 @@
 
 pub(crate) struct Hosts {
     pub(crate) hosts: Vec<Host>,
+    /// Time for which a planned stop waits for calls in flight.
+    pub(crate) stop_limit: Duration,
     dir: TempDir,
 }
 
@@ -64,7 +66,11 @@
                 folder: dir.path().join(format!("data{i}")),
             })
             .collect();
-        Self { hosts, dir }
+        Self {
+            hosts,
+            stop_limit: Duration::from_secs(2),
+            dir,
+        }
     }
 
     pub(crate) fn operator_hash(&self) -> PathBuf {
@@ -88,7 +94,7 @@
             .group(group)
             .group_wait(Duration::from_secs(2))
             .peers(peers)
-            .stop_limit(Duration::from_secs(2))
+            .stop_limit(self.stop_limit)
             .fleet_key(Secret::new(FLEET_KEY))
             .operator_hash_file(self.dir.path().join("operator.hash"))
             .build()
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -19,6 +19,7 @@
 use anvilloft_wire::control::TableRequest;
 use anvilloft_wire::frame::EndpointUpdate;
 use anvilloft_wire::frame::Payload;
+use anvilloft_wire::session::CLOSE_LIMIT;
 use futures::future::join_all;
 use hosts::Hosts;
 use hosts::send_and_close;
@@ -393,3 +394,41 @@
         "router, has the table, has the notice: {lost:?}"
     );
 }
+
+/// Guards against a short planned stop that a router without processor keeps waiting
+/// until SIGKILL.
+#[tokio::test]
+async fn a_short_planned_stop_does_not_wait_long_for_a_silent_router() {
+    let mut hosts = Hosts::new(1);
+    hosts.stop_limit = Duration::from_millis(400);
+    hosts.start(0, GroupStart::New).await.unwrap();
+    hosts.leader().await;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let fleet = {
+        let _guard = runtime.enter();
+        hosts.router("r0", 0)
+    };
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while hosts.daemon(0).peers().router_names().is_empty() {
+        assert!(Instant::now() < deadline, "no session");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // The router's only thread sleeps.
+    let (asleep, is_asleep) = tokio::sync::oneshot::channel();
+    runtime.spawn(async move {
+        asleep.send(()).unwrap();
+        std::thread::sleep(Duration::from_millis(1_500));
+    });
+    is_asleep.await.unwrap();
+    let daemon = hosts.hosts[0].daemon.take().unwrap();
+    let start = Instant::now();
+    daemon.stop().await.unwrap();
+    let took = start.elapsed();
+    assert!(took < CLOSE_LIMIT, "{took:?}");
+    drop(fleet);
+    runtime.shutdown_background();
+}
