--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -536,10 +536,16 @@
             }
             SinkExt::<Bytes>::flush(&mut writer).await
         };
-        match timeout(SILENCE_TIMEOUT, batch).await {
-            Ok(Ok(())) => (),
-            Ok(Err(err)) => return SessionError::Io(err),
-            Err(_) => return SessionError::SilenceTimeout,
+        tokio::pin!(batch);
+        loop {
+            let written = progress.written();
+            match timeout(SILENCE_TIMEOUT, &mut batch).await {
+                Ok(Ok(())) => break,
+                Ok(Err(err)) => return SessionError::Io(err),
+                // A long batch takes longer on a slow connection or a busy host.
+                Err(_) if progress.written() > written => (),
+                Err(_) => return SessionError::SilenceTimeout,
+            }
         }
     }
 }
