--- a/crates/wire/src/session/peer.rs
+++ b/crates/wire/src/session/peer.rs
@@ -25,11 +25,14 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task::coop::unconstrained;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use super::CLOSE_LIMIT;
 use super::CLOSE_TIMEOUT;
 use super::HANDSHAKE_TIMEOUT;
 use super::HEARTBEAT_INTERVAL;
@@ -44,6 +47,8 @@
 use super::handshake::Opened;
 use super::handshake::Side;
 use super::handshake::handshake;
+use super::progress::CountingWriter;
+use super::progress::WriteProgress;
 use super::seal::Seal;
 use crate::control::Answer;
 use crate::control::CallError;
@@ -96,6 +101,26 @@
 const WRITTEN: u8 = 1;
 const CANCELLED: u8 = 2;
 
+/// Number of bytes that a session seals or checks before other tasks run, and before it
+/// sees its own close: a core host has one thread and a tenth of a core.
+const TURN_BYTES: usize = 64 * 1024;
+
+/// Lets other tasks run after each [`TURN_BYTES`] of frames.
+#[derive(Default)]
+struct Turn {
+    bytes: usize,
+}
+
+impl Turn {
+    async fn count(&mut self, len: usize) {
+        self.bytes = self.bytes.saturating_add(len);
+        if self.bytes >= TURN_BYTES {
+            self.bytes = 0;
+            yield_now().await;
+        }
+    }
+}
+
 /// A frame in the send queue. `state` is set for calls: it shows whether any
 /// byte of the call may have left this process.
 struct Outgoing {
@@ -206,7 +231,8 @@
     }
 
     /// Closes the session. Frames that were queued before are still sent, except
-    /// calls, for at most [`CLOSE_TIMEOUT`].
+    /// calls, until the connection has accepted no byte for [`CLOSE_TIMEOUT`], and for
+    /// at most [`CLOSE_LIMIT`].
     pub fn close(&self) {
         self.stop_for(StopReason::Requested);
     }
@@ -352,6 +378,8 @@
     R: AsyncRead + Unpin + Send + 'static,
     W: AsyncWrite + Unpin + Send + 'static,
 {
+    let progress = Arc::new(WriteProgress::default());
+    let writer = CountingWriter::new(writer, Arc::clone(&progress));
     let opened = timeout(HANDSHAKE_TIMEOUT, handshake(reader, writer, side, identity))
         .await
         .unwrap_or(Err(SessionError::HandshakeTimeout));
@@ -392,10 +420,19 @@
     let stats = identity.stats.clone();
     let run = session.clone();
     tokio::spawn(async move {
+        let run_frames = async {
+            tokio::select! {
+                err = write_frames(&run, writer, seal_out, rx, &progress) => err,
+                err = read_frames(&run, reader, seal_in, handler.clone()) => err,
+            }
+        };
+        // After a time without processor, what the connection accepts counts before the
+        // timers that have expired meanwhile. A peer that never stops sending can't use
+        // up the budget of `stopped`.
         let reason = tokio::select! {
-            err = write_frames(&run, writer, seal_out, rx) => err,
-            err = read_frames(&run, reader, seal_in, handler.clone()) => err,
-            err = stopped(&run) => err,
+            biased;
+            err = run_frames => err,
+            err = unconstrained(stopped(&run, &progress)) => err,
         };
         let reason = match *run.stop.borrow() {
             StopReason::Requested => SessionError::ClosedLocally,
@@ -420,16 +457,30 @@
     Ok(session)
 }
 
-/// Waits until this side ends the session, at the latest [`CLOSE_TIMEOUT`] after
-/// [`Session::close`].
-async fn stopped(session: &Session) -> SessionError {
+/// Waits until this side ends the session: after [`Session::close`], until the
+/// connection has accepted no byte of the queue for [`CLOSE_TIMEOUT`], at the latest
+/// after [`CLOSE_LIMIT`].
+async fn stopped(session: &Session, progress: &WriteProgress) -> SessionError {
     let mut stop = session.stop.subscribe();
     let reason = stop.wait_for(|stop| *stop != StopReason::None).await;
     if reason.is_ok_and(|reason| *reason == StopReason::Overflow) {
         return SessionError::Overflow;
     }
-    tokio::time::sleep(CLOSE_TIMEOUT).await;
-    SessionError::ClosedLocally
+    let limit = tokio::time::sleep(CLOSE_LIMIT);
+    tokio::pin!(limit);
+    let mut written = progress.written();
+    loop {
+        tokio::select! {
+            () = &mut limit => return SessionError::ClosedLocally,
+            () = tokio::time::sleep(CLOSE_TIMEOUT) => (),
+        }
+        let before = std::mem::replace(&mut written, progress.written());
+        // What the peer still has to read is in the buffers of both kernels, so its
+        // progress can't be seen from here.
+        if written == before && !progress.is_finished() {
+            return SessionError::ClosedLocally;
+        }
+    }
 }
 
 /// Waits for [`Session::close`].
@@ -443,10 +494,12 @@
     mut writer: FramedWrite<W, LengthDelimitedCodec>,
     mut seal: Seal,
     mut rx: mpsc::Receiver<Outgoing>,
+    progress: &WriteProgress,
 ) -> SessionError {
     let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
     heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = session.stop.subscribe();
+    let mut turn = Turn::default();
     loop {
         let mut next = tokio::select! {
             () = close_requested(&mut stop) => None,
@@ -461,7 +514,10 @@
             return match flush_queue(session, &mut writer, &mut seal, &mut rx).await {
                 // The connection stays open until the peer has read everything:
                 // closing it with unread data would reset it.
-                Ok(()) => std::future::pending().await,
+                Ok(()) => {
+                    progress.finish();
+                    std::future::pending().await
+                }
                 Err(err) => SessionError::Io(err),
             };
         }
@@ -474,15 +530,22 @@
                 });
                 if !skip {
                     writer.feed(seal.seal(&out.bytes)).await?;
+                    turn.count(out.bytes.len()).await;
                 }
                 next = rx.try_recv().ok().inspect(|out| session.release(out));
             }
             SinkExt::<Bytes>::flush(&mut writer).await
         };
-        match timeout(SILENCE_TIMEOUT, batch).await {
-            Ok(Ok(())) => (),
-            Ok(Err(err)) => return SessionError::Io(err),
-            Err(_) => return SessionError::SilenceTimeout,
+        tokio::pin!(batch);
+        loop {
+            let written = progress.written();
+            match timeout(SILENCE_TIMEOUT, &mut batch).await {
+                Ok(Ok(())) => break,
+                Ok(Err(err)) => return SessionError::Io(err),
+                // A long batch takes longer on a slow connection or a busy host.
+                Err(_) if progress.written() > written => (),
+                Err(_) => return SessionError::SilenceTimeout,
+            }
         }
     }
 }
@@ -495,11 +558,13 @@
     seal: &mut Seal,
     rx: &mut mpsc::Receiver<Outgoing>,
 ) -> std::io::Result<()> {
+    let mut turn = Turn::default();
     rx.close();
     while let Some(out) = rx.recv().await {
         session.release(&out);
         if out.state.is_none() {
             writer.feed(seal.seal(&out.bytes)).await?;
+            turn.count(out.bytes.len()).await;
         }
     }
     SinkExt::<Bytes>::flush(writer).await?;
@@ -513,6 +578,7 @@
     handler: Arc<dyn Handler>,
 ) -> SessionError {
     let permits = Arc::new(Semaphore::new(MAX_INBOUND_CALLS));
+    let mut turn = Turn::default();
     loop {
         let buf = match timeout(SILENCE_TIMEOUT, reader.next()).await {
             Err(_) => return SessionError::SilenceTimeout,
@@ -520,6 +586,7 @@
             Ok(Some(Err(err))) => return SessionError::Io(err),
             Ok(Some(Ok(buf))) => buf,
         };
+        turn.count(buf.len()).await;
         let frame = match seal.open(buf) {
             Ok(frame) => Frame::decode(frame),
             Err(err) => return err,
