--- a/crates/control/src/driver/recalls.rs
+++ b/crates/control/src/driver/recalls.rs
@@ -109,7 +109,8 @@
         }
         // While a recall is in effect, its holders report each end of a request by itself,
         // so one of locked reserves isn't prolonged.
-        if !holders.is_empty() && !(grant.lending && asked_at.is_some()) {
+        let is_prolonged = !grant.lending || asked_at.is_none();
+        if is_prolonged && !holders.is_empty() {
             let budget = &grant.budget;
             if asked_at.is_none() {
                 let unsent = holders.iter().map(|(r, i)| (r.clone(), *i, budget.clone()));
