tests: count the frames that a session checks in one turn

In its place, other_tasks_run_between_the_frames_of_a_long_queue counts the frames that arrive between two turns of the thread: at most one of 64 KiB.

--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -404,30 +404,28 @@
 }
 
 /// Guards against a session that keeps the thread, and so its own close, heartbeats and
-/// other sessions, waiting while it seals or checks a long queue.
+/// other sessions, waiting while it checks a long queue.
 #[tokio::test]
-async fn other_tasks_run_while_a_session_sends_a_long_queue() {
+async fn other_tasks_run_between_the_frames_of_a_long_queue() {
     let server = server(identity("server", KEY), Recorder::default()).await;
     let link = link(server.address, identity("client", KEY));
     assert!(wait_for(TIMEOUT, || link.session().is_some()).await);
     let session = link.session().unwrap();
-    let (count, len) = (8, 128 * 1024);
+    let (count, len) = (32, 64 * 1024);
     for _ in 0..count {
         session.send(Payload::Recall("x".repeat(len))).unwrap();
     }
     let received = || server.handler.recalls.lock().unwrap().len();
     let start = Instant::now();
-    let mut last = start;
-    let mut longest = Duration::ZERO;
-    while received() < count && start.elapsed() < 2 * TIMEOUT {
+    let (mut last, mut most) = (0, 0);
+    while last < count && start.elapsed() < 2 * TIMEOUT {
         tokio::task::yield_now().await;
-        longest = longest.max(last.elapsed());
-        last = Instant::now();
+        let now = received();
+        most = most.max(now - last);
+        last = now;
     }
-    assert_eq!(received(), count);
-    // Sealing takes half of the time and checking the other half.
-    let total = start.elapsed();
-    assert!(longest < total / 6, "{longest:?} of {total:?}");
+    assert_eq!(last, count);
+    assert_eq!(most, 1, "frames that were checked in one turn");
 }
 
 /// Guards against a call that is reported as not run although the peer received it
