gateway: keep no room for a request on idle connections

Cause: hyper allocates the future of a connection's request once, for as long as the connection is open, and this future holds all stages of a request.

Change: the future is boxed, so it is allocated for each request and freed with its header.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -342,7 +342,8 @@
         let (border, state) = (Arc::clone(&border), Arc::clone(&state));
         service_fn(move |req: hyper::Request<Incoming>| {
             let (border, state) = (Arc::clone(&border), Arc::clone(&state));
-            async move { Ok::<_, Infallible>(border.handle(&state, peer, req).await) }
+            // hyper keeps room for this future as long as the connection is open.
+            Box::pin(async move { Ok::<_, Infallible>(border.handle(&state, peer, req).await) })
         })
     };
     // Without a timer, hyper has no timeouts of its own.
