--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `crashes`: requests that may have crashed an endpoint, and those in quarantine.
 //! - `config`: configuration of a dispatcher.
 //! - `dispatcher`: chooses an endpoint; `peers` in it takes other routers' reports.
+//! - `occupancy`: bounds the requests in flight at the router.
 //! - `retry`: limits retries to a share of the requests.
 //! - `stop`: decides which requests are passed on during a planned stop.
 //! - `shed`: load shedding when the router's processor is overloaded.
@@ -23,6 +24,7 @@
 mod handover;
 mod health;
 mod link;
+mod occupancy;
 mod retry;
 mod shed;
 mod stop;
@@ -52,6 +54,7 @@
 pub use handover::SilenceTimer;
 pub use link::LINK_INTERVAL;
 pub use link::LinkDelay;
+pub use occupancy::accepts_request;
 pub use retry::RetryBudget;
 pub use shed::LoadShedder;
 pub use stop::StopSchedule;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -37,6 +37,7 @@
 use crate::handover::ASK_INTERVAL;
 use crate::handover::wait_for_answer;
 use crate::progress::Progress;
+use crate::state::OpenRequestGuard;
 use crate::state::RelayState;
 
 /// Maximum number of failed connects for one request. An endpoint that can't be
@@ -69,6 +70,8 @@
     pub(crate) body: Bytes,
     /// Keeps the body counted against the memory limit while it may be sent again.
     pub(crate) _body_memory: BodyMemoryGuard,
+    /// Counts the request against the limit of open requests.
+    pub(crate) _open: OpenRequestGuard,
     pub(crate) prompt: Vec<PromptPart>,
     pub(crate) traits: RequestTraits,
     pub(crate) team: Option<TeamId>,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -232,6 +232,7 @@
             return Err(router_busy(link.delay()));
         }
     }
+    let open = cx.open_request(route.level).ok_or_else(too_many_requests)?;
     let service = route
         .choose_service(rand::random())
         .and_then(|name| table.service(name))
@@ -264,6 +265,7 @@
         headers,
         body,
         _body_memory: body_memory,
+        _open: open,
         prompt: head.prompt,
         traits,
         team: team.map(|t| t.name.clone()),
@@ -322,6 +324,14 @@
     .retry_after(RETRY_AFTER_FULL)
 }
 
+fn too_many_requests() -> Refusal {
+    Refusal::unavailable(
+        "router_busy",
+        "the requests in flight at this router have reached their limit",
+    )
+    .retry_after(RETRY_AFTER_FULL)
+}
+
 fn no_endpoint() -> Refusal {
     Refusal::unavailable(
         "no_endpoint",
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -24,6 +24,8 @@
     pub max_connections: usize,
     /// Maximum total size of request bodies in memory, in bytes.
     pub max_buffered_bytes: usize,
+    /// Maximum number of requests in flight, of all ranks.
+    pub max_requests: usize,
     /// Window over which retries to a service are limited, fleet-wide.
     pub retry_window: Duration,
     /// Maximum number of retries within the window, as a share of the requests.
@@ -55,6 +57,7 @@
             peer_address: None,
             max_connections: 2_048,
             max_buffered_bytes: DEFAULT_MAX_BUFFERED_BYTES,
+            max_requests: 2_048,
             retry_window: Duration::from_secs(10),
             retry_ratio: 0.1,
             retry_extra: 30.0,
@@ -84,6 +87,13 @@
         self
     }
 
+    /// Sets the maximum number of requests in flight.
+    #[must_use]
+    pub fn max_requests(mut self, count: usize) -> Self {
+        self.0.max_requests = count;
+        self
+    }
+
     /// Sets the fleet-wide limit of retries: window, share of the requests, and
     /// number beyond the share.
     #[must_use]
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -181,6 +181,7 @@
             stop: OnceLock::new(),
             abandon: CancellationToken::new(),
             router_count: AtomicUsize::new(0),
+            open_requests: AtomicUsize::new(0),
             request_counter: AtomicU64::new(1),
             options,
         });
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,6 +16,7 @@
 use anvilloft_dispatch::LoadShedder;
 use anvilloft_dispatch::RetryBudget;
 use anvilloft_dispatch::StopSchedule;
+use anvilloft_dispatch::accepts_request;
 use anvilloft_gateway::BodyMemory;
 use anvilloft_gateway::client::Client;
 use anvilloft_gateway::client::ConnectObserver;
@@ -140,6 +141,17 @@
     /// answer must be refused.
     pub(crate) abandon: CancellationToken,
     pub(crate) request_counter: AtomicU64,
+    /// Number of requests whose answer has not ended.
+    pub(crate) open_requests: AtomicUsize,
+}
+
+/// Counts a request as open until its answer has ended.
+pub(crate) struct OpenRequestGuard(Arc<RelayState>);
+
+impl Drop for OpenRequestGuard {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl RelayState {
@@ -151,6 +163,16 @@
         self.request_counter.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Counts another request of a rank as open. Returns `None` if it may not be accepted.
+    pub(crate) fn open_request(self: &Arc<Self>, rank: u8) -> Option<OpenRequestGuard> {
+        let limit = self.options.max_requests;
+        let open = |n| accepts_request(n, limit, rank).then_some(n + 1);
+        let opened = self
+            .open_requests
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, open);
+        opened.is_ok().then(|| OpenRequestGuard(Arc::clone(self)))
+    }
+
     pub(crate) fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
         lock(&self.dispatcher)
     }
