relay: let plain requests use the whole bound of open requests

Change: only streams leave room for more urgent ranks. Requests in flight stay below the descriptors that are kept for endpoints.

--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -1,8 +1,8 @@
 //! Bounds the number of requests in flight at a router.
 //!
-//! Each holds memory until its answer has ended, whatever its size. When engines are slow,
-//! requests of the lower ranks would fill the router first, so a part of it is kept for the
-//! more urgent ones.
+//! Each holds memory until it is answered, whatever its size. When engines are slow, streams
+//! of the lower ranks would fill the router first, so a part of it is kept for the more
+//! urgent ones.
 
 /// Rank from which on all are treated alike.
 const LAST_RANK: usize = 2;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -232,7 +232,13 @@
             return Err(router_busy(link.delay()));
         }
     }
-    let open = cx.open_request(route.level).ok_or_else(too_many_requests)?;
+    // Plain requests are short, so those of a free service don't yield to slow streams.
+    let rank = if route.kind.is_stream() {
+        route.level
+    } else {
+        0
+    };
+    let open = cx.open_request(rank).ok_or_else(too_many_requests)?;
     let service = route
         .choose_service(rand::random())
         .and_then(|name| table.service(name))
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -141,11 +141,11 @@
     /// answer must be refused.
     pub(crate) abandon: CancellationToken,
     pub(crate) request_counter: AtomicU64,
-    /// Number of requests whose answer has not ended.
+    /// Number of requests that wait for their answer, or whose stream has not ended.
     pub(crate) open_requests: AtomicUsize,
 }
 
-/// Counts a request as open until its answer has ended.
+/// Counts a request as open until its whole answer was read, or its stream has ended.
 pub(crate) struct OpenRequestGuard(Arc<RelayState>);
 
 impl Drop for OpenRequestGuard {
